--- /dev/null
+++ b/Makefile
@@ -0,0 +1,48 @@
+# What one can do here. `make demo` and `make test` need nothing but Go.
+
+GOLANGCI_VERSION := v2.15.0
+BIN := $(CURDIR)/bin
+# -buildvcs=false keeps builds the same inside and outside a checkout.
+GO := go
+
+.PHONY: all build demo test race lint format snapshots generate fuzz bench integration red clean
+
+all: build test
+
+build: ## Build the program into bin/.
+	$(GO) build -buildvcs=false -o $(BIN)/fescuespindle ./cmd/fescuespindle
+
+demo: build ## Bring up two whole sites in one process and show them at work.
+	$(BIN)/fescuespindle demo
+
+test: lint race ## Everything that CI checks.
+
+race: ## Run all tests with the race detector.
+	$(GO) test -race -count=1 ./...
+
+lint: $(BIN)/golangci-lint ## Check format and style.
+	$(BIN)/golangci-lint run ./...
+
+format: $(BIN)/golangci-lint ## Format all code.
+	$(BIN)/golangci-lint fmt ./...
+
+$(BIN)/golangci-lint:
+	GOBIN=$(BIN) GOFLAGS= $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+
+snapshots: ## Write the golden files anew; look at the difference before committing.
+	UPDATE_SNAPSHOTS=1 $(GO) test -count=1 ./pkg/... ./internal/commander/... ./examples/...
+
+generate: ## Write generated code anew.
+	$(GO) tool wire ./internal/assembler
+
+fuzz: ## Fuzz each reader of outside bytes for a while.
+	./scripts/fuzz.sh 20s
+
+bench: ## Run the benchmarks of the decisions.
+	$(GO) test -run '^$$' -bench . -benchmem ./internal/chooser/ ./internal/yielder/ ./internal/admitter/
+
+red: ## Run the known failures that KNOWN-RED.txt lists.
+	./scripts/known-red.sh
+
+clean:
+	rm -rf $(BIN) out
--- /dev/null
+++ b/examples/authority/main_test.go
@@ -0,0 +1,12 @@
+package main
+
+import (
+	"testing"
+
+	"github.com/fescuespindle/fescuespindle/internal/snapshotter"
+)
+
+func TestDocument(t *testing.T) {
+	text, err := document().Print()
+	snapshotter.ExpectSnapshot(t, "testdata/authority.json", text, err)
+}
--- /dev/null
+++ b/internal/admitter/queue.go
@@ -0,0 +1,246 @@
+// Package admitter lets online requests in as upstreams have room, in fair
+// shares between callers, and refuses early what could not be run in time.
+package admitter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+)
+
+// ErrBusy means that the request would have waited too long. It was not run.
+var ErrBusy = errors.New("no room in time")
+
+// BusyError tells when the caller may come back.
+type BusyError struct {
+	retryAt time.Time
+}
+
+// Error implements error.
+func (e *BusyError) Error() string { return ErrBusy.Error() }
+
+// Unwrap returns ErrBusy.
+func (e *BusyError) Unwrap() error { return ErrBusy }
+
+// RetryAt returns when the caller may come back.
+func (e *BusyError) RetryAt() time.Time { return e.retryAt }
+
+const (
+	// maxWait bounds the time that a request spends in the queue.
+	maxWait = 400 * time.Millisecond
+	// minRetryWait is the shortest time after which callers are asked back.
+	minRetryWait = time.Second
+	// rateWeight is the weight of a new interval between releases.
+	rateWeight = 0.05
+	// maxWaiting bounds the queue of one caller.
+	maxWaiting = 4096
+)
+
+// Queue is the line of one pool. Callers take turns by stride scheduling: each
+// admission moves a caller's virtual time on by the inverse of its weight, and
+// the caller with the least virtual time goes next.
+type Queue struct {
+	room func(more int) bool
+	now  func() time.Time
+
+	mu       sync.Mutex
+	callers  map[string]*line
+	virtual  float64
+	waiting  int
+	starting int
+	interval float64 // average nanoseconds between releases
+	released time.Time
+}
+
+type line struct {
+	pass    float64
+	weight  float64
+	tickets []*ticket
+}
+
+type ticket struct {
+	admitted chan struct{}
+	gone     bool
+}
+
+// New returns a queue. The function tells whether the pool has room for one
+// more request on top of so many that were let in but have not started yet.
+func New(room func(more int) bool, now func() time.Time) *Queue {
+	return &Queue{room: room, now: now, callers: map[string]*line{}}
+}
+
+// Waiting returns the number of requests in line.
+func (q *Queue) Waiting() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.waiting
+}
+
+// Enter waits for the request's turn. It returns a BusyError at once if the
+// wait would pass the deadline or the longest wait. Started must be called once
+// after it returns nil.
+func (q *Queue) Enter(ctx context.Context, caller string, weight int, deadline time.Time) error {
+	t, err := q.join(caller, float64(max(weight, 1)), deadline)
+	if t == nil {
+		return err
+	}
+	timer := time.NewTimer(min(maxWait, deadline.Sub(q.now())))
+	defer timer.Stop()
+	select {
+	case <-t.admitted:
+		return nil
+	case <-timer.C:
+		return q.leave(t, &BusyError{retryAt: q.now().Add(minRetryWait)})
+	case <-ctx.Done():
+		return q.leave(t, fmt.Errorf("%w: %w", ErrBusy, ctx.Err()))
+	}
+}
+
+// join returns a ticket to wait with, or nil if the request was let in or
+// refused at once.
+func (q *Queue) join(caller string, weight float64, deadline time.Time) (*ticket, error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	l := q.line(caller, weight)
+	if q.waiting == 0 && q.room(q.starting) {
+		q.advance(l)
+		return nil, nil
+	}
+	now := q.now()
+	wait := q.estimate(l)
+	if now.Add(wait).After(deadline) || wait > maxWait || len(l.tickets) >= maxWaiting {
+		return nil, &BusyError{retryAt: now.Add(max(wait, minRetryWait))}
+	}
+	t := &ticket{admitted: make(chan struct{})}
+	l.tickets = append(l.tickets, t)
+	q.waiting++
+	return t, nil
+}
+
+func (q *Queue) line(caller string, weight float64) *line {
+	l, found := q.callers[caller]
+	if !found {
+		l = &line{}
+		q.callers[caller] = l
+	}
+	l.weight = weight
+	if len(l.tickets) == 0 {
+		l.pass = max(l.pass, q.virtual) // idle callers don't save up turns
+	}
+	return l
+}
+
+func (q *Queue) advance(l *line) {
+	q.starting++
+	q.virtual = l.pass
+	l.pass += 1 / l.weight
+}
+
+// estimate returns how long a new request of the caller would wait: the
+// requests ahead of it in its own line, each of which waits for the other
+// callers' shares, at the average interval between releases.
+func (q *Queue) estimate(l *line) time.Duration {
+	var weights float64
+	for _, other := range q.callers {
+		if len(other.tickets) > 0 || other == l {
+			weights += other.weight
+		}
+	}
+	turns := float64(len(l.tickets)+1) * weights / l.weight
+	turns = min(turns, float64(q.waiting+1))
+	return time.Duration(turns * q.interval)
+}
+
+// leave takes a ticket out of the line, unless it was admitted meanwhile.
+func (q *Queue) leave(t *ticket, err error) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	select {
+	case <-t.admitted:
+		return nil
+	default:
+	}
+	t.gone = true
+	q.waiting--
+	return err
+}
+
+// Started notes that a request that was let in is counted by the gauge of its
+// upstream now, or won't be sent. It is called once for each successful Enter.
+func (q *Queue) Started() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.starting--
+}
+
+// Released notes that a request of the pool is over, and lets others in.
+func (q *Queue) Released() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.now()
+	if !q.released.IsZero() {
+		passed := float64(now.Sub(q.released))
+		q.interval += rateWeight * (passed - q.interval)
+	}
+	q.released = now
+	q.admit()
+}
+
+// Poll lets requests in after a change that this VM did not make itself, such
+// as a new upstream or work of other VMs that ended.
+func (q *Queue) Poll() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.admit()
+}
+
+func (q *Queue) admit() {
+	for q.waiting > 0 && q.room(q.starting) {
+		l := q.next()
+		if l == nil {
+			return
+		}
+		t := l.tickets[0]
+		l.tickets = l.tickets[1:]
+		if t.gone {
+			continue
+		}
+		q.waiting--
+		q.advance(l)
+		close(t.admitted)
+	}
+	q.forgetIdle()
+}
+
+// next returns the line of the caller whose turn it is.
+func (q *Queue) next() *line {
+	var best *line
+	var bestName string
+	for name, l := range q.callers {
+		l.dropGone()
+		if len(l.tickets) == 0 {
+			continue
+		}
+		if best == nil || l.pass < best.pass || (l.pass == best.pass && name < bestName) {
+			best, bestName = l, name
+		}
+	}
+	return best
+}
+
+func (l *line) dropGone() {
+	for len(l.tickets) > 0 && l.tickets[0].gone {
+		l.tickets = l.tickets[1:]
+	}
+}
+
+// forgetIdle drops callers without requests that have no debt.
+func (q *Queue) forgetIdle() {
+	for name, l := range q.callers {
+		if len(l.tickets) == 0 && l.pass <= q.virtual {
+			delete(q.callers, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/assembler/provider.go
@@ -0,0 +1,105 @@
+package assembler
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/fescuespindle/fescuespindle/internal/claimer"
+	"github.com/fescuespindle/fescuespindle/internal/controller"
+	"github.com/fescuespindle/fescuespindle/internal/counter"
+	"github.com/fescuespindle/fescuespindle/internal/dispatcher"
+	"github.com/fescuespindle/fescuespindle/internal/jobkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/messenger"
+	"github.com/fescuespindle/fescuespindle/internal/operator"
+	"github.com/fescuespindle/fescuespindle/internal/peer"
+	"github.com/fescuespindle/fescuespindle/internal/platformcaller"
+	"github.com/fescuespindle/fescuespindle/internal/quarantiner"
+	"github.com/fescuespindle/fescuespindle/internal/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/settingsloader"
+	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
+)
+
+// Dial opens a connection. Tests and experiments put delays and faults here.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dials are the ways to each kind of far side; nil means plain TCP.
+type Dials struct {
+	Platform Dial
+	Upstream Dial
+	Peer     Dial
+}
+
+// Secret is what all VMs of a fleet share.
+type Secret []byte
+
+// Process is the number of a process, rising with each start of a VM.
+type Process uint64
+
+const (
+	idlePlatformConns = 16
+	// fleetWritesPerSecond and fleetReadsPerSecond are the share of the
+	// platform's budget that all VMs together may use.
+	fleetWritesPerSecond = 400
+	fleetReadsPerSecond  = 1500
+	// smallFleet is the number of VMs that the budget is divided by at least.
+	smallFleet = 8
+)
+
+// CurrentProcess returns the number of a process that starts now.
+func CurrentProcess() Process { return Process(time.Now().UnixMilli()) }
+
+func newCounters() *counter.Counters { return counter.New(metrics.NewSet()) }
+
+func newPlatform(s settingsloader.Settings, d Dials) *platformcaller.Caller {
+	transport := &http.Transport{DialContext: d.Platform, MaxIdleConnsPerHost: idlePlatformConns, DisableCompression: true}
+	return platformcaller.New(s.PlatformURL, &http.Client{Transport: transport})
+}
+
+func newStore(
+	platform *platformcaller.Caller, s settingsloader.Settings, process Process, logger *slog.Logger,
+	counters *counter.Counters,
+) *storekeeper.Keeper {
+	incarnation := s.VM + "-" + strconv.FormatUint(uint64(process), 10)
+	return storekeeper.New(platform, incarnation, logger, counters,
+		storekeeper.WithBudget(fleetWritesPerSecond/smallFleet, fleetReadsPerSecond/smallFleet))
+}
+
+func newJobs(store *storekeeper.Keeper) *jobkeeper.Keeper { return jobkeeper.New(store) }
+
+func newRelayer(d Dials) *relayer.Relayer { return relayer.New(d.Upstream) }
+
+func newClaimer(s settingsloader.Settings, store *storekeeper.Keeper) *claimer.Claimer {
+	return claimer.New(s.VM, store)
+}
+
+func newPlace(s settingsloader.Settings, process Process, l Listeners) controller.Place {
+	return controller.Place{
+		VM: s.VM, Domain: s.Domain, Region: s.Region, Process: uint64(process), Peer: l.Peer.Addr().String(),
+	}
+}
+
+func newMessenger(
+	place controller.Place, secret Secret, c *controller.Controller, counters *counter.Counters, d Dials,
+) *messenger.Messenger {
+	self := peer.Sender{VM: place.VM, Incarnation: peer.FirstIncarnation(place.Process), Address: place.Peer}
+	m := messenger.New(self, secret, c.Received, counters, d.Peer)
+	c.SetSender(m)
+	return m
+}
+
+func newDispatcher(
+	r *relayer.Relayer, c *controller.Controller, counters *counter.Counters, q *quarantiner.Quarantine,
+	options []dispatcher.Option,
+) *dispatcher.Dispatcher {
+	return dispatcher.New(r, c, counters, q, options...)
+}
+
+func newProfiling(s settingsloader.Settings) operator.Profiling {
+	return operator.Profiling(s.Profiling)
+}
--- /dev/null
+++ b/internal/assembler/vm.go
@@ -0,0 +1,145 @@
+// Package assembler puts the parts of an entry VM together and runs them.
+package assembler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/claimer"
+	"github.com/fescuespindle/fescuespindle/internal/controller"
+	"github.com/fescuespindle/fescuespindle/internal/dispatcher"
+	"github.com/fescuespindle/fescuespindle/internal/messenger"
+	"github.com/fescuespindle/fescuespindle/internal/operator"
+	"github.com/fescuespindle/fescuespindle/internal/publisher"
+	"github.com/fescuespindle/fescuespindle/internal/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/server"
+	"github.com/fescuespindle/fescuespindle/internal/settingsloader"
+	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
+)
+
+// Listeners are the sockets of a VM.
+type Listeners struct {
+	Caller   net.Listener
+	Operator net.Listener
+	Peer     net.Listener
+}
+
+// Listen opens the sockets that the settings name.
+func Listen(settings settingsloader.Settings) (Listeners, error) {
+	var l Listeners
+	var err error
+	if l.Caller, err = net.Listen("tcp", settings.CallerAddress); err != nil {
+		return l, fmt.Errorf("listen for callers: %w", err)
+	}
+	if l.Operator, err = net.Listen("tcp", settings.OperatorAddress); err != nil {
+		return l, fmt.Errorf("listen for operators: %w", err)
+	}
+	if l.Peer, err = net.Listen("tcp", settings.PeerAddress); err != nil {
+		return l, fmt.Errorf("listen for peers: %w", err)
+	}
+	return l, nil
+}
+
+// VM is one entry VM.
+type VM struct {
+	settings   settingsloader.Settings
+	logger     *slog.Logger
+	listeners  Listeners
+	store      *storekeeper.Keeper
+	messenger  *messenger.Messenger
+	controller *controller.Controller
+	publisher  *publisher.Publisher
+	dispatcher *dispatcher.Dispatcher
+	claimer    *claimer.Claimer
+	relayer    *relayer.Relayer
+	server     *server.Server
+	operator   *operator.Operator
+
+	group   sync.WaitGroup
+	servers []*http.Server
+	stop    context.CancelFunc
+}
+
+// Publisher returns where the VM's view of the fleet can be read.
+func (vm *VM) Publisher() *publisher.Publisher { return vm.publisher }
+
+// Controller returns the VM's control state.
+func (vm *VM) Controller() *controller.Controller { return vm.controller }
+
+// Start starts serving.
+func (vm *VM) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	vm.stop = cancel
+	vm.group.Go(func() { _ = vm.store.Run(ctx) }) // ends with the context
+	vm.controller.Start()
+	vm.serve(vm.listeners.Peer, &http.Server{Handler: peerHandler(vm.messenger), ReadHeaderTimeout: time.Second})
+	vm.serve(vm.listeners.Operator, vm.operator.HTTP())
+	vm.serve(vm.listeners.Caller, vm.server.HTTP())
+	vm.logger.Info("serving", "vm", vm.settings.VM, "callers", vm.listeners.Caller.Addr().String())
+}
+
+func peerHandler(m *messenger.Messenger) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(messenger.Path, m)
+	return mux
+}
+
+func (vm *VM) serve(listener net.Listener, s *http.Server) {
+	s.ErrorLog = slog.NewLogLogger(vm.logger.Handler(), slog.LevelDebug)
+	vm.servers = append(vm.servers, s)
+	vm.group.Go(func() {
+		if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			vm.logger.Error("listener failed", "error", err)
+		}
+	})
+}
+
+// Shutdown ends the VM without cutting a request: it tells the balancer, waits
+// while that still sends, gives batch work up, and lets online requests end.
+func (vm *VM) Shutdown(ctx context.Context) error {
+	vm.logger.Info("draining", "vm", vm.settings.VM)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(vm.settings.DrainTimeout))
+	defer cancel()
+	vm.operator.SetDraining()
+	vm.server.SetDraining()
+	drained := make(chan error, 1)
+	vm.group.Go(func() { drained <- vm.controller.DrainWork(ctx) })
+	sleep(ctx, time.Duration(vm.settings.BalancerLag))
+	caller := vm.servers[len(vm.servers)-1]
+	err := errors.Join(caller.Shutdown(ctx), <-drained)
+	vm.dispatcher.Wait()
+	vm.claimer.Wait()
+	vm.Close()
+	if err != nil {
+		return fmt.Errorf("drain: %w", err)
+	}
+	vm.logger.Info("drained", "vm", vm.settings.VM)
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// Close ends the VM at once, as a crash would.
+func (vm *VM) Close() {
+	for _, s := range vm.servers {
+		_ = s.Close() // listeners that are closed already
+	}
+	vm.controller.Stop()
+	vm.messenger.Close()
+	vm.stop()
+	vm.group.Wait()
+	vm.relayer.Close()
+}
--- /dev/null
+++ b/internal/assembler/wire.go
@@ -0,0 +1,43 @@
+//go:build wireinject
+
+package assembler
+
+import (
+	"log/slog"
+
+	"github.com/google/wire"
+
+	"github.com/fescuespindle/fescuespindle/internal/controller"
+	"github.com/fescuespindle/fescuespindle/internal/counter"
+	"github.com/fescuespindle/fescuespindle/internal/dispatcher"
+	"github.com/fescuespindle/fescuespindle/internal/operator"
+	"github.com/fescuespindle/fescuespindle/internal/platformcaller"
+	"github.com/fescuespindle/fescuespindle/internal/publisher"
+	"github.com/fescuespindle/fescuespindle/internal/quarantiner"
+	"github.com/fescuespindle/fescuespindle/internal/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/server"
+	"github.com/fescuespindle/fescuespindle/internal/servicecaller"
+	"github.com/fescuespindle/fescuespindle/internal/settingsloader"
+)
+
+// New puts an entry VM together. Start must be called for it to serve.
+func New(
+	settings settingsloader.Settings, listeners Listeners, secret Secret, process Process, dials Dials,
+	logger *slog.Logger, options []dispatcher.Option,
+) *VM {
+	wire.Build(
+		newCounters, newPlatform, newStore, newJobs, newRelayer, newClaimer, newPlace, newMessenger, newDispatcher,
+		newProfiling, publisher.New, quarantiner.New, controller.New, server.New, operator.New, servicecaller.New,
+		wire.Struct(new(controller.Parts), "*"),
+		wire.Struct(new(VM), "settings", "logger", "listeners", "store", "messenger", "controller", "publisher",
+			"dispatcher", "claimer", "relayer", "server", "operator"),
+		wire.Bind(new(controller.Lister), new(*platformcaller.Caller)),
+		wire.Bind(new(servicecaller.Sender), new(*relayer.Relayer)),
+		wire.Bind(new(dispatcher.Observer), new(*controller.Controller)),
+		wire.Bind(new(server.Announcer), new(*controller.Controller)),
+		wire.Bind(new(operator.Stater), new(*controller.Controller)),
+		wire.Bind(new(operator.Tracer), new(*dispatcher.Dispatcher)),
+		wire.Bind(new(dispatcher.Counter), new(*counter.Counters)),
+	)
+	return nil
+}
--- /dev/null
+++ b/internal/chooser/policy.go
@@ -0,0 +1,196 @@
+package chooser
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Reason tells why an upstream was chosen.
+type Reason uint8
+
+// The reasons for a choice.
+const (
+	ReasonLeastLoad Reason = iota
+	ReasonPrefix
+	ReasonSpilled
+	ReasonBaseline
+	reasonCount
+)
+
+// String returns the reason's name, as counters show it.
+func (r Reason) String() string {
+	return [...]string{"leastLoad", "prefix", "spilled", "baseline"}[r]
+}
+
+// Reasons lists every reason.
+func Reasons() []Reason {
+	return []Reason{ReasonLeastLoad, ReasonPrefix, ReasonSpilled, ReasonBaseline}
+}
+
+// Request is what a choice depends on.
+type Request struct {
+	// Prefix is the hash of the prompt's beginning, or 0 for no affinity.
+	Prefix uint64
+	// Avoid is an upstream that has already failed or is running the request.
+	Avoid *Upstream
+	// Farthest is the last tier that may be used.
+	Farthest Tier
+	// Now is the time of the choice.
+	Now time.Time
+}
+
+// Choice is the upstream chosen, and why.
+type Choice struct {
+	Upstream *Upstream
+	Reason   Reason
+	// Fill is the share of the upstream that online work takes.
+	Fill float64
+}
+
+// Policy chooses among the upstreams of a pool. It returns false if none may
+// be used.
+type Policy interface {
+	Choose(*Pool, Request) (Choice, bool)
+}
+
+const (
+	// samples is the number of upstreams that are looked at in a large tier.
+	samples = 6
+	// ringSteps is the number of upstreams that a prefix may fall back to.
+	ringSteps = 3
+	// prefixSlack is the load over the mean that a prefix is worth.
+	prefixSlack = 1.25
+	// spillFill is the fill from which the next tier is looked at.
+	spillFill = 1.0
+	// slowLimit is the slowness from which an upstream loses its prefixes.
+	slowLimit = 2.0
+)
+
+// Balanced is the product's own policy: the upstream that the prompt's prefix
+// points to while it is neither slow nor over its share of the load, otherwise
+// the best of a few by load and slowness, in the nearest tier with room.
+type Balanced struct{}
+
+// Choose implements Policy.
+func (Balanced) Choose(p *Pool, r Request) (Choice, bool) {
+	var best Choice
+	found := false
+	for tier := TierDomain; tier <= r.Farthest; tier++ {
+		choice, ok := p.chooseInTier(tier, r)
+		if !ok {
+			continue
+		}
+		if found {
+			choice.Reason = ReasonSpilled
+		}
+		if choice.Fill < spillFill {
+			return choice, true
+		}
+		if !found || choice.Fill < best.Fill {
+			best = choice
+		}
+		found = true
+	}
+	return best, found
+}
+
+func (p *Pool) chooseInTier(tier Tier, r Request) (Choice, bool) {
+	sampled, score := p.leastLoaded(tier, r)
+	if sampled == nil {
+		return Choice{}, false
+	}
+	if r.Prefix != 0 {
+		if u := p.byPrefix(tier, r, score); u != nil {
+			return Choice{Upstream: u, Reason: ReasonPrefix, Fill: u.fill()}, true
+		}
+	}
+	return Choice{Upstream: sampled, Reason: ReasonLeastLoad, Fill: sampled.fill()}, true
+}
+
+// leastLoaded returns the best of a few random upstreams, and its score.
+func (p *Pool) leastLoaded(tier Tier, r Request) (*Upstream, float64) {
+	upstreams := p.tiers[tier]
+	n := len(upstreams)
+	if n == 0 {
+		return nil, 0
+	}
+	start, step := rand.IntN(n), 1
+	looks := min(n, samples)
+	if n > samples {
+		step = 1 + rand.IntN(n-1)
+	}
+	var best *Upstream
+	var bestScore float64
+	for i := range looks {
+		u := upstreams[(start+i*step)%n]
+		if u == r.Avoid || !u.gauge.Usable(r.Now) {
+			continue
+		}
+		if score := p.score(u, r.Now); best == nil || score < bestScore {
+			best, bestScore = u, score
+		}
+	}
+	if best == nil && looks < n {
+		return p.anyUsable(upstreams, r)
+	}
+	return best, bestScore
+}
+
+// anyUsable looks at all upstreams, for the case that none of the sampled ones
+// may be used.
+func (p *Pool) anyUsable(upstreams []*Upstream, r Request) (*Upstream, float64) {
+	start := rand.IntN(len(upstreams))
+	for i := range upstreams {
+		u := upstreams[(start+i)%len(upstreams)]
+		if u != r.Avoid && u.gauge.Usable(r.Now) {
+			return u, p.score(u, r.Now)
+		}
+	}
+	return nil, 0
+}
+
+// score is lower for a better upstream: the load that the request would find,
+// times how slow the upstream is. Batch work counts little, as it yields.
+func (p *Pool) score(u *Upstream, now time.Time) float64 {
+	const batchWeight = 0.05
+	load := float64(u.gauge.OnlineTotal()+1) + batchWeight*float64(u.gauge.Batch())
+	return load / float64(u.sequences) * u.gauge.Slowness(now, p.Typical())
+}
+
+// byPrefix returns the upstream that all VMs agree on for the prefix, unless
+// it has more than its share of the load. In that case the next ones on the
+// ring are tried, so that a prefix in demand is cached by several upstreams.
+//
+// Cache events are not needed for this: they come late and with gaps, while
+// the ring gives every VM the same answer at once.
+func (p *Pool) byPrefix(tier Tier, r Request, leastScore float64) *Upstream {
+	ring := p.rings[tier]
+	at, _ := slices.BinarySearchFunc(ring, r.Prefix, func(pt point, hash uint64) int {
+		switch {
+		case pt.hash < hash:
+			return -1
+		case pt.hash > hash:
+			return 1
+		default:
+			return 0
+		}
+	})
+	var last *Upstream
+	tried := 0
+	for i := 0; i < len(ring) && tried < ringSteps; i++ {
+		u := ring[(at+i)%len(ring)].upstream
+		if u == last {
+			continue
+		}
+		last = u
+		tried++
+		if u == r.Avoid || !u.gauge.Usable(r.Now) || u.gauge.Slowness(r.Now, p.Typical()) > slowLimit {
+			continue
+		}
+		if p.score(u, r.Now) <= leastScore*prefixSlack+prefixSlack/float64(u.sequences) {
+			return u
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/chooser/pool.go
@@ -0,0 +1,180 @@
+// Package chooser decides which upstream runs a request. It has no input or
+// output of its own: it reads gauges, which traffic keeps up to date.
+package chooser
+
+import (
+	"cmp"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fescuespindle/fescuespindle/internal/gauger"
+)
+
+// Tier tells how far an upstream is from this VM.
+type Tier uint8
+
+// The tiers, nearest first.
+const (
+	TierDomain Tier = iota
+	TierRegion
+	TierRemote
+	tierCount
+)
+
+// String returns the tier's name.
+func (t Tier) String() string {
+	return [...]string{"domain", "region", "remote"}[t]
+}
+
+// Upstream is one upstream that may run a request.
+type Upstream struct {
+	id        string
+	address   string
+	domain    string
+	region    string
+	sequences int
+	tier      Tier
+	keeper    string
+	gauge     *gauger.Gauge
+}
+
+// UpstreamOption sets one property of an Upstream.
+type UpstreamOption func(*Upstream)
+
+// WithPlace sets the upstream's failure domain and region, and how far they are.
+func WithPlace(domain, region string, tier Tier) UpstreamOption {
+	return func(u *Upstream) { u.domain, u.region, u.tier = domain, region, tier }
+}
+
+// WithKeeper sets the VM that looks after the upstream.
+func WithKeeper(vm string) UpstreamOption {
+	return func(u *Upstream) { u.keeper = vm }
+}
+
+// NewUpstream returns an upstream that runs so many requests at a time.
+func NewUpstream(id, address string, sequences int, gauge *gauger.Gauge, options ...UpstreamOption) *Upstream {
+	u := &Upstream{id: id, address: address, sequences: sequences, gauge: gauge}
+	for _, option := range options {
+		option(u)
+	}
+	return u
+}
+
+// ID returns the upstream's identifier on the platform's list.
+func (u *Upstream) ID() string { return u.id }
+
+// Address returns the upstream's host and port.
+func (u *Upstream) Address() string { return u.address }
+
+// Domain returns the upstream's failure domain.
+func (u *Upstream) Domain() string { return u.domain }
+
+// Region returns the upstream's region.
+func (u *Upstream) Region() string { return u.region }
+
+// Tier returns how far the upstream is.
+func (u *Upstream) Tier() Tier { return u.tier }
+
+// Sequences returns how many requests the upstream runs at a time.
+func (u *Upstream) Sequences() int { return u.sequences }
+
+// Keeper returns the VM that looks after the upstream.
+func (u *Upstream) Keeper() string { return u.keeper }
+
+// Gauge returns what this VM knows of the upstream.
+func (u *Upstream) Gauge() *gauger.Gauge { return u.gauge }
+
+// fill returns the share of the upstream that online work takes.
+func (u *Upstream) fill() float64 {
+	return float64(u.gauge.OnlineTotal()) / float64(u.sequences)
+}
+
+// pointsPerUpstream is the number of points of an upstream on the ring.
+const pointsPerUpstream = 16
+
+type point struct {
+	hash     uint64
+	upstream *Upstream
+}
+
+// Pool is the upstreams of one deployment that may run a request. It never
+// changes, but for the gauges and the typical gap.
+type Pool struct {
+	tiers   [tierCount][]*Upstream
+	rings   [tierCount][]point
+	typical atomic.Int64
+	turn    atomic.Uint64
+}
+
+// NewPool returns a pool of upstreams.
+func NewPool(upstreams []*Upstream) *Pool {
+	p := &Pool{}
+	for _, u := range upstreams {
+		p.tiers[u.tier] = append(p.tiers[u.tier], u)
+		p.rings[u.tier] = append(p.rings[u.tier], pointsOf(u)...)
+	}
+	for tier := range p.rings {
+		slices.SortFunc(p.tiers[tier], func(a, b *Upstream) int { return cmp.Compare(a.id, b.id) })
+		slices.SortFunc(p.rings[tier], func(a, b point) int { return cmp.Compare(a.hash, b.hash) })
+	}
+	p.RefreshTypical()
+	return p
+}
+
+func pointsOf(u *Upstream) []point {
+	points := make([]point, 0, pointsPerUpstream)
+	text := []byte(u.id + "#0")
+	for i := range pointsPerUpstream {
+		text[len(text)-1] = byte('0' + i)
+		points = append(points, point{hash: xxhash.Sum64(text), upstream: u})
+	}
+	return points
+}
+
+// Tier returns the upstreams of one tier, sorted by identifier.
+func (p *Pool) Tier(t Tier) []*Upstream { return p.tiers[t] }
+
+// All calls yield for each upstream, nearest tier first.
+func (p *Pool) All(yield func(*Upstream) bool) {
+	for _, tier := range p.tiers {
+		for _, u := range tier {
+			if !yield(u) {
+				return
+			}
+		}
+	}
+}
+
+// Find returns the upstream with an identifier, or nil.
+func (p *Pool) Find(id string) *Upstream {
+	for u := range p.All {
+		if u.id == id {
+			return u
+		}
+	}
+	return nil
+}
+
+// RefreshTypical computes the typical gap between tokens: the median over the
+// upstreams that this VM has seen at work. It is called a few times a second.
+func (p *Pool) RefreshTypical() {
+	var gaps []time.Duration
+	for u := range p.All {
+		if gap := u.gauge.Gap(); gap > 0 {
+			gaps = append(gaps, gap)
+		}
+	}
+	if len(gaps) == 0 {
+		return
+	}
+	slices.Sort(gaps)
+	p.typical.Store(int64(gaps[(len(gaps)-1)/2]))
+}
+
+// Typical returns the typical gap between tokens, or 0 if unknown.
+func (p *Pool) Typical() time.Duration {
+	return time.Duration(p.typical.Load())
+}
--- /dev/null
+++ b/internal/commander/demo.go
@@ -0,0 +1,30 @@
+package commander
+
+import (
+	"os"
+
+	"golang.org/x/term"
+
+	"github.com/fescuespindle/fescuespindle/internal/demonstrator"
+)
+
+type demoCommand struct {
+	JSON bool `help:"Print JSON."`
+}
+
+// Run shows a whole site at work.
+func (c *demoCommand) Run(e *environment) error {
+	var options []demonstrator.Option
+	if file, ok := e.stderr.(*os.File); ok && term.IsTerminal(int(file.Fd())) {
+		options = append(options, demonstrator.WithProgress(file))
+	}
+	report, err := demonstrator.New(options...).Run(e.ctx)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return e.printJSON(report)
+	}
+	report.Write(e.stdout)
+	return nil
+}
--- /dev/null
+++ b/internal/commander/experiment.go
@@ -0,0 +1,74 @@
+package commander
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/fescuespindle/fescuespindle/internal/experimenter"
+)
+
+type experimentCommand struct {
+	List experimentListCommand `cmd:"" help:"List the experiments."`
+	Run  experimentRunCommand  `cmd:"" help:"Run an experiment."`
+}
+
+type experimentListCommand struct{}
+
+// Run lists the experiments.
+func (c *experimentListCommand) Run(e *environment) error {
+	for _, experiment := range experimenter.All() {
+		e.print("%-22s %s\n", experiment.Name, experiment.Summary)
+	}
+	return nil
+}
+
+type experimentRunCommand struct {
+	Name  string `arg:"" help:"The experiment."`
+	Seed  uint64 `default:"1" help:"The seed."`
+	Quick bool   `help:"Run for a shorter time."`
+	JSON  bool   `help:"Print JSON."`
+	Plot  string `type:"path" placeholder:"DIR" help:"Draw pictures into a folder."`
+}
+
+// Run runs an experiment.
+func (c *experimentRunCommand) Run(e *environment) error {
+	experiment, found := experimenter.Find(c.Name)
+	if !found {
+		return fmt.Errorf("no experiment %q; see experiment list", c.Name)
+	}
+	result, err := experiment.Run(e.ctx, experimenter.Parameters{Seed: c.Seed, Quick: c.Quick, PlotDir: c.Plot})
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return e.printJSON(result)
+	}
+	printResult(e, result)
+	return nil
+}
+
+func printResult(e *environment, r experimenter.Result) {
+	e.print("%s, seed %d, %d VMs, %d upstreams\n", r.Experiment, r.Seed, r.VMs, r.Upstreams)
+	for _, name := range sortedKeys(r.Policies) {
+		e.print("  %s\n", name)
+		for _, metric := range sortedKeys(r.Policies[name]) {
+			e.print("    %-40s %12.3f\n", metric, r.Policies[name][metric])
+		}
+	}
+	for _, bar := range r.Bars {
+		verdict := "missed"
+		if bar.Reached {
+			verdict = "reached"
+		}
+		e.print("  %s: %s, got %.3f: %s\n", bar.Name, bar.Want, bar.Got, verdict)
+	}
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/commander/serve.go
@@ -0,0 +1,70 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+
+	"github.com/fescuespindle/fescuespindle/internal/assembler"
+	"github.com/fescuespindle/fescuespindle/internal/settingsloader"
+)
+
+type serveCommand struct {
+	Settings string `required:"" type:"path" placeholder:"FILE" help:"The VM's settings."`
+}
+
+// Run serves until SIGTERM, and then ends without cutting a request.
+func (c *serveCommand) Run(e *environment) error {
+	settings, err := settingsloader.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	secret, err := settings.Secret()
+	if err != nil {
+		return err
+	}
+	logger := newLogger(settings.LogFormat, e.stderr)
+	listeners, err := assembler.Listen(settings)
+	if err != nil {
+		return err
+	}
+	process := assembler.CurrentProcess()
+	vm := assembler.New(settings, listeners, assembler.Secret(secret), process, assembler.Dials{}, logger, nil)
+	vm.Start()
+	<-e.ctx.Done()
+	return vm.Shutdown(context.WithoutCancel(e.ctx))
+}
+
+func newLogger(format settingsloader.LogFormat, to io.Writer) *slog.Logger {
+	if format == settingsloader.LogJSON {
+		return slog.New(slog.NewJSONHandler(to, nil))
+	}
+	return slog.New(slog.NewTextHandler(to, nil))
+}
+
+type settingsCommand struct {
+	Check   settingsCheckCommand   `cmd:"" help:"Check a settings file."`
+	Example settingsExampleCommand `cmd:"" help:"Print a complete settings file."`
+}
+
+type settingsCheckCommand struct {
+	File string `arg:"" type:"path" help:"The settings file."`
+}
+
+// Run checks a settings file.
+func (c *settingsCheckCommand) Run(e *environment) error {
+	if _, err := settingsloader.Load(c.File); err != nil {
+		return err
+	}
+	e.print("the settings are right\n")
+	return nil
+}
+
+type settingsExampleCommand struct{}
+
+// Run prints an example.
+func (c *settingsExampleCommand) Run(e *environment) error {
+	_, err := fmt.Fprint(e.stdout, settingsloader.Example)
+	return err
+}
--- /dev/null
+++ b/internal/commander/standin.go
@@ -0,0 +1,102 @@
+package commander
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/emulator/engineemulator"
+	"github.com/fescuespindle/fescuespindle/internal/emulator/platformemulator"
+	"github.com/fescuespindle/fescuespindle/internal/emulator/serviceemulator"
+	"github.com/fescuespindle/fescuespindle/internal/platformcaller"
+	"github.com/fescuespindle/fescuespindle/internal/upstream"
+)
+
+type standinCommand struct {
+	Platform standinPlatformCommand `cmd:"" help:"Run a platform: table, objects, weights and VM list."`
+	Engine   standinEngineCommand   `cmd:"" help:"Run a model engine."`
+	Service  standinServiceCommand  `cmd:"" help:"Run a plain service."`
+}
+
+const headerTimeout = 5 * time.Second
+
+// serveStandin serves a handler until the program is told to stop.
+func serveStandin(e *environment, address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	e.print("listening on %s\n", listener.Addr())
+	logger := slog.New(slog.NewTextHandler(e.stderr, &slog.HandlerOptions{Level: slog.LevelError}))
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout,
+		ErrorLog: slog.NewLogLogger(logger.Handler(), slog.LevelDebug),
+	}
+	stop := context.AfterFunc(e.ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve: %w", err)
+	}
+	return nil
+}
+
+type standinPlatformCommand struct {
+	Address string `default:"127.0.0.1:8090" help:"Where to listen."`
+	Seed    uint64 `default:"1" help:"The seed of faults."`
+}
+
+// Run runs a platform.
+func (c *standinPlatformCommand) Run(e *environment) error {
+	return serveStandin(e, c.Address, platformemulator.New(c.Seed))
+}
+
+type standinEngineCommand struct {
+	Address      string        `default:"127.0.0.1:0" help:"Where to listen."`
+	Model        string        `required:"" help:"The model in memory at the start."`
+	Version      string        `default:"1" help:"The model's version."`
+	Sequences    int           `default:"8" help:"Sequences at a time."`
+	Step         time.Duration `default:"5ms" help:"The time of one step of an empty engine."`
+	ReportLag    time.Duration `default:"1s" help:"How late load reports are."`
+	CheckFencing bool          `help:"Refuse orders with an old fencing number."`
+	LoadTime     time.Duration `default:"1s" help:"The time that loading a model takes."`
+	Platform     string        `placeholder:"URL" help:"The platform whose weight store is asked."`
+}
+
+// Run runs an engine.
+func (c *standinEngineCommand) Run(e *environment) error {
+	options := []engineemulator.Option{
+		engineemulator.WithLoaded(upstream.LoadedModel{Name: c.Model, Version: c.Version}),
+		engineemulator.WithSequences(c.Sequences), engineemulator.WithStep(c.Step),
+		engineemulator.WithReportLag(c.ReportLag), engineemulator.WithLoadTime(c.LoadTime),
+	}
+	if c.CheckFencing {
+		options = append(options, engineemulator.WithFencing())
+	}
+	if c.Platform != "" {
+		caller := platformcaller.New(c.Platform, &http.Client{})
+		options = append(options, engineemulator.WithWeights(func(ctx context.Context) error {
+			return caller.Weights(ctx, c.Model)
+		}))
+	}
+	engine := engineemulator.New(options...)
+	var group sync.WaitGroup
+	group.Go(func() { engine.Run(e.ctx) })
+	defer group.Wait()
+	return serveStandin(e, c.Address, engine)
+}
+
+type standinServiceCommand struct {
+	Address string        `default:"127.0.0.1:0" help:"Where to listen."`
+	Name    string        `default:"service" help:"The service's name."`
+	Delay   time.Duration `default:"5ms" help:"The time of one call."`
+}
+
+// Run runs a service.
+func (c *standinServiceCommand) Run(e *environment) error {
+	return serveStandin(e, c.Address, serviceemulator.New(c.Name, serviceemulator.WithDelay(c.Delay)))
+}
--- /dev/null
+++ b/internal/controller/configuration.go
@@ -0,0 +1,105 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/configkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/peer"
+	"github.com/fescuespindle/fescuespindle/internal/propagator"
+	"github.com/fescuespindle/fescuespindle/internal/stepper"
+	"github.com/fescuespindle/fescuespindle/pkg/deployer"
+)
+
+const configReadTimeout = 3 * time.Second
+
+// configuration steps the configuration in force.
+type configuration struct {
+	c      *Controller
+	core   *propagator.Propagator
+	keeper *configkeeper.Keeper
+	doc    deployer.Document
+	broken string
+}
+
+func newConfiguration(c *Controller) *configuration {
+	return &configuration{c: c, core: propagator.New(c.Place.VM), keeper: configkeeper.New(c.Store)}
+}
+
+func (f *configuration) current() propagator.Config { return f.core.Current() }
+
+// reason tells why the VM isn't ready, or "".
+func (f *configuration) reason() string {
+	if f.broken != "" {
+		return f.broken
+	}
+	return f.core.Reason()
+}
+
+func (f *configuration) tick(now time.Time) {
+	f.c.members.prober.SetConfigVersion(f.core.Current().Version())
+	f.do(f.core.Tick(now))
+}
+
+func (f *configuration) receive(from peer.Sender, message peer.Message, now time.Time) {
+	f.do(f.core.Receive(from, message, now))
+}
+
+func (f *configuration) do(actions []propagator.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case propagator.ReadHead:
+			f.readHead()
+		case propagator.ReadText:
+			f.readText(a)
+		case propagator.Send:
+			f.c.sender.Send(a.Address, a.Message)
+		case propagator.Adopt:
+			f.adopt(a.Config)
+		}
+	}
+}
+
+func (f *configuration) readHead() {
+	f.c.loop.Go(func(ctx context.Context) stepper.Event {
+		ctx, cancel := context.WithTimeout(ctx, configReadTimeout)
+		defer cancel()
+		head, err := f.keeper.Head(ctx)
+		return func(now time.Time) {
+			f.do(f.core.HeadRead(head.Version, head.Digest, err, now))
+			f.c.stale = f.c.stale || f.core.Current().Version() == 0
+		}
+	})
+}
+
+func (f *configuration) readText(a propagator.ReadText) {
+	f.c.loop.Go(func(ctx context.Context) stepper.Event {
+		ctx, cancel := context.WithTimeout(ctx, configReadTimeout)
+		defer cancel()
+		text, err := f.keeper.Text(ctx, a.Digest)
+		config, ok := propagator.NewConfig(a.Version, a.Digest, text)
+		if err == nil && !ok {
+			err = fmt.Errorf("configuration %d doesn't have its digest", a.Version)
+		}
+		return func(now time.Time) { f.do(f.core.TextRead(config, err, now)) }
+	})
+}
+
+// adopt puts a configuration in force. One that this program can't read, since
+// a newer program wrote it, leaves the VM out of service: serving by an older
+// one would be a step back.
+func (f *configuration) adopt(config propagator.Config) {
+	f.c.stale = true
+	var doc deployer.Document
+	if err := json.Unmarshal(config.Text(), &doc); err != nil || doc.Format != deployer.FormatVersion {
+		f.broken = fmt.Sprintf("configuration %d has a format that this program can't read", config.Version())
+		f.c.Logger.Error("configuration unreadable", "version", config.Version())
+		return
+	}
+	f.broken = ""
+	f.doc = doc
+	f.c.Counters.Count("config_changes_total")
+	f.c.Logger.Info("configuration in force", "version", config.Version(), "digest", config.Digest())
+}
--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,328 @@
+// Package controller holds the control state of one entry VM: its membership,
+// the configuration in force, the upstreams that it looks after, and the batch
+// work that it owns. One goroutine steps the deterministic cores of each, and
+// publishes what traffic needs as an immutable view.
+package controller
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/chooser"
+	"github.com/fescuespindle/fescuespindle/internal/claimer"
+	"github.com/fescuespindle/fescuespindle/internal/counter"
+	"github.com/fescuespindle/fescuespindle/internal/dispatcher"
+	"github.com/fescuespindle/fescuespindle/internal/jobkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/peer"
+	"github.com/fescuespindle/fescuespindle/internal/platform"
+	"github.com/fescuespindle/fescuespindle/internal/publisher"
+	"github.com/fescuespindle/fescuespindle/internal/quarantiner"
+	"github.com/fescuespindle/fescuespindle/internal/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/stepper"
+	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
+)
+
+const (
+	tickPeriod    = 50 * time.Millisecond
+	listPeriod    = time.Second
+	listTimeout   = time.Second
+	typicalPeriod = 200 * time.Millisecond
+	// vmsPerPeriod is the number of entry VMs up to which periods that load the
+	// platform stay as they are; they grow with the fleet beyond it.
+	vmsPerPeriod = 100
+)
+
+// Place is where a VM runs.
+type Place struct {
+	VM      string
+	Domain  string
+	Region  string
+	Process uint64
+	// Peer is the address at which the VM takes its peers' connections.
+	Peer string
+}
+
+// Sender sends messages to peers.
+type Sender interface {
+	Send(address string, message peer.Message)
+	SetSelf(peer.Sender)
+}
+
+// Lister reads the platform's list of VMs.
+type Lister interface {
+	VMs(context.Context) ([]platform.VM, error)
+}
+
+// Parts are what a controller works with.
+type Parts struct {
+	Place      Place
+	Logger     *slog.Logger
+	Counters   *counter.Counters
+	Store      *storekeeper.Keeper
+	Jobs       *jobkeeper.Keeper
+	Lister     Lister
+	Relayer    *relayer.Relayer
+	Quarantine *quarantiner.Quarantine
+	Publisher  *publisher.Publisher
+	Claimer    *claimer.Claimer
+}
+
+// Controller is the control state of one VM.
+type Controller struct {
+	Parts
+	loop    *stepper.Loop
+	sender  Sender
+	builder *publisher.Builder
+
+	list      []platform.VM
+	listAt    time.Time
+	listing   bool
+	typicalAt time.Time
+	stale     bool
+
+	members   *members
+	config    *configuration
+	upstreams *upstreams
+	work      *work
+
+	dirtyMu sync.Mutex
+	dirty   map[*chooser.Upstream]bool
+}
+
+// New returns a controller. SetSender must be called before Start.
+func New(parts Parts) *Controller {
+	c := &Controller{Parts: parts, builder: publisher.NewBuilder(), dirty: map[*chooser.Upstream]bool{}}
+	c.loop = stepper.New(tickPeriod, c.tick, c.after)
+	seed := parts.Place.Process
+	c.members = newMembers(c, rand.New(rand.NewPCG(seed, seed)))
+	c.config = newConfiguration(c)
+	c.upstreams = newUpstreams(c)
+	c.work = newWork(c)
+	return c
+}
+
+// SetSender sets how messages are sent to peers.
+func (c *Controller) SetSender(s Sender) { c.sender = s }
+
+// Start starts the control goroutine.
+func (c *Controller) Start() { c.loop.Start() }
+
+// Stop ends the control goroutine and everything that it started.
+func (c *Controller) Stop() { c.loop.Stop() }
+
+// tick advances time for every core.
+func (c *Controller) tick(now time.Time) {
+	c.readList(now)
+	c.members.tick(now)
+	c.config.tick(now)
+	c.upstreams.tick(now)
+	c.work.tick(now)
+	c.refreshTypical(now)
+}
+
+// after runs once after each batch of events.
+func (c *Controller) after(now time.Time) {
+	c.flushOnline(now)
+	if c.stale {
+		c.stale = false
+		c.rebuild(now)
+	}
+	c.work.refreshRooms(now)
+}
+
+// scaled lengthens a period that loads the platform as the fleet grows.
+func (c *Controller) scaled(period time.Duration) time.Duration {
+	entries := 0
+	for _, vm := range c.list {
+		if vm.Kind == platform.VMEntry {
+			entries++
+		}
+	}
+	return period * time.Duration(max(1, entries/vmsPerPeriod))
+}
+
+func (c *Controller) readList(now time.Time) {
+	if c.listing || now.Before(c.listAt) {
+		return
+	}
+	c.listing = true
+	c.loop.Go(func(ctx context.Context) stepper.Event {
+		ctx, cancel := context.WithTimeout(ctx, listTimeout)
+		defer cancel()
+		list, err := c.Lister.VMs(ctx)
+		return func(now time.Time) { c.listRead(list, err, now) }
+	})
+}
+
+func (c *Controller) listRead(list []platform.VM, err error, now time.Time) {
+	c.listing = false
+	c.listAt = now.Add(c.scaled(listPeriod))
+	if err != nil {
+		c.Counters.Count("list_read_failures_total")
+		return
+	}
+	c.list = list
+	c.members.listRead(list)
+	c.upstreams.listRead(list)
+	c.stale = true
+}
+
+// rebuild publishes a new view.
+func (c *Controller) rebuild(now time.Time) {
+	view := c.builder.Build(publisher.Inputs{
+		VM: c.Place.VM, Domain: c.Place.Domain, Region: c.Place.Region,
+		Config: c.config.current(), Doc: c.config.doc, Reason: c.config.reason(),
+		VMs: c.list, Live: c.members.names(), States: c.upstreams.states,
+	})
+	c.Publisher.Publish(view)
+	c.upstreams.viewChanged(view, now)
+	c.Counters.Count("views_published_total")
+}
+
+func (c *Controller) refreshTypical(now time.Time) {
+	if now.Before(c.typicalAt) {
+		return
+	}
+	c.typicalAt = now.Add(typicalPeriod)
+	for target := range c.Publisher.View().Targets {
+		target.Pool().RefreshTypical()
+		target.Lane().Queue().Poll()
+	}
+}
+
+// Received takes a message from a peer. It is the messenger's handler.
+func (c *Controller) Received(from peer.Sender, message peer.Message) {
+	c.loop.Post(func(now time.Time) { c.receive(from, message, now) })
+}
+
+func (c *Controller) receive(from peer.Sender, message peer.Message, now time.Time) {
+	if c.members.isNeighbour(from.VM) {
+		c.members.receive(from, message, now)
+		c.config.receive(from, message, now)
+	}
+	switch m := message.(type) {
+	case peer.OnlineCounts:
+		c.upstreams.countsReceived(from, m, now)
+	case peer.OnlineTotals:
+		c.upstreams.totalsReceived(m)
+	case peer.UpstreamStates:
+		c.upstreams.statesReceived(m)
+	case peer.Strikes:
+		c.strikesReceived(m, now)
+	case peer.JobCancelled:
+		c.jobCancelledReceived(m, now)
+	case peer.ChunksWanted:
+		c.work.chunksWanted(from, m, now)
+	case peer.ChunksOffered:
+		c.work.chunksOffered(m)
+	}
+}
+
+// The methods below are called by traffic.
+
+var _ dispatcher.Observer = (*Controller)(nil)
+
+// OnlineChanged implements dispatcher.Observer. It only marks the upstream, so
+// that many changes cost one event.
+func (c *Controller) OnlineChanged(u *chooser.Upstream, rising bool) {
+	c.dirtyMu.Lock()
+	first := len(c.dirty) == 0
+	c.dirty[u] = c.dirty[u] || rising
+	c.dirtyMu.Unlock()
+	if first {
+		c.loop.Post(func(time.Time) {}) // after flushes
+	}
+}
+
+func (c *Controller) flushOnline(now time.Time) {
+	if dirty := c.takeDirty(); dirty != nil {
+		c.upstreams.onlineChanged(dirty, now)
+	}
+}
+
+// takeDirty returns the upstreams whose online requests have changed, or nil.
+func (c *Controller) takeDirty() map[*chooser.Upstream]bool {
+	c.dirtyMu.Lock()
+	defer c.dirtyMu.Unlock()
+	if len(c.dirty) == 0 {
+		return nil
+	}
+	dirty := c.dirty
+	c.dirty = make(map[*chooser.Upstream]bool, len(dirty))
+	return dirty
+}
+
+// LeavingSeen implements dispatcher.Observer.
+func (c *Controller) LeavingSeen(u *chooser.Upstream) {
+	c.loop.Post(func(time.Time) { c.upstreams.leavingSeen(u.ID()) })
+}
+
+// Struck implements dispatcher.Observer.
+func (c *Controller) Struck(s quarantiner.Strike) {
+	c.Counters.Count("strikes_total")
+	c.loop.Post(func(time.Time) {
+		c.broadcast(peer.Strikes{Strikes: []peer.Strike{{Fingerprint: uint64(s.Fingerprint), Count: s.Count}}},
+			peer.Strikes{Strikes: []peer.Strike{{Fingerprint: uint64(s.Fingerprint), Count: s.Count}}, Relay: true})
+	})
+}
+
+// JobCancelled tells the fleet that a job was cancelled through this VM.
+func (c *Controller) JobCancelled(job string) {
+	c.loop.Post(func(now time.Time) {
+		c.work.jobCancelled(job, now)
+		c.broadcast(peer.JobCancelled{Job: job}, peer.JobCancelled{Job: job, Relay: true})
+	})
+}
+
+// broadcast sends a message to each VM of this domain, and another to one VM of
+// each other domain, which passes it on there.
+func (c *Controller) broadcast(near, far peer.Message) {
+	for _, m := range c.members.live() {
+		c.sender.Send(m.Address(), near)
+	}
+	seen := map[string]bool{c.Place.Domain: true}
+	for _, vm := range c.list {
+		if vm.Kind == platform.VMEntry && !vm.Leaving && vm.Peer != "" && !seen[vm.Domain] {
+			seen[vm.Domain] = true
+			c.sender.Send(vm.Peer, far)
+		}
+	}
+}
+
+func (c *Controller) strikesReceived(m peer.Strikes, now time.Time) {
+	for _, s := range m.Strikes {
+		c.Quarantine.Learn(quarantiner.Strike{Fingerprint: quarantiner.Fingerprint(s.Fingerprint), Count: s.Count}, now)
+	}
+	if m.Relay {
+		c.relay(peer.Strikes{Strikes: m.Strikes})
+	}
+}
+
+func (c *Controller) jobCancelledReceived(m peer.JobCancelled, now time.Time) {
+	c.work.jobCancelled(m.Job, now)
+	if m.Relay {
+		c.relay(peer.JobCancelled{Job: m.Job})
+	}
+}
+
+func (c *Controller) relay(message peer.Message) {
+	for _, m := range c.members.live() {
+		c.sender.Send(m.Address(), message)
+	}
+}
+
+// DrainWork gives all batch work up and returns once that is durable or the
+// context ends.
+func (c *Controller) DrainWork(ctx context.Context) error {
+	done := make(chan struct{})
+	c.loop.Post(func(now time.Time) { c.work.drain(done, now) })
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/dispatcher/dispatcher.go
@@ -0,0 +1,381 @@
+// Package dispatcher takes an online request through its attempts: it waits
+// for room, chooses an upstream, retries and hedges within their budgets, and
+// hands on the first stream that answers.
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/admitter"
+	"github.com/fescuespindle/fescuespindle/internal/budgeter"
+	"github.com/fescuespindle/fescuespindle/internal/chooser"
+	"github.com/fescuespindle/fescuespindle/internal/quarantiner"
+	"github.com/fescuespindle/fescuespindle/internal/relayer"
+)
+
+const (
+	maxAttempts     = 4
+	retryShare      = 0.10
+	retryBurst      = 20
+	hedgeShare      = 0.04
+	hedgeBurst      = 4
+	hedgePercentile = 95
+	minHedgeWait    = 10 * time.Millisecond
+	blockAfterFail  = 100 * time.Millisecond
+)
+
+// Errors of this layer.
+var (
+	// ErrNoUpstream means that no upstream may run the request now.
+	ErrNoUpstream = errors.New("no upstream in service")
+	// ErrCondemned means that the request has crashed too many upstreams.
+	ErrCondemned = errors.New("request crashed the upstreams that ran it")
+	// ErrDeadline means that the deadline has passed.
+	ErrDeadline = errors.New("deadline passed")
+)
+
+// Reason tells why a request was refused.
+type Reason string
+
+// The reasons for a refusal.
+const (
+	ReasonBusy       Reason = "busy"
+	ReasonGone       Reason = "gone"
+	ReasonDeadline   Reason = "deadline"
+	ReasonCondemned  Reason = "condemned"
+	ReasonNoUpstream Reason = "noUpstream"
+	ReasonFailed     Reason = "failed"
+	ReasonBadRequest Reason = "badRequest"
+)
+
+// RefusedError is the final answer to a request that got no stream.
+type RefusedError struct {
+	reason  Reason
+	ran     relayer.Ran
+	retryAt time.Time
+	status  int
+	cause   error
+}
+
+// Error implements error.
+func (r *RefusedError) Error() string { return r.cause.Error() }
+
+// Unwrap returns the cause.
+func (r *RefusedError) Unwrap() error { return r.cause }
+
+// Reason tells why the request was refused.
+func (r *RefusedError) Reason() Reason { return r.reason }
+
+// Ran tells whether the request was run.
+func (r *RefusedError) Ran() relayer.Ran { return r.ran }
+
+// RetryAt returns when the caller may come back, or the zero time.
+func (r *RefusedError) RetryAt() time.Time { return r.retryAt }
+
+// Status returns the status of an upstream's own refusal of the request, or 0.
+func (r *RefusedError) Status() int { return r.status }
+
+// Opener sends one attempt to one upstream.
+type Opener interface {
+	Open(context.Context, relayer.Attempt) (*relayer.Stream, error)
+}
+
+// Observer hears of what traffic does. Its methods return at once.
+type Observer interface {
+	// OnlineChanged tells that an upstream has more or fewer online requests.
+	OnlineChanged(u *chooser.Upstream, rising bool)
+	// Struck tells that a request is suspected of a crash.
+	Struck(s quarantiner.Strike)
+	// LeavingSeen tells that an upstream said that it is leaving.
+	LeavingSeen(u *chooser.Upstream)
+}
+
+// Counter counts events by name.
+type Counter interface {
+	Count(name string)
+}
+
+// Request is one online request.
+type Request struct {
+	ID          string
+	Caller      string
+	Weight      int
+	Path        string
+	Body        []byte
+	Deadline    time.Time
+	Prefix      uint64
+	Fingerprint quarantiner.Fingerprint
+}
+
+// Dispatcher runs the online requests of one VM.
+type Dispatcher struct {
+	opener     Opener
+	observer   Observer
+	counter    Counter
+	quarantine *quarantiner.Quarantine
+	policy     chooser.Policy
+	hedging    bool
+	retries    *budgeter.Budget
+	hedges     *budgeter.Budget
+	traces     *traceLog
+	group      sync.WaitGroup
+}
+
+// Option sets one property of a Dispatcher.
+type Option func(*Dispatcher)
+
+// WithPolicy replaces the choice of upstream.
+func WithPolicy(policy chooser.Policy) Option {
+	return func(d *Dispatcher) { d.policy = policy }
+}
+
+// WithHedging switches hedges on or off.
+func WithHedging(on bool) Option {
+	return func(d *Dispatcher) { d.hedging = on }
+}
+
+// New returns a dispatcher.
+func New(
+	opener Opener, observer Observer, counter Counter, quarantine *quarantiner.Quarantine, options ...Option,
+) *Dispatcher {
+	d := &Dispatcher{
+		opener: opener, observer: observer, counter: counter, quarantine: quarantine,
+		policy: chooser.Balanced{}, hedging: true,
+		retries: budgeter.New(retryShare, retryBurst),
+		hedges:  budgeter.New(hedgeShare, hedgeBurst),
+		traces:  newTraceLog(),
+	}
+	for _, option := range options {
+		option(d)
+	}
+	return d
+}
+
+// Wait returns once no attempt is running.
+func (d *Dispatcher) Wait() { d.group.Wait() }
+
+// Open runs a request until the first event of an answer, or a refusal.
+func (d *Dispatcher) Open(ctx context.Context, lane *Lane, request Request) (*Response, *RefusedError) {
+	r := &run{dispatcher: d, lane: lane, request: request, trace: newTrace(request, lane.name)}
+	response, refusal := r.open(ctx)
+	if refusal != nil {
+		r.trace.add("refused: " + refusal.Error())
+		d.counter.Count(fmt.Sprintf("refusals_total{reason=%q}", refusal.reason))
+	}
+	d.traces.keep(r.trace)
+	return response, refusal
+}
+
+// refuseEntry turns an error of the queue into a refusal.
+func refuseEntry(err error) *RefusedError {
+	var busy *admitter.BusyError
+	if errors.As(err, &busy) {
+		return &RefusedError{reason: ReasonBusy, ran: relayer.RanNot, retryAt: busy.RetryAt(), cause: err}
+	}
+	return &RefusedError{reason: ReasonGone, ran: relayer.RanNot, cause: err}
+}
+
+// run is one request on its way.
+type run struct {
+	dispatcher *Dispatcher
+	lane       *Lane
+	request    Request
+	trace      *Trace
+	attempts   int
+	started    bool
+	worst      relayer.Ran
+	last       *relayer.AttemptError
+	results    chan result
+	flying     []*flight
+}
+
+// result is the first event of an attempt, or its failure.
+type result struct {
+	flight *flight
+	first  []byte
+	err    error
+}
+
+func (r *run) open(ctx context.Context) (*Response, *RefusedError) {
+	d := r.dispatcher
+	if !time.Now().Before(r.request.Deadline) {
+		return nil, &RefusedError{reason: ReasonDeadline, ran: relayer.RanNot, cause: ErrDeadline}
+	}
+	if err := r.lane.queue.Enter(ctx, r.request.Caller, r.request.Weight, r.request.Deadline); err != nil {
+		return nil, refuseEntry(err)
+	}
+	defer r.markStarted()
+	d.retries.Earn()
+	d.hedges.Earn()
+	r.results = make(chan result, maxAttempts)
+	if refusal := r.launch(ctx, nil); refusal != nil {
+		return nil, refusal
+	}
+	return r.wait(ctx)
+}
+
+// markStarted tells the queue once that the request is counted by a gauge, or
+// won't be.
+func (r *run) markStarted() {
+	if !r.started {
+		r.started = true
+		r.lane.queue.Started()
+	}
+}
+
+// wait follows the attempts until one answers or none is left.
+func (r *run) wait(ctx context.Context) (*Response, *RefusedError) {
+	hedge := r.hedgeTimer()
+	defer hedge.Stop()
+	deadline := time.NewTimer(time.Until(r.request.Deadline))
+	defer deadline.Stop()
+	for {
+		select {
+		case got := <-r.results:
+			if got.err == nil {
+				return r.win(got), nil
+			}
+			if refusal := r.fail(ctx, got); refusal != nil {
+				return nil, refusal
+			}
+		case <-hedge.C:
+			r.hedge(ctx)
+		case <-deadline.C:
+			return nil, r.abandon(ErrDeadline)
+		case <-ctx.Done():
+			return nil, r.abandon(ctx.Err())
+		}
+	}
+}
+
+func (r *run) hedgeTimer() *time.Timer {
+	wait := r.lane.first.high()
+	if wait == 0 || !r.dispatcher.hedging {
+		timer := time.NewTimer(time.Hour)
+		timer.Stop()
+		return timer
+	}
+	return time.NewTimer(max(wait, minHedgeWait))
+}
+
+// launch starts one more attempt, away from one upstream.
+func (r *run) launch(ctx context.Context, avoid *chooser.Upstream) *RefusedError {
+	d := r.dispatcher
+	now := time.Now()
+	if d.quarantine.Condemned(r.request.Fingerprint, now) {
+		return &RefusedError{reason: ReasonCondemned, ran: relayer.RanFailed, cause: ErrCondemned}
+	}
+	choice, ok := r.choose(avoid, now)
+	if !ok {
+		retryAt := now.Add(time.Second)
+		return &RefusedError{reason: ReasonNoUpstream, ran: r.worst, retryAt: retryAt, cause: r.explain(ErrNoUpstream)}
+	}
+	d.counter.Count(fmt.Sprintf("choices_total{reason=%q}", choice.Reason))
+	r.trace.choose(choice)
+	r.attempts++
+	f := newFlight(ctx, r, choice.Upstream, now)
+	r.markStarted()
+	r.flying = append(r.flying, f)
+	d.group.Go(f.run)
+	return nil
+}
+
+// choose picks an upstream where the quarantine lets the request run.
+func (r *run) choose(avoid *chooser.Upstream, now time.Time) (chooser.Choice, bool) {
+	const looks = 8
+	query := chooser.Request{Prefix: r.request.Prefix, Avoid: avoid, Farthest: r.lane.farthest, Now: now}
+	for range looks {
+		choice, ok := r.dispatcher.policy.Choose(r.lane.Pool(), query)
+		if !ok && query.Avoid != nil {
+			query.Avoid = nil // the only upstream left is the one to avoid
+			continue
+		}
+		if !ok {
+			return choice, false
+		}
+		if r.dispatcher.quarantine.Begin(r.request.Fingerprint, choice.Upstream.ID(), now) {
+			return choice, true
+		}
+		query.Prefix = 0
+		query.Avoid = choice.Upstream
+	}
+	return chooser.Choice{}, false
+}
+
+// fail handles a failed attempt: it retries, waits for another attempt, or
+// gives the final answer.
+func (r *run) fail(ctx context.Context, got result) *RefusedError {
+	d := r.dispatcher
+	failure := relayer.AsFailure(got.err)
+	r.last = failure
+	r.worst = max(r.worst, failure.Ran())
+	r.trace.add(got.flight.upstream.ID() + ": " + failure.Error())
+	r.drop(got.flight)
+	got.flight.end(false, failure)
+	if failure.Status() != 0 {
+		return &RefusedError{reason: ReasonBadRequest, ran: relayer.RanNot, status: failure.Status(), cause: failure}
+	}
+	if len(r.flying) > 0 {
+		return nil
+	}
+	if r.attempts >= maxAttempts || !d.retries.Spend() {
+		retryAt := time.Now().Add(time.Second)
+		return &RefusedError{reason: ReasonFailed, ran: r.worst, retryAt: retryAt, cause: r.explain(failure)}
+	}
+	d.counter.Count("retries_total")
+	return r.launch(ctx, got.flight.upstream)
+}
+
+func (r *run) explain(err error) error {
+	if r.last == nil || errors.Is(err, r.last) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", err, r.last)
+}
+
+// hedge starts a second attempt if its budget allows and the pool has room.
+func (r *run) hedge(ctx context.Context) {
+	d := r.dispatcher
+	if len(r.flying) != 1 || r.attempts >= maxAttempts || !r.lane.hasRoom(0) {
+		return
+	}
+	if d.quarantine.Strikes(r.request.Fingerprint, time.Now()) > 0 || !d.hedges.Spend() {
+		return
+	}
+	d.counter.Count("hedges_total")
+	r.trace.add("hedged")
+	_ = r.launch(ctx, r.flying[0].upstream) // the first attempt goes on if there is no other upstream
+}
+
+// win hands on the attempt that answered first and cancels the others.
+func (r *run) win(got result) *Response {
+	r.drop(got.flight)
+	r.cancelAll()
+	r.lane.first.add(time.Since(got.flight.begun))
+	return &Response{flight: got.flight, first: got.first}
+}
+
+func (r *run) abandon(cause error) *RefusedError {
+	r.cancelAll()
+	return &RefusedError{reason: ReasonDeadline, ran: relayer.RanMaybe, cause: r.explain(cause)}
+}
+
+func (r *run) drop(f *flight) {
+	for i, other := range r.flying {
+		if other == f {
+			r.flying = append(r.flying[:i], r.flying[i+1:]...)
+			return
+		}
+	}
+}
+
+func (r *run) cancelAll() {
+	for _, f := range r.flying {
+		f.abandon()
+	}
+	r.flying = nil
+}
--- /dev/null
+++ b/internal/dispatcher/trace.go
@@ -0,0 +1,82 @@
+package dispatcher
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/chooser"
+)
+
+// maxTraces is the number of recent requests whose decisions are kept.
+const maxTraces = 512
+
+// Trace tells why a request went where it went.
+type Trace struct {
+	mu     sync.Mutex
+	id     string
+	caller string
+	lane   string
+	at     time.Time
+	steps  []string
+}
+
+// TraceText is a Trace as it is printed for the person on call.
+type TraceText struct {
+	ID     string    `json:"id"`
+	Caller string    `json:"caller"`
+	Target string    `json:"target"`
+	At     time.Time `json:"at"`
+	Steps  []string  `json:"steps"`
+}
+
+func newTrace(r Request, lane string) *Trace {
+	return &Trace{id: r.ID, caller: r.Caller, lane: lane, at: time.Now()}
+}
+
+func (t *Trace) add(step string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.steps = append(t.steps, step)
+}
+
+func (t *Trace) choose(c chooser.Choice) {
+	u := c.Upstream
+	t.add(fmt.Sprintf("chose %s in %s (%s): reason %s, online %d of %d, batch %d, slowness %.1f",
+		u.ID(), u.Domain(), u.Tier(), c.Reason, u.Gauge().OnlineTotal(), u.Sequences(), u.Gauge().Batch(),
+		u.Gauge().Slowness(time.Now(), 0)))
+}
+
+func (t *Trace) text() TraceText {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return TraceText{ID: t.id, Caller: t.caller, Target: t.lane, At: t.at, Steps: append([]string(nil), t.steps...)}
+}
+
+// traceLog keeps the traces of recent requests.
+type traceLog struct {
+	mu   sync.Mutex
+	ring [maxTraces]*Trace
+	next int
+}
+
+func newTraceLog() *traceLog { return &traceLog{} }
+
+func (l *traceLog) keep(t *Trace) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ring[l.next] = t
+	l.next = (l.next + 1) % maxTraces
+}
+
+// Trace returns the decisions made for a recent request.
+func (d *Dispatcher) Trace(id string) (TraceText, bool) {
+	d.traces.mu.Lock()
+	defer d.traces.mu.Unlock()
+	for _, t := range d.traces.ring {
+		if t != nil && t.id == id {
+			return t.text(), true
+		}
+	}
+	return TraceText{}, false
+}
--- /dev/null
+++ b/internal/emulator/engineemulator/cache.go
@@ -0,0 +1,85 @@
+package engineemulator
+
+import (
+	"container/list"
+	"hash/fnv"
+	"strings"
+
+	"github.com/fescuespindle/fescuespindle/internal/upstream"
+)
+
+// blockTokens is the number of tokens in one block of the prefix cache.
+const blockTokens = 16
+
+// prefixCache keeps the blocks of recent prompts, least recently used out.
+type prefixCache struct {
+	limit    int
+	order    *list.List
+	blocks   map[uint64]*list.Element
+	sequence uint64
+	events   []upstream.CacheEvent
+}
+
+func newPrefixCache(blocks int) *prefixCache {
+	return &prefixCache{limit: blocks, order: list.New(), blocks: map[uint64]*list.Element{}}
+}
+
+// take returns how many of the prompt's leading tokens are cached, and caches
+// the whole prompt.
+func (c *prefixCache) take(prompt []string) int {
+	cached := 0
+	missed := false
+	for _, block := range blockHashes(prompt) {
+		element, found := c.blocks[block]
+		if found {
+			c.order.MoveToFront(element)
+		} else {
+			c.insert(block)
+		}
+		missed = missed || !found
+		if !missed {
+			cached += blockTokens
+		}
+	}
+	return cached
+}
+
+func (c *prefixCache) insert(block uint64) {
+	c.blocks[block] = c.order.PushFront(block)
+	c.publish(block, false)
+	for c.order.Len() > c.limit {
+		oldest := c.order.Back()
+		evicted, _ := c.order.Remove(oldest).(uint64)
+		delete(c.blocks, evicted)
+		c.publish(evicted, true)
+	}
+}
+
+// maxEvents bounds the events kept for readers.
+const maxEvents = 4096
+
+func (c *prefixCache) publish(block uint64, evicted bool) {
+	c.sequence++
+	c.events = append(c.events, upstream.CacheEvent{Sequence: c.sequence, Block: block, Evicted: evicted})
+	if len(c.events) > maxEvents {
+		c.events = c.events[len(c.events)-maxEvents:]
+	}
+}
+
+// blockHashes returns a chained hash for each whole block of the prompt.
+func blockHashes(prompt []string) []uint64 {
+	hash := fnv.New64a()
+	hashes := make([]uint64, 0, len(prompt)/blockTokens)
+	for i, token := range prompt {
+		_, _ = hash.Write([]byte(token))
+		_, _ = hash.Write([]byte{0})
+		if (i+1)%blockTokens == 0 {
+			hashes = append(hashes, hash.Sum64())
+		}
+	}
+	return hashes
+}
+
+func tokenize(text string) []string {
+	return strings.Fields(text)
+}
--- /dev/null
+++ b/internal/emulator/engineemulator/http.go
@@ -0,0 +1,286 @@
+package engineemulator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/upstream"
+)
+
+// Paths by which tests and demos drive the stand-in itself.
+const (
+	PathAdminSlow    = "/admin/slow"
+	PathAdminLeaving = "/admin/leaving"
+	PathAdminCounts  = "/admin/counts"
+)
+
+const maxBody = 8 << 20
+
+func (e *Engine) routes() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+upstream.PathChat, e.serveCompletion)
+	mux.HandleFunc("POST "+upstream.PathCompletions, e.serveCompletion)
+	mux.HandleFunc("POST "+upstream.PathResume+"{id}", e.serveResume)
+	mux.HandleFunc("POST "+upstream.PathCancel+"{id}", e.serveCancel)
+	mux.HandleFunc("GET "+upstream.PathKV+"{id}", e.serveExport)
+	mux.HandleFunc("PUT "+upstream.PathKV+"{id}", e.serveImport)
+	mux.HandleFunc("GET "+upstream.PathLoad, e.serveLoad)
+	mux.HandleFunc("GET "+upstream.PathCacheEvents, e.serveCacheEvents)
+	mux.HandleFunc("POST "+upstream.PathOrders, e.serveOrder)
+	mux.HandleFunc("POST "+PathAdminSlow, e.serveSlow)
+	mux.HandleFunc("POST "+PathAdminLeaving, e.serveLeaving)
+	mux.HandleFunc("GET "+PathAdminCounts, e.serveCounts)
+	return mux
+}
+
+// ServeHTTP serves the engine's interface and the stand-in's own.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	down := time.Now().Before(e.downTo)
+	e.mu.Unlock()
+	if down && !strings.HasPrefix(r.URL.Path, "/admin/") {
+		panic(http.ErrAbortHandler) // a crashed engine answers nothing
+	}
+	e.mux.ServeHTTP(w, r)
+}
+
+func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	completion, err := upstream.ParseCompletion(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if refusal := e.refusal(completion.Model); refusal != "" {
+		refuse(w, refusal)
+		return
+	}
+	s := e.prepare(r.Header.Get(upstream.HeaderRequestID), completion)
+	ctx := e.admit(s)
+	e.stream(ctx, w, r, s, 0)
+}
+
+// refusal tells why a request can't run here, or "".
+func (e *Engine) refusal(model string) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case e.leaving:
+		e.counts.Refused++
+		return "leaving"
+	case e.role != upstream.RoleServing:
+		return "not serving"
+	case !e.hasModel(model):
+		return "model not loaded"
+	default:
+		return ""
+	}
+}
+
+func (e *Engine) hasModel(name string) bool {
+	for _, model := range e.loaded {
+		if model.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+func refuse(w http.ResponseWriter, reason string) {
+	w.Header().Set(upstream.HeaderNotRun, "true")
+	if reason == "leaving" {
+		w.Header().Set(upstream.HeaderLeaving, "true")
+	}
+	http.Error(w, reason, http.StatusServiceUnavailable)
+}
+
+// prepare looks the prompt up in the prefix cache.
+func (e *Engine) prepare(id string, completion upstream.Completion) *sequence {
+	maxTokens := completion.MaxTokens
+	if maxTokens <= 0 {
+		maxTokens = defaultTokens
+	}
+	text := completion.Text()
+	s := newSequence(id, completion.Model, text, maxTokens)
+	prompt := tokenize(text)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.promptLen = len(prompt)
+	s.cached = e.cache.take(prompt)
+	s.prefillLeft = s.promptLen - s.cached
+	e.counts.Prompt += s.promptLen
+	e.counts.Cached += s.cached
+	return s
+}
+
+// stream writes the sequence's tokens, from an index on, as events.
+func (e *Engine) stream(crashed context.Context, w http.ResponseWriter, r *http.Request, s *sequence, from int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	flusher, _ := w.(http.Flusher)
+	flusher.Flush()
+	sent := from
+	for {
+		select {
+		case <-s.wake:
+		case <-r.Context().Done():
+			e.suspend(s)
+			return
+		case <-crashed.Done():
+			panic(http.ErrAbortHandler)
+		}
+		generated, done := e.progress(s)
+		if generated > 0 && strings.Contains(s.prompt, PoisonWord) {
+			e.mu.Lock()
+			e.crash()
+			e.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		for ; sent < generated; sent++ {
+			writeEvent(w, tokenChunk(s, sent))
+		}
+		if done {
+			writeEvent(w, finalChunk(s))
+			_, _ = fmt.Fprintf(w, "data: %s\n\n", upstream.EndOfStream)
+			return
+		}
+		flusher.Flush()
+	}
+}
+
+func tokenChunk(s *sequence, index int) upstream.Chunk {
+	return upstream.Chunk{
+		ID: s.id, Object: "chat.completion.chunk", Model: s.model,
+		Choices: []upstream.Choice{{Delta: &upstream.Delta{Content: Token(s.prompt, index)}}},
+	}
+}
+
+func finalChunk(s *sequence) upstream.Chunk {
+	reason := "length"
+	return upstream.Chunk{
+		ID: s.id, Object: "chat.completion.chunk", Model: s.model,
+		Choices: []upstream.Choice{{Delta: &upstream.Delta{}, FinishReason: &reason}},
+		Usage: &upstream.Usage{
+			PromptTokens: s.promptLen, CachedTokens: s.cached, CompletionTokens: s.generated,
+			TotalTokens: s.promptLen + s.generated,
+		},
+	}
+}
+
+func writeEvent(w io.Writer, chunk upstream.Chunk) {
+	text, _ := json.Marshal(chunk)
+	_, _ = fmt.Fprintf(w, "data: %s\n\n", text)
+}
+
+func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.Atoi(r.URL.Query().Get("from"))
+	if err != nil {
+		http.Error(w, "from must be a number", http.StatusBadRequest)
+		return
+	}
+	s := e.restore(r.PathValue("id"))
+	if s == nil {
+		http.NotFound(w, r)
+		return
+	}
+	s.id = r.Header.Get(upstream.HeaderRequestID)
+	ctx := e.admit(s)
+	s.signal()
+	e.stream(ctx, w, r, s, from)
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	if e.restore(r.PathValue("id")) == nil {
+		http.NotFound(w, r)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
+	s := e.restore(r.PathValue("id"))
+	if s == nil {
+		http.NotFound(w, r)
+		return
+	}
+	reply(w, upstream.KV{ID: s.id, Model: s.model, Prompt: s.prompt, MaxTokens: s.maxTokens, Generated: s.generated})
+}
+
+func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
+	var kv upstream.KV
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&kv); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s := newSequence(r.PathValue("id"), kv.Model, kv.Prompt, kv.MaxTokens)
+	s.generated = kv.Generated
+	e.mu.Lock()
+	e.paused = append(e.paused, s)
+	e.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	report := upstream.LoadReport{At: time.Now()}
+	for _, old := range e.history {
+		if time.Since(old.At) >= e.reportLag {
+			report = old
+		}
+	}
+	report.Sequences = e.sequences
+	report.Leaving = e.leaving
+	report.Loaded = e.loaded
+	report.Fencing = e.fencing
+	report.Role = e.role
+	e.mu.Unlock()
+	reply(w, report)
+}
+
+// gapEvery drops one cache event in so many.
+const gapEvery = 50
+
+func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	e.mu.Lock()
+	var out upstream.CacheEvents
+	for _, event := range e.cache.events {
+		if event.Sequence > after && event.Sequence%gapEvery != 0 {
+			out.Events = append(out.Events, event)
+		}
+	}
+	e.mu.Unlock()
+	reply(w, out)
+}
+
+func (e *Engine) serveSlow(w http.ResponseWriter, r *http.Request) {
+	factor, err := strconv.ParseFloat(r.URL.Query().Get("factor"), 64)
+	if err != nil || factor <= 0 {
+		http.Error(w, "factor must be a positive number", http.StatusBadRequest)
+		return
+	}
+	e.SetSlow(factor)
+}
+
+func (e *Engine) serveLeaving(_ http.ResponseWriter, r *http.Request) {
+	e.SetLeaving(r.URL.Query().Get("leaving") == "true")
+}
+
+func (e *Engine) serveCounts(w http.ResponseWriter, _ *http.Request) {
+	reply(w, e.Counts())
+}
+
+func reply(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/internal/emulator/engineemulator/sequence.go
@@ -0,0 +1,93 @@
+package engineemulator
+
+import (
+	"context"
+	"slices"
+)
+
+// sequence is one stream in the engine.
+type sequence struct {
+	id          string
+	model       string
+	prompt      string
+	maxTokens   int
+	generated   int
+	prefillLeft int
+	cached      int
+	promptLen   int
+	done        bool
+	wake        chan struct{}
+}
+
+func newSequence(id, model, prompt string, maxTokens int) *sequence {
+	return &sequence{id: id, model: model, prompt: prompt, maxTokens: maxTokens, wake: make(chan struct{}, 1)}
+}
+
+// signal wakes the stream's writer.
+func (s *sequence) signal() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// admit queues a sequence behind those that came before.
+func (e *Engine) admit(s *sequence) context.Context {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.counts.Started++
+	e.waiting = append(e.waiting, s)
+	e.record()
+	e.cond.Signal()
+	return e.crashCtx
+}
+
+// progress returns how many tokens of the sequence exist.
+func (e *Engine) progress(s *sequence) (generated int, done bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return s.generated, s.done
+}
+
+// suspend takes a sequence out of the engine and keeps its state, so that it
+// can be resumed.
+func (e *Engine) suspend(s *sequence) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if s.done {
+		return
+	}
+	found := e.detach(s)
+	if !found {
+		return
+	}
+	e.counts.Cancelled++
+	e.paused = append(e.paused, s)
+	if len(e.paused) > maxPaused {
+		e.paused = e.paused[1:]
+	}
+	e.record()
+}
+
+func (e *Engine) detach(s *sequence) bool {
+	before := len(e.running) + len(e.waiting)
+	same := func(other *sequence) bool { return other == s }
+	e.running = slices.DeleteFunc(e.running, same)
+	e.waiting = slices.DeleteFunc(e.waiting, same)
+	return len(e.running)+len(e.waiting) < before
+}
+
+// restore takes a suspended sequence back, or returns nil.
+func (e *Engine) restore(id string) *sequence {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i, s := range e.paused {
+		if s.id == id {
+			e.paused = slices.Delete(e.paused, i, i+1)
+			e.counts.Resumed++
+			s.wake = make(chan struct{}, 1)
+			return s
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/experimenter/experiment.go
@@ -0,0 +1,74 @@
+// Package experimenter measures the product's policies against plain baselines
+// in the same run, on sites of the users' sizes.
+package experimenter
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Metrics are what one policy measured; names end in their unit.
+type Metrics map[string]float64
+
+// Result is the outcome of one experiment.
+type Result struct {
+	Experiment string             `json:"experiment"`
+	Seed       uint64             `json:"seed"`
+	VMs        int                `json:"vms"`
+	Upstreams  int                `json:"upstreams"`
+	Policies   map[string]Metrics `json:"policies"`
+	// Bars tell for each bar whether this run reached it.
+	Bars []Bar `json:"bars"`
+}
+
+// Bar is a promise that an experiment measures.
+type Bar struct {
+	Name    string  `json:"name"`
+	Want    string  `json:"want"`
+	Got     float64 `json:"got"`
+	Reached bool    `json:"reached"`
+}
+
+// Parameters are the choices of one run.
+type Parameters struct {
+	Seed  uint64
+	Quick bool
+	// PlotDir is where pictures are written, or empty.
+	PlotDir string
+}
+
+// Experiment is one experiment.
+type Experiment struct {
+	Name    string
+	Summary string
+	run     func(context.Context, Parameters) (Result, error)
+}
+
+// Run runs the experiment.
+func (e Experiment) Run(ctx context.Context, p Parameters) (Result, error) {
+	result, err := e.run(ctx, p)
+	result.Experiment, result.Seed = e.Name, p.Seed
+	if err != nil {
+		return result, fmt.Errorf("experiment %s: %w", e.Name, err)
+	}
+	return result, nil
+}
+
+// All lists every experiment by name.
+func All() []Experiment {
+	all := []Experiment{}
+	slices.SortFunc(all, func(a, b Experiment) int { return strings.Compare(a.Name, b.Name) })
+	return all
+}
+
+// Find returns the experiment with a name.
+func Find(name string) (Experiment, bool) {
+	for _, e := range All() {
+		if e.Name == name {
+			return e, true
+		}
+	}
+	return Experiment{}, false
+}
--- /dev/null
+++ b/internal/gauger/gauge.go
@@ -0,0 +1,158 @@
+// Package gauger measures each upstream from the requests that this VM has on
+// it. A gauge is written by traffic and read by the choice of upstream without
+// a lock, so it knows of a burst or a slow spell long before a load report.
+package gauger
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// gapWeight is the weight of a new gap between tokens in its average.
+	gapWeight = 0.2
+	// slowMemory is the time after which a slow spell that was seen is half
+	// forgotten, so that the upstream is tried again.
+	slowMemory = 2 * time.Second
+	// stallGaps is the number of typical gaps without any event after which an
+	// upstream with requests in flight counts as stalled.
+	stallGaps = 6
+	// maxSlowness bounds the factor by which an upstream counts as slow.
+	maxSlowness = 50
+)
+
+// Gauge is what one VM knows of one upstream.
+type Gauge struct {
+	online    atomic.Int32
+	batch     atomic.Int32
+	others    atomic.Int32
+	reported  atomic.Int32
+	gap       atomic.Uint64 // float64 bits, nanoseconds
+	gapAt     atomic.Int64  // Unix nanoseconds of the last gap
+	progress  atomic.Int64  // Unix nanoseconds of the last event or start
+	blockedTo atomic.Int64  // Unix nanoseconds until which nothing is sent
+	failures  atomic.Int32
+	leaving   atomic.Bool
+	listed    atomic.Bool // the platform's list says that it is leaving
+}
+
+// Online returns the VM's own online requests in flight.
+func (g *Gauge) Online() int { return int(g.online.Load()) }
+
+// Batch returns the VM's own batch requests in flight.
+func (g *Gauge) Batch() int { return int(g.batch.Load()) }
+
+// Others returns the online requests of other VMs, as last heard.
+func (g *Gauge) Others() int { return int(g.others.Load()) }
+
+// SetOthers keeps the number of online requests of other VMs.
+func (g *Gauge) SetOthers(n int) { g.others.Store(int32(n)) }
+
+// Reported returns the running and waiting requests of the last load report.
+func (g *Gauge) Reported() int { return int(g.reported.Load()) }
+
+// SetReported keeps the running and waiting requests of a load report.
+func (g *Gauge) SetReported(n int) { g.reported.Store(int32(n)) }
+
+// OnlineTotal returns the online requests of all VMs, as far as known.
+func (g *Gauge) OnlineTotal() int { return g.Online() + g.Others() }
+
+// BeginOnline counts an online request that is about to be sent.
+func (g *Gauge) BeginOnline(now time.Time) {
+	g.online.Add(1)
+	g.begin(now)
+}
+
+// EndOnline counts an online request that is over.
+func (g *Gauge) EndOnline() { g.online.Add(-1) }
+
+// BeginBatch counts a batch request that is about to be sent.
+func (g *Gauge) BeginBatch(now time.Time) {
+	g.batch.Add(1)
+	g.begin(now)
+}
+
+// EndBatch counts a batch request that is over.
+func (g *Gauge) EndBatch() { g.batch.Add(-1) }
+
+// begin restarts the stall clock of an upstream that was idle.
+func (g *Gauge) begin(now time.Time) {
+	if g.Online()+g.Batch() == 1 {
+		g.progress.Store(now.UnixNano())
+	}
+}
+
+// Progress notes an event from the upstream. The gap is the time since the
+// previous event of the same stream, or 0 for a first event.
+func (g *Gauge) Progress(now time.Time, gap time.Duration) {
+	g.progress.Store(now.UnixNano())
+	g.failures.Store(0)
+	if gap <= 0 {
+		return
+	}
+	g.gapAt.Store(now.UnixNano())
+	for {
+		old := g.gap.Load()
+		average := math.Float64frombits(old)
+		if average == 0 {
+			average = float64(gap)
+		}
+		average += gapWeight * (float64(gap) - average)
+		if g.gap.CompareAndSwap(old, math.Float64bits(average)) {
+			return
+		}
+	}
+}
+
+// Gap returns the average time between tokens, or 0 if none was seen.
+func (g *Gauge) Gap() time.Duration {
+	return time.Duration(math.Float64frombits(g.gap.Load()))
+}
+
+// Failed notes a failed attempt; the upstream is left alone for a time that
+// doubles with each failure in a row.
+func (g *Gauge) Failed(now time.Time, base time.Duration) {
+	const maxDoublings = 5
+	failures := g.failures.Add(1)
+	wait := base << min(failures-1, maxDoublings)
+	g.blockedTo.Store(now.Add(wait).UnixNano())
+}
+
+// SetLeaving keeps whether the upstream is leaving.
+func (g *Gauge) SetLeaving(leaving bool) { g.leaving.Store(leaving) }
+
+// SetListedLeaving keeps whether the platform lists the upstream as leaving.
+func (g *Gauge) SetListedLeaving(leaving bool) { g.listed.Store(leaving) }
+
+// Leaving tells whether the upstream is leaving, by itself or by the list.
+func (g *Gauge) Leaving() bool { return g.leaving.Load() || g.listed.Load() }
+
+// Usable tells whether new requests may be sent.
+func (g *Gauge) Usable(now time.Time) bool {
+	return !g.Leaving() && now.UnixNano() >= g.blockedTo.Load()
+}
+
+// Slowness returns the factor by which the upstream is slower than the typical
+// gap between tokens of its pool: 1 for an ordinary one.
+func (g *Gauge) Slowness(now time.Time, typical time.Duration) float64 {
+	if typical <= 0 {
+		return 1
+	}
+	slowness := g.remembered(now, typical)
+	if g.Online()+g.Batch() > 0 {
+		silent := now.UnixNano() - g.progress.Load()
+		stalled := float64(silent) / float64(stallGaps*typical)
+		slowness = max(slowness, stalled)
+	}
+	return min(max(slowness, 1), maxSlowness)
+}
+
+func (g *Gauge) remembered(now time.Time, typical time.Duration) float64 {
+	ratio := float64(g.Gap()) / float64(typical)
+	if ratio <= 1 {
+		return 1
+	}
+	age := float64(now.UnixNano() - g.gapAt.Load())
+	return 1 + (ratio-1)*math.Exp2(-age/float64(slowMemory))
+}
--- /dev/null
+++ b/internal/itemrunner/runner.go
@@ -0,0 +1,284 @@
+// Package itemrunner runs one batch item on one upstream. It can be stopped at
+// any moment and then tells where the stream can be resumed.
+package itemrunner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fescuespindle/fescuespindle/internal/chooser"
+	"github.com/fescuespindle/fescuespindle/internal/jobkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/jobrunner"
+	"github.com/fescuespindle/fescuespindle/internal/quarantiner"
+	"github.com/fescuespindle/fescuespindle/internal/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/upstream"
+)
+
+// Engines sends requests to engines.
+type Engines interface {
+	Open(context.Context, relayer.Attempt) (*relayer.Stream, error)
+	Call(ctx context.Context, a relayer.Attempt, repeatable bool) (relayer.Answer, error)
+}
+
+// Observer hears of what batch traffic does. Its methods return at once.
+type Observer interface {
+	// FirstToken tells that a run has passed its prompt.
+	FirstToken(run jobrunner.RunID)
+	// Struck tells that an item is suspected of a crash.
+	Struck(s quarantiner.Strike)
+	// LeavingSeen tells that an upstream said that it is leaving.
+	LeavingSeen(u *chooser.Upstream)
+}
+
+// Runner runs items.
+type Runner struct {
+	vm         string
+	engines    Engines
+	observer   Observer
+	quarantine *quarantiner.Quarantine
+}
+
+// New returns a runner of items for a VM.
+func New(vm string, engines Engines, observer Observer, quarantine *quarantiner.Quarantine) *Runner {
+	return &Runner{vm: vm, engines: engines, observer: observer, quarantine: quarantine}
+}
+
+// blockAfterFail is how long an upstream is left alone after a failure.
+const blockAfterFail = 200 * time.Millisecond
+
+// execution is one run under way.
+type execution struct {
+	runner  *Runner
+	start   jobrunner.Start
+	target  *chooser.Upstream
+	sources func(id string) *chooser.Upstream
+	stream  string
+	text    strings.Builder
+	tokens  int
+	usage   upstream.Usage
+	reason  string
+	last    time.Time
+}
+
+// Run runs an item until it ends or the context does. The function finds the
+// upstream that has the state of a stopped stream.
+func (r *Runner) Run(
+	ctx context.Context, start jobrunner.Start, target *chooser.Upstream, find func(id string) *chooser.Upstream,
+) jobrunner.Ending {
+	e := &execution{runner: r, start: start, target: target, sources: find}
+	e.stream = fmt.Sprintf("%s-%s-%d-%d", start.Job.ID, r.vm, start.Run, time.Now().UnixNano())
+	fingerprint := quarantiner.Fingerprint(xxhash.Sum64(start.Item.Body))
+	now := time.Now()
+	if r.quarantine.Condemned(fingerprint, now) {
+		return e.final("poison", "the item crashed the upstreams that ran it")
+	}
+	if !r.quarantine.Begin(fingerprint, target.ID(), now) {
+		return jobrunner.Ending{Run: start.Run, Outcome: jobrunner.OutcomeNotRun, Resume: start.Resume}
+	}
+	target.Gauge().BeginBatch(now)
+	defer target.Gauge().EndBatch()
+	err := e.run(ctx)
+	if err != nil && ctx.Err() == nil && relayer.AsFailure(err).Crash() {
+		r.observer.Struck(r.quarantine.Crash(fingerprint, target.ID(), time.Now()))
+	}
+	r.quarantine.End(fingerprint, target.ID(), err == nil)
+	return e.ending(ctx, err)
+}
+
+// run follows the stream to its end.
+func (e *execution) run(ctx context.Context) error {
+	stream, err := e.open(ctx)
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	for {
+		data, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err //nolint:wrapcheck // an AttemptError, which callers unwrap
+		}
+		if err := e.take(data); err != nil {
+			return err
+		}
+	}
+}
+
+// open resumes the stream of a stopped run if its state can still be had, and
+// starts the item over if not.
+func (e *execution) open(ctx context.Context) (*relayer.Stream, error) {
+	if e.start.Resume != nil {
+		stream, err := e.resume(ctx, *e.start.Resume)
+		if err == nil || ctx.Err() != nil {
+			return stream, err
+		}
+		e.text.Reset()
+		e.tokens = 0
+	}
+	body, err := upstream.WithStreaming(e.start.Item.Body)
+	if err != nil {
+		return nil, err
+	}
+	return e.attempt(ctx, e.start.Item.URL, body)
+}
+
+func (e *execution) attempt(ctx context.Context, path string, body []byte) (*relayer.Stream, error) {
+	stream, err := e.runner.engines.Open(ctx, relayer.Attempt{
+		ID: e.stream, Address: e.target.Address(), Method: http.MethodPost, Path: path, Body: body,
+		Deadline: e.start.Deadline, Header: http.Header{"Content-Type": {"application/json"}},
+	})
+	if err != nil {
+		return nil, err //nolint:wrapcheck // an AttemptError, which callers unwrap
+	}
+	return stream, nil
+}
+
+// resume goes on with a stopped stream. If another upstream has its state, the
+// state is moved first.
+func (e *execution) resume(ctx context.Context, from jobrunner.Resume) (*relayer.Stream, error) {
+	if from.Upstream != e.target.ID() {
+		if err := e.move(ctx, from); err != nil {
+			return nil, err
+		}
+	}
+	path := fmt.Sprintf("%s%s?from=%d", upstream.PathResume, from.Stream, from.Tokens)
+	stream, err := e.attempt(ctx, path, nil)
+	if err != nil {
+		return nil, err
+	}
+	e.text.WriteString(from.Text)
+	e.tokens = from.Tokens
+	return stream, nil
+}
+
+// move takes the state of a stopped stream from the engine that has it to the
+// one that will go on with it.
+func (e *execution) move(ctx context.Context, from jobrunner.Resume) error {
+	source := e.sources(from.Upstream)
+	if source == nil {
+		return fmt.Errorf("upstream %s is gone", from.Upstream)
+	}
+	kv, err := e.runner.engines.Call(ctx, relayer.Attempt{
+		ID: e.stream + "-export", Address: source.Address(), Method: http.MethodGet, Path: upstream.PathKV + from.Stream,
+	}, false)
+	if err != nil {
+		return fmt.Errorf("export: %w", err)
+	}
+	_, err = e.runner.engines.Call(ctx, relayer.Attempt{
+		ID: e.stream + "-import", Address: e.target.Address(), Method: http.MethodPut,
+		Path: upstream.PathKV + from.Stream, Body: kv.Body(),
+	}, false)
+	if err != nil {
+		return fmt.Errorf("import: %w", err)
+	}
+	return nil
+}
+
+// take adds one event to the answer.
+func (e *execution) take(data []byte) error {
+	var chunk upstream.Chunk
+	if err := json.Unmarshal(data, &chunk); err != nil {
+		return fmt.Errorf("decode event: %w", err)
+	}
+	now := time.Now()
+	gap := time.Duration(0)
+	if e.last.IsZero() {
+		e.runner.observer.FirstToken(e.start.Run)
+	} else {
+		gap = now.Sub(e.last)
+	}
+	e.last = now
+	e.target.Gauge().Progress(now, gap)
+	for _, choice := range chunk.Choices {
+		if choice.FinishReason != nil {
+			e.reason = *choice.FinishReason
+		}
+		if choice.Delta != nil && choice.Delta.Content != "" {
+			e.text.WriteString(choice.Delta.Content)
+			e.tokens++
+		}
+	}
+	if chunk.Usage != nil {
+		e.usage = *chunk.Usage
+	}
+	return nil
+}
+
+// ending tells how the run ended.
+func (e *execution) ending(ctx context.Context, err error) jobrunner.Ending {
+	ending := jobrunner.Ending{Run: e.start.Run}
+	if err == nil {
+		return e.completed()
+	}
+	if ctx.Err() != nil {
+		ending.Outcome = jobrunner.OutcomeStopped
+		ending.Resume = e.resumePoint()
+		return ending
+	}
+	failure := relayer.AsFailure(err)
+	if failure.Status() != 0 {
+		return e.final("refused", failure.Error())
+	}
+	e.target.Gauge().Failed(time.Now(), blockAfterFail)
+	if failure.Leaving() {
+		e.target.Gauge().SetLeaving(true)
+		e.runner.observer.LeavingSeen(e.target)
+	}
+	ending.Outcome = jobrunner.OutcomeFailed
+	if failure.Ran() == relayer.RanNot {
+		ending.Outcome = jobrunner.OutcomeNotRun
+	}
+	ending.Result = failed(e.start.Item, "failed", failure.Error())
+	return ending
+}
+
+// resumePoint returns where the stream can be resumed, or the earlier point if
+// this run got nowhere.
+func (e *execution) resumePoint() *jobrunner.Resume {
+	if e.last.IsZero() {
+		return nil
+	}
+	return &jobrunner.Resume{Upstream: e.target.ID(), Stream: e.stream, Text: e.text.String(), Tokens: e.tokens}
+}
+
+func (e *execution) final(code, message string) jobrunner.Ending {
+	return jobrunner.Ending{
+		Run: e.start.Run, Outcome: jobrunner.OutcomeFinal, Result: failed(e.start.Item, code, message),
+	}
+}
+
+func failed(item jobkeeper.Item, code, message string) jobkeeper.Result {
+	return jobkeeper.Result{
+		ID: "result-" + item.CustomID, CustomID: item.CustomID,
+		Error: &jobkeeper.ResultError{Code: code, Message: message},
+	}
+}
+
+func (e *execution) completed() jobrunner.Ending {
+	reason := e.reason
+	answer := upstream.Completed{
+		ID: e.stream, Object: "chat.completion", Model: e.start.Job.Model,
+		Choices: []upstream.Choice{{
+			Message: &upstream.Message{Role: "assistant", Content: e.text.String()}, FinishReason: &reason,
+		}},
+		Usage: e.usage,
+	}
+	body, err := json.Marshal(answer)
+	if err != nil {
+		return e.final("internal", err.Error())
+	}
+	return jobrunner.Ending{Run: e.start.Run, Outcome: jobrunner.OutcomeCompleted, Result: jobkeeper.Result{
+		ID: "result-" + e.start.Item.CustomID, CustomID: e.start.Item.CustomID,
+		Response: &jobkeeper.ResultResponse{StatusCode: http.StatusOK, RequestID: e.stream, Body: body},
+	}}
+}
--- /dev/null
+++ b/internal/jobkeeper/chunk.go
@@ -0,0 +1,298 @@
+package jobkeeper
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/platform"
+	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
+)
+
+// Result is one line of a job's results.
+type Result struct {
+	ID       string          `json:"id"`
+	CustomID string          `json:"custom_id"`
+	Response *ResultResponse `json:"response"`
+	Error    *ResultError    `json:"error"`
+}
+
+// ResultResponse is the answer to an item.
+type ResultResponse struct {
+	StatusCode int             `json:"status_code"`
+	RequestID  string          `json:"request_id"`
+	Body       json.RawMessage `json:"body"`
+}
+
+// ResultError tells why an item failed.
+type ResultError struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+}
+
+// Claim is a chunk that this process owns.
+type Claim struct {
+	Ref     Ref
+	Row     ChunkRow
+	Version uint64
+}
+
+// OpenJobs returns a model's open jobs, earliest deadline first.
+func (k *Keeper) OpenJobs(ctx context.Context, model string, limit int) ([]JobRow, error) {
+	rows, err := k.store.Scan(ctx, storekeeper.PurposeJob, "open/"+model+"/", "", limit)
+	if err != nil || len(rows) == 0 {
+		return nil, translate(err)
+	}
+	keys := make([]string, 0, len(rows))
+	for _, row := range rows {
+		var id string
+		if json.Unmarshal(row.Value, &id) == nil {
+			keys = append(keys, jobKey(id))
+		}
+	}
+	found, err := k.store.Read(ctx, storekeeper.PurposeJob, keys...)
+	if err != nil {
+		return nil, translate(err)
+	}
+	var jobs []JobRow
+	for _, row := range found {
+		job, err := decodeRow[JobRow](row)
+		if err == nil && job.Value.State == StateInProgress {
+			jobs = append(jobs, job.Value)
+		}
+	}
+	return jobs, nil
+}
+
+// Jobs returns jobs by identifier; one that doesn't exist is left out.
+func (k *Keeper) Jobs(ctx context.Context, ids []string) ([]JobRow, error) {
+	keys := make([]string, 0, len(ids))
+	for _, id := range ids {
+		keys = append(keys, jobKey(id))
+	}
+	rows, err := k.store.Read(ctx, storekeeper.PurposeJob, keys...)
+	if err != nil {
+		return nil, translate(err)
+	}
+	var jobs []JobRow
+	for _, row := range rows {
+		if job, err := decodeRow[JobRow](row); err == nil && job.Version != 0 {
+			jobs = append(jobs, job.Value)
+		}
+	}
+	return jobs, nil
+}
+
+// ChunkPage returns a page of a job's chunk rows, from a number on.
+func (k *Keeper) ChunkPage(ctx context.Context, job string, from, limit int) ([]Versioned[ChunkRow], error) {
+	keys := make([]string, 0, limit)
+	for n := from; n < from+limit; n++ {
+		keys = append(keys, chunkKey(Ref{Job: job, Number: n}))
+	}
+	rows, err := k.store.Read(ctx, storekeeper.PurposeJob, keys...)
+	if err != nil {
+		return nil, translate(err)
+	}
+	out := make([]Versioned[ChunkRow], 0, len(rows))
+	for _, row := range rows {
+		chunk, err := decodeRow[ChunkRow](row)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, chunk)
+	}
+	return out, nil
+}
+
+// ClaimChunk makes a process the owner of a chunk that has the previous owner.
+func (k *Keeper) ClaimChunk(ctx context.Context, ref Ref, previous, owner Owner) (Claim, JobRow, error) {
+	rows, err := k.store.Read(ctx, storekeeper.PurposeJob, chunkKey(ref), jobKey(ref.Job))
+	if err != nil {
+		return Claim{}, JobRow{}, translate(err)
+	}
+	chunk, err := decodeRow[ChunkRow](rows[0])
+	if err != nil {
+		return Claim{}, JobRow{}, err
+	}
+	job, err := decodeRow[JobRow](rows[1])
+	if err != nil {
+		return Claim{}, JobRow{}, err
+	}
+	if job.Value.State != StateInProgress {
+		return Claim{}, JobRow{}, ErrCancelled
+	}
+	row := chunk.Value
+	if chunk.Version == 0 || row.Done || row.Owner != previous {
+		return Claim{}, JobRow{}, ErrLost
+	}
+	row.Owner = owner
+	row.Epoch++
+	version, err := k.store.Transact(ctx, storekeeper.Write{
+		Purpose: storekeeper.PurposeJob, Priority: storekeeper.PriorityProgress,
+		Conditions: []platform.Condition{{Key: chunkKey(ref), Version: chunk.Version}},
+		Puts:       []platform.Put{putRow(chunkKey(ref), row)},
+	})
+	if errors.Is(err, storekeeper.ErrConflict) {
+		return Claim{}, JobRow{}, ErrLost
+	}
+	return Claim{Ref: ref, Row: row, Version: version}, job.Value, translate(err)
+}
+
+// Items returns the items of a claimed chunk that have no result yet.
+func (k *Keeper) Items(ctx context.Context, claim Claim) ([]Item, error) {
+	text, err := k.store.GetObject(ctx, storekeeper.PurposeJob, claim.Row.Object)
+	if err != nil {
+		return nil, translate(err)
+	}
+	done := map[string]bool{}
+	for _, part := range claim.Row.Parts {
+		results, err := k.store.GetObject(ctx, storekeeper.PurposeJob, part)
+		if err != nil {
+			return nil, translate(err)
+		}
+		for line := range bytes.Lines(results) {
+			var result Result
+			if err := json.Unmarshal(line, &result); err != nil {
+				return nil, fmt.Errorf("decode result in %s: %w", part, err)
+			}
+			done[result.CustomID] = true
+		}
+	}
+	var items []Item
+	for line := range bytes.Lines(text) {
+		var item Item
+		if err := json.Unmarshal(line, &item); err != nil {
+			return nil, fmt.Errorf("decode item in %s: %w", claim.Row.Object, err)
+		}
+		if !done[item.CustomID] {
+			items = append(items, item)
+		}
+	}
+	return items, nil
+}
+
+// CommitPart adds results to a chunk. The first commit of a result wins: the
+// write is conditional on the row that this process knows, so an owner that has
+// lost the chunk can't add to it.
+func (k *Keeper) CommitPart(ctx context.Context, claim Claim, results []Result, last bool, now time.Time) (Claim, error) {
+	var text bytes.Buffer
+	encoder := json.NewEncoder(&text)
+	encoder.SetEscapeHTML(false)
+	for _, result := range results {
+		if err := encoder.Encode(result); err != nil {
+			return claim, fmt.Errorf("encode result %s: %w", result.CustomID, err)
+		}
+	}
+	row := claim.Row
+	part := partKey(claim.Ref, row.Epoch, len(row.Parts), text.Bytes())
+	if err := k.store.PutObject(ctx, storekeeper.PurposeJob, part, text.Bytes()); err != nil {
+		return claim, translate(err)
+	}
+	row.Parts = append(append([]string(nil), row.Parts...), part)
+	for _, result := range results {
+		if result.Error != nil {
+			row.Failed++
+		} else {
+			row.Completed++
+		}
+	}
+	row.Done = last
+	if last {
+		return k.finishChunk(ctx, claim, row, now)
+	}
+	return k.putChunk(ctx, claim, row)
+}
+
+func (k *Keeper) putChunk(ctx context.Context, claim Claim, row ChunkRow) (Claim, error) {
+	version, err := k.store.Transact(ctx, storekeeper.Write{
+		Purpose: storekeeper.PurposeJob, Priority: storekeeper.PriorityResult,
+		Conditions: []platform.Condition{{Key: chunkKey(claim.Ref), Version: claim.Version}},
+		Puts:       []platform.Put{putRow(chunkKey(claim.Ref), row)},
+	})
+	if errors.Is(err, storekeeper.ErrConflict) {
+		return claim, ErrLost
+	}
+	return Claim{Ref: claim.Ref, Row: row, Version: version}, translate(err)
+}
+
+// finishChunk marks a chunk as done and counts it in its job, in one
+// transaction. The last chunk ends the job, unless it was cancelled.
+func (k *Keeper) finishChunk(ctx context.Context, claim Claim, row ChunkRow, now time.Time) (Claim, error) {
+	for range maxConflicts {
+		rows, err := k.store.Read(ctx, storekeeper.PurposeJob, chunkKey(claim.Ref), jobKey(claim.Ref.Job))
+		if err != nil {
+			return claim, translate(err)
+		}
+		if rows[0].Version != claim.Version {
+			return claim, ErrLost
+		}
+		found, err := decodeRow[JobRow](rows[1])
+		if err != nil {
+			return claim, err
+		}
+		version, err := k.store.Transact(ctx, finishWrite(claim, row, found, now))
+		if errors.Is(err, storekeeper.ErrConflict) {
+			continue
+		}
+		return Claim{Ref: claim.Ref, Row: row, Version: version}, translate(err)
+	}
+	return claim, fmt.Errorf("%w: finish chunk: too many conflicts", ErrStore)
+}
+
+func finishWrite(claim Claim, row ChunkRow, found Versioned[JobRow], now time.Time) storekeeper.Write {
+	job := found.Value
+	job.DoneChunks++
+	job.Completed += row.Completed
+	job.Failed += row.Failed
+	write := storekeeper.Write{
+		Purpose: storekeeper.PurposeJob, Priority: storekeeper.PriorityResult,
+		Conditions: []platform.Condition{
+			{Key: chunkKey(claim.Ref), Version: claim.Version},
+			{Key: jobKey(job.ID), Version: found.Version},
+		},
+	}
+	if job.DoneChunks == job.Chunks && job.State == StateInProgress {
+		job.State = StateCompleted
+		job.Ended = now
+		write.Deletes = []string{openKey(job)}
+	}
+	write.Puts = []platform.Put{putRow(chunkKey(claim.Ref), row), putRow(jobKey(job.ID), job)}
+	return write
+}
+
+// ReleaseChunk gives a chunk up, so that another process may claim it at once.
+func (k *Keeper) ReleaseChunk(ctx context.Context, claim Claim) error {
+	row := claim.Row
+	row.Owner = Owner{}
+	_, err := k.putChunk(ctx, claim, row)
+	return err
+}
+
+// Beat renews the lease of a process that owns chunks.
+func (k *Keeper) Beat(ctx context.Context, owner Owner, beat uint64) error {
+	_, err := k.store.Transact(ctx, storekeeper.Write{
+		Purpose: storekeeper.PurposeLease, Priority: storekeeper.PriorityProgress,
+		Puts: []platform.Put{putRow(LeaseKey(owner), LeaseRow{Beat: beat})},
+	})
+	return translate(err)
+}
+
+// Leases returns the versions of owners' lease rows, 0 where there is none.
+func (k *Keeper) Leases(ctx context.Context, owners []Owner) ([]uint64, error) {
+	keys := make([]string, 0, len(owners))
+	for _, owner := range owners {
+		keys = append(keys, LeaseKey(owner))
+	}
+	rows, err := k.store.Read(ctx, storekeeper.PurposeLease, keys...)
+	if err != nil {
+		return nil, translate(err)
+	}
+	versions := make([]uint64, 0, len(rows))
+	for _, row := range rows {
+		versions = append(versions, row.Version)
+	}
+	return versions, nil
+}
--- /dev/null
+++ b/internal/jobkeeper/row.go
@@ -0,0 +1,158 @@
+// Package jobkeeper keeps batch jobs in the platform's store: their input
+// files, their chunks, and the results that were committed.
+//
+// Items are never a row each. A file is cut into chunks when it is uploaded; a
+// chunk is one object, and one row once a job runs on the file. Results are
+// objects that a chunk's row names; what no row names was never committed.
+package jobkeeper
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/platform"
+)
+
+// Errors of this layer.
+var (
+	// ErrNotFound means that the caller has no such job or file.
+	ErrNotFound = errors.New("not found")
+	// ErrDifferentBody means that the idempotency key was used for another body.
+	ErrDifferentBody = errors.New("idempotency key used with a different body")
+	// ErrBadInput means that an input file can't be accepted.
+	ErrBadInput = errors.New("bad batch input")
+	// ErrStore means that the store can't be reached; try again later.
+	ErrStore = errors.New("store unavailable")
+	// ErrInDoubt means that the write may have taken effect; a resend tells.
+	ErrInDoubt = errors.New("store write in doubt")
+	// ErrLost means that another process owns the chunk now.
+	ErrLost = errors.New("chunk owned by another process")
+	// ErrCancelled means that the job was cancelled.
+	ErrCancelled = errors.New("job cancelled")
+)
+
+// State is the state of a job.
+type State string
+
+// The states of a job. The last two are final.
+const (
+	StateInProgress State = "in_progress"
+	StateCompleted  State = "completed"
+	StateCancelled  State = "cancelled"
+)
+
+// FileRow is the table row of an uploaded file.
+type FileRow struct {
+	Caller   string      `json:"caller"`
+	Name     string      `json:"name"`
+	Bytes    int64       `json:"bytes"`
+	Items    int         `json:"items"`
+	Model    string      `json:"model"`
+	Created  time.Time   `json:"created"`
+	Chunks   []FileChunk `json:"chunks"`
+	Endpoint string      `json:"endpoint"`
+}
+
+// FileChunk is one object of a file.
+type FileChunk struct {
+	Object string `json:"object"`
+	Items  int    `json:"items"`
+}
+
+// JobRow is the table row of a job.
+type JobRow struct {
+	ID         string    `json:"id"`
+	Caller     string    `json:"caller"`
+	File       string    `json:"file"`
+	Model      string    `json:"model"`
+	Endpoint   string    `json:"endpoint"`
+	BodyDigest string    `json:"bodyDigest"`
+	Created    time.Time `json:"created"`
+	Deadline   time.Time `json:"deadline"`
+	Items      int       `json:"items"`
+	Chunks     int       `json:"chunks"`
+	DoneChunks int       `json:"doneChunks"`
+	Completed  int       `json:"completed"`
+	Failed     int       `json:"failed"`
+	State      State     `json:"state"`
+	Ended      time.Time `json:"ended,omitzero"`
+}
+
+// ChunkRow is the table row of one chunk of a job.
+type ChunkRow struct {
+	Object string `json:"object"`
+	Items  int    `json:"items"`
+	// Owner is the process that runs the chunk, or empty.
+	Owner Owner `json:"owner,omitzero"`
+	// Epoch counts the owners that the chunk has had.
+	Epoch     int      `json:"epoch"`
+	Parts     []string `json:"parts,omitempty"`
+	Completed int      `json:"completed"`
+	Failed    int      `json:"failed"`
+	Done      bool     `json:"done"`
+}
+
+// Owner is one process of one VM.
+type Owner struct {
+	VM      string `json:"vm"`
+	Process uint64 `json:"process"`
+}
+
+// LeaseRow is the table row by which a process that owns chunks shows that it
+// lives.
+type LeaseRow struct {
+	Beat uint64 `json:"beat"`
+}
+
+// Ref names one chunk of a job.
+type Ref struct {
+	Job    string
+	Number int
+}
+
+// Keys of rows.
+func fileKey(id string) string { return "file/" + id }
+func jobKey(id string) string  { return "job/" + id }
+
+func chunkKey(r Ref) string { return fmt.Sprintf("chunk/%s/%06d", r.Job, r.Number) }
+
+// LeaseKey returns the key of an owner's lease row.
+func LeaseKey(o Owner) string { return fmt.Sprintf("lease/%s/%d", o.VM, o.Process) }
+
+// openKey orders a model's open jobs by their deadline.
+func openKey(j JobRow) string {
+	return fmt.Sprintf("open/%s/%015d/%s", j.Model, j.Deadline.UnixMilli(), j.ID)
+}
+
+// partKey has the content's digest in it, so that a copy of a write that the
+// network delivers late can't replace what a later write stored.
+func partKey(r Ref, epoch, part int, text []byte) string {
+	return fmt.Sprintf("results/%s/%06d/%d-%d-%s", r.Job, r.Number, epoch, part, digest(text)[:16])
+}
+
+// Versioned is a row's value with its version; version 0 means no row.
+type Versioned[T any] struct {
+	Value   T
+	Version uint64
+}
+
+func decodeRow[T any](row platform.Row) (Versioned[T], error) {
+	out := Versioned[T]{Version: row.Version}
+	if row.Version == 0 {
+		return out, nil
+	}
+	if err := json.Unmarshal(row.Value, &out.Value); err != nil {
+		return out, fmt.Errorf("decode row %s: %w", row.Key, err)
+	}
+	return out, nil
+}
+
+func putRow(key string, value any) platform.Put {
+	text, err := json.Marshal(value)
+	if err != nil {
+		panic(fmt.Sprintf("encode row %s: %v", key, err)) // rows are plain data
+	}
+	return platform.Put{Key: key, Value: text}
+}
--- /dev/null
+++ b/internal/loadgenerator/generator.go
@@ -0,0 +1,252 @@
+// Package loadgenerator sends completion requests at a rate that doesn't
+// depend on how fast they are answered, and measures each from the moment at
+// which it was due, so that a stall is counted for every request that it held
+// up and not only for the one that was under way.
+package loadgenerator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/fescuespindle/fescuespindle/internal/requester"
+)
+
+const (
+	lowestMicros   = 1
+	highestMicros  = 10 * 60 * 1_000_000
+	histogramDigit = 3
+)
+
+// Request is one request to send.
+type Request struct {
+	Model  string
+	Prompt string
+	Tokens int
+	// Class names the kind of request; classes are measured apart.
+	Class string
+}
+
+// Target sends one request.
+type Target interface {
+	Complete(ctx context.Context, model, prompt string, tokens int) (requester.Completion, error)
+}
+
+// Plan is a load to generate.
+type Plan struct {
+	// Rate is the mean number of requests a second; arrivals are Poisson.
+	Rate     float64
+	End      time.Time
+	Seed     uint64
+	Timeout  time.Duration //nolint:revive // an option of a call, not stored
+	Targets  []Target
+	Generate func(n int, random *rand.Rand) Request
+	// Expect returns the right answer to a request, or nil to check nothing.
+	Expect func(Request) string
+}
+
+// Class is the outcome of the requests of one class.
+type Class struct {
+	mu      sync.Mutex
+	first   *hdrhistogram.Histogram
+	total   *hdrhistogram.Histogram
+	sent    int
+	right   int
+	wrong   int
+	refused int
+	cut     int
+	tokens  int
+	cached  int
+	prompt  int
+}
+
+func newClass() *Class {
+	return &Class{
+		first: hdrhistogram.New(lowestMicros, highestMicros, histogramDigit),
+		total: hdrhistogram.New(lowestMicros, highestMicros, histogramDigit),
+	}
+}
+
+// Report is what a class measured, as it is printed.
+type Report struct {
+	Class     string  `json:"class"`
+	Sent      int     `json:"sent"`
+	Right     int     `json:"right"`
+	Wrong     int     `json:"wrong"`
+	Refused   int     `json:"refused"`
+	Cut       int     `json:"cut"`
+	Tokens    int     `json:"tokens"`
+	CachedPct float64 `json:"cachedPercent"`
+	FirstP50  float64 `json:"firstTokenP50Milliseconds"`
+	FirstP95  float64 `json:"firstTokenP95Milliseconds"`
+	FirstP99  float64 `json:"firstTokenP99Milliseconds"`
+	FirstMax  float64 `json:"firstTokenMaxMilliseconds"`
+	TotalP50  float64 `json:"totalP50Milliseconds"`
+	TotalP99  float64 `json:"totalP99Milliseconds"`
+}
+
+// Report returns what the class has measured.
+func (c *Class) Report(name string) Report {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := Report{
+		Class: name, Sent: c.sent, Right: c.right, Wrong: c.wrong, Refused: c.refused, Cut: c.cut, Tokens: c.tokens,
+		FirstP50: millis(c.first, 50), FirstP95: millis(c.first, 95), FirstP99: millis(c.first, 99),
+		FirstMax: millis(c.first, 100), TotalP50: millis(c.total, 50), TotalP99: millis(c.total, 99),
+	}
+	if c.prompt > 0 {
+		r.CachedPct = 100 * float64(c.cached) / float64(c.prompt)
+	}
+	return r
+}
+
+func millis(h *hdrhistogram.Histogram, quantile float64) float64 {
+	const microsPerMilli = 1000
+	return float64(h.ValueAtQuantile(quantile)) / microsPerMilli
+}
+
+// Generator runs a plan.
+type Generator struct {
+	plan    Plan
+	mu      sync.Mutex
+	classes map[string]*Class
+	errors  map[string]int
+	group   sync.WaitGroup
+	onDone  func(Request, time.Time, time.Duration)
+}
+
+// Option sets one property of a Generator.
+type Option func(*Generator)
+
+// WithObserver is told of each right answer: the request, when it was due and
+// the time to its first token.
+func WithObserver(observe func(Request, time.Time, time.Duration)) Option {
+	return func(g *Generator) { g.onDone = observe }
+}
+
+// New returns a generator of a plan.
+func New(plan Plan, options ...Option) *Generator {
+	g := &Generator{
+		plan: plan, classes: map[string]*Class{}, errors: map[string]int{},
+		onDone: func(Request, time.Time, time.Duration) {},
+	}
+	for _, option := range options {
+		option(g)
+	}
+	return g
+}
+
+// Run sends requests until the plan's end, and returns when all are answered.
+func (g *Generator) Run(ctx context.Context) {
+	random := rand.New(rand.NewPCG(g.plan.Seed, 1))
+	due := time.Now()
+	for n := 0; ; n++ {
+		due = due.Add(time.Duration(random.ExpFloat64() / g.plan.Rate * float64(time.Second)))
+		if due.After(g.plan.End) || !sleepUntil(ctx, due) {
+			break
+		}
+		request := g.plan.Generate(n, random)
+		target := g.plan.Targets[random.IntN(len(g.plan.Targets))]
+		at := due
+		g.group.Go(func() { g.send(ctx, target, request, at) })
+	}
+	g.group.Wait()
+}
+
+func sleepUntil(ctx context.Context, due time.Time) bool {
+	wait := time.Until(due)
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (g *Generator) send(ctx context.Context, target Target, request Request, due time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, due.Add(g.plan.Timeout))
+	defer cancel()
+	completion, err := target.Complete(ctx, request.Model, request.Prompt, request.Tokens)
+	class := g.Class(request.Class)
+	right := err == nil && (g.plan.Expect == nil || completion.Text() == g.plan.Expect(request))
+	if right {
+		g.onDone(request, due, completion.FirstToken().Sub(due))
+	}
+	if err != nil {
+		g.countError(err)
+	}
+	class.add(completion, err, right, due)
+}
+
+func (g *Generator) countError(err error) {
+	key := err.Error()
+	var refused *requester.RefusedError
+	if errors.As(err, &refused) {
+		key = fmt.Sprintf("%d %s %s", refused.Status(), refused.Code(), refused.Ran())
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.errors[key]++
+}
+
+func (c *Class) add(completion requester.Completion, err error, right bool, due time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sent++
+	var refused *requester.RefusedError
+	switch {
+	case errors.As(err, &refused):
+		c.refused++
+		return
+	case err != nil:
+		c.cut++
+		return
+	case !right:
+		c.wrong++
+		return
+	}
+	c.right++
+	usage := completion.Usage()
+	c.tokens += usage.CompletionTokens
+	c.prompt += usage.PromptTokens
+	c.cached += usage.CachedTokens
+	_ = c.first.RecordValue(micros(completion.FirstToken().Sub(due)))
+	_ = c.total.RecordValue(micros(completion.LastToken().Sub(due)))
+}
+
+func micros(d time.Duration) int64 {
+	return min(max(d.Microseconds(), lowestMicros), highestMicros)
+}
+
+// Class returns what the requests of a class have measured so far.
+func (g *Generator) Class(name string) *Class {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	class, found := g.classes[name]
+	if !found {
+		class = newClass()
+		g.classes[name] = class
+	}
+	return class
+}
+
+// Errors returns how often each error came.
+func (g *Generator) Errors() map[string]int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	errors := make(map[string]int, len(g.errors))
+	for key, n := range g.errors {
+		errors[key] = n
+	}
+	return errors
+}
--- /dev/null
+++ b/internal/servicecaller/caller.go
@@ -0,0 +1,152 @@
+// Package servicecaller sends calls to plain services: those that may be
+// repeated are tried again, the others are sent at most once.
+package servicecaller
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/budgeter"
+	"github.com/fescuespindle/fescuespindle/internal/chooser"
+	"github.com/fescuespindle/fescuespindle/internal/dispatcher"
+	"github.com/fescuespindle/fescuespindle/internal/relayer"
+)
+
+const (
+	maxAttempts    = 3
+	retryShare     = 0.10
+	retryBurst     = 10
+	blockAfterFail = 200 * time.Millisecond
+)
+
+// Sender sends one attempt.
+type Sender interface {
+	Call(ctx context.Context, a relayer.Attempt, repeatable bool) (relayer.Answer, error)
+}
+
+// Call is one call of a service.
+type Call struct {
+	ID         string
+	Caller     string
+	Weight     int
+	Method     string
+	Path       string
+	Body       []byte
+	Header     http.Header
+	Deadline   time.Time
+	Repeatable bool
+}
+
+// Caller sends the calls of one VM.
+type Caller struct {
+	sender   Sender
+	observer dispatcher.Observer
+	counter  dispatcher.Counter
+	policy   chooser.Policy
+	retries  *budgeter.Budget
+}
+
+// New returns a caller.
+func New(sender Sender, observer dispatcher.Observer, counter dispatcher.Counter) *Caller {
+	return &Caller{
+		sender: sender, observer: observer, counter: counter, policy: chooser.Balanced{},
+		retries: budgeter.New(retryShare, retryBurst),
+	}
+}
+
+// Do sends a call once it has room. An error of the queue wraps
+// admitter.ErrBusy, any other is a relayer.AttemptError.
+func (c *Caller) Do(ctx context.Context, lane *dispatcher.Lane, call Call) (relayer.Answer, error) {
+	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
+	defer cancel()
+	if err := lane.Queue().Enter(ctx, call.Caller, call.Weight, call.Deadline); err != nil {
+		return relayer.Answer{}, err //nolint:wrapcheck // a BusyError, which callers unwrap
+	}
+	started := false
+	markStarted := func() {
+		if !started {
+			started = true
+			lane.Queue().Started()
+		}
+	}
+	defer markStarted()
+	c.retries.Earn()
+	return c.attempts(ctx, lane, call, markStarted)
+}
+
+// attempts tries a call at different upstreams. A call that may not be repeated
+// is tried again only if it was surely not run.
+func (c *Caller) attempts(
+	ctx context.Context, lane *dispatcher.Lane, call Call, started func(),
+) (relayer.Answer, error) {
+	var avoid *chooser.Upstream
+	var last error = relayer.NewFailure(relayer.RanNot, dispatcher.ErrNoUpstream)
+	worst := relayer.RanNot
+	for n := range maxAttempts {
+		choice, ok := c.policy.Choose(lane.Pool(),
+			chooser.Request{Avoid: avoid, Farthest: chooser.TierRemote, Now: time.Now()})
+		if !ok {
+			break
+		}
+		answer, err := c.attempt(ctx, lane, call, choice.Upstream, n, started)
+		if err == nil {
+			return answer, nil
+		}
+		failure := relayer.AsFailure(err)
+		last = failure
+		worst = max(worst, failure.Ran())
+		if failure.Status() != 0 || !c.mayRetry(ctx, call, failure) {
+			break
+		}
+		avoid = choice.Upstream
+	}
+	if failure := relayer.AsFailure(last); failure.Status() != 0 {
+		return relayer.Answer{}, failure
+	}
+	return relayer.Answer{}, relayer.NewFailure(worst, last)
+}
+
+func (c *Caller) mayRetry(ctx context.Context, call Call, failure *relayer.AttemptError) bool {
+	if ctx.Err() != nil || (!call.Repeatable && failure.Ran() != relayer.RanNot) {
+		return false
+	}
+	if !c.retries.Spend() {
+		return false
+	}
+	c.counter.Count("retries_total")
+	return true
+}
+
+func (c *Caller) attempt(
+	ctx context.Context, lane *dispatcher.Lane, call Call, u *chooser.Upstream, n int, started func(),
+) (relayer.Answer, error) {
+	now := time.Now()
+	u.Gauge().BeginOnline(now)
+	c.observer.OnlineChanged(u, true)
+	started()
+	defer func() {
+		u.Gauge().EndOnline()
+		c.observer.OnlineChanged(u, false)
+		lane.Queue().Released()
+	}()
+	answer, err := c.sender.Call(ctx, relayer.Attempt{
+		ID: fmt.Sprintf("%s-%d", call.ID, n), Address: u.Address(), Method: call.Method, Path: call.Path,
+		Body: call.Body, Header: call.Header, Deadline: call.Deadline,
+	}, call.Repeatable)
+	if err == nil {
+		u.Gauge().Progress(time.Now(), 0)
+		return answer, nil
+	}
+	failure := relayer.AsFailure(err)
+	if failure.Status() == 0 {
+		c.counter.Count("failures_total{ran=\"" + failure.Ran().String() + "\"}")
+		u.Gauge().Failed(time.Now(), blockAfterFail)
+	}
+	if failure.Leaving() {
+		u.Gauge().SetLeaving(true)
+		c.observer.LeavingSeen(u)
+	}
+	return answer, failure
+}
--- /dev/null
+++ b/internal/sitebuilder/apply.go
@@ -0,0 +1,58 @@
+package sitebuilder
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
+
+	"github.com/fescuespindle/fescuespindle/internal/configkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/counter"
+	"github.com/fescuespindle/fescuespindle/internal/platformcaller"
+	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
+	"github.com/fescuespindle/fescuespindle/pkg/deployer"
+)
+
+// WithConfigKeeper runs a function with access to a platform's configuration,
+// as an operator's command has it.
+func WithConfigKeeper(
+	ctx context.Context, platformURL string, use func(context.Context, *configkeeper.Keeper) error,
+) error {
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
+	store := storekeeper.New(platformcaller.New(platformURL, client), "operator-"+uuid.NewString(), logger,
+		counter.New(metrics.NewSet()))
+	running, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { _ = store.Run(running) }) // ends with the context
+	defer group.Wait()
+	defer cancel()
+	return use(ctx, configkeeper.New(store))
+}
+
+// ApplyDocument applies a document as the next version.
+func ApplyDocument(ctx context.Context, platformURL string, doc deployer.Document) (configkeeper.Entry, error) {
+	var entry configkeeper.Entry
+	digest, err := doc.Digest()
+	if err != nil {
+		return entry, fmt.Errorf("apply: %w", err)
+	}
+	err = WithConfigKeeper(ctx, platformURL, func(ctx context.Context, k *configkeeper.Keeper) error {
+		head, err := k.Head(ctx)
+		if err != nil {
+			return fmt.Errorf("apply: %w", err)
+		}
+		entry, err = k.Apply(ctx, configkeeper.Change{
+			From: head.Version, Digest: digest, Document: doc, By: "sitebuilder", Why: "bring the site up", At: time.Now(),
+		})
+		return err
+	})
+	return entry, err
+}
--- /dev/null
+++ b/internal/sitebuilder/site.go
@@ -0,0 +1,352 @@
+// Package sitebuilder brings a whole site up in one process, on loopback: the
+// stand-ins for platform, engines and services, and entry VMs that run the
+// real code. The demo, the experiments and tests use it.
+package sitebuilder
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/assembler"
+	"github.com/fescuespindle/fescuespindle/internal/configkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/dispatcher"
+	"github.com/fescuespindle/fescuespindle/internal/emulator/engineemulator"
+	"github.com/fescuespindle/fescuespindle/internal/emulator/platformemulator"
+	"github.com/fescuespindle/fescuespindle/internal/emulator/serviceemulator"
+	"github.com/fescuespindle/fescuespindle/internal/platform"
+	"github.com/fescuespindle/fescuespindle/internal/requester"
+	"github.com/fescuespindle/fescuespindle/internal/settingsloader"
+	"github.com/fescuespindle/fescuespindle/internal/upstream"
+	"github.com/fescuespindle/fescuespindle/pkg/deployer"
+)
+
+// Secret is the peers' secret of every site.
+const Secret = "a secret for sites on loopback"
+
+// Domain is one failure domain of a site.
+type Domain struct {
+	Region string
+	Name   string
+	VMs    int
+	// Engines and Services are numbers of upstreams of each deployment.
+	Engines  int
+	Services int
+}
+
+// Spec is a site to bring up.
+type Spec struct {
+	Document   deployer.Document
+	EnginePool string
+	Model      string
+	Service    string
+	Domains    []Domain
+	Seed       uint64
+	// EngineOptions are given to every engine.
+	EngineOptions []engineemulator.Option
+	// VMOptions are given to every entry VM.
+	VMOptions []dispatcher.Option
+	Dials     func(domain, region string) assembler.Dials
+	Logger    *slog.Logger
+}
+
+// Engine is an engine of a site.
+type Engine struct {
+	*engineemulator.Engine
+	ID     string
+	Domain string
+	server *httpServer
+}
+
+// Service is a plain service of a site.
+type Service struct {
+	*serviceemulator.Service
+	ID     string
+	server *httpServer
+}
+
+// VM is an entry VM of a site.
+type VM struct {
+	*assembler.VM
+	ID       string
+	Domain   string
+	Region   string
+	settings settingsloader.Settings
+	place    platform.VM
+}
+
+// URL returns the address for callers.
+func (vm *VM) URL() string { return "http://" + vm.settings.CallerAddress }
+
+// OperatorURL returns the address for operators.
+func (vm *VM) OperatorURL() string { return "http://" + vm.settings.OperatorAddress }
+
+// Site is a site that is up.
+type Site struct {
+	spec     Spec
+	Platform *platformemulator.Emulator
+	Engines  []*Engine
+	Services []*Service
+	VMs      []*VM
+
+	platform *httpServer
+	client   *http.Client
+	group    sync.WaitGroup
+	ctx      context.Context //nolint:containedctx // the life of the site
+	cancel   context.CancelFunc
+	process  atomic.Uint64
+}
+
+// httpServer is a stand-in that listens.
+type httpServer struct {
+	listener net.Listener
+	server   *http.Server
+}
+
+func (s *httpServer) address() string { return s.listener.Addr().String() }
+
+// New brings a site up, without a configuration.
+func New(spec Spec) (*Site, error) {
+	if spec.Logger == nil {
+		spec.Logger = slog.New(slog.NewTextHandler(io.Discard, nil))
+	}
+	s := &Site{spec: spec, Platform: platformemulator.New(spec.Seed)}
+	s.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024, DisableCompression: true}}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.process.Store(uint64(time.Now().UnixMilli()))
+	var err error
+	if s.platform, err = s.listen(s.Platform); err != nil {
+		return nil, err
+	}
+	for _, d := range spec.Domains {
+		if err := s.addDomain(d); err != nil {
+			s.Close()
+			return nil, err
+		}
+	}
+	s.Relist()
+	for _, vm := range s.VMs {
+		vm.Start()
+	}
+	return s, nil
+}
+
+func (s *Site) listen(handler http.Handler) (*httpServer, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	out := &httpServer{listener: listener, server: &http.Server{
+		Handler: handler, ReadHeaderTimeout: 5 * time.Second,
+		ErrorLog: slog.NewLogLogger(s.spec.Logger.Handler(), slog.LevelDebug),
+	}}
+	s.group.Go(func() { _ = out.server.Serve(listener) }) // ends when closed
+	return out, nil
+}
+
+func (s *Site) addDomain(d Domain) error {
+	for n := range d.Engines {
+		if err := s.addEngine(d, fmt.Sprintf("%s-engine-%d", d.Name, n)); err != nil {
+			return err
+		}
+	}
+	for n := range d.Services {
+		service := &Service{Service: serviceemulator.New(s.spec.Service), ID: fmt.Sprintf("%s-service-%d", d.Name, n)}
+		var err error
+		if service.server, err = s.listen(service); err != nil {
+			return err
+		}
+		s.Services = append(s.Services, service)
+	}
+	for n := range d.VMs {
+		vm, err := s.newVM(fmt.Sprintf("%s-entry-%d", d.Name, n), d)
+		if err != nil {
+			return err
+		}
+		s.VMs = append(s.VMs, vm)
+	}
+	return nil
+}
+
+func (s *Site) addEngine(d Domain, id string) error {
+	options := append([]engineemulator.Option{
+		engineemulator.WithLoaded(upstream.LoadedModel{Name: s.spec.Model, Version: s.spec.version()}),
+	}, s.spec.EngineOptions...)
+	engine := &Engine{Engine: engineemulator.New(options...), ID: id, Domain: d.Name}
+	var err error
+	if engine.server, err = s.listen(engine); err != nil {
+		return err
+	}
+	s.group.Go(func() { engine.Run(s.ctx) })
+	s.Engines = append(s.Engines, engine)
+	return nil
+}
+
+// version returns the model's version in the document.
+func (spec Spec) version() string {
+	for _, d := range spec.Document.Deployments {
+		for _, m := range d.Models {
+			if m.Name == spec.Model {
+				return m.Version
+			}
+		}
+	}
+	return ""
+}
+
+func (s *Site) newVM(id string, d Domain) (*VM, error) {
+	settings := settingsloader.Settings{
+		VM: id, Region: d.Region, Domain: d.Name, PlatformURL: "http://" + s.platform.address(),
+		CallerAddress: "127.0.0.1:0", OperatorAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
+		DrainTimeout: settingsloader.Duration(30 * time.Second),
+	}
+	listeners, err := assembler.Listen(settings)
+	if err != nil {
+		return nil, fmt.Errorf("start %s: %w", id, err)
+	}
+	settings.CallerAddress = listeners.Caller.Addr().String()
+	settings.OperatorAddress = listeners.Operator.Addr().String()
+	settings.PeerAddress = listeners.Peer.Addr().String()
+	var dials assembler.Dials
+	if s.spec.Dials != nil {
+		dials = s.spec.Dials(d.Name, d.Region)
+	}
+	process := assembler.Process(s.process.Add(1))
+	return &VM{
+		VM: assembler.New(settings, listeners, assembler.Secret(Secret), process, dials, s.spec.Logger, s.spec.VMOptions),
+		ID: id, Domain: d.Name, Region: d.Region, settings: settings,
+		place: platform.VM{
+			ID: id, Kind: platform.VMEntry, Region: d.Region, Domain: d.Name,
+			Address: settings.CallerAddress, Peer: settings.PeerAddress,
+		},
+	}, nil
+}
+
+// Restart replaces a VM by a fresh process of the same name.
+func (s *Site) Restart(at int) error {
+	old := s.VMs[at]
+	old.Close()
+	vm, err := s.newVM(old.ID, Domain{Region: old.Region, Name: old.Domain})
+	if err != nil {
+		return err
+	}
+	s.VMs[at] = vm
+	s.Relist()
+	vm.Start()
+	return nil
+}
+
+// Relist gives the platform the list of all VMs.
+func (s *Site) Relist() {
+	var list []platform.VM
+	regions := map[string]string{}
+	for _, d := range s.spec.Domains {
+		regions[d.Name] = d.Region
+	}
+	for _, vm := range s.VMs {
+		list = append(list, vm.place)
+	}
+	for _, e := range s.Engines {
+		list = append(list, platform.VM{
+			ID: e.ID, Kind: platform.VMUpstream, Pool: s.spec.EnginePool, Region: regions[e.Domain], Domain: e.Domain,
+			Address: e.server.address(),
+		})
+	}
+	at := 0
+	for _, d := range s.spec.Domains {
+		for range d.Services {
+			list = append(list, platform.VM{
+				ID: s.Services[at].ID, Kind: platform.VMUpstream, Pool: s.spec.Service, Region: d.Region, Domain: d.Name,
+				Address: s.Services[at].server.address(),
+			})
+			at++
+		}
+	}
+	s.Platform.SetVMs(list)
+}
+
+// Apply applies a document as the next version, and waits until every VM has
+// it in force.
+func (s *Site) Apply(ctx context.Context, doc deployer.Document) (configkeeper.Entry, error) {
+	entry, err := ApplyDocument(ctx, "http://"+s.platform.address(), doc)
+	if err != nil {
+		return entry, err
+	}
+	return entry, s.WaitVersion(ctx, entry.Version)
+}
+
+// WaitVersion waits until every VM has at least a version in force.
+func (s *Site) WaitVersion(ctx context.Context, version uint64) error {
+	for _, vm := range s.VMs {
+		for vm.Publisher().View().Config().Version() < version {
+			if err := ctx.Err(); err != nil {
+				return fmt.Errorf("wait for version %d at %s: %w", version, vm.ID, err)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// WaitReady waits until every VM is ready and knows every engine of its own
+// failure domain.
+func (s *Site) WaitReady(ctx context.Context) error {
+	for _, vm := range s.VMs {
+		for !s.ready(vm) {
+			if err := ctx.Err(); err != nil {
+				return fmt.Errorf("wait for %s: %w", vm.ID, err)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return nil
+}
+
+func (s *Site) ready(vm *VM) bool {
+	view := vm.Publisher().View()
+	target, found := view.Target(s.spec.Model)
+	if ok, _ := view.Ready(); !ok || !found {
+		return false
+	}
+	known := 0
+	for range target.Pool().All {
+		known++
+	}
+	return known >= len(s.Engines)
+}
+
+// Requester returns a client of a VM with a token.
+func (s *Site) Requester(vm *VM, token string) *requester.Requester {
+	return requester.New(vm.URL(), token, s.client)
+}
+
+// PlatformURL returns the platform's address.
+func (s *Site) PlatformURL() string { return "http://" + s.platform.address() }
+
+// EngineURL returns an engine's address.
+func (e *Engine) EngineURL() string { return "http://" + e.server.address() }
+
+// Close ends everything of the site.
+func (s *Site) Close() {
+	var group sync.WaitGroup
+	for _, vm := range s.VMs {
+		group.Go(vm.Close)
+	}
+	group.Wait()
+	s.cancel()
+	for _, e := range s.Engines {
+		_ = e.server.server.Close()
+	}
+	for _, service := range s.Services {
+		_ = service.server.server.Close()
+	}
+	_ = s.platform.server.Close()
+	s.group.Wait()
+	s.client.CloseIdleConnections()
+}
--- /dev/null
+++ b/internal/sitebuilder/spec.go
@@ -0,0 +1,88 @@
+package sitebuilder
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/fescuespindle/fescuespindle/pkg/deployer"
+)
+
+// Tokens of the callers at every site.
+const (
+	OnlineToken = "clerks-token"
+	GreedyToken = "greedy-token"
+	BatchToken  = "batch-token"
+)
+
+// Sequences is the number of sequences of every engine at a site.
+const Sequences = 8
+
+// Authority returns the Authority's site, at its size of today.
+func Authority() Spec {
+	return Spec{
+		Document: document("authority", "scribe-lm", "2026-10", "order-desk", "/commissions",
+			deployer.WithRegion("pwani", "pwani-kariakoo", "pwani-mbezi"), deployer.WithRegion("dodoma", "dodoma-makulu")),
+		EnginePool: "scribe-lm", Model: "scribe-lm", Service: "order-desk",
+		Domains: []Domain{
+			{Region: "pwani", Name: "pwani-kariakoo", VMs: 4, Engines: 7, Services: 1},
+			{Region: "pwani", Name: "pwani-mbezi", VMs: 4, Engines: 7, Services: 1},
+			{Region: "dodoma", Name: "dodoma-makulu", VMs: 4, Engines: 6, Services: 1},
+		},
+		Seed: 1,
+	}
+}
+
+// Trentvale returns Trentvale's site, at its size of today.
+func Trentvale() Spec {
+	return Spec{
+		Document: document("trentvale", "pole-assistant", "7", "yard-ledger", "/collections",
+			deployer.WithRegion("east-mids", "nottingham", "leicester"), deployer.WithRegion("west-mids", "walsall")),
+		EnginePool: "pole-assistant", Model: "pole-assistant", Service: "yard-ledger",
+		Domains: []Domain{
+			{Region: "east-mids", Name: "nottingham", VMs: 4, Engines: 4, Services: 1},
+			{Region: "east-mids", Name: "leicester", VMs: 3, Engines: 3, Services: 1},
+			{Region: "west-mids", Name: "walsall", VMs: 3, Engines: 3, Services: 1},
+		},
+		Seed: 1,
+	}
+}
+
+// SingleDomain returns a site of one failure domain.
+func SingleDomain(vms, engines int) Spec {
+	spec := Spec{
+		Document: document("single", "scribe-lm", "2026-10", "order-desk", "/commissions",
+			deployer.WithRegion("pwani", "pwani-kariakoo")),
+		EnginePool: "scribe-lm", Model: "scribe-lm", Service: "order-desk",
+		Domains: []Domain{{Region: "pwani", Name: "pwani-kariakoo", VMs: vms, Engines: engines, Services: 1}},
+		Seed:    1,
+	}
+	return spec
+}
+
+func document(name, model, version, service, single string, regions ...deployer.Option) deployer.Document {
+	doc := deployer.New(name, regions...)
+	var in []string
+	for _, region := range doc.Regions {
+		in = append(in, region.Name)
+	}
+	return deployer.New(name, append(regions,
+		deployer.WithEngines(model, Sequences, deployer.InRegions(in...), deployer.WithModel(model, version),
+			deployer.WithOnlineReserve(1), deployer.WithFencing(deployer.FencingChecked)),
+		deployer.WithService(service, 2*Sequences, deployer.InRegions(in...),
+			deployer.WithRepeatableCall("GET", "/prices"), deployer.WithSingleCall("POST", single)),
+		deployer.WithCaller("clerks", deployer.TokenDigest(OnlineToken), deployer.Using(model, service)),
+		deployer.WithCaller("greedy", deployer.TokenDigest(GreedyToken), deployer.Using(model)),
+		deployer.WithCaller("batch", deployer.TokenDigest(BatchToken), deployer.Using(model), deployer.WithBatch()),
+	)...)
+}
+
+// BatchInput returns an input file of items that generate so many tokens each.
+func BatchInput(model, prefix string, items, tokens int) string {
+	var text strings.Builder
+	for n := range items {
+		fmt.Fprintf(&text, `{"custom_id":"%s-%d","method":"POST","url":"/v1/chat/completions",`+
+			`"body":{"model":%q,"max_tokens":%d,"messages":[{"role":"user","content":"%s item %d"}]}}`+"\n",
+			prefix, n, model, tokens, prefix, n)
+	}
+	return text.String()
+}
--- /dev/null
+++ b/internal/snapshotter/snapshot.go
@@ -0,0 +1,25 @@
+// Package snapshotter compares what tests produce with golden files.
+package snapshotter
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// ExpectSnapshot compares text with a golden file. With UPDATE_SNAPSHOTS set,
+// it writes the file instead.
+func ExpectSnapshot(t *testing.T, path string, text []byte, err error) {
+	t.Helper()
+	qt.Assert(t, err, qt.IsNil)
+	if os.Getenv("UPDATE_SNAPSHOTS") != "" {
+		qt.Assert(t, os.MkdirAll(filepath.Dir(path), 0o755), qt.IsNil)
+		qt.Assert(t, os.WriteFile(path, text, 0o644), qt.IsNil)
+		return
+	}
+	want, err := os.ReadFile(path)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(text), qt.Equals, string(want))
+}
--- /dev/null
+++ b/internal/stepper/loop.go
@@ -0,0 +1,87 @@
+// Package stepper runs control state on one goroutine. Whatever needs the
+// network runs on others and posts its outcome back.
+package stepper
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const mailboxLength = 4096
+
+// Event is a change of control state. It runs on the loop's goroutine and must
+// not block.
+type Event func(now time.Time)
+
+// Loop is the one goroutine that steps control state.
+type Loop struct {
+	mailbox chan Event
+	ctx     context.Context //nolint:containedctx // the life of the loop and its helpers
+	cancel  context.CancelFunc
+	group   sync.WaitGroup
+	period  time.Duration
+	tick    Event
+	after   Event
+}
+
+// New returns a loop that calls tick every period, and after once after each
+// batch of events.
+func New(period time.Duration, tick, after Event) *Loop {
+	l := &Loop{mailbox: make(chan Event, mailboxLength), period: period, tick: tick, after: after}
+	l.ctx, l.cancel = context.WithCancel(context.Background())
+	return l
+}
+
+// Start starts the loop.
+func (l *Loop) Start() { l.group.Go(l.run) }
+
+// Stop ends the loop and everything that it started.
+func (l *Loop) Stop() {
+	l.cancel()
+	l.group.Wait()
+}
+
+// Post queues an event. It blocks while the mailbox is full, and drops the
+// event once the loop has ended.
+func (l *Loop) Post(e Event) {
+	select {
+	case l.mailbox <- e:
+	case <-l.ctx.Done():
+	}
+}
+
+// Go runs work off the loop, and then the event that it returns on the loop.
+func (l *Loop) Go(work func(context.Context) Event) {
+	l.group.Go(func() {
+		if event := work(l.ctx); event != nil {
+			l.Post(event)
+		}
+	})
+}
+
+func (l *Loop) run() {
+	ticker := time.NewTicker(l.period)
+	defer ticker.Stop()
+	for {
+		select {
+		case e := <-l.mailbox:
+			e(time.Now())
+			l.drain()
+		case now := <-ticker.C:
+			l.tick(now)
+		case <-l.ctx.Done():
+			return
+		}
+		l.after(time.Now())
+	}
+}
+
+// drain runs the events that are queued already, so that what follows a batch
+// is done once.
+func (l *Loop) drain() {
+	for range len(l.mailbox) {
+		e := <-l.mailbox
+		e(time.Now())
+	}
+}
--- /dev/null
+++ b/internal/upstream/protocol.go
@@ -0,0 +1,181 @@
+// Package upstream has the messages that entry VMs exchange with model engines
+// and plain services.
+package upstream
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Paths of an upstream's HTTP interface.
+const (
+	PathChat        = "/v1/chat/completions"
+	PathCompletions = "/v1/completions"
+	PathLoad        = "/engine/load"
+	PathCacheEvents = "/engine/cacheEvents"
+	PathOrders      = "/engine/orders"
+	PathResume      = "/engine/resume/"
+	PathCancel      = "/engine/cancel/"
+	PathKV          = "/engine/kv/"
+)
+
+// Headers that travel with requests and answers.
+const (
+	// HeaderRequestID identifies one attempt; engines repeat it in each event.
+	HeaderRequestID = "X-Request-Id"
+	// HeaderNotRun marks a refusal of a request that was not run.
+	HeaderNotRun = "X-Not-Run"
+	// HeaderLeaving marks an answer of an upstream that is leaving.
+	HeaderLeaving = "X-Upstream-Leaving"
+	// HeaderDeadline carries the request's deadline as RFC 3339 text.
+	HeaderDeadline = "X-Deadline"
+)
+
+// EndOfStream is the data of the event that ends every whole stream.
+const EndOfStream = "[DONE]"
+
+// Message is one turn of a conversation.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Completion is the part of a completion request that routing needs. Engines
+// get the caller's own body, with all its fields.
+type Completion struct {
+	Model     string    `json:"model"`
+	Messages  []Message `json:"messages,omitempty"`
+	Prompt    string    `json:"prompt,omitempty"`
+	MaxTokens int       `json:"max_tokens,omitempty"`
+	Stream    bool      `json:"stream,omitempty"`
+}
+
+// Text returns the whole prompt as one text.
+func (c Completion) Text() string {
+	if len(c.Messages) == 0 {
+		return c.Prompt
+	}
+	var text strings.Builder
+	for _, message := range c.Messages {
+		text.WriteString(message.Role)
+		text.WriteString(": ")
+		text.WriteString(message.Content)
+		text.WriteString("\n")
+	}
+	return text.String()
+}
+
+// Chunk is one event of a completion stream.
+type Chunk struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []Choice `json:"choices"`
+	Usage   *Usage   `json:"usage,omitempty"`
+}
+
+// Choice is the text of one event or answer.
+type Choice struct {
+	Index        int      `json:"index"`
+	Delta        *Delta   `json:"delta,omitempty"`
+	Message      *Message `json:"message,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+// Delta is the text that an event adds.
+type Delta struct {
+	Content string `json:"content"`
+}
+
+// Usage counts the tokens of one request.
+type Usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CachedTokens     int `json:"cached_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+// Completed is the whole answer to a completion request.
+type Completed struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []Choice `json:"choices"`
+	Usage   Usage    `json:"usage"`
+}
+
+// LoadReport is what an engine tells of its load, some time late.
+type LoadReport struct {
+	Running   int           `json:"running"`
+	Waiting   int           `json:"waiting"`
+	Sequences int           `json:"sequences"`
+	Leaving   bool          `json:"leaving"`
+	At        time.Time     `json:"at"`
+	Loaded    []LoadedModel `json:"loaded"`
+	Fencing   uint64        `json:"fencing"`
+	Role      Role          `json:"role"`
+}
+
+// Role is the kind of work that an engine takes.
+type Role string
+
+// The roles of an engine.
+const (
+	RoleServing Role = "serving"
+	RoleIdle    Role = "idle"
+)
+
+// LoadedModel is one model in an engine's memory.
+type LoadedModel struct {
+	Name     string   `json:"name"`
+	Version  string   `json:"version"`
+	Adapters []string `json:"adapters,omitempty"`
+}
+
+// Order is the state that an engine shall have.
+type Order struct {
+	Fencing uint64        `json:"fencing"`
+	Role    Role          `json:"role"`
+	Models  []LoadedModel `json:"models"`
+}
+
+// CacheEvent tells that an engine's prefix cache gained or lost a block.
+type CacheEvent struct {
+	Sequence uint64 `json:"sequence"`
+	Block    uint64 `json:"block"`
+	Evicted  bool   `json:"evicted"`
+}
+
+// CacheEvents answers a request for events after a sequence number.
+type CacheEvents struct {
+	Events []CacheEvent `json:"events"`
+}
+
+// KV is the exported state of one stream.
+type KV struct {
+	ID        string `json:"id"`
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"maxTokens"`
+	Generated int    `json:"generated"`
+}
+
+// ParseCompletion reads the part of a completion request that routing needs.
+func ParseCompletion(body []byte) (Completion, error) {
+	var completion Completion
+	err := json.Unmarshal(body, &completion)
+	return completion, err
+}
+
+// WithStreaming returns a completion request's body with streaming switched
+// on, and all else as it was.
+func WithStreaming(body []byte) ([]byte, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return nil, fmt.Errorf("completion request: %w", err)
+	}
+	fields["stream"] = json.RawMessage("true")
+	return json.Marshal(fields)
+}
