Experiments for decisions under load

Cause: the policies were not measured against anything.

Change: eight experiments that run the real entry VM code on whole sites, each policy and baseline in the same run; links with delays between failure domains; the engine stand-in slows by 15% from empty to full, and records its events.

--- a/internal/emulator/engineemulator/engine.go
+++ b/internal/emulator/engineemulator/engine.go
@@ -24,8 +24,11 @@
 	defaultTokens       = 16
 	defaultStep         = 5 * time.Millisecond
 	defaultPrefillToken = 20 * time.Microsecond
-	prefillPerStep      = 256
-	maxPaused           = 64
+	// defaultSlope is by how much a step of a full engine is longer than one of
+	// an empty engine.
+	defaultSlope   = 0.15
+	prefillPerStep = 256
+	maxPaused      = 64
 )
 
 // Engine is one engine stand-in; it serves HTTP.
@@ -33,6 +36,8 @@
 	sequences    int
 	step         time.Duration
 	prefillToken time.Duration
+	slope        float64
+	record       func(Event)
 	reportLag    time.Duration
 	restart      time.Duration
 	loadTime     time.Duration
@@ -74,6 +79,25 @@
 	Orders    int `json:"orders"`
 }
 
+// EventKind is what happened to a stream.
+type EventKind uint8
+
+// The kinds of event.
+const (
+	EventArrived EventKind = iota
+	EventRunning
+	EventCancelled
+)
+
+// Event is something that happened to a stream.
+type Event struct {
+	Kind   EventKind
+	Stream string
+	At     time.Time
+	// Full tells whether every sequence was taken then.
+	Full bool
+}
+
 // Option sets one property of an Engine.
 type Option func(*Engine)
 
@@ -83,6 +107,9 @@
 // WithStep sets the time of one step of an empty engine.
 func WithStep(d time.Duration) Option { return func(e *Engine) { e.step = d } }
 
+// WithRecorder is told of each event, under the engine's lock.
+func WithRecorder(record func(Event)) Option { return func(e *Engine) { e.record = record } }
+
 // WithPrefill sets the time that one uncached prompt token takes.
 func WithPrefill(d time.Duration) Option { return func(e *Engine) { e.prefillToken = d } }
 
@@ -117,6 +144,8 @@
 		sequences:    defaultSequences,
 		step:         defaultStep,
 		prefillToken: defaultPrefillToken,
+		slope:        defaultSlope,
+		record:       func(Event) {},
 		cache:        newPrefixCache(defaultCacheBlocks),
 		slow:         1,
 		role:         upstream.RoleServing,
@@ -185,10 +214,11 @@
 	for len(e.running) < e.sequences && len(e.waiting) > 0 {
 		e.running = append(e.running, e.waiting[0])
 		e.waiting = e.waiting[1:]
-		e.record()
+		e.record(Event{Kind: EventRunning, Stream: e.running[len(e.running)-1].id, At: time.Now()})
+		e.keepLoad()
 	}
 	fill := float64(len(e.running)) / float64(e.sequences)
-	wait := float64(e.step) * (1 + fill) * e.slow
+	wait := float64(e.step) * (1 + e.slope*fill) * e.slow
 	wait += float64(e.prefillToken) * float64(e.planPrefill()) * e.slow
 	return time.Duration(wait), true
 }
@@ -225,12 +255,12 @@
 	clear(e.running[len(running):])
 	if len(running) != len(e.running) {
 		e.running = running
-		e.record()
+		e.keepLoad()
 	}
 }
 
-// record keeps the load for late reports. The caller holds mu.
-func (e *Engine) record() {
+// keepLoad keeps the load for late reports. The caller holds mu.
+func (e *Engine) keepLoad() {
 	now := time.Now()
 	e.history = append(e.history, upstream.LoadReport{Running: len(e.running), Waiting: len(e.waiting), At: now})
 	for len(e.history) > 1 && now.Sub(e.history[1].At) > e.reportLag {
--- a/internal/emulator/engineemulator/sequence.go
+++ b/internal/emulator/engineemulator/sequence.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 )
 
 // sequence is one stream in the engine.
@@ -36,8 +37,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.counts.Started++
+	full := len(e.running)+len(e.waiting) >= e.sequences
+	e.record(Event{Kind: EventArrived, Stream: s.id, At: time.Now(), Full: full})
 	e.waiting = append(e.waiting, s)
-	e.record()
+	e.keepLoad()
 	e.cond.Signal()
 	return e.crashCtx
 }
@@ -66,7 +69,8 @@
 	if len(e.paused) > maxPaused {
 		e.paused = e.paused[1:]
 	}
-	e.record()
+	e.record(Event{Kind: EventCancelled, Stream: s.id, At: time.Now()})
+	e.keepLoad()
 }
 
 func (e *Engine) detach(s *sequence) bool {
--- /dev/null
+++ b/internal/experimenter/bar.go
@@ -0,0 +1,21 @@
+package experimenter
+
+import "fmt"
+
+// Bar is a promise that an experiment measures.
+type Bar struct {
+	Name    string  `json:"name"`
+	Want    string  `json:"want"`
+	Got     float64 `json:"got"`
+	Reached bool    `json:"reached"`
+}
+
+// atMost returns a bar that a figure must not pass.
+func atMost(name string, limit, got float64) Bar {
+	return Bar{Name: name, Want: fmt.Sprintf("at most %g", limit), Got: got, Reached: got <= limit}
+}
+
+// atLeast returns a bar that a figure must reach.
+func atLeast(name string, limit, got float64) Bar {
+	return Bar{Name: name, Want: fmt.Sprintf("at least %g", limit), Got: got, Reached: got >= limit}
+}
--- /dev/null
+++ b/internal/experimenter/batch.go
@@ -0,0 +1,92 @@
+package experimenter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/loadgenerator"
+	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
+)
+
+var batchBesideOnline = Experiment{
+	Name:    "batch-beside-online",
+	Summary: "online tail and batch throughput: online alone, with batch managed, with batch unmanaged",
+	run:     runBatchBesideOnline,
+}
+
+const (
+	besideTokens = 32
+	besideWords  = 24
+	besideLength = 12 * time.Second
+	// onlineShare is the share of the sequences that online work takes.
+	onlineShare = 0.4
+	batchTokens = 32
+	// rampTime is how long batch work is given to fill the engines.
+	rampTime = 3 * time.Second
+)
+
+func runBatchBesideOnline(ctx context.Context, p Parameters) (Result, error) {
+	result := Result{Policies: map[string]Metrics{}}
+	length := p.length(besideLength)
+	for _, mode := range []string{"alone", "managed", "unmanaged", "batchOnly"} {
+		metrics := Metrics{}
+		err := withBench(ctx, p, sitebuilder.Authority(), func(b *bench) error {
+			result.VMs, result.Upstreams = len(b.site.VMs), len(b.site.Engines)
+			return b.beside(ctx, mode, length, metrics)
+		})
+		if err != nil {
+			return result, err
+		}
+		result.Policies[mode] = metrics
+	}
+	judgeBeside(&result)
+	return result, nil
+}
+
+// beside measures one mode.
+func (b *bench) beside(ctx context.Context, mode string, length time.Duration, metrics Metrics) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	switch mode {
+	case "managed", "batchOnly":
+		if _, err := b.submit(ctx, "lot", 60_000, batchTokens); err != nil {
+			return err
+		}
+		time.Sleep(rampTime)
+	case "unmanaged":
+		group.Go(func() { b.unmanaged(ctx, b.sequences(), batchTokens) })
+		time.Sleep(rampTime)
+	}
+	before := b.generated()
+	begun := time.Now()
+	var report loadgenerator.Report
+	if mode == "batchOnly" {
+		time.Sleep(length)
+	} else {
+		rate := onlineShare * float64(b.sequences()) / (besideTokens * engineStep.Seconds())
+		generator := b.online(ctx, onlineLoad{rate: rate, length: length, generate: b.short(besideWords, besideTokens)})
+		report = generator.Class("short").Report("short")
+		metrics.addReport(report, "online")
+	}
+	seconds := time.Since(begun).Seconds()
+	total := float64(b.generated() - before)
+	metrics["allTokensPerSecond"] = total / seconds
+	metrics["batchTokensPerSecond"] = (total - float64(report.Tokens)) / seconds
+	return nil
+}
+
+func judgeBeside(r *Result) {
+	alone, managed, full := r.Policies["alone"], r.Policies["managed"], r.Policies["batchOnly"]
+	ratio := managed["onlineFirstTokenP99Milliseconds"] / alone["onlineFirstTokenP99Milliseconds"]
+	left := full["allTokensPerSecond"] - alone["allTokensPerSecond"]
+	managed["firstTokenP99OfAloneRatio"] = ratio
+	managed["batchShareOfRoomLeftRatio"] = managed["batchTokensPerSecond"] / left
+	r.Bars = []Bar{
+		atMost("online first-token p99 of alone", 1.10, ratio),
+		atLeast("batch share of the capacity that online leaves", 0.90, managed["batchShareOfRoomLeftRatio"]),
+	}
+}
--- /dev/null
+++ b/internal/experimenter/bench.go
@@ -0,0 +1,202 @@
+package experimenter
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/chooser"
+	"github.com/fescuespindle/fescuespindle/internal/dispatcher"
+	"github.com/fescuespindle/fescuespindle/internal/emulator/engineemulator"
+	"github.com/fescuespindle/fescuespindle/internal/loadgenerator"
+	"github.com/fescuespindle/fescuespindle/internal/requester"
+	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
+)
+
+const (
+	startLimit = 20 * time.Second
+	// settleTime is how long a site runs before anything is measured: VMs learn
+	// who looks after which upstream, and may then put batch work on it.
+	settleTime     = 1500 * time.Millisecond
+	requestTimeout = 30 * time.Second
+	// engineStep is the time of one step of an empty engine in experiments. It
+	// is long enough for one machine to carry a whole site's tokens.
+	engineStep = 20 * time.Millisecond
+)
+
+// policies are the choices of upstream that experiments compare.
+var policies = map[string][]dispatcher.Option{
+	"balanced":      nil,
+	"roundRobin":    {dispatcher.WithPolicy(chooser.RoundRobin{}), dispatcher.WithHedging(false)},
+	"leastReported": {dispatcher.WithPolicy(chooser.LeastReported{}), dispatcher.WithHedging(false)},
+	"twoChoices":    {dispatcher.WithPolicy(chooser.TwoChoices{}), dispatcher.WithHedging(false)},
+}
+
+// bench is a site that is being measured.
+type bench struct {
+	site *sitebuilder.Site
+	spec sitebuilder.Spec
+	p    Parameters
+}
+
+// withBench brings a site up, measures and closes it.
+func withBench(ctx context.Context, p Parameters, spec sitebuilder.Spec, measure func(*bench) error) error {
+	spec.Seed = p.Seed
+	spec.EngineOptions = append([]engineemulator.Option{engineemulator.WithStep(engineStep)}, spec.EngineOptions...)
+	site, err := sitebuilder.New(spec)
+	if err != nil {
+		return err
+	}
+	defer site.Close()
+	starting, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	if _, err := site.Apply(starting, spec.Document); err != nil {
+		return err
+	}
+	if err := site.WaitReady(starting); err != nil {
+		return err
+	}
+	time.Sleep(settleTime)
+	return measure(&bench{site: site, spec: spec, p: p})
+}
+
+// length returns how long a phase takes.
+func (p Parameters) length(full time.Duration) time.Duration {
+	const quickShare = 3
+	if p.Quick {
+		return full / quickShare
+	}
+	return full
+}
+
+// sequences returns how many sequences all engines run at a time.
+func (b *bench) sequences() int { return len(b.site.Engines) * sitebuilder.Sequences }
+
+// onlineLoad is an open-loop load of online requests.
+type onlineLoad struct {
+	rate   float64
+	length time.Duration
+	// vms are the numbers of the VMs that get the load; nil means all.
+	vms      []int
+	token    string
+	generate func(n int, random *rand.Rand) loadgenerator.Request
+	observe  func(loadgenerator.Request, time.Time, time.Duration)
+}
+
+func (b *bench) targets(load onlineLoad) []loadgenerator.Target {
+	if load.token == "" {
+		load.token = sitebuilder.OnlineToken
+	}
+	var targets []loadgenerator.Target
+	for n, vm := range b.site.VMs {
+		if load.vms == nil || containsInt(load.vms, n) {
+			targets = append(targets, b.site.Requester(vm, load.token))
+		}
+	}
+	return targets
+}
+
+func containsInt(list []int, n int) bool {
+	for _, m := range list {
+		if m == n {
+			return true
+		}
+	}
+	return false
+}
+
+// online runs an online load to its end.
+func (b *bench) online(ctx context.Context, load onlineLoad) *loadgenerator.Generator {
+	var options []loadgenerator.Option
+	if load.observe != nil {
+		options = append(options, loadgenerator.WithObserver(load.observe))
+	}
+	generator := loadgenerator.New(loadgenerator.Plan{
+		Rate: load.rate, End: time.Now().Add(load.length), Seed: b.p.Seed, Timeout: requestTimeout,
+		Targets: b.targets(load), Generate: load.generate, Expect: expected,
+	}, options...)
+	generator.Run(ctx)
+	return generator
+}
+
+// expected returns the right answer to a request.
+func expected(r loadgenerator.Request) string {
+	return engineemulator.Answer("user: "+r.Prompt+"\n", r.Tokens)
+}
+
+// short returns a generator of requests with so many prompt words and tokens.
+func (b *bench) short(words, tokens int) func(int, *rand.Rand) loadgenerator.Request {
+	return func(n int, random *rand.Rand) loadgenerator.Request {
+		prompt := fmt.Sprintf("request %d %s", n, randomWords(words-2, random))
+		return loadgenerator.Request{Model: b.spec.Model, Prompt: prompt, Tokens: tokens, Class: "short"}
+	}
+}
+
+func randomWords(n int, random *rand.Rand) string {
+	var text strings.Builder
+	for range n {
+		fmt.Fprintf(&text, "w%d ", random.IntN(100_000))
+	}
+	return strings.TrimSpace(text.String())
+}
+
+// submit submits a batch job.
+func (b *bench) submit(ctx context.Context, name string, items, tokens int) (requester.Batch, error) {
+	caller := b.site.Requester(b.site.VMs[0], sitebuilder.BatchToken)
+	input := sitebuilder.BatchInput(b.spec.Model, name, items, tokens)
+	file, err := caller.Upload(ctx, name+".jsonl", strings.NewReader(input))
+	if err != nil {
+		return requester.Batch{}, err
+	}
+	return caller.Submit(ctx, file.ID, "/v1/chat/completions", "1h", name)
+}
+
+// generated returns the tokens that all engines have generated.
+func (b *bench) generated() int {
+	tokens := 0
+	for _, e := range b.site.Engines {
+		tokens += e.Counts().Tokens
+	}
+	return tokens
+}
+
+// unmanaged keeps so many batch items under way as if they were online
+// requests, until the context ends.
+func (b *bench) unmanaged(ctx context.Context, concurrency, tokens int) {
+	var group sync.WaitGroup
+	targets := b.targets(onlineLoad{token: sitebuilder.BatchToken})
+	for n := range concurrency {
+		group.Go(func() {
+			for i := 0; ctx.Err() == nil; i++ {
+				prompt := fmt.Sprintf("unmanaged item %d of %d", i, n)
+				_, err := targets[n%len(targets)].Complete(ctx, b.spec.Model, prompt, tokens)
+				if err != nil {
+					time.Sleep(engineStep)
+				}
+			}
+		})
+	}
+	group.Wait()
+}
+
+// addReport adds what a class of requests measured to a policy's metrics.
+func (m Metrics) addReport(r loadgenerator.Report, prefix string) {
+	m[prefix+"SentCount"] = float64(r.Sent)
+	m[prefix+"RightCount"] = float64(r.Right)
+	m[prefix+"RefusedCount"] = float64(r.Refused)
+	m[prefix+"CutCount"] = float64(r.Cut)
+	m[prefix+"WrongCount"] = float64(r.Wrong)
+	m[prefix+"FirstTokenP50Milliseconds"] = r.FirstP50
+	m[prefix+"FirstTokenP99Milliseconds"] = r.FirstP99
+	m[prefix+"TotalP99Milliseconds"] = r.TotalP99
+}
+
+// newClient returns a client for straight requests to engines.
+func newClient() *http.Client {
+	const conns = 256
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: conns, DisableCompression: true}}
+}
--- /dev/null
+++ b/internal/experimenter/burst.go
@@ -0,0 +1,150 @@
+package experimenter
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/emulator/engineemulator"
+	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
+)
+
+var onlineBurst = Experiment{
+	Name:    "online-burst",
+	Summary: "a burst of online requests on all VMs, or on one, while batch fills the upstreams",
+	run:     runOnlineBurst,
+}
+
+const (
+	burstLength = time.Second
+	// burstShare is the share of the sequences that the burst asks for.
+	burstShare   = 0.6
+	burstTokens  = 16
+	burstRounds  = 5
+	burstPause   = 1500 * time.Millisecond
+	burstRamp    = 250 * time.Millisecond
+	millisPerSec = 1000
+)
+
+// yieldRecorder keeps when batch streams made room for the first online
+// request that found an engine full.
+type yieldRecorder struct {
+	mu      sync.Mutex
+	pending map[string]time.Time // by engine: when an online request found it full
+	yields  []time.Duration
+	waits   []time.Duration
+	arrived map[string]time.Time
+}
+
+func newYieldRecorder() *yieldRecorder {
+	return &yieldRecorder{pending: map[string]time.Time{}, arrived: map[string]time.Time{}}
+}
+
+// option records the events of one engine.
+func (r *yieldRecorder) option(engine string) engineemulator.Option {
+	return engineemulator.WithRecorder(func(e engineemulator.Event) { r.take(engine, e) })
+}
+
+func (r *yieldRecorder) take(engine string, e engineemulator.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	batch := strings.HasPrefix(e.Stream, "batch_")
+	switch {
+	case e.Kind == engineemulator.EventArrived && !batch:
+		r.arrived[e.Stream] = e.At
+		if _, waiting := r.pending[engine]; e.Full && !waiting {
+			r.pending[engine] = e.At
+		}
+	case e.Kind == engineemulator.EventRunning && !batch:
+		r.waits = append(r.waits, e.At.Sub(r.arrived[e.Stream]))
+		delete(r.arrived, e.Stream)
+	case e.Kind == engineemulator.EventCancelled && batch:
+		if since, waiting := r.pending[engine]; waiting {
+			r.yields = append(r.yields, e.At.Sub(since))
+			delete(r.pending, engine)
+		}
+	}
+}
+
+// worst returns the longest time to yield and the longest wait at an engine,
+// in milliseconds.
+func (r *yieldRecorder) worst() (yield, wait float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, d := range r.yields {
+		yield = max(yield, d.Seconds()*millisPerSec)
+	}
+	for _, d := range r.waits {
+		wait = max(wait, d.Seconds()*millisPerSec)
+	}
+	return yield, wait
+}
+
+func runOnlineBurst(ctx context.Context, p Parameters) (Result, error) {
+	result := Result{Policies: map[string]Metrics{}}
+	for _, where := range []string{"allVMs", "oneVM"} {
+		for _, batch := range []bool{false, true} {
+			recorder := newYieldRecorder()
+			spec := sitebuilder.Authority()
+			spec.EngineOption = recorder.option
+			metrics := Metrics{}
+			err := withBench(ctx, p, spec, func(b *bench) error {
+				result.VMs, result.Upstreams = len(b.site.VMs), len(b.site.Engines)
+				return b.bursts(ctx, where, batch, recorder, metrics)
+			})
+			if err != nil {
+				return result, err
+			}
+			name := where
+			if batch {
+				name += "WithBatch"
+			}
+			result.Policies[name] = metrics
+		}
+		with, without := result.Policies[where+"WithBatch"], result.Policies[where]
+		result.Bars = append(result.Bars,
+			atMost(where+": batch yields, milliseconds", 50, with["worstYieldMilliseconds"]),
+			atMost(where+": first-token p99 of without batch", 1.25,
+				with["onlineFirstTokenP99Milliseconds"]/without["onlineFirstTokenP99Milliseconds"]))
+	}
+	return result, nil
+}
+
+// bursts runs a few bursts with quiet times between them.
+func (b *bench) bursts(
+	ctx context.Context, where string, batch bool, recorder *yieldRecorder, metrics Metrics,
+) error {
+	if batch {
+		if _, err := b.submit(ctx, "lot", 60_000, batchTokens); err != nil {
+			return err
+		}
+		time.Sleep(rampTime)
+	}
+	load := onlineLoad{length: burstRamp, generate: b.short(besideWords, burstTokens)}
+	sequences := float64(b.sequences())
+	if where == "oneVM" {
+		load.vms = []int{0}
+		sequences = float64(b.domainSequences(b.site.VMs[0].Domain))
+	}
+	load.rate = burstShare * sequences / burstRamp.Seconds()
+	rounds := burstRounds
+	if b.p.Quick {
+		rounds = 2
+	}
+	generator := b.rounds(ctx, load, rounds)
+	metrics.addReport(generator, "online")
+	metrics["worstYieldMilliseconds"], metrics["worstEngineWaitMilliseconds"] = recorder.worst()
+	metrics["yieldsCount"] = float64(len(recorder.yields))
+	return nil
+}
+
+func (b *bench) domainSequences(domain string) int {
+	n := 0
+	for _, e := range b.site.Engines {
+		if e.Domain == domain {
+			n += sitebuilder.Sequences
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/experimenter/cache.go
@@ -0,0 +1,105 @@
+package experimenter
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/emulator/engineemulator"
+	"github.com/fescuespindle/fescuespindle/internal/loadgenerator"
+	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
+)
+
+var prefixCache = Experiment{
+	Name:    "prefix-cache",
+	Summary: "shared prompt prefixes, and memory for a part of them on each engine",
+	run:     runPrefixCache,
+}
+
+const (
+	prefixCount  = 60
+	prefixWords  = 256
+	suffixWords  = 16
+	cacheBlocks  = 200 // of 16 tokens: 12 prefixes
+	cacheLength  = 15 * time.Second
+	cacheTokens  = 16
+	cacheShare   = 0.4
+	prefixSkew   = 0.6
+	cachePrefill = 100 * time.Microsecond
+)
+
+func runPrefixCache(ctx context.Context, p Parameters) (Result, error) {
+	result := Result{Policies: map[string]Metrics{}}
+	for _, name := range []string{"allSeeing", "balanced", "roundRobin", "twoChoices"} {
+		vms := 12
+		if name == "allSeeing" {
+			vms = 1 // a single router sees every request
+		}
+		spec := sitebuilder.SingleDomain(vms, 10)
+		spec.VMOptions = policies[name]
+		spec.EngineOptions = []engineemulator.Option{
+			engineemulator.WithCacheBlocks(cacheBlocks), engineemulator.WithPrefill(cachePrefill),
+		}
+		metrics := Metrics{}
+		err := withBench(ctx, p, spec, func(b *bench) error {
+			result.VMs, result.Upstreams = max(result.VMs, vms), len(b.site.Engines)
+			b.prefixes(ctx, metrics)
+			return nil
+		})
+		if err != nil {
+			return result, err
+		}
+		result.Policies[name] = metrics
+	}
+	balanced := result.Policies["balanced"]
+	result.Bars = []Bar{
+		atLeast("hit share of an all-seeing router's", 0.9,
+			balanced["hitSharePercent"]/result.Policies["allSeeing"]["hitSharePercent"]),
+		atMost("largest load of the mean", 1.25, balanced["largestLoadRatio"]),
+	}
+	return result, nil
+}
+
+// prefixes runs requests that share prefixes, a few of them in much demand.
+func (b *bench) prefixes(ctx context.Context, metrics Metrics) {
+	weights := make([]float64, prefixCount)
+	texts := make([]string, prefixCount)
+	random := rand.New(rand.NewPCG(b.p.Seed, 3))
+	total := 0.0
+	for n := range weights {
+		weights[n] = 1 / math.Pow(float64(n+1), prefixSkew)
+		total += weights[n]
+		texts[n] = fmt.Sprintf("prefix %d %s", n, randomWords(prefixWords-2, random))
+	}
+	rate := cacheShare * float64(b.sequences()) / (cacheTokens * engineStep.Seconds())
+	generator := b.online(ctx, onlineLoad{
+		rate: rate, length: b.p.length(cacheLength),
+		generate: func(_ int, random *rand.Rand) loadgenerator.Request {
+			at := random.Float64() * total
+			n := 0
+			for at > weights[n] && n < prefixCount-1 {
+				at -= weights[n]
+				n++
+			}
+			prompt := texts[n] + " " + randomWords(suffixWords, random)
+			return loadgenerator.Request{Model: b.spec.Model, Prompt: prompt, Tokens: cacheTokens, Class: "short"}
+		},
+	})
+	report := generator.Class("short").Report("short")
+	metrics.addReport(report, "online")
+	metrics["hitSharePercent"] = report.CachedPct
+	metrics["largestLoadRatio"] = b.largestLoad()
+}
+
+// largestLoad returns the most requests that an engine started, of the mean.
+func (b *bench) largestLoad() float64 {
+	most, sum := 0, 0
+	for _, e := range b.site.Engines {
+		started := e.Counts().Started
+		most = max(most, started)
+		sum += started
+	}
+	return float64(most) * float64(len(b.site.Engines)) / float64(max(sum, 1))
+}
--- a/internal/experimenter/experiment.go
+++ b/internal/experimenter/experiment.go
@@ -23,14 +23,6 @@
 	Bars []Bar `json:"bars"`
 }
 
-// Bar is a promise that an experiment measures.
-type Bar struct {
-	Name    string  `json:"name"`
-	Want    string  `json:"want"`
-	Got     float64 `json:"got"`
-	Reached bool    `json:"reached"`
-}
-
 // Parameters are the choices of one run.
 type Parameters struct {
 	Seed  uint64
@@ -58,7 +50,9 @@
 
 // All lists every experiment by name.
 func All() []Experiment {
-	all := []Experiment{}
+	all := []Experiment{
+		batchBesideOnline, onlineBurst, shortBehindLong, slowedUpstreams, prefixCache, poison, overload, relayCost,
+	}
 	slices.SortFunc(all, func(a, b Experiment) int { return strings.Compare(a.Name, b.Name) })
 	return all
 }
--- /dev/null
+++ b/internal/experimenter/overload.go
@@ -0,0 +1,80 @@
+package experimenter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/loadgenerator"
+	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
+)
+
+var overload = Experiment{
+	Name:    "overload",
+	Summary: "twice what the fleet can do, most of it from a greedy caller",
+	run:     runOverload,
+}
+
+const (
+	overloadLength = 12 * time.Second
+	overloadFactor = 2
+	// modestShare is the share of the fleet that the modest caller asks for.
+	modestShare = 0.2
+)
+
+func runOverload(ctx context.Context, p Parameters) (Result, error) {
+	result := Result{Policies: map[string]Metrics{}}
+	for _, mode := range []string{"capacity", "modestAlone", "overloaded"} {
+		metrics := Metrics{}
+		err := withBench(ctx, p, sitebuilder.Trentvale(), func(b *bench) error {
+			result.VMs, result.Upstreams = len(b.site.VMs), len(b.site.Engines)
+			b.overloaded(ctx, mode, metrics)
+			return nil
+		})
+		if err != nil {
+			return result, err
+		}
+		result.Policies[mode] = metrics
+	}
+	capacity, alone, over := result.Policies["capacity"], result.Policies["modestAlone"], result.Policies["overloaded"]
+	result.Bars = []Bar{
+		atLeast("goodput of capacity", 0.95, over["goodTokensPerSecond"]/capacity["goodTokensPerSecond"]),
+		atMost("modest caller's first-token p99 of without the greedy one", 1.25,
+			over["modestFirstTokenP99Milliseconds"]/alone["modestFirstTokenP99Milliseconds"]),
+		atMost("modest caller's refusals", 0, over["modestRefusedCount"]),
+	}
+	return result, nil
+}
+
+// overloaded measures one mode. Capacity is what as many callers as there are
+// sequences get, each sending its next request once the last is answered.
+func (b *bench) overloaded(ctx context.Context, mode string, metrics Metrics) {
+	length := b.p.length(overloadLength)
+	full := float64(b.sequences()) / (besideTokens * engineStep.Seconds())
+	begun := time.Now()
+	before := b.generated()
+	var modest, greedy loadgenerator.Report
+	var group sync.WaitGroup
+	if mode == "capacity" {
+		closing, cancel := context.WithTimeout(ctx, length)
+		defer cancel()
+		b.unmanaged(closing, b.sequences(), besideTokens)
+		metrics["goodTokensPerSecond"] = float64(b.generated()-before) / time.Since(begun).Seconds()
+		return
+	}
+	if mode == "overloaded" {
+		group.Go(func() {
+			load := onlineLoad{
+				rate: (overloadFactor - modestShare) * full, length: length, token: sitebuilder.GreedyToken,
+				generate: b.short(besideWords, besideTokens),
+			}
+			greedy = b.online(ctx, load).Class("short").Report("greedy")
+		})
+	}
+	load := onlineLoad{rate: modestShare * full, length: length, generate: b.short(besideWords, besideTokens)}
+	modest = b.online(ctx, load).Class("short").Report("modest")
+	group.Wait()
+	metrics.addReport(modest, "modest")
+	metrics.addReport(greedy, "greedy")
+	metrics["goodTokensPerSecond"] = float64(modest.Tokens+greedy.Tokens) / length.Seconds()
+}
--- /dev/null
+++ b/internal/experimenter/round.go
@@ -0,0 +1,48 @@
+package experimenter
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/loadgenerator"
+)
+
+// rounds repeats a load with quiet times between, and returns the report over
+// all rounds.
+func (b *bench) rounds(ctx context.Context, load onlineLoad, rounds int) loadgenerator.Report {
+	var mu sync.Mutex
+	var firsts []time.Duration
+	load.observe = func(_ loadgenerator.Request, _ time.Time, first time.Duration) {
+		mu.Lock()
+		defer mu.Unlock()
+		firsts = append(firsts, first)
+	}
+	var sum loadgenerator.Report
+	seed := b.p.Seed
+	for n := range rounds {
+		b.p.Seed = seed + uint64(n)
+		report := b.online(ctx, load).Class("short").Report("short")
+		sum.Sent += report.Sent
+		sum.Right += report.Right
+		sum.Refused += report.Refused
+		sum.Cut += report.Cut
+		sum.Wrong += report.Wrong
+		sum.TotalP99 = max(sum.TotalP99, report.TotalP99)
+		sleep(ctx, burstPause)
+	}
+	b.p.Seed = seed
+	slices.Sort(firsts)
+	sum.FirstP50, sum.FirstP99 = quantile(firsts, 0.5), quantile(firsts, 0.99)
+	return sum
+}
+
+// quantile returns a quantile of sorted times, in milliseconds.
+func quantile(sorted []time.Duration, q float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	at := min(int(q*float64(len(sorted))), len(sorted)-1)
+	return sorted[at].Seconds() * millisPerSec
+}
--- /dev/null
+++ b/internal/experimenter/tail.go
@@ -0,0 +1,164 @@
+package experimenter
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/emulator/engineemulator"
+	"github.com/fescuespindle/fescuespindle/internal/loadgenerator"
+	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
+)
+
+var shortBehindLong = Experiment{
+	Name:    "short-behind-long",
+	Summary: "short work with and without 2% of work 50 times as long",
+	run:     runShortBehindLong,
+}
+
+const (
+	tailLength  = 12 * time.Second
+	shortTokens = 16
+	shortWords  = 20
+	longFactor  = 50
+	longShare   = 0.02
+	// tailShare is the share of the sequences that short work takes.
+	tailShare = 0.35
+)
+
+func runShortBehindLong(ctx context.Context, p Parameters) (Result, error) {
+	result := Result{Policies: map[string]Metrics{}}
+	for _, name := range []string{"balanced", "roundRobin", "twoChoices"} {
+		for _, share := range []float64{0, longShare} {
+			spec := sitebuilder.Trentvale()
+			spec.VMOptions = policies[name]
+			metrics := Metrics{}
+			err := withBench(ctx, p, spec, func(b *bench) error {
+				result.VMs, result.Upstreams = len(b.site.VMs), len(b.site.Engines)
+				b.mixed(ctx, share, metrics)
+				return nil
+			})
+			if err != nil {
+				return result, err
+			}
+			if share > 0 {
+				name += "WithLong"
+			}
+			result.Policies[name] = metrics
+		}
+	}
+	ratio := result.Policies["balancedWithLong"]["shortFirstTokenP99Milliseconds"] /
+		result.Policies["balanced"]["shortFirstTokenP99Milliseconds"]
+	total := result.Policies["balancedWithLong"]["shortTotalP99Milliseconds"] /
+		result.Policies["balanced"]["shortTotalP99Milliseconds"]
+	result.Bars = []Bar{
+		atMost("short first-token p99 with long of without", 1.20, ratio),
+		atMost("short whole-answer p99 with long of without", 1.20, total),
+	}
+	return result, nil
+}
+
+// mixed runs short work with a share of long work.
+func (b *bench) mixed(ctx context.Context, share float64, metrics Metrics) {
+	rate := tailShare * float64(b.sequences()) / (shortTokens * engineStep.Seconds())
+	short := b.short(shortWords, shortTokens)
+	generator := b.online(ctx, onlineLoad{
+		rate: rate, length: b.p.length(tailLength),
+		generate: func(n int, random *rand.Rand) loadgenerator.Request {
+			request := short(n, random)
+			if random.Float64() < share {
+				request.Prompt += " " + randomWords(shortWords*(longFactor-1), random)
+				request.Tokens *= longFactor
+				request.Class = "long"
+			}
+			return request
+		},
+	})
+	metrics.addReport(generator.Class("short").Report("short"), "short")
+	metrics.addReport(generator.Class("long").Report("long"), "long")
+}
+
+var slowedUpstreams = Experiment{
+	Name:    "slowed-upstreams",
+	Summary: "2 of 10 upstreams 10 times slower for spells of seconds, reports seconds late",
+	run:     runSlowedUpstreams,
+}
+
+const (
+	slowFactor   = 10
+	spellLength  = 2 * time.Second
+	spellPause   = 1500 * time.Millisecond
+	slowedAtOnce = 2
+	slowLag      = 3 * time.Second
+	slowLength   = 18 * time.Second
+)
+
+func runSlowedUpstreams(ctx context.Context, p Parameters) (Result, error) {
+	result := Result{Policies: map[string]Metrics{}}
+	for _, name := range []string{"unslowed", "balanced", "roundRobin", "leastReported", "twoChoices"} {
+		spec := sitebuilder.Trentvale()
+		spec.VMOptions = policies[name]
+		spec.EngineOptions = []engineemulator.Option{engineemulator.WithReportLag(slowLag)}
+		metrics := Metrics{}
+		err := withBench(ctx, p, spec, func(b *bench) error {
+			result.VMs, result.Upstreams = len(b.site.VMs), len(b.site.Engines)
+			b.slowed(ctx, name != "unslowed", metrics)
+			return nil
+		})
+		if err != nil {
+			return result, err
+		}
+		result.Policies[name] = metrics
+	}
+	unslowed, balanced := result.Policies["unslowed"], result.Policies["balanced"]
+	result.Bars = []Bar{
+		atMost("first-token p99 of unslowed", 1.5,
+			balanced["shortFirstTokenP99Milliseconds"]/unslowed["shortFirstTokenP99Milliseconds"]),
+		atMost("extra upstream work", 0.05, balanced["extraWorkRatio"]),
+	}
+	return result, nil
+}
+
+// slowed runs short work while spells slow two random engines at a time.
+func (b *bench) slowed(ctx context.Context, spells bool, metrics Metrics) {
+	ctx, cancel := context.WithCancel(ctx)
+	var group sync.WaitGroup
+	if spells {
+		group.Go(func() { b.slowDown(ctx) })
+	}
+	before := b.generated()
+	rate := tailShare * float64(b.sequences()) / (shortTokens * engineStep.Seconds())
+	generator := b.online(ctx, onlineLoad{
+		rate: rate, length: b.p.length(slowLength), generate: b.short(shortWords, shortTokens),
+	})
+	cancel()
+	group.Wait()
+	report := generator.Class("short").Report("short")
+	metrics.addReport(report, "short")
+	metrics["extraWorkRatio"] = float64(b.generated()-before)/float64(max(report.Tokens, 1)) - 1
+}
+
+func (b *bench) slowDown(ctx context.Context) {
+	random := rand.New(rand.NewPCG(b.p.Seed, 7))
+	for ctx.Err() == nil {
+		chosen := random.Perm(len(b.site.Engines))[:slowedAtOnce]
+		for _, n := range chosen {
+			b.site.Engines[n].SetSlow(slowFactor)
+		}
+		sleep(ctx, spellLength)
+		for _, n := range chosen {
+			b.site.Engines[n].SetSlow(1)
+		}
+		sleep(ctx, spellPause)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/sitebuilder/link.go
@@ -0,0 +1,203 @@
+package sitebuilder
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+)
+
+// linkTable knows in which failure domain each address is, and how long a
+// message takes between two of them.
+type linkTable struct {
+	delay func(from, to string) time.Duration
+
+	mu      sync.Mutex
+	domains map[string]string
+	cut     func(from, to string) bool
+}
+
+func newLinkTable(delay func(from, to string) time.Duration) *linkTable {
+	if delay == nil {
+		delay = func(string, string) time.Duration { return 0 }
+	}
+	return &linkTable{delay: delay, domains: map[string]string{}, cut: func(string, string) bool { return false }}
+}
+
+func (t *linkTable) add(address, domain string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.domains[address] = domain
+}
+
+func (t *linkTable) setCut(cut func(from, to string) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.cut = cut
+}
+
+func (t *linkTable) domain(address string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.domains[address]
+}
+
+func (t *linkTable) isCut(from, to string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.cut(from, to)
+}
+
+const dialTimeout = time.Second
+
+// dialFrom returns how the VMs of a failure domain open connections.
+func (t *linkTable) dialFrom(from string) func(context.Context, string, string) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		to := t.domain(address)
+		if t.isCut(from, to) {
+			return nil, &net.OpError{Op: "dial", Net: network, Err: context.DeadlineExceeded}
+		}
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		if from == to {
+			return conn, nil // VMs of a domain are never cut off from each other
+		}
+		delay := t.delay(from, to)
+		return newLinkConn(conn, delay, func() bool { return t.isCut(from, to) }), nil
+	}
+}
+
+// packet is bytes on their way.
+type packet struct {
+	data []byte
+	at   time.Time
+	err  error
+}
+
+// linkConn is a connection over a link that takes time and can be cut. Bytes
+// written while the link is cut wait for it to be joined again, as they would
+// in a real connection's send buffer.
+type linkConn struct {
+	net.Conn
+	delay  time.Duration
+	isCut  func() bool
+	out    chan packet
+	in     chan packet
+	rest   []byte
+	done   chan struct{}
+	once   sync.Once
+	group  sync.WaitGroup
+	failed error
+}
+
+const (
+	linkQueue  = 1024
+	linkBuffer = 16 << 10
+	cutPoll    = 5 * time.Millisecond
+)
+
+func newLinkConn(conn net.Conn, delay time.Duration, isCut func() bool) net.Conn {
+	c := &linkConn{
+		Conn: conn, delay: delay, isCut: isCut, out: make(chan packet, linkQueue), in: make(chan packet, linkQueue),
+		done: make(chan struct{}),
+	}
+	c.group.Go(c.pumpOut)
+	c.group.Go(c.pumpIn)
+	return c
+}
+
+// pass waits until bytes have crossed the link, or returns false once the
+// connection is closed.
+func (c *linkConn) pass(p packet) bool {
+	wait := time.Until(p.at)
+	for wait > 0 || c.isCut() {
+		timer := time.NewTimer(max(wait, cutPoll))
+		select {
+		case <-timer.C:
+		case <-c.done:
+			timer.Stop()
+			return false
+		}
+		wait = time.Until(p.at)
+	}
+	return true
+}
+
+func (c *linkConn) pumpOut() {
+	for {
+		select {
+		case p := <-c.out:
+			if !c.pass(p) {
+				return
+			}
+			if _, err := c.Conn.Write(p.data); err != nil {
+				return
+			}
+		case <-c.done:
+			return
+		}
+	}
+}
+
+func (c *linkConn) pumpIn() {
+	for {
+		buffer := make([]byte, linkBuffer)
+		n, err := c.Conn.Read(buffer)
+		select {
+		case c.in <- packet{data: buffer[:n], at: time.Now().Add(c.delay), err: err}:
+		case <-c.done:
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// Write queues bytes for the link.
+func (c *linkConn) Write(data []byte) (int, error) {
+	p := packet{data: append([]byte(nil), data...), at: time.Now().Add(c.delay)}
+	select {
+	case c.out <- p:
+		return len(data), nil
+	case <-c.done:
+		return 0, net.ErrClosed
+	}
+}
+
+// Read returns bytes that have crossed the link.
+func (c *linkConn) Read(data []byte) (int, error) {
+	for len(c.rest) == 0 {
+		if c.failed != nil {
+			return 0, c.failed
+		}
+		select {
+		case p := <-c.in:
+			if !c.pass(p) {
+				return 0, net.ErrClosed
+			}
+			c.rest, c.failed = p.data, p.err
+		case <-c.done:
+			return 0, net.ErrClosed
+		}
+	}
+	n := copy(data, c.rest)
+	c.rest = c.rest[n:]
+	return n, nil
+}
+
+// Close closes the connection at once.
+func (c *linkConn) Close() error {
+	c.once.Do(func() { close(c.done) })
+	return c.Conn.Close()
+}
+
+// Cut separates failure domains: connections between two of them pass nothing
+// while the function returns true.
+func (s *Site) Cut(cut func(from, to string) bool) { s.links.setCut(cut) }
+
+// Join ends all cuts.
+func (s *Site) Join() { s.links.setCut(func(string, string) bool { return false }) }
--- a/internal/sitebuilder/site.go
+++ b/internal/sitebuilder/site.go
@@ -52,8 +52,12 @@
 	EngineOptions []engineemulator.Option
 	// VMOptions are given to every entry VM.
 	VMOptions []dispatcher.Option
-	Dials     func(domain, region string) assembler.Dials
-	Logger    *slog.Logger
+	// Delay returns the one-way delay between two failure domains; nil means
+	// none.
+	Delay func(from, to string) time.Duration
+	// EngineOption returns a further option for each engine; nil means none.
+	EngineOption func(id string) engineemulator.Option
+	Logger       *slog.Logger
 }
 
 // Engine is an engine of a site.
@@ -101,6 +105,7 @@
 	ctx      context.Context //nolint:containedctx // the life of the site
 	cancel   context.CancelFunc
 	process  atomic.Uint64
+	links    *linkTable
 }
 
 // httpServer is a stand-in that listens.
@@ -118,12 +123,16 @@
 	}
 	s := &Site{spec: spec, Platform: platformemulator.New(spec.Seed)}
 	s.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024, DisableCompression: true}}
+	s.links = newLinkTable(spec.Delay)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.process.Store(uint64(time.Now().UnixMilli()))
 	var err error
 	if s.platform, err = s.listen(s.Platform); err != nil {
 		return nil, err
 	}
+	if len(spec.Domains) > 0 {
+		s.links.add(s.platform.address(), spec.Domains[0].Name)
+	}
 	for _, d := range spec.Domains {
 		if err := s.addDomain(d); err != nil {
 			s.Close()
@@ -162,6 +171,7 @@
 		if service.server, err = s.listen(service); err != nil {
 			return err
 		}
+		s.links.add(service.server.address(), d.Name)
 		s.Services = append(s.Services, service)
 	}
 	for n := range d.VMs {
@@ -178,11 +188,15 @@
 	options := append([]engineemulator.Option{
 		engineemulator.WithLoaded(upstream.LoadedModel{Name: s.spec.Model, Version: s.spec.version()}),
 	}, s.spec.EngineOptions...)
+	if s.spec.EngineOption != nil {
+		options = append(options, s.spec.EngineOption(id))
+	}
 	engine := &Engine{Engine: engineemulator.New(options...), ID: id, Domain: d.Name}
 	var err error
 	if engine.server, err = s.listen(engine); err != nil {
 		return err
 	}
+	s.links.add(engine.server.address(), d.Name)
 	s.group.Go(func() { engine.Run(s.ctx) })
 	s.Engines = append(s.Engines, engine)
 	return nil
@@ -213,10 +227,9 @@
 	settings.CallerAddress = listeners.Caller.Addr().String()
 	settings.OperatorAddress = listeners.Operator.Addr().String()
 	settings.PeerAddress = listeners.Peer.Addr().String()
-	var dials assembler.Dials
-	if s.spec.Dials != nil {
-		dials = s.spec.Dials(d.Name, d.Region)
-	}
+	s.links.add(settings.PeerAddress, d.Name)
+	dial := s.links.dialFrom(d.Name)
+	dials := assembler.Dials{Platform: dial, Upstream: dial, Peer: dial}
 	process := assembler.Process(s.process.Add(1))
 	return &VM{
 		VM: assembler.New(settings, listeners, assembler.Secret(Secret), process, dials, s.spec.Logger, s.spec.VMOptions),
--- a/internal/sitebuilder/spec.go
+++ b/internal/sitebuilder/spec.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/fescuespindle/fescuespindle/pkg/deployer"
 )
@@ -17,9 +18,34 @@
 // Sequences is the number of sequences of every engine at a site.
 const Sequences = 8
 
+// delays returns the one-way delay between failure domains, within a region and
+// between regions.
+func delays(domains []Domain, near, far time.Duration) func(from, to string) time.Duration {
+	regions := map[string]string{}
+	for _, d := range domains {
+		regions[d.Name] = d.Region
+	}
+	return func(from, to string) time.Duration {
+		switch {
+		case from == to:
+			return 0
+		case regions[from] == regions[to]:
+			return near
+		default:
+			return far
+		}
+	}
+}
+
+// withDelays adds a users' delays to a site.
+func withDelays(spec Spec, near, far time.Duration) Spec {
+	spec.Delay = delays(spec.Domains, near, far)
+	return spec
+}
+
 // Authority returns the Authority's site, at its size of today.
 func Authority() Spec {
-	return Spec{
+	return withDelays(Spec{
 		Document: document("authority", "scribe-lm", "2026-10", "order-desk", "/commissions",
 			deployer.WithRegion("pwani", "pwani-kariakoo", "pwani-mbezi"), deployer.WithRegion("dodoma", "dodoma-makulu")),
 		EnginePool: "scribe-lm", Model: "scribe-lm", Service: "order-desk",
@@ -29,12 +55,12 @@
 			{Region: "dodoma", Name: "dodoma-makulu", VMs: 4, Engines: 6, Services: 1},
 		},
 		Seed: 1,
-	}
+	}, time.Millisecond, 5*time.Millisecond)
 }
 
 // Trentvale returns Trentvale's site, at its size of today.
 func Trentvale() Spec {
-	return Spec{
+	return withDelays(Spec{
 		Document: document("trentvale", "pole-assistant", "7", "yard-ledger", "/collections",
 			deployer.WithRegion("east-mids", "nottingham", "leicester"), deployer.WithRegion("west-mids", "walsall")),
 		EnginePool: "pole-assistant", Model: "pole-assistant", Service: "yard-ledger",
@@ -44,7 +70,7 @@
 			{Region: "west-mids", Name: "walsall", VMs: 3, Engines: 3, Services: 1},
 		},
 		Seed: 1,
-	}
+	}, 500*time.Microsecond, 5*time.Millisecond)
 }
 
 // SingleDomain returns a site of one failure domain.
