Integration tests with real processes behind a fault-injecting proxy

Cause: nothing was proved with processes that are killed, paused and cut off.

(2) A VM that starts afresh in a domain that is cut off knew no list and no peer.

Change: the context is looked at before it is cancelled; settings have seed peers, and a peer hands its copy of the list to a VM that starts.

The shutdown test first had callers that kept sending past the lag that the VM waits for, until connections were refused; a trace showed connections that the kernel had accepted and the closed listener reset, which no server can answer. It now has a balancer that stops within the lag.

Conclusion: kill after an acknowledgement, kill and pause of an owner, store outage, cut domain, racing operators, shutdown under load, cancel, calls at most once, leaving upstreams and poison pass with real processes.

--- a/internal/assembler/provider.go
+++ b/internal/assembler/provider.go
@@ -81,6 +81,7 @@
 func newPlace(s settingsloader.Settings, process Process, l Listeners) controller.Place {
 	return controller.Place{
 		VM: s.VM, Domain: s.Domain, Region: s.Region, Process: uint64(process), Peer: l.Peer.Addr().String(),
+		Seeds: s.SeedPeers,
 	}
 }
 
--- a/internal/controller/configuration.go
+++ b/internal/controller/configuration.go
@@ -25,7 +25,9 @@
 }
 
 func newConfiguration(c *Controller) *configuration {
-	return &configuration{c: c, core: propagator.New(c.Place.VM), keeper: configkeeper.New(c.Store)}
+	core := propagator.New(c.Place.VM)
+	core.SetSeeds(c.Place.Seeds)
+	return &configuration{c: c, core: core, keeper: configkeeper.New(c.Store)}
 }
 
 func (f *configuration) current() propagator.Config { return f.core.Current() }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -43,6 +43,8 @@
 	Process uint64
 	// Peer is the address at which the VM takes its peers' connections.
 	Peer string
+	// Seeds are peer addresses that are asked while the list can't be read.
+	Seeds []string
 }
 
 // Sender sends messages to peers.
@@ -80,6 +82,7 @@
 	list      []platform.VM
 	listAt    time.Time
 	listing   bool
+	listOwn   bool // the list was read from the platform, not from a peer
 	typicalAt time.Time
 	stale     bool
 
@@ -164,12 +167,31 @@
 		c.Counters.Count("list_read_failures_total")
 		return
 	}
+	c.listOwn = true
+	c.takeList(list)
+}
+
+func (c *Controller) takeList(list []platform.VM) {
 	c.list = list
 	c.members.listRead(list)
 	c.upstreams.listRead(list)
 	c.stale = true
 }
 
+// listReceived takes a peer's copy of the list, for want of a better one.
+func (c *Controller) listReceived(m peer.VMList) {
+	if !c.listOwn && len(c.list) == 0 {
+		c.takeList(m.VMs)
+	}
+}
+
+// shareList answers a VM that starts, which may not be able to read the list.
+func (c *Controller) shareList(from peer.Sender, m peer.ConfigWanted) {
+	if m.Version == 0 && len(c.list) > 0 {
+		c.sender.Send(from.Address, peer.VMList{VMs: c.list})
+	}
+}
+
 // rebuild publishes a new view.
 func (c *Controller) rebuild(now time.Time) {
 	view := c.builder.Build(publisher.Inputs{
@@ -204,6 +226,10 @@
 		c.config.receive(from, message, now)
 	}
 	switch m := message.(type) {
+	case peer.ConfigWanted:
+		c.shareList(from, m)
+	case peer.VMList:
+		c.listReceived(m)
 	case peer.OnlineCounts:
 		c.upstreams.countsReceived(from, m, now)
 	case peer.OnlineTotals:
--- a/internal/dispatcher/flight.go
+++ b/internal/dispatcher/flight.go
@@ -110,6 +110,9 @@
 }
 
 func (f *flight) finish(completed bool, failure *relayer.AttemptError) {
+	// An attempt that the caller gave up also breaks its connection; only one
+	// that broke by itself says something of the upstream.
+	givenUp := f.ctx.Err() != nil
 	f.cancel()
 	f.mu.Lock()
 	stream := f.stream
@@ -118,7 +121,7 @@
 		stream.Close()
 	}
 	d := f.owner.dispatcher
-	if failure != nil {
+	if failure != nil && !givenUp {
 		f.noteFailure(failure)
 	}
 	d.quarantine.End(f.owner.request.Fingerprint, f.upstream.ID(), completed)
@@ -141,7 +144,7 @@
 		f.upstream.Gauge().SetLeaving(true)
 		d.observer.LeavingSeen(f.upstream)
 	}
-	if failure.Crash() && f.ctx.Err() == nil {
+	if failure.Crash() {
 		d.observer.Struck(d.quarantine.Crash(f.owner.request.Fingerprint, f.upstream.ID(), now))
 	}
 }
--- /dev/null
+++ b/internal/integration/failure_test.go
@@ -0,0 +1,349 @@
+package integration_test
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fescuespindle/fescuespindle/internal/emulator/engineemulator"
+	"github.com/fescuespindle/fescuespindle/internal/platform"
+	"github.com/fescuespindle/fescuespindle/internal/requester"
+	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
+	"github.com/fescuespindle/fescuespindle/pkg/deployer"
+)
+
+var (
+	kariakoo = place{region: "pwani", domain: "pwani-kariakoo", vms: 3, engines: 3}
+	dodoma   = place{region: "dodoma", domain: "dodoma-makulu", vms: 2, engines: 2}
+)
+
+func TestKillRightAfterAcknowledgement(t *testing.T) {
+	const items, tokens = 120, 8
+	f := newFleet(t, kariakoo)
+	batch := f.submit(f.vms[0], "lot", items, tokens)
+	f.vms[0].kill()
+	qt.Check(t, f.waitEnded(f.vms[1], batch.ID).Status, qt.Equals, "completed")
+	f.expectAllOnce(f.vms[1:], batch.ID, "lot", items, tokens)
+}
+
+func TestKillOfAVMWithItemsInFlight(t *testing.T) {
+	const items, tokens = 200, 60
+	f := newFleet(t, kariakoo)
+	batch := f.submit(f.vms[0], "lot", items, tokens)
+	var owner *process
+	eventually(t, "a VM owns chunks", func() bool {
+		for _, vm := range f.vms[1:] {
+			if state, err := vm.state(); err == nil && state.Chunks > 0 {
+				owner = vm
+			}
+		}
+		return owner != nil
+	})
+	owner.kill()
+	owner.start()
+	owner.waitReady(len(f.engines))
+	qt.Check(t, f.waitEnded(f.vms[0], batch.ID).Status, qt.Equals, "completed")
+	f.expectAllOnce(f.vms, batch.ID, "lot", items, tokens)
+}
+
+func TestPausedOwnerWakesUpAfterItsChunksWereTaken(t *testing.T) {
+	const items, tokens = 200, 60
+	f := newFleet(t, kariakoo)
+	batch := f.submit(f.vms[0], "lot", items, tokens)
+	eventually(t, "the VM owns chunks", func() bool {
+		state, err := f.vms[1].state()
+		return err == nil && state.Chunks > 0
+	})
+	f.vms[1].signal(syscall.SIGSTOP)
+	qt.Check(t, f.waitEnded(f.vms[0], batch.ID).Status, qt.Equals, "completed")
+	before := f.results(f.vms[0], batch.ID)
+	f.vms[1].signal(syscall.SIGCONT)
+	eventually(t, "the VM has let go of its chunks", func() bool {
+		state, err := f.vms[1].state()
+		return err == nil && state.Chunks == 0
+	})
+	qt.Check(t, f.results(f.vms[1], batch.ID), qt.DeepEquals, before)
+	f.expectAllOnce(f.vms, batch.ID, "lot", items, tokens)
+}
+
+func TestStoreOutageHarmsNoOnlineRequestAndNoItem(t *testing.T) {
+	const items, tokens = 300, 20
+	f := newFleet(t, kariakoo)
+	batch := f.submit(f.vms[0], "lot", items, tokens)
+	f.platform.SetFaults(platform.Faults{Outage: true})
+	for n := range 60 {
+		qt.Assert(t, f.complete(f.vms[n%3], fmt.Sprintf("during the outage %d", n), 12), qt.IsNil)
+	}
+	_, err := f.vms[0].requester(sitebuilder.OnlineToken).
+		Call(t.Context(), "POST", f.spec.Service, "/commissions", "order-1", []byte("panel 1"))
+	var refused *requester.RefusedError
+	qt.Assert(t, errors.As(err, &refused), qt.IsTrue)
+	qt.Check(t, refused.Ran(), qt.Equals, "not-run")
+	qt.Check(t, f.services[0].Runs("panel 1"), qt.Equals, 0)
+	f.platform.SetFaults(platform.Faults{DelayMilliseconds: 80, LostAnswerPercent: 20})
+	qt.Check(t, f.waitEnded(f.vms[0], batch.ID).Status, qt.Equals, "completed")
+	f.platform.SetFaults(platform.Faults{})
+	f.expectAllOnce(f.vms, batch.ID, "lot", items, tokens)
+}
+
+func TestDomainThatIsCutOffGoesOnAndThenCatchesUp(t *testing.T) {
+	f := newFleet(t, kariakoo, dodoma)
+	cut := f.vms[kariakoo.vms:]
+	for _, vm := range cut {
+		vm.platform.Cut()
+	}
+	version := f.apply(deployer.WithCaller("new", deployer.TokenDigest("new-token"), deployer.Using(f.spec.Model)))
+	for _, vm := range f.vms[:kariakoo.vms] {
+		f.waitVersion(vm, version)
+	}
+	for n := range 40 {
+		qt.Assert(t, f.complete(cut[n%len(cut)], fmt.Sprintf("in the cut domain %d", n), 12), qt.IsNil)
+	}
+	// A VM that starts afresh in the cut domain has no list and no store.
+	cut[1].kill()
+	cut[1].settings.SeedPeers = []string{cut[0].peers.Address()}
+	cut[1].start()
+	eventually(t, "the fresh VM has learnt the configuration from its peer", func() bool {
+		state, err := cut[1].state()
+		return err == nil && state.ConfigVersion == version-1 && state.Ready && len(state.Upstreams) > 0
+	})
+	qt.Assert(t, f.complete(cut[1], "from the fresh VM", 12), qt.IsNil)
+	for _, vm := range cut {
+		vm.platform.Join()
+	}
+	for _, vm := range cut {
+		f.waitVersion(vm, version)
+	}
+}
+
+func TestOperatorsWhoRace(t *testing.T) {
+	f := newFleet(t, place{region: "pwani", domain: "pwani-kariakoo", vms: 1, engines: 1})
+	const operators = 4
+	codes := make([]int, operators)
+	texts := make([]string, operators)
+	var group sync.WaitGroup
+	for n := range operators {
+		doc := f.spec.Document
+		deployer.WithCaller(fmt.Sprintf("caller-%d", n), deployer.TokenDigest(fmt.Sprint(n)))(&doc)
+		path := filepath.Join(f.dir, fmt.Sprintf("doc-%d.json", n))
+		text, err := doc.Print()
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, os.WriteFile(path, text, 0o600), qt.IsNil)
+		digest, err := doc.Digest()
+		qt.Assert(t, err, qt.IsNil)
+		group.Go(func() {
+			_, texts[n], codes[n] = command(t, "config", "apply", path, "--platform", f.server.URL, "--from", "1",
+				"--digest", digest, "--by", fmt.Sprintf("operator-%d", n), "--why", "race")
+		})
+	}
+	group.Wait()
+	won := 0
+	for n, code := range codes {
+		if code == 0 {
+			won++
+			continue
+		}
+		qt.Check(t, code, qt.Equals, 3, qt.Commentf("%s", texts[n]))
+		qt.Check(t, strings.Contains(texts[n], "changes from version 1 to 2:"), qt.IsTrue, qt.Commentf("%s", texts[n]))
+	}
+	qt.Check(t, won, qt.Equals, 1)
+	f.waitVersion(f.vms[0], 2)
+	history, _, _ := command(t, "config", "history", "--platform", f.server.URL)
+	qt.Check(t, strings.Count(history, "\n"), qt.Equals, 2, qt.Commentf("%s", history))
+}
+
+func TestShutdownUnderLoadCutsNothing(t *testing.T) {
+	const items, tokens = 150, 30
+	f := newFleet(t, kariakoo)
+	batch := f.submit(f.vms[0], "lot", items, tokens)
+	var sent, failed atomic.Int32
+	var group sync.WaitGroup
+	leaving := f.vms[2]
+	balancer := newBalancer(leaving)
+	for n := range 12 {
+		group.Go(func() {
+			for i := 0; balancer.sends(); i++ {
+				err := f.complete(leaving, fmt.Sprintf("before the shutdown %d %d", n, i), 40)
+				sent.Add(1)
+				if err != nil {
+					failed.Add(1)
+					t.Logf("cut: %v", err)
+				}
+			}
+		})
+	}
+	eventually(t, "load runs", func() bool { return sent.Load() > 24 })
+	leaving.signal(syscall.SIGTERM)
+	qt.Check(t, <-leaving.exited, qt.IsNil, qt.Commentf("%s", leaving.log))
+	group.Wait()
+	qt.Check(t, failed.Load(), qt.Equals, int32(0))
+	qt.Check(t, f.waitEnded(f.vms[0], batch.ID).Status, qt.Equals, "completed")
+	f.expectAllOnce(f.vms[:2], batch.ID, "lot", items, tokens)
+}
+
+// balancer sends to a VM until a while after the VM said that it is not ready.
+type balancer struct {
+	vm   *process
+	mu   sync.Mutex
+	stop time.Time
+}
+
+// balancerLag is well under the lag that the VM's settings allow for.
+const balancerLag = 500 * time.Millisecond
+
+func newBalancer(vm *process) *balancer { return &balancer{vm: vm} }
+
+func (b *balancer) sends() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	if b.stop.IsZero() && !b.vm.isReady() {
+		b.stop = now.Add(balancerLag)
+	}
+	return b.stop.IsZero() || now.Before(b.stop)
+}
+
+func TestCancelReachesARunnerThatIsPaused(t *testing.T) {
+	f := newFleet(t, kariakoo)
+	batch := f.submit(f.vms[0], "lot", 400, 200)
+	eventually(t, "the VM owns chunks", func() bool {
+		state, err := f.vms[1].state()
+		return err == nil && state.Chunks > 0
+	})
+	f.vms[1].signal(syscall.SIGSTOP)
+	cancelled, err := f.vms[0].requester(sitebuilder.BatchToken).Cancel(t.Context(), batch.ID)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, cancelled.Status, qt.Equals, "cancelled")
+	f.vms[1].signal(syscall.SIGCONT)
+	eventually(t, "no engine runs an item any more", func() bool {
+		for _, vm := range f.vms {
+			if state, err := vm.state(); err != nil || state.Chunks > 0 {
+				return false
+			}
+		}
+		return true
+	})
+	started := f.started()
+	qt.Check(t, f.complete(f.vms[0], "after the cancel", 10), qt.IsNil)
+	qt.Check(t, f.started(), qt.Equals, started+1)
+	status, err := f.vms[2].requester(sitebuilder.BatchToken).Status(t.Context(), batch.ID)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, status.Status, qt.Equals, "cancelled")
+}
+
+func (f *fleet) started() int {
+	n := 0
+	for _, engine := range f.engines {
+		n += engine.Counts().Started
+	}
+	return n
+}
+
+func TestCommissionRunsAtMostOnce(t *testing.T) {
+	f := newFleet(t, kariakoo)
+	f.services[0].DropAnswers(3)
+	var group sync.WaitGroup
+	for n := range 8 {
+		for _, vm := range f.vms {
+			group.Go(func() {
+				body := []byte(fmt.Sprintf("panel %d", n))
+				_, err := vm.requester(sitebuilder.OnlineToken).
+					Call(t.Context(), "POST", f.spec.Service, "/commissions", fmt.Sprintf("order-%d", n), body)
+				var refused *requester.RefusedError
+				if errors.As(err, &refused) {
+					qt.Check(t, refused.Ran(), qt.Equals, "may-have-run")
+				}
+			})
+		}
+	}
+	group.Wait()
+	f.vms[0].kill()
+	for n := range 8 {
+		body := fmt.Sprintf("panel %d", n)
+		_, _ = f.vms[1].requester(sitebuilder.OnlineToken).
+			Call(t.Context(), "POST", f.spec.Service, "/commissions", fmt.Sprintf("order-%d", n), []byte(body))
+		qt.Check(t, f.services[0].Runs(body), qt.Equals, 1)
+	}
+}
+
+func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
+	const name = "pwani-kariakoo-engine-0"
+	t.Run("as it says itself", func(t *testing.T) {
+		f := newFleet(t, kariakoo)
+		f.engines[name].SetLeaving(true)
+		f.expectQuiet(name)
+	})
+	t.Run("as the list says", func(t *testing.T) {
+		f := newFleet(t, kariakoo)
+		f.platform.MarkLeaving(name)
+		f.expectQuiet(name)
+	})
+}
+
+// expectQuiet sends requests until none goes to an engine for a while, and
+// then checks that none ever does.
+func (f *fleet) expectQuiet(engine string) {
+	f.t.Helper()
+	send := func(n int) int {
+		before := f.engines[engine].Counts()
+		for i := range n {
+			qt.Assert(f.t, f.complete(f.vms[i%len(f.vms)], fmt.Sprintf("request %d", i), 4), qt.IsNil)
+		}
+		after := f.engines[engine].Counts()
+		return after.Started + after.Refused - before.Started - before.Refused
+	}
+	eventually(f.t, "the engine gets nothing", func() bool { return send(15) == 0 })
+	qt.Check(f.t, send(60), qt.Equals, 0)
+}
+
+func TestPoisonIsRefusedAndInnocentsAreNot(t *testing.T) {
+	f := newFleet(t, kariakoo)
+	condemned := 0
+	var failed atomic.Int32
+	var group sync.WaitGroup
+	stop := make(chan struct{})
+	for n := range 4 {
+		group.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				err := f.complete(f.vms[n%3], fmt.Sprintf("innocent %d %d", n, i), 6)
+				var refused *requester.RefusedError
+				if errors.As(err, &refused) && refused.Status() == http.StatusUnprocessableEntity {
+					failed.Add(1)
+				}
+			}
+		})
+	}
+	for n := range 20 {
+		_, err := f.vms[n%3].requester(sitebuilder.OnlineToken).
+			Complete(t.Context(), f.spec.Model, "verse "+engineemulator.PoisonWord, 6)
+		var refused *requester.RefusedError
+		if errors.As(err, &refused) && refused.Status() == http.StatusUnprocessableEntity {
+			condemned++
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	close(stop)
+	group.Wait()
+	crashes := 0
+	for _, engine := range f.engines {
+		crashes += engine.Counts().Crashes
+	}
+	qt.Check(t, crashes <= 3, qt.IsTrue, qt.Commentf("%d upstreams lost", crashes))
+	qt.Check(t, condemned >= 17, qt.IsTrue, qt.Commentf("refused %d times", condemned))
+	qt.Check(t, failed.Load(), qt.Equals, int32(0))
+}
--- /dev/null
+++ b/internal/integration/fleet_test.go
@@ -0,0 +1,378 @@
+// Package integration_test runs entry VMs as processes of their own, behind
+// fault-injecting proxies, and brings about the faults that they must survive.
+package integration_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fescuespindle/fescuespindle/internal/emulator/engineemulator"
+	"github.com/fescuespindle/fescuespindle/internal/emulator/platformemulator"
+	"github.com/fescuespindle/fescuespindle/internal/emulator/serviceemulator"
+	"github.com/fescuespindle/fescuespindle/internal/interrupter"
+	"github.com/fescuespindle/fescuespindle/internal/jobkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/operator"
+	"github.com/fescuespindle/fescuespindle/internal/platform"
+	"github.com/fescuespindle/fescuespindle/internal/requester"
+	"github.com/fescuespindle/fescuespindle/internal/settingsloader"
+	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
+	"github.com/fescuespindle/fescuespindle/internal/upstream"
+	"github.com/fescuespindle/fescuespindle/pkg/deployer"
+)
+
+// patience is how long an event is waited for. It bounds how long a broken
+// test takes; no test depends on how fast an event comes.
+const patience = 90 * time.Second
+
+var program string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "fescuespindle")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(dir, "fescuespindle")
+	build := exec.Command("go", "build", "-buildvcs=false", "-o", program, "../../cmd/fescuespindle")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		panic(err)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// process is an entry VM that runs as a process.
+type process struct {
+	fleet    *fleet
+	settings settingsloader.Settings
+	command  *exec.Cmd
+	log      *logBuffer
+	exited   chan error
+	platform *interrupter.Proxy
+	peers    *interrupter.Proxy
+}
+
+// logBuffer keeps what a process logs.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// fleet is a site of processes.
+type fleet struct {
+	t        *testing.T
+	spec     sitebuilder.Spec
+	dir      string
+	platform *platformemulator.Emulator
+	server   *httptest.Server
+	engines  map[string]*engineemulator.Engine
+	services []*serviceemulator.Service
+	vms      []*process
+	list     []platform.VM
+	client   *http.Client
+}
+
+// place is a failure domain of a fleet.
+type place struct {
+	region, domain string
+	vms, engines   int
+}
+
+// newFleet starts a fleet with a configuration in force.
+func newFleet(t *testing.T, places ...place) *fleet {
+	t.Helper()
+	f := &fleet{
+		t: t, spec: sitebuilder.Authority(), dir: t.TempDir(), platform: platformemulator.New(1),
+		engines: map[string]*engineemulator.Engine{}, client: &http.Client{Transport: &http.Transport{}},
+	}
+	t.Cleanup(f.client.CloseIdleConnections)
+	f.server = f.serve(f.platform)
+	qt.Assert(t, os.WriteFile(filepath.Join(f.dir, "secret"), []byte(sitebuilder.Secret), 0o600), qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	for _, p := range places {
+		for n := range p.engines {
+			f.addEngine(ctx, p, fmt.Sprintf("%s-engine-%d", p.domain, n))
+		}
+		service := serviceemulator.New(f.spec.Service)
+		f.services = append(f.services, service)
+		f.addUpstream(p, p.domain+"-service", f.spec.Service, f.serve(service))
+		for n := range p.vms {
+			f.addVM(p, fmt.Sprintf("%s-entry-%d", p.domain, n))
+		}
+	}
+	f.platform.SetVMs(f.list)
+	_, err := sitebuilder.ApplyDocument(t.Context(), f.server.URL, f.spec.Document)
+	qt.Assert(t, err, qt.IsNil)
+	for _, vm := range f.vms {
+		vm.start()
+	}
+	for _, vm := range f.vms {
+		vm.waitReady(len(f.engines))
+	}
+	return f
+}
+
+func (f *fleet) serve(handler http.Handler) *httptest.Server {
+	server := httptest.NewUnstartedServer(handler)
+	server.Config.ErrorLog = nil
+	server.Start()
+	f.t.Cleanup(server.Close)
+	return server
+}
+
+func (f *fleet) addEngine(ctx context.Context, p place, id string) {
+	engine := engineemulator.New(engineemulator.WithStep(5*time.Millisecond),
+		engineemulator.WithLoaded(upstream.LoadedModel{Name: f.spec.Model, Version: "2026-10"}))
+	var group sync.WaitGroup
+	group.Go(func() { engine.Run(ctx) })
+	f.engines[id] = engine
+	f.addUpstream(p, id, f.spec.EnginePool, f.serve(engine))
+}
+
+func (f *fleet) addUpstream(p place, id, pool string, server *httptest.Server) {
+	f.list = append(f.list, platform.VM{
+		ID: id, Kind: platform.VMUpstream, Pool: pool, Region: p.region, Domain: p.domain,
+		Address: server.Listener.Addr().String(),
+	})
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func (f *fleet) proxy(target string) *interrupter.Proxy {
+	p, err := interrupter.New(target)
+	qt.Assert(f.t, err, qt.IsNil)
+	f.t.Cleanup(p.Close)
+	return p
+}
+
+func (f *fleet) addVM(p place, id string) {
+	vm := &process{fleet: f, settings: settingsloader.Settings{
+		VM: id, Region: p.region, Domain: p.domain, CallerAddress: freeAddress(f.t), OperatorAddress: freeAddress(f.t),
+		PeerAddress: freeAddress(f.t), PeerSecretFile: filepath.Join(f.dir, "secret"),
+		DrainTimeout: settingsloader.Duration(time.Minute), BalancerLag: settingsloader.Duration(3 * time.Second),
+		LogFormat: settingsloader.LogJSON,
+	}}
+	vm.platform = f.proxy(f.server.Listener.Addr().String())
+	vm.peers = f.proxy(vm.settings.PeerAddress)
+	vm.settings.PlatformURL = "http://" + vm.platform.Address()
+	f.vms = append(f.vms, vm)
+	f.list = append(f.list, platform.VM{
+		ID: id, Kind: platform.VMEntry, Region: p.region, Domain: p.domain, Address: vm.settings.CallerAddress,
+		Peer: vm.peers.Address(),
+	})
+}
+
+// start starts the process.
+func (p *process) start() {
+	t := p.fleet.t
+	text, err := json.Marshal(p.settings)
+	qt.Assert(t, err, qt.IsNil)
+	path := filepath.Join(p.fleet.dir, p.settings.VM+".json")
+	qt.Assert(t, os.WriteFile(path, text, 0o600), qt.IsNil)
+	p.command = exec.Command(program, "serve", "--settings", path)
+	p.log = &logBuffer{}
+	p.command.Stderr = p.log
+	qt.Assert(t, p.command.Start(), qt.IsNil)
+	command, exited := p.command, make(chan error, 1)
+	p.exited = exited
+	var group sync.WaitGroup
+	group.Go(func() { exited <- command.Wait() })
+	t.Cleanup(func() {
+		_ = command.Process.Kill()
+		group.Wait()
+	})
+}
+
+func (p *process) signal(s syscall.Signal) {
+	qt.Assert(p.fleet.t, p.command.Process.Signal(s), qt.IsNil)
+}
+
+// kill ends the process at once and waits until it is gone.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.exited
+}
+
+func (p *process) requester(token string) *requester.Requester {
+	return requester.New("http://"+p.settings.CallerAddress, token, p.fleet.client)
+}
+
+// stateText is the part of a VM's state that tests look at.
+type stateText struct {
+	Ready         bool   `json:"ready"`
+	ConfigVersion uint64 `json:"configVersion"`
+	Chunks        int    `json:"chunks"`
+	Upstreams     []struct {
+		ID string `json:"id"`
+	} `json:"upstreams"`
+}
+
+func (p *process) state() (stateText, error) {
+	var state stateText
+	response, err := p.fleet.client.Get("http://" + p.settings.OperatorAddress + operator.PathState)
+	if err != nil {
+		return state, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return state, json.NewDecoder(response.Body).Decode(&state)
+}
+
+// isReady tells what the VM answers to the balancer.
+func (p *process) isReady() bool {
+	response, err := p.fleet.client.Get("http://" + p.settings.OperatorAddress + operator.PathReady)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	return response.StatusCode == http.StatusOK
+}
+
+func (p *process) waitReady(engines int) {
+	eventually(p.fleet.t, p.settings.VM+" is ready", func() bool {
+		state, err := p.state()
+		return err == nil && state.Ready && len(state.Upstreams) >= engines
+	})
+}
+
+// eventually waits for an event.
+func eventually(t *testing.T, what string, happened func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if happened() {
+			return
+		}
+	}
+	t.Fatalf("this never happened: %s", what)
+}
+
+// submit submits a job of items to a VM.
+func (f *fleet) submit(vm *process, name string, items, tokens int) requester.Batch {
+	caller := vm.requester(sitebuilder.BatchToken)
+	input := sitebuilder.BatchInput(f.spec.Model, name, items, tokens)
+	file, err := caller.Upload(f.t.Context(), name, strings.NewReader(input))
+	qt.Assert(f.t, err, qt.IsNil)
+	batch, err := caller.Submit(f.t.Context(), file.ID, upstream.PathChat, "1h", name)
+	qt.Assert(f.t, err, qt.IsNil)
+	return batch
+}
+
+// waitEnded waits until a job has ended.
+func (f *fleet) waitEnded(vm *process, id string) requester.Batch {
+	var batch requester.Batch
+	eventually(f.t, "job "+id+" ends", func() bool {
+		var err error
+		batch, err = vm.requester(sitebuilder.BatchToken).Status(f.t.Context(), id)
+		return err == nil && batch.Status != "in_progress"
+	})
+	return batch
+}
+
+// results reads a job's results from a VM: the answer of each item.
+func (f *fleet) results(vm *process, id string) map[string]string {
+	var text bytes.Buffer
+	qt.Assert(f.t, vm.requester(sitebuilder.BatchToken).Results(f.t.Context(), id, &text), qt.IsNil)
+	answers := map[string]string{}
+	for line := range bytes.Lines(text.Bytes()) {
+		var result jobkeeper.Result
+		qt.Assert(f.t, json.Unmarshal(line, &result), qt.IsNil)
+		_, twice := answers[result.CustomID]
+		qt.Assert(f.t, twice, qt.IsFalse, qt.Commentf("%s has two results", result.CustomID))
+		qt.Assert(f.t, result.Response, qt.IsNotNil, qt.Commentf("%s failed: %v", result.CustomID, result.Error))
+		answers[result.CustomID] = string(result.Response.Body)
+	}
+	return answers
+}
+
+// expectAllOnce checks that a completed job has one right result for each item,
+// the same from every VM.
+func (f *fleet) expectAllOnce(vms []*process, id, name string, items, tokens int) {
+	f.t.Helper()
+	first := f.results(vms[0], id)
+	qt.Assert(f.t, first, qt.HasLen, items)
+	for n := range items {
+		var answer upstream.Completed
+		qt.Assert(f.t, json.Unmarshal([]byte(first[fmt.Sprintf("%s-%d", name, n)]), &answer), qt.IsNil)
+		prompt := fmt.Sprintf("user: %s item %d\n", name, n)
+		qt.Assert(f.t, answer.Choices[0].Message.Content, qt.Equals, engineemulator.Answer(prompt, tokens))
+	}
+	for _, vm := range vms[1:] {
+		qt.Assert(f.t, f.results(vm, id), qt.DeepEquals, first)
+	}
+}
+
+// apply puts a changed document in force, and returns its version.
+func (f *fleet) apply(change ...deployer.Option) uint64 {
+	doc := f.spec.Document
+	for _, option := range change {
+		option(&doc)
+	}
+	entry, err := sitebuilder.ApplyDocument(f.t.Context(), f.server.URL, doc)
+	qt.Assert(f.t, err, qt.IsNil)
+	return entry.Version
+}
+
+func (f *fleet) waitVersion(vm *process, version uint64) {
+	eventually(f.t, fmt.Sprintf("%s has version %d in force", vm.settings.VM, version), func() bool {
+		state, err := vm.state()
+		return err == nil && state.ConfigVersion >= version
+	})
+}
+
+// complete sends an online request and checks its answer.
+func (f *fleet) complete(vm *process, prompt string, tokens int) error {
+	answer, err := vm.requester(sitebuilder.OnlineToken).Complete(f.t.Context(), f.spec.Model, prompt, tokens)
+	if err != nil {
+		return err
+	}
+	if want := engineemulator.Answer("user: "+prompt+"\n", tokens); answer.Text() != want {
+		return fmt.Errorf("wrong answer %q", answer.Text())
+	}
+	return nil
+}
+
+// command runs the program and returns its output and exit code.
+func command(t *testing.T, args ...string) (stdout, stderr string, code int) {
+	t.Helper()
+	var out, errs bytes.Buffer
+	c := exec.CommandContext(t.Context(), program, args...)
+	c.Stdout, c.Stderr = io.Writer(&out), io.Writer(&errs)
+	_ = c.Run() // the exit code tells
+	return out.String(), errs.String(), c.ProcessState.ExitCode()
+}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -6,6 +6,8 @@
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/fescuespindle/fescuespindle/internal/platform"
 )
 
 // ProtocolVersion is the version of the messages between VMs.
@@ -33,6 +35,7 @@
 	KindJobCancelled
 	KindChunksWanted
 	KindChunksOffered
+	KindVMList
 )
 
 var kindNames = map[Kind]string{
@@ -41,6 +44,7 @@
 	KindOnlineCounts: "onlineCounts", KindOnlineTotals: "onlineTotals", KindUpstreamStates: "upstreamStates",
 	KindStrikes: "strikes", KindStrikesAck: "strikesAck", KindJobCancelled: "jobCancelled",
 	KindChunksWanted: "chunksWanted", KindChunksOffered: "chunksOffered",
+	KindVMList: "vmList",
 }
 
 // String returns the kind's name, as counters show it.
@@ -210,6 +214,15 @@
 	OwnerProcess uint64 `cbor:"4,keyasint,omitempty"`
 }
 
+// VMList is the platform's list of VMs as the sender last read it. A VM that
+// starts while the platform can't be reached gets it from a peer.
+type VMList struct {
+	VMs []platform.VM `cbor:"1,keyasint"`
+}
+
+// Kind implements Message.
+func (VMList) Kind() Kind { return KindVMList }
+
 // Kind implements Message.
 func (Probe) Kind() Kind { return KindProbe }
 
@@ -300,6 +313,7 @@
 	KindOnlineTotals: decodeAs[OnlineTotals], KindUpstreamStates: decodeAs[UpstreamStates],
 	KindStrikes: decodeAs[Strikes], KindStrikesAck: decodeAs[StrikesAck], KindJobCancelled: decodeAs[JobCancelled],
 	KindChunksWanted: decodeAs[ChunksWanted], KindChunksOffered: decodeAs[ChunksOffered],
+	KindVMList: decodeAs[VMList],
 }
 
 func decodeAs[T Message](body []byte) (Message, error) {
--- a/internal/propagator/propagator.go
+++ b/internal/propagator/propagator.go
@@ -91,6 +91,8 @@
 type Propagator struct {
 	self      string
 	peers     []Peer
+	seeds     []string
+	seedAt    time.Time
 	current   Config
 	wanted    uint64
 	fetchTo   time.Time
@@ -129,6 +131,9 @@
 // SetPeers sets the live VMs of the domain.
 func (p *Propagator) SetPeers(peers []Peer) { p.peers = peers }
 
+// SetSeeds sets the addresses that are asked while no peer is known.
+func (p *Propagator) SetSeeds(addresses []string) { p.seeds = addresses }
+
 // IsReader tells whether this VM reads the store for its domain: its hash is
 // among the lowest of the live VMs.
 func (p *Propagator) IsReader() bool {
@@ -175,15 +180,29 @@
 			out = append(out, Send{Address: other.Address, Message: peer.ConfigWanted{}})
 		}
 	}
+	out = append(out, p.askSeeds(now)...)
 	if p.best.version == 0 {
 		return out
 	}
-	if p.allAnswered() || now.Sub(p.started) > startTimeout {
+	if (len(p.peers) > 0 && p.allAnswered()) || now.Sub(p.started) > startTimeout {
 		return append(out, p.adopt(p.best)...)
 	}
 	return out
 }
 
+// askSeeds asks the seeds again and again until a configuration is known.
+func (p *Propagator) askSeeds(now time.Time) []Action {
+	if now.Before(p.seedAt) {
+		return nil
+	}
+	p.seedAt = now.Add(fetchTimeout)
+	var out []Action
+	for _, address := range p.seeds {
+		out = append(out, Send{Address: address, Message: peer.ConfigWanted{}})
+	}
+	return out
+}
+
 func (p *Propagator) allAnswered() bool {
 	for _, other := range p.peers {
 		if !p.answered[other.VM] {
