--- a/internal/assembler/provider.go
+++ b/internal/assembler/provider.go
@@ -98,7 +98,7 @@
 	r *relayer.Relayer, c *controller.Controller, counters *counter.Counters, q *quarantiner.Quarantine,
 	options []dispatcher.Option,
 ) *dispatcher.Dispatcher {
-	return dispatcher.New(r, c, counters, q, options...)
+	return dispatcher.New(r, c, c, counters, q, options...)
 }
 
 func newProfiling(s settingsloader.Settings) operator.Profiling {
--- a/internal/chooser/policy.go
+++ b/internal/chooser/policy.go
@@ -14,24 +14,35 @@
 	ReasonLeastLoad Reason = iota
 	ReasonPrefix
 	ReasonSpilled
+	ReasonLong
+	ReasonGathered
+	ReasonLastResort
 	ReasonBaseline
-	reasonCount
 )
 
 // String returns the reason's name, as counters show it.
 func (r Reason) String() string {
-	return [...]string{"leastLoad", "prefix", "spilled", "baseline"}[r]
+	return [...]string{"leastLoad", "prefix", "spilled", "long", "gathered", "lastResort", "baseline"}[r]
 }
 
 // Reasons lists every reason.
 func Reasons() []Reason {
-	return []Reason{ReasonLeastLoad, ReasonPrefix, ReasonSpilled, ReasonBaseline}
+	return []Reason{ReasonLeastLoad, ReasonPrefix, ReasonSpilled, ReasonLong, ReasonGathered, ReasonLastResort, ReasonBaseline}
 }
 
 // Request is what a choice depends on.
 type Request struct {
 	// Prefix is the hash of the prompt's beginning, or 0 for no affinity.
 	Prefix uint64
+	// Long tells whether the prompt is long. Long prompts share a few upstreams,
+	// so that an engine that works through one holds up few others.
+	Long bool
+	// Apart tells whether long prompts have come lately, so that others must
+	// keep away from where they go.
+	Apart bool
+	// Gather tells whether requests that no prefix sends elsewhere go to as few
+	// upstreams as can take them, so that batch work has the others to itself.
+	Gather bool
 	// Avoid is an upstream that has already failed or is running the request.
 	Avoid *Upstream
 	// Farthest is the last tier that may be used.
@@ -65,6 +76,11 @@
 	spillFill = 1.0
 	// slowLimit is the slowness from which an upstream loses its prefixes.
 	slowLimit = 2.0
+	// gatherSlowness is the slowness from which an upstream gathers no requests.
+	gatherSlowness = 1.5
+	// apartPenalty keeps ordinary requests away from where long prompts go,
+	// unless the others are that much fuller.
+	apartPenalty = 4
 )
 
 // Balanced is the product's own policy: the upstream that the prompt's prefix
@@ -92,10 +108,33 @@
 		}
 		found = true
 	}
+	if !found {
+		return p.lastResort(r)
+	}
 	return best, found
 }
 
+// lastResort returns an upstream that failed a moment ago, if there is no
+// other: it may be back, and a refusal would help nobody.
+func (p *Pool) lastResort(r Request) (Choice, bool) {
+	for tier := TierDomain; tier <= r.Farthest; tier++ {
+		upstreams := p.tiers[tier]
+		for i, start := 0, rand.IntN(max(len(upstreams), 1)); i < len(upstreams); i++ {
+			u := upstreams[(start+i)%len(upstreams)]
+			if u != r.Avoid && !u.gauge.Leaving() {
+				return Choice{Upstream: u, Reason: ReasonLastResort, Fill: u.fill()}, true
+			}
+		}
+	}
+	return Choice{}, false
+}
+
 func (p *Pool) chooseInTier(tier Tier, r Request) (Choice, bool) {
+	if r.Long {
+		if u := p.longTarget(tier, r); u != nil {
+			return Choice{Upstream: u, Reason: ReasonLong, Fill: u.fill()}, true
+		}
+	}
 	sampled, score := p.leastLoaded(tier, r)
 	if sampled == nil {
 		return Choice{}, false
@@ -105,9 +144,35 @@
 			return Choice{Upstream: u, Reason: ReasonPrefix, Fill: u.fill()}, true
 		}
 	}
+	if r.Gather {
+		if u := p.gatherTarget(tier, r); u != nil {
+			return Choice{Upstream: u, Reason: ReasonGathered, Fill: u.fill()}, true
+		}
+	}
 	return Choice{Upstream: sampled, Reason: ReasonLeastLoad, Fill: sampled.fill()}, true
 }
 
+// gatherTarget returns the upstream that gathers requests now: the first with
+// room, in an order that all VMs agree on and that is the reverse of the one in
+// which long prompts come.
+//
+// Batch work must keep a sequence free wherever online requests arrive, or they
+// wait for a step of the engine. Spread over all upstreams, that is a sequence
+// on each. Gathered, it is one on each of the few upstreams that are in use.
+// The last sequence of an upstream is left to requests of other VMs that this
+// one has not heard of yet.
+func (p *Pool) gatherTarget(tier Tier, r Request) *Upstream {
+	ranked := p.ranked[tier]
+	for i := len(ranked) - 1; i >= 0; i-- {
+		u := ranked[i]
+		usable := u != r.Avoid && u.gauge.Usable(r.Now) && u.gauge.OnlineTotal()+1 < u.sequences
+		if usable && u.gauge.Slowness(r.Now, p.Typical()) <= gatherSlowness {
+			return u
+		}
+	}
+	return nil
+}
+
 // leastLoaded returns the best of a few random upstreams, and its score.
 func (p *Pool) leastLoaded(tier Tier, r Request) (*Upstream, float64) {
 	upstreams := p.tiers[tier]
@@ -120,6 +185,10 @@
 	if n > samples {
 		step = 1 + rand.IntN(n-1)
 	}
+	var apart *Upstream
+	if r.Apart {
+		apart = p.longTarget(tier, r)
+	}
 	var best *Upstream
 	var bestScore float64
 	for i := range looks {
@@ -127,7 +196,11 @@
 		if u == r.Avoid || !u.gauge.Usable(r.Now) {
 			continue
 		}
-		if score := p.score(u, r.Now); best == nil || score < bestScore {
+		score := p.score(u, r.Now)
+		if u == apart {
+			score *= apartPenalty
+		}
+		if best == nil || score < bestScore {
 			best, bestScore = u, score
 		}
 	}
@@ -137,6 +210,19 @@
 	return best, bestScore
 }
 
+// longTarget returns the upstream that long prompts go to now: the first with
+// room, in an order that all VMs agree on. As it fills up, the next one takes
+// its place, and at any time few upstreams work through long prompts.
+func (p *Pool) longTarget(tier Tier, r Request) *Upstream {
+	for _, u := range p.ranked[tier] {
+		usable := u != r.Avoid && u.gauge.Usable(r.Now) && u.gauge.OnlineTotal() < u.sequences
+		if usable && u.gauge.Slowness(r.Now, p.Typical()) <= slowLimit {
+			return u
+		}
+	}
+	return nil
+}
+
 // anyUsable looks at all upstreams, for the case that none of the sampled ones
 // may be used.
 func (p *Pool) anyUsable(upstreams []*Upstream, r Request) (*Upstream, float64) {
--- a/internal/chooser/pool.go
+++ b/internal/chooser/pool.go
@@ -105,8 +105,10 @@
 type Pool struct {
 	tiers   [tierCount][]*Upstream
 	rings   [tierCount][]point
+	ranked  [tierCount][]*Upstream // in the order in which they take long prompts
 	typical atomic.Int64
 	turn    atomic.Uint64
+	batch   atomic.Bool
 }
 
 // NewPool returns a pool of upstreams.
@@ -117,6 +119,8 @@
 		p.rings[u.tier] = append(p.rings[u.tier], pointsOf(u)...)
 	}
 	for tier := range p.rings {
+		p.ranked[tier] = slices.Clone(p.tiers[tier])
+		slices.SortFunc(p.ranked[tier], func(a, b *Upstream) int { return cmp.Compare(rankOf(a), rankOf(b)) })
 		slices.SortFunc(p.tiers[tier], func(a, b *Upstream) int { return cmp.Compare(a.id, b.id) })
 		slices.SortFunc(p.rings[tier], func(a, b point) int { return cmp.Compare(a.hash, b.hash) })
 	}
@@ -124,6 +128,8 @@
 	return p
 }
 
+func rankOf(u *Upstream) uint64 { return xxhash.Sum64String("rank/" + u.id) }
+
 func pointsOf(u *Upstream) []point {
 	points := make([]point, 0, pointsPerUpstream)
 	text := []byte(u.id + "#0")
@@ -158,15 +164,19 @@
 	return nil
 }
 
-// RefreshTypical computes the typical gap between tokens: the median over the
-// upstreams that this VM has seen at work. It is called a few times a second.
+// RefreshTypical computes what is known of the pool as a whole: the typical gap
+// between tokens, which is the median over the upstreams that this VM has seen
+// at work, and whether there is batch work. It is called a few times a second.
 func (p *Pool) RefreshTypical() {
 	var gaps []time.Duration
+	batch := false
 	for u := range p.All {
+		batch = batch || u.gauge.Batch()+u.gauge.OthersBatch() > 0
 		if gap := u.gauge.Gap(); gap > 0 {
 			gaps = append(gaps, gap)
 		}
 	}
+	p.batch.Store(batch)
 	if len(gaps) == 0 {
 		return
 	}
@@ -174,6 +184,10 @@
 	p.typical.Store(int64(gaps[(len(gaps)-1)/2]))
 }
 
+// HasBatch tells whether batch work runs on any of the upstreams, as far as
+// this VM knows.
+func (p *Pool) HasBatch() bool { return p.batch.Load() }
+
 // Typical returns the typical gap between tokens, or 0 if unknown.
 func (p *Pool) Typical() time.Duration {
 	return time.Duration(p.typical.Load())
--- a/internal/chunkfinder/finder.go
+++ b/internal/chunkfinder/finder.go
@@ -64,8 +64,9 @@
 }
 
 type request struct {
-	vm   string
-	most int
+	vm      string
+	most    int
+	orphans bool
 }
 
 // search is the state of the search for one model's chunks.
@@ -104,11 +105,12 @@
 }
 
 // Wanted takes a VM's request for chunks. A newer request of the same VM
-// replaces an older one.
-func (f *Finder) Wanted(vm, model string, most int, now time.Time) ([]Offer, []Scan) {
+// replaces an older one. A request for orphans gets only chunks whose owner is
+// gone.
+func (f *Finder) Wanted(vm, model string, most int, orphans bool, now time.Time) ([]Offer, []Scan) {
 	s := f.search(model)
 	s.requests = slices.DeleteFunc(s.requests, func(r request) bool { return r.vm == vm })
-	s.requests = append(s.requests, request{vm: vm, most: most})
+	s.requests = append(s.requests, request{vm: vm, most: most, orphans: orphans})
 	return f.serve(model, now)
 }
 
@@ -143,15 +145,16 @@
 func (f *Finder) serve(model string, now time.Time) ([]Offer, []Scan) {
 	s := f.search(model)
 	var offers []Offer
-	for len(s.requests) > 0 {
-		r := s.requests[0]
-		chunks := f.take(s, r.most, now)
+	var unserved []request
+	for _, r := range s.requests {
+		chunks := f.take(s, r, now)
 		if len(chunks) == 0 {
-			break
+			unserved = append(unserved, r)
+			continue
 		}
 		offers = append(offers, Offer{VM: r.vm, Model: model, Chunks: chunks})
-		s.requests = s.requests[1:]
 	}
+	s.requests = unserved
 	if len(s.requests) == 0 || s.scanning || now.Before(s.scanAt) {
 		return offers, nil
 	}
@@ -164,17 +167,22 @@
 	return offers, []Scan{{Model: model, Cursors: cursors}}
 }
 
-func (f *Finder) take(s *search, most int, now time.Time) []Chunk {
+// take removes chunks for a request from those that are known.
+func (f *Finder) take(s *search, r request, now time.Time) []Chunk {
 	var out []Chunk
-	for len(out) < most && len(s.chunks) > 0 {
-		c := s.chunks[0]
-		s.chunks = s.chunks[1:]
+	var rest []Candidate
+	for _, c := range s.chunks {
 		if until, found := f.offered[c.Ref]; found && now.Before(until) {
 			continue
 		}
+		if len(out) >= r.most || (r.orphans && c.Owner == (jobkeeper.Owner{})) {
+			rest = append(rest, c)
+			continue
+		}
 		f.offered[c.Ref] = now.Add(offerTime)
 		out = append(out, Chunk{Ref: c.Ref, Previous: c.Owner})
 	}
+	s.chunks = rest
 	return out
 }
 
@@ -195,10 +203,13 @@
 		}
 	}
 	s.chunks = interleave(free)
-	if len(s.chunks) == 0 {
-		s.requests = nil // whoever still wants work asks again
+	offers, _ := f.serve(found.Model, now)
+	for _, r := range s.requests {
+		// An empty offer tells that there is no work; the VM need not look itself.
+		offers = append(offers, Offer{VM: r.vm, Model: found.Model})
 	}
-	return f.serve(found.Model, now)
+	s.requests = nil
+	return offers, nil
 }
 
 // claimable tells whether a chunk has no owner, or one that is gone.
--- a/internal/commander/experiment.go
+++ b/internal/commander/experiment.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/experimenter"
 )
@@ -23,11 +24,12 @@
 }
 
 type experimentRunCommand struct {
-	Name  string `arg:"" help:"The experiment."`
-	Seed  uint64 `default:"1" help:"The seed."`
-	Quick bool   `help:"Run for a shorter time."`
-	JSON  bool   `help:"Print JSON."`
-	Plot  string `type:"path" placeholder:"DIR" help:"Draw pictures into a folder."`
+	Name  string        `arg:"" help:"The experiment."`
+	Seed  uint64        `default:"1" help:"The seed."`
+	Quick bool          `help:"Run for a shorter time."`
+	JSON  bool          `help:"Print JSON."`
+	Over  time.Duration `placeholder:"TIME" help:"Explain requests whose first token took longer."`
+	Plot  string        `type:"path" placeholder:"DIR" help:"Draw pictures into a folder."`
 }
 
 // Run runs an experiment.
@@ -36,7 +38,11 @@
 	if !found {
 		return fmt.Errorf("no experiment %q; see experiment list", c.Name)
 	}
-	result, err := experiment.Run(e.ctx, experimenter.Parameters{Seed: c.Seed, Quick: c.Quick, PlotDir: c.Plot})
+	parameters := experimenter.Parameters{Seed: c.Seed, Quick: c.Quick, PlotDir: c.Plot}
+	if c.Over > 0 {
+		parameters.Explain, parameters.ExplainOver = e.stderr, c.Over
+	}
+	result, err := experiment.Run(e.ctx, parameters)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/commander/script_test.go
@@ -0,0 +1,130 @@
+package commander_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/fescuespindle/fescuespindle/internal/commander"
+	"github.com/fescuespindle/fescuespindle/internal/emulator/engineemulator"
+	"github.com/fescuespindle/fescuespindle/internal/emulator/platformemulator"
+	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"fescuespindle": func() { os.Exit(commander.Main(os.Args[1:], os.Stdout, os.Stderr)) },
+	})
+}
+
+func run(t *testing.T, dir string, setup func(*testscript.Env) error) {
+	testscript.Run(t, testscript.Params{
+		Dir: dir, Setup: setup, UpdateScripts: os.Getenv("UPDATE_SNAPSHOTS") != "",
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"call": call, "calluntil": callUntil, "exitcode": exitCode,
+		},
+	})
+}
+
+// Sessions of operators, against a platform stand-in.
+func TestOperatorSessions(t *testing.T) {
+	run(t, "testdata/script/operator", func(env *testscript.Env) error {
+		platform := httptest.NewServer(platformemulator.New(1))
+		env.Defer(platform.Close)
+		env.Setenv("FESCUESPINDLE_PLATFORM", platform.URL)
+		return nil
+	})
+}
+
+// Sessions of callers, against a whole site.
+func TestCallerSessions(t *testing.T) {
+	run(t, "testdata/script/caller", func(env *testscript.Env) error {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		spec := sitebuilder.SingleDomain(2, 2)
+		spec.EngineOptions = []engineemulator.Option{engineemulator.WithStep(time.Millisecond)}
+		site, err := sitebuilder.New(spec)
+		if err != nil {
+			return err
+		}
+		env.Defer(site.Close)
+		if _, err := site.Apply(ctx, spec.Document); err != nil {
+			return err
+		}
+		env.Setenv("FESCUESPINDLE_URL", site.VMs[0].URL())
+		env.Setenv("OTHER_URL", site.VMs[1].URL())
+		return site.WaitReady(ctx)
+	})
+}
+
+// exitCode runs the program and checks its exit code.
+func exitCode(ts *testscript.TestScript, _ bool, args []string) {
+	err := ts.Exec("fescuespindle", args[1:]...)
+	code := "0"
+	if err != nil {
+		code = strings.TrimPrefix(err.Error(), "exit status ")
+	}
+	if code != args[0] {
+		ts.Fatalf("exit code %s, want %s", code, args[0])
+	}
+}
+
+// callUntil repeats a call until its answer has a status: calluntil STATUS and
+// then as for call.
+func callUntil(ts *testscript.TestScript, _ bool, args []string) {
+	for range 600 {
+		call(ts, false, args[1:])
+		if strings.HasPrefix(ts.ReadFile("answer"), args[0]+" ") {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	ts.Fatalf("no answer with status %s: %s", args[0], ts.ReadFile("answer"))
+}
+
+var varying = []*regexp.Regexp{
+	regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f-]{27}(-[0-9]+)?`),
+	regexp.MustCompile(`"created_at":[0-9]+|"expires_at":[0-9]+`),
+}
+
+// call sends a request and writes its answer to the file "answer", with what
+// varies from run to run replaced: call METHOD URL TOKEN [BODY-FILE [KEY]].
+func call(ts *testscript.TestScript, _ bool, args []string) {
+	body := io.Reader(nil)
+	if len(args) > 3 {
+		body = strings.NewReader(ts.ReadFile(args[3]))
+	}
+	request, err := http.NewRequest(args[0], args[1], body)
+	ts.Check(err)
+	request.Header.Set("Authorization", "Bearer "+args[2])
+	if len(args) > 4 {
+		request.Header.Set("Idempotency-Key", args[4])
+	}
+	response, err := http.DefaultClient.Do(request)
+	ts.Check(err)
+	defer func() { _ = response.Body.Close() }()
+	var out bytes.Buffer
+	_, _ = fmt.Fprintln(&out, response.StatusCode, response.Header.Get("Content-Type"))
+	for _, key := range []string{"X-Fescuespindle-Ran", "X-Fescuespindle-Replayed", "Retry-After"} {
+		if value := response.Header.Get(key); value != "" {
+			_, _ = fmt.Fprintf(&out, "%s: %s\n", key, value)
+		}
+	}
+	_, err = io.Copy(&out, response.Body)
+	ts.Check(err)
+	text := out.String()
+	for _, pattern := range varying {
+		text = pattern.ReplaceAllString(text, "VARIES")
+	}
+	ts.Check(os.WriteFile(ts.MkAbs("answer"), []byte(text), 0o600))
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -18,6 +19,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/jobkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/peer"
 	"github.com/fescuespindle/fescuespindle/internal/platform"
+	"github.com/fescuespindle/fescuespindle/internal/platformcaller"
 	"github.com/fescuespindle/fescuespindle/internal/publisher"
 	"github.com/fescuespindle/fescuespindle/internal/quarantiner"
 	"github.com/fescuespindle/fescuespindle/internal/relayer"
@@ -33,6 +35,7 @@
 	// vmsPerPeriod is the number of entry VMs up to which periods that load the
 	// platform stay as they are; they grow with the fleet beyond it.
 	vmsPerPeriod = 100
+	percent      = 100
 )
 
 // Place is where a VM runs.
@@ -55,7 +58,9 @@
 
 // Lister reads the platform's list of VMs.
 type Lister interface {
-	VMs(context.Context) ([]platform.VM, error)
+	// VMs returns the list and its tag, or platformcaller.ErrUnchanged if it
+	// is the one with the tag given.
+	VMs(ctx context.Context, tag string) ([]platform.VM, string, error)
 }
 
 // Parts are what a controller works with.
@@ -82,14 +87,17 @@
 	list      []platform.VM
 	listAt    time.Time
 	listing   bool
+	listTag   string
 	listOwn   bool // the list was read from the platform, not from a peer
 	typicalAt time.Time
 	stale     bool
 
-	members   *members
-	config    *configuration
-	upstreams *upstreams
-	work      *work
+	members    *members
+	config     *configuration
+	upstreams  *upstreams
+	work       *work
+	orders     *orders
+	isolations *isolations
 
 	dirtyMu sync.Mutex
 	dirty   map[*chooser.Upstream]bool
@@ -104,6 +112,8 @@
 	c.config = newConfiguration(c)
 	c.upstreams = newUpstreams(c)
 	c.work = newWork(c)
+	c.orders = newOrders(c)
+	c.isolations = newIsolations(c)
 	return c
 }
 
@@ -123,6 +133,7 @@
 	c.config.tick(now)
 	c.upstreams.tick(now)
 	c.work.tick(now)
+	c.orders.tick(now)
 	c.refreshTypical(now)
 }
 
@@ -133,6 +144,7 @@
 		c.stale = false
 		c.rebuild(now)
 	}
+	c.upstreams.pushTotals(now)
 	c.work.refreshRooms(now)
 }
 
@@ -152,22 +164,27 @@
 		return
 	}
 	c.listing = true
+	tag := c.listTag
 	c.loop.Go(func(ctx context.Context) stepper.Event {
 		ctx, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
-		list, err := c.Lister.VMs(ctx)
-		return func(now time.Time) { c.listRead(list, err, now) }
+		list, tag, err := c.Lister.VMs(ctx, tag)
+		return func(now time.Time) { c.listRead(list, tag, err, now) }
 	})
 }
 
-func (c *Controller) listRead(list []platform.VM, err error, now time.Time) {
+func (c *Controller) listRead(list []platform.VM, tag string, err error, now time.Time) {
 	c.listing = false
 	c.listAt = now.Add(c.scaled(listPeriod))
+	if errors.Is(err, platformcaller.ErrUnchanged) {
+		return
+	}
 	if err != nil {
 		c.Counters.Count("list_read_failures_total")
 		return
 	}
 	c.listOwn = true
+	c.listTag = tag
 	c.takeList(list)
 }
 
@@ -194,13 +211,16 @@
 
 // rebuild publishes a new view.
 func (c *Controller) rebuild(now time.Time) {
-	view := c.builder.Build(publisher.Inputs{
+	inputs := publisher.Inputs{
 		VM: c.Place.VM, Domain: c.Place.Domain, Region: c.Place.Region,
 		Config: c.config.current(), Doc: c.config.doc, Reason: c.config.reason(),
 		VMs: c.list, Live: c.members.names(), States: c.upstreams.states,
-	})
+	}
+	view := c.builder.Build(inputs)
 	c.Publisher.Publish(view)
+	c.upstreams.watch(publisher.Keepers(inputs))
 	c.upstreams.viewChanged(view, now)
+	c.orders.refresh()
 	c.Counters.Count("views_published_total")
 }
 
@@ -228,6 +248,14 @@
 	switch m := message.(type) {
 	case peer.ConfigWanted:
 		c.shareList(from, m)
+	case peer.IsolationWanted:
+		c.isolations.wanted(from, m, now)
+	case peer.IsolationAnswered:
+		c.isolations.answered(m)
+	case peer.IsolationEnded:
+		c.isolations.ended(m)
+	case peer.SlowSeen:
+		c.upstreams.slowReceived(m, now)
 	case peer.VMList:
 		c.listReceived(m)
 	case peer.OnlineCounts:
@@ -286,6 +314,13 @@
 	c.loop.Post(func(time.Time) { c.upstreams.leavingSeen(u.ID()) })
 }
 
+// SlowSeen implements dispatcher.Observer.
+func (c *Controller) SlowSeen(u *chooser.Upstream, slowness float64) {
+	c.loop.Post(func(time.Time) {
+		c.relay(peer.SlowSeen{Upstream: u.ID(), Percent: int(slowness * percent)})
+	})
+}
+
 // Struck implements dispatcher.Observer.
 func (c *Controller) Struck(s quarantiner.Strike) {
 	c.Counters.Count("strikes_total")
--- a/internal/controller/upstreams.go
+++ b/internal/controller/upstreams.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/fescuespindle/fescuespindle/internal/chooser"
 	"github.com/fescuespindle/fescuespindle/internal/peer"
 	"github.com/fescuespindle/fescuespindle/internal/platform"
@@ -23,40 +25,63 @@
 	reportPeriod  = 500 * time.Millisecond
 	reportTimeout = time.Second
 	// lazyPeriod is the time between two messages about falling counts.
-	lazyPeriod = 100 * time.Millisecond
+	lazyPeriod = 50 * time.Millisecond
 	// takeoverWait is how long a VM that has just become the keeper of an
 	// upstream waits for the previous keeper's batch work to end.
 	takeoverWait = time.Second
+	// totalsPerSecond bounds the messages by which the VMs of a domain tell each
+	// other of the totals on the upstreams that they look after. Each VM has an
+	// equal share, but for a least one.
+	totalsPerSecond      = 1200
+	leastTotalsPerSecond = 30
+	totalsBurst          = 60
 )
 
 // kept is an upstream that this VM looks after.
 type kept struct {
-	target    *publisher.Target
-	upstream  *chooser.Upstream
-	room      *yielder.Room
-	told      map[string]int // others' totals as last told to each VM
+	target   *publisher.Target
+	upstream *chooser.Upstream
+	room     *yielder.Room
+	told     map[string]peer.UpstreamCount // as last told to each VM
+	changed  bool                          // since all were told
+}
+
+// watched is an upstream whose reports this VM reads, whether or not it serves
+// anything yet.
+type watched struct {
+	vm        platform.VM
+	kind      deployer.Kind
 	reportAt  time.Time
 	reporting bool
 }
 
+// totals returns what a VM is told of the requests on the upstream.
+func (k *kept) totals(id string, others int) peer.UpstreamCount {
+	return peer.UpstreamCount{Upstream: id, Online: others, Batch: k.upstream.Gauge().Batch()}
+}
+
 // upstreams keeps what this VM knows of upstreams, and looks after those that
 // rendezvous hashing gives it.
 type upstreams struct {
 	c         *Controller
 	kept      map[string]*kept
+	watched   map[string]*watched
 	byID      map[string]*chooser.Upstream
 	addresses map[string]string // entry VMs' peer addresses, from the list
 	states    map[string]publisher.UpstreamState
-	reports   map[string]upstream.LoadReport
 	falling   map[string]*chooser.Upstream
 	lazyAt    time.Time
+	nextTold  int
+	greeted   map[memberKey]bool
+	budget    *rate.Limiter
 }
 
 func newUpstreams(c *Controller) *upstreams {
 	return &upstreams{
-		c: c, kept: map[string]*kept{}, byID: map[string]*chooser.Upstream{}, addresses: map[string]string{},
-		states: map[string]publisher.UpstreamState{}, reports: map[string]upstream.LoadReport{},
+		c: c, kept: map[string]*kept{}, watched: map[string]*watched{}, byID: map[string]*chooser.Upstream{}, addresses: map[string]string{},
+		states:  map[string]publisher.UpstreamState{},
 		falling: map[string]*chooser.Upstream{},
+		budget:  rate.NewLimiter(leastTotalsPerSecond, totalsBurst),
 	}
 }
 
@@ -71,7 +96,6 @@
 	for id := range s.states {
 		if !listed[id] {
 			delete(s.states, id)
-			delete(s.reports, id)
 		}
 	}
 }
@@ -106,7 +130,7 @@
 func (s *upstreams) keep(k *kept, target *publisher.Target, u *chooser.Upstream, now time.Time) {
 	d := target.Deployment()
 	if k == nil {
-		k = &kept{told: map[string]int{}}
+		k = &kept{told: map[string]peer.UpstreamCount{}, changed: true}
 		k.room = yielder.New(d.Sequences, d.OnlineReserve, d.BatchPercent, now.Add(takeoverWait))
 	}
 	k.target, k.upstream = target, u
@@ -125,7 +149,33 @@
 			}
 		}
 	}
-	s.broadcastStates(s.keptIDs())
+	s.greetNewMembers()
+	s.budget.SetLimit(rate.Limit(max(totalsPerSecond/len(live), leastTotalsPerSecond)))
+}
+
+// greetNewMembers tells each VM that has joined what this VM knows of the
+// upstreams that it looks after.
+func (s *upstreams) greetNewMembers() {
+	ids := make([]string, 0, len(s.watched))
+	for id := range s.watched {
+		ids = append(ids, id)
+	}
+	message := s.statesOf(ids)
+	greeted := map[memberKey]bool{}
+	for _, m := range s.c.members.live() {
+		key := memberKey{vm: m.VM(), incarnation: m.Incarnation()}
+		greeted[key] = true
+		if !s.greeted[key] && len(message.States) > 0 {
+			s.c.sender.Send(m.Address(), message)
+		}
+	}
+	s.greeted = greeted
+}
+
+// memberKey is one process of a VM.
+type memberKey struct {
+	vm          string
+	incarnation uint64
 }
 
 func (s *upstreams) keptIDs() []string {
@@ -145,7 +195,7 @@
 	for u, rising := range changed {
 		online := u.Gauge().Online()
 		if k, found := s.kept[u.ID()]; found {
-			k.room.SetOnline(s.c.Place.VM, online, now)
+			k.setOnline(s.c.Place.VM, online, now)
 			continue
 		}
 		if !rising {
@@ -167,8 +217,8 @@
 }
 
 func (s *upstreams) tick(now time.Time) {
-	for _, k := range s.kept {
-		s.readReport(k, now)
+	for _, w := range s.watched {
+		s.readReport(w, now)
 	}
 	if now.Before(s.lazyAt) {
 		return
@@ -181,86 +231,154 @@
 	}
 	clear(s.falling)
 	s.sendCounts(messages)
-	s.tellTotals()
 }
 
-// tellTotals tells each VM with requests on a kept upstream how many others
-// have, if that has changed.
-func (s *upstreams) tellTotals() {
-	messages := map[string][]peer.UpstreamCount{}
-	for id, k := range s.kept {
+// pushTotals tells the VMs of the domain, at once, how many online requests
+// others have on upstreams whose total has changed. VMs that send to the same
+// upstreams need this to leave the last sequences to each other. A budget keeps
+// the messages of a VM bounded: beyond it, VMs hear of a change later.
+func (s *upstreams) pushTotals(now time.Time) {
+	changed := s.changedKept()
+	if len(changed) == 0 {
+		return
+	}
+	members := s.c.members.live()
+	for range members {
+		s.nextTold = (s.nextTold + 1) % len(members)
+		m := members[s.nextTold]
+		message := s.totalsFor(m.VM(), changed)
+		if len(message.Others) == 0 {
+			continue
+		}
+		if !s.budget.AllowN(now, 1) {
+			return
+		}
+		for _, others := range message.Others {
+			s.kept[others.Upstream].told[m.VM()] = others
+		}
+		s.c.sender.Send(m.Address(), message)
+	}
+	for _, id := range changed {
+		s.kept[id].changed = false
+	}
+}
+
+// changedKept returns the kept upstreams whose total has changed since all
+// were told.
+func (s *upstreams) changedKept() []string {
+	var changed []string
+	for _, id := range s.keptIDs() {
+		k := s.kept[id]
 		k.upstream.Gauge().SetOthers(k.room.OthersOf(s.c.Place.VM))
-		for _, vm := range k.room.VMs() {
-			others := k.room.OthersOf(vm)
-			if vm != s.c.Place.VM && k.told[vm] != others {
-				k.told[vm] = others
-				messages[vm] = append(messages[vm], peer.UpstreamCount{Upstream: id, Online: others})
-			}
+		if k.changed {
+			changed = append(changed, id)
 		}
 	}
-	for vm, others := range messages {
-		if address := s.addresses[vm]; address != "" {
-			s.c.sender.Send(address, peer.OnlineTotals{Others: others})
+	return changed
+}
+
+// totalsFor returns what a VM has not been told yet.
+func (s *upstreams) totalsFor(vm string, ids []string) peer.OnlineTotals {
+	var message peer.OnlineTotals
+	for _, id := range ids {
+		k := s.kept[id]
+		if totals := k.totals(id, k.room.OthersOf(vm)); k.told[vm] != totals {
+			message.Others = append(message.Others, totals)
 		}
 	}
+	return message
 }
 
-// countsReceived takes other VMs' counts, and answers with the others' totals.
+// countsReceived takes another VM's counts.
 func (s *upstreams) countsReceived(from peer.Sender, m peer.OnlineCounts, now time.Time) {
-	var others []peer.UpstreamCount
 	for _, count := range m.Counts {
-		k, found := s.kept[count.Upstream]
-		if !found {
-			continue
+		if k, found := s.kept[count.Upstream]; found {
+			k.setOnline(from.VM, count.Online, now)
 		}
-		k.room.SetOnline(from.VM, count.Online, now)
-		k.upstream.Gauge().SetOthers(k.room.OthersOf(s.c.Place.VM))
-		k.told[from.VM] = k.room.OthersOf(from.VM)
-		others = append(others, peer.UpstreamCount{Upstream: count.Upstream, Online: k.told[from.VM]})
-	}
-	if len(others) > 0 {
-		s.c.sender.Send(from.Address, peer.OnlineTotals{Others: others})
 	}
 }
 
+// setOnline takes the number of online requests that a VM has on the upstream.
+func (k *kept) setOnline(vm string, n int, now time.Time) {
+	before := k.room.Total()
+	k.room.SetOnline(vm, n, now)
+	k.changed = k.changed || k.room.Total() != before
+}
+
 func (s *upstreams) totalsReceived(m peer.OnlineTotals) {
 	for _, others := range m.Others {
 		if u := s.byID[others.Upstream]; u != nil {
 			u.Gauge().SetOthers(others.Online)
+			u.Gauge().SetOthersBatch(others.Batch)
+		}
+	}
+}
+
+// watch takes over the reports of the listed upstreams that rendezvous hashing
+// gives to this VM.
+func (s *upstreams) watch(keepers map[string][]string) {
+	before := s.watched
+	s.watched = map[string]*watched{}
+	for _, d := range s.c.config.doc.Deployments {
+		for _, vm := range s.c.list {
+			mine := vm.Kind == platform.VMUpstream && vm.Pool == d.Pool && d.Serves(vm.Region) &&
+				publisher.Keeper(vm.ID, keepers[vm.Domain]) == s.c.Place.VM
+			if !mine {
+				continue
+			}
+			w, found := before[vm.ID]
+			if !found {
+				w = &watched{}
+			}
+			w.vm, w.kind = vm, d.Kind
+			s.watched[vm.ID] = w
 		}
 	}
 }
 
-// readReport asks a kept upstream for its load.
-func (s *upstreams) readReport(k *kept, now time.Time) {
-	if k.reporting || now.Before(k.reportAt) {
+// keeps tells whether this VM looks after a listed upstream.
+func (s *upstreams) keeps(vm platform.VM) bool {
+	_, found := s.watched[vm.ID]
+	return found
+}
+
+// addressOf returns the address of an upstream that this VM looks after.
+func (s *upstreams) addressOf(id string) string {
+	if w, found := s.watched[id]; found {
+		return w.vm.Address
+	}
+	return ""
+}
+
+// readReport asks an upstream for its load and what it has in memory.
+func (s *upstreams) readReport(w *watched, now time.Time) {
+	if w.reporting || now.Before(w.reportAt) {
 		return
 	}
-	k.reporting = true
-	k.reportAt = now.Add(reportPeriod)
-	u := k.upstream
-	kind := k.target.Deployment().Kind
+	w.reporting = true
+	w.reportAt = now.Add(reportPeriod)
+	vm, kind := w.vm, w.kind
 	s.c.loop.Go(func(ctx context.Context) stepper.Event {
 		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 		defer cancel()
-		report, err := s.fetchReport(ctx, u)
+		report, err := s.fetchReport(ctx, vm.Address)
 		return func(time.Time) {
-			k.reporting = false
+			w.reporting = false
 			if err != nil {
 				s.c.Counters.Count("report_failures_total")
 				return
 			}
-			s.reportRead(u, kind, report)
+			s.reportRead(vm.ID, kind, report)
 		}
 	})
 }
 
-func (s *upstreams) fetchReport(ctx context.Context, u *chooser.Upstream) (upstream.LoadReport, error) {
+func (s *upstreams) fetchReport(ctx context.Context, address string) (upstream.LoadReport, error) {
 	answer, err := s.c.Relayer.Call(ctx, relayer.Attempt{
-		ID: fmt.Sprintf("%s-report", s.c.Place.VM), Address: u.Address(), Method: http.MethodGet, Path: upstream.PathLoad,
+		ID: s.c.Place.VM + "-report", Address: address, Method: http.MethodGet, Path: upstream.PathLoad,
 	}, true)
 	if err != nil {
-		return upstream.LoadReport{}, err
+		return upstream.LoadReport{}, fmt.Errorf("read load report: %w", err)
 	}
 	var report upstream.LoadReport
 	if err := json.Unmarshal(answer.Body(), &report); err != nil {
@@ -269,16 +387,18 @@
 	return report, nil
 }
 
-func (s *upstreams) reportRead(u *chooser.Upstream, kind deployer.Kind, report upstream.LoadReport) {
-	u.Gauge().SetReported(report.Running + report.Waiting)
-	s.reports[u.ID()] = report
+func (s *upstreams) reportRead(id string, kind deployer.Kind, report upstream.LoadReport) {
+	if u := s.byID[id]; u != nil {
+		u.Gauge().SetReported(report.Running + report.Waiting)
+	}
+	s.c.orders.core.Reported(id, report)
 	var models []string
 	if kind == deployer.KindEngine && report.Role == upstream.RoleServing {
 		for _, model := range report.Loaded {
 			models = append(models, model.Name)
 		}
 	}
-	s.setState(u.ID(), publisher.NewUpstreamState(report.Leaving, models), true)
+	s.setState(id, publisher.NewUpstreamState(report.Leaving, models), true)
 }
 
 // setState keeps a state, and tells the domain if it has changed and this VM
@@ -300,6 +420,12 @@
 }
 
 func (s *upstreams) broadcastStates(ids []string) {
+	if message := s.statesOf(ids); len(message.States) > 0 {
+		s.c.relay(message)
+	}
+}
+
+func (s *upstreams) statesOf(ids []string) peer.UpstreamStates {
 	var message peer.UpstreamStates
 	for _, id := range ids {
 		state, known := s.states[id]
@@ -308,19 +434,23 @@
 				peer.UpstreamState{Upstream: id, Leaving: state.Leaving(), Models: state.Models()})
 		}
 	}
-	if len(message.States) > 0 {
-		s.c.relay(message)
-	}
+	return message
 }
 
 func (s *upstreams) statesReceived(m peer.UpstreamStates) {
 	for _, state := range m.States {
-		if _, own := s.kept[state.Upstream]; !own {
+		if _, own := s.watched[state.Upstream]; !own {
 			s.setState(state.Upstream, publisher.NewUpstreamState(state.Leaving, state.Models), false)
 		}
 	}
 }
 
+func (s *upstreams) slowReceived(m peer.SlowSeen, now time.Time) {
+	if u := s.byID[m.Upstream]; u != nil {
+		u.Gauge().MarkSlow(now, float64(m.Percent)/percent)
+	}
+}
+
 // leavingSeen takes an upstream's own refusal because it is leaving, which
 // comes before any report of it.
 func (s *upstreams) leavingSeen(id string) {
--- a/internal/controller/work.go
+++ b/internal/controller/work.go
@@ -52,7 +52,7 @@
 	}
 	w.core = jobrunner.New(w.owner)
 	w.finder = chunkfinder.New(w.dead)
-	w.items = itemrunner.New(c.Place.VM, c.Relayer, itemObserver{w}, c.Quarantine)
+	w.items = itemrunner.New(c.Place.VM, c.Relayer, itemObserver{w}, c, c.Quarantine)
 	return w
 }
 
@@ -119,22 +119,22 @@
 func (w *work) want(a jobrunner.Want, now time.Time) {
 	finder := publisher.Keeper("finder/"+a.Model, w.c.members.names())
 	asked, waiting := w.wantedAt[a.Model]
-	if !waiting {
+	if !waiting && !a.Orphans {
 		w.wantedAt[a.Model] = now
 	}
 	overdue := waiting && now.Sub(asked) > offerWait
 	if address := w.c.upstreams.addresses[finder]; finder != w.c.Place.VM && address != "" && !overdue {
-		w.c.sender.Send(address, peer.ChunksWanted{Model: a.Model, Most: a.Most})
+		w.c.sender.Send(address, peer.ChunksWanted{Model: a.Model, Most: a.Most, Orphans: a.Orphans})
 		return
 	}
 	if overdue {
 		w.wantedAt[a.Model] = now
 	}
-	w.serve(w.finder.Wanted(w.c.Place.VM, a.Model, a.Most, now))
+	w.serve(w.finder.Wanted(w.c.Place.VM, a.Model, a.Most, a.Orphans, now))
 }
 
 func (w *work) chunksWanted(from peer.Sender, m peer.ChunksWanted, now time.Time) {
-	w.serve(w.finder.Wanted(from.VM, m.Model, m.Most, now))
+	w.serve(w.finder.Wanted(from.VM, m.Model, m.Most, m.Orphans, now))
 }
 
 func (w *work) serve(offers []chunkfinder.Offer, scans []chunkfinder.Scan) {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -26,6 +26,11 @@
 	hedgePercentile = 95
 	minHedgeWait    = 10 * time.Millisecond
 	blockAfterFail  = 100 * time.Millisecond
+	// overtakenSlowness is the number of typical times to a first token after
+	// which an attempt that was overtaken speaks against its upstream. Since it
+	// had not ended by then, the upstream is slower by an unknown factor.
+	overtakenSlowness = 1.5
+	overtakenFactor   = 3
 )
 
 // Errors of this layer.
@@ -92,6 +97,14 @@
 	Struck(s quarantiner.Strike)
 	// LeavingSeen tells that an upstream said that it is leaving.
 	LeavingSeen(u *chooser.Upstream)
+	// SlowSeen tells that an upstream is slow.
+	SlowSeen(u *chooser.Upstream, slowness float64)
+}
+
+// Isolator lets a suspect run where no other suspect does, whichever VM that
+// came through. The function that it returns ends the isolation.
+type Isolator interface {
+	Isolate(ctx context.Context, u *chooser.Upstream, f quarantiner.Fingerprint) (release func(), granted bool)
 }
 
 // Counter counts events by name.
@@ -108,6 +121,7 @@
 	Body        []byte
 	Deadline    time.Time
 	Prefix      uint64
+	PromptBytes int
 	Fingerprint quarantiner.Fingerprint
 }
 
@@ -115,6 +129,7 @@
 type Dispatcher struct {
 	opener     Opener
 	observer   Observer
+	isolator   Isolator
 	counter    Counter
 	quarantine *quarantiner.Quarantine
 	policy     chooser.Policy
@@ -140,10 +155,10 @@
 
 // New returns a dispatcher.
 func New(
-	opener Opener, observer Observer, counter Counter, quarantine *quarantiner.Quarantine, options ...Option,
+	opener Opener, observer Observer, isolator Isolator, counter Counter, quarantine *quarantiner.Quarantine, options ...Option,
 ) *Dispatcher {
 	d := &Dispatcher{
-		opener: opener, observer: observer, counter: counter, quarantine: quarantine,
+		opener: opener, observer: observer, isolator: isolator, counter: counter, quarantine: quarantine,
 		policy: chooser.Balanced{}, hedging: true,
 		retries: budgeter.New(retryShare, retryBurst),
 		hedges:  budgeter.New(hedgeShare, hedgeBurst),
@@ -187,6 +202,8 @@
 	trace      *Trace
 	attempts   int
 	started    bool
+	long       bool
+	prefix     uint64
 	worst      relayer.Ran
 	last       *relayer.AttemptError
 	results    chan result
@@ -209,6 +226,8 @@
 		return nil, refuseEntry(err)
 	}
 	defer r.markStarted()
+	r.prefix = r.lane.prefixes.shared(r.request.Prefix)
+	r.long = r.lane.prompts.note(r.request.PromptBytes, time.Now())
 	d.retries.Earn()
 	d.hedges.Earn()
 	r.results = make(chan result, maxAttempts)
@@ -269,7 +288,7 @@
 	if d.quarantine.Condemned(r.request.Fingerprint, now) {
 		return &RefusedError{reason: ReasonCondemned, ran: relayer.RanFailed, cause: ErrCondemned}
 	}
-	choice, ok := r.choose(avoid, now)
+	choice, release, ok := r.choose(ctx, avoid, now)
 	if !ok {
 		retryAt := now.Add(time.Second)
 		return &RefusedError{reason: ReasonNoUpstream, ran: r.worst, retryAt: retryAt, cause: r.explain(ErrNoUpstream)}
@@ -278,32 +297,40 @@
 	r.trace.choose(choice)
 	r.attempts++
 	f := newFlight(ctx, r, choice.Upstream, now)
+	f.release = release
 	r.markStarted()
 	r.flying = append(r.flying, f)
 	d.group.Go(f.run)
 	return nil
 }
 
-// choose picks an upstream where the quarantine lets the request run.
-func (r *run) choose(avoid *chooser.Upstream, now time.Time) (chooser.Choice, bool) {
+// choose picks an upstream. A suspect is only let run where it is isolated from
+// other suspects; the function returned ends that, and is nil for others.
+func (r *run) choose(
+	ctx context.Context, avoid *chooser.Upstream, now time.Time,
+) (choice chooser.Choice, release func(), ok bool) {
 	const looks = 8
-	query := chooser.Request{Prefix: r.request.Prefix, Avoid: avoid, Farthest: r.lane.farthest, Now: now}
+	query := chooser.Request{
+		Prefix: r.prefix, Avoid: avoid, Farthest: r.lane.farthest, Now: now,
+		Long: r.long, Apart: r.lane.prompts.apart(now), Gather: r.lane.Pool().HasBatch(),
+	}
 	for range looks {
-		choice, ok := r.dispatcher.policy.Choose(r.lane.Pool(), query)
+		choice, ok = r.dispatcher.policy.Choose(r.lane.Pool(), query)
 		if !ok && query.Avoid != nil {
 			query.Avoid = nil // the only upstream left is the one to avoid
 			continue
 		}
-		if !ok {
-			return choice, false
+		if !ok || r.dispatcher.quarantine.Strikes(r.request.Fingerprint, now) == 0 {
+			return choice, nil, ok
 		}
-		if r.dispatcher.quarantine.Begin(r.request.Fingerprint, choice.Upstream.ID(), now) {
-			return choice, true
+		release, granted := r.dispatcher.isolator.Isolate(ctx, choice.Upstream, r.request.Fingerprint)
+		if granted {
+			return choice, release, true
 		}
-		query.Prefix = 0
+		query.Prefix, query.Gather = 0, false
 		query.Avoid = choice.Upstream
 	}
-	return chooser.Choice{}, false
+	return chooser.Choice{}, nil, false
 }
 
 // fail handles a failed attempt: it retries, waits for another attempt, or
@@ -353,12 +380,31 @@
 
 // win hands on the attempt that answered first and cancels the others.
 func (r *run) win(got result) *Response {
+	now := time.Now()
 	r.drop(got.flight)
+	r.markSlow(now)
 	r.cancelAll()
-	r.lane.first.add(time.Since(got.flight.begun))
+	r.lane.first.add(now.Sub(got.flight.begun))
 	return &Response{flight: got.flight, first: got.first}
 }
 
+// markSlow notes the upstreams that a later attempt has overtaken. Without the
+// mark, the knowledge that they are slow would end with the attempt.
+func (r *run) markSlow(now time.Time) {
+	typical := r.lane.first.median()
+	if typical == 0 {
+		return
+	}
+	for _, f := range r.flying {
+		slowness := float64(now.Sub(f.begun)) / float64(typical)
+		if slowness < overtakenSlowness || !f.upstream.Gauge().MarkSlow(now, slowness*overtakenFactor) {
+			continue
+		}
+		r.dispatcher.counter.Count("slow_marks_total")
+		r.dispatcher.observer.SlowSeen(f.upstream, slowness*overtakenFactor)
+	}
+}
+
 func (r *run) abandon(cause error) *RefusedError {
 	r.cancelAll()
 	return &RefusedError{reason: ReasonDeadline, ran: relayer.RanMaybe, cause: r.explain(cause)}
--- a/internal/dispatcher/flight.go
+++ b/internal/dispatcher/flight.go
@@ -24,13 +24,15 @@
 	cancel   context.CancelFunc
 	ended    sync.Once
 	stream   *relayer.Stream
+	healthy  bool   // the upstream had answered since its last failure
+	release  func() // ends the isolation of a suspect; nil for others
 
 	mu        sync.Mutex
 	abandoned bool
 }
 
 func newFlight(ctx context.Context, owner *run, u *chooser.Upstream, now time.Time) *flight {
-	f := &flight{owner: owner, upstream: u, begun: now}
+	f := &flight{owner: owner, upstream: u, begun: now, healthy: u.Gauge().Healthy()}
 	f.id = fmt.Sprintf("%s-%d", owner.request.ID, owner.attempts)
 	f.ctx, f.cancel = context.WithCancel(ctx)
 	u.Gauge().BeginOnline(now)
@@ -124,7 +126,12 @@
 	if failure != nil && !givenUp {
 		f.noteFailure(failure)
 	}
-	d.quarantine.End(f.owner.request.Fingerprint, f.upstream.ID(), completed)
+	if completed {
+		d.quarantine.Cleared(f.owner.request.Fingerprint)
+	}
+	if f.release != nil {
+		f.release()
+	}
 	f.upstream.Gauge().EndOnline()
 	d.observer.OnlineChanged(f.upstream, false)
 	f.owner.lane.queue.Released()
@@ -144,7 +151,20 @@
 		f.upstream.Gauge().SetLeaving(true)
 		d.observer.LeavingSeen(f.upstream)
 	}
-	if failure.Crash() {
-		d.observer.Struck(d.quarantine.Crash(f.owner.request.Fingerprint, f.upstream.ID(), now))
+	if failure.Crash() && f.mayHaveCrashed() {
+		d.observer.Struck(d.quarantine.Crash(f.owner.request.Fingerprint, f.release != nil, now))
+	}
+}
+
+// mayHaveCrashed tells whether the upstream was alive when it got the request,
+// so that the request may be what ended it. An upstream that is down breaks
+// every connection, which says nothing of the requests on them.
+func (f *flight) mayHaveCrashed() bool {
+	f.mu.Lock()
+	answered := f.stream != nil
+	f.mu.Unlock()
+	if f.release != nil {
+		return answered
 	}
+	return answered || f.healthy
 }
--- a/internal/dispatcher/lane.go
+++ b/internal/dispatcher/lane.go
@@ -17,12 +17,14 @@
 	pool     atomic.Pointer[chooser.Pool]
 	queue    *admitter.Queue
 	first    *latencyTracker
+	prompts  promptTracker
+	prefixes *prefixTracker
 	farthest chooser.Tier
 }
 
 // NewLane returns a lane with an empty pool.
 func NewLane(name string, now func() time.Time) *Lane {
-	l := &Lane{name: name, first: newLatencyTracker(), farthest: chooser.TierRemote}
+	l := &Lane{name: name, first: newLatencyTracker(), prefixes: newPrefixTracker(), farthest: chooser.TierRemote}
 	l.pool.Store(chooser.NewPool(nil))
 	l.queue = admitter.New(l.hasRoom, now)
 	return l
@@ -71,6 +73,7 @@
 	next    int
 	fresh   int
 	current atomic.Int64
+	middle  atomic.Int64
 }
 
 func newLatencyTracker() *latencyTracker {
@@ -95,6 +98,13 @@
 	sorted := slices.Clone(t.recent)
 	slices.Sort(sorted)
 	t.current.Store(int64(sorted[len(sorted)*hedgePercentile/100]))
+	t.middle.Store(int64(sorted[len(sorted)/2]))
+}
+
+// median returns the middle of the recent latencies, or 0 while there are too
+// few.
+func (t *latencyTracker) median() time.Duration {
+	return time.Duration(t.middle.Load())
 }
 
 // high returns the quantile, or 0 while there are too few latencies.
--- a/internal/emulator/engineemulator/sequence.go
+++ b/internal/emulator/engineemulator/sequence.go
@@ -95,3 +95,18 @@
 	}
 	return nil
 }
+
+// Occupancy returns how many running sequences a function doesn't and does
+// select by their identifier.
+func (e *Engine) Occupancy(selects func(id string) bool) (others, selected int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range e.running {
+		if selects(s.id) {
+			selected++
+		} else {
+			others++
+		}
+	}
+	return others, selected
+}
--- a/internal/emulator/platformemulator/emulator.go
+++ b/internal/emulator/platformemulator/emulator.go
@@ -2,14 +2,17 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/time/rate"
 
 	"github.com/fescuespindle/fescuespindle/internal/platform"
@@ -109,6 +112,9 @@
 	}
 }
 
+// Table returns the table behind the interface, for tests that look into it.
+func (e *Emulator) Table() *Table { return e.table }
+
 // Counts returns what the stand-in has carried out so far.
 func (e *Emulator) Counts() platform.Counts {
 	return platform.Counts{
@@ -158,7 +164,7 @@
 		e.refreshList()
 		list := platform.VMList{VMs: e.shown}
 		e.mu.Unlock()
-		e.reply(w, list)
+		e.serveList(w, r, list)
 	case strings.HasPrefix(r.URL.Path, platform.PathWeights):
 		e.serveWeights(w)
 	default:
@@ -166,6 +172,24 @@
 	}
 }
 
+// serveList answers with the list, unless the client has this very one.
+func (e *Emulator) serveList(w http.ResponseWriter, r *http.Request, list platform.VMList) {
+	text, err := json.Marshal(list)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(text), 16))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	e.counts.bytesOut.Add(uint64(len(text)))
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(text)
+}
+
 func (e *Emulator) serveTransact(w http.ResponseWriter, body []byte) {
 	var tx platform.Transaction
 	if err := json.Unmarshal(body, &tx); err != nil {
--- a/internal/experimenter/bench.go
+++ b/internal/experimenter/bench.go
@@ -13,6 +13,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/dispatcher"
 	"github.com/fescuespindle/fescuespindle/internal/emulator/engineemulator"
 	"github.com/fescuespindle/fescuespindle/internal/loadgenerator"
+	"github.com/fescuespindle/fescuespindle/internal/requester"
 	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
 )
 
@@ -83,7 +84,7 @@
 	vms      []int
 	token    string
 	generate func(n int, random *rand.Rand) loadgenerator.Request
-	observe  func(loadgenerator.Request, time.Time, time.Duration)
+	observe  func(loadgenerator.Request, time.Time, requester.Completion)
 }
 
 func (b *bench) targets(load onlineLoad) []loadgenerator.Target {
@@ -143,15 +144,18 @@
 	return strings.TrimSpace(text.String())
 }
 
+// lot names the batch job of every experiment.
+const lot = "lot"
+
 // submit submits a batch job.
-func (b *bench) submit(ctx context.Context, name string, items, tokens int) error {
+func (b *bench) submit(ctx context.Context, items, tokens int) error {
 	caller := b.site.Requester(b.site.VMs[0], sitebuilder.BatchToken)
-	input := sitebuilder.BatchInput(b.spec.Model, name, items, tokens)
-	file, err := caller.Upload(ctx, name+".jsonl", strings.NewReader(input))
+	input := sitebuilder.BatchInput(b.spec.Model, lot, items, tokens)
+	file, err := caller.Upload(ctx, lot+".jsonl", strings.NewReader(input))
 	if err != nil {
 		return err
 	}
-	_, err = caller.Submit(ctx, file.ID, "/v1/chat/completions", "1h", name)
+	_, err = caller.Submit(ctx, file.ID, "/v1/chat/completions", "1h", lot)
 	return err
 }
 
--- /dev/null
+++ b/internal/experimenter/loss.go
@@ -0,0 +1,162 @@
+package experimenter
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/jobkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/loadgenerator"
+	"github.com/fescuespindle/fescuespindle/internal/platform"
+	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
+)
+
+var vmLoss = Experiment{
+	Name:    "vm-loss",
+	Summary: "time from the loss of a VM until all its chunks run elsewhere",
+	run:     runVMLoss,
+}
+
+var storeOutage = Experiment{
+	Name:    "store-outage",
+	Summary: "online requests and batch jobs while the platform is down",
+	run:     runStoreOutage,
+}
+
+const (
+	lossItems     = 6000
+	lossTokens    = 32
+	lossLimit     = 60 * time.Second
+	lossPoll      = 10 * time.Millisecond
+	outageLength  = 8 * time.Second
+	outageItems   = 2500
+	outageTokens  = 16
+	jobLimit      = 2 * time.Minute
+	maxRowsLooked = 10_000
+)
+
+// ownedBy returns how many unfinished chunks a VM owns, as the store has it.
+func (b *bench) ownedBy(vm string) int {
+	owned := 0
+	for _, row := range b.site.Platform.Table().Scan(platform.ScanRequest{Prefix: "chunk/", Limit: maxRowsLooked}) {
+		var chunk jobkeeper.ChunkRow
+		if json.Unmarshal(row.Value, &chunk) == nil && !chunk.Done && chunk.Owner.VM == vm {
+			owned++
+		}
+	}
+	return owned
+}
+
+func runVMLoss(ctx context.Context, p Parameters) (Result, error) {
+	result := Result{Policies: map[string]Metrics{}}
+	metrics := Metrics{}
+	err := withBench(ctx, p, sitebuilder.Authority(), func(b *bench) error {
+		result.VMs, result.Upstreams = len(b.site.VMs), len(b.site.Engines)
+		return b.loseVM(ctx, metrics)
+	})
+	result.Policies["takeover"] = metrics
+	result.Bars = []Bar{
+		atMost("seconds until the last chunk is owned again", 15, metrics["takeoverSeconds"]),
+		atMost("items lost", 0, metrics["lostCount"]),
+		atMost("items doubled", 0, metrics["doubledCount"]),
+	}
+	return result, err
+}
+
+// loseVM ends the VM that owns the most chunks, and waits for the job's end.
+func (b *bench) loseVM(ctx context.Context, metrics Metrics) error {
+	if err := b.submit(ctx, lossItems, lossTokens); err != nil {
+		return err
+	}
+	time.Sleep(rampTime)
+	victim, most := 1, 0
+	for n, vm := range b.site.VMs {
+		if owned := b.ownedBy(vm.ID); owned > most && n > 0 {
+			victim, most = n, owned
+		}
+	}
+	lost := b.site.Stop(victim)
+	begun := time.Now()
+	for b.ownedBy(lost.ID) > 0 && time.Since(begun) < lossLimit {
+		time.Sleep(lossPoll)
+	}
+	metrics["ownedChunksCount"] = float64(most)
+	metrics["takeoverSeconds"] = time.Since(begun).Seconds()
+	return b.countResults(ctx, lossItems, metrics)
+}
+
+// countResults waits for the job's end and counts its results.
+func (b *bench) countResults(ctx context.Context, items int, metrics Metrics) error {
+	ctx, cancel := context.WithTimeout(ctx, jobLimit)
+	defer cancel()
+	caller := b.site.Requester(b.site.VMs[0], sitebuilder.BatchToken)
+	id := b.jobID()
+	job, err := caller.Status(ctx, id)
+	for err == nil && job.Status == "in_progress" {
+		time.Sleep(10 * lossPoll)
+		job, err = caller.Status(ctx, id)
+	}
+	if err != nil {
+		return err
+	}
+	var counter resultCounter
+	if err := caller.Results(ctx, id, &counter); err != nil {
+		return err
+	}
+	metrics["doubledCount"] = float64(counter.doubled)
+	metrics["lostCount"] = float64(items - len(counter.seen))
+	metrics["failedCount"] = float64(job.RequestCounts.Failed)
+	return nil
+}
+
+// jobID returns the identifier of the only job.
+func (b *bench) jobID() string {
+	rows := b.site.Platform.Table().Scan(platform.ScanRequest{Prefix: "job/", Limit: 1})
+	var job jobkeeper.JobRow
+	if len(rows) == 0 || json.Unmarshal(rows[0].Value, &job) != nil {
+		return ""
+	}
+	return job.ID
+}
+
+func runStoreOutage(ctx context.Context, p Parameters) (Result, error) {
+	result := Result{Policies: map[string]Metrics{}}
+	metrics := Metrics{}
+	err := withBench(ctx, p, sitebuilder.Authority(), func(b *bench) error {
+		result.VMs, result.Upstreams = len(b.site.VMs), len(b.site.Engines)
+		return b.outage(ctx, metrics)
+	})
+	result.Policies["outage"] = metrics
+	failed := metrics["onlineSentCount"] - metrics["onlineRightCount"]
+	result.Bars = []Bar{
+		atMost("online requests that failed", 0, failed),
+		atMost("items lost", 0, metrics["lostCount"]),
+		atMost("items doubled", 0, metrics["doubledCount"]),
+	}
+	return result, err
+}
+
+// outage runs online requests and a job over an outage of the platform.
+func (b *bench) outage(ctx context.Context, metrics Metrics) error {
+	if err := b.submit(ctx, outageItems, outageTokens); err != nil {
+		return err
+	}
+	time.Sleep(time.Second)
+	b.site.Platform.SetFaults(platform.Faults{Outage: true})
+	var report loadgenerator.Report
+	var group sync.WaitGroup
+	group.Go(func() {
+		rate := tailShare * float64(b.sequences()) / (burstTokens * engineStep.Seconds())
+		report = b.online(ctx, onlineLoad{
+			rate: rate, length: outageLength, generate: b.short(besideWords, burstTokens),
+		}).Class("short").Report("short")
+	})
+	group.Wait()
+	b.site.Platform.SetFaults(platform.Faults{})
+	begun := time.Now()
+	err := b.countResults(ctx, outageItems, metrics)
+	metrics["catchUpSeconds"] = time.Since(begun).Seconds()
+	metrics.addReport(report, "online")
+	return err
+}
--- a/internal/experimenter/round.go
+++ b/internal/experimenter/round.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/loadgenerator"
+	"github.com/fescuespindle/fescuespindle/internal/requester"
 )
 
 // rounds repeats a load with quiet times between, and returns the report over
@@ -14,10 +15,11 @@
 func (b *bench) rounds(ctx context.Context, load onlineLoad, rounds int) loadgenerator.Report {
 	var mu sync.Mutex
 	var firsts []time.Duration
-	load.observe = func(_ loadgenerator.Request, _ time.Time, first time.Duration) {
+	load.observe = func(_ loadgenerator.Request, due time.Time, c requester.Completion) {
 		mu.Lock()
 		defer mu.Unlock()
-		firsts = append(firsts, first)
+		firsts = append(firsts, c.FirstToken().Sub(due))
+		b.explain(c.ID(), c.FirstToken().Sub(due))
 	}
 	var sum loadgenerator.Report
 	seed := b.p.Seed
--- /dev/null
+++ b/internal/experimenter/spread.go
@@ -0,0 +1,181 @@
+package experimenter
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
+	"github.com/fescuespindle/fescuespindle/pkg/deployer"
+)
+
+var configSpread = Experiment{
+	Name:    "config-spread",
+	Summary: "time from accept to in force everywhere, with cuts and restarts going on",
+	run:     runConfigSpread,
+}
+
+var domainCut = Experiment{
+	Name:    "domain-cut",
+	Summary: "online goodput inside a failure domain that is cut off from all others and the platform",
+	run:     runDomainCut,
+}
+
+const (
+	spreadRounds = 20
+	spreadPause  = 200 * time.Millisecond
+	spreadLimit  = 20 * time.Second
+	watchPeriod  = time.Millisecond
+	cutDomain    = "dodoma-makulu"
+	cutLength    = 6 * time.Second
+)
+
+func runConfigSpread(ctx context.Context, p Parameters) (Result, error) {
+	result := Result{Policies: map[string]Metrics{}}
+	for _, faults := range []bool{false, true} {
+		metrics := Metrics{}
+		err := withBench(ctx, p, sitebuilder.Authority(), func(b *bench) error {
+			result.VMs, result.Upstreams = len(b.site.VMs), len(b.site.Engines)
+			return b.spread(ctx, faults, metrics)
+		})
+		if err != nil {
+			return result, err
+		}
+		name := "calm"
+		if faults {
+			name = "faults"
+		}
+		result.Policies[name] = metrics
+	}
+	result.Bars = []Bar{
+		atMost("seconds from accept to the last VM", 2, result.Policies["calm"]["slowestSeconds"]),
+		atMost("seconds from accept to the last VM that can be reached", 2, result.Policies["faults"]["slowestSeconds"]),
+		atMost("versions that went back", 0, result.Policies["faults"]["backwardsCount"]),
+	}
+	return result, nil
+}
+
+// versionWatch notes for each process whether its version ever went back.
+type versionWatch struct {
+	mu        sync.Mutex
+	last      map[*sitebuilder.VM]uint64
+	backwards int
+}
+
+func (w *versionWatch) look(vms []*sitebuilder.VM) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, vm := range vms {
+		version := vm.Publisher().View().Config().Version()
+		if version < w.last[vm] {
+			w.backwards++
+		}
+		w.last[vm] = version
+	}
+}
+
+// spread applies versions one after the other and measures each.
+func (b *bench) spread(ctx context.Context, faults bool, metrics Metrics) error {
+	watch := &versionWatch{last: map[*sitebuilder.VM]uint64{}}
+	random := rand.New(rand.NewPCG(b.p.Seed, 9))
+	sum := 0.0
+	for round := range spreadRounds {
+		reachable := b.site.VMs
+		if faults {
+			reachable = b.disturb(round, random)
+		}
+		doc := b.spec.Document
+		deployer.WithCaller(fmt.Sprintf("caller-%d", round), deployer.TokenDigest(fmt.Sprint(round)))(&doc)
+		entry, err := sitebuilder.ApplyDocument(ctx, b.site.PlatformURL(), doc)
+		if err != nil {
+			return err
+		}
+		took, err := waitInForce(reachable, entry.Version, func() { watch.look(b.site.VMs) })
+		if err != nil {
+			return err
+		}
+		sum += took.Seconds()
+		metrics["slowestSeconds"] = max(metrics["slowestSeconds"], took.Seconds())
+		time.Sleep(spreadPause)
+	}
+	b.site.Join()
+	metrics["meanSeconds"] = sum / spreadRounds
+	metrics["backwardsCount"] = float64(watch.backwards)
+	return nil
+}
+
+// disturb cuts a domain off every other round, and restarts a VM in between.
+// It returns the VMs that can be reached.
+func (b *bench) disturb(round int, random *rand.Rand) []*sitebuilder.VM {
+	if round%2 == 1 {
+		b.site.Join()
+		if err := b.site.Restart(random.IntN(len(b.site.VMs))); err != nil {
+			return b.site.VMs
+		}
+		return b.site.VMs
+	}
+	b.cutOff()
+	var reachable []*sitebuilder.VM
+	for _, vm := range b.site.VMs {
+		if vm.Domain != cutDomain {
+			reachable = append(reachable, vm)
+		}
+	}
+	return reachable
+}
+
+func (b *bench) cutOff() {
+	b.site.Cut(func(from, to string) bool { return (from == cutDomain) != (to == cutDomain) })
+}
+
+// waitInForce waits until VMs have a version in force and tells how long it
+// took.
+func waitInForce(vms []*sitebuilder.VM, version uint64, look func()) (time.Duration, error) {
+	begun := time.Now()
+	for {
+		look()
+		waiting := 0
+		for _, vm := range vms {
+			if vm.Publisher().View().Config().Version() < version {
+				waiting++
+			}
+		}
+		took := time.Since(begun)
+		if waiting == 0 {
+			return took, nil
+		}
+		if took > spreadLimit {
+			return took, fmt.Errorf("version %d is not in force at %d VMs", version, waiting)
+		}
+		time.Sleep(watchPeriod)
+	}
+}
+
+func runDomainCut(ctx context.Context, p Parameters) (Result, error) {
+	result := Result{Policies: map[string]Metrics{}}
+	err := withBench(ctx, p, sitebuilder.Authority(), func(b *bench) error {
+		result.VMs, result.Upstreams = len(b.site.VMs), len(b.site.Engines)
+		load := onlineLoad{length: p.length(cutLength), generate: b.short(besideWords, burstTokens)}
+		for n, vm := range b.site.VMs {
+			if vm.Domain == cutDomain {
+				load.vms = append(load.vms, n)
+			}
+		}
+		load.rate = tailShare * float64(b.domainSequences(cutDomain)) / (burstTokens * engineStep.Seconds())
+		for _, when := range []string{"before", "during", "after"} {
+			if when == "during" {
+				b.cutOff()
+			}
+			metrics := Metrics{}
+			metrics.addReport(b.online(ctx, load).Class("short").Report("short"), "online")
+			result.Policies[when] = metrics
+			b.site.Join()
+		}
+		return nil
+	})
+	ratio := result.Policies["during"]["onlineRightCount"] / result.Policies["before"]["onlineRightCount"]
+	result.Bars = []Bar{atLeast("online goodput of before", 0.95, ratio)}
+	return result, err
+}
--- a/internal/gauger/gauge.go
+++ b/internal/gauger/gauge.go
@@ -17,7 +17,7 @@
 	slowMemory = 2 * time.Second
 	// stallGaps is the number of typical gaps without any event after which an
 	// upstream with requests in flight counts as stalled.
-	stallGaps = 6
+	stallGaps = 3
 	// maxSlowness bounds the factor by which an upstream counts as slow.
 	maxSlowness = 50
 )
@@ -27,12 +27,15 @@
 	online    atomic.Int32
 	batch     atomic.Int32
 	others    atomic.Int32
+	foreign   atomic.Int32 // batch requests of the upstream's keeper
 	reported  atomic.Int32
 	gap       atomic.Uint64 // float64 bits, nanoseconds
 	gapAt     atomic.Int64  // Unix nanoseconds of the last gap
 	progress  atomic.Int64  // Unix nanoseconds of the last event or start
 	blockedTo atomic.Int64  // Unix nanoseconds until which nothing is sent
 	failures  atomic.Int32
+	slow      atomic.Uint64 // float64 bits, the slowness last marked
+	slowAt    atomic.Int64  // Unix nanoseconds of the mark
 	leaving   atomic.Bool
 	listed    atomic.Bool // the platform's list says that it is leaving
 }
@@ -49,6 +52,13 @@
 // SetOthers keeps the number of online requests of other VMs.
 func (g *Gauge) SetOthers(n int) { g.others.Store(int32(n)) }
 
+// OthersBatch returns the batch requests of another VM that looks after the
+// upstream, as last heard.
+func (g *Gauge) OthersBatch() int { return int(g.foreign.Load()) }
+
+// SetOthersBatch keeps the number of batch requests of another VM.
+func (g *Gauge) SetOthersBatch(n int) { g.foreign.Store(int32(n)) }
+
 // Reported returns the running and waiting requests of the last load report.
 func (g *Gauge) Reported() int { return int(g.reported.Load()) }
 
@@ -119,6 +129,9 @@
 	g.blockedTo.Store(now.Add(wait).UnixNano())
 }
 
+// Healthy tells whether the upstream has answered since its last failure.
+func (g *Gauge) Healthy() bool { return g.failures.Load() == 0 }
+
 // SetLeaving keeps whether the upstream is leaving.
 func (g *Gauge) SetLeaving(leaving bool) { g.leaving.Store(leaving) }
 
@@ -149,10 +162,32 @@
 }
 
 func (g *Gauge) remembered(now time.Time, typical time.Duration) float64 {
-	ratio := float64(g.Gap()) / float64(typical)
-	if ratio <= 1 {
+	byGap := faded(float64(g.Gap())/float64(typical), now, g.gapAt.Load())
+	return max(byGap, g.marked(now))
+}
+
+// marked returns what is left of the last mark.
+func (g *Gauge) marked(now time.Time) float64 {
+	return faded(math.Float64frombits(g.slow.Load()), now, g.slowAt.Load())
+}
+
+// faded returns what is left of a slowness that was seen at a time.
+func faded(slowness float64, now time.Time, at int64) float64 {
+	if slowness <= 1 {
 		return 1
 	}
-	age := float64(now.UnixNano() - g.gapAt.Load())
-	return 1 + (ratio-1)*math.Exp2(-age/float64(slowMemory))
+	age := float64(now.UnixNano() - at)
+	return 1 + (slowness-1)*math.Exp2(-age/float64(slowMemory))
+}
+
+// MarkSlow notes a slowness that this VM or another has seen. It returns false
+// if at least as much was known already.
+func (g *Gauge) MarkSlow(now time.Time, slowness float64) bool {
+	slowness = min(slowness, maxSlowness)
+	if slowness <= g.marked(now) {
+		return false
+	}
+	g.slow.Store(math.Float64bits(slowness))
+	g.slowAt.Store(now.UnixNano())
+	return true
 }
--- a/internal/itemrunner/runner.go
+++ b/internal/itemrunner/runner.go
@@ -28,6 +28,11 @@
 	Call(ctx context.Context, a relayer.Attempt, repeatable bool) (relayer.Answer, error)
 }
 
+// Isolator lets a suspect run where no other suspect does.
+type Isolator interface {
+	Isolate(ctx context.Context, u *chooser.Upstream, f quarantiner.Fingerprint) (release func(), granted bool)
+}
+
 // Observer hears of what batch traffic does. Its methods return at once.
 type Observer interface {
 	// FirstToken tells that a run has passed its prompt.
@@ -43,12 +48,15 @@
 	vm         string
 	engines    Engines
 	observer   Observer
+	isolator   Isolator
 	quarantine *quarantiner.Quarantine
 }
 
 // New returns a runner of items for a VM.
-func New(vm string, engines Engines, observer Observer, quarantine *quarantiner.Quarantine) *Runner {
-	return &Runner{vm: vm, engines: engines, observer: observer, quarantine: quarantine}
+func New(
+	vm string, engines Engines, observer Observer, isolator Isolator, quarantine *quarantiner.Quarantine,
+) *Runner {
+	return &Runner{vm: vm, engines: engines, observer: observer, isolator: isolator, quarantine: quarantine}
 }
 
 // blockAfterFail is how long an upstream is left alone after a failure.
@@ -66,6 +74,7 @@
 	usage   upstream.Usage
 	reason  string
 	last    time.Time
+	opened  bool // the engine has answered
 }
 
 // Run runs an item until it ends or the context does. The function finds the
@@ -80,16 +89,23 @@
 	if r.quarantine.Condemned(fingerprint, now) {
 		return e.final("poison", "the item crashed the upstreams that ran it")
 	}
-	if !r.quarantine.Begin(fingerprint, target.ID(), now) {
-		return jobrunner.Ending{Run: start.Run, Outcome: jobrunner.OutcomeNotRun, Resume: start.Resume}
+	isolated := r.quarantine.Strikes(fingerprint, now) > 0
+	if isolated {
+		release, granted := r.isolator.Isolate(ctx, target, fingerprint)
+		if !granted {
+			return jobrunner.Ending{Run: start.Run, Outcome: jobrunner.OutcomeNotRun, Resume: start.Resume}
+		}
+		defer release()
 	}
 	target.Gauge().BeginBatch(now)
 	defer target.Gauge().EndBatch()
 	err := e.run(ctx)
-	if err != nil && ctx.Err() == nil && relayer.AsFailure(err).Crash() {
-		r.observer.Struck(r.quarantine.Crash(fingerprint, target.ID(), time.Now()))
+	if err != nil && ctx.Err() == nil && e.opened && relayer.AsFailure(err).Crash() {
+		r.observer.Struck(r.quarantine.Crash(fingerprint, isolated, time.Now()))
+	}
+	if err == nil {
+		r.quarantine.Cleared(fingerprint)
 	}
-	r.quarantine.End(fingerprint, target.ID(), err == nil)
 	return e.ending(ctx, err)
 }
 
@@ -100,6 +116,7 @@
 		return err
 	}
 	defer stream.Close()
+	e.opened = true
 	for {
 		data, err := stream.Next()
 		if errors.Is(err, io.EOF) {
--- a/internal/jobrunner/action.go
+++ b/internal/jobrunner/action.go
@@ -27,6 +27,8 @@
 type Want struct {
 	Model string
 	Most  int
+	// Orphans tells that only chunks whose owner is gone are wanted.
+	Orphans bool
 }
 
 // Claim asks to make this process the owner of a chunk.
--- a/internal/jobrunner/runner.go
+++ b/internal/jobrunner/runner.go
@@ -29,9 +29,14 @@
 	// unverifiedLimit is the time without such a look after which no item is
 	// started, as its job may have been cancelled.
 	unverifiedLimit = 15 * time.Second
-	wantPeriod      = 250 * time.Millisecond
-	retryWait       = 500 * time.Millisecond
-	notRunWait      = 100 * time.Millisecond
+	// promptBytes is the size of the prompts that an upstream may have before it
+	// that have no token yet; one larger prompt may go alone.
+	promptBytes = 1 << 10
+	// orphanPeriod is the time between two looks for chunks whose owner is gone.
+	orphanPeriod = 2 * time.Second
+	wantPeriod   = 250 * time.Millisecond
+	retryWait    = 500 * time.Millisecond
+	notRunWait   = 100 * time.Millisecond
 	// moveWait is how long a stopped item waits for its own upstream before it
 	// is moved to another.
 	moveWait = 500 * time.Millisecond
@@ -68,12 +73,13 @@
 	checkAt  time.Time
 	verified time.Time
 	wantAt   map[string]time.Time
+	orphanAt map[string]time.Time
 	draining bool
 }
 
 // New returns a runner that owns nothing.
 func New(owner jobkeeper.Owner) *Runner {
-	return &Runner{owner: owner, interval: commitInterval, wantAt: map[string]time.Time{}}
+	return &Runner{owner: owner, interval: commitInterval, wantAt: map[string]time.Time{}, orphanAt: map[string]time.Time{}}
 }
 
 // SetCommitInterval sets how long a result waits for others to be committed
@@ -161,11 +167,15 @@
 	var out []Action
 	for _, model := range r.models() {
 		most := min(r.shortage(model), maxChunks-len(r.chunks))
-		if most <= 0 || now.Before(r.wantAt[model]) {
-			continue
+		switch {
+		case most > 0 && !now.Before(r.wantAt[model]):
+			r.wantAt[model] = now.Add(wantPeriod)
+			out = append(out, Want{Model: model, Most: most})
+		case most <= 0 && len(r.chunks) < maxChunks && !now.Before(r.orphanAt[model]):
+			// A VM that has enough to do still takes over what a lost one left.
+			r.orphanAt[model] = now.Add(orphanPeriod)
+			out = append(out, Want{Model: model, Most: 1, Orphans: true})
 		}
-		r.wantAt[model] = now.Add(wantPeriod)
-		out = append(out, Want{Model: model, Most: most})
 	}
 	return out
 }
--- a/internal/jobrunner/schedule.go
+++ b/internal/jobrunner/schedule.go
@@ -45,11 +45,12 @@
 	return out
 }
 
-// fill starts items on an upstream up to its limit, but only one prompt at a
-// time: prompts are what slows an engine's other requests the most.
+// fill starts items on an upstream up to its limit, but only few bytes of
+// prompts at a time: prompts are what slows an engine's other requests the
+// most.
 func (r *Runner) fill(room Room, now time.Time) []Action {
 	var out []Action
-	for r.mayStart(now) && r.Running(room.Upstream) < room.Limit && !r.prompting(room.Upstream) {
+	for r.mayStart(now) && r.Running(room.Upstream) < room.Limit && r.prompting(room.Upstream) < promptBytes {
 		c, it := r.pick(room, now)
 		if it == nil {
 			return out
@@ -63,11 +64,16 @@
 	return !r.draining && r.heldBytes() < maxHeldBytes && now.Sub(r.verified) < unverifiedLimit
 }
 
-// prompting tells whether a run on the upstream has no token yet.
-func (r *Runner) prompting(upstream string) bool {
-	return slices.ContainsFunc(r.runs, func(run *run) bool {
-		return run.upstream == upstream && !run.started && !run.stopping
-	})
+// prompting returns the size of the prompts on an upstream that have no token
+// yet. Resumed items have none to work through.
+func (r *Runner) prompting(upstream string) int {
+	bytes := 0
+	for _, run := range r.runs {
+		if run.upstream == upstream && !run.started && !run.stopping && run.item.resume == nil {
+			bytes += len(run.item.item.Body)
+		}
+	}
+	return bytes
 }
 
 // pick returns the next item for an upstream. Items that were stopped there go
--- a/internal/loadgenerator/generator.go
+++ b/internal/loadgenerator/generator.go
@@ -117,15 +117,15 @@
 	classes map[string]*Class
 	errors  map[string]int
 	group   sync.WaitGroup
-	onDone  func(Request, time.Time, time.Duration)
+	onDone  func(Request, time.Time, requester.Completion)
 }
 
 // Option sets one property of a Generator.
 type Option func(*Generator)
 
 // WithObserver is told of each right answer: the request, when it was due and
-// the time to its first token.
-func WithObserver(observe func(Request, time.Time, time.Duration)) Option {
+// its completion.
+func WithObserver(observe func(Request, time.Time, requester.Completion)) Option {
 	return func(g *Generator) { g.onDone = observe }
 }
 
@@ -133,7 +133,7 @@
 func New(plan Plan, options ...Option) *Generator {
 	g := &Generator{
 		plan: plan, classes: map[string]*Class{}, errors: map[string]int{},
-		onDone: func(Request, time.Time, time.Duration) {},
+		onDone: func(Request, time.Time, requester.Completion) {},
 	}
 	for _, option := range options {
 		option(g)
@@ -180,7 +180,7 @@
 	class := g.Class(request.Class)
 	right := err == nil && (g.plan.Expect == nil || completion.Text() == g.plan.Expect(request))
 	if right {
-		g.onDone(request, due, completion.FirstToken().Sub(due))
+		g.onDone(request, due, completion)
 	}
 	if err != nil {
 		g.countError(err)
--- a/internal/memberprober/prober.go
+++ b/internal/memberprober/prober.go
@@ -309,9 +309,12 @@
 	p.rumours = append(p.rumours, telling{rumour: r, left: tellings})
 }
 
-// takeRumours returns the rumours for the next message, least told first.
+// takeRumours returns the rumours for the next message: the worst news first,
+// as others act on them, and the least told of those.
 func (p *Prober) takeRumours() []peer.Rumour {
-	slices.SortStableFunc(p.rumours, func(a, b telling) int { return cmp.Compare(b.left, a.left) })
+	slices.SortStableFunc(p.rumours, func(a, b telling) int {
+		return cmp.Or(cmp.Compare(b.rumour.State, a.rumour.State), cmp.Compare(b.left, a.left))
+	})
 	n := min(maxRumours, len(p.rumours))
 	out := make([]peer.Rumour, 0, n)
 	for i := range n {
@@ -359,10 +362,14 @@
 	}
 	before := m.state
 	newer := from.Incarnation > m.sender.Incarnation
+	// The list has VMs without their process; learning it is no news to others.
+	restarted := newer && m.sender.Incarnation > 0
 	p.changed = p.changed || newer || before == peer.MemberDead
 	m.sender, m.state = from, peer.MemberAlive
-	if newer {
+	if restarted {
 		p.tell(peer.Rumour{Member: from, State: peer.MemberAlive})
+	}
+	if newer {
 		return peer.MemberAlive
 	}
 	return before
@@ -418,6 +425,7 @@
 		return
 	}
 	was := m.state
+	unknown := m.sender.Incarnation == 0
 	m.sender = r.Member
 	m.state = r.State
 	p.changed = p.changed || newer || (was == peer.MemberDead) != (r.State == peer.MemberDead)
@@ -427,6 +435,9 @@
 	case peer.MemberDead:
 		m.until = now.Add(forgetTimeout)
 	case peer.MemberAlive:
+		if unknown {
+			return // learning a listed VM's process is no news to others
+		}
 	}
 	p.tell(r)
 }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -36,6 +36,10 @@
 	KindChunksWanted
 	KindChunksOffered
 	KindVMList
+	KindSlowSeen
+	KindIsolationWanted
+	KindIsolationAnswered
+	KindIsolationEnded
 )
 
 var kindNames = map[Kind]string{
@@ -44,7 +48,9 @@
 	KindOnlineCounts: "onlineCounts", KindOnlineTotals: "onlineTotals", KindUpstreamStates: "upstreamStates",
 	KindStrikes: "strikes", KindStrikesAck: "strikesAck", KindJobCancelled: "jobCancelled",
 	KindChunksWanted: "chunksWanted", KindChunksOffered: "chunksOffered",
-	KindVMList: "vmList",
+	KindVMList: "vmList", KindSlowSeen: "slowSeen",
+	KindIsolationWanted: "isolationWanted", KindIsolationAnswered: "isolationAnswered",
+	KindIsolationEnded: "isolationEnded",
 }
 
 // String returns the kind's name, as counters show it.
@@ -137,10 +143,12 @@
 	Text    []byte `cbor:"3,keyasint"`
 }
 
-// UpstreamCount is a number of online requests on one upstream.
+// UpstreamCount is the number of requests on one upstream.
 type UpstreamCount struct {
 	Upstream string `cbor:"1,keyasint"`
 	Online   int    `cbor:"2,keyasint"`
+	// Batch is the number of batch requests, where the keeper tells.
+	Batch int `cbor:"3,keyasint,omitempty"`
 }
 
 // OnlineCounts tells the keeper of upstreams how many online requests the
@@ -197,6 +205,8 @@
 type ChunksWanted struct {
 	Model string `cbor:"1,keyasint"`
 	Most  int    `cbor:"2,keyasint"`
+	// Orphans tells that only chunks whose owner is gone are wanted.
+	Orphans bool `cbor:"3,keyasint,omitempty"`
 }
 
 // ChunksOffered names chunks that may be claimed.
@@ -214,6 +224,46 @@
 	OwnerProcess uint64 `cbor:"4,keyasint,omitempty"`
 }
 
+// SlowSeen tells the VMs of a domain that an upstream is slow, long before its
+// load report does.
+type SlowSeen struct {
+	Upstream string `cbor:"1,keyasint"`
+	// Percent is how long the upstream takes, of a typical one.
+	Percent int `cbor:"2,keyasint"`
+}
+
+// Kind implements Message.
+func (SlowSeen) Kind() Kind { return KindSlowSeen }
+
+// IsolationWanted asks the keeper of an upstream to let no other suspect run
+// there while one of the sender does.
+type IsolationWanted struct {
+	Sequence    uint64 `cbor:"1,keyasint"`
+	Upstream    string `cbor:"2,keyasint"`
+	Fingerprint uint64 `cbor:"3,keyasint"`
+}
+
+// IsolationAnswered answers IsolationWanted.
+type IsolationAnswered struct {
+	Sequence uint64 `cbor:"1,keyasint"`
+	Granted  bool   `cbor:"2,keyasint"`
+}
+
+// IsolationEnded tells that the suspect's run is over.
+type IsolationEnded struct {
+	Upstream    string `cbor:"1,keyasint"`
+	Fingerprint uint64 `cbor:"2,keyasint"`
+}
+
+// Kind implements Message.
+func (IsolationWanted) Kind() Kind { return KindIsolationWanted }
+
+// Kind implements Message.
+func (IsolationAnswered) Kind() Kind { return KindIsolationAnswered }
+
+// Kind implements Message.
+func (IsolationEnded) Kind() Kind { return KindIsolationEnded }
+
 // VMList is the platform's list of VMs as the sender last read it. A VM that
 // starts while the platform can't be reached gets it from a peer.
 type VMList struct {
@@ -313,7 +363,9 @@
 	KindOnlineTotals: decodeAs[OnlineTotals], KindUpstreamStates: decodeAs[UpstreamStates],
 	KindStrikes: decodeAs[Strikes], KindStrikesAck: decodeAs[StrikesAck], KindJobCancelled: decodeAs[JobCancelled],
 	KindChunksWanted: decodeAs[ChunksWanted], KindChunksOffered: decodeAs[ChunksOffered],
-	KindVMList: decodeAs[VMList],
+	KindVMList: decodeAs[VMList], KindSlowSeen: decodeAs[SlowSeen],
+	KindIsolationWanted: decodeAs[IsolationWanted], KindIsolationAnswered: decodeAs[IsolationAnswered],
+	KindIsolationEnded: decodeAs[IsolationEnded],
 }
 
 func decodeAs[T Message](body []byte) (Message, error) {
--- a/internal/publisher/builder.go
+++ b/internal/publisher/builder.go
@@ -71,7 +71,7 @@
 	for _, caller := range in.Doc.Callers {
 		v.callers[caller.TokenDigest] = caller
 	}
-	keepers := keepersOf(in)
+	keepers := Keepers(in)
 	for _, d := range in.Doc.Deployments {
 		if d.Kind == deployer.KindService {
 			v.targets[d.Name] = b.target(d.Name, "", d, in, keepers)
@@ -154,10 +154,10 @@
 	}
 }
 
-// keepersOf returns the entry VMs of each domain that may look after its
+// Keepers returns the entry VMs of each domain that may look after its
 // upstreams: the live ones in this domain, the listed ones in others. A domain
 // without any is looked after by this one's region.
-func keepersOf(in Inputs) map[string][]string {
+func Keepers(in Inputs) map[string][]string {
 	keepers := map[string][]string{}
 	region := map[string][]string{}
 	for _, vm := range in.VMs {
--- a/internal/quarantiner/quarantine.go
+++ b/internal/quarantiner/quarantine.go
@@ -7,7 +7,6 @@
 package quarantiner
 
 import (
-	"slices"
 	"sync"
 	"time"
 )
@@ -35,23 +34,15 @@
 	until   time.Time
 }
 
-type running struct {
-	fingerprint Fingerprint
-	suspect     bool
-}
-
 // Quarantine keeps the suspects that this VM knows.
 type Quarantine struct {
 	mu      sync.Mutex
 	records map[Fingerprint]record
-	runs    map[string][]running
 }
 
 // New returns a quarantine without suspects.
 func New() *Quarantine {
-	return &Quarantine{
-		records: map[Fingerprint]record{}, runs: map[string][]running{},
-	}
+	return &Quarantine{records: map[Fingerprint]record{}}
 }
 
 // Condemned tells whether the request must be refused.
@@ -74,64 +65,28 @@
 	return r.strikes
 }
 
-// Begin notes that a request is about to run on an upstream. It returns false
-// if the request is a suspect and another suspect runs there.
-func (q *Quarantine) Begin(f Fingerprint, upstream string, now time.Time) bool {
+// Cleared forgets a suspect that completed.
+func (q *Quarantine) Cleared(f Fingerprint) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	suspect := q.strikes(f, now) > 0
-	if suspect && slices.ContainsFunc(q.runs[upstream], func(r running) bool { return r.suspect }) {
-		return false
-	}
-	q.runs[upstream] = append(q.runs[upstream], running{fingerprint: f, suspect: suspect})
-	return true
+	delete(q.records, f)
 }
 
-// End notes that a run is over. A request that completed is cleared.
-func (q *Quarantine) End(f Fingerprint, upstream string, completed bool) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	runs := q.runs[upstream]
-	at := slices.IndexFunc(runs, func(r running) bool { return r.fingerprint == f })
-	if at >= 0 {
-		runs = slices.Delete(runs, at, at+1)
-	}
-	if len(runs) == 0 {
-		delete(q.runs, upstream)
-	} else {
-		q.runs[upstream] = runs
-	}
-	if completed {
-		delete(q.records, f)
-	}
-}
-
-// Crash strikes the request, which was running on an upstream that crashed. A
-// request gets its second and later strikes only where it was the only
-// suspect, so that innocent requests beside a suspect are not condemned.
-func (q *Quarantine) Crash(f Fingerprint, upstream string, now time.Time) Strike {
+// Crash strikes a request that was running on an upstream that crashed. Any
+// request gets its first strike so. The further ones it gets only for runs in
+// isolation, where no other suspect was to blame, so that innocent requests
+// beside the one that crashes upstreams are not condemned.
+func (q *Quarantine) Crash(f Fingerprint, isolated bool, now time.Time) Strike {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	strikes := q.strikes(f, now)
-	alone := q.onlySuspect(f, upstream)
-	if strikes == 0 || alone {
+	if strikes == 0 || isolated {
 		strikes++
 	}
 	q.keep(f, strikes, now)
 	return Strike{Fingerprint: f, Count: strikes}
 }
 
-func (q *Quarantine) onlySuspect(f Fingerprint, upstream string) bool {
-	own := false
-	for _, r := range q.runs[upstream] {
-		if r.suspect && r.fingerprint != f {
-			return false
-		}
-		own = own || (r.suspect && r.fingerprint == f)
-	}
-	return own
-}
-
 // Learn takes a strike that another VM told of.
 func (q *Quarantine) Learn(s Strike, now time.Time) {
 	q.mu.Lock()
--- a/internal/sitebuilder/site.go
+++ b/internal/sitebuilder/site.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -255,6 +256,14 @@
 	return nil
 }
 
+// Stop ends a VM at once. It stays on the platform's list until Relist.
+func (s *Site) Stop(at int) *VM {
+	vm := s.VMs[at]
+	vm.Close()
+	s.VMs = slices.Delete(slices.Clone(s.VMs), at, at+1)
+	return vm
+}
+
 // Relist gives the platform the list of all VMs.
 func (s *Site) Relist() {
 	var list []platform.VM
--- a/internal/sitebuilder/spec.go
+++ b/internal/sitebuilder/spec.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -85,6 +86,16 @@
 	return spec
 }
 
+// WithOnlineReserve returns the site with another number of sequences on each
+// engine that batch work never takes.
+func (spec Spec) WithOnlineReserve(sequences int) Spec {
+	spec.Document.Deployments = slices.Clone(spec.Document.Deployments)
+	for i := range spec.Document.Deployments {
+		spec.Document.Deployments[i].OnlineReserve = sequences
+	}
+	return spec
+}
+
 func document(name, model, version, service, single string, regions ...deployer.Option) deployer.Document {
 	doc := deployer.New(name, regions...)
 	var in []string
--- a/internal/upstream/protocol.go
+++ b/internal/upstream/protocol.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -176,6 +177,9 @@
 	if err := json.Unmarshal(body, &fields); err != nil {
 		return nil, fmt.Errorf("completion request: %w", err)
 	}
+	if fields == nil {
+		return nil, errors.New("completion request: must be an object, not null")
+	}
 	fields["stream"] = json.RawMessage("true")
 	return json.Marshal(fields)
 }
--- a/internal/yielder/room.go
+++ b/internal/yielder/room.go
@@ -14,10 +14,10 @@
 	riseMemory = time.Second
 	// riseShare bounds what is kept free for rises, as a divisor of the
 	// sequences.
-	riseShare = 4
+	riseShare = 8
 	// raiseWait is the time for which online work must stay lower before batch
 	// work takes its place, so that batch work doesn't start only to yield.
-	raiseWait = 40 * time.Millisecond
+	raiseWait = 20 * time.Millisecond
 	percent   = 100
 )
 
@@ -130,7 +130,7 @@
 	if now.Before(r.notBefore) {
 		return 0
 	}
-	keep := max(r.reserve, min(int(r.currentRise(now)), r.sequences/riseShare))
+	keep := r.keep(now)
 	most := r.sequences * r.share / percent
 	limit := min(most, r.sequences-keep-r.total)
 	if limit > batch {
@@ -140,6 +140,16 @@
 	return max(limit, 0)
 }
 
+// keep returns how many sequences stay free for online work. An upstream that
+// online work has filled but for its last sequence gets no more of it, as VMs
+// leave the last one to each other; batch work may have it.
+func (r *Room) keep(now time.Time) int {
+	if r.total >= r.sequences-1 {
+		return r.reserve
+	}
+	return max(r.reserve, min(int(r.currentRise(now)), r.sequences/riseShare))
+}
+
 // highest returns the largest total within the raise wait.
 func (r *Room) highest(now time.Time) int {
 	r.forget(now)
