--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"sync"
 	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/chooser"
 )
 
 // ErrBusy means that the request would have waited too long. It was not run.
@@ -42,7 +44,7 @@
 // admission moves a caller's virtual time on by the inverse of its weight, and
 // the caller with the least virtual time goes next.
 type Queue struct {
-	room func(more int) bool
+	room Room
 	now  func() time.Time
 
 	mu       sync.Mutex
@@ -50,6 +52,7 @@
 	virtual  float64
 	waiting  int
 	starting int
+	running  int
 	interval float64 // average nanoseconds between releases while requests wait
 	released time.Time
 }
@@ -58,6 +61,7 @@
 	pass    float64
 	weight  float64
 	tickets []*ticket
+	running int
 }
 
 type ticket struct {
@@ -65,9 +69,12 @@
 	gone     bool
 }
 
-// New returns a queue. The function tells whether the pool has room for one
-// more request on top of so many that were let in but have not started yet.
-func New(room func(more int) bool, now func() time.Time) *Queue {
+// Room tells whether the pool has room for one more request on top of so many
+// that were let in but have not started yet, for a caller with a standing.
+type Room func(more int, standing chooser.Standing) bool
+
+// New returns a queue of a pool with room.
+func New(room Room, now func() time.Time) *Queue {
 	return &Queue{room: room, now: now, callers: map[string]*line{}}
 }
 
@@ -79,8 +86,8 @@
 }
 
 // Enter waits for the request's turn. It returns a BusyError at once if the
-// wait would pass the deadline or the longest wait. Started must be called once
-// after it returns nil.
+// wait would pass the deadline or the longest wait. Started and Done must be
+// called once each after it returns nil.
 func (q *Queue) Enter(ctx context.Context, caller string, weight int, deadline time.Time) error {
 	t, err := q.join(caller, float64(max(weight, 1)), deadline)
 	if t == nil {
@@ -104,7 +111,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	l := q.line(caller, weight)
-	if q.waiting == 0 && q.room(q.starting) {
+	if q.waiting == 0 && q.room(q.starting, q.standing(l)) {
 		q.advance(l)
 		return nil, nil
 	}
@@ -116,6 +123,7 @@
 	t := &ticket{admitted: make(chan struct{})}
 	l.tickets = append(l.tickets, t)
 	q.waiting++
+	q.admit() // there may be room that callers over their share may not take
 	return t, nil
 }
 
@@ -134,6 +142,8 @@
 
 func (q *Queue) advance(l *line) {
 	q.starting++
+	l.running++
+	q.running++
 	q.virtual = l.pass
 	l.pass += 1 / l.weight
 }
@@ -212,10 +222,10 @@
 }
 
 func (q *Queue) admit() {
-	for q.waiting > 0 && q.room(q.starting) {
+	for q.waiting > 0 {
 		l := q.next()
-		if l == nil {
-			return
+		if l == nil || !q.room(q.starting, q.standing(l)) {
+			break
 		}
 		t := l.tickets[0]
 		l.tickets = l.tickets[1:]
@@ -229,6 +239,36 @@
 	q.forgetIdle()
 }
 
+// standing compares a caller's running requests to its weight's share among the
+// callers that have any request.
+func (q *Queue) standing(l *line) chooser.Standing {
+	var weights float64
+	for _, other := range q.callers {
+		if other == l || other.running > 0 || len(other.tickets) > 0 {
+			weights += other.weight
+		}
+	}
+	switch {
+	case weights <= l.weight:
+		return chooser.StandingAlone
+	case float64(l.running) >= float64(q.running)*l.weight/weights:
+		return chooser.StandingOver
+	default:
+		return chooser.StandingUnder
+	}
+}
+
+// Done notes that a caller's request is over, however many attempts it took. It
+// is called once for each successful Enter.
+func (q *Queue) Done(caller string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.running--
+	if l, found := q.callers[caller]; found {
+		l.running--
+	}
+}
+
 // next returns the line of the caller whose turn it is.
 func (q *Queue) next() *line {
 	var best *line
@@ -254,7 +294,7 @@
 // forgetIdle drops callers without requests that have no debt.
 func (q *Queue) forgetIdle() {
 	for name, l := range q.callers {
-		if len(l.tickets) == 0 && l.pass <= q.virtual {
+		if len(l.tickets) == 0 && l.running == 0 && l.pass <= q.virtual {
 			delete(q.callers, name)
 		}
 	}
--- a/internal/admitter/queue_test.go
+++ b/internal/admitter/queue_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fescuespindle/fescuespindle/internal/admitter"
+	"github.com/fescuespindle/fescuespindle/internal/chooser"
 )
 
 // pool is a pool with so many places.
@@ -24,7 +25,13 @@
 
 func newPool(places int32) *pool {
 	p := &pool{places: places}
-	p.queue = admitter.New(func(more int) bool { return p.running.Load()+int32(more) < places }, time.Now)
+	p.queue = admitter.New(func(more int, standing chooser.Standing) bool {
+		free := places - p.running.Load() - int32(more)
+		if standing == chooser.StandingOver {
+			free-- // one place is left to callers under their share
+		}
+		return free > 0
+	}, time.Now)
 	return p
 }
 
@@ -40,6 +47,7 @@
 	p.queue.Started()
 	time.Sleep(length)
 	p.running.Add(-1)
+	p.queue.Done(caller)
 	p.queue.Released()
 	return waited, nil
 }
--- a/internal/assembler/provider.go
+++ b/internal/assembler/provider.go
@@ -15,6 +15,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/counter"
 	"github.com/fescuespindle/fescuespindle/internal/dispatcher"
 	"github.com/fescuespindle/fescuespindle/internal/jobkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/linkmeter"
 	"github.com/fescuespindle/fescuespindle/internal/messenger"
 	"github.com/fescuespindle/fescuespindle/internal/operator"
 	"github.com/fescuespindle/fescuespindle/internal/peer"
@@ -43,12 +44,6 @@
 
 const (
 	idlePlatformConns = 16
-	// fleetWritesPerSecond and fleetReadsPerSecond are the share of the
-	// platform's budget that all VMs together may use.
-	fleetWritesPerSecond = 400
-	fleetReadsPerSecond  = 1500
-	// smallFleet is the number of VMs that the budget is divided by at least.
-	smallFleet = 8
 )
 
 // CurrentProcess returns the number of a process that starts now.
@@ -66,8 +61,7 @@
 	counters *counter.Counters,
 ) *storekeeper.Keeper {
 	incarnation := s.VM + "-" + strconv.FormatUint(uint64(process), 10)
-	return storekeeper.New(platform, incarnation, logger, counters,
-		storekeeper.WithBudget(fleetWritesPerSecond/smallFleet, fleetReadsPerSecond/smallFleet))
+	return storekeeper.New(platform, incarnation, logger, counters)
 }
 
 func newJobs(store *storekeeper.Keeper) *jobkeeper.Keeper { return jobkeeper.New(store) }
@@ -95,10 +89,11 @@
 }
 
 func newDispatcher(
-	r *relayer.Relayer, c *controller.Controller, counters *counter.Counters, q *quarantiner.Quarantine,
+	r *relayer.Relayer, c *controller.Controller, link *linkmeter.Meter, counters *counter.Counters,
+	q *quarantiner.Quarantine,
 	options []dispatcher.Option,
 ) *dispatcher.Dispatcher {
-	return dispatcher.New(r, c, c, counters, q, options...)
+	return dispatcher.New(r, c, c, link, counters, q, options...)
 }
 
 func newProfiling(s settingsloader.Settings) operator.Profiling {
--- a/internal/assembler/wire.go
+++ b/internal/assembler/wire.go
@@ -10,6 +10,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/controller"
 	"github.com/fescuespindle/fescuespindle/internal/counter"
 	"github.com/fescuespindle/fescuespindle/internal/dispatcher"
+	"github.com/fescuespindle/fescuespindle/internal/linkmeter"
 	"github.com/fescuespindle/fescuespindle/internal/operator"
 	"github.com/fescuespindle/fescuespindle/internal/platformcaller"
 	"github.com/fescuespindle/fescuespindle/internal/publisher"
@@ -27,7 +28,7 @@
 ) *VM {
 	wire.Build(
 		newCounters, newPlatform, newStore, newJobs, newRelayer, newClaimer, newPlace, newMessenger, newDispatcher,
-		newProfiling, publisher.New, quarantiner.New, controller.New, server.New, operator.New, servicecaller.New,
+		newProfiling, linkmeter.New, publisher.New, quarantiner.New, controller.New, server.New, operator.New, servicecaller.New,
 		wire.Struct(new(controller.Parts), "*"),
 		wire.Struct(new(VM), "settings", "logger", "listeners", "store", "messenger", "controller", "publisher",
 			"dispatcher", "claimer", "relayer", "server", "operator"),
@@ -37,6 +38,8 @@
 		wire.Bind(new(server.Announcer), new(*controller.Controller)),
 		wire.Bind(new(operator.Stater), new(*controller.Controller)),
 		wire.Bind(new(operator.Tracer), new(*dispatcher.Dispatcher)),
+		wire.Bind(new(dispatcher.Link), new(*linkmeter.Meter)),
+		wire.Bind(new(linkmeter.Counter), new(*counter.Counters)),
 		wire.Bind(new(dispatcher.Counter), new(*counter.Counters)),
 	)
 	return nil
--- a/internal/assembler/wire_gen.go
+++ b/internal/assembler/wire_gen.go
@@ -9,6 +9,7 @@
 import (
 	"github.com/fescuespindle/fescuespindle/internal/controller"
 	"github.com/fescuespindle/fescuespindle/internal/dispatcher"
+	"github.com/fescuespindle/fescuespindle/internal/linkmeter"
 	"github.com/fescuespindle/fescuespindle/internal/operator"
 	"github.com/fescuespindle/fescuespindle/internal/publisher"
 	"github.com/fescuespindle/fescuespindle/internal/quarantiner"
@@ -31,6 +32,7 @@
 	quarantine := quarantiner.New()
 	publisherPublisher := publisher.New()
 	claimer := newClaimer(settings, keeper)
+	meter := linkmeter.New(counters)
 	parts := controller.Parts{
 		Place:      place,
 		Logger:     logger,
@@ -42,11 +44,12 @@
 		Quarantine: quarantine,
 		Publisher:  publisherPublisher,
 		Claimer:    claimer,
+		Link:       meter,
 	}
 	controllerController := controller.New(parts)
 	messenger := newMessenger(place, secret, controllerController, counters, dials)
-	dispatcherDispatcher := newDispatcher(relayer, controllerController, counters, quarantine, options)
-	servicecallerCaller := servicecaller.New(relayer, controllerController, counters)
+	dispatcherDispatcher := newDispatcher(relayer, controllerController, meter, counters, quarantine, options)
+	servicecallerCaller := servicecaller.New(relayer, controllerController, meter, counters)
 	serverServer := server.New(publisherPublisher, dispatcherDispatcher, servicecallerCaller, claimer, jobkeeperKeeper, controllerController, counters, logger)
 	profiling := newProfiling(settings)
 	operatorOperator := operator.New(publisherPublisher, controllerController, dispatcherDispatcher, counters, profiling)
--- a/internal/chooser/chooser_test.go
+++ b/internal/chooser/chooser_test.go
@@ -89,6 +89,9 @@
 	pool := poolOf(4, func(i int) chooser.Tier { return chooser.Tier(min(i, 2)) })
 	now := time.Now()
 	request := chooser.Request{Farthest: chooser.TierRemote, Now: now}
+	for u := range pool.All {
+		u.Gauge().SetOthers(0, now)
+	}
 	for range sequences {
 		choice, _ := chooser.Balanced{}.Choose(pool, request)
 		qt.Assert(t, choice.Upstream.Tier(), qt.Equals, chooser.TierDomain)
@@ -125,8 +128,8 @@
 		g.Progress(start, 200*time.Millisecond)
 	}
 	typical := 20 * time.Millisecond
-	qt.Check(t, g.Slowness(start, typical) > 5, qt.IsTrue)
-	qt.Check(t, g.Slowness(start.Add(20*time.Second), typical) < 1.1, qt.IsTrue)
+	qt.Check(t, g.Slowness(start, typical, sequences) > 5, qt.IsTrue)
+	qt.Check(t, g.Slowness(start.Add(20*time.Second), typical, sequences) < 1.1, qt.IsTrue)
 }
 
 func BenchmarkChoose760(b *testing.B) {
--- a/internal/chooser/policy.go
+++ b/internal/chooser/policy.go
@@ -72,15 +72,15 @@
 	ringSteps = 3
 	// prefixSlack is the load over the mean that a prefix is worth.
 	prefixSlack = 1.25
-	// spillFill is the fill from which the next tier is looked at.
-	spillFill = 1.0
 	// slowLimit is the slowness from which an upstream loses its prefixes.
 	slowLimit = 2.0
+	// fullPenalty keeps requests away from upstreams where they would wait.
+	fullPenalty = 10
 	// gatherSlowness is the slowness from which an upstream gathers no requests.
 	gatherSlowness = 1.5
 	// apartPenalty keeps ordinary requests away from where long prompts go,
 	// unless the others are that much fuller.
-	apartPenalty = 4
+	apartPenalty = 100
 )
 
 // Balanced is the product's own policy: the upstream that the prompt's prefix
@@ -100,10 +100,10 @@
 		if found {
 			choice.Reason = ReasonSpilled
 		}
-		if choice.Fill < spillFill {
+		if p.FreeAt(choice.Upstream, r.Now) > 0 {
 			return choice, true
 		}
-		if !found || choice.Fill < best.Fill {
+		if !found || p.score(choice.Upstream, r.Now) < p.score(best.Upstream, r.Now) {
 			best = choice
 		}
 		found = true
@@ -166,7 +166,7 @@
 	for i := len(ranked) - 1; i >= 0; i-- {
 		u := ranked[i]
 		usable := u != r.Avoid && u.gauge.Usable(r.Now) && u.gauge.OnlineTotal()+1 < u.sequences
-		if usable && u.gauge.Slowness(r.Now, p.Typical()) <= gatherSlowness {
+		if usable && p.Slowness(u, r.Now) <= gatherSlowness {
 			return u
 		}
 	}
@@ -216,7 +216,7 @@
 func (p *Pool) longTarget(tier Tier, r Request) *Upstream {
 	for _, u := range p.ranked[tier] {
 		usable := u != r.Avoid && u.gauge.Usable(r.Now) && u.gauge.OnlineTotal() < u.sequences
-		if usable && u.gauge.Slowness(r.Now, p.Typical()) <= slowLimit {
+		if usable && p.Slowness(u, r.Now) <= slowLimit {
 			return u
 		}
 	}
@@ -241,7 +241,11 @@
 func (p *Pool) score(u *Upstream, now time.Time) float64 {
 	const batchWeight = 0.05
 	load := float64(u.gauge.OnlineTotal()+1) + batchWeight*float64(u.gauge.Batch())
-	return load / float64(u.sequences) * u.gauge.Slowness(now, p.Typical())
+	score := load / float64(u.sequences) * p.Slowness(u, now)
+	if u.gauge.OnlineTotal() >= u.sequences {
+		score *= fullPenalty // a place at a slow upstream is better than none
+	}
+	return score
 }
 
 // byPrefix returns the upstream that all VMs agree on for the prefix, unless
@@ -262,7 +266,10 @@
 			return 0
 		}
 	})
-	var last *Upstream
+	var apart, last *Upstream
+	if r.Apart {
+		apart = p.longTarget(tier, r)
+	}
 	tried := 0
 	for i := 0; i < len(ring) && tried < ringSteps; i++ {
 		u := ring[(at+i)%len(ring)].upstream
@@ -271,7 +278,7 @@
 		}
 		last = u
 		tried++
-		if u == r.Avoid || !u.gauge.Usable(r.Now) || u.gauge.Slowness(r.Now, p.Typical()) > slowLimit {
+		if u == r.Avoid || u == apart || !u.gauge.Usable(r.Now) || p.Slowness(u, r.Now) > slowLimit {
 			continue
 		}
 		if p.score(u, r.Now) <= leastScore*prefixSlack+prefixSlack/float64(u.sequences) {
--- a/internal/chooser/pool.go
+++ b/internal/chooser/pool.go
@@ -87,11 +87,40 @@
 // Gauge returns what this VM knows of the upstream.
 func (u *Upstream) Gauge() *gauger.Gauge { return u.gauge }
 
+// Free returns how many more online requests the upstream can take, as far as
+// this VM knows. Keepers of other domains tell only on demand; until they have,
+// their upstreams count as full.
+func (u *Upstream) Free(now time.Time) int {
+	if !u.gauge.Usable(now) || (u.tier != TierDomain && !u.gauge.Fresh(now)) {
+		return 0
+	}
+	return max(0, min(u.sequences-u.gauge.OnlineTotal(), u.gauge.Credits()))
+}
+
+// FreeAt returns how many more online requests an upstream can take without
+// making them wait or slow: none if it is slow.
+func (p *Pool) FreeAt(u *Upstream, now time.Time) int {
+	if p.Slowness(u, now) > slowLimit {
+		return 0
+	}
+	return u.Free(now)
+}
+
+// Slowness returns the factor by which the upstream is slower than a typical
+// one of the pool.
+func (p *Pool) Slowness(u *Upstream, now time.Time) float64 {
+	return u.gauge.Slowness(now, p.Typical(), u.sequences)
+}
+
 // fill returns the share of the upstream that online work takes.
 func (u *Upstream) fill() float64 {
 	return float64(u.gauge.OnlineTotal()) / float64(u.sequences)
 }
 
+// typicalQuantile is the quantile, as a divisor, of the gaps that counts as
+// typical: in a small domain, half of the upstreams may be slow at a time.
+const typicalQuantile = 4
+
 // pointsPerUpstream is the number of points of an upstream on the ring.
 const pointsPerUpstream = 16
 
@@ -109,11 +138,21 @@
 	typical atomic.Int64
 	turn    atomic.Uint64
 	batch   atomic.Bool
+	vms     int
 }
 
+// PoolOption sets one property of a Pool.
+type PoolOption func(*Pool)
+
+// WithVMs sets how many entry VMs share the domain's upstreams.
+func WithVMs(n int) PoolOption { return func(p *Pool) { p.vms = max(n, 1) } }
+
 // NewPool returns a pool of upstreams.
-func NewPool(upstreams []*Upstream) *Pool {
-	p := &Pool{}
+func NewPool(upstreams []*Upstream, options ...PoolOption) *Pool {
+	p := &Pool{vms: 1}
+	for _, option := range options {
+		option(p)
+	}
 	for _, u := range upstreams {
 		p.tiers[u.tier] = append(p.tiers[u.tier], u)
 		p.rings[u.tier] = append(p.rings[u.tier], pointsOf(u)...)
@@ -154,6 +193,51 @@
 	}
 }
 
+// headroomShare is the part, as a divisor, of a domain's sequences that VMs and
+// callers over their share leave to others.
+const headroomShare = 16
+
+// Standing tells how a caller's running requests compare to its share.
+type Standing uint8
+
+// The standings of a caller.
+const (
+	// StandingAlone callers share with no other.
+	StandingAlone Standing = iota
+	// StandingUnder callers have less than their share.
+	StandingUnder
+	// StandingOver callers have their share or more.
+	StandingOver
+)
+
+// HasRoom tells whether the upstreams can take one online request on top of
+// more others.
+//
+// Whoever ends a request sees the place before others do. A VM that has many
+// requests running would take each again, and one that has none would never get
+// a place. So a VM with more than its share leaves the last places to others.
+//
+// For the same reason a caller with more than its share leaves a little room to
+// others, who then find it without waiting on any VM.
+func (p *Pool) HasRoom(more int, standing Standing, now time.Time) bool {
+	free, own, capacity := 0, 0, 0
+	for u := range p.All {
+		free += u.Free(now)
+		if u.tier == TierDomain && u.gauge.Usable(now) {
+			own += u.gauge.Online()
+			capacity += u.sequences
+		}
+	}
+	if capacity == 0 {
+		return true // a domain without upstreams of its own can only try others'
+	}
+	overVM := p.vms > 1 && (own+more)*p.vms >= capacity+p.vms
+	if standing == StandingOver || (standing == StandingAlone && overVM) {
+		free -= max(1, capacity/headroomShare)
+	}
+	return free > more
+}
+
 // Find returns the upstream with an identifier, or nil.
 func (p *Pool) Find(id string) *Upstream {
 	for u := range p.All {
@@ -165,8 +249,8 @@
 }
 
 // RefreshTypical computes what is known of the pool as a whole: the typical gap
-// between tokens, which is the median over the upstreams that this VM has seen
-// at work, and whether there is batch work. It is called a few times a second.
+// between tokens, which is a low quantile over the upstreams that this VM has
+// seen at work, and whether there is batch work. It is called a few times a second.
 func (p *Pool) RefreshTypical() {
 	var gaps []time.Duration
 	batch := false
@@ -181,7 +265,7 @@
 		return
 	}
 	slices.Sort(gaps)
-	p.typical.Store(int64(gaps[(len(gaps)-1)/2]))
+	p.typical.Store(int64(gaps[(len(gaps)-1)/typicalQuantile]))
 }
 
 // HasBatch tells whether batch work runs on any of the upstreams, as far as
--- /dev/null
+++ b/internal/configkeeper/keeper_test.go
@@ -0,0 +1,208 @@
+package configkeeper_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fescuespindle/fescuespindle/internal/configkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/emulator/platformemulator"
+	"github.com/fescuespindle/fescuespindle/internal/platform"
+	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
+	"github.com/fescuespindle/fescuespindle/pkg/deployer"
+)
+
+// store is a table in memory. Some writes end in doubt, with or without effect.
+type store struct {
+	table *platformemulator.Table
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	objects map[string][]byte
+}
+
+func newStore(seed uint64) *store {
+	return &store{
+		table: platformemulator.NewTable(), random: rand.New(rand.NewPCG(seed, seed)), objects: map[string][]byte{},
+	}
+}
+
+func (s *store) draw(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.random.IntN(n)
+}
+
+func (s *store) Transact(_ context.Context, w storekeeper.Write) (uint64, error) {
+	const doubts, without, with = 8, 0, 1
+	doubt := s.draw(doubts)
+	if doubt == without {
+		return 0, storekeeper.ErrUnknown
+	}
+	reply := s.table.Transact(platform.Transaction{Conditions: w.Conditions, Puts: w.Puts})
+	switch {
+	case doubt == with:
+		return 0, storekeeper.ErrUnknown
+	case !reply.Committed:
+		return 0, storekeeper.ErrConflict
+	default:
+		return reply.Version, nil
+	}
+}
+
+func (s *store) Read(_ context.Context, _ storekeeper.Purpose, keys ...string) ([]platform.Row, error) {
+	return s.table.Read(keys), nil
+}
+
+func (s *store) Scan(
+	_ context.Context, _ storekeeper.Purpose, prefix, after string, limit int,
+) ([]platform.Row, error) {
+	return s.table.Scan(platform.ScanRequest{Prefix: prefix, After: after, Limit: limit}), nil
+}
+
+func (s *store) PutObject(_ context.Context, _ storekeeper.Purpose, key string, body []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects[key] = body
+	return nil
+}
+
+func (s *store) GetObject(_ context.Context, _ storekeeper.Purpose, key string) ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.objects[key], nil
+}
+
+// operation is an apply from a version, or a read if the digest is empty.
+type operation struct {
+	from   uint64
+	digest string
+}
+
+// outcome is what an operation returned.
+type outcome struct {
+	accepted bool
+	doubt    bool
+	head     configkeeper.Head
+}
+
+// model is the configuration as operators are promised it: one version after
+// the other, each made from the one before.
+func model() porcupine.Model {
+	nondeterministic := porcupine.NondeterministicModel{
+		Init: func() []any { return []any{configkeeper.Head{}} },
+		Step: func(state, input, output any) []any {
+			head, _ := state.(configkeeper.Head)
+			op, _ := input.(operation)
+			out, _ := output.(outcome)
+			if op.digest == "" {
+				if out.head == head {
+					return []any{head}
+				}
+				return nil
+			}
+			applied := configkeeper.Head{Version: op.from + 1, Digest: op.digest}
+			again := head == applied
+			fits := head.Version == op.from
+			switch {
+			case out.doubt && fits:
+				return []any{head, applied}
+			case out.doubt:
+				return []any{head}
+			case out.accepted && (fits || again):
+				return []any{applied}
+			case !out.accepted && !again:
+				return []any{head} // a change that fits may still lose to one in doubt
+			default:
+				return nil
+			}
+		},
+		Equal: func(a, b any) bool { return a == b },
+	}
+	return nondeterministic.ToModel()
+}
+
+func documentOf(operator, round int) deployer.Document {
+	return deployer.New(fmt.Sprintf("by %d in round %d", operator, round), deployer.WithRegion("pwani", "mbezi"))
+}
+
+// apply applies a change made from the head that the operator last read.
+func apply(k *configkeeper.Keeper, op operation, doc deployer.Document) outcome {
+	_, err := k.Apply(context.Background(), configkeeper.Change{
+		From: op.from, Digest: op.digest, Document: doc, By: "operator", Why: "race", At: time.Unix(1000, 0),
+	})
+	return outcome{accepted: err == nil, doubt: errors.Is(err, configkeeper.ErrInDoubt)}
+}
+
+func TestRacingOperatorsSeeOneHistory(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			k := configkeeper.New(newStore(seed))
+			var clock atomic.Int64
+			var mu sync.Mutex
+			var history []porcupine.Operation
+			record := func(client int, op operation, run func() outcome) outcome {
+				called := clock.Add(1)
+				out := run()
+				mu.Lock()
+				defer mu.Unlock()
+				history = append(history, porcupine.Operation{
+					ClientId: client, Input: op, Call: called, Output: out, Return: clock.Add(1),
+				})
+				return out
+			}
+			var group sync.WaitGroup
+			for client := range 4 {
+				group.Go(func() {
+					for round := range 8 {
+						read := record(client, operation{}, func() outcome {
+							head, err := k.Head(context.Background())
+							qt.Check(t, err, qt.IsNil)
+							return outcome{head: head}
+						})
+						doc := documentOf(client, round)
+						digest, err := doc.Digest()
+						qt.Check(t, err, qt.IsNil)
+						op := operation{from: read.head.Version, digest: digest}
+						record(client, op, func() outcome { return apply(k, op, doc) })
+					}
+				})
+			}
+			group.Wait()
+			qt.Assert(t, porcupine.CheckOperations(model(), history), qt.IsTrue)
+			expectTrail(t, k)
+		})
+	}
+}
+
+// expectTrail checks that the audit trail has every version once, each made
+// from the one before.
+func expectTrail(t *testing.T, k *configkeeper.Keeper) {
+	t.Helper()
+	entries, err := k.History(t.Context(), 0)
+	qt.Assert(t, err, qt.IsNil)
+	head, err := k.Head(t.Context())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, uint64(len(entries)), qt.Equals, head.Version)
+	previous := ""
+	for n, entry := range entries {
+		qt.Check(t, entry.Version, qt.Equals, uint64(n+1))
+		qt.Check(t, entry.Previous, qt.Equals, previous)
+		previous = entry.Digest
+	}
+	qt.Check(t, head.Digest, qt.Equals, previous)
+}
+
+func TestDocumentThatWasNotSignedIsRefused(t *testing.T) {
+	k := configkeeper.New(newStore(1))
+	_, err := k.Apply(t.Context(), configkeeper.Change{Digest: "sha256:00", Document: documentOf(1, 1)})
+	qt.Check(t, err, qt.ErrorIs, configkeeper.ErrWrongDigest)
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -17,6 +17,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/counter"
 	"github.com/fescuespindle/fescuespindle/internal/dispatcher"
 	"github.com/fescuespindle/fescuespindle/internal/jobkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/linkmeter"
 	"github.com/fescuespindle/fescuespindle/internal/peer"
 	"github.com/fescuespindle/fescuespindle/internal/platform"
 	"github.com/fescuespindle/fescuespindle/internal/platformcaller"
@@ -35,7 +36,13 @@
 	// vmsPerPeriod is the number of entry VMs up to which periods that load the
 	// platform stay as they are; they grow with the fleet beyond it.
 	vmsPerPeriod = 100
-	percent      = 100
+	// fleetWritesPerSecond and fleetReadsPerSecond are the part of the
+	// platform's budget that all VMs together may use.
+	fleetWritesPerSecond = 400.0
+	fleetReadsPerSecond  = 1500.0
+	// smallFleet is the number of VMs that the budget is divided by at least.
+	smallFleet = 8
+	percent    = 100
 )
 
 // Place is where a VM runs.
@@ -75,6 +82,7 @@
 	Quarantine *quarantiner.Quarantine
 	Publisher  *publisher.Publisher
 	Claimer    *claimer.Claimer
+	Link       *linkmeter.Meter
 }
 
 // Controller is the control state of one VM.
@@ -146,6 +154,33 @@
 	}
 	c.upstreams.pushTotals(now)
 	c.work.refreshRooms(now)
+	c.pollQueues()
+}
+
+// pollQueues lets waiting requests in where other VMs' requests have ended.
+func (c *Controller) pollQueues() {
+	for target := range c.Publisher.View().Targets {
+		if queue := target.Lane().Queue(); queue.Waiting() > 0 {
+			queue.Poll()
+		}
+	}
+}
+
+// shareBudgets gives this VM its share of what the fleet may use together.
+func (c *Controller) shareBudgets() {
+	fleet, region := 0, 0
+	for _, vm := range c.list {
+		if vm.Kind != platform.VMEntry {
+			continue
+		}
+		fleet++
+		if vm.Region == c.Place.Region {
+			region++
+		}
+	}
+	fleet = max(fleet, smallFleet)
+	c.Store.SetBudget(fleetWritesPerSecond/float64(fleet), fleetReadsPerSecond/float64(fleet))
+	c.Link.SetBudget(c.config.doc.RegionLinkMegabits, region)
 }
 
 // scaled lengthens a period that loads the platform as the fleet grows.
@@ -221,6 +256,7 @@
 	c.upstreams.watch(publisher.Keepers(inputs))
 	c.upstreams.viewChanged(view, now)
 	c.orders.refresh()
+	c.shareBudgets()
 	c.Counters.Count("views_published_total")
 }
 
@@ -231,7 +267,6 @@
 	c.typicalAt = now.Add(typicalPeriod)
 	for target := range c.Publisher.View().Targets {
 		target.Pool().RefreshTypical()
-		target.Lane().Queue().Poll()
 	}
 }
 
@@ -261,7 +296,7 @@
 	case peer.OnlineCounts:
 		c.upstreams.countsReceived(from, m, now)
 	case peer.OnlineTotals:
-		c.upstreams.totalsReceived(m)
+		c.upstreams.totalsReceived(m, now)
 	case peer.UpstreamStates:
 		c.upstreams.statesReceived(m)
 	case peer.Strikes:
--- a/internal/controller/state.go
+++ b/internal/controller/state.go
@@ -75,7 +75,7 @@
 			text.Upstreams = append(text.Upstreams, UpstreamText{
 				ID: u.ID(), Domain: u.Domain(), Keeper: u.Keeper(), Online: g.Online(), Others: g.Others(),
 				Batch: g.Batch(), Leaving: g.Leaving(), Usable: g.Usable(now),
-				Slowness: g.Slowness(now, target.Pool().Typical()),
+				Slowness: target.Pool().Slowness(u, now),
 			})
 		}
 	}
--- a/internal/controller/upstreams.go
+++ b/internal/controller/upstreams.go
@@ -35,6 +35,14 @@
 	totalsPerSecond      = 1200
 	leastTotalsPerSecond = 30
 	totalsBurst          = 60
+	// nearlyFullShare is the share of free sequences, as a divisor, from which
+	// other domains are asked for theirs.
+	nearlyFullShare = 8
+	// farShare is the part, as a divisor, of an upstream's room that a VM of
+	// another domain takes before it asks again; others take theirs.
+	farShare = 4
+	// tellSlowness is the slowness from which a VM tells the others.
+	tellSlowness = 2.5
 )
 
 // kept is an upstream that this VM looks after.
@@ -224,6 +232,8 @@
 		return
 	}
 	s.lazyAt = now.Add(lazyPeriod)
+	s.askFar(now)
+	s.tellSlow(now)
 	messages := map[string][]peer.UpstreamCount{}
 	for id, u := range s.falling {
 		count := peer.UpstreamCount{Upstream: id, Online: u.Gauge().Online()}
@@ -238,7 +248,7 @@
 // upstreams need this to leave the last sequences to each other. A budget keeps
 // the messages of a VM bounded: beyond it, VMs hear of a change later.
 func (s *upstreams) pushTotals(now time.Time) {
-	changed := s.changedKept()
+	changed := s.changedKept(now)
 	if len(changed) == 0 {
 		return
 	}
@@ -265,11 +275,11 @@
 
 // changedKept returns the kept upstreams whose total has changed since all
 // were told.
-func (s *upstreams) changedKept() []string {
+func (s *upstreams) changedKept(now time.Time) []string {
 	var changed []string
 	for _, id := range s.keptIDs() {
 		k := s.kept[id]
-		k.upstream.Gauge().SetOthers(k.room.OthersOf(s.c.Place.VM))
+		k.upstream.Gauge().SetOthers(k.room.OthersOf(s.c.Place.VM), now)
 		if k.changed {
 			changed = append(changed, id)
 		}
@@ -289,11 +299,63 @@
 	return message
 }
 
-// countsReceived takes another VM's counts.
+// countsReceived takes another VM's counts. A VM of another domain, which isn't
+// told of every change, gets the totals in return.
 func (s *upstreams) countsReceived(from peer.Sender, m peer.OnlineCounts, now time.Time) {
+	var reply peer.OnlineTotals
 	for _, count := range m.Counts {
 		if k, found := s.kept[count.Upstream]; found {
 			k.setOnline(from.VM, count.Online, now)
+			reply.Others = append(reply.Others, k.totals(count.Upstream, k.room.OthersOf(from.VM)))
+		}
+	}
+	if len(reply.Others) > 0 && !s.c.members.isNeighbour(from.VM) {
+		s.c.sender.Send(from.Address, reply)
+	}
+}
+
+// askFar asks the keepers of other domains for their totals while this domain's
+// upstreams are nearly full, so that requests can go there if there is room.
+func (s *upstreams) askFar(now time.Time) {
+	messages := map[string][]peer.UpstreamCount{}
+	for target := range s.c.Publisher.View().Targets {
+		if !nearlyFull(target, now) {
+			continue
+		}
+		for u := range target.Pool().All {
+			if u.Tier() != chooser.TierDomain {
+				count := peer.UpstreamCount{Upstream: u.ID(), Online: u.Gauge().Online()}
+				messages[u.Keeper()] = append(messages[u.Keeper()], count)
+			}
+		}
+	}
+	s.sendCounts(messages)
+}
+
+// nearlyFull tells whether a target's upstreams in this domain have little room
+// left, or requests wait for it.
+func nearlyFull(target *publisher.Target, now time.Time) bool {
+	free, all := 0, 0
+	for _, u := range target.Pool().Tier(chooser.TierDomain) {
+		free += target.Pool().FreeAt(u, now)
+		all += u.Sequences()
+	}
+	return target.Lane().Queue().Waiting() > 0 || free*nearlyFullShare <= all
+}
+
+// tellSlow tells the domain of upstreams that this VM's own requests show to be
+// slow, so that others need not find out for themselves.
+func (s *upstreams) tellSlow(now time.Time) {
+	for target := range s.c.Publisher.View().Targets {
+		for u := range target.Pool().All {
+			if u.Gauge().Online()+u.Gauge().Batch() == 0 {
+				continue
+			}
+			slowness := target.Pool().Slowness(u, now)
+			if slowness >= tellSlowness && u.Gauge().MarkSlow(now, slowness) {
+				s.c.Counters.Count("slow_marks_total")
+				s.c.relay(peer.SlowSeen{Upstream: u.ID(), Percent: int(slowness * percent)})
+			}
 		}
 	}
 }
@@ -305,10 +367,13 @@
 	k.changed = k.changed || k.room.Total() != before
 }
 
-func (s *upstreams) totalsReceived(m peer.OnlineTotals) {
+func (s *upstreams) totalsReceived(m peer.OnlineTotals, now time.Time) {
 	for _, others := range m.Others {
 		if u := s.byID[others.Upstream]; u != nil {
-			u.Gauge().SetOthers(others.Online)
+			u.Gauge().SetOthers(others.Online, now)
+			if u.Tier() != chooser.TierDomain {
+				u.Gauge().SetCredits((u.Sequences() - u.Gauge().OnlineTotal()) / farShare)
+			}
 			u.Gauge().SetOthersBatch(others.Batch)
 		}
 	}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -13,6 +13,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/admitter"
 	"github.com/fescuespindle/fescuespindle/internal/budgeter"
 	"github.com/fescuespindle/fescuespindle/internal/chooser"
+	"github.com/fescuespindle/fescuespindle/internal/linkmeter"
 	"github.com/fescuespindle/fescuespindle/internal/quarantiner"
 	"github.com/fescuespindle/fescuespindle/internal/relayer"
 )
@@ -21,11 +22,15 @@
 	maxAttempts     = 4
 	retryShare      = 0.10
 	retryBurst      = 20
-	hedgeShare      = 0.04
-	hedgeBurst      = 4
+	hedgeShare      = 0.05
+	hedgeBurst      = 10
 	hedgePercentile = 95
-	minHedgeWait    = 10 * time.Millisecond
-	blockAfterFail  = 100 * time.Millisecond
+	// A hedge is sent after 3/2 of the median time to a first token at the
+	// latest: slow spells raise the high quantile, but hardly the median.
+	hedgeMedians     = 3
+	hedgeMedianParts = 2
+	minHedgeWait     = 10 * time.Millisecond
+	blockAfterFail   = 100 * time.Millisecond
 	// overtakenSlowness is the number of typical times to a first token after
 	// which an attempt that was overtaken speaks against its upstream. Since it
 	// had not ended by then, the upstream is slower by an unknown factor.
@@ -107,6 +112,12 @@
 	Isolate(ctx context.Context, u *chooser.Upstream, f quarantiner.Fingerprint) (release func(), granted bool)
 }
 
+// Link keeps what crosses the link between regions under its budget.
+type Link interface {
+	Allows(now time.Time) bool
+	Count(purpose linkmeter.Purpose, bytes int, now time.Time)
+}
+
 // Counter counts events by name.
 type Counter interface {
 	Count(name string)
@@ -130,6 +141,7 @@
 	opener     Opener
 	observer   Observer
 	isolator   Isolator
+	link       Link
 	counter    Counter
 	quarantine *quarantiner.Quarantine
 	policy     chooser.Policy
@@ -155,10 +167,11 @@
 
 // New returns a dispatcher.
 func New(
-	opener Opener, observer Observer, isolator Isolator, counter Counter, quarantine *quarantiner.Quarantine, options ...Option,
+	opener Opener, observer Observer, isolator Isolator, link Link, counter Counter,
+	quarantine *quarantiner.Quarantine, options ...Option,
 ) *Dispatcher {
 	d := &Dispatcher{
-		opener: opener, observer: observer, isolator: isolator, counter: counter, quarantine: quarantine,
+		opener: opener, observer: observer, isolator: isolator, link: link, counter: counter, quarantine: quarantine,
 		policy: chooser.Balanced{}, hedging: true,
 		retries: budgeter.New(retryShare, retryBurst),
 		hedges:  budgeter.New(hedgeShare, hedgeBurst),
@@ -178,6 +191,7 @@
 	r := &run{dispatcher: d, lane: lane, request: request, trace: newTrace(request, lane.name)}
 	response, refusal := r.open(ctx)
 	if refusal != nil {
+		r.leave()
 		r.trace.add("refused: " + refusal.Error())
 		d.counter.Count(fmt.Sprintf("refusals_total{reason=%q}", refusal.reason))
 	}
@@ -202,6 +216,7 @@
 	trace      *Trace
 	attempts   int
 	started    bool
+	entered    bool
 	long       bool
 	prefix     uint64
 	worst      relayer.Ran
@@ -225,8 +240,13 @@
 	if err := r.lane.queue.Enter(ctx, r.request.Caller, r.request.Weight, r.request.Deadline); err != nil {
 		return nil, refuseEntry(err)
 	}
+	r.trace.add(fmt.Sprintf("let in after %v in line", time.Since(r.trace.at).Round(time.Millisecond)))
 	defer r.markStarted()
-	r.prefix = r.lane.prefixes.shared(r.request.Prefix)
+	r.entered = true
+	r.prefix = r.request.Prefix
+	if shared := r.lane.prefixes.shared(r.prefix); r.lane.Pool().HasBatch() {
+		r.prefix = shared // others gather, so that batch work has room
+	}
 	r.long = r.lane.prompts.note(r.request.PromptBytes, time.Now())
 	d.retries.Earn()
 	d.hedges.Earn()
@@ -237,6 +257,14 @@
 	return r.wait(ctx)
 }
 
+// leave tells the queue that the request is over.
+func (r *run) leave() {
+	if r.entered {
+		r.entered = false
+		r.lane.queue.Done(r.request.Caller)
+	}
+}
+
 // markStarted tells the queue once that the request is counted by a gauge, or
 // won't be.
 func (r *run) markStarted() {
@@ -272,7 +300,7 @@
 }
 
 func (r *run) hedgeTimer() *time.Timer {
-	wait := r.lane.first.high()
+	wait := min(r.lane.first.high(), hedgeMedians*r.lane.first.median()/hedgeMedianParts)
 	if wait == 0 || !r.dispatcher.hedging {
 		timer := time.NewTimer(time.Hour)
 		timer.Stop()
@@ -294,7 +322,7 @@
 		return &RefusedError{reason: ReasonNoUpstream, ran: r.worst, retryAt: retryAt, cause: r.explain(ErrNoUpstream)}
 	}
 	d.counter.Count(fmt.Sprintf("choices_total{reason=%q}", choice.Reason))
-	r.trace.choose(choice)
+	r.trace.choose(r.lane.Pool(), choice)
 	r.attempts++
 	f := newFlight(ctx, r, choice.Upstream, now)
 	f.release = release
@@ -304,6 +332,15 @@
 	return nil
 }
 
+// FarthestTier returns the last tier that a request may go to: another region's
+// upstreams only while the link's budget has something left.
+func FarthestTier(link Link, now time.Time) chooser.Tier {
+	if link.Allows(now) {
+		return chooser.TierRemote
+	}
+	return chooser.TierRegion
+}
+
 // choose picks an upstream. A suspect is only let run where it is isolated from
 // other suspects; the function returned ends that, and is nil for others.
 func (r *run) choose(
@@ -311,7 +348,7 @@
 ) (choice chooser.Choice, release func(), ok bool) {
 	const looks = 8
 	query := chooser.Request{
-		Prefix: r.prefix, Avoid: avoid, Farthest: r.lane.farthest, Now: now,
+		Prefix: r.prefix, Avoid: avoid, Farthest: FarthestTier(r.dispatcher.link, now), Now: now,
 		Long: r.long, Apart: r.lane.prompts.apart(now), Gather: r.lane.Pool().HasBatch(),
 	}
 	for range looks {
@@ -367,7 +404,7 @@
 // hedge starts a second attempt if its budget allows and the pool has room.
 func (r *run) hedge(ctx context.Context) {
 	d := r.dispatcher
-	if len(r.flying) != 1 || r.attempts >= maxAttempts || !r.lane.hasRoom(0) {
+	if len(r.flying) != 1 || r.attempts >= maxAttempts || !r.lane.hasRoom(0, chooser.StandingUnder) {
 		return
 	}
 	if d.quarantine.Strikes(r.request.Fingerprint, time.Now()) > 0 || !d.hedges.Spend() {
@@ -397,7 +434,8 @@
 	}
 	for _, f := range r.flying {
 		slowness := float64(now.Sub(f.begun)) / float64(typical)
-		if slowness < overtakenSlowness || !f.upstream.Gauge().MarkSlow(now, slowness*overtakenFactor) {
+		full := f.upstream.Gauge().OnlineTotal() > f.upstream.Sequences()
+		if full || slowness < overtakenSlowness || !f.upstream.Gauge().MarkSlow(now, slowness*overtakenFactor) {
 			continue
 		}
 		r.dispatcher.counter.Count("slow_marks_total")
--- a/internal/dispatcher/flight.go
+++ b/internal/dispatcher/flight.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/chooser"
+	"github.com/fescuespindle/fescuespindle/internal/linkmeter"
 	"github.com/fescuespindle/fescuespindle/internal/relayer"
 )
 
@@ -62,6 +63,7 @@
 
 func (f *flight) open() ([]byte, error) {
 	request := f.owner.request
+	f.countRemote(len(request.Body))
 	stream, err := f.owner.dispatcher.opener.Open(f.ctx, relayer.Attempt{
 		ID: f.id, Address: f.upstream.Address(), Method: http.MethodPost, Path: request.Path,
 		Body: request.Body, Deadline: request.Deadline,
@@ -84,6 +86,13 @@
 	return append([]byte(nil), first...), nil
 }
 
+// countRemote counts bytes that cross the link between regions.
+func (f *flight) countRemote(bytes int) {
+	if f.upstream.Tier() == chooser.TierRemote {
+		f.owner.dispatcher.link.Count(linkmeter.PurposeOnline, bytes, time.Now())
+	}
+}
+
 // abandon gives the attempt up. Its goroutine ends it or, if that has already
 // reported a result that nobody will read, this call.
 func (f *flight) abandon() {
--- a/internal/dispatcher/lane.go
+++ b/internal/dispatcher/lane.go
@@ -19,12 +19,11 @@
 	first    *latencyTracker
 	prompts  promptTracker
 	prefixes *prefixTracker
-	farthest chooser.Tier
 }
 
 // NewLane returns a lane with an empty pool.
 func NewLane(name string, now func() time.Time) *Lane {
-	l := &Lane{name: name, first: newLatencyTracker(), prefixes: newPrefixTracker(), farthest: chooser.TierRemote}
+	l := &Lane{name: name, first: newLatencyTracker(), prefixes: newPrefixTracker()}
 	l.pool.Store(chooser.NewPool(nil))
 	l.queue = admitter.New(l.hasRoom, now)
 	return l
@@ -45,20 +44,10 @@
 // Queue returns the line in which requests wait for room.
 func (l *Lane) Queue() *admitter.Queue { return l.queue }
 
-// hasRoom tells whether the pool can take one request on top of more others.
-func (l *Lane) hasRoom(more int) bool {
-	now := time.Now()
-	free := 0
-	for u := range l.Pool().All {
-		if !u.Gauge().Usable(now) {
-			continue
-		}
-		free += max(0, u.Sequences()-u.Gauge().OnlineTotal())
-		if free > more {
-			return true
-		}
-	}
-	return false
+// hasRoom tells whether the pool can take one request on top of more others,
+// for a caller with a standing.
+func (l *Lane) hasRoom(more int, standing chooser.Standing) bool {
+	return l.Pool().HasRoom(more, standing, time.Now())
 }
 
 const (
@@ -91,7 +80,7 @@
 		t.next = (t.next + 1) % trackedLatencies
 	}
 	t.fresh++
-	if t.fresh < refreshEvery {
+	if t.fresh < refreshEvery && len(t.recent) > refreshEvery {
 		return
 	}
 	t.fresh = 0
--- a/internal/dispatcher/prefix.go
+++ b/internal/dispatcher/prefix.go
@@ -6,7 +6,9 @@
 	// trackedPrefixes is the number of recent prefixes that are remembered.
 	trackedPrefixes = 1024
 	// reuseWeight is the weight of a new request in the share of reuse.
-	reuseWeight = 0.02
+	reuseWeight = 0.04
+	// startReuse is the share that is assumed before anything is known.
+	startReuse = 0.3
 	// sharedReuse is the share of reuse from which every prefix is taken for a
 	// shared one, also at first sight.
 	sharedReuse = 0.1
@@ -23,7 +25,7 @@
 }
 
 func newPrefixTracker() *prefixTracker {
-	return &prefixTracker{counts: map[uint64]int{}}
+	return &prefixTracker{counts: map[uint64]int{}, reuse: startReuse}
 }
 
 // shared returns the prefix if it is likely to be shared, and 0 otherwise.
--- a/internal/dispatcher/prompt.go
+++ b/internal/dispatcher/prompt.go
@@ -15,7 +15,7 @@
 	usualWeight = 0.05
 	// apartTime is how long after a long prompt others keep away from where
 	// long prompts go.
-	apartTime = 5 * time.Second
+	apartTime = 30 * time.Second
 )
 
 // promptTracker tells long prompts from usual ones.
--- a/internal/dispatcher/response.go
+++ b/internal/dispatcher/response.go
@@ -35,6 +35,7 @@
 	switch {
 	case err == nil:
 		now = time.Now()
+		r.flight.countRemote(len(data))
 		if !r.last.IsZero() {
 			r.flight.upstream.Gauge().Progress(now, now.Sub(r.last))
 		}
@@ -58,5 +59,6 @@
 		return
 	}
 	r.closed = true
+	r.flight.owner.leave()
 	r.flight.end(completed, failure)
 }
--- a/internal/dispatcher/trace.go
+++ b/internal/dispatcher/trace.go
@@ -40,11 +40,11 @@
 	t.steps = append(t.steps, step)
 }
 
-func (t *Trace) choose(c chooser.Choice) {
+func (t *Trace) choose(pool *chooser.Pool, c chooser.Choice) {
 	u := c.Upstream
 	t.add(fmt.Sprintf("chose %s in %s (%s): reason %s, online %d of %d, batch %d, slowness %.1f",
 		u.ID(), u.Domain(), u.Tier(), c.Reason, u.Gauge().OnlineTotal(), u.Sequences(), u.Gauge().Batch(),
-		u.Gauge().Slowness(time.Now(), 0)))
+		pool.Slowness(u, time.Now())))
 }
 
 func (t *Trace) text() TraceText {
--- a/internal/emulator/engineemulator/engine.go
+++ b/internal/emulator/engineemulator/engine.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -175,6 +176,13 @@
 	e.leaving = leaving
 }
 
+// Loaded returns the models in memory.
+func (e *Engine) Loaded() []upstream.LoadedModel {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.loaded)
+}
+
 // Counts returns what the engine has done so far.
 func (e *Engine) Counts() Counts {
 	e.mu.Lock()
--- a/internal/emulator/engineemulator/sequence.go
+++ b/internal/emulator/engineemulator/sequence.go
@@ -110,3 +110,10 @@
 	}
 	return others, selected
 }
+
+// Waiting returns how many sequences wait for a place.
+func (e *Engine) Waiting() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.waiting)
+}
--- a/internal/experimenter/batch.go
+++ b/internal/experimenter/batch.go
@@ -29,6 +29,7 @@
 func runBatchBesideOnline(ctx context.Context, p Parameters) (Result, error) {
 	result := Result{Policies: map[string]Metrics{}}
 	length := p.length(besideLength)
+	firsts := newLatencies()
 	for _, mode := range []string{"alone", "managed", "managedReserved", "unmanaged", "batchOnly"} {
 		metrics := Metrics{}
 		spec := sitebuilder.Authority()
@@ -37,6 +38,7 @@
 		}
 		err := withBench(ctx, p, spec, func(b *bench) error {
 			result.VMs, result.Upstreams = len(b.site.VMs), len(b.site.Engines)
+			b.firsts, b.policy = firsts, mode
 			return b.beside(ctx, mode, length, metrics)
 		})
 		if err != nil {
@@ -45,7 +47,7 @@
 		result.Policies[mode] = metrics
 	}
 	judgeBeside(&result)
-	return result, nil
+	return result, firsts.draw(p.PlotDir, "batch-beside-online")
 }
 
 // beside measures one mode.
--- a/internal/experimenter/bench.go
+++ b/internal/experimenter/bench.go
@@ -41,6 +41,10 @@
 	site *sitebuilder.Site
 	spec sitebuilder.Spec
 	p    Parameters
+	// firsts collects times to first tokens for the picture, under the name of
+	// the policy that is being measured.
+	firsts *latencies
+	policy string
 }
 
 // withBench brings a site up, measures and closes it.
@@ -111,14 +115,21 @@
 
 // online runs an online load to its end.
 func (b *bench) online(ctx context.Context, load onlineLoad) *loadgenerator.Generator {
-	var options []loadgenerator.Option
-	if load.observe != nil {
-		options = append(options, loadgenerator.WithObserver(load.observe))
+	observe := func(r loadgenerator.Request, due time.Time, c requester.Completion) {
+		if b.firsts != nil && r.Class == "short" {
+			b.firsts.add(b.policy, c.FirstToken().Sub(due))
+		}
+		if r.Class == "short" {
+			b.explain(c.ID(), c.FirstToken().Sub(due))
+		}
+		if load.observe != nil {
+			load.observe(r, due, c)
+		}
 	}
 	generator := loadgenerator.New(loadgenerator.Plan{
 		Rate: load.rate, End: time.Now().Add(load.length), Seed: b.p.Seed, Timeout: requestTimeout,
 		Targets: b.targets(load), Generate: load.generate, Expect: expected,
-	}, options...)
+	}, loadgenerator.WithObserver(observe))
 	generator.Run(ctx)
 	return generator
 }
--- a/internal/experimenter/burst.go
+++ b/internal/experimenter/burst.go
@@ -90,6 +90,8 @@
 			metrics := Metrics{}
 			err := withBench(ctx, p, spec, func(b *bench) error {
 				result.VMs, result.Upstreams = len(b.site.VMs), len(b.site.Engines)
+				stop := b.watchBurst(ctx, where, batch)
+				defer stop()
 				return b.bursts(ctx, where, batch, recorder, metrics)
 			})
 			if err != nil {
@@ -138,6 +140,44 @@
 	return nil
 }
 
+// watchBurst samples how many online and batch requests run, for the picture.
+// The function that it returns ends that and draws.
+func (b *bench) watchBurst(ctx context.Context, where string, batch bool) func() {
+	if b.p.PlotDir == "" || !batch {
+		return func() {}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	courses := map[string]*course{"online": {}, "batch": {}}
+	var group sync.WaitGroup
+	group.Go(func() {
+		begun := time.Now()
+		for ctx.Err() == nil {
+			online, batch := b.occupancy()
+			courses["online"].add(time.Since(begun), float64(online))
+			courses["batch"].add(time.Since(begun), float64(batch))
+			sleep(ctx, coursePeriod)
+		}
+	})
+	return func() {
+		cancel()
+		group.Wait()
+		_ = drawCourses(b.p.PlotDir, "online-burst-"+where, "requests running", courses) // the figures stand without it
+	}
+}
+
+// coursePeriod is the time between two samples of a course.
+const coursePeriod = 10 * time.Millisecond
+
+// occupancy returns the online and batch requests that run on all engines.
+func (b *bench) occupancy() (online, batch int) {
+	for _, e := range b.site.Engines {
+		o, n := e.Occupancy(func(id string) bool { return strings.HasPrefix(id, "batch_") })
+		online += o
+		batch += n
+	}
+	return online, batch
+}
+
 func (b *bench) domainSequences(domain string) int {
 	n := 0
 	for _, e := range b.site.Engines {
--- a/internal/experimenter/overload.go
+++ b/internal/experimenter/overload.go
@@ -76,5 +76,5 @@
 	group.Wait()
 	metrics.addReport(modest, "modest")
 	metrics.addReport(greedy, "greedy")
-	metrics["goodTokensPerSecond"] = float64(modest.Tokens+greedy.Tokens) / length.Seconds()
+	metrics["goodTokensPerSecond"] = float64(modest.Tokens+greedy.Tokens) / time.Since(begun).Seconds()
 }
--- a/internal/experimenter/round.go
+++ b/internal/experimenter/round.go
@@ -19,7 +19,6 @@
 		mu.Lock()
 		defer mu.Unlock()
 		firsts = append(firsts, c.FirstToken().Sub(due))
-		b.explain(c.ID(), c.FirstToken().Sub(due))
 	}
 	var sum loadgenerator.Report
 	seed := b.p.Seed
--- a/internal/experimenter/tail.go
+++ b/internal/experimenter/tail.go
@@ -92,10 +92,12 @@
 	slowedAtOnce = 2
 	slowLag      = 3 * time.Second
 	slowLength   = 18 * time.Second
+	warmLength   = 3 * time.Second
 )
 
 func runSlowedUpstreams(ctx context.Context, p Parameters) (Result, error) {
 	result := Result{Policies: map[string]Metrics{}}
+	firsts := newLatencies()
 	for _, name := range []string{"unslowed", "balanced", "roundRobin", "leastReported", "twoChoices"} {
 		spec := sitebuilder.Trentvale()
 		spec.VMOptions = policies[name]
@@ -103,6 +105,7 @@
 		metrics := Metrics{}
 		err := withBench(ctx, p, spec, func(b *bench) error {
 			result.VMs, result.Upstreams = len(b.site.VMs), len(b.site.Engines)
+			b.firsts, b.policy = firsts, name
 			b.slowed(ctx, name != "unslowed", metrics)
 			return nil
 		})
@@ -117,21 +120,26 @@
 			balanced["shortFirstTokenP99Milliseconds"]/unslowed["shortFirstTokenP99Milliseconds"]),
 		atMost("extra upstream work", 0.05, balanced["extraWorkRatio"]),
 	}
-	return result, nil
+	return result, firsts.draw(p.PlotDir, "slowed-upstreams")
 }
 
 // slowed runs short work while spells slow two random engines at a time.
 func (b *bench) slowed(ctx context.Context, spells bool, metrics Metrics) {
 	ctx, cancel := context.WithCancel(ctx)
+	rate := tailShare * float64(b.sequences()) / (shortTokens * engineStep.Seconds())
+	load := onlineLoad{rate: rate, length: warmLength, generate: b.short(shortWords, shortTokens)}
+	// VMs learn what is usual before anything is slow.
+	firsts := b.firsts
+	b.firsts = nil
+	b.online(ctx, load)
+	b.firsts = firsts
 	var group sync.WaitGroup
 	if spells {
 		group.Go(func() { b.slowDown(ctx) })
 	}
 	before := b.generated()
-	rate := tailShare * float64(b.sequences()) / (shortTokens * engineStep.Seconds())
-	generator := b.online(ctx, onlineLoad{
-		rate: rate, length: b.p.length(slowLength), generate: b.short(shortWords, shortTokens),
-	})
+	load.length = b.p.length(slowLength)
+	generator := b.online(ctx, load)
 	cancel()
 	group.Wait()
 	report := generator.Class("short").Report("short")
--- a/internal/gauger/gauge.go
+++ b/internal/gauger/gauge.go
@@ -18,6 +18,9 @@
 	// stallGaps is the number of typical gaps without any event after which an
 	// upstream with requests in flight counts as stalled.
 	stallGaps = 3
+	// freshTime is how long the word of other VMs' requests is taken as true for
+	// upstreams whose keeper doesn't tell of every change.
+	freshTime = 500 * time.Millisecond
 	// maxSlowness bounds the factor by which an upstream counts as slow.
 	maxSlowness = 50
 )
@@ -27,6 +30,8 @@
 	online    atomic.Int32
 	batch     atomic.Int32
 	others    atomic.Int32
+	credits   atomic.Int32 // requests that may be sent before more is heard
+	heardAt   atomic.Int64 // Unix nanoseconds of the last word of others
 	foreign   atomic.Int32 // batch requests of the upstream's keeper
 	reported  atomic.Int32
 	gap       atomic.Uint64 // float64 bits, nanoseconds
@@ -49,8 +54,24 @@
 // Others returns the online requests of other VMs, as last heard.
 func (g *Gauge) Others() int { return int(g.others.Load()) }
 
-// SetOthers keeps the number of online requests of other VMs.
-func (g *Gauge) SetOthers(n int) { g.others.Store(int32(n)) }
+// SetOthers keeps the number of online requests of other VMs, heard at a time.
+func (g *Gauge) SetOthers(n int, now time.Time) {
+	g.others.Store(int32(n))
+	g.credits.Store(math.MaxInt32)
+	g.heardAt.Store(now.UnixNano())
+}
+
+// SetCredits bounds the requests that may be sent before the keeper tells more,
+// since all who hear of the same room would take it.
+func (g *Gauge) SetCredits(n int) { g.credits.Store(int32(n)) }
+
+// Credits returns how many requests may be sent before the keeper tells more.
+func (g *Gauge) Credits() int { return int(g.credits.Load()) }
+
+// Fresh tells whether the keeper has lately told of the other VMs' requests.
+func (g *Gauge) Fresh(now time.Time) bool {
+	return now.UnixNano()-g.heardAt.Load() < int64(freshTime)
+}
 
 // OthersBatch returns the batch requests of another VM that looks after the
 // upstream, as last heard.
@@ -70,6 +91,7 @@
 
 // BeginOnline counts an online request that is about to be sent.
 func (g *Gauge) BeginOnline(now time.Time) {
+	g.credits.Add(-1)
 	g.online.Add(1)
 	g.begin(now)
 }
@@ -146,14 +168,15 @@
 	return !g.Leaving() && now.UnixNano() >= g.blockedTo.Load()
 }
 
-// Slowness returns the factor by which the upstream is slower than the typical
-// gap between tokens of its pool: 1 for an ordinary one.
-func (g *Gauge) Slowness(now time.Time, typical time.Duration) float64 {
+// Slowness returns the factor by which an upstream that runs so many sequences
+// is slower than the typical gap between tokens of its pool: 1 for an ordinary
+// one. Silence says nothing of one that is over full: requests wait there.
+func (g *Gauge) Slowness(now time.Time, typical time.Duration, sequences int) float64 {
 	if typical <= 0 {
 		return 1
 	}
 	slowness := g.remembered(now, typical)
-	if g.Online()+g.Batch() > 0 {
+	if g.Online()+g.Batch() > 0 && g.OnlineTotal() <= sequences {
 		silent := now.UnixNano() - g.progress.Load()
 		stalled := float64(silent) / float64(stallGaps*typical)
 		slowness = max(slowness, stalled)
--- a/internal/publisher/builder.go
+++ b/internal/publisher/builder.go
@@ -105,7 +105,7 @@
 		lane = dispatcher.NewLane(name, time.Now)
 		b.lanes[name] = lane
 	}
-	pool := chooser.NewPool(upstreams)
+	pool := chooser.NewPool(upstreams, chooser.WithVMs(len(in.Live)))
 	lane.SetPool(pool)
 	return &Target{name: name, deployment: d, lane: lane, pool: pool}
 }
--- a/internal/servicecaller/caller.go
+++ b/internal/servicecaller/caller.go
@@ -11,6 +11,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/budgeter"
 	"github.com/fescuespindle/fescuespindle/internal/chooser"
 	"github.com/fescuespindle/fescuespindle/internal/dispatcher"
+	"github.com/fescuespindle/fescuespindle/internal/linkmeter"
 	"github.com/fescuespindle/fescuespindle/internal/relayer"
 )
 
@@ -43,15 +44,18 @@
 type Caller struct {
 	sender   Sender
 	observer dispatcher.Observer
+	link     dispatcher.Link
 	counter  dispatcher.Counter
 	policy   chooser.Policy
 	retries  *budgeter.Budget
 }
 
 // New returns a caller.
-func New(sender Sender, observer dispatcher.Observer, counter dispatcher.Counter) *Caller {
+func New(
+	sender Sender, observer dispatcher.Observer, link dispatcher.Link, counter dispatcher.Counter,
+) *Caller {
 	return &Caller{
-		sender: sender, observer: observer, counter: counter, policy: chooser.Balanced{},
+		sender: sender, observer: observer, link: link, counter: counter, policy: chooser.Balanced{},
 		retries: budgeter.New(retryShare, retryBurst),
 	}
 }
@@ -72,6 +76,7 @@
 		}
 	}
 	defer markStarted()
+	defer lane.Queue().Done(call.Caller)
 	c.retries.Earn()
 	return c.attempts(ctx, lane, call, markStarted)
 }
@@ -85,8 +90,9 @@
 	var last error = relayer.NewFailure(relayer.RanNot, dispatcher.ErrNoUpstream)
 	worst := relayer.RanNot
 	for n := range maxAttempts {
+		now := time.Now()
 		choice, ok := c.policy.Choose(lane.Pool(),
-			chooser.Request{Avoid: avoid, Farthest: chooser.TierRemote, Now: time.Now()})
+			chooser.Request{Avoid: avoid, Farthest: dispatcher.FarthestTier(c.link, now), Now: now})
 		if !ok {
 			break
 		}
@@ -135,6 +141,9 @@
 		ID: fmt.Sprintf("%s-%d", call.ID, n), Address: u.Address(), Method: call.Method, Path: call.Path,
 		Body: call.Body, Header: call.Header, Deadline: call.Deadline,
 	}, call.Repeatable)
+	if u.Tier() == chooser.TierRemote {
+		c.link.Count(linkmeter.PurposeService, len(call.Body)+len(answer.Body()), time.Now())
+	}
 	if err == nil {
 		u.Gauge().Progress(time.Now(), 0)
 		return answer, nil
--- a/pkg/deployer/builder.go
+++ b/pkg/deployer/builder.go
@@ -31,6 +31,12 @@
 	}
 }
 
+// WithRegionLink bounds the traffic of online requests between regions, in
+// megabits a second.
+func WithRegionLink(megabits int) Option {
+	return func(doc *Document) { doc.RegionLinkMegabits = megabits }
+}
+
 // WithEngines adds a deployment of model engines.
 func WithEngines(name string, sequences int, options ...DeploymentOption) Option {
 	return withDeployment(Deployment{
--- a/pkg/deployer/checker.go
+++ b/pkg/deployer/checker.go
@@ -28,6 +28,7 @@
 	c.require(doc.Format == FormatVersion, "format", fmt.Sprintf("must be %d", FormatVersion))
 	c.require(doc.Name != "", "name", "must not be empty")
 	c.require(len(doc.Regions) > 0, "regions", "must list at least one region")
+	c.require(doc.RegionLinkMegabits >= 0, "regionLinkMegabits", "must not be negative")
 	regions := doc.checkRegions(c)
 	targets := doc.checkDeployments(c, regions)
 	doc.checkCallers(c, targets)
--- a/pkg/deployer/document.go
+++ b/pkg/deployer/document.go
@@ -32,11 +32,14 @@
 // Document is the configuration of a whole fleet. Its fields are exported
 // because the document is the public, signed text itself.
 type Document struct {
-	Format      int          `json:"format"`
-	Name        string       `json:"name"`
-	Regions     []Region     `json:"regions"`
-	Deployments []Deployment `json:"deployments"`
-	Callers     []Caller     `json:"callers"`
+	Format  int      `json:"format"`
+	Name    string   `json:"name"`
+	Regions []Region `json:"regions"`
+	// RegionLinkMegabits bounds what online requests of a region may send over
+	// the link to the other, in megabits a second; 0 means no bound.
+	RegionLinkMegabits int          `json:"regionLinkMegabits,omitempty"`
+	Deployments        []Deployment `json:"deployments"`
+	Callers            []Caller     `json:"callers"`
 }
 
 // Region is a set of failure domains that share a fast network.
