--- a/internal/chooser/policy.go
+++ b/internal/chooser/policy.go
@@ -14,7 +14,6 @@
 	ReasonLeastLoad Reason = iota
 	ReasonPrefix
 	ReasonSpilled
-	ReasonLong
 	ReasonGathered
 	ReasonLastResort
 	ReasonBaseline
@@ -22,24 +21,18 @@
 
 // String returns the reason's name, as counters show it.
 func (r Reason) String() string {
-	return [...]string{"leastLoad", "prefix", "spilled", "long", "gathered", "lastResort", "baseline"}[r]
+	return [...]string{"leastLoad", "prefix", "spilled", "gathered", "lastResort", "baseline"}[r]
 }
 
 // Reasons lists every reason.
 func Reasons() []Reason {
-	return []Reason{ReasonLeastLoad, ReasonPrefix, ReasonSpilled, ReasonLong, ReasonGathered, ReasonLastResort, ReasonBaseline}
+	return []Reason{ReasonLeastLoad, ReasonPrefix, ReasonSpilled, ReasonGathered, ReasonLastResort, ReasonBaseline}
 }
 
 // Request is what a choice depends on.
 type Request struct {
 	// Prefix is the hash of the prompt's beginning, or 0 for no affinity.
 	Prefix uint64
-	// Long tells whether the prompt is long. Long prompts share a few upstreams,
-	// so that an engine that works through one holds up few others.
-	Long bool
-	// Apart tells whether long prompts have come lately, so that others must
-	// keep away from where they go.
-	Apart bool
 	// Gather tells whether requests that no prefix sends elsewhere go to as few
 	// upstreams as can take them, so that batch work has the others to itself.
 	Gather bool
@@ -78,9 +71,6 @@
 	fullPenalty = 10
 	// gatherSlowness is the slowness from which an upstream gathers no requests.
 	gatherSlowness = 1.5
-	// apartPenalty keeps ordinary requests away from where long prompts go,
-	// unless the others are that much fuller.
-	apartPenalty = 100
 )
 
 // Balanced is the product's own policy: the upstream that the prompt's prefix
@@ -130,11 +120,6 @@
 }
 
 func (p *Pool) chooseInTier(tier Tier, r Request) (Choice, bool) {
-	if r.Long {
-		if u := p.longTarget(tier, r); u != nil {
-			return Choice{Upstream: u, Reason: ReasonLong, Fill: u.fill()}, true
-		}
-	}
 	sampled, score := p.leastLoaded(tier, r)
 	if sampled == nil {
 		return Choice{}, false
@@ -153,8 +138,7 @@
 }
 
 // gatherTarget returns the upstream that gathers requests now: the first with
-// room, in an order that all VMs agree on and that is the reverse of the one in
-// which long prompts come.
+// room, in an order that all VMs agree on.
 //
 // Batch work must keep a sequence free wherever online requests arrive, or they
 // wait for a step of the engine. Spread over all upstreams, that is a sequence
@@ -185,10 +169,6 @@
 	if n > samples {
 		step = 1 + rand.IntN(n-1)
 	}
-	var apart *Upstream
-	if r.Apart {
-		apart = p.longTarget(tier, r)
-	}
 	var best *Upstream
 	var bestScore float64
 	for i := range looks {
@@ -197,9 +177,6 @@
 			continue
 		}
 		score := p.score(u, r.Now)
-		if u == apart {
-			score *= apartPenalty
-		}
 		if best == nil || score < bestScore {
 			best, bestScore = u, score
 		}
@@ -210,19 +187,6 @@
 	return best, bestScore
 }
 
-// longTarget returns the upstream that long prompts go to now: the first with
-// room, in an order that all VMs agree on. As it fills up, the next one takes
-// its place, and at any time few upstreams work through long prompts.
-func (p *Pool) longTarget(tier Tier, r Request) *Upstream {
-	for _, u := range p.ranked[tier] {
-		usable := u != r.Avoid && u.gauge.Usable(r.Now) && u.gauge.OnlineTotal() < u.sequences
-		if usable && p.Slowness(u, r.Now) <= slowLimit {
-			return u
-		}
-	}
-	return nil
-}
-
 // anyUsable looks at all upstreams, for the case that none of the sampled ones
 // may be used.
 func (p *Pool) anyUsable(upstreams []*Upstream, r Request) (*Upstream, float64) {
@@ -266,10 +230,7 @@
 			return 0
 		}
 	})
-	var apart, last *Upstream
-	if r.Apart {
-		apart = p.longTarget(tier, r)
-	}
+	var last *Upstream
 	tried := 0
 	for i := 0; i < len(ring) && tried < ringSteps; i++ {
 		u := ring[(at+i)%len(ring)].upstream
@@ -278,7 +239,7 @@
 		}
 		last = u
 		tried++
-		if u == r.Avoid || u == apart || !u.gauge.Usable(r.Now) || p.Slowness(u, r.Now) > slowLimit {
+		if u == r.Avoid || !u.gauge.Usable(r.Now) || p.Slowness(u, r.Now) > slowLimit {
 			continue
 		}
 		if p.score(u, r.Now) <= leastScore*prefixSlack+prefixSlack/float64(u.sequences) {
--- a/internal/chooser/pool.go
+++ b/internal/chooser/pool.go
@@ -134,7 +134,7 @@
 type Pool struct {
 	tiers   [tierCount][]*Upstream
 	rings   [tierCount][]point
-	ranked  [tierCount][]*Upstream // in the order in which they take long prompts
+	ranked  [tierCount][]*Upstream // in the order in which requests gather
 	typical atomic.Int64
 	turn    atomic.Uint64
 	batch   atomic.Bool
--- a/internal/chunkfinder/finder.go
+++ b/internal/chunkfinder/finder.go
@@ -79,6 +79,7 @@
 
 // Finder is the state of one VM.
 type Finder struct {
+	timeout  time.Duration
 	dead     func(jobkeeper.Owner, jobkeeper.Ref) bool
 	searches map[string]*search
 	cursors  map[string]int
@@ -90,11 +91,15 @@
 // chunk is known to be gone, before its lease shows it.
 func New(dead func(jobkeeper.Owner, jobkeeper.Ref) bool) *Finder {
 	return &Finder{
-		dead: dead, searches: map[string]*search{}, cursors: map[string]int{},
+		timeout: leaseTimeout, dead: dead, searches: map[string]*search{}, cursors: map[string]int{},
 		leases: map[jobkeeper.Owner]lease{}, offered: map[jobkeeper.Ref]time.Time{},
 	}
 }
 
+// SetLeaseTimeout sets how long an owner's lease may stay unchanged; a larger
+// fleet renews its leases less often.
+func (f *Finder) SetLeaseTimeout(timeout time.Duration) { f.timeout = timeout }
+
 func (f *Finder) search(model string) *search {
 	s, found := f.searches[model]
 	if !found {
@@ -222,7 +227,7 @@
 		f.leases[c.Owner] = lease{version: c.Lease, since: now}
 		return false
 	}
-	return now.Sub(seen.since) >= leaseTimeout
+	return now.Sub(seen.since) >= f.timeout
 }
 
 // interleave orders candidates so that each job's chunks come in turn, the job
--- a/internal/controller/upstreams.go
+++ b/internal/controller/upstreams.go
@@ -78,6 +78,8 @@
 	addresses map[string]string // entry VMs' peer addresses, from the list
 	states    map[string]publisher.UpstreamState
 	falling   map[string]*chooser.Upstream
+	targets   map[string]*publisher.Target // by upstream
+	active    map[string]bool              // upstreams with requests of this VM
 	lazyAt    time.Time
 	nextTold  int
 	greeted   map[memberKey]bool
@@ -88,8 +90,8 @@
 	return &upstreams{
 		c: c, kept: map[string]*kept{}, watched: map[string]*watched{}, byID: map[string]*chooser.Upstream{}, addresses: map[string]string{},
 		states:  map[string]publisher.UpstreamState{},
-		falling: map[string]*chooser.Upstream{},
-		budget:  rate.NewLimiter(leastTotalsPerSecond, totalsBurst),
+		falling: map[string]*chooser.Upstream{}, targets: map[string]*publisher.Target{}, active: map[string]bool{},
+		budget: rate.NewLimiter(leastTotalsPerSecond, totalsBurst),
 	}
 }
 
@@ -119,9 +121,11 @@
 	moved := map[*chooser.Upstream]bool{}
 	old := s.byID
 	s.byID = map[string]*chooser.Upstream{}
+	s.targets = map[string]*publisher.Target{}
 	for target := range v.Targets {
 		for u := range target.Pool().All {
 			s.byID[u.ID()] = u
+			s.targets[u.ID()] = target
 			if u.Keeper() == s.c.Place.VM {
 				s.keep(before[u.ID()], target, u, now)
 			}
@@ -202,6 +206,7 @@
 	messages := map[string][]peer.UpstreamCount{}
 	for u, rising := range changed {
 		online := u.Gauge().Online()
+		s.active[u.ID()] = true
 		if k, found := s.kept[u.ID()]; found {
 			k.setOnline(s.c.Place.VM, online, now)
 			continue
@@ -346,16 +351,16 @@
 // tellSlow tells the domain of upstreams that this VM's own requests show to be
 // slow, so that others need not find out for themselves.
 func (s *upstreams) tellSlow(now time.Time) {
-	for target := range s.c.Publisher.View().Targets {
-		for u := range target.Pool().All {
-			if u.Gauge().Online()+u.Gauge().Batch() == 0 {
-				continue
-			}
-			slowness := target.Pool().Slowness(u, now)
-			if slowness >= tellSlowness && u.Gauge().MarkSlow(now, slowness) {
-				s.c.Counters.Count("slow_marks_total")
-				s.c.relay(peer.SlowSeen{Upstream: u.ID(), Percent: int(slowness * percent)})
-			}
+	for id := range s.active {
+		u, target := s.byID[id], s.targets[id]
+		if u == nil || u.Gauge().Online() == 0 {
+			delete(s.active, id)
+			continue
+		}
+		slowness := target.Pool().Slowness(u, now)
+		if slowness >= tellSlowness && u.Gauge().MarkSlow(now, slowness) {
+			s.c.Counters.Count("slow_marks_total")
+			s.c.relay(peer.SlowSeen{Upstream: id, Percent: int(slowness * percent)})
 		}
 	}
 }
--- a/internal/controller/work.go
+++ b/internal/controller/work.go
@@ -24,6 +24,10 @@
 	scanTimeout   = 3 * time.Second
 	// releaseTimeout bounds the tries to give a chunk up.
 	releaseTimeout = time.Minute
+	// checkPeriod is the time between two renewals of the lease, and leaseTimeout
+	// how long one may stay unchanged.
+	checkPeriod  = 2 * time.Second
+	leaseTimeout = 10 * time.Second
 	// commitPeriod is how long results wait to be committed together.
 	commitPeriod = time.Second
 	// offerWait is how long a VM waits for the finder's offer before it looks
@@ -67,6 +71,8 @@
 
 func (w *work) tick(now time.Time) {
 	w.core.SetCommitInterval(w.c.scaled(commitPeriod))
+	w.core.SetCheckPeriod(w.c.scaled(checkPeriod))
+	w.finder.SetLeaseTimeout(w.c.scaled(leaseTimeout))
 	w.do(w.core.Tick(now), now)
 	offers, scans := w.finder.Tick(now)
 	w.serve(offers, scans)
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -19,12 +19,11 @@
 )
 
 const (
-	maxAttempts     = 4
-	retryShare      = 0.10
-	retryBurst      = 20
-	hedgeShare      = 0.05
-	hedgeBurst      = 10
-	hedgePercentile = 95
+	maxAttempts = 4
+	retryShare  = 0.10
+	retryBurst  = 20
+	hedgeShare  = 0.05
+	hedgeBurst  = 10
 	// A hedge is sent after 3/2 of the median time to a first token at the
 	// latest: slow spells raise the high quantile, but hardly the median.
 	hedgeMedians     = 3
@@ -132,7 +131,6 @@
 	Body        []byte
 	Deadline    time.Time
 	Prefix      uint64
-	PromptBytes int
 	Fingerprint quarantiner.Fingerprint
 }
 
@@ -217,7 +215,6 @@
 	attempts   int
 	started    bool
 	entered    bool
-	long       bool
 	prefix     uint64
 	worst      relayer.Ran
 	last       *relayer.AttemptError
@@ -244,10 +241,9 @@
 	defer r.markStarted()
 	r.entered = true
 	r.prefix = r.request.Prefix
-	if shared := r.lane.prefixes.shared(r.prefix); r.lane.Pool().HasBatch() {
+	if shared := r.lane.prefixes.Shared(r.prefix); r.lane.Pool().HasBatch() {
 		r.prefix = shared // others gather, so that batch work has room
 	}
-	r.long = r.lane.prompts.note(r.request.PromptBytes, time.Now())
 	d.retries.Earn()
 	d.hedges.Earn()
 	r.results = make(chan result, maxAttempts)
@@ -300,7 +296,7 @@
 }
 
 func (r *run) hedgeTimer() *time.Timer {
-	wait := min(r.lane.first.high(), hedgeMedians*r.lane.first.median()/hedgeMedianParts)
+	wait := min(r.lane.first.High(), hedgeMedians*r.lane.first.Median()/hedgeMedianParts)
 	if wait == 0 || !r.dispatcher.hedging {
 		timer := time.NewTimer(time.Hour)
 		timer.Stop()
@@ -349,7 +345,7 @@
 	const looks = 8
 	query := chooser.Request{
 		Prefix: r.prefix, Avoid: avoid, Farthest: FarthestTier(r.dispatcher.link, now), Now: now,
-		Long: r.long, Apart: r.lane.prompts.apart(now), Gather: r.lane.Pool().HasBatch(),
+		Gather: r.lane.Pool().HasBatch(),
 	}
 	for range looks {
 		choice, ok = r.dispatcher.policy.Choose(r.lane.Pool(), query)
@@ -421,14 +417,14 @@
 	r.drop(got.flight)
 	r.markSlow(now)
 	r.cancelAll()
-	r.lane.first.add(now.Sub(got.flight.begun))
+	r.lane.first.Add(now.Sub(got.flight.begun))
 	return &Response{flight: got.flight, first: got.first}
 }
 
 // markSlow notes the upstreams that a later attempt has overtaken. Without the
 // mark, the knowledge that they are slow would end with the attempt.
 func (r *run) markSlow(now time.Time) {
-	typical := r.lane.first.median()
+	typical := r.lane.first.Median()
 	if typical == 0 {
 		return
 	}
--- a/internal/dispatcher/lane.go
+++ b/internal/dispatcher/lane.go
@@ -1,13 +1,12 @@
 package dispatcher
 
 import (
-	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/admitter"
 	"github.com/fescuespindle/fescuespindle/internal/chooser"
+	"github.com/fescuespindle/fescuespindle/internal/tracker"
 )
 
 // Lane is what the requests of one model or service share on a VM. It outlives
@@ -16,14 +15,13 @@
 	name     string
 	pool     atomic.Pointer[chooser.Pool]
 	queue    *admitter.Queue
-	first    *latencyTracker
-	prompts  promptTracker
-	prefixes *prefixTracker
+	first    *tracker.Latency
+	prefixes *tracker.Prefixes
 }
 
 // NewLane returns a lane with an empty pool.
 func NewLane(name string, now func() time.Time) *Lane {
-	l := &Lane{name: name, first: newLatencyTracker(), prefixes: newPrefixTracker()}
+	l := &Lane{name: name, first: tracker.NewLatency(), prefixes: tracker.NewPrefixes()}
 	l.pool.Store(chooser.NewPool(nil))
 	l.queue = admitter.New(l.hasRoom, now)
 	return l
@@ -49,54 +47,3 @@
 func (l *Lane) hasRoom(more int, standing chooser.Standing) bool {
 	return l.Pool().HasRoom(more, standing, time.Now())
 }
-
-const (
-	trackedLatencies = 256
-	refreshEvery     = 16
-)
-
-// latencyTracker keeps a high quantile of recent latencies.
-type latencyTracker struct {
-	mu      sync.Mutex
-	recent  []time.Duration
-	next    int
-	fresh   int
-	current atomic.Int64
-	middle  atomic.Int64
-}
-
-func newLatencyTracker() *latencyTracker {
-	return &latencyTracker{recent: make([]time.Duration, 0, trackedLatencies)}
-}
-
-// add takes one latency.
-func (t *latencyTracker) add(latency time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if len(t.recent) < trackedLatencies {
-		t.recent = append(t.recent, latency)
-	} else {
-		t.recent[t.next] = latency
-		t.next = (t.next + 1) % trackedLatencies
-	}
-	t.fresh++
-	if t.fresh < refreshEvery && len(t.recent) > refreshEvery {
-		return
-	}
-	t.fresh = 0
-	sorted := slices.Clone(t.recent)
-	slices.Sort(sorted)
-	t.current.Store(int64(sorted[len(sorted)*hedgePercentile/100]))
-	t.middle.Store(int64(sorted[len(sorted)/2]))
-}
-
-// median returns the middle of the recent latencies, or 0 while there are too
-// few.
-func (t *latencyTracker) median() time.Duration {
-	return time.Duration(t.middle.Load())
-}
-
-// high returns the quantile, or 0 while there are too few latencies.
-func (t *latencyTracker) high() time.Duration {
-	return time.Duration(t.current.Load())
-}
--- a/internal/experimenter/plot.go
+++ b/internal/drawer/drawer.go
@@ -1,4 +1,5 @@
-package experimenter
+// Package drawer draws what experiments measured, for a person to look at.
+package drawer
 
 import (
 	"fmt"
@@ -18,26 +19,28 @@
 	pictureWidth  = 8 * vg.Inch
 	pictureHeight = 5 * vg.Inch
 	curvePoints   = 200
+	millisPerSec  = 1000
 )
 
-// latencies collects the times to first tokens of each policy.
-type latencies struct {
+// Latencies collects the times to first tokens of each policy.
+type Latencies struct {
 	mu     sync.Mutex
 	series map[string][]time.Duration
 }
 
-func newLatencies() *latencies { return &latencies{series: map[string][]time.Duration{}} }
+// NewLatencies returns an empty collection.
+func NewLatencies() *Latencies { return &Latencies{series: map[string][]time.Duration{}} }
 
-// add takes one time of a policy.
-func (l *latencies) add(policy string, first time.Duration) {
+// Add takes one time of a policy.
+func (l *Latencies) Add(policy string, first time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.series[policy] = append(l.series[policy], first)
 }
 
-// draw writes the distribution of each policy: the share of requests that took
+// Draw writes the distribution of each policy: the share of requests that took
 // longer than a time, on logarithmic axes, so that the tail can be seen.
-func (l *latencies) draw(dir, name string) error {
+func (l *Latencies) Draw(dir, name string) error {
 	if dir == "" || len(l.series) == 0 {
 		return nil
 	}
@@ -81,17 +84,18 @@
 	return points
 }
 
-// course is a number over time.
-type course struct {
+// Course is a number over time.
+type Course struct {
 	points plotter.XYs
 }
 
-func (c *course) add(at time.Duration, value float64) {
+// Add takes the number at a time.
+func (c *Course) Add(at time.Duration, value float64) {
 	c.points = append(c.points, plotter.XY{X: at.Seconds(), Y: value})
 }
 
-// drawCourses writes several numbers over time.
-func drawCourses(dir, name, label string, courses map[string]*course) error {
+// DrawCourses writes several numbers over time.
+func DrawCourses(dir, name, label string, courses map[string]*Course) error {
 	if dir == "" {
 		return nil
 	}
--- a/internal/experimenter/batch.go
+++ b/internal/experimenter/batch.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/fescuespindle/fescuespindle/internal/drawer"
 	"github.com/fescuespindle/fescuespindle/internal/loadgenerator"
 	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
 )
@@ -29,7 +30,7 @@
 func runBatchBesideOnline(ctx context.Context, p Parameters) (Result, error) {
 	result := Result{Policies: map[string]Metrics{}}
 	length := p.length(besideLength)
-	firsts := newLatencies()
+	firsts := drawer.NewLatencies()
 	for _, mode := range []string{"alone", "managed", "managedReserved", "unmanaged", "batchOnly"} {
 		metrics := Metrics{}
 		spec := sitebuilder.Authority()
@@ -47,7 +48,7 @@
 		result.Policies[mode] = metrics
 	}
 	judgeBeside(&result)
-	return result, firsts.draw(p.PlotDir, "batch-beside-online")
+	return result, firsts.Draw(p.PlotDir, "batch-beside-online")
 }
 
 // beside measures one mode.
--- a/internal/experimenter/bench.go
+++ b/internal/experimenter/bench.go
@@ -11,6 +11,7 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/chooser"
 	"github.com/fescuespindle/fescuespindle/internal/dispatcher"
+	"github.com/fescuespindle/fescuespindle/internal/drawer"
 	"github.com/fescuespindle/fescuespindle/internal/emulator/engineemulator"
 	"github.com/fescuespindle/fescuespindle/internal/loadgenerator"
 	"github.com/fescuespindle/fescuespindle/internal/requester"
@@ -43,7 +44,7 @@
 	p    Parameters
 	// firsts collects times to first tokens for the picture, under the name of
 	// the policy that is being measured.
-	firsts *latencies
+	firsts *drawer.Latencies
 	policy string
 }
 
@@ -117,7 +118,7 @@
 func (b *bench) online(ctx context.Context, load onlineLoad) *loadgenerator.Generator {
 	observe := func(r loadgenerator.Request, due time.Time, c requester.Completion) {
 		if b.firsts != nil && r.Class == "short" {
-			b.firsts.add(b.policy, c.FirstToken().Sub(due))
+			b.firsts.Add(b.policy, c.FirstToken().Sub(due))
 		}
 		if r.Class == "short" {
 			b.explain(c.ID(), c.FirstToken().Sub(due))
--- a/internal/experimenter/burst.go
+++ b/internal/experimenter/burst.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/fescuespindle/fescuespindle/internal/drawer"
 	"github.com/fescuespindle/fescuespindle/internal/emulator/engineemulator"
 	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
 )
@@ -147,21 +148,21 @@
 		return func() {}
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	courses := map[string]*course{"online": {}, "batch": {}}
+	courses := map[string]*drawer.Course{"online": {}, "batch": {}}
 	var group sync.WaitGroup
 	group.Go(func() {
 		begun := time.Now()
 		for ctx.Err() == nil {
 			online, batch := b.occupancy()
-			courses["online"].add(time.Since(begun), float64(online))
-			courses["batch"].add(time.Since(begun), float64(batch))
+			courses["online"].Add(time.Since(begun), float64(online))
+			courses["batch"].Add(time.Since(begun), float64(batch))
 			sleep(ctx, coursePeriod)
 		}
 	})
 	return func() {
 		cancel()
 		group.Wait()
-		_ = drawCourses(b.p.PlotDir, "online-burst-"+where, "requests running", courses) // the figures stand without it
+		_ = drawer.DrawCourses(b.p.PlotDir, "online-burst-"+where, "requests running", courses) // the figures stand without it
 	}
 }
 
--- a/internal/experimenter/tail.go
+++ b/internal/experimenter/tail.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/fescuespindle/fescuespindle/internal/drawer"
 	"github.com/fescuespindle/fescuespindle/internal/emulator/engineemulator"
 	"github.com/fescuespindle/fescuespindle/internal/loadgenerator"
 	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
@@ -97,7 +98,7 @@
 
 func runSlowedUpstreams(ctx context.Context, p Parameters) (Result, error) {
 	result := Result{Policies: map[string]Metrics{}}
-	firsts := newLatencies()
+	firsts := drawer.NewLatencies()
 	for _, name := range []string{"unslowed", "balanced", "roundRobin", "leastReported", "twoChoices"} {
 		spec := sitebuilder.Trentvale()
 		spec.VMOptions = policies[name]
@@ -120,7 +121,7 @@
 			balanced["shortFirstTokenP99Milliseconds"]/unslowed["shortFirstTokenP99Milliseconds"]),
 		atMost("extra upstream work", 0.05, balanced["extraWorkRatio"]),
 	}
-	return result, firsts.draw(p.PlotDir, "slowed-upstreams")
+	return result, firsts.Draw(p.PlotDir, "slowed-upstreams")
 }
 
 // slowed runs short work while spells slow two random engines at a time.
--- a/internal/jobrunner/runner.go
+++ b/internal/jobrunner/runner.go
@@ -26,9 +26,9 @@
 	commitInterval = 2 * time.Second
 	// checkPeriod is the time between two looks at the jobs' states.
 	checkPeriod = 2 * time.Second
-	// unverifiedLimit is the time without such a look after which no item is
-	// started, as its job may have been cancelled.
-	unverifiedLimit = 15 * time.Second
+	// unverifiedChecks is the number of such looks that may fail before no item
+	// is started, as its job may have been cancelled.
+	unverifiedChecks = 7
 	// promptBytes is the size of the prompts that an upstream may have before it
 	// that have no token yet; one larger prompt may go alone.
 	promptBytes = 1 << 10
@@ -64,6 +64,7 @@
 type Runner struct {
 	owner    jobkeeper.Owner
 	interval time.Duration
+	period   time.Duration
 	chunks   []*chunk
 	rooms    []Room
 	runs     []*run
@@ -79,13 +80,17 @@
 
 // New returns a runner that owns nothing.
 func New(owner jobkeeper.Owner) *Runner {
-	return &Runner{owner: owner, interval: commitInterval, wantAt: map[string]time.Time{}, orphanAt: map[string]time.Time{}}
+	return &Runner{owner: owner, interval: commitInterval, period: checkPeriod, wantAt: map[string]time.Time{}, orphanAt: map[string]time.Time{}}
 }
 
 // SetCommitInterval sets how long a result waits for others to be committed
 // with; a larger fleet takes longer, as all share the store's writes.
 func (r *Runner) SetCommitInterval(interval time.Duration) { r.interval = interval }
 
+// SetCheckPeriod sets the time between two looks at the jobs' states, each of
+// which also renews the lease.
+func (r *Runner) SetCheckPeriod(period time.Duration) { r.period = period }
+
 // SetRooms sets the upstreams that the VM looks after and their limits, and
 // returns what follows from it at once.
 func (r *Runner) SetRooms(rooms []Room, now time.Time) []Action {
@@ -140,7 +145,7 @@
 		}
 	}
 	if len(r.chunks) > 0 && !now.Before(r.checkAt) {
-		r.checkAt = now.Add(checkPeriod)
+		r.checkAt = now.Add(r.period)
 		r.beat++
 		out = append(out, Check{Beat: r.beat, Jobs: r.jobs()})
 	}
--- a/internal/jobrunner/schedule.go
+++ b/internal/jobrunner/schedule.go
@@ -61,7 +61,7 @@
 }
 
 func (r *Runner) mayStart(now time.Time) bool {
-	return !r.draining && r.heldBytes() < maxHeldBytes && now.Sub(r.verified) < unverifiedLimit
+	return !r.draining && r.heldBytes() < maxHeldBytes && now.Sub(r.verified) < unverifiedChecks*r.period
 }
 
 // prompting returns the size of the prompts on an upstream that have no token
--- a/internal/server/completion.go
+++ b/internal/server/completion.go
@@ -102,8 +102,7 @@
 	begun := time.Now()
 	response, refusal := s.dispatcher.Open(r.Request.Context(), target.Lane(), dispatcher.Request{
 		ID: idOf(r), Caller: caller.Name, Weight: caller.Weight, Path: r.Request.URL.Path, Body: streaming,
-		Deadline: deadlineOf(r), Prefix: prefixOf(completion),
-		PromptBytes: len(completion.Text()), Fingerprint: fingerprintOf(caller, streaming),
+		Deadline: deadlineOf(r), Prefix: prefixOf(completion), Fingerprint: fingerprintOf(caller, streaming),
 	})
 	if refusal != nil {
 		failureOfRefusal(refusal).write(w.ResponseWriter)
--- a/internal/dispatcher/prefix.go
+++ b/internal/tracker/prefix.go
@@ -1,4 +1,4 @@
-package dispatcher
+package tracker
 
 import "sync"
 
@@ -14,9 +14,9 @@
 	sharedReuse = 0.1
 )
 
-// prefixTracker tells whether prompts share their beginnings. Sending a prompt
+// Prefixes tells whether prompts share their beginnings. Sending a prompt
 // where its prefix is cached is worth something only if others share it.
-type prefixTracker struct {
+type Prefixes struct {
 	mu     sync.Mutex
 	recent [trackedPrefixes]uint64
 	next   int
@@ -24,12 +24,13 @@
 	reuse  float64
 }
 
-func newPrefixTracker() *prefixTracker {
-	return &prefixTracker{counts: map[uint64]int{}, reuse: startReuse}
+// NewPrefixes returns a tracker that takes some sharing for granted at first.
+func NewPrefixes() *Prefixes {
+	return &Prefixes{counts: map[uint64]int{}, reuse: startReuse}
 }
 
-// shared returns the prefix if it is likely to be shared, and 0 otherwise.
-func (t *prefixTracker) shared(prefix uint64) uint64 {
+// Shared returns the prefix if it is likely to be shared, and 0 otherwise.
+func (t *Prefixes) Shared(prefix uint64) uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	seen := t.counts[prefix] > 0
@@ -45,7 +46,7 @@
 	return 0
 }
 
-func (t *prefixTracker) remember(prefix uint64) {
+func (t *Prefixes) remember(prefix uint64) {
 	oldest := t.recent[t.next]
 	if t.counts[oldest] > 1 {
 		t.counts[oldest]--
