--- a/internal/chooser/pool.go
+++ b/internal/chooser/pool.go
@@ -91,10 +91,17 @@
 // this VM knows. Keepers of other domains tell only on demand; until they have,
 // their upstreams count as full.
 func (u *Upstream) Free(now time.Time) int {
-	if !u.gauge.Usable(now) || (u.tier != TierDomain && !u.gauge.Fresh(now)) {
+	free := max(0, u.sequences-u.gauge.OnlineTotal())
+	switch {
+	case !u.gauge.Usable(now):
 		return 0
+	case u.tier == TierDomain:
+		return free
+	case !u.gauge.Fresh(now):
+		return 0
+	default:
+		return max(0, min(free, u.gauge.Credits()))
 	}
-	return max(0, min(u.sequences-u.gauge.OnlineTotal(), u.gauge.Credits()))
 }
 
 // FreeAt returns how many more online requests an upstream can take without
