Integration tests take ports that outgoing connections can't take

Cause: a clean-clone run beside another failed once: an entry VM never became ready. Its address was free when it was picked, from the range that the system gives to outgoing connections, and may have been taken before it listened. The process's log was not kept, so this is the likely cause and not a seen one.

Change: ports below that range, apart for each run.

--- a/internal/integration/fleet_test.go
+++ b/internal/integration/fleet_test.go
@@ -16,6 +16,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -167,12 +168,23 @@
 	})
 }
 
+// nextPort is below the ports that the system gives to outgoing connections,
+// one of which could otherwise take an address before its process listens.
+var nextPort atomic.Int32
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	const first, runs, portsPerRun = 20_000, 30, 400
+	for {
+		port := first + os.Getpid()%runs*portsPerRun + int(nextPort.Add(1))%portsPerRun
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		qt.Assert(t, listener.Close(), qt.IsNil)
+		return address
+	}
 }
 
 func (f *fleet) proxy(target string) *interrupter.Proxy {
