--- a/internal/propagator/propagator.go
+++ b/internal/propagator/propagator.go
@@ -27,7 +27,10 @@
 	// itself, in case its domain's readers can't.
 	idleReadPeriod = 15 * time.Second
 	fetchTimeout   = time.Second
-	startTimeout   = 1500 * time.Millisecond
+	// readTimeout is the time after which a read whose answer never came, such
+	// as one that was lost while the process was paused, is made again.
+	readTimeout  = 5 * time.Second
+	startTimeout = 1500 * time.Millisecond
 )
 
 // Config is one accepted configuration.
@@ -98,7 +101,7 @@
 	fetchTo   time.Time
 	readAt    time.Time
 	reading   bool
-	readSince time.Time
+	readUntil time.Time // the answer to the read under way is given up then
 	storeSeen bool
 	started   time.Time
 	best      Config // newest text while the VM is starting
@@ -153,8 +156,12 @@
 		p.started = now
 	}
 	var out []Action
+	if p.reading && now.After(p.readUntil) {
+		p.reading = false
+	}
 	if !p.reading && !now.Before(p.readAt) {
-		p.reading, p.readSince = true, now
+		p.reading = true
+		p.readUntil = now.Add(readTimeout)
 		out = append(out, ReadHead{})
 	}
 	if p.current.version == 0 {
