One store stand-in for the tests of all who keep something

Cause: five tests each had a store in memory of their own, with faults of their own, which had begun to differ (one forgot deletes). Change: storeemulator has both shapes, the platform's table service and the store client, with lost answers, late copies and outages to be switched on.

--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -18,63 +17,21 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/claimer"
 	"github.com/fescuespindle/fescuespindle/internal/counter"
-	"github.com/fescuespindle/fescuespindle/internal/emulator/platformemulator"
-	"github.com/fescuespindle/fescuespindle/internal/platform"
-	"github.com/fescuespindle/fescuespindle/internal/platformcaller"
+	"github.com/fescuespindle/fescuespindle/internal/emulator/storeemulator"
 	"github.com/fescuespindle/fescuespindle/internal/relayer"
 	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
 )
 
-// table is a store in memory that can be down and can lose answers.
-type table struct {
-	*platformemulator.Table
-	down atomic.Bool
-	mu   sync.Mutex
-	rand *rand.Rand
-	lost float64
-}
-
-func (s *table) fails() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.rand.Float64() < s.lost
-}
-
-func (s *table) Transact(_ context.Context, tx platform.Transaction) (platform.TransactReply, error) {
-	if s.down.Load() {
-		return platform.TransactReply{}, platformcaller.ErrNotSent
-	}
-	reply := s.Table.Transact(tx)
-	if s.fails() {
-		return platform.TransactReply{}, platformcaller.ErrUnknown
-	}
-	return reply, nil
-}
-
-func (s *table) Read(_ context.Context, keys []string) ([]platform.Row, error) {
-	if s.down.Load() {
-		return nil, platformcaller.ErrNotSent
-	}
-	return s.Table.Read(keys), nil
-}
-
-func (s *table) Scan(_ context.Context, r platform.ScanRequest) ([]platform.Row, error) {
-	return s.Table.Scan(r), nil
-}
-func (s *table) PutObject(context.Context, string, []byte) error   { return nil }
-func (s *table) GetObject(context.Context, string) ([]byte, error) { return nil, nil }
-func (s *table) DeleteObject(context.Context, string) error        { return nil }
-
 // vms are claimers of several VMs on one store.
 type vms struct {
-	table    *table
+	table    *storeemulator.Platform
 	claimers []*claimer.Claimer
 	group    sync.WaitGroup
 	stop     context.CancelFunc
 }
 
 func newVMs(ctx context.Context, n int, seed uint64) *vms {
-	v := &vms{table: &table{Table: platformemulator.NewTable(), rand: rand.New(rand.NewPCG(seed, seed))}}
+	v := &vms{table: storeemulator.NewPlatform(seed)}
 	ctx, v.stop = context.WithCancel(ctx)
 	for i := range n {
 		name := fmt.Sprintf("vm-%d", i)
@@ -116,7 +73,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				v := newVMs(t.Context(), 4, seed)
-				v.table.lost = 0.3
+				v.table.SetFaults(storeemulator.PlatformFaults{Lost: 0.3})
 				var o order
 				var senders sync.WaitGroup
 				for n := range 20 {
@@ -143,14 +100,14 @@
 func TestWithoutAStoreNothingRuns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		v := newVMs(t.Context(), 2, 1)
-		v.table.down.Store(true)
+		v.table.SetDown(true)
 		var o order
 		_, err := v.claimers[0].Do(t.Context(), o.call("panel"))
 		qt.Check(t, err, qt.ErrorIs, claimer.ErrNotClaimed)
 		qt.Check(t, o.runs.Load(), qt.Equals, int32(0))
 		// The claim may still become durable; it is taken back then, so that a
 		// resend is not told that the call may have run.
-		v.table.down.Store(false)
+		v.table.SetDown(false)
 		time.Sleep(30 * time.Second)
 		_, err = v.claimers[1].Do(t.Context(), o.call("panel"))
 		qt.Check(t, err, qt.IsNil)
--- a/internal/configkeeper/keeper_test.go
+++ b/internal/configkeeper/keeper_test.go
@@ -14,71 +14,15 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fescuespindle/fescuespindle/internal/configkeeper"
-	"github.com/fescuespindle/fescuespindle/internal/emulator/platformemulator"
-	"github.com/fescuespindle/fescuespindle/internal/platform"
-	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
+	"github.com/fescuespindle/fescuespindle/internal/emulator/storeemulator"
 	"github.com/fescuespindle/fescuespindle/pkg/deployer"
 )
 
-// store is a table in memory. Some writes end in doubt, with or without effect.
-type store struct {
-	table *platformemulator.Table
-
-	mu      sync.Mutex
-	random  *rand.Rand
-	objects map[string][]byte
-}
-
-func newStore(seed uint64) *store {
-	return &store{
-		table: platformemulator.NewTable(), random: rand.New(rand.NewPCG(seed, seed)), objects: map[string][]byte{},
-	}
-}
-
-func (s *store) draw(n int) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.random.IntN(n)
-}
-
-func (s *store) Transact(_ context.Context, w storekeeper.Write) (uint64, error) {
-	const doubts, without, with = 8, 0, 1
-	doubt := s.draw(doubts)
-	if doubt == without {
-		return 0, storekeeper.ErrUnknown
-	}
-	reply := s.table.Transact(platform.Transaction{Conditions: w.Conditions, Puts: w.Puts})
-	switch {
-	case doubt == with:
-		return 0, storekeeper.ErrUnknown
-	case !reply.Committed:
-		return 0, storekeeper.ErrConflict
-	default:
-		return reply.Version, nil
-	}
-}
-
-func (s *store) Read(_ context.Context, _ storekeeper.Purpose, keys ...string) ([]platform.Row, error) {
-	return s.table.Read(keys), nil
-}
-
-func (s *store) Scan(
-	_ context.Context, _ storekeeper.Purpose, prefix, after string, limit int,
-) ([]platform.Row, error) {
-	return s.table.Scan(platform.ScanRequest{Prefix: prefix, After: after, Limit: limit}), nil
-}
-
-func (s *store) PutObject(_ context.Context, _ storekeeper.Purpose, key string, body []byte) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.objects[key] = body
-	return nil
-}
-
-func (s *store) GetObject(_ context.Context, _ storekeeper.Purpose, key string) ([]byte, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.objects[key], nil
+func newStore(seed uint64) *storeemulator.Keeper {
+	const doubted = 0.25
+	store := storeemulator.NewKeeper(rand.New(rand.NewPCG(seed, seed)))
+	store.SetDoubted(doubted)
+	return store
 }
 
 // operation is an apply from a version, or a read if the digest is empty.
--- a/internal/jobrunner/simulation_test.go
+++ b/internal/jobrunner/simulation_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -13,11 +12,10 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fescuespindle/fescuespindle/internal/chunkfinder"
-	"github.com/fescuespindle/fescuespindle/internal/emulator/platformemulator"
+	"github.com/fescuespindle/fescuespindle/internal/emulator/storeemulator"
 	"github.com/fescuespindle/fescuespindle/internal/jobkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/jobrunner"
 	"github.com/fescuespindle/fescuespindle/internal/platform"
-	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
 )
 
 const (
@@ -26,63 +24,6 @@
 	capable = 4
 )
 
-// fakeStore is the store as jobs see it, with faults.
-type fakeStore struct {
-	table   *platformemulator.Table
-	objects map[string][]byte
-	random  *rand.Rand
-	down    bool
-	lost    float64
-}
-
-func (s *fakeStore) Transact(_ context.Context, w storekeeper.Write) (uint64, error) {
-	if s.down {
-		return 0, storekeeper.ErrNotWritten
-	}
-	doubt := s.random.Float64() < s.lost
-	if doubt && s.random.IntN(2) == 0 {
-		return 0, storekeeper.ErrUnknown // and without effect
-	}
-	reply := s.table.Transact(platform.Transaction{Conditions: w.Conditions, Puts: w.Puts, Deletes: w.Deletes})
-	switch {
-	case doubt:
-		return 0, storekeeper.ErrUnknown
-	case !reply.Committed:
-		return 0, storekeeper.ErrConflict
-	default:
-		return reply.Version, nil
-	}
-}
-
-func (s *fakeStore) Read(_ context.Context, _ storekeeper.Purpose, keys ...string) ([]platform.Row, error) {
-	if s.down {
-		return nil, storekeeper.ErrNotRead
-	}
-	return s.table.Read(keys), nil
-}
-
-func (s *fakeStore) Scan(_ context.Context, _ storekeeper.Purpose, prefix, after string, limit int) ([]platform.Row, error) {
-	if s.down {
-		return nil, storekeeper.ErrNotRead
-	}
-	return s.table.Scan(platform.ScanRequest{Prefix: prefix, After: after, Limit: limit}), nil
-}
-
-func (s *fakeStore) PutObject(_ context.Context, _ storekeeper.Purpose, key string, body []byte) error {
-	if s.down {
-		return storekeeper.ErrUnknown
-	}
-	s.objects[key] = body
-	return nil
-}
-
-func (s *fakeStore) GetObject(_ context.Context, _ storekeeper.Purpose, key string) ([]byte, error) {
-	if s.down {
-		return nil, storekeeper.ErrNotRead
-	}
-	return s.objects[key], nil
-}
-
 // simulatedVM is one VM's cores, and what they have under way.
 type simulatedVM struct {
 	owner   jobkeeper.Owner
@@ -99,7 +40,7 @@
 	t       *testing.T
 	now     time.Time
 	random  *rand.Rand
-	store   *fakeStore
+	store   *storeemulator.Keeper
 	jobs    *jobkeeper.Keeper
 	vms     []*simulatedVM
 	process uint64
@@ -116,7 +57,7 @@
 		t: t, now: time.Unix(10_000, 0), random: rand.New(rand.NewPCG(seed, seed)),
 		seen: map[string]string{}, readable: map[string]int{}, failed: map[string]int{}, starts: map[string]time.Time{},
 	}
-	w.store = &fakeStore{table: platformemulator.NewTable(), objects: map[string][]byte{}, random: w.random}
+	w.store = storeemulator.NewKeeper(w.random)
 	w.jobs = jobkeeper.New(w.store)
 	for i := range vms {
 		w.vms = append(w.vms, nil)
@@ -329,17 +270,17 @@
 	case 2, 3:
 		w.vms[w.random.IntN(len(w.vms))].paused = false
 	case 4:
-		w.store.down = !w.store.down
+		w.store.SetDown(!w.store.Down())
 	case 5:
-		w.store.lost = w.random.Float64() * 0.3
+		w.store.SetDoubted(w.random.Float64() * 0.3)
 	case 6, 7:
-		w.store.down = false
+		w.store.SetDown(false)
 	}
 }
 
 func (w *world) calm() {
-	w.store.down = false
-	w.store.lost = 0
+	w.store.SetDown(false)
+	w.store.SetDoubted(0)
 	for _, vm := range w.vms {
 		vm.paused = false
 	}
@@ -371,7 +312,7 @@
 			large, small := w.submit("large", 150), w.submit("small", 3)
 			for range 30 {
 				w.run(time.Second, w.chaos)
-				if !w.store.down {
+				if !w.store.Down() {
 					w.read(large)
 					w.read(small)
 				}
@@ -448,7 +389,7 @@
 	w.do(vm, vm.core.Drain(w.now))
 	w.run(5*time.Second, nil)
 	qt.Assert(t, vm.core.Drained(), qt.IsTrue)
-	for _, row := range w.store.table.Scan(platform.ScanRequest{Prefix: "chunk/", Limit: 1000}) {
+	for _, row := range w.store.Table().Scan(platform.ScanRequest{Prefix: "chunk/", Limit: 1000}) {
 		var chunk jobkeeper.ChunkRow
 		qt.Assert(t, json.Unmarshal(row.Value, &chunk), qt.IsNil)
 		qt.Check(t, chunk.Done || chunk.Owner != vm.owner, qt.IsTrue)
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -9,31 +9,14 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fescuespindle/fescuespindle/internal/emulator/platformemulator"
+	"github.com/fescuespindle/fescuespindle/internal/emulator/storeemulator"
 	"github.com/fescuespindle/fescuespindle/internal/orderer"
 	"github.com/fescuespindle/fescuespindle/internal/orderkeeper"
-	"github.com/fescuespindle/fescuespindle/internal/platform"
-	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
 	"github.com/fescuespindle/fescuespindle/internal/upstream"
 )
 
 const step = 250 * time.Millisecond
 
-// store is a table in memory.
-type store struct{ table *platformemulator.Table }
-
-func (s store) Transact(_ context.Context, w storekeeper.Write) (uint64, error) {
-	reply := s.table.Transact(platform.Transaction{Conditions: w.Conditions, Puts: w.Puts, Deletes: w.Deletes})
-	if !reply.Committed {
-		return 0, storekeeper.ErrConflict
-	}
-	return reply.Version, nil
-}
-
-func (s store) Read(_ context.Context, _ storekeeper.Purpose, keys ...string) ([]platform.Row, error) {
-	return s.table.Read(keys), nil
-}
-
 // engine is an upstream that may or may not check fencing numbers.
 type engine struct {
 	checks  bool
@@ -72,7 +55,7 @@
 
 func newFleet(checks bool, engines, vms int, seed uint64) *fleet {
 	f := &fleet{now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, seed)), engines: map[string]*engine{}}
-	table := store{table: platformemulator.NewTable()}
+	table := storeemulator.NewKeeper(rand.New(rand.NewPCG(1, 1)))
 	for n := range engines {
 		e := &engine{checks: checks}
 		e.report.Role = upstream.RoleServing
--- a/internal/storekeeper/keeper_test.go
+++ b/internal/storekeeper/keeper_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -18,85 +17,13 @@
 	"go.uber.org/goleak"
 
 	"github.com/fescuespindle/fescuespindle/internal/counter"
-	"github.com/fescuespindle/fescuespindle/internal/emulator/platformemulator"
+	"github.com/fescuespindle/fescuespindle/internal/emulator/storeemulator"
 	"github.com/fescuespindle/fescuespindle/internal/platform"
-	"github.com/fescuespindle/fescuespindle/internal/platformcaller"
 	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// faultyStore is a table whose answers get lost, and whose requests may also
-// arrive a second time, late.
-type faultyStore struct {
-	table *platformemulator.Table
-
-	mu       sync.Mutex
-	random   *rand.Rand
-	lost     float64
-	late     float64
-	refused  float64
-	requests int
-	down     bool
-}
-
-func newFaultyStore(seed uint64) *faultyStore {
-	return &faultyStore{table: platformemulator.NewTable(), random: rand.New(rand.NewPCG(seed, seed))}
-}
-
-func (s *faultyStore) chance(p float64) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.random.Float64() < p
-}
-
-func (s *faultyStore) isDown() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.down
-}
-
-func (s *faultyStore) setDown(down bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.down = down
-}
-
-func (s *faultyStore) Transact(ctx context.Context, tx platform.Transaction) (platform.TransactReply, error) {
-	s.mu.Lock()
-	s.requests++
-	s.mu.Unlock()
-	if s.isDown() || s.chance(s.refused) {
-		return platform.TransactReply{}, platformcaller.ErrNotSent
-	}
-	if s.chance(s.late) {
-		// The request is on its way for long; the client gives up before.
-		time.AfterFunc(5*time.Second, func() { s.table.Transact(tx) })
-		<-ctx.Done()
-		return platform.TransactReply{}, platformcaller.ErrUnknown
-	}
-	reply := s.table.Transact(tx)
-	if s.chance(s.lost) {
-		return platform.TransactReply{}, platformcaller.ErrUnknown
-	}
-	return reply, nil
-}
-
-func (s *faultyStore) Read(_ context.Context, keys []string) ([]platform.Row, error) {
-	if s.isDown() {
-		return nil, platformcaller.ErrNotSent
-	}
-	return s.table.Read(keys), nil
-}
-
-func (s *faultyStore) Scan(_ context.Context, r platform.ScanRequest) ([]platform.Row, error) {
-	return s.table.Scan(r), nil
-}
-
-func (s *faultyStore) PutObject(context.Context, string, []byte) error   { return nil }
-func (s *faultyStore) GetObject(context.Context, string) ([]byte, error) { return nil, nil }
-func (s *faultyStore) DeleteObject(context.Context, string) error        { return nil }
-
 func newKeeper(store storekeeper.Store, name string) *storekeeper.Keeper {
 	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
 	return storekeeper.New(store, name, logger, counter.New(metrics.NewSet()), storekeeper.WithBudget(1e6, 1e6))
@@ -128,12 +55,12 @@
 
 // expectExactCount lets several keepers increment shared rows and compares the
 // sum with what they were told.
-func expectExactCount(t *testing.T, seed uint64, configure func(*faultyStore)) {
+func expectExactCount(t *testing.T, seed uint64, faults storeemulator.PlatformFaults) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		const keepers, increments, keys = 3, 25, 2
-		store := newFaultyStore(seed)
-		configure(store)
+		store := storeemulator.NewPlatform(seed)
+		store.SetFaults(faults)
 		ctx, cancel := context.WithCancel(t.Context())
 		var running, work sync.WaitGroup
 		var mu sync.Mutex
@@ -154,7 +81,7 @@
 		work.Wait()
 		time.Sleep(10 * time.Second) // late copies arrive
 		sum := 0
-		for _, row := range store.table.Read([]string{"key-0", "key-1"}) {
+		for _, row := range store.Table().Read([]string{"key-0", "key-1"}) {
 			value := 0
 			qt.Assert(t, json.Unmarshal(row.Value, &value), qt.IsNil)
 			sum += value
@@ -168,20 +95,20 @@
 
 func TestLostAnswersTakeEffectOnce(t *testing.T) {
 	for seed := range uint64(4) {
-		expectExactCount(t, seed, func(s *faultyStore) { s.lost = 0.3 })
+		expectExactCount(t, seed, storeemulator.PlatformFaults{Lost: 0.3})
 	}
 }
 
 func TestLateCopiesTakeEffectOnce(t *testing.T) {
 	for seed := range uint64(4) {
-		expectExactCount(t, seed, func(s *faultyStore) { s.lost, s.late, s.refused = 0.1, 0.2, 0.2 })
+		expectExactCount(t, seed, storeemulator.PlatformFaults{Lost: 0.1, Late: 0.2, Refused: 0.2})
 	}
 }
 
 func TestWriteThatWasNeverSentSaysSo(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := newFaultyStore(1)
-		store.setDown(true)
+		store := storeemulator.NewPlatform(1)
+		store.SetDown(true)
 		k := newKeeper(store, "vm")
 		running, stop := context.WithCancel(t.Context())
 		var group sync.WaitGroup
@@ -198,9 +125,9 @@
 		_, err := k.Transact(ctx, storekeeper.Write{Puts: []platform.Put{{Key: "third", Value: json.RawMessage("1")}}})
 		qt.Check(t, err, qt.ErrorIs, storekeeper.ErrNotWritten)
 		qt.Check(t, k.Available(), qt.IsFalse)
-		store.setDown(false)
+		store.SetDown(false)
 		time.Sleep(5 * time.Second)
-		qt.Check(t, store.table.Read([]string{"third"})[0].Version, qt.Equals, uint64(0))
+		qt.Check(t, store.Table().Read([]string{"third"})[0].Version, qt.Equals, uint64(0))
 		qt.Check(t, k.Available(), qt.IsTrue)
 		stop()
 		group.Wait()
@@ -209,7 +136,7 @@
 
 func TestWritesAreCommittedInGroups(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := newFaultyStore(1)
+		store := storeemulator.NewPlatform(1)
 		k := newKeeper(store, "vm")
 		running, stop := context.WithCancel(t.Context())
 		var group, work sync.WaitGroup
@@ -224,7 +151,7 @@
 		synctest.Wait()
 		group.Go(func() { _ = k.Run(running) })
 		work.Wait()
-		qt.Check(t, store.requests <= 4, qt.IsTrue, qt.Commentf("%d transactions for 100 writes", store.requests))
+		qt.Check(t, store.Requests() <= 4, qt.IsTrue, qt.Commentf("%d transactions for 100 writes", store.Requests()))
 		stop()
 		group.Wait()
 	})
@@ -232,7 +159,7 @@
 
 func TestOneConflictFailsAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := newFaultyStore(1)
+		store := storeemulator.NewPlatform(1)
 		k := newKeeper(store, "vm")
 		running, stop := context.WithCancel(t.Context())
 		var group, work sync.WaitGroup
