Suspects wait for isolation; VMs share full upstreams by parts

Cause 1 (poison): a crash makes suspects of all that ran on an engine, which can be more than there are engines to isolate them on. One that found none in 8 looks was refused. And a VM that gave up waiting for a keeper's word left the suspect admitted there for 30 s. Cause 2 (overload): a place that one VM's request frees is seen by that VM at once and by the others together a little later. The first takes it again for its greedy caller; the others herd, overfill, fall below, and herd again. A counter by standing showed half of the greedy caller's admissions as a lone caller's, because the modest one had no request on that VM at that moment. Each VM has an equal part of the sequences for callers over their share; what it has only heard of it takes by chance; ends on nearly full upstreams are told at once; a caller counts as company for 2 s. A hedge needs the room that a caller over its share needs. Where a sample finds no free engine, all are looked at. Two dispatcher tests that were missing: the retry budget, and whether a final answer says that the request ran. All answers are of one length, so sequences end in waves up to 0.7 s apart; no admission rule finds a place between two waves. Next: greedy callers' streams have to make room.

--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -36,6 +36,8 @@
 	minRetryWait = time.Second
 	// rateWeight is the weight of a new interval between releases.
 	rateWeight = 0.05
+	// callerMemory is how long a caller is reckoned with after its last request.
+	callerMemory = 2 * time.Second
 	// maxWaiting bounds the queue of one caller.
 	maxWaiting = 4096
 )
@@ -62,6 +64,7 @@
 	weight  float64
 	tickets []*ticket
 	running int
+	seenAt  time.Time
 }
 
 type ticket struct {
@@ -69,9 +72,8 @@
 	gone     bool
 }
 
-// Room tells whether the pool has room for one more request on top of so many
-// that were let in but have not started yet, for a caller with a standing.
-type Room func(more int, standing chooser.Standing) bool
+// Room tells whether the pool has room for one more request.
+type Room func(chooser.Need) bool
 
 // New returns a queue of a pool with room.
 func New(room Room, now func() time.Time) *Queue {
@@ -111,7 +113,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	l := q.line(caller, weight)
-	if q.waiting == 0 && q.room(q.starting, q.standing(l)) {
+	if q.waiting == 0 && q.room(q.need(l, false)) {
 		q.advance(l)
 		return nil, nil
 	}
@@ -123,7 +125,7 @@
 	t := &ticket{admitted: make(chan struct{})}
 	l.tickets = append(l.tickets, t)
 	q.waiting++
-	q.admit() // there may be room that callers over their share may not take
+	q.admit(false) // there may be room that callers over their share may not take
 	return t, nil
 }
 
@@ -134,6 +136,7 @@
 		q.callers[caller] = l
 	}
 	l.weight = weight
+	l.seenAt = q.now()
 	if len(l.tickets) == 0 {
 		l.pass = max(l.pass, q.virtual) // idle callers don't save up turns
 	}
@@ -190,7 +193,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.noteRelease()
-	q.admit()
+	q.admit(false)
 }
 
 // noteRelease measures the interval between releases, but only while requests
@@ -218,13 +221,15 @@
 func (q *Queue) Poll() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.admit()
+	q.admit(true)
 }
 
-func (q *Queue) admit() {
+// admit lets requests in while there is room. Heard tells that the VM has only
+// heard of what other VMs do.
+func (q *Queue) admit(heard bool) {
 	for q.waiting > 0 {
 		l := q.next()
-		if l == nil || !q.room(q.starting, q.standing(l)) {
+		if l == nil || !q.room(q.need(l, heard)) {
 			break
 		}
 		t := l.tickets[0]
@@ -239,18 +244,31 @@
 	q.forgetIdle()
 }
 
+func (q *Queue) need(l *line, heard bool) chooser.Need {
+	return chooser.Need{More: q.starting, Standing: q.standing(l), Heard: heard}
+}
+
 // standing compares a caller's running requests to its weight's share among the
-// callers that have any request.
+// callers that have any request. A caller without such company may still have
+// to reckon with one that comes back in a moment.
 func (q *Queue) standing(l *line) chooser.Standing {
-	var weights float64
+	weights := l.weight
+	alone := true
+	now := q.now()
 	for _, other := range q.callers {
-		if other == l || other.running > 0 || len(other.tickets) > 0 {
+		if other == l {
+			continue
+		}
+		if other.running > 0 || len(other.tickets) > 0 {
 			weights += other.weight
 		}
+		alone = alone && now.Sub(other.seenAt) > callerMemory
 	}
 	switch {
-	case weights <= l.weight:
+	case alone:
 		return chooser.StandingAlone
+	case l.running == 0:
+		return chooser.StandingUnder
 	case float64(l.running) >= float64(q.running)*l.weight/weights:
 		return chooser.StandingOver
 	default:
@@ -291,10 +309,13 @@
 	}
 }
 
-// forgetIdle drops callers without requests that have no debt.
+// forgetIdle drops callers without requests that have no debt and were not
+// seen of late.
 func (q *Queue) forgetIdle() {
+	now := q.now()
 	for name, l := range q.callers {
-		if len(l.tickets) == 0 && l.running == 0 && l.pass <= q.virtual {
+		idle := len(l.tickets) == 0 && l.running == 0 && now.Sub(l.seenAt) > callerMemory
+		if idle && l.pass <= q.virtual {
 			delete(q.callers, name)
 		}
 	}
--- a/internal/admitter/queue_test.go
+++ b/internal/admitter/queue_test.go
@@ -25,9 +25,9 @@
 
 func newPool(places int32) *pool {
 	p := &pool{places: places}
-	p.queue = admitter.New(func(more int, standing chooser.Standing) bool {
-		free := places - p.running.Load() - int32(more)
-		if standing == chooser.StandingOver {
+	p.queue = admitter.New(func(need chooser.Need) bool {
+		free := places - p.running.Load() - int32(need.More)
+		if need.Standing == chooser.StandingOver {
 			free-- // one place is left to callers under their share
 		}
 		return free > 0
--- a/internal/chooser/policy.go
+++ b/internal/chooser/policy.go
@@ -124,6 +124,9 @@
 	if sampled == nil {
 		return Choice{}, false
 	}
+	if p.FreeAt(sampled, r.Now) == 0 && len(p.tiers[tier]) > samples {
+		sampled, score = p.anyFree(tier, r, sampled, score)
+	}
 	if r.Prefix != 0 {
 		if u := p.byPrefix(tier, r, score); u != nil {
 			return Choice{Upstream: u, Reason: ReasonPrefix, Fill: u.fill()}, true
@@ -200,6 +203,20 @@
 	return nil, 0
 }
 
+// anyFree returns the first upstream with a free sequence from a random one on,
+// or the fallback. On nearly full upstreams a sample misses the free ones.
+func (p *Pool) anyFree(tier Tier, r Request, fallback *Upstream, score float64) (*Upstream, float64) {
+	upstreams := p.tiers[tier]
+	start := rand.IntN(len(upstreams))
+	for i := range upstreams {
+		u := upstreams[(start+i)%len(upstreams)]
+		if u != r.Avoid && p.FreeAt(u, r.Now) > 0 {
+			return u, p.score(u, r.Now)
+		}
+	}
+	return fallback, score
+}
+
 // score is lower for a better upstream: the load that the request would find,
 // times how slow the upstream is. Batch work counts little, as it yields.
 func (p *Pool) score(u *Upstream, now time.Time) float64 {
--- a/internal/chooser/pool.go
+++ b/internal/chooser/pool.go
@@ -146,13 +146,17 @@
 	turn    atomic.Uint64
 	batch   atomic.Bool
 	vms     int
+	rank    int
 }
 
 // PoolOption sets one property of a Pool.
 type PoolOption func(*Pool)
 
-// WithVMs sets how many entry VMs share the domain's upstreams.
-func WithVMs(n int) PoolOption { return func(p *Pool) { p.vms = max(n, 1) } }
+// WithVMs sets how many entry VMs share the domain's upstreams, and which of
+// them this one is, from 0, in an order that all agree on.
+func WithVMs(n, rank int) PoolOption {
+	return func(p *Pool) { p.vms, p.rank = max(n, 1), max(rank, 0) }
+}
 
 // NewPool returns a pool of upstreams.
 func NewPool(upstreams []*Upstream, options ...PoolOption) *Pool {
@@ -200,51 +204,6 @@
 	}
 }
 
-// headroomShare is the part, as a divisor, of a domain's sequences that VMs and
-// callers over their share leave to others.
-const headroomShare = 16
-
-// Standing tells how a caller's running requests compare to its share.
-type Standing uint8
-
-// The standings of a caller.
-const (
-	// StandingAlone callers share with no other.
-	StandingAlone Standing = iota
-	// StandingUnder callers have less than their share.
-	StandingUnder
-	// StandingOver callers have their share or more.
-	StandingOver
-)
-
-// HasRoom tells whether the upstreams can take one online request on top of
-// more others.
-//
-// Whoever ends a request sees the place before others do. A VM that has many
-// requests running would take each again, and one that has none would never get
-// a place. So a VM with more than its share leaves the last places to others.
-//
-// For the same reason a caller with more than its share leaves a little room to
-// others, who then find it without waiting on any VM.
-func (p *Pool) HasRoom(more int, standing Standing, now time.Time) bool {
-	free, own, capacity := 0, 0, 0
-	for u := range p.All {
-		free += u.Free(now)
-		if u.tier == TierDomain && u.gauge.Usable(now) {
-			own += u.gauge.Online()
-			capacity += u.sequences
-		}
-	}
-	if capacity == 0 {
-		return true // a domain without upstreams of its own can only try others'
-	}
-	overVM := p.vms > 1 && (own+more)*p.vms >= capacity+p.vms
-	if standing == StandingOver || (standing == StandingAlone && overVM) {
-		free -= max(1, capacity/headroomShare)
-	}
-	return free > more
-}
-
 // Find returns the upstream with an identifier, or nil.
 func (p *Pool) Find(id string) *Upstream {
 	for u := range p.All {
--- a/internal/controller/isolations.go
+++ b/internal/controller/isolations.go
@@ -7,7 +7,6 @@
 	"github.com/fescuespindle/fescuespindle/internal/chooser"
 	"github.com/fescuespindle/fescuespindle/internal/peer"
 	"github.com/fescuespindle/fescuespindle/internal/quarantiner"
-	"github.com/fescuespindle/fescuespindle/internal/stepper"
 )
 
 // isolationTimeout bounds the wait for the keeper of an upstream.
@@ -26,45 +25,59 @@
 	return &isolations{c: c, kept: quarantiner.NewIsolation(), waiting: map[uint64]chan<- bool{}}
 }
 
+// isolationRequest is a suspect's wish to run alone on an upstream.
+type isolationRequest struct {
+	upstream    *chooser.Upstream
+	fingerprint quarantiner.Fingerprint
+	answer      chan bool
+	sequence    uint64 // of the message to the keeper; 0 for none
+}
+
 // Isolate asks that no other suspect runs on an upstream while this one does.
 // It returns false if another one does, or if the upstream's keeper doesn't
 // answer in time.
 func (c *Controller) Isolate(
 	ctx context.Context, u *chooser.Upstream, f quarantiner.Fingerprint,
 ) (release func(), granted bool) {
-	answer := make(chan bool, 1)
-	c.loop.Post(func(now time.Time) { c.isolations.ask(u, f, answer, now) })
+	request := &isolationRequest{upstream: u, fingerprint: f, answer: make(chan bool, 1)}
+	c.loop.Post(func(now time.Time) { c.isolations.ask(request, now) })
+	release = func() { c.loop.Post(func(time.Time) { c.isolations.end(request) }) }
 	timer := time.NewTimer(isolationTimeout)
 	defer timer.Stop()
 	select {
-	case granted = <-answer:
+	case granted = <-request.answer:
 	case <-timer.C:
+		release() // the keeper may have let it in all the same
 	case <-ctx.Done():
+		release()
 	}
 	if !granted {
 		c.Counters.Count("isolations_denied_total")
 		return func() {}, false
 	}
-	return func() { c.loop.Post(stepper.Event(func(time.Time) { c.isolations.end(u, f) })) }, true
+	return release, true
 }
 
-func (i *isolations) ask(u *chooser.Upstream, f quarantiner.Fingerprint, answer chan<- bool, now time.Time) {
-	if u.Keeper() == i.c.Place.VM {
-		answer <- i.kept.Admit(u.ID(), f, now)
+func (i *isolations) ask(r *isolationRequest, now time.Time) {
+	if r.upstream.Keeper() == i.c.Place.VM {
+		r.answer <- i.kept.Admit(r.upstream.ID(), r.fingerprint, now)
 		return
 	}
 	i.sequence++
-	i.waiting[i.sequence] = answer
-	i.c.sender.Send(i.c.upstreams.addresses[u.Keeper()],
-		peer.IsolationWanted{Sequence: i.sequence, Upstream: u.ID(), Fingerprint: uint64(f)})
+	r.sequence = i.sequence
+	i.waiting[r.sequence] = r.answer
+	i.c.sender.Send(i.c.upstreams.addresses[r.upstream.Keeper()],
+		peer.IsolationWanted{Sequence: r.sequence, Upstream: r.upstream.ID(), Fingerprint: uint64(r.fingerprint)})
 }
 
-func (i *isolations) end(u *chooser.Upstream, f quarantiner.Fingerprint) {
-	if u.Keeper() == i.c.Place.VM {
-		i.kept.Discharge(u.ID(), f)
+func (i *isolations) end(r *isolationRequest) {
+	delete(i.waiting, r.sequence)
+	if r.upstream.Keeper() == i.c.Place.VM {
+		i.kept.Discharge(r.upstream.ID(), r.fingerprint)
 		return
 	}
-	i.c.sender.Send(i.c.upstreams.addresses[u.Keeper()], peer.IsolationEnded{Upstream: u.ID(), Fingerprint: uint64(f)})
+	i.c.sender.Send(i.c.upstreams.addresses[r.upstream.Keeper()],
+		peer.IsolationEnded{Upstream: r.upstream.ID(), Fingerprint: uint64(r.fingerprint)})
 }
 
 func (i *isolations) wanted(from peer.Sender, m peer.IsolationWanted, now time.Time) {
--- a/internal/controller/upstreams.go
+++ b/internal/controller/upstreams.go
@@ -80,6 +80,7 @@
 	falling   map[string]*chooser.Upstream
 	targets   map[string]*publisher.Target // by upstream
 	active    map[string]bool              // upstreams with requests of this VM
+	scarce    map[string]bool              // targets that are nearly full, by name
 	lazyAt    time.Time
 	nextTold  int
 	greeted   map[memberKey]bool
@@ -91,6 +92,7 @@
 		c: c, kept: map[string]*kept{}, watched: map[string]*watched{}, byID: map[string]*chooser.Upstream{}, addresses: map[string]string{},
 		states:  map[string]publisher.UpstreamState{},
 		falling: map[string]*chooser.Upstream{}, targets: map[string]*publisher.Target{}, active: map[string]bool{},
+		scarce: map[string]bool{},
 		budget: rate.NewLimiter(leastTotalsPerSecond, totalsBurst),
 	}
 }
@@ -200,8 +202,8 @@
 }
 
 // onlineChanged takes changes of this VM's own online requests. Rising counts
-// are told to the keeper at once, since batch work must yield to them; falling
-// ones can wait.
+// are told to the keeper at once, since batch work must yield to them. Falling
+// ones can wait, unless requests of other VMs may be waiting for the place.
 func (s *upstreams) onlineChanged(changed map[*chooser.Upstream]bool, now time.Time) {
 	messages := map[string][]peer.UpstreamCount{}
 	for u, rising := range changed {
@@ -211,7 +213,7 @@
 			k.setOnline(s.c.Place.VM, online, now)
 			continue
 		}
-		if !rising {
+		if !rising && !s.isScarce(u.ID()) {
 			s.falling[u.ID()] = u
 			continue
 		}
@@ -221,6 +223,12 @@
 	s.sendCounts(messages)
 }
 
+// isScarce tells whether an upstream belongs to a target that is nearly full.
+func (s *upstreams) isScarce(id string) bool {
+	target := s.targets[id]
+	return target != nil && s.scarce[target.Name()]
+}
+
 func (s *upstreams) sendCounts(messages map[string][]peer.UpstreamCount) {
 	for keeper, counts := range messages {
 		if address := s.addresses[keeper]; address != "" {
@@ -323,10 +331,12 @@
 // upstreams are nearly full, so that requests can go there if there is room.
 func (s *upstreams) askFar(now time.Time) {
 	messages := map[string][]peer.UpstreamCount{}
+	clear(s.scarce)
 	for target := range s.c.Publisher.View().Targets {
 		if !nearlyFull(target, now) {
 			continue
 		}
+		s.scarce[target.Name()] = true
 		for u := range target.Pool().All {
 			if u.Tier() != chooser.TierDomain {
 				count := peer.UpstreamCount{Upstream: u.ID(), Online: u.Gauge().Online()}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -313,6 +313,9 @@
 		return &RefusedError{reason: ReasonCondemned, ran: relayer.RanFailed, cause: ErrCondemned}
 	}
 	choice, release, ok := r.choose(ctx, avoid, now)
+	if !ok && d.quarantine.Condemned(r.request.Fingerprint, time.Now()) {
+		return &RefusedError{reason: ReasonCondemned, ran: relayer.RanFailed, cause: ErrCondemned}
+	}
 	if !ok {
 		retryAt := now.Add(time.Second)
 		return &RefusedError{reason: ReasonNoUpstream, ran: r.worst, retryAt: retryAt, cause: r.explain(ErrNoUpstream)}
@@ -328,44 +331,6 @@
 	return nil
 }
 
-// FarthestTier returns the last tier that a request may go to: another region's
-// upstreams only while the link's budget has something left.
-func FarthestTier(link Link, now time.Time) chooser.Tier {
-	if link.Allows(now) {
-		return chooser.TierRemote
-	}
-	return chooser.TierRegion
-}
-
-// choose picks an upstream. A suspect is only let run where it is isolated from
-// other suspects; the function returned ends that, and is nil for others.
-func (r *run) choose(
-	ctx context.Context, avoid *chooser.Upstream, now time.Time,
-) (choice chooser.Choice, release func(), ok bool) {
-	const looks = 8
-	query := chooser.Request{
-		Prefix: r.prefix, Avoid: avoid, Farthest: FarthestTier(r.dispatcher.link, now), Now: now,
-		Gather: r.lane.Pool().HasBatch(),
-	}
-	for range looks {
-		choice, ok = r.dispatcher.policy.Choose(r.lane.Pool(), query)
-		if !ok && query.Avoid != nil {
-			query.Avoid = nil // the only upstream left is the one to avoid
-			continue
-		}
-		if !ok || r.dispatcher.quarantine.Strikes(r.request.Fingerprint, now) == 0 {
-			return choice, nil, ok
-		}
-		release, granted := r.dispatcher.isolator.Isolate(ctx, choice.Upstream, r.request.Fingerprint)
-		if granted {
-			return choice, release, true
-		}
-		query.Prefix, query.Gather = 0, false
-		query.Avoid = choice.Upstream
-	}
-	return chooser.Choice{}, nil, false
-}
-
 // fail handles a failed attempt: it retries, waits for another attempt, or
 // gives the final answer.
 func (r *run) fail(ctx context.Context, got result) *RefusedError {
@@ -400,7 +365,7 @@
 // hedge starts a second attempt if its budget allows and the pool has room.
 func (r *run) hedge(ctx context.Context) {
 	d := r.dispatcher
-	if len(r.flying) != 1 || r.attempts >= maxAttempts || !r.lane.hasRoom(0, chooser.StandingUnder) {
+	if len(r.flying) != 1 || r.attempts >= maxAttempts || !r.lane.hasRoom(chooser.Need{Standing: chooser.StandingOver}) {
 		return
 	}
 	if d.quarantine.Strikes(r.request.Fingerprint, time.Now()) > 0 || !d.hedges.Spend() {
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -65,7 +65,13 @@
 	requests   atomic.Int32
 }
 
+// newBench returns a bench whose requests go to its engines in turn.
 func newBench(t *testing.T, engines ...engine) *bench {
+	t.Helper()
+	return newBenchWith(t, chooser.RoundRobin{}, engines...)
+}
+
+func newBenchWith(t *testing.T, policy chooser.Policy, engines ...engine) *bench {
 	t.Helper()
 	b := &bench{counts: &counts{sums: map[string]int{}}, lane: dispatcher.NewLane("model", time.Now)}
 	var upstreams []*chooser.Upstream
@@ -82,7 +88,7 @@
 	r := relayer.New(nil)
 	t.Cleanup(r.Close)
 	b.dispatcher = dispatcher.New(r, bystander{}, bystander{}, linkmeter.New(b.counts), b.counts, quarantiner.New(),
-		dispatcher.WithPolicy(chooser.RoundRobin{}))
+		dispatcher.WithPolicy(policy))
 	return b
 }
 
@@ -139,8 +145,19 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+func failing(w http.ResponseWriter, _ *http.Request, _ string) {
+	w.WriteHeader(http.StatusInternalServerError)
+}
+
 func crashing(http.ResponseWriter, *http.Request, string) { panic(http.ErrAbortHandler) }
 
+// crashingWhileRunning begins its answer before it crashes.
+func crashingWhileRunning(w http.ResponseWriter, _ *http.Request, _ string) {
+	w.WriteHeader(http.StatusOK)
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
 // cutAfterFirst answers one event and breaks the connection.
 func cutAfterFirst(w http.ResponseWriter, _ *http.Request, id string) {
 	event(w, id, "cut")
@@ -219,3 +236,42 @@
 	<-ended
 	b.expectIdle(t)
 }
+
+func TestRetriesStayWithinTheirBudget(t *testing.T) {
+	const requests, burst, share = 100, 20, 0.10
+	b := newBenchWith(t, chooser.Balanced{}, refusing, refusing, refusing)
+	for range requests {
+		_, err := b.send(t.Context())
+		qt.Assert(t, err, qt.IsNotNil)
+	}
+	retries := b.counts.get("retries_total")
+	qt.Check(t, retries >= burst, qt.IsTrue, qt.Commentf("%d", retries))
+	qt.Check(t, retries <= burst+share*requests, qt.IsTrue, qt.Commentf("%d", retries))
+	b.expectIdle(t)
+}
+
+func TestFinalAnswerTellsWhetherTheRequestRan(t *testing.T) {
+	tests := map[string]struct {
+		answer    engine
+		reason    dispatcher.Reason
+		ran       relayer.Ran
+		comeAgain bool
+	}{
+		"refused before it ran": {refusing, dispatcher.ReasonFailed, relayer.RanNot, true},
+		"failed":                {failing, dispatcher.ReasonFailed, relayer.RanFailed, true},
+		"broken off":            {crashing, dispatcher.ReasonFailed, relayer.RanMaybe, true},
+		"crashed each engine":   {crashingWhileRunning, dispatcher.ReasonCondemned, relayer.RanFailed, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBenchWith(t, chooser.Balanced{}, test.answer, test.answer)
+			_, err := b.send(t.Context())
+			var refused *dispatcher.RefusedError
+			qt.Assert(t, errors.As(err, &refused), qt.IsTrue)
+			qt.Check(t, refused.Reason(), qt.Equals, test.reason)
+			qt.Check(t, refused.Ran(), qt.Equals, test.ran)
+			qt.Check(t, !refused.RetryAt().IsZero(), qt.Equals, test.comeAgain)
+			b.expectIdle(t)
+		})
+	}
+}
--- a/internal/dispatcher/lane.go
+++ b/internal/dispatcher/lane.go
@@ -42,8 +42,5 @@
 // Queue returns the line in which requests wait for room.
 func (l *Lane) Queue() *admitter.Queue { return l.queue }
 
-// hasRoom tells whether the pool can take one request on top of more others,
-// for a caller with a standing.
-func (l *Lane) hasRoom(more int, standing chooser.Standing) bool {
-	return l.Pool().HasRoom(more, standing, time.Now())
-}
+// hasRoom tells whether the pool can take one more request.
+func (l *Lane) hasRoom(need chooser.Need) bool { return l.Pool().HasRoom(need, time.Now()) }
--- a/internal/publisher/builder.go
+++ b/internal/publisher/builder.go
@@ -105,11 +105,22 @@
 		lane = dispatcher.NewLane(name, time.Now)
 		b.lanes[name] = lane
 	}
-	pool := chooser.NewPool(upstreams, chooser.WithVMs(len(in.Live)))
+	pool := chooser.NewPool(upstreams, chooser.WithVMs(len(in.Live), rankOf(in.VM, in.Live)))
 	lane.SetPool(pool)
 	return &Target{name: name, deployment: d, lane: lane, pool: pool}
 }
 
+// rankOf returns how many of the VMs come before one.
+func rankOf(vm string, vms []string) int {
+	rank := 0
+	for _, other := range vms {
+		if other < vm {
+			rank++
+		}
+	}
+	return rank
+}
+
 // usable tells whether an upstream may get new work for a model; services have
 // none.
 func usable(state UpstreamState, model string) bool {
