Long prompts count on their engine until their first token, on all VMs

Cause: an engine works through prompts in the order in which they came. Change: prompts over 2 KB count like one request a kilobyte until their first token. VMs tell the keeper with their counts, which tells the domain; batch prompts count too.

--- a/internal/chooser/policy.go
+++ b/internal/chooser/policy.go
@@ -69,6 +69,9 @@
 	slowLimit = 2.0
 	// fullPenalty keeps requests away from upstreams where they would wait.
 	fullPenalty = 10
+	// promptBytes is the size of prompts being worked through that counts like
+	// one more request: all others on the engine wait for it.
+	promptBytes = 1 << 10
 	// gatherSlowness is the slowness from which an upstream gathers no requests.
 	gatherSlowness = 1.5
 )
@@ -152,7 +155,8 @@
 	ranked := p.ranked[tier]
 	for i := len(ranked) - 1; i >= 0; i-- {
 		u := ranked[i]
-		usable := u != r.Avoid && u.gauge.Usable(r.Now) && u.gauge.OnlineTotal()+1 < u.sequences
+		usable := u != r.Avoid && u.gauge.Usable(r.Now) && u.gauge.OnlineTotal()+1 < u.sequences &&
+			u.gauge.PromptsTotal() < promptBytes
 		if usable && p.Slowness(u, r.Now) <= gatherSlowness {
 			return u
 		}
@@ -222,6 +226,7 @@
 func (p *Pool) score(u *Upstream, now time.Time) float64 {
 	const batchWeight = 0.05
 	load := float64(u.gauge.OnlineTotal()+1) + batchWeight*float64(u.gauge.Batch())
+	load += float64(u.gauge.PromptsTotal()) / promptBytes
 	score := load / float64(u.sequences) * p.Slowness(u, now)
 	if u.gauge.OnlineTotal() >= u.sequences {
 		score *= fullPenalty // a place at a slow upstream is better than none
--- a/internal/controller/upstreams.go
+++ b/internal/controller/upstreams.go
@@ -51,7 +51,10 @@
 	upstream *chooser.Upstream
 	room     *yielder.Room
 	told     map[string]peer.UpstreamCount // as last told to each VM
+	prompts  map[string]int                // bytes of long prompts of each other VM
 	changed  bool                          // since all were told
+	// prompting is the bytes of this VM's own long prompts that others were told.
+	prompting int
 }
 
 // watched is an upstream whose reports this VM reads, whether or not it serves
@@ -63,9 +66,39 @@
 	reporting bool
 }
 
-// totals returns what a VM is told of the requests on the upstream.
-func (k *kept) totals(id string, others int) peer.UpstreamCount {
-	return peer.UpstreamCount{Upstream: id, Online: others, Batch: k.upstream.Gauge().Batch()}
+// totals returns what a VM is told of the requests of all others on the upstream.
+func (k *kept) totals(id, vm string) peer.UpstreamCount {
+	return peer.UpstreamCount{
+		Upstream: id, Online: k.room.OthersOf(vm), Batch: k.upstream.Gauge().Batch(), PromptBytes: k.promptsOf(vm),
+	}
+}
+
+// promptsOf returns the bytes of the prompts of all VMs but one.
+func (k *kept) promptsOf(vm string) int {
+	bytes := k.upstream.Gauge().Prompts()
+	for other, n := range k.prompts {
+		if other != vm {
+			bytes += n
+		}
+	}
+	return bytes
+}
+
+// setPrompts takes the bytes of the long prompts that another VM has there.
+func (k *kept) setPrompts(vm string, bytes int) {
+	if k.prompts[vm] == bytes {
+		return
+	}
+	k.changed = true
+	k.prompts[vm] = bytes
+	if bytes == 0 {
+		delete(k.prompts, vm)
+	}
+	others := 0
+	for _, n := range k.prompts {
+		others += n
+	}
+	k.upstream.Gauge().SetOthersPrompts(others)
 }
 
 // upstreams keeps what this VM knows of upstreams, and looks after those that
@@ -144,7 +177,7 @@
 func (s *upstreams) keep(k *kept, target *publisher.Target, u *chooser.Upstream, now time.Time) {
 	d := target.Deployment()
 	if k == nil {
-		k = &kept{told: map[string]peer.UpstreamCount{}, changed: true}
+		k = &kept{told: map[string]peer.UpstreamCount{}, prompts: map[string]int{}, changed: true}
 		k.room = yielder.New(d.Sequences, d.OnlineReserve, d.BatchPercent, now.Add(takeoverWait))
 	}
 	k.target, k.upstream = target, u
@@ -160,6 +193,7 @@
 		for _, vm := range k.room.VMs() {
 			if s.c.members.isNeighbour(vm) && !slices.Contains(live, vm) {
 				k.room.DropVM(vm, now)
+				k.setPrompts(vm, 0)
 			}
 		}
 	}
@@ -218,7 +252,7 @@
 			continue
 		}
 		delete(s.falling, u.ID())
-		messages[u.Keeper()] = append(messages[u.Keeper()], peer.UpstreamCount{Upstream: u.ID(), Online: online})
+		messages[u.Keeper()] = append(messages[u.Keeper()], ownCount(u))
 	}
 	s.sendCounts(messages)
 }
@@ -229,6 +263,11 @@
 	return target != nil && s.scarce[target.Name()]
 }
 
+// ownCount returns what the keeper is told of this VM's requests.
+func ownCount(u *chooser.Upstream) peer.UpstreamCount {
+	return peer.UpstreamCount{Upstream: u.ID(), Online: u.Gauge().Online(), PromptBytes: u.Gauge().Prompts()}
+}
+
 func (s *upstreams) sendCounts(messages map[string][]peer.UpstreamCount) {
 	for keeper, counts := range messages {
 		if address := s.addresses[keeper]; address != "" {
@@ -248,8 +287,8 @@
 	s.askFar(now)
 	s.tellSlow(now)
 	messages := map[string][]peer.UpstreamCount{}
-	for id, u := range s.falling {
-		count := peer.UpstreamCount{Upstream: id, Online: u.Gauge().Online()}
+	for _, u := range s.falling {
+		count := ownCount(u)
 		messages[u.Keeper()] = append(messages[u.Keeper()], count)
 	}
 	clear(s.falling)
@@ -293,6 +332,10 @@
 	for _, id := range s.keptIDs() {
 		k := s.kept[id]
 		k.upstream.Gauge().SetOthers(k.room.OthersOf(s.c.Place.VM), now)
+		if prompts := k.upstream.Gauge().Prompts(); prompts != k.prompting {
+			k.prompting = prompts
+			k.changed = true
+		}
 		if k.changed {
 			changed = append(changed, id)
 		}
@@ -305,7 +348,7 @@
 	var message peer.OnlineTotals
 	for _, id := range ids {
 		k := s.kept[id]
-		if totals := k.totals(id, k.room.OthersOf(vm)); k.told[vm] != totals {
+		if totals := k.totals(id, vm); k.told[vm] != totals {
 			message.Others = append(message.Others, totals)
 		}
 	}
@@ -319,7 +362,8 @@
 	for _, count := range m.Counts {
 		if k, found := s.kept[count.Upstream]; found {
 			k.setOnline(from.VM, count.Online, now)
-			reply.Others = append(reply.Others, k.totals(count.Upstream, k.room.OthersOf(from.VM)))
+			k.setPrompts(from.VM, count.PromptBytes)
+			reply.Others = append(reply.Others, k.totals(count.Upstream, from.VM))
 		}
 	}
 	if len(reply.Others) > 0 && !s.c.members.isNeighbour(from.VM) {
@@ -339,7 +383,7 @@
 		s.scarce[target.Name()] = true
 		for u := range target.Pool().All {
 			if u.Tier() != chooser.TierDomain {
-				count := peer.UpstreamCount{Upstream: u.ID(), Online: u.Gauge().Online()}
+				count := ownCount(u)
 				messages[u.Keeper()] = append(messages[u.Keeper()], count)
 			}
 		}
@@ -390,6 +434,7 @@
 				u.Gauge().SetCredits((u.Sequences() - u.Gauge().OnlineTotal()) / farShare)
 			}
 			u.Gauge().SetOthersBatch(others.Batch)
+			u.Gauge().SetOthersPrompts(others.PromptBytes)
 		}
 	}
 }
--- a/internal/dispatcher/flight.go
+++ b/internal/dispatcher/flight.go
@@ -27,6 +27,7 @@
 	stream   *relayer.Stream
 	healthy  bool   // the upstream had answered since its last failure
 	release  func() // ends the isolation of a suspect; nil for others
+	prompt   sync.Once
 
 	mu        sync.Mutex
 	abandoned bool
@@ -37,10 +38,21 @@
 	f.id = fmt.Sprintf("%s-%d", owner.request.ID, owner.attempts)
 	f.ctx, f.cancel = context.WithCancel(ctx)
 	u.Gauge().BeginOnline(now)
+	u.Gauge().BeginPrompt(len(owner.request.Body))
 	owner.dispatcher.observer.OnlineChanged(u, true)
 	return f
 }
 
+// endPrompt notes once that the prompt is worked through or given up. Others
+// are told if it was a long one.
+func (f *flight) endPrompt() {
+	f.prompt.Do(func() {
+		if f.upstream.Gauge().EndPrompt(len(f.owner.request.Body)) {
+			f.owner.dispatcher.observer.OnlineChanged(f.upstream, false)
+		}
+	})
+}
+
 // run sends the attempt and reports its first event.
 func (f *flight) run() {
 	first, err := f.open()
@@ -82,6 +94,7 @@
 	if err != nil {
 		return nil, err //nolint:wrapcheck // an AttemptError, which callers unwrap
 	}
+	f.endPrompt()
 	f.upstream.Gauge().Progress(time.Now(), 0)
 	return append([]byte(nil), first...), nil
 }
@@ -141,6 +154,7 @@
 	if f.release != nil {
 		f.release()
 	}
+	f.endPrompt()
 	f.upstream.Gauge().EndOnline()
 	d.observer.OnlineChanged(f.upstream, false)
 	f.owner.lane.queue.Released()
--- a/internal/gauger/gauge.go
+++ b/internal/gauger/gauge.go
@@ -21,28 +21,32 @@
 	// freshTime is how long the word of other VMs' requests is taken as true for
 	// upstreams whose keeper doesn't tell of every change.
 	freshTime = 500 * time.Millisecond
+	// shortPromptBytes is the size up to which a prompt takes no notable time.
+	shortPromptBytes = 2 << 10
 	// maxSlowness bounds the factor by which an upstream counts as slow.
 	maxSlowness = 50
 )
 
 // Gauge is what one VM knows of one upstream.
 type Gauge struct {
-	online    atomic.Int32
-	batch     atomic.Int32
-	others    atomic.Int32
-	credits   atomic.Int32 // requests that may be sent before more is heard
-	heardAt   atomic.Int64 // Unix nanoseconds of the last word of others
-	foreign   atomic.Int32 // batch requests of the upstream's keeper
-	reported  atomic.Int32
-	gap       atomic.Uint64 // float64 bits, nanoseconds
-	gapAt     atomic.Int64  // Unix nanoseconds of the last gap
-	progress  atomic.Int64  // Unix nanoseconds of the last event or start
-	blockedTo atomic.Int64  // Unix nanoseconds until which nothing is sent
-	failures  atomic.Int32
-	slow      atomic.Uint64 // float64 bits, the slowness last marked
-	slowAt    atomic.Int64  // Unix nanoseconds of the mark
-	leaving   atomic.Bool
-	listed    atomic.Bool // the platform's list says that it is leaving
+	online        atomic.Int32
+	batch         atomic.Int32
+	others        atomic.Int32
+	credits       atomic.Int32 // requests that may be sent before more is heard
+	heardAt       atomic.Int64 // Unix nanoseconds of the last word of others
+	foreign       atomic.Int32 // batch requests of the upstream's keeper
+	reported      atomic.Int32
+	prompts       atomic.Int64  // bytes of the VM's own long prompts without a first token
+	othersPrompts atomic.Int64  // the same of other VMs, as last heard
+	gap           atomic.Uint64 // float64 bits, nanoseconds
+	gapAt         atomic.Int64  // Unix nanoseconds of the last gap
+	progress      atomic.Int64  // Unix nanoseconds of the last event or start
+	blockedTo     atomic.Int64  // Unix nanoseconds until which nothing is sent
+	failures      atomic.Int32
+	slow          atomic.Uint64 // float64 bits, the slowness last marked
+	slowAt        atomic.Int64  // Unix nanoseconds of the mark
+	leaving       atomic.Bool
+	listed        atomic.Bool // the platform's list says that it is leaving
 }
 
 // Online returns the VM's own online requests in flight.
@@ -80,6 +84,34 @@
 // SetOthersBatch keeps the number of batch requests of another VM.
 func (g *Gauge) SetOthersBatch(n int) { g.foreign.Store(int32(n)) }
 
+// BeginPrompt counts a prompt of so many bytes that an engine has to work
+// through before the first token. Short ones hold nothing up and don't count.
+func (g *Gauge) BeginPrompt(bytes int) {
+	if bytes > shortPromptBytes {
+		g.prompts.Add(int64(bytes))
+	}
+}
+
+// EndPrompt counts a prompt that an engine has worked through, or given up. It
+// returns false if the prompt was a short one.
+func (g *Gauge) EndPrompt(bytes int) bool {
+	if bytes <= shortPromptBytes {
+		return false
+	}
+	g.prompts.Add(int64(-bytes))
+	return true
+}
+
+// Prompts returns the bytes of the VM's own long prompts that are being worked through.
+func (g *Gauge) Prompts() int { return int(g.prompts.Load()) }
+
+// SetOthersPrompts keeps the bytes of other VMs' long prompts.
+func (g *Gauge) SetOthersPrompts(bytes int) { g.othersPrompts.Store(int64(bytes)) }
+
+// PromptsTotal returns the bytes of all VMs' long prompts that are being worked
+// through, as far as known.
+func (g *Gauge) PromptsTotal() int { return g.Prompts() + int(g.othersPrompts.Load()) }
+
 // Reported returns the running and waiting requests of the last load report.
 func (g *Gauge) Reported() int { return int(g.reported.Load()) }
 
--- a/internal/itemrunner/runner.go
+++ b/internal/itemrunner/runner.go
@@ -71,6 +71,7 @@
 	stream  string
 	text    strings.Builder
 	tokens  int
+	prompt  int // bytes that the engine has still to work through
 	usage   upstream.Usage
 	reason  string
 	last    time.Time
@@ -99,6 +100,8 @@
 	}
 	target.Gauge().BeginBatch(now)
 	defer target.Gauge().EndBatch()
+	e.beginPrompt()
+	defer e.endPrompt()
 	err := e.run(ctx)
 	if err != nil && ctx.Err() == nil && e.opened && relayer.AsFailure(err).Crash() {
 		r.observer.Struck(r.quarantine.Crash(fingerprint, isolated, time.Now()))
@@ -109,6 +112,20 @@
 	return e.ending(ctx, err)
 }
 
+// beginPrompt counts the prompt until the first token. A resumed stream has
+// none to work through.
+func (e *execution) beginPrompt() {
+	if e.start.Resume == nil {
+		e.prompt = len(e.start.Item.Body)
+		e.target.Gauge().BeginPrompt(e.prompt)
+	}
+}
+
+func (e *execution) endPrompt() {
+	e.target.Gauge().EndPrompt(e.prompt)
+	e.prompt = 0
+}
+
 // run follows the stream to its end.
 func (e *execution) run(ctx context.Context) error {
 	stream, err := e.open(ctx)
@@ -210,6 +227,7 @@
 	now := time.Now()
 	gap := time.Duration(0)
 	if e.last.IsZero() {
+		e.endPrompt()
 		e.runner.observer.FirstToken(e.start.Run)
 	} else {
 		gap = now.Sub(e.last)
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -149,6 +149,8 @@
 	Online   int    `cbor:"2,keyasint"`
 	// Batch is the number of batch requests, where the keeper tells.
 	Batch int `cbor:"3,keyasint,omitempty"`
+	// PromptBytes is the size of the long prompts that have no token yet.
+	PromptBytes int `cbor:"4,keyasint,omitempty"`
 }
 
 // OnlineCounts tells the keeper of upstreams how many online requests the
--- a/internal/peer/message_test.go
+++ b/internal/peer/message_test.go
@@ -20,7 +20,7 @@
 		peer.ConfigWanted{Version: 3},
 		peer.ConfigText{Version: 3, Digest: "sha256:00", Text: []byte("{}")},
 		peer.OnlineCounts{Counts: []peer.UpstreamCount{{Upstream: "engine-1", Online: 4}}},
-		peer.OnlineTotals{Others: []peer.UpstreamCount{{Upstream: "engine-1", Online: 4, Batch: 2}}},
+		peer.OnlineTotals{Others: []peer.UpstreamCount{{Upstream: "engine-1", Online: 4, Batch: 2, PromptBytes: 8000}}},
 		peer.UpstreamStates{States: []peer.UpstreamState{{Upstream: "engine-1", Leaving: true}}},
 		peer.Strikes{Sequence: 1, Strikes: []peer.Strike{{Fingerprint: 9, Count: 2}}, Relay: true},
 		peer.StrikesAck{Sequence: 1},
