Slowness weighs more than load in the choice of upstream

Change: the score is (0.5 + load) times slowness squared. In return a slow spell is forgotten by half every second, not every two.

--- a/internal/chooser/policy.go
+++ b/internal/chooser/policy.go
@@ -221,19 +221,29 @@
 	return fallback, score
 }
 
-// score is lower for a better upstream: the load that the request would find,
-// times how slow the upstream is. Batch work counts little, as it yields.
+// score is lower for a better upstream. An engine works on all its sequences at
+// once, so its load costs a request little until it is full, while slowness
+// costs all of it: an empty engine that is four times slower is worse than one
+// with six of eight sequences taken.
 func (p *Pool) score(u *Upstream, now time.Time) float64 {
-	const batchWeight = 0.05
-	load := float64(u.gauge.OnlineTotal()+1) + batchWeight*float64(u.gauge.Batch())
-	load += float64(u.gauge.PromptsTotal()) / promptBytes
-	score := load / float64(u.sequences) * p.Slowness(u, now)
+	const idleCost = 0.5
+	slowness := p.Slowness(u, now)
+	score := (idleCost + u.load()) * slowness * slowness
 	if u.gauge.OnlineTotal() >= u.sequences {
 		score *= fullPenalty // a place at a slow upstream is better than none
 	}
 	return score
 }
 
+// load returns the share of the upstream that is taken once it has one request
+// more. Batch work counts little, as it yields.
+func (u *Upstream) load() float64 {
+	const batchWeight = 0.05
+	load := float64(u.gauge.OnlineTotal()+1) + batchWeight*float64(u.gauge.Batch())
+	load += float64(u.gauge.PromptsTotal()) / promptBytes
+	return load / float64(u.sequences)
+}
+
 // byPrefix returns the upstream that all VMs agree on for the prefix, unless
 // it has more than its share of the load. In that case the next ones on the
 // ring are tried, so that a prefix in demand is cached by several upstreams.
--- a/internal/gauger/gauge.go
+++ b/internal/gauger/gauge.go
@@ -14,7 +14,7 @@
 	gapWeight = 0.2
 	// slowMemory is the time after which a slow spell that was seen is half
 	// forgotten, so that the upstream is tried again.
-	slowMemory = 2 * time.Second
+	slowMemory = time.Second
 	// stallGaps is the number of typical gaps without any event after which an
 	// upstream with requests in flight counts as stalled.
 	stallGaps = 3
