Prefixes keep to their engines: mean load decides, cold caches don't set off hedges

Cause: counters of choices over time showed two states. With a cold cache first tokens are late; 37 of 100 requests were hedged, each hedge put the prompt on a second engine, and the engine that it overtook was marked as slow for all VMs, so the prefix's next requests went to a third. Also, a prefix had to be within 1.25 of the least loaded of six, which at a normal load half of them aren't. Change: requests with a long prompt hedge at the 95th percentile only and speak against an engine after 4 medians; a prefix goes to its engine up to 1.15 of the sample's mean load, rounded up; prompts up to 512 bytes have no prefix, as they cost an engine less than a busier one does.

--- a/internal/chooser/policy.go
+++ b/internal/chooser/policy.go
@@ -1,6 +1,7 @@
 package chooser
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -64,9 +65,9 @@
 	// ringSteps is the number of upstreams that a prefix may fall back to.
 	ringSteps = 3
 	// prefixSlack is the load over the mean that a prefix is worth.
-	prefixSlack = 1.25
+	prefixSlack = 1.15
 	// slowLimit is the slowness from which an upstream loses its prefixes.
-	slowLimit = 2.0
+	slowLimit = 3.0
 	// fullPenalty keeps requests away from upstreams where they would wait.
 	fullPenalty = 10
 	// promptBytes is the size of prompts being worked through that counts like
@@ -111,27 +112,24 @@
 // other: it may be back, and a refusal would help nobody.
 func (p *Pool) lastResort(r Request) (Choice, bool) {
 	for tier := TierDomain; tier <= r.Farthest; tier++ {
-		upstreams := p.tiers[tier]
-		for i, start := 0, rand.IntN(max(len(upstreams), 1)); i < len(upstreams); i++ {
-			u := upstreams[(start+i)%len(upstreams)]
-			if u != r.Avoid && !u.gauge.Leaving() {
-				return Choice{Upstream: u, Reason: ReasonLastResort, Fill: u.fill()}, true
-			}
+		u := firstFrom(p.tiers[tier], func(u *Upstream) bool { return u != r.Avoid && !u.gauge.Leaving() })
+		if u != nil {
+			return Choice{Upstream: u, Reason: ReasonLastResort, Fill: u.fill()}, true
 		}
 	}
 	return Choice{}, false
 }
 
 func (p *Pool) chooseInTier(tier Tier, r Request) (Choice, bool) {
-	sampled, score := p.leastLoaded(tier, r)
+	sampled, meanLoad := p.leastLoaded(tier, r)
 	if sampled == nil {
 		return Choice{}, false
 	}
 	if p.FreeAt(sampled, r.Now) == 0 && len(p.tiers[tier]) > samples {
-		sampled, score = p.anyFree(tier, r, sampled, score)
+		sampled = p.anyFree(tier, r, sampled)
 	}
 	if r.Prefix != 0 {
-		if u := p.byPrefix(tier, r, score); u != nil {
+		if u := p.byPrefix(tier, r, meanLoad); u != nil {
 			return Choice{Upstream: u, Reason: ReasonPrefix, Fill: u.fill()}, true
 		}
 	}
@@ -164,7 +162,7 @@
 	return nil
 }
 
-// leastLoaded returns the best of a few random upstreams, and its score.
+// leastLoaded returns the best of a few random upstreams, and their mean load.
 func (p *Pool) leastLoaded(tier Tier, r Request) (*Upstream, float64) {
 	upstreams := p.tiers[tier]
 	n := len(upstreams)
@@ -177,48 +175,49 @@
 		step = 1 + rand.IntN(n-1)
 	}
 	var best *Upstream
-	var bestScore float64
+	var bestScore, load float64
+	usable := 0
 	for i := range looks {
 		u := upstreams[(start+i*step)%n]
 		if u == r.Avoid || !u.gauge.Usable(r.Now) {
 			continue
 		}
+		usable++
+		load += u.load()
 		score := p.score(u, r.Now)
 		if best == nil || score < bestScore {
 			best, bestScore = u, score
 		}
 	}
-	if best == nil && looks < n {
-		return p.anyUsable(upstreams, r)
+	if best == nil {
+		best = firstFrom(upstreams, func(u *Upstream) bool { return u != r.Avoid && u.gauge.Usable(r.Now) })
 	}
-	return best, bestScore
+	return best, load / float64(max(usable, 1))
 }
 
-// anyUsable looks at all upstreams, for the case that none of the sampled ones
-// may be used.
-func (p *Pool) anyUsable(upstreams []*Upstream, r Request) (*Upstream, float64) {
-	start := rand.IntN(len(upstreams))
-	for i := range upstreams {
-		u := upstreams[(start+i)%len(upstreams)]
-		if u != r.Avoid && u.gauge.Usable(r.Now) {
-			return u, p.score(u, r.Now)
-		}
+// anyFree returns an upstream with a free sequence, or the fallback. On nearly
+// full upstreams a sample misses the free ones.
+func (p *Pool) anyFree(tier Tier, r Request, fallback *Upstream) *Upstream {
+	u := firstFrom(p.tiers[tier], func(u *Upstream) bool { return u != r.Avoid && p.FreeAt(u, r.Now) > 0 })
+	if u == nil {
+		return fallback
 	}
-	return nil, 0
+	return u
 }
 
-// anyFree returns the first upstream with a free sequence from a random one on,
-// or the fallback. On nearly full upstreams a sample misses the free ones.
-func (p *Pool) anyFree(tier Tier, r Request, fallback *Upstream, score float64) (*Upstream, float64) {
-	upstreams := p.tiers[tier]
+// firstFrom returns the first upstream from a random one on that a function
+// accepts, or nil.
+func firstFrom(upstreams []*Upstream, accept func(*Upstream) bool) *Upstream {
+	if len(upstreams) == 0 {
+		return nil
+	}
 	start := rand.IntN(len(upstreams))
 	for i := range upstreams {
-		u := upstreams[(start+i)%len(upstreams)]
-		if u != r.Avoid && p.FreeAt(u, r.Now) > 0 {
-			return u, p.score(u, r.Now)
+		if u := upstreams[(start+i)%len(upstreams)]; accept(u) {
+			return u
 		}
 	}
-	return fallback, score
+	return nil
 }
 
 // score is lower for a better upstream. An engine works on all its sequences at
@@ -250,7 +249,7 @@
 //
 // Cache events are not needed for this: they come late and with gaps, while
 // the ring gives every VM the same answer at once.
-func (p *Pool) byPrefix(tier Tier, r Request, leastScore float64) *Upstream {
+func (p *Pool) byPrefix(tier Tier, r Request, meanLoad float64) *Upstream {
 	ring := p.rings[tier]
 	at, _ := slices.BinarySearchFunc(ring, r.Prefix, func(pt point, hash uint64) int {
 		switch {
@@ -274,7 +273,8 @@
 		if u == r.Avoid || !u.gauge.Usable(r.Now) || p.Slowness(u, r.Now) > slowLimit {
 			continue
 		}
-		if p.score(u, r.Now) <= leastScore*prefixSlack+prefixSlack/float64(u.sequences) {
+		most := math.Ceil(prefixSlack * meanLoad * float64(u.sequences))
+		if u.gauge.OnlineTotal() < u.sequences && u.load()*float64(u.sequences) <= most {
 			return u
 		}
 	}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -35,6 +35,9 @@
 	// had not ended by then, the upstream is slower by an unknown factor.
 	overtakenSlowness = 1.5
 	overtakenFactor   = 3
+	// promptedSlowness is the same for a prompt that takes an engine long if it
+	// isn't in its cache.
+	promptedSlowness = 4
 )
 
 // Errors of this layer.
@@ -295,8 +298,14 @@
 	}
 }
 
+// hedgeTimer returns when to send a hedge. One with a long prompt costs another
+// engine all of the prompt, so it is sent only once the request is late beyond
+// what a prompt that isn't cached takes.
 func (r *run) hedgeTimer() *time.Timer {
-	wait := min(r.lane.first.High(), hedgeMedians*r.lane.first.Median()/hedgeMedianParts)
+	wait := r.lane.first.High()
+	if r.request.Prefix == 0 {
+		wait = min(wait, hedgeMedians*r.lane.first.Median()/hedgeMedianParts)
+	}
 	if wait == 0 || !r.dispatcher.hedging {
 		timer := time.NewTimer(time.Hour)
 		timer.Stop()
@@ -393,10 +402,14 @@
 	if typical == 0 {
 		return
 	}
+	least := overtakenSlowness
+	if r.request.Prefix != 0 {
+		least = promptedSlowness
+	}
 	for _, f := range r.flying {
 		slowness := float64(now.Sub(f.begun)) / float64(typical)
 		full := f.upstream.Gauge().OnlineTotal() > f.upstream.Sequences()
-		if full || slowness < overtakenSlowness || !f.upstream.Gauge().MarkSlow(now, slowness*overtakenFactor) {
+		if full || slowness < least || !f.upstream.Gauge().MarkSlow(now, slowness*overtakenFactor) {
 			continue
 		}
 		r.dispatcher.counter.Count("slow_marks_total")
--- a/internal/server/completion.go
+++ b/internal/server/completion.go
@@ -117,10 +117,15 @@
 	s.collect(w, response)
 }
 
-// prefixOf hashes the beginning of the prompt.
+// prefixOf hashes the beginning of the prompt. A prompt that is no longer than
+// that has no prefix worth looking for: working through it takes less time than
+// a busier engine costs.
 func prefixOf(c upstream.Completion) uint64 {
 	text := c.Text()
-	return xxhash.Sum64String(c.Model + "\x00" + text[:min(len(text), prefixBytes)])
+	if len(text) <= prefixBytes {
+		return 0
+	}
+	return xxhash.Sum64String(c.Model + "\x00" + text[:prefixBytes])
 }
 
 func fingerprintOf(caller deployer.Caller, body []byte) quarantiner.Fingerprint {
