One batch item waits on engines without online work

Cause: on engines that batch work has to itself, a sequence that ended stood empty for about three of 32 steps: the next item was sent only then, came a step late, and at most 1 KB of prompts was let on at a time, which exists to spare online requests that these engines don't have. Change: an engine without online work for 100 ms gets one more item than it has sequences, and up to 8 KB of prompts.

--- a/internal/jobrunner/runner.go
+++ b/internal/jobrunner/runner.go
@@ -32,6 +32,9 @@
 	// promptBytes is the size of the prompts that an upstream may have before it
 	// that have no token yet; one larger prompt may go alone.
 	promptBytes = 1 << 10
+	// calmPromptBytes is the same for an upstream without online work, where
+	// prompts slow only other batch work.
+	calmPromptBytes = 8 << 10
 	// orphanPeriod is the time between two looks for chunks whose owner is gone.
 	orphanPeriod = 2 * time.Second
 	wantPeriod   = 250 * time.Millisecond
@@ -48,6 +51,8 @@
 	Model    string
 	// Limit is the number of batch items that may run there now.
 	Limit int
+	// Calm tells that no online work has been there for a while.
+	Calm bool
 }
 
 // run is an item on an upstream.
--- a/internal/jobrunner/schedule.go
+++ b/internal/jobrunner/schedule.go
@@ -50,7 +50,11 @@
 // most.
 func (r *Runner) fill(room Room, now time.Time) []Action {
 	var out []Action
-	for r.mayStart(now) && r.Running(room.Upstream) < room.Limit && r.prompting(room.Upstream) < promptBytes {
+	most := promptBytes
+	if room.Calm {
+		most = calmPromptBytes
+	}
+	for r.mayStart(now) && r.Running(room.Upstream) < room.Limit && r.prompting(room.Upstream) < most {
 		c, it := r.pick(room, now)
 		if it == nil {
 			return out
--- a/internal/yielder/room.go
+++ b/internal/yielder/room.go
@@ -18,7 +18,10 @@
 	// raiseWait is the time for which online work must stay lower before batch
 	// work takes its place, so that batch work doesn't start only to yield.
 	raiseWait = 20 * time.Millisecond
-	percent   = 100
+	// calmWait is the time without online work after which an upstream counts as
+	// batch work's alone.
+	calmWait = 100 * time.Millisecond
+	percent  = 100
 )
 
 // sample is the online total from a time on.
@@ -38,6 +41,7 @@
 	rise      float64
 	riseAt    time.Time
 	notBefore time.Time
+	busyAt    time.Time // when there was online work last
 }
 
 // New returns the room of an upstream that runs so many sequences, of which
@@ -66,6 +70,7 @@
 	if r.total == before {
 		return
 	}
+	r.busyAt = now
 	r.forget(now)
 	r.samples = append(r.samples, sample{at: now, total: r.total})
 	r.noteRise(now)
@@ -140,6 +145,22 @@
 	return max(limit, 0)
 }
 
+// Calm tells whether the upstream has had no online work for a while.
+func (r *Room) Calm(now time.Time) bool {
+	return r.total == 0 && now.Sub(r.busyAt) > calmWait
+}
+
+// Queue returns how many more batch requests than the limit may wait on the
+// upstream itself. A sequence that ends is taken in the engine's next step only
+// by a request that is there already; one that is sent then comes a step late.
+// Nothing waits on an upstream that has online work or leaves room for it.
+func (r *Room) Queue(limit int, now time.Time) int {
+	if limit < r.sequences || !r.Calm(now) {
+		return 0
+	}
+	return 1
+}
+
 // keep returns how many sequences stay free for online work. An upstream that
 // online work has filled but for its last sequence gets no more of it, as VMs
 // leave the last one to each other; batch work may have it.
--- a/internal/yielder/room_test.go
+++ b/internal/yielder/room_test.go
@@ -63,3 +63,15 @@
 	qt.Check(t, room.Limit(0, start), qt.Equals, 0)
 	qt.Check(t, room.Limit(0, start.Add(2*time.Second)), qt.Equals, 8)
 }
+
+func TestOnlyCalmUpstreamsQueueBatchWork(t *testing.T) {
+	room := yielder.New(8, 0, 100, start)
+	now := start.Add(time.Second)
+	qt.Check(t, room.Queue(room.Limit(8, now), now), qt.Equals, 1)
+	room.SetOnline("a", 1, now)
+	qt.Check(t, room.Queue(room.Limit(8, now), now), qt.Equals, 0)
+	room.SetOnline("a", 0, now)
+	qt.Check(t, room.Queue(8, now.Add(50*time.Millisecond)), qt.Equals, 0)
+	qt.Check(t, room.Queue(8, now.Add(time.Second)), qt.Equals, 1)
+	qt.Check(t, room.Queue(7, now.Add(time.Second)), qt.Equals, 0)
+}
