Streams of callers over their share make room for others

Answers are of one length, so sequences end in waves, and no order of the line finds a place between two waves. Ruled out before: the herd of VMs. Change: a request of a caller under its share that finds no room pauses the newest stream of the caller farthest over its share on that VM. The engine stops it and keeps its state; it goes first in its caller's line and goes on under the same identifier, on its own engine or moved by KV export. A caller under its share is no longer refused on an estimate. A cancelled stream keeps its state at the stand-in engine, as a stopped one did. Moving a stream is a package of its own now, which batch items use too.

--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -87,15 +88,45 @@
 	return q.waiting
 }
 
+// Entry is a request that wants to be let in.
+type Entry struct {
+	Caller   string
+	Weight   int
+	Deadline time.Time
+	// Crowded, if set, is called once if the request has to wait although its
+	// caller has less than its share.
+	Crowded func()
+}
+
 // Enter waits for the request's turn. It returns a BusyError at once if the
 // wait would pass the deadline or the longest wait. Started and Done must be
 // called once each after it returns nil.
-func (q *Queue) Enter(ctx context.Context, caller string, weight int, deadline time.Time) error {
-	t, err := q.join(caller, float64(max(weight, 1)), deadline)
+func (q *Queue) Enter(ctx context.Context, e Entry) error {
+	t, crowded, err := q.join(e)
 	if t == nil {
 		return err
 	}
-	timer := time.NewTimer(min(maxWait, deadline.Sub(q.now())))
+	if crowded {
+		e.Crowded()
+	}
+	return q.await(ctx, t, min(maxWait, e.Deadline.Sub(q.now())))
+}
+
+// Reenter is Enter for a request that had been let in before and has given its
+// place up. It goes first in its caller's line and waits up to its deadline.
+func (q *Queue) Reenter(ctx context.Context, e Entry) error {
+	q.mu.Lock()
+	l := q.line(e.Caller, weightOf(e))
+	t := &ticket{admitted: make(chan struct{})}
+	l.tickets = slices.Insert(l.tickets, 0, t)
+	q.waiting++
+	q.admit(false)
+	q.mu.Unlock()
+	return q.await(ctx, t, e.Deadline.Sub(q.now()))
+}
+
+func (q *Queue) await(ctx context.Context, t *ticket, most time.Duration) error {
+	timer := time.NewTimer(most)
 	defer timer.Stop()
 	select {
 	case <-t.admitted:
@@ -107,26 +138,53 @@
 	}
 }
 
+func weightOf(e Entry) float64 { return float64(max(e.Weight, 1)) }
+
 // join returns a ticket to wait with, or nil if the request was let in or
 // refused at once.
-func (q *Queue) join(caller string, weight float64, deadline time.Time) (*ticket, error) {
+func (q *Queue) join(e Entry) (t *ticket, crowded bool, err error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	l := q.line(caller, weight)
+	l := q.line(e.Caller, weightOf(e))
 	if q.waiting == 0 && q.room(q.need(l, false)) {
 		q.advance(l)
-		return nil, nil
+		return nil, false, nil
 	}
 	now := q.now()
+	crowded = e.Crowded != nil && q.standing(l) == chooser.StandingUnder
 	wait := q.estimate(l)
-	if now.Add(wait).After(deadline) || wait > maxWait || len(l.tickets) >= maxWaiting {
-		return nil, &BusyError{retryAt: now.Add(max(wait, minRetryWait))}
+	late := now.Add(wait).After(e.Deadline) || wait > maxWait
+	if (late && !crowded) || len(l.tickets) >= maxWaiting {
+		return nil, false, &BusyError{retryAt: now.Add(max(wait, minRetryWait))}
 	}
-	t := &ticket{admitted: make(chan struct{})}
+	t = &ticket{admitted: make(chan struct{})}
 	l.tickets = append(l.tickets, t)
 	q.waiting++
 	q.admit(false) // there may be room that callers over their share may not take
-	return t, nil
+	return t, crowded && len(l.tickets) > 0, nil
+}
+
+// MostOver returns the caller that is farthest over its share and would not have
+// less for its weight than another caller if it gave that one a place. So two
+// callers never take a place from each other in turn. It returns false if there
+// is none.
+func (q *Queue) MostOver(other string, weight int) (string, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	gain := 1.0
+	if l, found := q.callers[other]; found {
+		gain += float64(l.running)
+	}
+	most := gain / float64(max(weight, 1))
+	name := ""
+	for caller, l := range q.callers {
+		left := float64(l.running-1) / l.weight
+		better := left > most || (left == most && (name == "" || caller < name))
+		if caller != other && better && q.standing(l) == chooser.StandingOver {
+			name, most = caller, left
+		}
+	}
+	return name, name != ""
 }
 
 func (q *Queue) line(caller string, weight float64) *line {
--- a/internal/admitter/queue_test.go
+++ b/internal/admitter/queue_test.go
@@ -38,7 +38,7 @@
 // run enters, runs for a time and leaves. It returns how long it waited.
 func (p *pool) run(ctx context.Context, caller string, weight int, length time.Duration) (time.Duration, error) {
 	begun := time.Now()
-	if err := p.queue.Enter(ctx, caller, weight, begun.Add(10*time.Second)); err != nil {
+	if err := p.queue.Enter(ctx, admitter.Entry{Caller: caller, Weight: weight, Deadline: begun.Add(10 * time.Second)}); err != nil {
 		return 0, err
 	}
 	waited := time.Since(begun)
@@ -151,3 +151,48 @@
 		qt.Check(t, p.queue.Waiting(), qt.Equals, 0)
 	})
 }
+
+func TestMostOverNeverTakesTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool(100)
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		for caller, n := range map[string]int{"greedy": 6, "middling": 3, "modest": 1} {
+			for range n {
+				group.Go(func() { _, _ = p.run(ctx, caller, 1, time.Second) })
+			}
+		}
+		synctest.Wait()
+		name, found := p.queue.MostOver("modest", 1)
+		qt.Check(t, found, qt.IsTrue)
+		qt.Check(t, name, qt.Equals, "greedy")
+		name, _ = p.queue.MostOver("middling", 1)
+		qt.Check(t, name, qt.Equals, "greedy")
+		_, found = p.queue.MostOver("greedy", 1)
+		qt.Check(t, found, qt.IsFalse)
+		_, found = p.queue.MostOver("newcomer", 8)
+		qt.Check(t, found, qt.IsTrue)
+		cancel()
+		group.Wait()
+	})
+}
+
+func TestReturnedRequestGoesFirstAndIsNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool(1)
+		var group sync.WaitGroup
+		entry := admitter.Entry{Caller: "a", Weight: 1, Deadline: time.Now().Add(time.Minute)}
+		group.Go(func() { _, _ = p.run(t.Context(), "a", 1, 3*time.Second) })
+		synctest.Wait()
+		refused := make(chan error, 1)
+		group.Go(func() { refused <- p.queue.Enter(t.Context(), entry) })
+		synctest.Wait()
+		begun := time.Now()
+		qt.Check(t, p.queue.Reenter(t.Context(), entry), qt.IsNil)
+		qt.Check(t, time.Since(begun), qt.Equals, 3*time.Second)
+		qt.Check(t, <-refused, qt.ErrorIs, admitter.ErrBusy)
+		p.queue.Started()
+		p.queue.Done("a")
+		group.Wait()
+	})
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -91,9 +91,10 @@
 // Status returns the status of an upstream's own refusal of the request, or 0.
 func (r *RefusedError) Status() int { return r.status }
 
-// Opener sends one attempt to one upstream.
-type Opener interface {
+// Engines sends attempts to upstreams.
+type Engines interface {
 	Open(context.Context, relayer.Attempt) (*relayer.Stream, error)
+	Call(ctx context.Context, a relayer.Attempt, repeatable bool) (relayer.Answer, error)
 }
 
 // Observer hears of what traffic does. Its methods return at once.
@@ -139,7 +140,7 @@
 
 // Dispatcher runs the online requests of one VM.
 type Dispatcher struct {
-	opener     Opener
+	engines    Engines
 	observer   Observer
 	isolator   Isolator
 	link       Link
@@ -147,6 +148,7 @@
 	quarantine *quarantiner.Quarantine
 	policy     chooser.Policy
 	hedging    bool
+	pausing    bool
 	retries    *budgeter.Budget
 	hedges     *budgeter.Budget
 	traces     *traceLog
@@ -166,14 +168,20 @@
 	return func(d *Dispatcher) { d.hedging = on }
 }
 
+// WithPausing switches on or off whether streams of callers over their share
+// make room for others.
+func WithPausing(on bool) Option {
+	return func(d *Dispatcher) { d.pausing = on }
+}
+
 // New returns a dispatcher.
 func New(
-	opener Opener, observer Observer, isolator Isolator, link Link, counter Counter,
+	engines Engines, observer Observer, isolator Isolator, link Link, counter Counter,
 	quarantine *quarantiner.Quarantine, options ...Option,
 ) *Dispatcher {
 	d := &Dispatcher{
-		opener: opener, observer: observer, isolator: isolator, link: link, counter: counter, quarantine: quarantine,
-		policy: chooser.Balanced{}, hedging: true,
+		engines: engines, observer: observer, isolator: isolator, link: link, counter: counter, quarantine: quarantine,
+		policy: chooser.Balanced{}, hedging: true, pausing: true,
 		retries: budgeter.New(retryShare, retryBurst),
 		hedges:  budgeter.New(hedgeShare, hedgeBurst),
 		traces:  newTraceLog(),
@@ -237,7 +245,10 @@
 	if !time.Now().Before(r.request.Deadline) {
 		return nil, &RefusedError{reason: ReasonDeadline, ran: relayer.RanNot, cause: ErrDeadline}
 	}
-	if err := r.lane.queue.Enter(ctx, r.request.Caller, r.request.Weight, r.request.Deadline); err != nil {
+	entry := admitter.Entry{
+		Caller: r.request.Caller, Weight: r.request.Weight, Deadline: r.request.Deadline, Crowded: r.makeRoom,
+	}
+	if err := r.lane.queue.Enter(ctx, entry); err != nil {
 		return nil, refuseEntry(err)
 	}
 	r.trace.add(fmt.Sprintf("let in after %v in line", time.Since(r.trace.at).Round(time.Millisecond)))
@@ -283,7 +294,7 @@
 		select {
 		case got := <-r.results:
 			if got.err == nil {
-				return r.win(got), nil
+				return r.win(ctx, got), nil
 			}
 			if refusal := r.fail(ctx, got); refusal != nil {
 				return nil, refusal
@@ -386,13 +397,13 @@
 }
 
 // win hands on the attempt that answered first and cancels the others.
-func (r *run) win(got result) *Response {
+func (r *run) win(ctx context.Context, got result) *Response {
 	now := time.Now()
 	r.drop(got.flight)
 	r.markSlow(now)
 	r.cancelAll()
 	r.lane.first.Add(now.Sub(got.flight.begun))
-	return &Response{flight: got.flight, first: got.first}
+	return newResponse(ctx, got.flight, got.first)
 }
 
 // markSlow notes the upstreams that a later attempt has overtaken. Without the
--- a/internal/dispatcher/flight.go
+++ b/internal/dispatcher/flight.go
@@ -76,7 +76,7 @@
 func (f *flight) open() ([]byte, error) {
 	request := f.owner.request
 	f.countRemote(len(request.Body))
-	stream, err := f.owner.dispatcher.opener.Open(f.ctx, relayer.Attempt{
+	stream, err := f.owner.dispatcher.engines.Open(f.ctx, relayer.Attempt{
 		ID: f.id, Address: f.upstream.Address(), Method: http.MethodPost, Path: request.Path,
 		Body: request.Body, Deadline: request.Deadline,
 		Header: http.Header{"Content-Type": {"application/json"}},
--- a/internal/dispatcher/lane.go
+++ b/internal/dispatcher/lane.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,11 +18,16 @@
 	queue    *admitter.Queue
 	first    *tracker.Latency
 	prefixes *tracker.Prefixes
+
+	mu        sync.Mutex
+	responses map[*Response]struct{}
 }
 
 // NewLane returns a lane with an empty pool.
 func NewLane(name string, now func() time.Time) *Lane {
-	l := &Lane{name: name, first: tracker.NewLatency(), prefixes: tracker.NewPrefixes()}
+	l := &Lane{
+		name: name, first: tracker.NewLatency(), prefixes: tracker.NewPrefixes(), responses: map[*Response]struct{}{},
+	}
 	l.pool.Store(chooser.NewPool(nil))
 	l.queue = admitter.New(l.hasRoom, now)
 	return l
@@ -44,3 +50,31 @@
 
 // hasRoom tells whether the pool can take one more request.
 func (l *Lane) hasRoom(need chooser.Need) bool { return l.Pool().HasRoom(need, time.Now()) }
+
+func (l *Lane) track(r *Response) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.responses[r] = struct{}{}
+}
+
+func (l *Lane) untrack(r *Response) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.responses, r)
+}
+
+// newestOf returns the answer of a caller that began last and may be paused, or
+// nil. Those on upstreams that are over full are the last choice, as the place
+// of one of them would not be free.
+func (l *Lane) newestOf(caller string) *Response {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var best *Response
+	var bestPause pauseChoice
+	for r := range l.responses {
+		if choice, ok := r.pausable(caller); ok && (best == nil || choice.before(bestPause)) {
+			best, bestPause = r, choice
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/dispatcher/pause_test.go
@@ -0,0 +1,171 @@
+package dispatcher_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fescuespindle/fescuespindle/internal/chooser"
+	"github.com/fescuespindle/fescuespindle/internal/dispatcher"
+	"github.com/fescuespindle/fescuespindle/internal/emulator/engineemulator"
+	"github.com/fescuespindle/fescuespindle/internal/gauger"
+	"github.com/fescuespindle/fescuespindle/internal/linkmeter"
+	"github.com/fescuespindle/fescuespindle/internal/quarantiner"
+	"github.com/fescuespindle/fescuespindle/internal/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/upstream"
+)
+
+// fairBench is a dispatcher in front of engines that batch.
+type fairBench struct {
+	dispatcher *dispatcher.Dispatcher
+	lane       *dispatcher.Lane
+	counts     *counts
+	engines    []*engineemulator.Engine
+}
+
+func newFairBench(t *testing.T, engines, sequences int) *fairBench {
+	t.Helper()
+	b := &fairBench{counts: &counts{sums: map[string]int{}}, lane: dispatcher.NewLane("model", time.Now)}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	t.Cleanup(group.Wait)
+	t.Cleanup(cancel)
+	var upstreams []*chooser.Upstream
+	for n := range engines {
+		e := engineemulator.New(engineemulator.WithStep(time.Millisecond), engineemulator.WithSequences(sequences),
+			engineemulator.WithLoaded(upstream.LoadedModel{Name: "model"}))
+		b.engines = append(b.engines, e)
+		group.Go(func() { e.Run(ctx) })
+		server := httptest.NewServer(e)
+		t.Cleanup(server.Close)
+		upstreams = append(upstreams, chooser.NewUpstream(fmt.Sprint("engine-", n), server.Listener.Addr().String(),
+			sequences, &gauger.Gauge{}, chooser.WithPlace("domain", "region", chooser.TierDomain)))
+	}
+	b.lane.SetPool(chooser.NewPool(upstreams))
+	r := relayer.New(nil)
+	t.Cleanup(r.Close)
+	b.dispatcher = dispatcher.New(r, bystander{}, bystander{}, linkmeter.New(b.counts), b.counts, quarantiner.New(),
+		dispatcher.WithHedging(false))
+	return b
+}
+
+// open begins a request of so many tokens.
+func (b *fairBench) open(ctx context.Context, caller, id string, tokens int) (*dispatcher.Response, error) {
+	body, err := json.Marshal(upstream.Completion{
+		Model: "model", MaxTokens: tokens, Stream: true, Messages: []upstream.Message{{Role: "user", Content: id}},
+	})
+	if err != nil {
+		return nil, err
+	}
+	response, refused := b.dispatcher.Open(ctx, b.lane, dispatcher.Request{
+		ID: id, Caller: caller, Weight: 1, Path: upstream.PathChat, Body: body,
+		Deadline: time.Now().Add(time.Minute), Fingerprint: quarantiner.Fingerprint(len(id)),
+	})
+	if refused != nil {
+		return nil, refused
+	}
+	return response, nil
+}
+
+// expectAnswer reads an answer to its end and checks every byte, and that all
+// events have one identifier.
+func expectAnswer(t *testing.T, response *dispatcher.Response, id string, tokens int) {
+	t.Helper()
+	defer response.Close()
+	var text strings.Builder
+	ids := map[string]bool{}
+	for {
+		data, err := response.Next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if !qt.Check(t, err, qt.IsNil) {
+			return
+		}
+		var chunk upstream.Chunk
+		qt.Check(t, json.Unmarshal(data, &chunk), qt.IsNil)
+		ids[chunk.ID] = true
+		for _, choice := range chunk.Choices {
+			text.WriteString(choice.Delta.Content)
+		}
+	}
+	qt.Check(t, text.String(), qt.Equals, engineemulator.Answer("user: "+id+"\n", tokens))
+	qt.Check(t, ids, qt.HasLen, 1)
+}
+
+// expectModestServed fills the engines with a greedy caller's long answers and
+// checks that another caller's short one is whole before any of them is.
+func expectModestServed(t *testing.T, b *fairBench, greedy int) {
+	t.Helper()
+	const longTokens, shortTokens = 400, 5
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	done := 0
+	for n := range greedy {
+		id := fmt.Sprint("greedy-", n)
+		response, err := b.open(t.Context(), "greedy", id, longTokens)
+		qt.Assert(t, err, qt.IsNil)
+		group.Go(func() {
+			expectAnswer(t, response, id, longTokens)
+			mu.Lock()
+			defer mu.Unlock()
+			done++
+		})
+	}
+	response, err := b.open(t.Context(), "modest", "modest", shortTokens)
+	qt.Assert(t, err, qt.IsNil)
+	expectAnswer(t, response, "modest", shortTokens)
+	mu.Lock()
+	qt.Check(t, done, qt.Equals, 0)
+	mu.Unlock()
+	group.Wait()
+	b.dispatcher.Wait()
+	qt.Check(t, b.counts.get("streams_paused_total"), qt.Equals, 1)
+	qt.Check(t, b.counts.get("streams_resumed_total"), qt.Equals, 1)
+	for u := range b.lane.Pool().All {
+		qt.Check(t, u.Gauge().Online(), qt.Equals, 0, qt.Commentf("%s", u.ID()))
+	}
+}
+
+func TestStreamOfAGreedyCallerMakesRoomAndGoesOn(t *testing.T) {
+	t.Run("one engine", func(t *testing.T) { expectModestServed(t, newFairBench(t, 1, 6), 6) })
+	t.Run("several engines", func(t *testing.T) { expectModestServed(t, newFairBench(t, 3, 2), 6) })
+}
+
+func TestPausedStreamEndsWithItsCaller(t *testing.T) {
+	const endless = 1_000_000
+	b := newFairBench(t, 1, 4)
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	for n := range 4 {
+		response, err := b.open(ctx, "greedy", fmt.Sprint("greedy-", n), endless)
+		qt.Assert(t, err, qt.IsNil)
+		group.Go(func() {
+			defer response.Close()
+			for err := error(nil); err == nil; {
+				_, err = response.Next()
+			}
+		})
+	}
+	modest, err := b.open(t.Context(), "modest", "modest", endless)
+	qt.Assert(t, err, qt.IsNil)
+	cancel()
+	group.Wait()
+	modest.Close()
+	b.dispatcher.Wait()
+	qt.Check(t, b.counts.get("streams_paused_total"), qt.Equals, 1)
+	qt.Check(t, b.counts.get("streams_resumed_total"), qt.Equals, 0)
+	for u := range b.lane.Pool().All {
+		qt.Check(t, u.Gauge().Online(), qt.Equals, 0)
+	}
+	qt.Check(t, b.lane.Queue().Waiting(), qt.Equals, 0)
+}
--- a/internal/dispatcher/response.go
+++ b/internal/dispatcher/response.go
@@ -1,8 +1,12 @@
 package dispatcher
 
 import (
+	"context"
 	"errors"
+	"fmt"
 	"io"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/chooser"
@@ -11,10 +15,22 @@
 
 // Response is the answer to a request, event by event.
 type Response struct {
-	flight *flight
+	ctx    context.Context //nolint:containedctx // the caller's, for as long as it reads
 	first  []byte
 	last   time.Time
+	tokens int // events handed on; each but the last carries one token
 	closed bool
+
+	pausing atomic.Bool
+	mu      sync.Mutex // guards what pause reads and changes
+	flight  *flight
+	pauses  int
+}
+
+func newResponse(ctx context.Context, f *flight, first []byte) *Response {
+	r := &Response{ctx: ctx, flight: f, first: first}
+	f.owner.lane.track(r)
+	return r
 }
 
 // Upstream returns the upstream that answers.
@@ -24,31 +40,44 @@
 // error means that the answer is not whole. The event is valid until the next
 // call.
 func (r *Response) Next() ([]byte, error) {
-	now := time.Now()
 	if r.first != nil {
 		first := r.first
 		r.first = nil
-		r.last = now
+		r.last = time.Now()
+		r.tokens++
 		return first, nil
 	}
-	data, err := r.flight.stream.Next()
-	switch {
-	case err == nil:
-		now = time.Now()
-		r.flight.countRemote(len(data))
-		if !r.last.IsZero() {
-			r.flight.upstream.Gauge().Progress(now, now.Sub(r.last))
+	for {
+		data, err := r.flight.stream.Next()
+		if err == nil {
+			r.note(len(data))
+			return data, nil
+		}
+		if errors.Is(err, io.EOF) {
+			r.close(true, nil)
+			return nil, io.EOF
 		}
-		r.last = now
-		return data, nil
-	case errors.Is(err, io.EOF):
-		r.close(true, nil)
-		return nil, io.EOF
-	default:
 		failure := relayer.AsFailure(err)
-		r.close(false, failure)
-		return nil, failure
+		if !r.pausing.Load() || !errors.Is(err, relayer.ErrCut) {
+			r.close(false, failure)
+			return nil, failure
+		}
+		if err := r.resume(); err != nil {
+			r.close(false, nil)
+			return nil, fmt.Errorf("%w: %w", failure, err)
+		}
+	}
+}
+
+// note counts an event that is handed on.
+func (r *Response) note(bytes int) {
+	now := time.Now()
+	r.tokens++
+	r.flight.countRemote(bytes)
+	if !r.last.IsZero() {
+		r.flight.upstream.Gauge().Progress(now, now.Sub(r.last))
 	}
+	r.last = now
 }
 
 // Close ends the answer; the engine stops if it is not whole yet.
@@ -59,6 +88,7 @@
 		return
 	}
 	r.closed = true
+	r.flight.owner.lane.untrack(r)
 	r.flight.owner.leave()
 	r.flight.end(completed, failure)
 }
--- a/internal/emulator/engineemulator/http.go
+++ b/internal/emulator/engineemulator/http.go
@@ -139,7 +139,7 @@
 		case <-crashed.Done():
 			panic(http.ErrAbortHandler)
 		}
-		generated, done := e.progress(s)
+		generated, done, halted := e.progress(s)
 		if generated > 0 && strings.Contains(s.prompt, PoisonWord) {
 			e.mu.Lock()
 			e.crash()
@@ -155,6 +155,9 @@
 			return
 		}
 		flusher.Flush()
+		if halted {
+			return
+		}
 	}
 }
 
@@ -199,7 +202,13 @@
 	e.stream(ctx, w, r, s, from)
 }
 
+// serveCancel stops a running stream, whose state is kept, or forgets the state
+// of a stopped one.
 func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	if e.halt(r.PathValue("id")) {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
 	if e.restore(r.PathValue("id")) == nil {
 		http.NotFound(w, r)
 		return
--- a/internal/emulator/engineemulator/sequence.go
+++ b/internal/emulator/engineemulator/sequence.go
@@ -17,6 +17,7 @@
 	cached      int
 	promptLen   int
 	done        bool
+	halted      bool // cancelled while running
 	wake        chan struct{}
 }
 
@@ -45,11 +46,29 @@
 	return e.crashCtx
 }
 
-// progress returns how many tokens of the sequence exist.
-func (e *Engine) progress(s *sequence) (generated int, done bool) {
+// progress returns how many tokens of the sequence exist, and whether it is done
+// or was cancelled.
+func (e *Engine) progress(s *sequence) (generated int, done, halted bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return s.generated, s.done
+	return s.generated, s.done, s.halted
+}
+
+// halt cancels a running sequence and keeps its state. Its stream ends without
+// an end mark after the tokens that exist. It returns false if there is no such
+// sequence, or if it is done.
+func (e *Engine) halt(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range slices.Concat(e.running, e.waiting) {
+		if s.id == id && !s.done {
+			s.halted = true
+			e.keep(s)
+			s.signal()
+			return true
+		}
+	}
+	return false
 }
 
 // suspend takes a sequence out of the engine and keeps its state, so that it
@@ -57,11 +76,15 @@
 func (e *Engine) suspend(s *sequence) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if s.done {
-		return
+	if !s.done {
+		e.keep(s)
 	}
-	found := e.detach(s)
-	if !found {
+}
+
+// keep takes a sequence out of the engine and keeps its state. The caller holds
+// mu.
+func (e *Engine) keep(s *sequence) {
+	if !e.detach(s) {
 		return
 	}
 	e.counts.Cancelled++
@@ -89,6 +112,7 @@
 		if s.id == id {
 			e.paused = slices.Delete(e.paused, i, i+1)
 			e.counts.Resumed++
+			s.halted = false
 			s.wake = make(chan struct{}, 1)
 			return s
 		}
--- a/internal/experimenter/overload.go
+++ b/internal/experimenter/overload.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/fescuespindle/fescuespindle/internal/dispatcher"
 	"github.com/fescuespindle/fescuespindle/internal/loadgenerator"
 	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
 )
@@ -24,9 +25,11 @@
 
 func runOverload(ctx context.Context, p Parameters) (Result, error) {
 	result := Result{Policies: map[string]Metrics{}}
-	for _, mode := range []string{"capacity", "modestAlone", "overloaded"} {
+	for _, mode := range []string{"capacity", "modestAlone", "overloaded", "overloadedWithoutPausing"} {
 		metrics := Metrics{}
-		err := withBench(ctx, p, sitebuilder.Trentvale(), func(b *bench) error {
+		spec := sitebuilder.Trentvale()
+		spec.VMOptions = []dispatcher.Option{dispatcher.WithPausing(mode != "overloadedWithoutPausing")}
+		err := withBench(ctx, p, spec, func(b *bench) error {
 			result.VMs, result.Upstreams = len(b.site.VMs), len(b.site.Engines)
 			b.overloaded(ctx, mode, metrics)
 			return nil
@@ -62,7 +65,7 @@
 		metrics["goodTokensPerSecond"] = float64(b.generated()-before) / time.Since(begun).Seconds()
 		return
 	}
-	if mode == "overloaded" {
+	if mode != "modestAlone" {
 		group.Go(func() {
 			load := onlineLoad{
 				rate: (overloadFactor - modestShare) * full, length: length, token: sitebuilder.GreedyToken,
--- a/internal/itemrunner/runner.go
+++ b/internal/itemrunner/runner.go
@@ -19,6 +19,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/jobrunner"
 	"github.com/fescuespindle/fescuespindle/internal/quarantiner"
 	"github.com/fescuespindle/fescuespindle/internal/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/streammover"
 	"github.com/fescuespindle/fescuespindle/internal/upstream"
 )
 
@@ -202,20 +203,7 @@
 	if source == nil {
 		return fmt.Errorf("upstream %s is gone", from.Upstream)
 	}
-	kv, err := e.runner.engines.Call(ctx, relayer.Attempt{
-		ID: e.stream + "-export", Address: source.Address(), Method: http.MethodGet, Path: upstream.PathKV + from.Stream,
-	}, false)
-	if err != nil {
-		return fmt.Errorf("export: %w", err)
-	}
-	_, err = e.runner.engines.Call(ctx, relayer.Attempt{
-		ID: e.stream + "-import", Address: e.target.Address(), Method: http.MethodPut,
-		Path: upstream.PathKV + from.Stream, Body: kv.Body(),
-	}, false)
-	if err != nil {
-		return fmt.Errorf("import: %w", err)
-	}
-	return nil
+	return streammover.Move(ctx, e.runner.engines, e.stream, from.Stream, source.Address(), e.target.Address()) //nolint:wrapcheck // says what failed
 }
 
 // take adds one event to the answer.
--- a/internal/servicecaller/caller.go
+++ b/internal/servicecaller/caller.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/fescuespindle/fescuespindle/internal/admitter"
 	"github.com/fescuespindle/fescuespindle/internal/budgeter"
 	"github.com/fescuespindle/fescuespindle/internal/chooser"
 	"github.com/fescuespindle/fescuespindle/internal/dispatcher"
@@ -65,7 +66,8 @@
 func (c *Caller) Do(ctx context.Context, lane *dispatcher.Lane, call Call) (relayer.Answer, error) {
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
-	if err := lane.Queue().Enter(ctx, call.Caller, call.Weight, call.Deadline); err != nil {
+	entry := admitter.Entry{Caller: call.Caller, Weight: call.Weight, Deadline: call.Deadline}
+	if err := lane.Queue().Enter(ctx, entry); err != nil {
 		return relayer.Answer{}, err //nolint:wrapcheck // a BusyError, which callers unwrap
 	}
 	started := false
--- a/internal/upstream/protocol.go
+++ b/internal/upstream/protocol.go
@@ -10,7 +10,10 @@
 	"time"
 )
 
-// Paths of an upstream's HTTP interface.
+// Paths of an upstream's HTTP interface. Each event of an engine's stream but the
+// final one carries one token. A stream that is cancelled while it runs ends
+// without the end mark; its state is kept, and it can be resumed from the index
+// of the first token that did not come.
 const (
 	PathChat        = "/v1/chat/completions"
 	PathCompletions = "/v1/completions"
