--- /dev/null
+++ b/internal/claimer/leak_test.go
@@ -0,0 +1,9 @@
+package claimer_test
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/internal/integration/fleet_test.go
+++ b/internal/integration/fleet_test.go
@@ -96,11 +96,13 @@
 	dir      string
 	platform *platformemulator.Emulator
 	server   *httptest.Server
-	engines  map[string]*engineemulator.Engine
-	services []*serviceemulator.Service
-	vms      []*process
-	list     []platform.VM
-	client   *http.Client
+	// platformAddress is the platform's, whether or not it runs in this process.
+	platformAddress string
+	engines         map[string]*engineemulator.Engine
+	services        []*serviceemulator.Service
+	vms             []*process
+	list            []platform.VM
+	client          *http.Client
 }
 
 // place is a failure domain of a fleet.
@@ -118,7 +120,8 @@
 	}
 	t.Cleanup(f.client.CloseIdleConnections)
 	f.server = f.serve(f.platform)
-	qt.Assert(t, os.WriteFile(filepath.Join(f.dir, "secret"), []byte(sitebuilder.Secret), 0o600), qt.IsNil)
+	f.platformAddress = f.server.Listener.Addr().String()
+	f.writeSecret()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	for _, p := range places {
@@ -127,7 +130,7 @@
 		}
 		service := serviceemulator.New(f.spec.Service)
 		f.services = append(f.services, service)
-		f.addUpstream(p, p.domain+"-service", f.spec.Service, f.serve(service))
+		f.addUpstream(p, p.domain+"-service", f.spec.Service, f.serve(service).Listener.Addr().String())
 		for n := range p.vms {
 			f.addVM(p, fmt.Sprintf("%s-entry-%d", p.domain, n))
 		}
@@ -144,6 +147,10 @@
 	return f
 }
 
+func (f *fleet) writeSecret() {
+	qt.Assert(f.t, os.WriteFile(filepath.Join(f.dir, "secret"), []byte(sitebuilder.Secret), 0o600), qt.IsNil)
+}
+
 func (f *fleet) serve(handler http.Handler) *httptest.Server {
 	server := httptest.NewUnstartedServer(handler)
 	server.Config.ErrorLog = nil
@@ -158,13 +165,13 @@
 	var group sync.WaitGroup
 	group.Go(func() { engine.Run(ctx) })
 	f.engines[id] = engine
-	f.addUpstream(p, id, f.spec.EnginePool, f.serve(engine))
+	f.addUpstream(p, id, f.spec.EnginePool, f.serve(engine).Listener.Addr().String())
 }
 
-func (f *fleet) addUpstream(p place, id, pool string, server *httptest.Server) {
+func (f *fleet) addUpstream(p place, id, pool, address string) {
 	f.list = append(f.list, platform.VM{
 		ID: id, Kind: platform.VMUpstream, Pool: pool, Region: p.region, Domain: p.domain,
-		Address: server.Listener.Addr().String(),
+		Address: address,
 	})
 }
 
@@ -201,7 +208,7 @@
 		DrainTimeout: settingsloader.Duration(time.Minute), BalancerLag: settingsloader.Duration(3 * time.Second),
 		LogFormat: settingsloader.LogJSON,
 	}}
-	vm.platform = f.proxy(f.server.Listener.Addr().String())
+	vm.platform = f.proxy(f.platformAddress)
 	vm.peers = f.proxy(vm.settings.PeerAddress)
 	vm.settings.PlatformURL = "http://" + vm.platform.Address()
 	f.vms = append(f.vms, vm)
@@ -277,21 +284,33 @@
 }
 
 func (p *process) waitReady(engines int) {
-	eventually(p.fleet.t, p.settings.VM+" is ready", func() bool {
+	t := p.fleet.t
+	t.Helper()
+	ready := happens(func() bool {
 		state, err := p.state()
 		return err == nil && state.Ready && len(state.Upstreams) >= engines
 	})
+	if !ready {
+		t.Fatalf("%s never became ready; its log:\n%s", p.settings.VM, p.log)
+	}
 }
 
 // eventually waits for an event.
 func eventually(t *testing.T, what string, happened func() bool) {
 	t.Helper()
+	if !happens(happened) {
+		t.Fatalf("this never happened: %s", what)
+	}
+}
+
+// happens waits for an event and returns false if it doesn't come.
+func happens(happened func() bool) bool {
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		if happened() {
-			return
+			return true
 		}
 	}
-	t.Fatalf("this never happened: %s", what)
+	return false
 }
 
 // lot is the name of every job, and the prefix of its items.
--- /dev/null
+++ b/internal/sitebuilder/leak_test.go
@@ -0,0 +1,9 @@
+package sitebuilder_test
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
