--- a/internal/chooser/room.go
+++ b/internal/chooser/room.go
@@ -62,16 +62,16 @@
 //
 //   - A caller over its share leaves a few places free for others, who then find
 //     them without waiting.
-//   - It takes a place beyond those only up to its VM's equal part of the
-//     domain. Beyond that part, there must be a place for each VM that could
+//   - It takes a place beyond those only up to its VM's equal quota of
+//     the domain. Beyond its quota, there must be a place for each VM that could
 //     take one at the same time.
 //   - A VM that has only heard of a place leaves it to chance whether it takes
-//     it. Without this, all VMs below their parts take it at once, the upstreams
-//     are over full, and all VMs fall below their parts again.
+//     it. Without this, all VMs below their quotas take it at once, the upstreams
+//     are over full, and all VMs fall below their quotas again.
 //
-// For example, 4 VMs on 32 sequences leave 2 free and have parts of 8, 8, 7 and
-// 7. A VM with 7 of its 7 whose request ends takes its place again, as no other
-// VM is below its part.
+// For example, 4 VMs on 32 sequences leave 2 free and have quotas of 8, 8, 7
+// and 7. A VM with 7 of its 7 whose request ends takes its place again, as no other
+// VM is below its quota.
 func (p *Pool) HasRoom(need Need, now time.Time) bool {
 	o := p.occupancy(now)
 	if o.capacity == 0 {
@@ -84,22 +84,22 @@
 	}
 	headroom := max(1, o.capacity/headroomShare)
 	contenders := min(p.vms-1, o.others)
-	if need.Standing == StandingAlone && o.own < p.part(o.capacity) {
-		return true // a lone caller has the whole part to itself
+	if need.Standing == StandingAlone && o.own < p.quota(o.capacity) {
+		return true // a lone caller has the whole quota to itself
 	}
-	if need.Standing == StandingOver && o.own < p.part(o.capacity-headroom) {
+	if need.Standing == StandingOver && o.own < p.quota(o.capacity-headroom) {
 		taken := need.Heard && rand.IntN(contenders+1) > 0
 		return o.free > headroom && !taken
 	}
 	return o.free > headroom+contenders
 }
 
-// part returns this VM's equal part of so many places. The first VMs get one
+// quota returns this VM's equal share of so many places. The first VMs get one
 // more each if the places can't be shared out evenly.
-func (p *Pool) part(places int) int {
-	part := places / p.vms
+func (p *Pool) quota(places int) int {
+	quota := places / p.vms
 	if p.rank < places%p.vms {
-		part++
+		quota++
 	}
-	return part
+	return quota
 }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -31,7 +31,7 @@
 	KindOnlineTotals
 	KindUpstreamStates
 	KindStrikes
-	KindStrikesAck
+	_ // was an answer to KindStrikes
 	KindJobCancelled
 	KindChunksWanted
 	KindChunksOffered
@@ -46,7 +46,7 @@
 	KindProbe: "probe", KindProbeAck: "probeAck", KindProbeRequest: "probeRequest",
 	KindConfigHead: "configHead", KindConfigWanted: "configWanted", KindConfigText: "configText",
 	KindOnlineCounts: "onlineCounts", KindOnlineTotals: "onlineTotals", KindUpstreamStates: "upstreamStates",
-	KindStrikes: "strikes", KindStrikesAck: "strikesAck", KindJobCancelled: "jobCancelled",
+	KindStrikes: "strikes", KindJobCancelled: "jobCancelled",
 	KindChunksWanted: "chunksWanted", KindChunksOffered: "chunksOffered",
 	KindVMList: "vmList", KindSlowSeen: "slowSeen",
 	KindIsolationWanted: "isolationWanted", KindIsolationAnswered: "isolationAnswered",
@@ -185,17 +185,11 @@
 
 // Strikes tells of suspects.
 type Strikes struct {
-	Sequence uint64   `cbor:"1,keyasint"`
-	Strikes  []Strike `cbor:"2,keyasint"`
+	Strikes []Strike `cbor:"2,keyasint"`
 	// Relay asks the receiver to tell its own failure domain.
 	Relay bool `cbor:"3,keyasint"`
 }
 
-// StrikesAck answers Strikes.
-type StrikesAck struct {
-	Sequence uint64 `cbor:"1,keyasint"`
-}
-
 // JobCancelled tells that a job was cancelled.
 type JobCancelled struct {
 	Job string `cbor:"1,keyasint"`
@@ -305,9 +299,6 @@
 // Kind implements Message.
 func (Strikes) Kind() Kind { return KindStrikes }
 
-// Kind implements Message.
-func (StrikesAck) Kind() Kind { return KindStrikesAck }
-
 // Kind implements Message.
 func (JobCancelled) Kind() Kind { return KindJobCancelled }
 
@@ -363,7 +354,7 @@
 	KindConfigHead: decodeAs[ConfigHead], KindConfigWanted: decodeAs[ConfigWanted],
 	KindConfigText: decodeAs[ConfigText], KindOnlineCounts: decodeAs[OnlineCounts],
 	KindOnlineTotals: decodeAs[OnlineTotals], KindUpstreamStates: decodeAs[UpstreamStates],
-	KindStrikes: decodeAs[Strikes], KindStrikesAck: decodeAs[StrikesAck], KindJobCancelled: decodeAs[JobCancelled],
+	KindStrikes: decodeAs[Strikes], KindJobCancelled: decodeAs[JobCancelled],
 	KindChunksWanted: decodeAs[ChunksWanted], KindChunksOffered: decodeAs[ChunksOffered],
 	KindVMList: decodeAs[VMList], KindSlowSeen: decodeAs[SlowSeen],
 	KindIsolationWanted: decodeAs[IsolationWanted], KindIsolationAnswered: decodeAs[IsolationAnswered],
