Longer answers in the pausing test, so that no slow machine ends them first

Cause: the test checks that a short answer is whole before any long one is; 400 tokens a millisecond apart leave little on a busy machine. Change: 1000 tokens.

--- a/internal/dispatcher/pause_test.go
+++ b/internal/dispatcher/pause_test.go
@@ -106,7 +106,7 @@
 // checks that another caller's short one is whole before any of them is.
 func expectModestServed(t *testing.T, b *fairBench, greedy int) {
 	t.Helper()
-	const longTokens, shortTokens = 400, 5
+	const longTokens, shortTokens = 1000, 5
 	var group sync.WaitGroup
 	var mu sync.Mutex
 	done := 0
