--- a/internal/chooser/policy.go
+++ b/internal/chooser/policy.go
@@ -25,11 +25,6 @@
 	return [...]string{"leastLoad", "prefix", "spilled", "gathered", "lastResort", "baseline"}[r]
 }
 
-// Reasons lists every reason.
-func Reasons() []Reason {
-	return []Reason{ReasonLeastLoad, ReasonPrefix, ReasonSpilled, ReasonGathered, ReasonLastResort, ReasonBaseline}
-}
-
 // Request is what a choice depends on.
 type Request struct {
 	// Prefix is the hash of the prompt's beginning, or 0 for no affinity.
