--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -54,6 +54,15 @@
 	return func() {}, true
 }
 
+// busyIsolator has no upstream free for a suspect for so many looks.
+type busyIsolator struct {
+	looks atomic.Int32
+}
+
+func (i *busyIsolator) Isolate(context.Context, *chooser.Upstream, quarantiner.Fingerprint) (func(), bool) {
+	return func() {}, i.looks.Add(-1) < 0
+}
+
 // engine answers an attempt in its own way.
 type engine func(w http.ResponseWriter, r *http.Request, id string)
 
@@ -72,6 +81,11 @@
 }
 
 func newBenchWith(t *testing.T, policy chooser.Policy, engines ...engine) *bench {
+	t.Helper()
+	return newIsolatedBench(t, policy, bystander{}, engines...)
+}
+
+func newIsolatedBench(t *testing.T, policy chooser.Policy, isolator dispatcher.Isolator, engines ...engine) *bench {
 	t.Helper()
 	b := &bench{counts: &counts{sums: map[string]int{}}, lane: dispatcher.NewLane("model", time.Now)}
 	var upstreams []*chooser.Upstream
@@ -87,7 +101,7 @@
 	b.lane.SetPool(chooser.NewPool(upstreams))
 	r := relayer.New(nil)
 	t.Cleanup(r.Close)
-	b.dispatcher = dispatcher.New(r, bystander{}, bystander{}, linkmeter.New(b.counts), b.counts, quarantiner.New(),
+	b.dispatcher = dispatcher.New(r, bystander{}, isolator, linkmeter.New(b.counts), b.counts, quarantiner.New(),
 		dispatcher.WithPolicy(policy))
 	return b
 }
@@ -216,6 +230,20 @@
 	b.expectIdle(t)
 }
 
+func TestSuspectWaitsUntilItCanBeIsolated(t *testing.T) {
+	const denials = 30
+	isolator := &busyIsolator{}
+	isolator.looks.Store(denials)
+	b := newIsolatedBench(t, chooser.RoundRobin{}, isolator, crashing, whole("good"))
+	for b.counts.get("retries_total") == 0 { // until one has met the engine that crashes
+		text, err := b.send(t.Context())
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, text, qt.Matches, `(\{"id":"request-[0-9]+-[0-9]","by":"good"\}){2}`)
+	}
+	qt.Check(t, isolator.looks.Load() < 0, qt.IsTrue)
+	b.expectIdle(t)
+}
+
 func TestCallerThatLeavesEndsItsAttempt(t *testing.T) {
 	begun := make(chan struct{}, 1)
 	ended := make(chan struct{})
