One wait that a context can cut short; small repetitions in the queue and counts

Change: sleeper.Sleep serves all seven. run.entry, Queue.enqueue and kept.othersPrompts are each one piece.

--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -113,14 +113,11 @@
 }
 
 // Reenter is Enter for a request that had been let in before and has given its
-// place up. It goes first in its caller's line and waits up to its deadline.
+// place up. It goes first in its caller's line and waits up to its deadline, and
+// Crowded is not called.
 func (q *Queue) Reenter(ctx context.Context, e Entry) error {
 	q.mu.Lock()
-	l := q.line(e.Caller, weightOf(e))
-	t := &ticket{admitted: make(chan struct{})}
-	l.tickets = slices.Insert(l.tickets, 0, t)
-	q.waiting++
-	q.admit(false)
+	t := q.enqueue(q.line(e.Caller, weightOf(e.Weight)), 0)
 	q.mu.Unlock()
 	return q.await(ctx, t, e.Deadline.Sub(q.now()))
 }
@@ -138,14 +135,24 @@
 	}
 }
 
-func weightOf(e Entry) float64 { return float64(max(e.Weight, 1)) }
+func weightOf(weight int) float64 { return float64(max(weight, 1)) }
+
+// enqueue puts a request into a caller's line, and lets in whom it can: there
+// may be room that callers over their share may not take.
+func (q *Queue) enqueue(l *line, at int) *ticket {
+	t := &ticket{admitted: make(chan struct{})}
+	l.tickets = slices.Insert(l.tickets, at, t)
+	q.waiting++
+	q.admit(false)
+	return t
+}
 
 // join returns a ticket to wait with, or nil if the request was let in or
 // refused at once.
 func (q *Queue) join(e Entry) (t *ticket, crowded bool, err error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	l := q.line(e.Caller, weightOf(e))
+	l := q.line(e.Caller, weightOf(e.Weight))
 	if q.waiting == 0 && q.room(q.need(l, false)) {
 		q.advance(l)
 		return nil, false, nil
@@ -157,10 +164,7 @@
 	if (late && !crowded) || len(l.tickets) >= maxWaiting {
 		return nil, false, &BusyError{retryAt: now.Add(max(wait, minRetryWait))}
 	}
-	t = &ticket{admitted: make(chan struct{})}
-	l.tickets = append(l.tickets, t)
-	q.waiting++
-	q.admit(false) // there may be room that callers over their share may not take
+	t = q.enqueue(l, len(l.tickets))
 	return t, crowded && len(l.tickets) > 0, nil
 }
 
@@ -175,7 +179,7 @@
 	if l, found := q.callers[other]; found {
 		gain += float64(l.running)
 	}
-	most := gain / float64(max(weight, 1))
+	most := gain / weightOf(weight)
 	name := ""
 	for caller, l := range q.callers {
 		left := float64(l.running-1) / l.weight
--- a/internal/assembler/vm.go
+++ b/internal/assembler/vm.go
@@ -20,6 +20,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/relayer"
 	"github.com/fescuespindle/fescuespindle/internal/server"
 	"github.com/fescuespindle/fescuespindle/internal/settingsloader"
+	"github.com/fescuespindle/fescuespindle/internal/sleeper"
 	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
 )
 
@@ -110,7 +111,7 @@
 	vm.server.SetDraining()
 	drained := make(chan error, 1)
 	vm.group.Go(func() { drained <- vm.controller.DrainWork(ctx) })
-	sleep(ctx, time.Duration(vm.settings.BalancerLag))
+	sleeper.Sleep(ctx, time.Duration(vm.settings.BalancerLag))
 	caller := vm.servers[len(vm.servers)-1]
 	err := errors.Join(caller.Shutdown(ctx), <-drained)
 	vm.dispatcher.Wait()
@@ -123,15 +124,6 @@
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // Close ends the VM at once, as a crash would.
 func (vm *VM) Close() {
 	for _, s := range vm.servers {
--- a/internal/commander/batch.go
+++ b/internal/commander/batch.go
@@ -1,7 +1,6 @@
 package commander
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"os"
@@ -10,6 +9,7 @@
 	"github.com/google/uuid"
 
 	"github.com/fescuespindle/fescuespindle/internal/requester"
+	"github.com/fescuespindle/fescuespindle/internal/sleeper"
 )
 
 // callerFlags tell where and as whom a caller's command speaks.
@@ -89,23 +89,12 @@
 		if !c.Wait || batch.Status != "in_progress" {
 			return printBatch(e, batch, c.JSON)
 		}
-		if err := wait(e.ctx, pollPeriod); err != nil {
-			return err
+		if !sleeper.Sleep(e.ctx, pollPeriod) {
+			return e.ctx.Err()
 		}
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 type batchCancelCommand struct {
 	callerFlags
 	ID   string `arg:"" help:"The job."`
--- a/internal/controller/counts.go
+++ b/internal/controller/counts.go
@@ -17,7 +17,13 @@
 
 // promptsOf returns the bytes of the prompts of all VMs but one.
 func (k *kept) promptsOf(vm string) int {
-	bytes := k.upstream.Gauge().Prompts()
+	return k.upstream.Gauge().Prompts() + k.othersPrompts(vm)
+}
+
+// othersPrompts returns the bytes of the prompts of all VMs but this one and
+// another.
+func (k *kept) othersPrompts(vm string) int {
+	bytes := 0
 	for other, n := range k.prompts {
 		if other != vm {
 			bytes += n
@@ -36,11 +42,7 @@
 	if bytes == 0 {
 		delete(k.prompts, vm)
 	}
-	others := 0
-	for _, n := range k.prompts {
-		others += n
-	}
-	k.upstream.Gauge().SetOthersPrompts(others)
+	k.upstream.Gauge().SetOthersPrompts(k.othersPrompts(""))
 }
 
 // onlineChanged takes changes of this VM's own online requests. Rising counts
--- a/internal/dispatcher/choice.go
+++ b/internal/dispatcher/choice.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/chooser"
+	"github.com/fescuespindle/fescuespindle/internal/sleeper"
 )
 
 const (
@@ -63,7 +64,7 @@
 			return choice, release, true
 		}
 		r.trace.add("waits to be isolated")
-		if !pause(ctx, isolationPause) {
+		if !sleeper.Sleep(ctx, isolationPause) {
 			return chooser.Choice{}, nil, false
 		}
 		query.Now = time.Now()
@@ -97,15 +98,3 @@
 	}
 	return b
 }
-
-// pause returns false if the context ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -245,10 +245,7 @@
 	if !time.Now().Before(r.request.Deadline) {
 		return nil, &RefusedError{reason: ReasonDeadline, ran: relayer.RanNot, cause: ErrDeadline}
 	}
-	entry := admitter.Entry{
-		Caller: r.request.Caller, Weight: r.request.Weight, Deadline: r.request.Deadline, Crowded: r.makeRoom,
-	}
-	if err := r.lane.queue.Enter(ctx, entry); err != nil {
+	if err := r.lane.queue.Enter(ctx, r.entry()); err != nil {
 		return nil, refuseEntry(err)
 	}
 	r.trace.add(fmt.Sprintf("let in after %v in line", time.Since(r.trace.at).Round(time.Millisecond)))
@@ -267,6 +264,13 @@
 	return r.wait(ctx)
 }
 
+// entry is what the queue has to know of the request.
+func (r *run) entry() admitter.Entry {
+	return admitter.Entry{
+		Caller: r.request.Caller, Weight: r.request.Weight, Deadline: r.request.Deadline, Crowded: r.makeRoom,
+	}
+}
+
 // leave tells the queue that the request is over.
 func (r *run) leave() {
 	if r.entered {
--- a/internal/dispatcher/pause.go
+++ b/internal/dispatcher/pause.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/admitter"
 	"github.com/fescuespindle/fescuespindle/internal/chooser"
 	"github.com/fescuespindle/fescuespindle/internal/relayer"
 	"github.com/fescuespindle/fescuespindle/internal/streammover"
@@ -99,8 +98,7 @@
 	run := old.owner
 	run.leave()
 	old.end(false, nil)
-	entry := admitter.Entry{Caller: run.request.Caller, Weight: run.request.Weight, Deadline: run.request.Deadline}
-	if err := run.lane.queue.Reenter(r.ctx, entry); err != nil {
+	if err := run.lane.queue.Reenter(r.ctx, run.entry()); err != nil {
 		return fmt.Errorf("wait to resume: %w", err)
 	}
 	run.entered, run.started = true, false
--- a/internal/emulator/platformemulator/emulator.go
+++ b/internal/emulator/platformemulator/emulator.go
@@ -16,6 +16,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/fescuespindle/fescuespindle/internal/platform"
+	"github.com/fescuespindle/fescuespindle/internal/sleeper"
 )
 
 // Paths by which tests and demos drive the stand-in itself.
@@ -318,12 +319,5 @@
 	if delay <= 0 {
 		return true
 	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-r.Context().Done():
-		return false
-	}
+	return sleeper.Sleep(r.Context(), delay)
 }
--- a/internal/experimenter/burst.go
+++ b/internal/experimenter/burst.go
@@ -9,6 +9,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/drawer"
 	"github.com/fescuespindle/fescuespindle/internal/emulator/engineemulator"
 	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
+	"github.com/fescuespindle/fescuespindle/internal/sleeper"
 )
 
 var onlineBurst = Experiment{
@@ -156,7 +157,7 @@
 			online, batch := b.occupancy()
 			courses["online"].Add(time.Since(begun), float64(online))
 			courses["batch"].Add(time.Since(begun), float64(batch))
-			sleep(ctx, coursePeriod)
+			sleeper.Sleep(ctx, coursePeriod)
 		}
 	})
 	return func() {
--- a/internal/experimenter/cost.go
+++ b/internal/experimenter/cost.go
@@ -12,6 +12,7 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/operator"
 	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
+	"github.com/fescuespindle/fescuespindle/internal/sleeper"
 )
 
 var controlCost = Experiment{
@@ -70,7 +71,7 @@
 		rate := ratePerVM * float64(len(b.site.VMs))
 		b.online(ctx, onlineLoad{rate: rate, length: length, generate: b.short(besideWords, busyTokens)})
 	} else {
-		sleep(ctx, length)
+		sleeper.Sleep(ctx, length)
 	}
 	seconds := time.Since(begun).Seconds()
 	perVM := 1 / (seconds * float64(len(b.site.VMs)))
--- a/internal/experimenter/poison.go
+++ b/internal/experimenter/poison.go
@@ -11,6 +11,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/emulator/engineemulator"
 	"github.com/fescuespindle/fescuespindle/internal/requester"
 	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
+	"github.com/fescuespindle/fescuespindle/internal/sleeper"
 )
 
 var poison = Experiment{
@@ -56,7 +57,7 @@
 			if errors.As(err, &refused) && refused.Status() == http.StatusUnprocessableEntity {
 				metrics["condemnedAnswersCount"]++
 			}
-			sleep(ctx, poisonPause)
+			sleeper.Sleep(ctx, poisonPause)
 		}
 	})
 	rate := tailShare * float64(b.sequences()) / (burstTokens * engineStep.Seconds())
--- a/internal/experimenter/round.go
+++ b/internal/experimenter/round.go
@@ -8,6 +8,7 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/loadgenerator"
 	"github.com/fescuespindle/fescuespindle/internal/requester"
+	"github.com/fescuespindle/fescuespindle/internal/sleeper"
 )
 
 // rounds repeats a load with quiet times between, and returns the report over
@@ -31,7 +32,7 @@
 		sum.Cut += report.Cut
 		sum.Wrong += report.Wrong
 		sum.TotalP99 = max(sum.TotalP99, report.TotalP99)
-		sleep(ctx, burstPause)
+		sleeper.Sleep(ctx, burstPause)
 	}
 	b.p.Seed = seed
 	slices.Sort(firsts)
--- a/internal/experimenter/tail.go
+++ b/internal/experimenter/tail.go
@@ -10,6 +10,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/emulator/engineemulator"
 	"github.com/fescuespindle/fescuespindle/internal/loadgenerator"
 	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
+	"github.com/fescuespindle/fescuespindle/internal/sleeper"
 )
 
 var shortBehindLong = Experiment{
@@ -155,19 +156,10 @@
 		for _, n := range chosen {
 			b.site.Engines[n].SetSlow(slowFactor)
 		}
-		sleep(ctx, spellLength)
+		sleeper.Sleep(ctx, spellLength)
 		for _, n := range chosen {
 			b.site.Engines[n].SetSlow(1)
 		}
-		sleep(ctx, spellPause)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		sleeper.Sleep(ctx, spellPause)
 	}
 }
--- a/internal/loadgenerator/generator.go
+++ b/internal/loadgenerator/generator.go
@@ -15,6 +15,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/fescuespindle/fescuespindle/internal/requester"
+	"github.com/fescuespindle/fescuespindle/internal/sleeper"
 )
 
 const (
@@ -163,14 +164,7 @@
 	if wait <= 0 {
 		return ctx.Err() == nil
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return sleeper.Sleep(ctx, wait)
 }
 
 func (g *Generator) send(ctx context.Context, target Target, request Request, due time.Time) {
--- a/internal/storekeeper/keeper.go
+++ b/internal/storekeeper/keeper.go
@@ -19,6 +19,7 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/platform"
 	"github.com/fescuespindle/fescuespindle/internal/platformcaller"
+	"github.com/fescuespindle/fescuespindle/internal/sleeper"
 )
 
 // Errors of this layer.
@@ -245,12 +246,5 @@
 // if the context ends first.
 func sleepBackoff(ctx context.Context, attempt int) bool {
 	limit := min(retryBase<<min(attempt, 10), retryMax)
-	timer := time.NewTimer(retryBase/2 + rand.N(limit))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return sleeper.Sleep(ctx, retryBase/2+rand.N(limit))
 }
