--- /dev/null
+++ b/internal/courier/courier.go
@@ -0,0 +1,125 @@
+// Package courier makes one attempt of a request at one upstream: it sends it,
+// sorts out what the answer means, and tells the placer what it says of the
+// upstream.
+package courier
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/forwarder"
+	"github.com/fescuespindle/fescuespindle/internal/placer"
+	"github.com/fescuespindle/fescuespindle/internal/relayer"
+)
+
+// Call is a request, online or of a batch, as it goes to an upstream.
+type Call struct {
+	ID     string
+	Method string
+	// URI is the path and the query exactly as the caller sent them.
+	URI    string
+	Host   string
+	Header http.Header // end-to-end fields only
+	Body   []byte
+}
+
+// Target is where and how one attempt of a call is sent.
+type Target struct {
+	Upstream placer.Upstream
+	// Deadline is when the upstream may stop working on it; zero means never.
+	Deadline time.Time
+	// LastEvent is the identifier of the last event that need not come again.
+	LastEvent string
+}
+
+// Verdict is what the head of an answer means.
+type Verdict struct {
+	// NotRun answers promise that the upstream did not and will not run the call.
+	NotRun bool
+	// Moved answers come from another upstream at the same address.
+	Moved bool
+	Load  placer.Load
+	// HasLoad tells whether the answer says anything of the upstream's load.
+	HasLoad bool
+}
+
+// Codec translates between calls and what upstreams speak.
+type Codec interface {
+	Encode(call *Call, target Target, now time.Time) *http.Request
+	Judge(status int, header http.Header) Verdict
+}
+
+// maxRefusal bounds the body of a refusal, which is read so that its connection
+// can be used again.
+const maxRefusal = 64 << 10
+
+// ErrRefused means that an upstream did not take a call.
+var ErrRefused = errors.New("upstream refused")
+
+// Courier makes attempts.
+type Courier struct {
+	forwarder *forwarder.Forwarder
+	placer    *placer.Placer
+	codec     Codec
+}
+
+// New returns a courier.
+func New(f *forwarder.Forwarder, p *placer.Placer, codec Codec) *Courier {
+	return &Courier{forwarder: f, placer: p, codec: codec}
+}
+
+// Delivery is an answer under way. Close must be called.
+type Delivery struct {
+	*forwarder.Answer
+	courier *Courier
+	place   *placer.Place
+}
+
+// Send sends a call to the upstream of a place, which it gives back at the end
+// of the answer or with an error. Errors are relayer.AttemptErrors.
+func (c *Courier) Send(
+	ctx context.Context, place *placer.Place, call *Call, target Target,
+) (*Delivery, error) {
+	target.Upstream = place.Upstream()
+	answer, err := c.forwarder.Send(ctx, forwarder.Attempt{
+		Request: c.codec.Encode(call, target, time.Now()), Body: call.Body, ID: call.ID, Address: target.Upstream.Address,
+	})
+	if err != nil {
+		c.giveBack(ctx, place, true)
+		return nil, err //nolint:wrapcheck // an AttemptError, which callers unwrap
+	}
+	verdict := c.codec.Judge(answer.Status(), answer.Header())
+	if verdict.HasLoad {
+		c.placer.Observe(place, verdict.Load, time.Now())
+	}
+	if !verdict.NotRun {
+		return &Delivery{Answer: answer, courier: c, place: place}, nil
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxRefusal)) // only so that the connection can be kept
+	answer.Close()
+	c.giveBack(ctx, place, verdict.Moved)
+	cause := fmt.Errorf("%w: status %d of %s", ErrRefused, answer.Status(), target.Upstream.ID)
+	return nil, relayer.NewFailure(relayer.RanNot, cause)
+}
+
+// giveBack ends a place. A failure that the caller's own leaving brought about
+// says nothing of the upstream.
+func (c *Courier) giveBack(ctx context.Context, place *placer.Place, failed bool) {
+	if failed && ctx.Err() == nil {
+		c.placer.Failed(place, time.Now())
+	}
+	c.placer.Done(place)
+}
+
+// Broken notes that the upstream broke the answer off.
+func (d *Delivery) Broken() { d.courier.placer.Failed(d.place, time.Now()) }
+
+// Close ends the attempt.
+func (d *Delivery) Close() {
+	d.Answer.Close()
+	d.courier.placer.Done(d.place)
+}
--- /dev/null
+++ b/internal/entryvm/sink.go
@@ -0,0 +1,142 @@
+package entryvm
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/registrar"
+	"github.com/fescuespindle/fescuespindle/internal/router"
+	"github.com/fescuespindle/fescuespindle/internal/rowstore"
+	"github.com/fescuespindle/fescuespindle/platform"
+)
+
+// readiness answers the balancer.
+type readiness struct {
+	configured atomic.Bool
+	listed     atomic.Bool
+	leaving    atomic.Bool
+}
+
+// ServeHTTP implements http.Handler.
+func (r *readiness) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	if r.configured.Load() && r.listed.Load() && !r.leaving.Load() {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// configurationSink puts configurations into force, never an older one after a
+// newer.
+type configurationSink struct {
+	vm *VM
+}
+
+// Replace implements watcher.Sink.
+func (s *configurationSink) Replace(rows []rowstore.Row) { s.Change(rows) }
+
+// Lost implements watcher.Sink.
+func (s *configurationSink) Lost(error) {}
+
+// Change implements watcher.Sink.
+func (s *configurationSink) Change(rows []rowstore.Row) {
+	for _, row := range rows {
+		if row.Name == platform.RowConfiguration && !row.Deleted {
+			s.adopt(row)
+		}
+	}
+}
+
+func (s *configurationSink) adopt(row rowstore.Row) {
+	configuration, err := platform.ParseConfiguration(row.Value)
+	if err != nil {
+		s.vm.logger.Error("configuration not understood, the one before stays", "error", err, "row", row.Version)
+		return
+	}
+	if table := s.vm.gateway.Table(); table != nil && table.Version() >= configuration.Version {
+		return
+	}
+	s.vm.gateway.SetTable(router.NewTable(configuration))
+	s.vm.readiness.configured.Store(true)
+	s.vm.logger.Info("configuration in force", "version", configuration.Version, "row", row.Version,
+		"routes", len(configuration.Routes), "services", len(configuration.Services))
+}
+
+// upstreamSink keeps the list of upstreams.
+type upstreamSink struct {
+	vm        *VM
+	registrar *registrar.Registrar
+	addresses map[string]string
+}
+
+// Replace implements watcher.Sink.
+func (s *upstreamSink) Replace(rows []rowstore.Row) {
+	ids := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		ids[row.Name] = true
+	}
+	s.registrar.Only(ids, time.Now())
+	s.Change(rows)
+}
+
+// Lost implements watcher.Sink.
+func (s *upstreamSink) Lost(error) { s.registrar.Outage(time.Now()) }
+
+// Change implements watcher.Sink.
+func (s *upstreamSink) Change(rows []rowstore.Row) {
+	now := time.Now()
+	for _, row := range rows {
+		if row.Deleted {
+			s.vm.logger.Info("upstream gone", "upstream", row.Name, "row", row.Version)
+			s.registrar.Removed(row.Name, now)
+			continue
+		}
+		u, err := platform.ParseUpstream(row)
+		if err != nil {
+			s.vm.logger.Warn("upstream entry left out", "error", err, "row", row.Version)
+			continue
+		}
+		s.registrar.Listed(u, row.Version)
+		s.vm.logger.Info("upstream listed", "upstream", u.ID, "service", u.Service, "leaving", u.Leaving, "row", row.Version)
+	}
+	s.publish(now)
+}
+
+// publish hands the list on, and drops idle connections to addresses that are
+// no longer on it.
+func (s *upstreamSink) publish(now time.Time) {
+	list := s.registrar.Upstreams(now)
+	s.vm.placer.SetUpstreams(list)
+	addresses := make(map[string]string, len(list))
+	for _, u := range list {
+		addresses[u.Address] = u.ID
+	}
+	for address, id := range s.addresses {
+		if addresses[address] != id {
+			s.vm.forwarder.Drop(address)
+		}
+	}
+	s.addresses = addresses
+	s.vm.readiness.listed.Store(true)
+}
+
+// storeTransport reaches the store with short waits, so that a connection that
+// went silent is given up soon.
+func storeTransport() http.RoundTripper {
+	dialer := &net.Dialer{
+		Timeout:         storeDialTime,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
+	}
+	return &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: storeConnections, IdleConnTimeout: storeIdleTime,
+		DisableCompression: true,
+	}
+}
+
+const (
+	storeDialTime    = 700 * time.Millisecond
+	storeConnections = 8
+	storeIdleTime    = 20 * time.Second
+)
--- /dev/null
+++ b/internal/entryvm/vm.go
@@ -0,0 +1,192 @@
+// Package entryvm puts the parts of an entry VM on the users' platform together
+// and runs them.
+package entryvm
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/fescuespindle/fescuespindle/internal/counter"
+	"github.com/fescuespindle/fescuespindle/internal/courier"
+	"github.com/fescuespindle/fescuespindle/internal/forwarder"
+	"github.com/fescuespindle/fescuespindle/internal/gateway"
+	"github.com/fescuespindle/fescuespindle/internal/memberkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/peerteller"
+	"github.com/fescuespindle/fescuespindle/internal/placer"
+	"github.com/fescuespindle/fescuespindle/internal/registrar"
+	"github.com/fescuespindle/fescuespindle/internal/router"
+	"github.com/fescuespindle/fescuespindle/internal/rowstore"
+	"github.com/fescuespindle/fescuespindle/internal/watcher"
+	"github.com/fescuespindle/fescuespindle/platform"
+)
+
+// metricsPort serves counters and histograms; the deploy file names it too.
+const metricsPort = 9464
+
+const (
+	// readHeaderTime bounds the head of a caller's request, and idleTime is how
+	// long a caller's connection may be idle. Both are longer than any that
+	// callers use; the body's time follows the configuration.
+	readHeaderTime = 10 * time.Second
+	idleTime       = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
+)
+
+// VM is one entry VM.
+type VM struct {
+	settings  platform.Settings
+	boot      uint64
+	logger    *slog.Logger
+	counter   *counter.Counters
+	store     rowstore.Store
+	forwarder *forwarder.Forwarder
+	placer    *placer.Placer
+	teller    *peerteller.Teller
+	members   *memberkeeper.Keeper
+	gateway   *gateway.Gateway
+	jobs      gateway.Jobs
+
+	readiness readiness
+	group     sync.WaitGroup
+	servers   []*http.Server
+	callers   *http.Server
+	stop      context.CancelFunc
+}
+
+// New returns a VM that has not started.
+func New(settings platform.Settings, logger *slog.Logger) (*VM, error) {
+	vm := &VM{
+		settings: settings, boot: rand.Uint64(), logger: logger, counter: counter.New(metrics.NewSet()),
+	}
+	codec := platform.Codec{}
+	teller, err := peerteller.New(settings.VM, vm.boot, net.JoinHostPort(settings.IP, strconv.Itoa(settings.PeerPort)), logger)
+	if err != nil {
+		return nil, fmt.Errorf("start peer messages: %w", err)
+	}
+	vm.teller = teller
+	vm.placer = placer.New(settings.VM, settings.Domain, settings.Regions, placer.WithChanged(teller.Changed))
+	teller.SetPlacer(vm.placer)
+	vm.forwarder = forwarder.New(codec.AnswerID)
+	vm.store = platform.NewStore(settings.StoreAddress, storeTransport())
+	self := memberkeeper.Member{VM: settings.VM, IP: settings.IP, Domain: settings.Domain, Boot: vm.boot}
+	vm.members = memberkeeper.New(vm.store, self, vm.setPeers, logger)
+	vm.jobs = noJobs{}
+	vm.gateway = gateway.New(codec, courier.New(vm.forwarder, vm.placer, codec), vm.placer, vm.jobs, vm.counter, logger)
+	return vm, nil
+}
+
+// noJobs serves no jobs.
+type noJobs struct{}
+
+func (noJobs) Claims(*http.Request) bool { return false }
+
+func (noJobs) Serve(w http.ResponseWriter, _ *http.Request, _ *router.Route) {
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// setPeers tells the teller of the other VMs.
+func (vm *VM) setPeers(members []memberkeeper.Member) {
+	peers := make([]peerteller.Peer, 0, len(members))
+	for _, m := range members {
+		address, err := netip.ParseAddr(m.IP)
+		if err != nil {
+			vm.logger.Warn("VM without an address", "vm", m.VM, "error", err)
+			continue
+		}
+		peers = append(peers, peerteller.Peer{
+			VM: m.VM, Address: netip.AddrPortFrom(address, uint16(vm.settings.PeerPort)),
+			Far: vm.settings.Regions[m.Domain] != vm.settings.Region,
+		})
+	}
+	vm.teller.SetPeers(peers)
+}
+
+// Start starts serving.
+func (vm *VM) Start() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	vm.stop = cancel
+	vm.callers = &http.Server{
+		Handler: vm.gateway, ReadHeaderTimeout: readHeaderTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeaderBytes,
+	}
+	if err := errors.Join(
+		vm.serve(vm.settings.CallerAddress, vm.callers),
+		vm.serve(vm.settings.ReadyAddress, &http.Server{Handler: &vm.readiness, ReadHeaderTimeout: readHeaderTime}),
+		vm.serve(net.JoinHostPort(vm.settings.IP, strconv.Itoa(metricsPort)), vm.metricsServer()),
+	); err != nil {
+		return err
+	}
+	vm.group.Go(func() { vm.teller.Run(ctx) })
+	vm.group.Go(func() { vm.members.Run(ctx) })
+	vm.follow(ctx, platform.TableConfiguration, &configurationSink{vm: vm})
+	vm.follow(ctx, platform.TableUpstreams, &upstreamSink{vm: vm, registrar: registrar.New()})
+	vm.logger.Info("started", "vm", vm.settings.VM, "boot", vm.boot, "domain", vm.settings.Domain)
+	return nil
+}
+
+func (vm *VM) follow(ctx context.Context, table string, sink watcher.Sink) {
+	w := watcher.New(vm.store, table, sink, vm.logger)
+	vm.group.Go(func() { w.Run(ctx) })
+}
+
+func (vm *VM) serve(address string, s *http.Server) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	s.ErrorLog = slog.NewLogLogger(vm.logger.Handler(), slog.LevelDebug)
+	vm.servers = append(vm.servers, s)
+	vm.group.Go(func() {
+		if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			vm.logger.Error("listener failed", "address", address, "error", err)
+		}
+	})
+	return nil
+}
+
+func (vm *VM) metricsServer() *http.Server {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { vm.counter.Set().WritePrometheus(w) })
+	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTime}
+}
+
+const (
+	// balancerTime is how long the balancer may still send new connections after
+	// the VM has said that it is not ready: two of its questions and a bit.
+	balancerTime = 3200 * time.Millisecond
+	// graceMargin is left of the grace period when the last requests are cut.
+	graceMargin = 500 * time.Millisecond
+)
+
+// Shutdown ends the VM without cutting a request that can end in time.
+func (vm *VM) Shutdown() {
+	began := time.Now()
+	vm.logger.Info("stopping", "vm", vm.settings.VM)
+	vm.readiness.leaving.Store(true)
+	vm.gateway.SetDraining()
+	vm.members.SetLeaving()
+	time.Sleep(balancerTime)
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(vm.settings.Grace-graceMargin))
+	defer cancel()
+	if err := vm.callers.Shutdown(ctx); err != nil {
+		vm.logger.Warn("requests cut at the end of the grace period", "error", err)
+	}
+	vm.stop()
+	for _, s := range vm.servers {
+		if err := s.Close(); err != nil {
+			vm.logger.Warn("close listener", "error", err)
+		}
+	}
+	vm.forwarder.Close()
+	vm.group.Wait()
+	vm.logger.Info("stopped", "vm", vm.settings.VM, "took", time.Since(began))
+}
--- /dev/null
+++ b/internal/eventsplitter/splitter.go
@@ -0,0 +1,100 @@
+// Package eventsplitter cuts a stream of server-sent events into whole events,
+// so that an answer can go on at another upstream after the last of them.
+package eventsplitter
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// ErrTooLong means that an event is longer than any should be.
+var ErrTooLong = errors.New("event too long")
+
+const maxEventBytes = 1 << 20
+
+// Event is one whole event.
+type Event struct {
+	raw []byte
+	id  string
+}
+
+// Raw returns the event's bytes, with the blank line that ends it. They are
+// valid until the next event is read.
+func (e Event) Raw() []byte { return e.raw }
+
+// ID returns the event's identifier, or "".
+func (e Event) ID() string { return e.id }
+
+// AppendData appends the lines of the event's data, joined by line feeds.
+func (e Event) AppendData(to []byte) []byte {
+	first := true
+	for line := range bytes.Lines(e.raw) {
+		value, found := field(line, "data")
+		if !found {
+			continue
+		}
+		if !first {
+			to = append(to, '\n')
+		}
+		to = append(to, value...)
+		first = false
+	}
+	return to
+}
+
+// Splitter reads events.
+type Splitter struct {
+	reader *bufio.Reader
+	buffer []byte
+}
+
+// New returns a splitter of a stream.
+func New(r io.Reader) *Splitter { return &Splitter{reader: bufio.NewReader(r)} }
+
+// Next returns the next whole event. It returns io.EOF after the last one if
+// the stream ends between events, and io.ErrUnexpectedEOF if it ends inside one.
+func (s *Splitter) Next() (Event, error) {
+	s.buffer = s.buffer[:0]
+	for {
+		line, err := s.reader.ReadSlice('\n')
+		s.buffer = append(s.buffer, line...)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			if len(s.buffer) > maxEventBytes {
+				return Event{}, ErrTooLong
+			}
+			continue
+		case errors.Is(err, io.EOF) && len(s.buffer) > 0:
+			return Event{}, io.ErrUnexpectedEOF
+		case errors.Is(err, io.EOF):
+			return Event{}, io.EOF
+		case err != nil:
+			return Event{}, fmt.Errorf("read event: %w", err)
+		case len(bytes.TrimRight(line, "\r\n")) == 0:
+			return s.event(), nil
+		}
+	}
+}
+
+func (s *Splitter) event() Event {
+	e := Event{raw: s.buffer}
+	for line := range bytes.Lines(s.buffer) {
+		if value, found := field(line, "id"); found {
+			e.id = string(value)
+		}
+	}
+	return e
+}
+
+// field returns the value of a line, if it is of the field with a name.
+func field(line []byte, name string) ([]byte, bool) {
+	value, found := bytes.CutPrefix(line, []byte(name+":"))
+	if !found {
+		return nil, false
+	}
+	value = bytes.TrimRight(value, "\r\n")
+	return bytes.TrimPrefix(value, []byte(" ")), true
+}
--- /dev/null
+++ b/internal/forwarder/forwarder_test.go
@@ -0,0 +1,175 @@
+package forwarder_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fescuespindle/fescuespindle/internal/forwarder"
+	"github.com/fescuespindle/fescuespindle/internal/relayer"
+)
+
+const idHeader = "Call-Id"
+
+// upstream answers the n-th request on each connection with the bytes that a
+// function returns; "" ends the connection.
+func upstream(t *testing.T, answer func(n int, r *http.Request) string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	var group sync.WaitGroup
+	group.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			group.Go(func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for n := 1; ; n++ {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, request.Body)
+					text := answer(n, request)
+					if text == "" {
+						return
+					}
+					_, _ = io.WriteString(conn, text)
+				}
+			})
+		}
+	})
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener.Addr().String()
+}
+
+func newForwarder(t *testing.T) *forwarder.Forwarder {
+	t.Helper()
+	f := forwarder.New(func(h http.Header) string { return h.Get(idHeader) })
+	t.Cleanup(f.Close)
+	return f
+}
+
+func text(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", idHeader, id, len(body), body)
+}
+
+func send(t *testing.T, f *forwarder.Forwarder, address, id string, body []byte) (string, error) {
+	t.Helper()
+	answer, err := f.Send(t.Context(), forwarder.Attempt{
+		Request: &http.Request{
+			Method: http.MethodPost, Host: "a.example", URL: &url.URL{Opaque: "/x"},
+			Header: http.Header{idHeader: {id}},
+		},
+		ID: id, Address: address, Body: body,
+	})
+	if err != nil {
+		return "", err
+	}
+	defer answer.Close()
+	got, err := io.ReadAll(answer)
+	return string(got), err
+}
+
+func expectAnswers(t *testing.T, answer func(n int, r *http.Request) string, want ...string) {
+	t.Helper()
+	f, address := newForwarder(t), upstream(t, answer)
+	for i, w := range want {
+		got, err := send(t, f, address, fmt.Sprint("id", i+1), nil)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, got, qt.Equals, w)
+	}
+}
+
+func TestConnectionsAreUsedAgain(t *testing.T) {
+	expectAnswers(t, func(n int, r *http.Request) string {
+		return text(r.Header.Get(idHeader), fmt.Sprint(n))
+	}, "1", "2", "3")
+}
+
+func TestLateSecondAnswerIsSkipped(t *testing.T) {
+	expectAnswers(t, func(n int, r *http.Request) string {
+		own := text(r.Header.Get(idHeader), fmt.Sprint(n))
+		if n == 2 {
+			return text("id1", "late") + own
+		}
+		return own
+	}, "1", "2", "3")
+}
+
+func TestLargeBodyIsWrittenWhole(t *testing.T) {
+	var size int64
+	f := newForwarder(t)
+	address := upstream(t, func(_ int, r *http.Request) string {
+		size = r.ContentLength
+		return text(r.Header.Get(idHeader), "ok")
+	})
+	got, err := send(t, f, address, "id1", make([]byte, 200<<10))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, got, qt.Equals, "ok")
+	qt.Check(t, size, qt.Equals, int64(200<<10))
+}
+
+func expectRan(t *testing.T, err error, want relayer.Ran) {
+	t.Helper()
+	qt.Assert(t, err, qt.IsNotNil)
+	qt.Check(t, relayer.AsFailure(err).Ran(), qt.Equals, want)
+}
+
+func TestFailures(t *testing.T) {
+	t.Run("nobody listens", func(t *testing.T) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, listener.Close(), qt.IsNil)
+		_, err = send(t, newForwarder(t), listener.Addr().String(), "id1", nil)
+		expectRan(t, err, relayer.RanNot)
+	})
+	t.Run("connection ends without an answer", func(t *testing.T) {
+		address := upstream(t, func(int, *http.Request) string { return "" })
+		_, err := send(t, newForwarder(t), address, "id1", nil)
+		expectRan(t, err, relayer.RanMaybe)
+	})
+	t.Run("another request's answer", func(t *testing.T) {
+		address := upstream(t, func(n int, _ *http.Request) string {
+			if n == 1 {
+				return text("other", "x")
+			}
+			return ""
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		_, err := newForwarder(t).Send(ctx, forwarder.Attempt{
+			Request: &http.Request{Method: http.MethodGet, Host: "a", URL: &url.URL{Opaque: "/"}, Header: http.Header{}},
+			ID:      "id1", Address: address,
+		})
+		expectRan(t, err, relayer.RanMaybe)
+	})
+	t.Run("an answer without length that breaks off", func(t *testing.T) {
+		address := upstream(t, func(int, *http.Request) string {
+			return "HTTP/1.1 200 OK\r\n" + idHeader + ": id1\r\nContent-Length: 10\r\n\r\nabc"
+		})
+		f := newForwarder(t)
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		answer, err := f.Send(ctx, forwarder.Attempt{
+			Request: &http.Request{Method: http.MethodGet, Host: "a", URL: &url.URL{Opaque: "/"}, Header: http.Header{}},
+			ID:      "id1", Address: address,
+		})
+		qt.Assert(t, err, qt.IsNil)
+		defer answer.Close()
+		_, err = io.ReadAll(answer)
+		qt.Check(t, err, qt.IsNotNil)
+	})
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,239 @@
+// Package gateway is the callers' face for requests of any host and path. A
+// request passes a chain of filters, which end in its route's handler.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fescuespindle/fescuespindle/internal/courier"
+	"github.com/fescuespindle/fescuespindle/internal/placer"
+	"github.com/fescuespindle/fescuespindle/internal/router"
+)
+
+// Request is a caller's request as decoded.
+type Request struct {
+	Call *courier.Call
+	// Deadline is when the caller stops waiting; zero if it doesn't say.
+	Deadline time.Time
+	// LastEvent is the identifier of the last event that the caller has.
+	LastEvent string
+
+	route   *router.Route
+	service string
+	version uint64
+	began   time.Time
+}
+
+// Codec translates callers' requests and the system's own answers.
+type Codec interface {
+	DecodeCall(r *http.Request, now time.Time) (Request, error)
+	EncodeAnswer(to, from http.Header)
+	EncodeRefusal(to http.Header, id string, comeBack time.Duration)
+}
+
+// Courier makes attempts.
+type Courier interface {
+	Send(ctx context.Context, place *placer.Place, call *courier.Call, target courier.Target) (*courier.Delivery, error)
+}
+
+// Placer chooses upstreams.
+type Placer interface {
+	Online(service string, avoid map[string]bool, now time.Time) (*placer.Place, bool)
+}
+
+// Jobs serves the calls of batch jobs.
+type Jobs interface {
+	// Claims tells whether a request belongs to a job by its path alone.
+	Claims(r *http.Request) bool
+	// Serve answers a request that belongs to a job. The route is nil for one
+	// that Claims found.
+	Serve(w http.ResponseWriter, r *http.Request, route *router.Route)
+}
+
+// Counter counts events by name.
+type Counter interface {
+	Count(name string)
+	Observe(name string, d time.Duration)
+}
+
+// Gateway serves callers.
+type Gateway struct {
+	codec   Codec
+	courier Courier
+	placer  Placer
+	jobs    Jobs
+	counter Counter
+	logger  *slog.Logger
+
+	table    atomic.Pointer[router.Table]
+	draining atomic.Bool
+	chain    handler
+}
+
+// New returns a gateway without a configuration.
+func New(codec Codec, c Courier, p Placer, jobs Jobs, counter Counter, logger *slog.Logger) *Gateway {
+	g := &Gateway{codec: codec, courier: c, placer: p, jobs: jobs, counter: counter, logger: logger}
+	g.chain = g.drain(g.configured(g.batch(g.decode(g.match(g.limit(g.run))))))
+	return g
+}
+
+// SetTable puts a configuration into force.
+func (g *Gateway) SetTable(t *router.Table) { g.table.Store(t) }
+
+// Table returns the configuration in force, or nil.
+func (g *Gateway) Table() *router.Table { return g.table.Load() }
+
+// SetDraining makes the gateway end each connection with its next answer.
+func (g *Gateway) SetDraining() { g.draining.Store(true) }
+
+// exchange is one request on its way through the filters.
+type exchange struct {
+	w       http.ResponseWriter
+	r       *http.Request
+	table   *router.Table
+	request Request
+}
+
+type handler func(x *exchange)
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.chain(&exchange{w: w, r: r})
+}
+
+// drain tells callers of a VM that is about to end to open other connections.
+func (g *Gateway) drain(next handler) handler {
+	return func(x *exchange) {
+		if g.draining.Load() {
+			x.w.Header().Set("Connection", "close")
+		}
+		next(x)
+	}
+}
+
+// configured refuses requests while the VM knows no configuration.
+func (g *Gateway) configured(next handler) handler {
+	return func(x *exchange) {
+		x.table = g.table.Load()
+		if x.table == nil {
+			g.refuse(x, http.StatusServiceUnavailable, reasonUnconfigured)
+			return
+		}
+		next(x)
+	}
+}
+
+// batch hands calls of batch jobs on that are known by their path.
+func (g *Gateway) batch(next handler) handler {
+	return func(x *exchange) {
+		if g.jobs.Claims(x.r) {
+			g.jobs.Serve(x.w, x.r, nil)
+			return
+		}
+		next(x)
+	}
+}
+
+// match finds the route.
+func (g *Gateway) match(next handler) handler {
+	return func(x *exchange) {
+		route, found := x.table.Match(x.r.Host, x.r.URL.Path)
+		if !found {
+			g.refuse(x, http.StatusNotFound, reasonNoRoute)
+			return
+		}
+		if route.Kind == router.KindBatch {
+			g.jobs.Serve(x.w, x.r, route)
+			return
+		}
+		x.request.route, x.request.version = route, x.table.Version()
+		x.request.service = route.Service(xxhash.Sum64String(x.request.Call.ID))
+		if route.Timeout > 0 {
+			x.request.Deadline = earliest(x.request.Deadline, x.request.began.Add(route.Timeout))
+		}
+		next(x)
+	}
+}
+
+// decode reads the head of the request.
+func (g *Gateway) decode(next handler) handler {
+	return func(x *exchange) {
+		now := time.Now()
+		var err error
+		x.request, err = g.codec.DecodeCall(x.r, now)
+		x.request.began = now
+		if err != nil {
+			g.logger.Warn("request not understood", "error", err, "path", x.r.URL.Path)
+			g.refuse(x, http.StatusBadRequest, reasonMalformed)
+			return
+		}
+		next(x)
+	}
+}
+
+// limit reads the body, within the limit of the configuration.
+func (g *Gateway) limit(next handler) handler {
+	return func(x *exchange) {
+		body, err := ReadBody(x.w, x.r, x.table.Limits())
+		var tooLarge *http.MaxBytesError
+		switch {
+		case errors.As(err, &tooLarge):
+			g.refuse(x, http.StatusRequestEntityTooLarge, reasonTooLarge)
+		case err != nil:
+			g.logger.Info("request body not received", "id", x.request.Call.ID, "error", err)
+			g.refuse(x, http.StatusRequestTimeout, reasonBodyCut)
+		default:
+			x.request.Call.Body = body
+			next(x)
+		}
+	}
+}
+
+const (
+	// defaultBodyTime bounds the time for a body if the configuration doesn't.
+	defaultBodyTime = 10 * time.Second
+	defaultMaxBody  = 4 << 20
+)
+
+// ReadBody reads a request's body within the limits of the configuration.
+func ReadBody(w http.ResponseWriter, r *http.Request, limits router.Limits) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	most := limits.MaxBodyBytes
+	if most <= 0 {
+		most = defaultMaxBody
+	}
+	wait := limits.HeaderTimeout
+	if wait <= 0 {
+		wait = defaultBodyTime
+	}
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(time.Now().Add(wait)); err != nil {
+		return nil, fmt.Errorf("limit the time of a body: %w", err)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	if err != nil {
+		return nil, fmt.Errorf("read body: %w", err)
+	}
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		return nil, fmt.Errorf("limit the time of a body: %w", err)
+	}
+	return body, nil
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/internal/gateway/run.go
@@ -0,0 +1,222 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/courier"
+	"github.com/fescuespindle/fescuespindle/internal/eventsplitter"
+	"github.com/fescuespindle/fescuespindle/internal/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/router"
+)
+
+const (
+	// maxSends bounds the upstreams that are tried, counting those that refuse.
+	maxSends = 6
+	// maxAnswer bounds an answer that is held until it is whole.
+	maxAnswer = 8 << 20
+)
+
+// errCut means that an answer broke off after its head had gone to the caller.
+var errCut = errors.New("answer cut short")
+
+// journey is the attempts of one request.
+type journey struct {
+	gateway *Gateway
+	x       *exchange
+	avoid   map[string]bool
+	sends   int
+	runs    int // upstreams that may have run it
+	last    error
+
+	headSent  bool
+	lastEvent string
+	events    int
+	firstAt   time.Time
+	path      []string // upstreams and outcomes, for the log
+}
+
+// run sends a request to upstreams until one of them answers.
+func (g *Gateway) run(x *exchange) {
+	ctx, cancel := x.r.Context(), context.CancelFunc(func() {})
+	if !x.request.Deadline.IsZero() {
+		ctx, cancel = context.WithDeadline(ctx, x.request.Deadline)
+	}
+	defer cancel()
+	j := &journey{gateway: g, x: x, avoid: map[string]bool{}, lastEvent: x.request.LastEvent}
+	outcome := j.travel(ctx)
+	g.log(j, outcome)
+	if outcome == outcomeCut {
+		panic(http.ErrAbortHandler) // the only way to end an answer so that it doesn't look whole
+	}
+}
+
+// outcome is how a request ended.
+type outcome string
+
+const (
+	outcomeDelivered outcome = "delivered"
+	outcomeFailed    outcome = "failedByUpstream"
+	outcomeRefused   outcome = "refused"
+	outcomeCut       outcome = "cut"
+	outcomeLeft      outcome = "callerLeft"
+)
+
+// travel makes attempts until the request has its final answer.
+func (j *journey) travel(ctx context.Context) outcome {
+	for j.sends < maxSends {
+		place, found := j.gateway.placer.Online(j.x.request.service, j.avoid, time.Now())
+		if !found {
+			break
+		}
+		id := place.Upstream().ID
+		j.sends++
+		delivery, err := j.gateway.courier.Send(ctx, place, j.x.request.Call, courier.Target{
+			Deadline: j.x.request.Deadline, LastEvent: j.lastEvent,
+		})
+		if err == nil {
+			j.runs++
+			err = j.deliver(delivery)
+			if err == nil {
+				j.path = append(j.path, id+" delivered")
+				return j.delivered(delivery.Status())
+			}
+		} else if relayer.AsFailure(err).Ran() != relayer.RanNot {
+			j.runs++
+		}
+		j.path = append(j.path, id+" "+err.Error())
+		j.last = err
+		j.avoid[id] = true
+		if ctx.Err() != nil || !j.mayGoOn(err) {
+			break
+		}
+	}
+	return j.giveUp(ctx)
+}
+
+func (j *journey) delivered(status int) outcome {
+	if status >= http.StatusMultipleChoices {
+		return outcomeFailed
+	}
+	return outcomeDelivered
+}
+
+// mayGoOn tells whether the request may be sent again after a failure.
+func (j *journey) mayGoOn(err error) bool {
+	if relayer.AsFailure(err).Ran() == relayer.RanNot {
+		return true
+	}
+	route := j.x.request.route
+	return route.Repeatable() && j.runs < route.MaxAttempts
+}
+
+// giveUp gives the final answer of a request that no upstream has answered.
+func (j *journey) giveUp(ctx context.Context) outcome {
+	switch {
+	case j.x.r.Context().Err() != nil:
+		return outcomeLeft
+	case j.headSent:
+		return outcomeCut
+	case j.runs > 0 && ctx.Err() != nil:
+		j.gateway.refuse(j.x, http.StatusGatewayTimeout, reasonDeadline)
+	case j.runs > 0:
+		j.gateway.refuse(j.x, http.StatusBadGateway, reasonFailed)
+	case j.sends > 0:
+		j.gateway.refuse(j.x, http.StatusServiceUnavailable, reasonRefused)
+	default:
+		j.gateway.refuse(j.x, http.StatusServiceUnavailable, reasonNoUpstream)
+	}
+	return outcomeRefused
+}
+
+// deliver hands an answer on. It returns an error if the answer is not whole,
+// or is a failure that another upstream may do better.
+func (j *journey) deliver(d *courier.Delivery) error {
+	defer d.Close()
+	if j.x.request.route.Kind == router.KindStream && d.Status() < http.StatusMultipleChoices {
+		return j.stream(d)
+	}
+	return j.whole(d)
+}
+
+// whole hands an answer on once all of it is there.
+func (j *journey) whole(d *courier.Delivery) error {
+	body, err := io.ReadAll(io.LimitReader(d, maxAnswer))
+	if err != nil {
+		d.Broken()
+		return relayer.NewFailure(relayer.RanMaybe, err)
+	}
+	if d.Status() >= http.StatusInternalServerError && j.mayTryElsewhere() {
+		return relayer.NewFailure(relayer.RanFailed, errors.New(http.StatusText(d.Status())))
+	}
+	if j.headSent {
+		return relayer.NewFailure(relayer.RanFailed, errCut)
+	}
+	j.sendHead(d)
+	if _, err := j.x.w.Write(body); err != nil {
+		j.gateway.counter.Count("answers_not_taken_total") // the caller has left
+	}
+	return nil
+}
+
+// mayTryElsewhere tells whether a failure may be replaced by another attempt.
+func (j *journey) mayTryElsewhere() bool {
+	route := j.x.request.route
+	return route.Repeatable() && j.runs < route.MaxAttempts && j.sends < maxSends
+}
+
+func (j *journey) sendHead(d *courier.Delivery) {
+	j.gateway.codec.EncodeAnswer(j.x.w.Header(), d.Header())
+	j.x.w.WriteHeader(d.Status())
+	j.headSent = true
+	j.firstAt = time.Now()
+}
+
+// stream hands whole events on as they come. What an upstream has sent of an
+// event that it doesn't finish is dropped, so that another one can go on.
+func (j *journey) stream(d *courier.Delivery) error {
+	control := http.NewResponseController(j.x.w)
+	events := eventsplitter.New(d)
+	for {
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			if !j.headSent {
+				j.sendHead(d)
+			}
+			return nil
+		}
+		if err != nil {
+			d.Broken()
+			return relayer.NewFailure(relayer.RanMaybe, err)
+		}
+		if !j.headSent {
+			j.sendHead(d)
+		}
+		if _, err := j.x.w.Write(event.Raw()); err != nil {
+			return relayer.NewFailure(relayer.RanMaybe, err)
+		}
+		if err := control.Flush(); err != nil {
+			return relayer.NewFailure(relayer.RanMaybe, err)
+		}
+		j.events++
+		j.lastEvent = event.ID()
+	}
+}
+
+// log writes the one line that tells what became of a request.
+func (g *Gateway) log(j *journey, result outcome) {
+	request := &j.x.request
+	took := time.Since(request.began)
+	g.counter.Count(`requests_total{outcome="` + string(result) + `"}`)
+	g.counter.Observe(`request_seconds{kind="`+request.route.Kind.String()+`"}`, took)
+	first := time.Duration(0)
+	if !j.firstAt.IsZero() {
+		first = j.firstAt.Sub(request.began)
+		g.counter.Observe(`first_byte_seconds{kind="`+request.route.Kind.String()+`"}`, first)
+	}
+	g.logger.Info("request", "id", request.Call.ID, "outcome", result, "route", request.route.Name,
+		"version", request.version, "first", first, "took", took, "events", j.events, "attempts", j.path)
+}
--- /dev/null
+++ b/internal/placer/choice.go
@@ -0,0 +1,183 @@
+package placer
+
+import "time"
+
+const (
+	// onlineRun is the time that an online request typically takes its place.
+	onlineRun = 750 * time.Millisecond
+	// yieldTime is what it takes until a batch request has made room.
+	yieldTime = 10 * time.Millisecond
+	// slowPenalty is what a first event takes longer on an upstream that is
+	// slower by its own usual speed.
+	slowPenalty = 60 * time.Millisecond
+	// perRequest is what each request that runs beside adds to a first event.
+	perRequest = time.Millisecond
+	// regionPenalty and remotePenalty weigh the bytes and the delay of an
+	// upstream in another failure domain, or another region, as waiting time.
+	regionPenalty = 12 * time.Millisecond
+	remotePenalty = 40 * time.Millisecond
+	// blockedPenalty leaves an upstream that has just failed to the end.
+	blockedPenalty = 2 * time.Second
+	// onlineReserve is the number of places on an upstream that batch work leaves
+	// free, so that an online request need not wait for one to be made.
+	onlineReserve = 1
+)
+
+// Online takes the place at which an online request is expected to begin
+// soonest. Upstreams to avoid are those that have already refused or failed it.
+func (p *Placer) Online(service string, avoid map[string]bool, now time.Time) (*Place, bool) {
+	place, found := p.takeOnline(service, avoid, now)
+	if found {
+		p.changed()
+	}
+	return place, found
+}
+
+func (p *Placer) takeOnline(service string, avoid map[string]bool, now time.Time) (*Place, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var best *upstream
+	var least time.Duration
+	members := p.services[service]
+	p.turn++
+	for i := range members {
+		u := members[(i+p.turn)%len(members)]
+		if u.Leaving || avoid[u.ID] {
+			continue
+		}
+		if wait := u.onlineWait(now); best == nil || wait < least {
+			best, least = u, wait
+		}
+	}
+	if best == nil {
+		return nil, false
+	}
+	best.own.Online++
+	return &Place{upstream: best}, true
+}
+
+// onlineWait estimates the time until an online request's first event, beyond
+// what it takes on an empty upstream nearby.
+func (u *upstream) onlineWait(now time.Time) time.Duration {
+	load, slow := u.load(now), u.slow(now)
+	wait := time.Duration(min(load, u.Sequences)) * perRequest
+	switch ahead := u.aheadOfOnline(load); {
+	case ahead >= 0:
+		run := time.Duration(float64(onlineRun) * slow)
+		wait += time.Duration(ahead+1) * run / time.Duration(u.Sequences)
+	case load >= u.Sequences:
+		wait += yieldTime
+	}
+	wait += time.Duration((slow - 1) * float64(slowPenalty))
+	switch u.tier {
+	case TierDomain:
+	case TierRegion:
+		wait += regionPenalty
+	case TierRemote:
+		wait += remotePenalty
+	}
+	if now.Before(u.blockedUntil) {
+		wait += blockedPenalty
+	}
+	return wait
+}
+
+// aheadOfOnline returns the number of requests that wait before a new one even
+// if all batch work gives way; it is negative if there is a place.
+func (u *upstream) aheadOfOnline(load int) int {
+	batch := u.own.Batch + u.others.Batch
+	return load - batch - u.Sequences
+}
+
+// FreeForOnline returns the places that online requests can have at once,
+// counting those that batch work would make.
+func (p *Placer) FreeForOnline(service string, now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	free := 0
+	for _, u := range p.services[service] {
+		if !u.Leaving && !now.Before(u.blockedUntil) {
+			free += max(0, -u.aheadOfOnline(u.load(now)))
+		}
+	}
+	return free
+}
+
+// Batch takes a place that batch work may have: one beyond the reserve, as near
+// as there is any, on the upstream with most room.
+func (p *Placer) Batch(service string, avoid map[string]bool, now time.Time) (*Place, bool) {
+	place, found := p.takeBatch(service, avoid, now)
+	if found {
+		p.changed()
+	}
+	return place, found
+}
+
+func (p *Placer) takeBatch(service string, avoid map[string]bool, now time.Time) (*Place, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var best *upstream
+	var most int
+	members := p.services[service]
+	p.turn++
+	for i := range members {
+		u := members[(i+p.turn)%len(members)]
+		room := u.Sequences - onlineReserve - u.load(now)
+		if u.Leaving || avoid[u.ID] || room <= 0 || now.Before(u.blockedUntil) || u.slow(now) > 1.5 {
+			continue
+		}
+		if best == nil || u.tier < best.tier || (u.tier == best.tier && room > most) {
+			best, most = u, room
+		}
+	}
+	if best == nil {
+		return nil, false
+	}
+	best.own.Batch++
+	place := &Place{upstream: best, isBatch: true}
+	best.batch = append(best.batch, place)
+	return place, true
+}
+
+// Yield returns the batch places that this VM must give up now, newest first.
+// Each is returned once and counts until Done. Where several VMs have batch work
+// on an upstream, the one with the highest name gives way first, so that all
+// that see the same counts agree.
+func (p *Placer) Yield(now time.Time) []*Place {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var yielding []*Place
+	for _, u := range p.upstreams {
+		excess := u.load(now) - u.Sequences
+		if excess <= 0 || u.own.Batch == 0 {
+			continue
+		}
+		yielding = append(yielding, u.newest(min(excess-p.yieldedByOthers(u), u.own.Batch))...)
+	}
+	return yielding
+}
+
+// yieldedByOthers returns the batch requests of VMs that give way before this.
+func (p *Placer) yieldedByOthers(u *upstream) int {
+	n := 0
+	for vm, told := range p.peers {
+		if vm > p.self {
+			n += told.counts[u.ID].Batch
+		}
+	}
+	return n
+}
+
+// newest marks the n newest batch places as stopping and returns those that
+// were not so before.
+func (u *upstream) newest(n int) []*Place {
+	var places []*Place
+	for i := len(u.batch) - 1; i >= 0 && n > 0; i-- {
+		n--
+		if !u.batch[i].stopping {
+			u.batch[i].stopping = true
+			places = append(places, u.batch[i])
+		}
+	}
+	return places
+}
--- /dev/null
+++ b/internal/placer/placer.go
@@ -0,0 +1,310 @@
+// Package placer decides which upstream runs which work, and when batch work
+// gives way to online work. It has no network and no clock of its own.
+//
+// Upstreams admit requests in the order in which they come and know no
+// priorities, so a place must be free, or made free, before a request arrives.
+// Each VM counts its own work on each upstream and tells all others of every
+// change; the sums of these counts are what the decisions go by.
+package placer
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Tier tells how far an upstream is from this VM.
+type Tier uint8
+
+// The tiers, nearest first.
+const (
+	TierDomain Tier = iota
+	TierRegion
+	TierRemote
+)
+
+// Upstream is one upstream as the platform lists it.
+type Upstream struct {
+	ID        string
+	Service   string
+	Address   string
+	Domain    string
+	Sequences int // requests that it runs at a time
+	// Leaving upstreams take no new work.
+	Leaving bool
+	// Born is the start of its process; another one knows nothing of before.
+	Born int64
+}
+
+// Load is what an upstream says of itself in an answer.
+type Load struct {
+	Running   int
+	Waiting   int
+	Sequences int
+	// Slowness is the factor by which work takes longer than usual; 0 if unknown.
+	Slowness float64
+}
+
+const (
+	// peerTimeout is the age at which the word of another VM counts no more.
+	peerTimeout = 1500 * time.Millisecond
+	// slowSpell is how long an upstream that was slow is taken to stay so.
+	slowSpell = 500 * time.Millisecond
+	// unseenMemory is how long work that no VM tells of is taken to last.
+	unseenMemory = 300 * time.Millisecond
+	// blockBase doubles with each failure in a row, up to maxBlock.
+	blockBase = 100 * time.Millisecond
+	maxBlock  = 2 * time.Second
+	// defaultSequences is taken for an upstream that doesn't tell.
+	defaultSequences = 4
+)
+
+// upstream is the state of one upstream.
+type upstream struct {
+	Upstream
+	tier   Tier
+	own    Count
+	others Count
+
+	unseen       int // work that no VM tells of, as of unseenAt
+	unseenAt     time.Time
+	slowness     float64
+	slowAt       time.Time
+	failures     int
+	blockedUntil time.Time
+
+	batch []*Place // this VM's, oldest first
+}
+
+// load returns all requests that are known to be on the upstream.
+func (u *upstream) load(now time.Time) int {
+	load := u.own.Total() + u.others.Total()
+	if now.Sub(u.unseenAt) < unseenMemory {
+		load += u.unseen
+	}
+	return load
+}
+
+// slow returns the factor by which the upstream is slower than usual.
+func (u *upstream) slow(now time.Time) float64 {
+	if u.slowness <= 1 || now.Sub(u.slowAt) >= slowSpell {
+		return 1
+	}
+	return u.slowness
+}
+
+// Count is the work of one VM on one upstream.
+type Count struct {
+	Online int
+	Batch  int
+}
+
+// Total returns all work.
+func (c Count) Total() int { return c.Online + c.Batch }
+
+func (c Count) plus(other Count) Count {
+	return Count{Online: c.Online + other.Online, Batch: c.Batch + other.Batch}
+}
+
+func (c Count) minus(other Count) Count {
+	return Count{Online: c.Online - other.Online, Batch: c.Batch - other.Batch}
+}
+
+// Report is what a VM tells of its work: a count for each upstream with any.
+type Report map[string]Count
+
+// peer is what another VM has told.
+type peer struct {
+	counts Report
+	heard  time.Time
+}
+
+// Place is the right to run one request on an upstream.
+type Place struct {
+	upstream *upstream
+	isBatch  bool
+	ended    bool
+	stopping bool
+}
+
+// Upstream returns where the request runs.
+func (p *Place) Upstream() Upstream { return p.upstream.Upstream }
+
+// Placer is the decisions of one VM.
+type Placer struct {
+	self    string
+	domain  string
+	regions map[string]string // region by domain
+	changed func()
+
+	mu        sync.Mutex
+	upstreams map[string]*upstream
+	services  map[string][]*upstream
+	peers     map[string]peer
+	turn      int
+}
+
+// Option sets one property of a Placer.
+type Option func(*Placer)
+
+// WithChanged sets a function that is called whenever the VM's own work has
+// changed. It must not block or call the placer.
+func WithChanged(changed func()) Option {
+	return func(p *Placer) { p.changed = changed }
+}
+
+// New returns the placer of a VM in a failure domain.
+func New(self, domain string, regions map[string]string, options ...Option) *Placer {
+	p := &Placer{
+		self: self, domain: domain, regions: regions, changed: func() {},
+		upstreams: map[string]*upstream{}, services: map[string][]*upstream{}, peers: map[string]peer{},
+	}
+	for _, option := range options {
+		option(p)
+	}
+	return p
+}
+
+// SetUpstreams replaces the list of upstreams. What is known of those that stay
+// is kept, unless they have started anew.
+func (p *Placer) SetUpstreams(list []Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.upstreams
+	p.upstreams = make(map[string]*upstream, len(list))
+	p.services = map[string][]*upstream{}
+	for _, listed := range list {
+		u := p.keep(old[listed.ID], listed)
+		p.upstreams[listed.ID] = u
+		p.services[listed.Service] = append(p.services[listed.Service], u)
+	}
+	for _, members := range p.services {
+		slices.SortFunc(members, func(a, b *upstream) int { return cmp.Compare(a.ID, b.ID) })
+	}
+}
+
+func (p *Placer) keep(known *upstream, listed Upstream) *upstream {
+	if listed.Sequences <= 0 {
+		listed.Sequences = defaultSequences
+	}
+	if known == nil || known.Born != listed.Born || known.Address != listed.Address {
+		u := &upstream{Upstream: listed, tier: p.tierOf(listed.Domain)}
+		for _, peer := range p.peers {
+			u.others = u.others.plus(peer.counts[listed.ID])
+		}
+		return u
+	}
+	known.Upstream = listed
+	return known
+}
+
+func (p *Placer) tierOf(domain string) Tier {
+	switch {
+	case domain == p.domain:
+		return TierDomain
+	case p.regions[domain] == p.regions[p.domain]:
+		return TierRegion
+	default:
+		return TierRemote
+	}
+}
+
+// Known tells whether an upstream is on the list and not leaving.
+func (p *Placer) Known(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u, found := p.upstreams[id]
+	return found && !u.Leaving
+}
+
+// Heard replaces what another VM has told of its work.
+func (p *Placer) Heard(vm string, report Report, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.forget(vm)
+	p.peers[vm] = peer{counts: report, heard: now}
+	for id, count := range report {
+		if u, found := p.upstreams[id]; found {
+			u.others = u.others.plus(count)
+		}
+	}
+}
+
+// Expire forgets the word of VMs that have been silent for too long.
+func (p *Placer) Expire(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for vm, told := range p.peers {
+		if now.Sub(told.heard) > peerTimeout {
+			p.forget(vm)
+		}
+	}
+}
+
+func (p *Placer) forget(vm string) {
+	for id, count := range p.peers[vm].counts {
+		if u, found := p.upstreams[id]; found {
+			u.others = u.others.minus(count)
+		}
+	}
+	delete(p.peers, vm)
+}
+
+// Report returns this VM's own work.
+func (p *Placer) Report() Report {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	report := Report{}
+	for id, u := range p.upstreams {
+		if u.own.Total() > 0 {
+			report[id] = u.own
+		}
+	}
+	return report
+}
+
+// Observe takes in what an upstream says of its load in an answer.
+func (p *Placer) Observe(place *Place, load Load, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u := place.upstream
+	u.failures = 0
+	if load.Sequences > 0 {
+		u.Sequences = load.Sequences
+	}
+	if load.Slowness > 0 {
+		u.slowness, u.slowAt = load.Slowness, now
+	}
+	known := u.own.Total() + u.others.Total()
+	u.unseen, u.unseenAt = max(0, load.Running+load.Waiting-known), now
+}
+
+// Failed notes that an upstream broke off or could not be reached. Others are
+// preferred for a time that doubles with each failure in a row.
+func (p *Placer) Failed(place *Place, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u := place.upstream
+	u.blockedUntil = now.Add(min(blockBase<<min(u.failures, 5), maxBlock))
+	u.failures++
+}
+
+// Done gives a place back.
+func (p *Placer) Done(place *Place) {
+	p.mu.Lock()
+	if place.ended {
+		p.mu.Unlock()
+		return
+	}
+	place.ended = true
+	u := place.upstream
+	if place.isBatch {
+		u.own.Batch--
+		u.batch = slices.DeleteFunc(u.batch, func(other *Place) bool { return other == place })
+	} else {
+		u.own.Online--
+	}
+	p.mu.Unlock()
+	p.changed()
+}
--- /dev/null
+++ b/internal/placer/placer_test.go
@@ -0,0 +1,144 @@
+package placer_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fescuespindle/fescuespindle/internal/placer"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+var regions = map[string]string{"a": "east", "b": "east", "c": "west"}
+
+// engines returns n upstreams of two sequences in each domain.
+func engines(n int, domains ...string) []placer.Upstream {
+	var list []placer.Upstream
+	for _, domain := range domains {
+		for i := range n {
+			list = append(list, placer.Upstream{
+				ID: fmt.Sprintf("%s%d", domain, i), Service: "lm", Address: "x", Domain: domain, Sequences: 2,
+			})
+		}
+	}
+	return list
+}
+
+func newPlacer(self string, list []placer.Upstream) *placer.Placer {
+	p := placer.New(self, "a", regions)
+	p.SetUpstreams(list)
+	return p
+}
+
+func takeOnline(t *testing.T, p *placer.Placer) *placer.Place {
+	t.Helper()
+	place, found := p.Online("lm", nil, start)
+	qt.Assert(t, found, qt.IsTrue)
+	return place
+}
+
+func expectDomains(t *testing.T, p *placer.Placer, want ...string) {
+	t.Helper()
+	var got []string
+	for range want {
+		got = append(got, takeOnline(t, p).Upstream().Domain)
+	}
+	qt.Check(t, got, qt.DeepEquals, want)
+}
+
+func TestStepUpFillsNearPlacesBeforeFarOnes(t *testing.T) {
+	p := newPlacer("vm1", engines(1, "a", "b", "c"))
+	expectDomains(t, p, "a", "a", "b", "b", "c", "c")
+}
+
+func TestRequestsSpreadOverEqualUpstreams(t *testing.T) {
+	p := newPlacer("vm1", engines(4, "a"))
+	seen := map[string]int{}
+	for range 8 {
+		seen[takeOnline(t, p).Upstream().ID]++
+	}
+	qt.Check(t, seen, qt.DeepEquals, map[string]int{"a0": 2, "a1": 2, "a2": 2, "a3": 2})
+}
+
+func TestCountsOfOtherVMsAreAvoided(t *testing.T) {
+	p := newPlacer("vm1", engines(2, "a"))
+	p.Heard("vm2", placer.Report{"a0": {Online: 2}}, start)
+	qt.Check(t, takeOnline(t, p).Upstream().ID, qt.Equals, "a1")
+	qt.Check(t, takeOnline(t, p).Upstream().ID, qt.Equals, "a1")
+	p.Expire(start.Add(time.Minute))
+	qt.Check(t, takeOnline(t, p).Upstream().ID, qt.Equals, "a0")
+}
+
+func TestLeavingAndFailedUpstreams(t *testing.T) {
+	t.Run("leaving ones get nothing", func(t *testing.T) {
+		list := engines(1, "a")
+		list[0].Leaving = true
+		_, found := newPlacer("vm1", list).Online("lm", nil, start)
+		qt.Check(t, found, qt.IsFalse)
+	})
+	t.Run("failed ones come last", func(t *testing.T) {
+		p := newPlacer("vm1", engines(1, "a", "c"))
+		place := takeOnline(t, p)
+		p.Failed(place, start)
+		p.Done(place)
+		qt.Check(t, takeOnline(t, p).Upstream().Domain, qt.Equals, "c")
+	})
+	t.Run("one that starts anew begins with nothing", func(t *testing.T) {
+		list := engines(1, "a")
+		p := newPlacer("vm1", list)
+		place := takeOnline(t, p)
+		list[0].Born = 7
+		p.SetUpstreams(list)
+		p.Done(place)
+		qt.Check(t, p.Report(), qt.HasLen, 0)
+	})
+}
+
+func TestSlowSpellIsAvoidedWhileItLasts(t *testing.T) {
+	p := newPlacer("vm1", engines(1, "a", "b"))
+	place := takeOnline(t, p)
+	p.Observe(place, placer.Load{Running: 1, Sequences: 2, Slowness: 2.5}, start)
+	p.Done(place)
+	qt.Check(t, takeOnline(t, p).Upstream().Domain, qt.Equals, "b")
+	later, found := p.Online("lm", nil, start.Add(time.Second))
+	qt.Assert(t, found, qt.IsTrue)
+	qt.Check(t, later.Upstream().Domain, qt.Equals, "a")
+}
+
+func TestBatchLeavesAPlaceAndGivesWay(t *testing.T) {
+	t.Run("reserve", func(t *testing.T) {
+		p := newPlacer("vm1", engines(1, "a"))
+		_, found := p.Batch("lm", nil, start)
+		qt.Check(t, found, qt.IsTrue)
+		_, found = p.Batch("lm", nil, start)
+		qt.Check(t, found, qt.IsFalse)
+	})
+	t.Run("step up of online work", func(t *testing.T) {
+		p := newPlacer("vm1", engines(1, "a"))
+		batch, _ := p.Batch("lm", nil, start)
+		takeOnline(t, p)
+		qt.Check(t, p.Yield(start), qt.HasLen, 0)
+		takeOnline(t, p)
+		qt.Check(t, slices.Equal(p.Yield(start), []*placer.Place{batch}), qt.IsTrue)
+		qt.Check(t, p.Yield(start), qt.HasLen, 0, qt.Commentf("a place is returned once"))
+	})
+	t.Run("the VM with the highest name goes first", func(t *testing.T) {
+		for self, want := range map[string]int{"vm1": 0, "vm3": 1} {
+			p := newPlacer(self, engines(1, "a"))
+			_, found := p.Batch("lm", nil, start)
+			qt.Assert(t, found, qt.IsTrue)
+			p.Heard("vm2", placer.Report{"a0": {Online: 1, Batch: 1}}, start)
+			qt.Check(t, p.Yield(start), qt.HasLen, want)
+		}
+	})
+	t.Run("online work prefers an upstream that batch can leave to a queue", func(t *testing.T) {
+		p := newPlacer("vm1", engines(1, "a", "b"))
+		p.Heard("vm2", placer.Report{"a0": {Online: 2}, "b0": {Batch: 2}}, start)
+		qt.Check(t, takeOnline(t, p).Upstream().ID, qt.Equals, "b0")
+		qt.Check(t, p.FreeForOnline("lm", start), qt.Equals, 1)
+	})
+}
--- /dev/null
+++ b/internal/registrar/registrar.go
@@ -0,0 +1,81 @@
+// Package registrar keeps the list of upstreams that the store tells of. It has
+// no network and no clock of its own.
+//
+// Upstreams renew their entries in the store, so entries lapse while the store
+// is away although the upstreams live. An entry that goes missing around an
+// outage is therefore kept until upstreams have had time to write it again.
+package registrar
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/placer"
+)
+
+// returnTime is how long upstreams may take to write their entries again after
+// the store has come back.
+const returnTime = 2200 * time.Millisecond
+
+// entry is what is known of one upstream.
+type entry struct {
+	upstream placer.Upstream
+	version  uint64
+	// missing is when the entry was found to be gone; zero while it is there.
+	missing time.Time
+}
+
+// Registrar keeps the list.
+type Registrar struct {
+	entries map[string]*entry
+	// trusted is when missing entries are taken to be gone.
+	trusted time.Time
+}
+
+// New returns a registrar of an empty list.
+func New() *Registrar { return &Registrar{entries: map[string]*entry{}} }
+
+// Outage notes that the store didn't answer.
+func (r *Registrar) Outage(now time.Time) { r.trusted = now.Add(returnTime) }
+
+// Listed takes in one entry. An older version than the one that is known
+// changes nothing.
+func (r *Registrar) Listed(u placer.Upstream, version uint64) {
+	known, found := r.entries[u.ID]
+	if found && known.version > version {
+		return
+	}
+	r.entries[u.ID] = &entry{upstream: u, version: version}
+}
+
+// Removed notes that an entry is no longer there.
+func (r *Registrar) Removed(id string, now time.Time) {
+	if known, found := r.entries[id]; found && known.missing.IsZero() {
+		known.missing = now
+	}
+}
+
+// Only notes that there are no entries but these.
+func (r *Registrar) Only(ids map[string]bool, now time.Time) {
+	for id := range r.entries {
+		if !ids[id] {
+			r.Removed(id, now)
+		}
+	}
+}
+
+// Upstreams returns the list in the order of identifiers, without the entries
+// that are gone. Those that are missing and may come back are still on it.
+func (r *Registrar) Upstreams(now time.Time) []placer.Upstream {
+	list := make([]placer.Upstream, 0, len(r.entries))
+	for id, known := range r.entries {
+		if !known.missing.IsZero() && !now.Before(r.trusted) {
+			delete(r.entries, id)
+			continue
+		}
+		list = append(list, known.upstream)
+	}
+	slices.SortFunc(list, func(a, b placer.Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
--- /dev/null
+++ b/internal/registrar/registrar_test.go
@@ -0,0 +1,59 @@
+package registrar_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fescuespindle/fescuespindle/internal/placer"
+	"github.com/fescuespindle/fescuespindle/internal/registrar"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func expectList(t *testing.T, r *registrar.Registrar, after time.Duration, want ...string) {
+	t.Helper()
+	var got []string
+	for _, u := range r.Upstreams(start.Add(after)) {
+		got = append(got, u.ID)
+	}
+	qt.Check(t, got, qt.DeepEquals, want)
+}
+
+func newRegistrar() *registrar.Registrar {
+	r := registrar.New()
+	r.Listed(placer.Upstream{ID: "a"}, 5)
+	r.Listed(placer.Upstream{ID: "b"}, 6)
+	return r
+}
+
+func TestRemovedEntryIsGoneAtOnce(t *testing.T) {
+	r := newRegistrar()
+	r.Removed("a", start)
+	expectList(t, r, 0, "b")
+}
+
+func TestEntriesThatLapseInAnOutage(t *testing.T) {
+	t.Run("stay until upstreams could write again", func(t *testing.T) {
+		r := newRegistrar()
+		r.Outage(start)
+		r.Only(map[string]bool{"b": true}, start.Add(time.Second))
+		expectList(t, r, 2*time.Second, "a", "b")
+		expectList(t, r, 3*time.Second, "b")
+	})
+	t.Run("stay if they come back", func(t *testing.T) {
+		r := newRegistrar()
+		r.Outage(start)
+		r.Only(nil, start.Add(time.Second))
+		r.Listed(placer.Upstream{ID: "a"}, 9)
+		expectList(t, r, 3*time.Second, "a")
+	})
+}
+
+func TestOlderVersionChangesNothing(t *testing.T) {
+	r := newRegistrar()
+	r.Listed(placer.Upstream{ID: "a", Leaving: true}, 8)
+	r.Listed(placer.Upstream{ID: "a"}, 7)
+	qt.Check(t, r.Upstreams(start)[0].Leaving, qt.IsTrue)
+}
--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,55 @@
+package router_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fescuespindle/fescuespindle/internal/router"
+)
+
+func table() *router.Table {
+	return router.NewTable(router.Configuration{Version: 3, Routes: []router.Route{
+		{Name: "short", Host: "a.example", Prefix: "/x/"},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "other", Host: "b.example", Prefix: "/x/"},
+	}})
+}
+
+func expectRoute(t *testing.T, host, path, want string) {
+	t.Helper()
+	route, found := table().Match(host, path)
+	qt.Assert(t, found, qt.Equals, want != "")
+	if found {
+		qt.Check(t, route.Name, qt.Equals, want)
+	}
+}
+
+func TestMatch(t *testing.T) {
+	t.Run("longest prefix", func(t *testing.T) { expectRoute(t, "a.example", "/x/y/1", "long") })
+	t.Run("shorter prefix", func(t *testing.T) { expectRoute(t, "a.example", "/x/1", "short") })
+	t.Run("host with port", func(t *testing.T) { expectRoute(t, "B.example:80", "/x/1", "other") })
+	t.Run("prefix without its slash", func(t *testing.T) { expectRoute(t, "a.example", "/x", "") })
+	t.Run("unknown host", func(t *testing.T) { expectRoute(t, "c.example", "/x/1", "") })
+}
+
+func TestSharesFollowWeights(t *testing.T) {
+	route := router.Route{Shares: []router.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	counts := map[string]int{}
+	for point := range uint64(1000) {
+		counts[route.Service(point)]++
+	}
+	qt.Check(t, counts, qt.DeepEquals, map[string]int{"a": 900, "b": 100})
+	qt.Check(t, (&router.Route{}).Service(7), qt.Equals, "")
+}
+
+func TestRepeatable(t *testing.T) {
+	expect := func(kind router.Kind, resume, want bool) {
+		t.Helper()
+		qt.Check(t, (&router.Route{Kind: kind, CanResume: resume}).Repeatable(), qt.Equals, want)
+	}
+	expect(router.KindSafe, false, true)
+	expect(router.KindUnsafe, true, false)
+	expect(router.KindStream, false, false)
+	expect(router.KindStream, true, true)
+}
--- /dev/null
+++ b/internal/watcher/watcher.go
@@ -0,0 +1,119 @@
+// Package watcher follows a table of the store: it reads all of it once and then
+// its changes as they come, and again all of it after every failure and every
+// now and then, since a feed of changes may go silent.
+package watcher
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/rowstore"
+	"github.com/fescuespindle/fescuespindle/internal/sleeper"
+)
+
+const (
+	// waitTime is how long the store holds a request for changes.
+	waitTime = time.Second
+	// callTimeout bounds a call beyond the time that the store holds it.
+	callTimeout = 1200 * time.Millisecond
+	// rereadTime bounds how long a feed that has gone silent does harm.
+	rereadTime = 8 * time.Second
+	// retryTime is the mean pause after a failure.
+	retryTime = 300 * time.Millisecond
+)
+
+// Sink takes in what a watcher reads. Its methods are called one at a time.
+type Sink interface {
+	// Replace is called with all rows of the table.
+	Replace(rows []rowstore.Row)
+	// Change is called with rows that have changed.
+	Change(rows []rowstore.Row)
+	// Lost is called whenever the store has not answered.
+	Lost(err error)
+}
+
+// Watcher follows one table, whose rows are all in the part with an empty name.
+type Watcher struct {
+	store  rowstore.Store
+	table  string
+	sink   Sink
+	logger *slog.Logger
+	lost   bool
+}
+
+// New returns a watcher.
+func New(store rowstore.Store, table string, sink Sink, logger *slog.Logger) *Watcher {
+	return &Watcher{store: store, table: table, sink: sink, logger: logger}
+}
+
+// Run follows the table until the context ends.
+func (w *Watcher) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := w.follow(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, rowstore.ErrHistoryGone) {
+			w.logger.Info("store history gone, reading all", "table", w.table)
+			continue
+		}
+		w.note(err)
+		sleeper.Sleep(ctx, retryTime/2+rand.N(retryTime))
+	}
+}
+
+// note logs a store that is lost, or back, once each.
+func (w *Watcher) note(err error) {
+	if err != nil {
+		w.sink.Lost(err)
+	}
+	if lost := err != nil; lost != w.lost {
+		w.lost = lost
+		w.logger.Warn("store dependency", "table", w.table, "lost", lost, "error", err)
+	}
+}
+
+// follow reads the table and its changes until a call fails.
+func (w *Watcher) follow(ctx context.Context) error {
+	for {
+		all, err := w.readAll(ctx)
+		if err != nil {
+			return err
+		}
+		w.note(nil)
+		w.sink.Replace(all.Rows)
+		if err := w.followChanges(ctx, all.Version); err != nil {
+			return err
+		}
+	}
+}
+
+func (w *Watcher) readAll(ctx context.Context) (rowstore.Snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return rowstore.ReadAll(ctx, w.store, w.table, "", "", "")
+}
+
+func (w *Watcher) followChanges(ctx context.Context, version uint64) error {
+	until := time.Now().Add(rereadTime)
+	for time.Now().Before(until) {
+		changes, err := w.changes(ctx, version)
+		if err != nil {
+			return err
+		}
+		if len(changes.Rows) > 0 {
+			w.sink.Change(changes.Rows)
+		}
+		version = max(version, changes.Version)
+	}
+	return nil
+}
+
+func (w *Watcher) changes(ctx context.Context, version uint64) (rowstore.Snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, waitTime+callTimeout)
+	defer cancel()
+	return w.store.Changes(ctx, w.table, version, waitTime)
+}
