Changes that a feed held back are asked for again; missing upstreams go in time

A feed that is silent before the store drops its history answers without rows but with a newer version; the watcher went on from that version and missed the rows until its next whole read. Besides, a list that changes only because time passes was published at the next change of the store.

Ruled out: a late feed (the removal was logged 4 ms after the store had it on the VMs that got it).

Change: an empty answer doesn't move the version; the list is published again when missing entries are taken to be gone. watcher_test has the case, which failed before.

--- a/internal/entryvm/sink.go
+++ b/internal/entryvm/sink.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -66,9 +67,12 @@
 
 // upstreamSink keeps the list of upstreams.
 type upstreamSink struct {
-	vm        *VM
+	vm *VM
+
+	mu        sync.Mutex
 	registrar *registrar.Registrar
 	addresses map[string]string
+	timer     *time.Timer // publishes the list when it changes by itself
 }
 
 // Replace implements watcher.Sink.
@@ -77,15 +81,23 @@
 	for _, row := range rows {
 		ids[row.Name] = true
 	}
+	s.mu.Lock()
 	s.registrar.Only(ids, time.Now())
+	s.mu.Unlock()
 	s.Change(rows)
 }
 
 // Lost implements watcher.Sink.
-func (s *upstreamSink) Lost(error) { s.registrar.Outage(time.Now()) }
+func (s *upstreamSink) Lost(error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.registrar.Outage(time.Now())
+}
 
 // Change implements watcher.Sink.
 func (s *upstreamSink) Change(rows []rowstore.Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	now := time.Now()
 	for _, row := range rows {
 		if row.Deleted {
@@ -119,9 +131,27 @@
 		}
 	}
 	s.addresses = addresses
+	s.publishLater(now)
 	s.vm.readiness.listed.Store(true)
 }
 
+// publishLater publishes the list again when entries that are missing are taken
+// to be gone.
+func (s *upstreamSink) publishLater(now time.Time) {
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+	due := s.registrar.Pending()
+	if due.IsZero() {
+		return
+	}
+	s.timer = time.AfterFunc(due.Sub(now), func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.publish(time.Now())
+	})
+}
+
 // storeTransport reaches the store with short waits, so that a connection that
 // went silent is given up soon.
 func storeTransport() http.RoundTripper {
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -65,6 +65,17 @@
 	}
 }
 
+// Pending returns when the list changes by itself, because missing entries are
+// then taken to be gone; zero if it doesn't.
+func (r *Registrar) Pending() time.Time {
+	for _, known := range r.entries {
+		if !known.missing.IsZero() {
+			return r.trusted
+		}
+	}
+	return time.Time{}
+}
+
 // Upstreams returns the list in the order of identifiers, without the entries
 // that are gone. Those that are missing and may come back are still on it.
 func (r *Registrar) Upstreams(now time.Time) []placer.Upstream {
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -40,7 +40,9 @@
 		r.Outage(start)
 		r.Only(map[string]bool{"b": true}, start.Add(time.Second))
 		expectList(t, r, 2*time.Second, "a", "b")
-		expectList(t, r, 3*time.Second, "b")
+		qt.Check(t, r.Pending().IsZero(), qt.IsFalse)
+		expectList(t, r, r.Pending().Sub(start), "b")
+		qt.Check(t, r.Pending().IsZero(), qt.IsTrue)
 	})
 	t.Run("stay if they come back", func(t *testing.T) {
 		r := newRegistrar()
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -104,9 +104,12 @@
 		if err != nil {
 			return err
 		}
-		if len(changes.Rows) > 0 {
-			w.sink.Change(changes.Rows)
+		if len(changes.Rows) == 0 {
+			// The version stays: a store that holds changes back for a while must be
+			// asked for them again.
+			continue
 		}
+		w.sink.Change(changes.Rows)
 		version = max(version, changes.Version)
 	}
 	return nil
--- /dev/null
+++ b/internal/watcher/watcher_test.go
@@ -0,0 +1,142 @@
+package watcher_test
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fescuespindle/fescuespindle/internal/rowstore"
+	"github.com/fescuespindle/fescuespindle/internal/watcher"
+)
+
+// store answers from a script of replies to Changes; when it ends, it waits.
+type store struct {
+	rowstore.Store
+	mu      sync.Mutex
+	all     rowstore.Snapshot
+	replies []func(after uint64) (rowstore.Snapshot, error)
+}
+
+func (s *store) Range(context.Context, string, string, string, string) (rowstore.Snapshot, string, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.all, "", nil
+}
+
+func (s *store) Changes(
+	ctx context.Context, _ string, after uint64, wait time.Duration,
+) (rowstore.Snapshot, error) {
+	s.mu.Lock()
+	if len(s.replies) > 0 {
+		reply := s.replies[0]
+		s.replies = s.replies[1:]
+		s.mu.Unlock()
+		return reply(after)
+	}
+	s.mu.Unlock()
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+	}
+	return rowstore.Snapshot{Version: after}, ctx.Err()
+}
+
+// sink records what it is told.
+type sink struct {
+	mu     sync.Mutex
+	events []string
+}
+
+func (s *sink) add(event string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events = append(s.events, event)
+}
+
+func (s *sink) Replace(rows []rowstore.Row) { s.add("replace " + names(rows)) }
+func (s *sink) Change(rows []rowstore.Row)  { s.add("change " + names(rows)) }
+func (s *sink) Lost(err error)              { s.add("lost " + err.Error()) }
+
+func names(rows []rowstore.Row) string {
+	text := ""
+	for _, row := range rows {
+		text += row.Name
+	}
+	return text
+}
+
+func row(name string, version uint64) rowstore.Row {
+	return rowstore.Row{Key: rowstore.Key{Table: "t", Name: name}, Version: version}
+}
+
+// expectEvents runs a watcher for a while and compares what its sink was told.
+func expectEvents(t *testing.T, s *store, run time.Duration, want ...string) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), run)
+		defer cancel()
+		to := &sink{}
+		watcher.New(s, "t", to, slog.New(slog.DiscardHandler)).Run(ctx)
+		qt.Check(t, to.events, qt.DeepEquals, want)
+	})
+}
+
+func TestChangesFollowTheFirstRead(t *testing.T) {
+	s := &store{all: rowstore.Snapshot{Rows: []rowstore.Row{row("a", 3)}, Version: 3}}
+	s.replies = append(s.replies, func(uint64) (rowstore.Snapshot, error) {
+		return rowstore.Snapshot{Rows: []rowstore.Row{row("b", 4)}, Version: 4}, nil
+	})
+	expectEvents(t, s, 2*time.Second, "replace a", "change b")
+}
+
+func TestChangesThatAFeedHeldBackAreAskedForAgain(t *testing.T) {
+	s := &store{all: rowstore.Snapshot{Version: 3}}
+	s.replies = append(s.replies,
+		func(uint64) (rowstore.Snapshot, error) { return rowstore.Snapshot{Version: 9}, nil },
+		func(after uint64) (rowstore.Snapshot, error) {
+			if after >= 5 {
+				return rowstore.Snapshot{Version: 9}, nil
+			}
+			return rowstore.Snapshot{Rows: []rowstore.Row{row("held", 5)}, Version: 9}, nil
+		})
+	expectEvents(t, s, 2*time.Second, "replace ", "change held")
+}
+
+func TestLostHistoryIsReadAnewAtOnce(t *testing.T) {
+	s := &store{all: rowstore.Snapshot{Rows: []rowstore.Row{row("a", 3)}, Version: 3}}
+	s.replies = append(s.replies, func(uint64) (rowstore.Snapshot, error) {
+		return rowstore.Snapshot{}, rowstore.ErrHistoryGone
+	})
+	expectEvents(t, s, 500*time.Millisecond, "replace a", "replace a")
+}
+
+func TestASilentFeedDoesHarmForABoundedTime(t *testing.T) {
+	s := &store{all: rowstore.Snapshot{Version: 3}}
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+		defer cancel()
+		to := &sink{}
+		watcher.New(s, "t", to, slog.New(slog.DiscardHandler)).Run(ctx)
+		qt.Check(t, len(to.events) >= 3, qt.IsTrue)
+	})
+}
+
+func TestAFailureIsToldAndReadAnew(t *testing.T) {
+	s := &store{all: rowstore.Snapshot{Version: 3}}
+	s.replies = append(s.replies, func(uint64) (rowstore.Snapshot, error) {
+		return rowstore.Snapshot{}, rowstore.ErrNotDone
+	})
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		to := &sink{}
+		watcher.New(s, "t", to, slog.New(slog.DiscardHandler)).Run(ctx)
+		qt.Check(t, slices.Equal(to.events, []string{"replace ", "lost store call not done", "replace "}), qt.IsTrue)
+	})
+}
