Tests of the path on the users' platform, against stand-ins of its form

Cause: batch jobs and the adapter had no tests of their own.

An item that breaks off after two events or more is no longer held against it: a run that got on well was not what crashed its server.

--- /dev/null
+++ b/internal/batchkeeper/keeper_test.go
@@ -0,0 +1,277 @@
+package batchkeeper_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fescuespindle/fescuespindle/internal/batchkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/emulator/rowemulator"
+	"github.com/fescuespindle/fescuespindle/internal/rowstore"
+)
+
+var (
+	ownerA = batchkeeper.Owner{VM: "a", Boot: 1}
+	ownerB = batchkeeper.Owner{VM: "b", Boot: 2}
+)
+
+func newKeeper(store rowstore.Store, owner batchkeeper.Owner) *batchkeeper.Keeper {
+	return batchkeeper.New(store, owner, 64<<10, slog.New(slog.DiscardHandler))
+}
+
+func submission(id string, items int) batchkeeper.Submission {
+	s := batchkeeper.Submission{ID: id, Route: "r", Host: "h", Retention: time.Minute}
+	for n := range items {
+		s.Items = append(s.Items, batchkeeper.Item{ID: fmt.Sprint("item", n), URI: "/x", Body: []byte("body"), Tokens: 100})
+	}
+	return s
+}
+
+// run runs a test with a time of its own, in which an outage takes no time.
+func run(t *testing.T, test func(t *testing.T, ctx context.Context, store *rowemulator.Store)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		test(t, ctx, rowemulator.New())
+	})
+}
+
+func submit(ctx context.Context, t *testing.T, k *batchkeeper.Keeper, items int) batchkeeper.Stored {
+	t.Helper()
+	stored, _, err := k.Submit(ctx, submission("j", items))
+	qt.Assert(t, err, qt.IsNil)
+	return stored
+}
+
+func expectListed(ctx context.Context, t *testing.T, k *batchkeeper.Keeper, id string, want ...string) {
+	t.Helper()
+	page, err := k.Results(ctx, id, 0)
+	qt.Assert(t, err, qt.IsNil)
+	var got []string
+	for _, r := range page.Results {
+		got = append(got, r.Item+"="+string(r.Output))
+	}
+	qt.Check(t, got, qt.DeepEquals, want)
+}
+
+func result(item, output string) batchkeeper.Result {
+	return batchkeeper.Result{Item: item, Done: true, Output: []byte(output)}
+}
+
+// losing returns a fault that does the first writes, up to a number, and loses
+// their answers.
+func losing(writes int) rowemulator.Fault {
+	return func(c rowemulator.Call) (bool, error) {
+		if !c.Write || writes == 0 {
+			return true, nil
+		}
+		writes--
+		return true, rowstore.ErrUnknown
+	}
+}
+
+func TestAJobIsAcceptedOnce(t *testing.T) {
+	t.Run("sent again to another VM", func(t *testing.T) {
+		run(t, func(t *testing.T, ctx context.Context, store *rowemulator.Store) {
+			_, own, err := newKeeper(store, ownerA).Submit(ctx, submission("j", 2))
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, own, qt.IsTrue)
+			stored, own, err := newKeeper(store, ownerB).Submit(ctx, submission("j", 2))
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, own, qt.IsFalse)
+			qt.Check(t, stored.Owner, qt.Equals, ownerA)
+		})
+	})
+	t.Run("answers lost", func(t *testing.T) {
+		run(t, func(t *testing.T, ctx context.Context, store *rowemulator.Store) {
+			store.SetFault(losing(1))
+			_, own, err := newKeeper(store, ownerA).Submit(ctx, submission("j", 2))
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, own, qt.IsTrue)
+		})
+	})
+	t.Run("larger than a transaction", func(t *testing.T) {
+		run(t, func(t *testing.T, ctx context.Context, store *rowemulator.Store) {
+			s := submission("j", 200)
+			for i := range s.Items {
+				s.Items[i].Body = []byte(strings.Repeat("x", 20_000))
+			}
+			k := newKeeper(store, ownerA)
+			_, _, err := k.Submit(ctx, s)
+			qt.Assert(t, err, qt.IsNil)
+			items, err := k.Items(ctx, "j")
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, items, qt.HasLen, 200)
+		})
+	})
+}
+
+func TestARefusalIsTrue(t *testing.T) {
+	expect := func(t *testing.T, fault rowemulator.Fault, want error, wantJob bool) {
+		t.Helper()
+		run(t, func(t *testing.T, ctx context.Context, store *rowemulator.Store) {
+			store.SetFault(fault)
+			_, _, err := newKeeper(store, ownerA).Submit(ctx, submission("j", 1))
+			qt.Assert(t, err, qt.ErrorIs, want)
+			store.SetFault(nil)
+			_, err = newKeeper(store, ownerB).Results(t.Context(), "j", 0)
+			qt.Check(t, err == nil, qt.Equals, wantJob)
+		})
+	}
+	t.Run("nothing was written", func(t *testing.T) {
+		expect(t, func(rowemulator.Call) (bool, error) { return false, rowstore.ErrNotDone }, batchkeeper.ErrNotWritten, false)
+	})
+	t.Run("the answer was lost, then the store", func(t *testing.T) {
+		lost := false
+		expect(t, func(c rowemulator.Call) (bool, error) {
+			if !c.Write {
+				return true, nil
+			}
+			if !lost {
+				lost = true
+				return true, rowstore.ErrUnknown
+			}
+			return false, rowstore.ErrNotDone
+		}, batchkeeper.ErrInDoubt, true)
+	})
+}
+
+func TestQuotaHoldsAcrossVMs(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context, store *rowemulator.Store) {
+		accepted := 0
+		for n := range 20 {
+			k := newKeeper(store, batchkeeper.Owner{VM: fmt.Sprint(n)})
+			k.SetVMs(20)
+			s := submission(fmt.Sprint("j", n), 1)
+			s.MaxTokens = 1000
+			_, _, err := k.Submit(ctx, s)
+			if err == nil {
+				accepted++
+				continue
+			}
+			qt.Check(t, err, qt.ErrorIs, batchkeeper.ErrOverQuota)
+		}
+		qt.Check(t, accepted, qt.Equals, 10)
+	})
+}
+
+func TestQuotaIsGivenBack(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context, store *rowemulator.Store) {
+		k := newKeeper(store, ownerA)
+		s := submission("j1", 1)
+		s.MaxTokens = 100
+		stored, _, err := k.Submit(ctx, s)
+		qt.Assert(t, err, qt.IsNil)
+		s.ID = "j2"
+		_, _, err = k.Submit(ctx, s)
+		qt.Assert(t, err, qt.ErrorIs, batchkeeper.ErrOverQuota)
+		_, err = k.Commit(ctx, stored, []batchkeeper.Result{result("item0", "x")}, 0, nil)
+		qt.Assert(t, err, qt.IsNil)
+		_, _, err = k.Submit(ctx, s)
+		qt.Check(t, err, qt.IsNil)
+	})
+}
+
+func TestAnOwnerThatWasReplacedAddsNothing(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context, store *rowemulator.Store) {
+		a, b := newKeeper(store, ownerA), newKeeper(store, ownerB)
+		old := submit(ctx, t, a, 2)
+		claimed, err := b.Claim(ctx, old)
+		qt.Assert(t, err, qt.IsNil)
+		_, err = a.Commit(ctx, old, []batchkeeper.Result{result("item0", "from a")}, 100, nil)
+		qt.Check(t, err, qt.ErrorIs, batchkeeper.ErrLost)
+		_, err = b.Commit(ctx, claimed, []batchkeeper.Result{result("item0", "from b")}, 100, nil)
+		qt.Assert(t, err, qt.IsNil)
+		expectListed(ctx, t, a, "j", "item0=from b")
+	})
+}
+
+func TestTwoVMsCantTakeOverOneJob(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context, store *rowemulator.Store) {
+		old := submit(ctx, t, newKeeper(store, batchkeeper.Owner{VM: "gone"}), 1)
+		_, err := newKeeper(store, ownerA).Claim(ctx, old)
+		qt.Check(t, err, qt.IsNil)
+		_, err = newKeeper(store, ownerB).Claim(ctx, old)
+		qt.Check(t, err, qt.ErrorIs, batchkeeper.ErrLost)
+	})
+}
+
+// A write whose answer was lost may have taken effect with fewer results than
+// are there when it is sent again.
+func TestResultsAreListedOnceWhenAnswersAreLost(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context, store *rowemulator.Store) {
+		k := newKeeper(store, ownerA)
+		stored := submit(ctx, t, k, 3)
+		store.SetFault(func(rowemulator.Call) (bool, error) { return true, rowstore.ErrUnknown })
+		short, cancel := context.WithTimeout(ctx, 10*time.Millisecond)
+		defer cancel()
+		_, err := k.Commit(short, stored, []batchkeeper.Result{result("item0", "x")}, 200, nil)
+		qt.Assert(t, errors.Is(err, batchkeeper.ErrInDoubt), qt.IsTrue)
+		store.SetFault(nil)
+		results := []batchkeeper.Result{result("item0", "x"), result("item1", "y")}
+		stored, err = k.Commit(ctx, stored, results, 100, nil)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, stored.Results, qt.Equals, 1)
+		_, err = k.Commit(ctx, stored, results[1:], 100, nil)
+		qt.Assert(t, err, qt.IsNil)
+		expectListed(ctx, t, k, "j", "item0=x", "item1=y")
+	})
+}
+
+func TestACancelledJobTakesNoMoreResults(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context, store *rowemulator.Store) {
+		a, b := newKeeper(store, ownerA), newKeeper(store, ownerB)
+		stored := submit(ctx, t, a, 2)
+		stored, err := a.Commit(ctx, stored, []batchkeeper.Result{result("item0", "x")}, 100, nil)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, b.Cancel(ctx, "j"), qt.IsNil)
+		qt.Check(t, b.Cancel(ctx, "j"), qt.IsNil, qt.Commentf("again"))
+		_, err = a.Commit(ctx, stored, []batchkeeper.Result{result("item1", "y")}, 0, nil)
+		qt.Check(t, err, qt.ErrorIs, batchkeeper.ErrLost)
+		expectListed(ctx, t, b, "j", "item0=x")
+		page, err := b.Results(ctx, "j", 1)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, page.Complete, qt.IsTrue)
+	})
+}
+
+func TestAReleasedJobGoesOnWhereItStopped(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context, store *rowemulator.Store) {
+		a, b := newKeeper(store, ownerA), newKeeper(store, ownerB)
+		stored := submit(ctx, t, a, 2)
+		stored, err := a.Commit(ctx, stored, []batchkeeper.Result{result("item0", "x")}, 100, nil)
+		qt.Assert(t, err, qt.IsNil)
+		progress := map[int]batchkeeper.Progress{1: {LastEvent: "7", Output: []byte("half")}}
+		released, err := a.Release(ctx, stored, progress)
+		qt.Assert(t, err, qt.IsNil)
+		claimed, err := b.Claim(ctx, released)
+		qt.Assert(t, err, qt.IsNil)
+		loaded, err := b.Load(ctx, claimed.ID)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, loaded.Items, qt.HasLen, 2)
+		qt.Check(t, loaded.Listed, qt.DeepEquals, map[string]bool{"item0": true})
+		qt.Check(t, loaded.Progress, qt.DeepEquals, progress)
+	})
+}
+
+func TestBodies(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context, store *rowemulator.Store) {
+		k := newKeeper(store, ownerA)
+		submit(ctx, t, k, 2)
+		body, err := newKeeper(store, ownerB).Body(ctx, "j", "item1")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, string(body), qt.Equals, "body")
+		_, err = k.Body(ctx, "j", "other")
+		qt.Check(t, err, qt.ErrorIs, batchkeeper.ErrNotFound)
+		_, err = k.Body(ctx, "other", "item1")
+		qt.Check(t, err, qt.ErrorIs, batchkeeper.ErrNotFound)
+	})
+}
--- /dev/null
+++ b/internal/batchrunner/fault_test.go
@@ -0,0 +1,9 @@
+package batchrunner_test
+
+import (
+	"github.com/fescuespindle/fescuespindle/internal/emulator/rowemulator"
+	"github.com/fescuespindle/fescuespindle/internal/rowstore"
+)
+
+// outage is a store that does nothing.
+func outage(rowemulator.Call) (bool, error) { return false, rowstore.ErrNotDone }
--- a/internal/batchrunner/run.go
+++ b/internal/batchrunner/run.go
@@ -31,6 +31,9 @@
 	suspectCrashes = 3
 	suspectPause   = 6 * time.Second
 	maxCrashes     = 6
+	// harmlessEvents is the number of events after which a run that breaks off is
+	// not held against its item.
+	harmlessEvents = 2
 )
 
 // fate is how a run ended.
@@ -177,7 +180,7 @@
 	case fateFailed:
 		r.failed(it, now)
 	case fateBroken:
-		r.broken(it, upstream, now)
+		r.broken(it, upstream, e.events, now)
 	}
 }
 
@@ -195,11 +198,14 @@
 	}
 }
 
-// broken counts a run whose answer broke off. The item may have crashed its
-// upstream, so one that loses several is tried more and more rarely.
-func (r *Runner) broken(it *item, upstream string, now time.Time) {
-	it.trial.Crashes++
-	it.job.changed = true
+// broken counts a run whose answer broke off at its beginning. The item may have
+// crashed its upstream, so one that loses several is tried more and more rarely.
+// A run that had got on well was more likely lost for another reason.
+func (r *Runner) broken(it *item, upstream string, events int, now time.Time) {
+	if events < harmlessEvents {
+		it.trial.Crashes++
+		it.job.changed = true
+	}
 	it.avoid = map[string]bool{upstream: true}
 	switch {
 	case it.trial.Crashes >= maxCrashes:
--- /dev/null
+++ b/internal/batchrunner/runner_test.go
@@ -0,0 +1,312 @@
+package batchrunner_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fescuespindle/fescuespindle/internal/batchkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/batchrunner"
+	"github.com/fescuespindle/fescuespindle/internal/counter"
+	"github.com/fescuespindle/fescuespindle/internal/courier"
+	"github.com/fescuespindle/fescuespindle/internal/emulator/rowemulator"
+	"github.com/fescuespindle/fescuespindle/internal/forwarder"
+	"github.com/fescuespindle/fescuespindle/internal/placer"
+	"github.com/fescuespindle/fescuespindle/internal/router"
+	"github.com/fescuespindle/fescuespindle/platform"
+	"github.com/fescuespindle/fescuespindle/platform/standin"
+)
+
+// fleet is VMs, upstreams and a store under a clock of its own.
+type fleet struct {
+	t         *testing.T
+	store     *rowemulator.Store
+	network   *standin.Network
+	upstreams []*standin.Upstream
+	list      []placer.Upstream
+
+	mu    sync.Mutex
+	alive map[batchkeeper.Owner]bool
+}
+
+// vm is one VM of a fleet.
+type vm struct {
+	owner  batchkeeper.Owner
+	keeper *batchkeeper.Keeper
+	placer *placer.Placer
+	runner *batchrunner.Runner
+	stop   func()
+}
+
+// inFleet runs a test on a fleet of upstreams with two slots each, which plan
+// each request by a function.
+func inFleet(t *testing.T, upstreams int, plan func(upstream string, r *http.Request) standin.Plan, test func(f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{t: t, store: rowemulator.New(), network: standin.NewNetwork(), alive: map[batchkeeper.Owner]bool{}}
+		for n := range upstreams {
+			id := fmt.Sprint("u", n)
+			u := standin.NewUpstream(id, 2, func(r *http.Request) standin.Plan { return plan(id, r) })
+			defer f.network.Serve(id+":1", u)()
+			f.upstreams = append(f.upstreams, u)
+			f.list = append(f.list, placer.Upstream{ID: id, Service: "lm", Address: id + ":1", Domain: "d", Sequences: 2})
+		}
+		test(f)
+	})
+}
+
+func fast(string, *http.Request) standin.Plan {
+	return standin.Plan{Events: 5, Gap: 100 * time.Millisecond}
+}
+
+var table = router.NewTable(router.Configuration{Version: 1, Routes: []router.Route{{
+	Name: "r", Host: "h", Prefix: "/b/", Kind: router.KindBatch, MaxAttempts: 3,
+	Shares: []router.Share{{Service: "lm", Weight: 1}},
+}}})
+
+// start starts a VM.
+func (f *fleet) start(name string) *vm {
+	owner := batchkeeper.Owner{VM: name, Boot: 1}
+	logger := slog.New(slog.DiscardHandler)
+	v := &vm{owner: owner, keeper: batchkeeper.New(f.store, owner, 64<<10, logger)}
+	v.placer = placer.New(name, "d", map[string]string{"d": "r"}, placer.WithChanged(func() { v.runner.Wake() }))
+	v.placer.SetUpstreams(f.list)
+	sender := forwarder.New(platform.Codec{}.AnswerID, forwarder.WithDial(f.network.Dial))
+	v.runner = batchrunner.New(owner, v.keeper, v.placer, courier.New(sender, v.placer, platform.Codec{}), f,
+		func() *router.Table { return table }, counter.New(metrics.NewSet()), logger)
+	f.setAlive(owner, true)
+	v.runner.Start()
+	time.Sleep(200 * time.Millisecond) // until it has seen the store
+	v.stop = func() {
+		f.setAlive(owner, false)
+		v.runner.Stop()
+		sender.Close()
+	}
+	return v
+}
+
+func (f *fleet) setAlive(owner batchkeeper.Owner, alive bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.alive[owner] = alive
+}
+
+// Informed implements batchrunner.Members.
+func (f *fleet) Informed(time.Time) bool { return true }
+
+// Lives implements batchrunner.Members.
+func (f *fleet) Lives(vm string, boot uint64, _ time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.alive[batchkeeper.Owner{VM: vm, Boot: boot}]
+}
+
+// Successors implements batchrunner.Members.
+func (f *fleet) Successors(time.Time) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var vms []string
+	for owner, alive := range f.alive {
+		if alive {
+			vms = append(vms, owner.VM)
+		}
+	}
+	return vms
+}
+
+// submit hands a job of so many items to a VM.
+func (f *fleet) submit(v *vm, items int) {
+	s := batchkeeper.Submission{ID: "j", Route: "r", Host: "h", Retention: time.Minute, CompletionTarget: 18 * time.Second}
+	for n := range items {
+		s.Items = append(s.Items, batchkeeper.Item{ID: fmt.Sprint("item", n), URI: "/b/x", Header: http.Header{}, Tokens: 10})
+	}
+	stored, _, err := v.keeper.Submit(f.t.Context(), s)
+	qt.Assert(f.t, err, qt.IsNil)
+	v.runner.Adopt(stored, s.Items)
+}
+
+// expectResults waits and compares what each item of the job came to: "ok" for
+// the whole text.
+func (f *fleet) expectResults(v *vm, wait time.Duration, want ...string) {
+	f.t.Helper()
+	time.Sleep(wait)
+	page, err := v.keeper.Results(f.t.Context(), "j", 0)
+	qt.Assert(f.t, err, qt.IsNil)
+	var got []string
+	for _, r := range page.Results {
+		got = append(got, r.Item+" "+outcomeOf(r))
+	}
+	slices.Sort(got)
+	qt.Check(f.t, got, qt.DeepEquals, want)
+}
+
+func outcomeOf(r batchkeeper.Result) string {
+	if !r.Done {
+		return "given up"
+	}
+	var want []string
+	for n := 1; n <= 5; n++ {
+		want = append(want, standin.EventData(r.Item, n))
+	}
+	if string(r.Output) == strings.Join(want, "\n") {
+		return "ok"
+	}
+	return "wrong: " + string(r.Output)
+}
+
+// runs returns the runs of all upstreams.
+func (f *fleet) runs() []standin.Run {
+	var all []standin.Run
+	for _, u := range f.upstreams {
+		all = append(all, u.Runs()...)
+	}
+	return all
+}
+
+func TestItemsRunWhereThereIsRoom(t *testing.T) {
+	inFleet(t, 2, fast, func(f *fleet) {
+		v := f.start("a")
+		defer v.stop()
+		f.submit(v, 5)
+		f.expectResults(v, 10*time.Second, "item0 ok", "item1 ok", "item2 ok", "item3 ok", "item4 ok")
+		qt.Check(f.t, f.runs(), qt.HasLen, 5, qt.Commentf("each runs once"))
+		qt.Check(f.t, v.placer.Report(), qt.HasLen, 0)
+	})
+}
+
+func TestAnItemGivesWayToOnlineWorkAndGoesOn(t *testing.T) {
+	inFleet(t, 1, fast, func(f *fleet) {
+		v := f.start("a")
+		defer v.stop()
+		f.submit(v, 1)
+		time.Sleep(250 * time.Millisecond)
+		v.placer.Heard("b", placer.Report{"u0": {Online: 2}}, time.Now())
+		v.runner.Wake()
+		time.Sleep(10 * time.Millisecond)
+		synctest.Wait()
+		qt.Check(f.t, f.upstreams[0].Running(), qt.Equals, 0)
+		v.placer.Heard("b", placer.Report{}, time.Now())
+		f.expectResults(v, 10*time.Second, "item0 ok")
+		runs := f.runs()
+		qt.Assert(f.t, runs, qt.HasLen, 2)
+		qt.Check(f.t, runs[1].After, qt.Equals, 2, qt.Commentf("it goes on after the events that came"))
+	})
+}
+
+func TestItemsThatFail(t *testing.T) {
+	expect := func(t *testing.T, plan standin.Plan, wait time.Duration, wantRuns int, want ...string) {
+		t.Helper()
+		inFleet(t, 2, func(string, *http.Request) standin.Plan { return plan }, func(f *fleet) {
+			v := f.start("a")
+			defer v.stop()
+			f.submit(v, 1)
+			f.expectResults(v, wait, want...)
+			qt.Check(f.t, f.runs(), qt.HasLen, wantRuns)
+		})
+	}
+	t.Run("with an error each time", func(t *testing.T) {
+		expect(t, standin.Plan{Status: http.StatusInternalServerError}, 10*time.Second, 3, "item0 given up")
+	})
+	t.Run("because they can't be done", func(t *testing.T) {
+		expect(t, standin.Plan{Status: http.StatusUnprocessableEntity}, 10*time.Second, 1, "item0 given up")
+	})
+	t.Run("again and again, but get farther each time", func(t *testing.T) {
+		expect(t, standin.Plan{Events: 5, CutAfter: 2, Gap: time.Millisecond}, 10*time.Second, 3, "item0 ok")
+	})
+	t.Run("and crash what runs them at once, until they expire", func(t *testing.T) {
+		expect(t, standin.Plan{Events: 9, CutAfter: 1, Gap: time.Millisecond}, 50*time.Second, 6)
+		expect(t, standin.Plan{Events: 9, CutAfter: 1, Gap: time.Millisecond}, 90*time.Second, 6, "item0 given up")
+	})
+	t.Run("refused while there is no room", func(t *testing.T) {
+		expect(t, standin.Plan{NotRun: true}, 30*time.Second, 0)
+	})
+	t.Run("without any answer", func(t *testing.T) {
+		expect(t, standin.Plan{Silent: true}, 50*time.Second, 6)
+		expect(t, standin.Plan{Silent: true}, 90*time.Second, 6, "item0 given up")
+	})
+}
+
+func TestAJobOfALostVMIsTakenOver(t *testing.T) {
+	inFleet(t, 2, fast, func(f *fleet) {
+		a, b := f.start("a"), f.start("b")
+		defer b.stop()
+		f.submit(a, 6)
+		time.Sleep(700 * time.Millisecond)
+		a.stop()
+		f.expectResults(b, 15*time.Second, "item0 ok", "item1 ok", "item2 ok", "item3 ok", "item4 ok", "item5 ok")
+	})
+}
+
+func TestAPausedOwnerAddsNothingToAJobTakenOver(t *testing.T) {
+	inFleet(t, 2, fast, func(f *fleet) {
+		a, b := f.start("a"), f.start("b")
+		defer a.stop()
+		defer b.stop()
+		f.submit(a, 4)
+		f.setAlive(a.owner, false) // it goes on, but is believed to be lost
+		f.expectResults(b, 15*time.Second, "item0 ok", "item1 ok", "item2 ok", "item3 ok")
+	})
+}
+
+func TestAReleasedJobGoesOnElsewhere(t *testing.T) {
+	inFleet(t, 2, fast, func(f *fleet) {
+		a, b := f.start("a"), f.start("b")
+		defer b.stop()
+		f.submit(a, 2)
+		time.Sleep(250 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(f.t.Context(), time.Second)
+		defer cancel()
+		a.runner.Release(ctx)
+		qt.Check(f.t, ctx.Err(), qt.IsNil)
+		a.stop()
+		f.expectResults(b, 10*time.Second, "item0 ok", "item1 ok")
+		fromStart := 0
+		for _, run := range f.runs() {
+			if run.After == 0 {
+				fromStart++
+			}
+		}
+		qt.Check(f.t, fromStart, qt.Equals, 2, qt.Commentf("no item starts over"))
+	})
+}
+
+func TestACancelledJobStopsOnTheVMThatRunsIt(t *testing.T) {
+	inFleet(t, 1, func(string, *http.Request) standin.Plan {
+		return standin.Plan{Events: 100, Gap: 100 * time.Millisecond}
+	}, func(f *fleet) {
+		a, b := f.start("a"), f.start("b")
+		defer a.stop()
+		defer b.stop()
+		f.submit(a, 4)
+		time.Sleep(300 * time.Millisecond)
+		qt.Assert(f.t, b.keeper.Cancel(f.t.Context(), "j"), qt.IsNil)
+		time.Sleep(2 * time.Second)
+		qt.Check(f.t, f.upstreams[0].Running(), qt.Equals, 0)
+		before := len(f.runs())
+		time.Sleep(20 * time.Second)
+		qt.Check(f.t, f.runs(), qt.HasLen, before)
+	})
+}
+
+func TestResultsInHandOutliveAnOutage(t *testing.T) {
+	inFleet(t, 2, fast, func(f *fleet) {
+		v := f.start("a")
+		defer v.stop()
+		f.submit(v, 4)
+		f.store.SetFault(outage)
+		time.Sleep(8 * time.Second)
+		f.store.SetFault(nil)
+		f.expectResults(v, 2*time.Second, "item0 ok", "item1 ok", "item2 ok", "item3 ok")
+		qt.Check(f.t, f.runs(), qt.HasLen, 4)
+	})
+}
--- /dev/null
+++ b/internal/entryintegration/path_test.go
@@ -0,0 +1,289 @@
+package entryintegration_test
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fescuespindle/fescuespindle/internal/emulator/rowemulator"
+	"github.com/fescuespindle/fescuespindle/internal/rowstore"
+	"github.com/fescuespindle/fescuespindle/platform/standin"
+)
+
+// engine answers with streams of so many events.
+func engine(id string, events int, gap time.Duration) *standin.Upstream {
+	return standin.NewUpstream(id, 4, func(*http.Request) standin.Plan { return standin.Plan{Events: events, Gap: gap} })
+}
+
+func desk(id string, plan standin.Plan) *standin.Upstream {
+	return standin.NewUpstream(id, 4, func(*http.Request) standin.Plan { return plan })
+}
+
+func TestOnlineRequests(t *testing.T) {
+	var cuts atomic.Int32
+	cutting := standin.NewUpstream("lm1", 4, func(r *http.Request) standin.Plan {
+		plan := standin.Plan{Events: 6, Gap: time.Millisecond}
+		if strings.HasPrefix(r.URL.Path, "/resume/") && cuts.Add(1) == 1 {
+			plan.CutAfter = 2
+		}
+		return plan
+	})
+	failing := desk("desk1", standin.Plan{Status: http.StatusInternalServerError})
+	sound := desk("desk2", standin.Plan{Body: "label"})
+	steady := engine("lm2", 6, time.Millisecond)
+	s := newSite(t, cutting, steady, failing, sound)
+	vm := s.start("a")
+
+	t.Run("stream", func(t *testing.T) {
+		got := vm.call(http.MethodPost, "/stream/x?y=%2f", "id1", "prompt")
+		qt.Assert(t, got.err, qt.IsNil)
+		qt.Check(t, got.body, qt.Equals, text("id1", 6))
+		qt.Check(t, got.header.Get("Server-Stamp"), qt.Contains, "id1")
+	})
+	t.Run("stream that goes on at another upstream", func(*testing.T) {
+		for cuts.Load() == 0 {
+			vm.expectCall(http.MethodPost, "/resume/x", "id2", "prompt", http.StatusOK, text("id2", 6))
+		}
+	})
+	t.Run("safe call that an upstream fails", func(*testing.T) {
+		for len(failing.Runs()) == 0 {
+			vm.expectCall(http.MethodPost, "/safe/x", "id3", "", http.StatusOK, "label")
+		}
+	})
+	t.Run("unsafe calls run once", func(t *testing.T) {
+		before := len(failing.Runs()) + len(sound.Runs())
+		for n := range 6 {
+			got := vm.call(http.MethodPost, "/unsafe/x", fmt.Sprint("once", n), "")
+			qt.Check(t, got.status == http.StatusOK || got.status == http.StatusInternalServerError, qt.IsTrue)
+		}
+		qt.Check(t, len(failing.Runs())+len(sound.Runs())-before, qt.Equals, 6)
+	})
+	t.Run("no route", func(*testing.T) { vm.expectCall(http.MethodGet, "/none/x", "id4", "", http.StatusNotFound, "") })
+	t.Run("no identifier", func(*testing.T) {
+		vm.expectCall(http.MethodGet, "/safe/x", "", "", http.StatusBadRequest, "")
+	})
+	t.Run("body too large", func(*testing.T) {
+		vm.expectCall(http.MethodPost, "/safe/x", "id5", strings.Repeat("x", 2<<20), http.StatusRequestEntityTooLarge, "")
+	})
+	t.Run("the request's bytes reach the upstream as they came", func(t *testing.T) {
+		runs := append(cutting.Runs(), steady.Runs()...)
+		at := slices.IndexFunc(runs, func(r standin.Run) bool { return r.ID == "id1" })
+		qt.Assert(t, at >= 0, qt.IsTrue)
+		qt.Check(t, runs[at].URI, qt.Equals, "/stream/x?y=%2f")
+		qt.Check(t, runs[at].Host, qt.Equals, host)
+		qt.Check(t, runs[at].Body, qt.Equals, "prompt")
+	})
+}
+
+func TestCallersCloseReachesTheUpstream(t *testing.T) {
+	u := engine("lm1", 10_000, 10*time.Millisecond)
+	vm := newSite(t, u).start("a")
+	ctx, cancel := context.WithCancel(t.Context())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+vm.address(callerPort)+"/stream/x", nil)
+	qt.Assert(t, err, qt.IsNil)
+	request.Host = host
+	request.Header.Set("Request-Id", "id1")
+	response, err := http.DefaultTransport.RoundTrip(request)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
+	vm.site.eventually("a run", func() bool { return u.Running() == 1 })
+	cancel()
+	vm.site.eventually("no run", func() bool { return u.Running() == 0 })
+}
+
+// job returns the body of a submission.
+func job(items int) string {
+	var list []string
+	for n := range items {
+		list = append(list, fmt.Sprintf(`{"id":"item%d","path":"/batch/x","headers":{"Model":"m"},"body":%q,"tokens":100}`,
+			n, base64.StdEncoding.EncodeToString([]byte(fmt.Sprint("body", n)))))
+	}
+	return `{"requests":[` + strings.Join(list, ",") + `]}`
+}
+
+type results struct {
+	Total   int `json:"total"`
+	Next    int `json:"next"`
+	Results []struct {
+		ID     string `json:"id"`
+		State  string `json:"state"`
+		Output string `json:"output"`
+	} `json:"results"`
+}
+
+// read reads a job's results from a position on.
+func (p *process) read(id string, after int) (results, int) {
+	var r results
+	got := p.call(http.MethodGet, fmt.Sprintf("/-/lots/%s?after=%d", id, after), "read", "", "Wait-Ms", "500")
+	if got.status == http.StatusOK {
+		qt.Check(p.site.t, json.Unmarshal([]byte(got.body), &r), qt.IsNil)
+	}
+	return r, got.status
+}
+
+// expectDone waits until a job is done and checks that each VM lists each item
+// once, whole, at the same position.
+func (s *site) expectDone(id string, items, events int) {
+	s.t.Helper()
+	var first results
+	s.eventually("all results of "+id, func() bool {
+		first, _ = s.vms[len(s.vms)-1].read(id, 0)
+		return len(first.Results) == items
+	})
+	rest, _ := s.vms[len(s.vms)-1].read(id, items-1)
+	qt.Check(s.t, rest.Results, qt.DeepEquals, first.Results[items-1:])
+	qt.Check(s.t, rest.Next, qt.Equals, items)
+	seen := map[string]bool{}
+	for _, r := range first.Results {
+		var want []string
+		for n := 1; n <= events; n++ {
+			want = append(want, standin.EventData(r.ID, n))
+		}
+		qt.Check(s.t, r.State, qt.Equals, "completed")
+		qt.Check(s.t, r.Output, qt.Equals, strings.Join(want, "\n"))
+		qt.Check(s.t, seen[r.ID], qt.IsFalse)
+		seen[r.ID] = true
+	}
+	for _, p := range s.vms {
+		if again, status := p.read(id, 0); status == http.StatusOK {
+			qt.Check(s.t, again, qt.DeepEquals, first)
+		}
+	}
+}
+
+func TestJobs(t *testing.T) {
+	s := newSite(t, engine("lm1", 4, 5*time.Millisecond), engine("lm2", 4, 5*time.Millisecond))
+	a, b := s.start("a"), s.start("b")
+	t.Run("submitted, read and sent again", func(*testing.T) {
+		a.expectCall(http.MethodPost, "/batch/j", "job1", job(7), http.StatusAccepted, "")
+		b.expectCall(http.MethodPost, "/batch/j", "job1", job(7), http.StatusAccepted, "")
+		s.expectDone("job1", 7, 4)
+	})
+	t.Run("body", func(*testing.T) {
+		b.expectCall(http.MethodGet, "/-/items/job1?id=item3", "x", "", http.StatusOK, "body3")
+		b.expectCall(http.MethodGet, "/-/items/job1?id=other", "x", "", http.StatusNotFound, "")
+	})
+	t.Run("unknown", func(t *testing.T) {
+		_, status := a.read("other", 0)
+		qt.Check(t, status, qt.Equals, http.StatusNotFound)
+	})
+	t.Run("malformed", func(*testing.T) {
+		a.expectCall(http.MethodPost, "/batch/j", "job2", "{", http.StatusBadRequest, "")
+		a.expectCall(http.MethodGet, "/-/lots/job1?after=x", "x", "", http.StatusBadRequest, "")
+	})
+	t.Run("over the quota", func(t *testing.T) {
+		body := strings.ReplaceAll(job(1), `"tokens":100`, `"tokens":2000000`)
+		got := a.call(http.MethodPost, "/batch/j", "job3", body)
+		qt.Check(t, got.status, qt.Equals, http.StatusTooManyRequests)
+		qt.Check(t, got.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	})
+	t.Run("while the store is away", func(t *testing.T) {
+		s.rows.SetFault(func(rowemulator.Call) (bool, error) { return false, rowstore.ErrNotDone })
+		got := a.call(http.MethodPost, "/batch/j", "job4", job(1))
+		qt.Check(t, got.status, qt.Equals, http.StatusServiceUnavailable)
+		qt.Check(t, got.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+		a.expectCall(http.MethodPost, "/stream/x", "id1", "", http.StatusOK, text("id1", 4))
+		s.rows.SetFault(nil)
+	})
+}
+
+func TestCancelOnAnotherVM(t *testing.T) {
+	u := engine("lm1", 10_000, 10*time.Millisecond)
+	s := newSite(t, u)
+	a, b := s.start("a"), s.start("b")
+	a.expectCall(http.MethodPost, "/batch/j", "job1", job(5), http.StatusAccepted, "")
+	s.eventually("a run", func() bool { return u.Running() > 0 })
+	b.expectCall(http.MethodDelete, "/-/lots/job1", "x", "", http.StatusOK, "")
+	b.expectCall(http.MethodDelete, "/-/lots/job1", "x", "", http.StatusOK, "")
+	s.eventually("no run", func() bool { return u.Running() == 0 })
+	page, status := b.read("job1", 0)
+	qt.Check(t, status, qt.Equals, http.StatusOK)
+	qt.Check(t, page.Results, qt.HasLen, 0)
+}
+
+func TestJobOfAKilledVM(t *testing.T) {
+	s := newSite(t, engine("lm1", 50, 5*time.Millisecond), engine("lm2", 50, 5*time.Millisecond))
+	a := s.start("a")
+	s.start("b")
+	a.expectCall(http.MethodPost, "/batch/j", "job1", job(9), http.StatusAccepted, "")
+	a.kill()
+	s.expectDone("job1", 9, 50)
+}
+
+func TestConfigurationComesIntoForceEverywhere(t *testing.T) {
+	s := newSite(t, desk("desk1", standin.Plan{Body: "label"}))
+	a, b := s.start("a"), s.start("b")
+	s.configure(append(routes(), route("new", "safe", "desk", nil))...)
+	for _, p := range []*process{a, b} {
+		s.eventually("the new route", func() bool {
+			return p.call(http.MethodGet, "/new/x", "id", "").status == http.StatusOK
+		})
+	}
+	s.configure(routes()...)
+	for _, p := range []*process{a, b} {
+		s.eventually("no new route", func() bool {
+			return p.call(http.MethodGet, "/new/x", "id", "").status == http.StatusNotFound
+		})
+	}
+}
+
+func TestLeavingUpstreamGetsNothingMore(t *testing.T) {
+	u, other := engine("lm1", 2, time.Millisecond), engine("lm2", 2, time.Millisecond)
+	s := newSite(t, other)
+	server := httptest.NewServer(u)
+	defer server.Close()
+	s.list("lm1", server.Listener.Addr().String(), "ready")
+	vm := s.start("a")
+	for n := 0; len(u.Runs()) == 0; n++ {
+		vm.expectCall(http.MethodPost, "/stream/x", fmt.Sprint("a", n), "", http.StatusOK, text(fmt.Sprint("a", n), 2))
+	}
+	s.list("lm1", server.Listener.Addr().String(), "draining")
+	s.eventually("the upstream to be left alone", func() bool {
+		before := len(u.Runs())
+		for n := range 10 {
+			vm.call(http.MethodPost, "/stream/x", fmt.Sprint("b", n), "")
+		}
+		return len(u.Runs()) == before
+	})
+}
+
+func TestTerminationUnderLoadCutsNothing(t *testing.T) {
+	s := newSite(t, engine("lm1", 20, 10*time.Millisecond), engine("lm2", 20, 10*time.Millisecond))
+	a, b := s.start("a"), s.start("b")
+	a.expectCall(http.MethodPost, "/batch/j", "job1", job(6), http.StatusAccepted, "")
+	var group sync.WaitGroup
+	var served, cut atomic.Int32
+	for n := range 3 {
+		group.Go(func() {
+			for i := 0; a.ready(); i++ {
+				id := fmt.Sprintf("id%d-%d", n, i)
+				switch got := a.call(http.MethodPost, "/stream/x", id, ""); {
+				case got.err == nil && got.status == http.StatusOK && got.body == text(id, 20):
+					served.Add(1)
+				case got.err == nil && got.status == http.StatusServiceUnavailable: // refused, not cut
+				default:
+					cut.Add(1)
+				}
+			}
+		})
+	}
+	s.eventually("load", func() bool { return served.Load() > 3 })
+	a.terminate()
+	group.Wait()
+	<-a.exited
+	qt.Check(t, cut.Load(), qt.Equals, int32(0))
+	qt.Check(t, a.command.ProcessState.ExitCode(), qt.Equals, 0)
+	s.vms = []*process{b}
+	s.expectDone("job1", 6, 20)
+}
--- /dev/null
+++ b/internal/entryintegration/site_test.go
@@ -0,0 +1,271 @@
+// Package entryintegration_test runs entry VMs as real processes against
+// stand-ins of the users' platform.
+package entryintegration_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fescuespindle/fescuespindle/internal/emulator/rowemulator"
+	"github.com/fescuespindle/fescuespindle/internal/rowstore"
+	"github.com/fescuespindle/fescuespindle/platform"
+	"github.com/fescuespindle/fescuespindle/platform/standin"
+)
+
+// program is the program under test, built once.
+var program string
+
+func TestMain(m *testing.M) { os.Exit(testMain(m)) }
+
+func testMain(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "entry")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	program = filepath.Join(dir, "fescuespindle-entry")
+	build := exec.Command("go", "build", "-buildvcs=false", "-o", program, "../../cmd/fescuespindle-entry")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		panic(err)
+	}
+	return m.Run()
+}
+
+const (
+	host = "a.example"
+	// patience bounds every wait for something that must happen.
+	patience = 60 * time.Second
+)
+
+// site is a store, upstreams and VMs.
+type site struct {
+	t       *testing.T
+	rows    *rowemulator.Store
+	store   string
+	vms     []*process
+	version int
+}
+
+// process is one VM.
+type process struct {
+	site     *site
+	name, ip string
+	settings string
+	command  *exec.Cmd
+	output   *bytes.Buffer
+	exited   chan struct{}
+}
+
+// Ports of the VMs; each has an address of its own, so all use the same.
+const (
+	callerPort = 18140
+	readyPort  = 18141
+	peerPort   = 18142
+)
+
+func newSite(t *testing.T, upstreams ...*standin.Upstream) *site {
+	t.Helper()
+	s := &site{t: t, rows: rowemulator.New()}
+	store := httptest.NewServer(standin.NewStore(s.rows))
+	t.Cleanup(store.Close)
+	s.store = store.Listener.Addr().String()
+	for _, u := range upstreams {
+		server := httptest.NewServer(u)
+		t.Cleanup(server.CloseClientConnections)
+		s.list(u.ID(), server.Listener.Addr().String(), "ready")
+	}
+	s.configure(routes()...)
+	return s
+}
+
+// list writes an upstream's entry.
+func (s *site) list(id, address, state string) {
+	service := "lm"
+	if strings.HasPrefix(id, "desk") {
+		service = "desk"
+	}
+	s.write(rowstore.Key{Table: platform.TableUpstreams, Name: id}, map[string]any{
+		"service": service, "address": address, "zone": "d", "slots": 4, "state": state, "born": 1,
+	})
+}
+
+func (s *site) write(key rowstore.Key, value any) {
+	s.t.Helper()
+	text, err := json.Marshal(value)
+	qt.Assert(s.t, err, qt.IsNil)
+	_, err = s.rows.Apply(rowstore.Tx{Puts: []rowstore.Put{{Key: key, Value: text}}})
+	qt.Assert(s.t, err, qt.IsNil)
+}
+
+func route(name, kind, service string, more map[string]any) map[string]any {
+	r := map[string]any{
+		"name": name, "host": host, "path_prefix": "/" + name + "/", "kind": kind, "service": service,
+		"max_attempts": 1, "timeout_ms": 20_000, "target_latency_ms": 300,
+	}
+	for key, value := range more {
+		r[key] = value
+	}
+	return r
+}
+
+func routes() []map[string]any {
+	return []map[string]any{
+		route("stream", "stream", "lm", nil),
+		route("resume", "stream", "lm", map[string]any{"can_resume": true, "max_attempts": 3}),
+		route("safe", "safe", "desk", map[string]any{"max_attempts": 3}),
+		route("unsafe", "unsafe", "desk", nil),
+		route("batch", "batch", "lm", map[string]any{
+			"max_attempts": 3, "completion_target_ms": 18_000, "retention_s": 60, "max_count": 1_000_000,
+		}),
+	}
+}
+
+// configure writes a new configuration.
+func (s *site) configure(routes ...map[string]any) {
+	s.t.Helper()
+	s.version += 3
+	s.write(rowstore.Key{Table: platform.TableConfiguration, Name: platform.RowConfiguration}, map[string]any{
+		"version": s.version, "routes": routes,
+		"services": []map[string]any{{"name": "lm", "max_conns": 100}, {"name": "desk", "max_conns": 100}},
+		"limits": map[string]any{
+			"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15_000,
+		},
+	})
+}
+
+// start starts a VM and waits until it is ready.
+func (s *site) start(name string) *process {
+	s.t.Helper()
+	p := &process{site: s, name: name, ip: fmt.Sprintf("127.0.7.%d", len(s.vms)+1)}
+	s.vms = append(s.vms, p)
+	p.settings = filepath.Join(s.t.TempDir(), "settings.json")
+	text, err := json.Marshal(map[string]any{
+		"node": name, "ip": p.ip, "zone": "d", "region": "r", "zones": map[string]string{"d": "r"},
+		"listen": map[string]string{
+			"front": p.address(callerPort), "ready": p.address(readyPort),
+		},
+		"internal_ports": []int{peerPort, peerPort + 1}, "bounds": map[string]any{"grace_s": 8},
+		"platform": map[string]any{"address": s.store, "row_bytes": 65536},
+	})
+	qt.Assert(s.t, err, qt.IsNil)
+	qt.Assert(s.t, os.WriteFile(p.settings, text, 0o600), qt.IsNil)
+	p.run()
+	s.eventually("ready", p.ready)
+	return p
+}
+
+func (p *process) address(port int) string { return net.JoinHostPort(p.ip, fmt.Sprint(port)) }
+
+// run starts the process, and ends it with the test.
+func (p *process) run() {
+	p.command = exec.Command(program, "serve")
+	p.command.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settings)
+	p.output, p.exited = &bytes.Buffer{}, make(chan struct{})
+	p.command.Stdout, p.command.Stderr = p.output, p.output
+	qt.Assert(p.site.t, p.command.Start(), qt.IsNil)
+	var group sync.WaitGroup
+	command, exited := p.command, p.exited
+	group.Go(func() {
+		_ = command.Wait() // how it ended shows in its output
+		close(exited)
+	})
+	p.site.t.Cleanup(func() {
+		_ = command.Process.Kill()
+		group.Wait()
+	})
+}
+
+func (p *process) ready() bool {
+	response, err := http.Get("http://" + p.address(readyPort) + "/-/readiness")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// kill ends the process without notice.
+func (p *process) kill() {
+	_ = p.command.Process.Kill()
+	<-p.exited
+}
+
+// terminate asks the process to end.
+func (p *process) terminate() {
+	qt.Assert(p.site.t, p.command.Process.Signal(syscall.SIGTERM), qt.IsNil)
+}
+
+func (s *site) eventually(what string, happened func() bool) {
+	s.t.Helper()
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if happened() {
+			return
+		}
+	}
+	for _, p := range s.vms {
+		s.t.Log(p.name, p.output)
+	}
+	s.t.Fatal("not in time:", what)
+}
+
+// reply is an answer as a caller sees it.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// call sends a request to a VM on a connection of its own.
+func (p *process) call(method, path, id, body string, header ...string) reply {
+	request, err := http.NewRequest(method, "http://"+p.address(callerPort)+path, strings.NewReader(body))
+	qt.Assert(p.site.t, err, qt.IsNil)
+	request.Host = host
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("Deadline-Ms", "30000")
+	for i := 0; i+1 < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(text), err: err}
+}
+
+// expectCall calls and compares the status and the body.
+func (p *process) expectCall(method, path, id, body string, wantStatus int, wantBody string) {
+	p.site.t.Helper()
+	got := p.call(method, path, id, body)
+	qt.Assert(p.site.t, got.err, qt.IsNil)
+	qt.Check(p.site.t, got.status, qt.Equals, wantStatus)
+	qt.Check(p.site.t, got.body, qt.Equals, wantBody)
+}
+
+// text is the whole stream of a request.
+func text(id string, events int) string {
+	var all strings.Builder
+	for n := 1; n <= events; n++ {
+		all.WriteString(standin.EventText(id, n))
+	}
+	return all.String()
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -56,17 +56,32 @@
 // Forwarder has the connections to upstreams.
 type Forwarder struct {
 	identify Identifier
-	dial     func(ctx context.Context, network, address string) (net.Conn, error)
+	dial     Dial
 	group    sync.WaitGroup
 
 	mu   sync.Mutex
 	idle map[string][]*connection // by address, the newest last
 }
 
+// Dial opens connections.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Option sets one property of a Forwarder.
+type Option func(*Forwarder)
+
+// WithDial sets how connections are opened; the default is TCP.
+func WithDial(dial Dial) Option {
+	return func(f *Forwarder) { f.dial = dial }
+}
+
 // New returns a forwarder.
-func New(identify Identifier) *Forwarder {
+func New(identify Identifier, options ...Option) *Forwarder {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
-	return &Forwarder{identify: identify, dial: dialer.DialContext, idle: map[string][]*connection{}}
+	f := &Forwarder{identify: identify, dial: dialer.DialContext, idle: map[string][]*connection{}}
+	for _, option := range options {
+		option(f)
+	}
+	return f
 }
 
 // Close closes idle connections and waits for writes under way.
--- a/internal/rowstore/rowstore.go
+++ b/internal/rowstore/rowstore.go
@@ -94,6 +94,9 @@
 	return Row{}, false
 }
 
+// CurrentRows returns all rows as the transaction found them.
+func (e *ConflictError) CurrentRows() []Row { return e.current }
+
 // Store is the platform's store. No call is tried twice.
 type Store interface {
 	// Transact returns ErrConflict (a ConflictError), ErrNotDone or ErrUnknown.
