Store calls go through other VMs while the store turns this one away

Cause: a store that refuses some VMs (or a cut between one VM and the store) left their jobs unaccepted and their results uncommitted for as long as it lasted, although other VMs were served.

Ruled out: handing the job itself to another VM, which would need the same for results, cancels, configuration and the list of upstreams.

Change: storerelayer, a transport of the store's client. A call that surely was not done goes through another VM of the region; one call at a time tries the direct way again. A call that may have been done is never sent by another way.

--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -30,6 +30,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/registrar"
 	"github.com/fescuespindle/fescuespindle/internal/router"
 	"github.com/fescuespindle/fescuespindle/internal/rowstore"
+	"github.com/fescuespindle/fescuespindle/internal/storerelayer"
 	"github.com/fescuespindle/fescuespindle/internal/watcher"
 	"github.com/fescuespindle/fescuespindle/platform"
 )
@@ -52,6 +53,7 @@
 	boot      uint64
 	logger    *slog.Logger
 	counter   *counter.Counters
+	relayer   *storerelayer.Relayer
 	store     rowstore.Store
 	forwarder *forwarder.Forwarder
 	placer    *placer.Placer
@@ -74,7 +76,7 @@
 		settings: settings, boot: rand.Uint64(), logger: logger, counter: counter.New(metrics.NewSet()),
 	}
 	codec := platform.Codec{}
-	teller, err := peerteller.New(settings.VM, vm.boot, net.JoinHostPort(settings.IP, strconv.Itoa(settings.PeerPort)), logger)
+	teller, err := peerteller.New(settings.VM, vm.boot, vm.peerAddress(), logger)
 	if err != nil {
 		return nil, fmt.Errorf("start peer messages: %w", err)
 	}
@@ -82,7 +84,8 @@
 	vm.placer = placer.New(settings.VM, settings.Domain, settings.Regions, placer.WithChanged(vm.workChanged))
 	teller.SetPlacer(vm.placer, vm.wakeRunner)
 	vm.forwarder = forwarder.New(codec.AnswerID)
-	vm.store = platform.NewStore(settings.StoreAddress, storeTransport())
+	vm.relayer = storerelayer.New(settings.StoreAddress, storeTransport(), storeTransport(), vm.counter, logger)
+	vm.store = platform.NewStore(settings.StoreAddress, vm.relayer)
 	self := memberkeeper.Member{VM: settings.VM, IP: settings.IP, Domain: settings.Domain, Boot: vm.boot}
 	vm.members = memberkeeper.New(vm.store, self, vm.setPeers, logger)
 	couriers := courier.New(vm.forwarder, vm.placer, codec)
@@ -112,20 +115,33 @@
 	return router.Limits{}
 }
 
-// setPeers tells the teller of the other VMs.
+// peerAddress is where other VMs reach this one, over TCP and UDP.
+func (vm *VM) peerAddress() string {
+	return net.JoinHostPort(vm.settings.IP, strconv.Itoa(vm.settings.PeerPort))
+}
+
+// setPeers tells those parts of the other VMs that speak to them.
 func (vm *VM) setPeers(members []memberkeeper.Member) {
 	peers := make([]peerteller.Peer, 0, len(members))
+	var near, far []string
 	for _, m := range members {
 		address, err := netip.ParseAddr(m.IP)
 		if err != nil {
 			vm.logger.Warn("VM without an address", "vm", m.VM, "error", err)
 			continue
 		}
-		peers = append(peers, peerteller.Peer{
+		peer := peerteller.Peer{
 			VM: m.VM, Address: netip.AddrPortFrom(address, uint16(vm.settings.PeerPort)),
 			Far: vm.settings.Regions[m.Domain] != vm.settings.Region,
-		})
+		}
+		peers = append(peers, peer)
+		if peer.Far {
+			far = append(far, peer.Address.String())
+		} else {
+			near = append(near, peer.Address.String())
+		}
 	}
+	vm.relayer.SetPeers(near, far)
 	vm.teller.SetPeers(peers)
 	vm.keeper.SetVMs(len(peers) + 1)
 }
@@ -140,6 +156,7 @@
 	if err := errors.Join(
 		vm.serve(vm.settings.CallerAddress, vm.callers),
 		vm.serve(vm.settings.ReadyAddress, &http.Server{Handler: &vm.readiness, ReadHeaderTimeout: readHeaderTime}),
+		vm.serve(vm.peerAddress(), &http.Server{Handler: vm.relayer, ReadHeaderTimeout: readHeaderTime}),
 		vm.serve(net.JoinHostPort(vm.settings.IP, strconv.Itoa(metricsPort)), vm.metricsServer()),
 	); err != nil {
 		return err
--- /dev/null
+++ b/internal/storerelayer/relayer.go
@@ -0,0 +1,272 @@
+// Package storerelayer reaches the store through other VMs while it turns this
+// one away, or the way to it is cut.
+//
+// A store may refuse some VMs and serve the others. What such a VM has to write,
+// a result or a job that a caller hands in, needn't wait for that to end.
+package storerelayer
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// detour is how long all calls go through other VMs before one of them tries
+	// the direct way again.
+	detour = 1500 * time.Millisecond
+	// outage is how long no other VM is asked after one that doesn't reach the
+	// store either.
+	outage = 700 * time.Millisecond
+	// maxPeers bounds the other VMs that are asked for one call.
+	maxPeers = 2
+	maxBody  = 2 << 20
+	// headerRelayed marks a call that comes from another VM, or an answer of the
+	// store that another VM hands back.
+	headerRelayed = "Fescuespindle-Relayed"
+)
+
+// errNoPeer means that no other VM reaches the store.
+var errNoPeer = errors.New("no other VM reaches the store")
+
+// Counter counts events by name.
+type Counter interface {
+	Count(name string)
+}
+
+// Relayer is an http.RoundTripper to the store, and a handler for other VMs.
+type Relayer struct {
+	address string // of the store
+	direct  http.RoundTripper
+	peer    http.RoundTripper
+	counter Counter
+	logger  *slog.Logger
+
+	mu       sync.Mutex
+	peers    []string // addresses
+	away     bool     // the store turned this VM away when it was last asked
+	probeAt  time.Time
+	probing  bool
+	outageTo time.Time
+}
+
+var (
+	_ http.RoundTripper = (*Relayer)(nil)
+	_ http.Handler      = (*Relayer)(nil)
+)
+
+// New returns a relayer to the store at an address. The transports reach the
+// store and other VMs.
+func New(address string, direct, peer http.RoundTripper, counter Counter, logger *slog.Logger) *Relayer {
+	return &Relayer{address: address, direct: direct, peer: peer, counter: counter, logger: logger}
+}
+
+// SetPeers replaces the addresses at which other VMs relay calls. Those in other
+// regions are asked only if there are none in the same one.
+func (r *Relayer) SetPeers(near, far []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.peers = near
+	if len(near) == 0 {
+		r.peers = far
+	}
+}
+
+// RoundTrip implements http.RoundTripper. It sends a call again by another way
+// only if it surely was not done.
+func (r *Relayer) RoundTrip(request *http.Request) (*http.Response, error) {
+	body, err := readBody(request)
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	if r.takesDetour(now) {
+		response, err := r.throughPeers(request, body)
+		if !errors.Is(err, errNoPeer) {
+			return response, err
+		}
+		r.noteOutage(now)
+	}
+	response, err := r.direct.RoundTrip(copyOf(request, body))
+	if !r.turnedAway(response, err) {
+		r.noteDirect()
+		return response, err
+	}
+	r.noteTurnedAway(response, err)
+	if !notDone(response, err) || !r.takesDetour(time.Now()) {
+		return response, err
+	}
+	relayed, relayErr := r.throughPeers(request, body)
+	if errors.Is(relayErr, errNoPeer) {
+		r.noteOutage(time.Now())
+		return response, err
+	}
+	if response != nil {
+		_ = response.Body.Close()
+	}
+	return relayed, relayErr
+}
+
+func readBody(request *http.Request) ([]byte, error) {
+	if request.Body == nil {
+		return nil, nil
+	}
+	defer func() { _ = request.Body.Close() }()
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return nil, fmt.Errorf("read call: %w", err)
+	}
+	return body, nil
+}
+
+// copyOf returns a call that can be sent once.
+func copyOf(request *http.Request, body []byte) *http.Request {
+	again := request.Clone(request.Context())
+	again.Body, again.GetBody = io.NopCloser(bytes.NewReader(body)), nil
+	if len(body) == 0 {
+		again.Body = http.NoBody
+	}
+	again.ContentLength = int64(len(body))
+	return again
+}
+
+// turnedAway tells whether an outcome says that the store doesn't serve this VM.
+func (r *Relayer) turnedAway(response *http.Response, err error) bool {
+	return err != nil || response.StatusCode == http.StatusServiceUnavailable ||
+		response.StatusCode == http.StatusTooManyRequests
+}
+
+// notDone tells whether a call surely had no effect.
+func notDone(response *http.Response, err error) bool {
+	if err == nil {
+		return true // a refusal
+	}
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
+
+// takesDetour tells whether a call goes through other VMs. While the direct way
+// is closed, one call at a time finds out whether it still is.
+func (r *Relayer) takesDetour(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.away || now.Before(r.outageTo) || len(r.peers) == 0 {
+		return false
+	}
+	if now.Before(r.probeAt) || r.probing {
+		return true
+	}
+	r.probing = true
+	return false
+}
+
+func (r *Relayer) noteDirect() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.away {
+		r.logger.Info("store reached directly again")
+	}
+	r.away, r.probing = false, false
+}
+
+func (r *Relayer) noteTurnedAway(response *http.Response, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.away {
+		status := 0
+		if response != nil {
+			status = response.StatusCode
+		}
+		r.logger.Warn("store turns this VM away, other VMs are asked", "status", status, "error", err)
+	}
+	r.away, r.probing, r.probeAt = true, false, time.Now().Add(detour)
+}
+
+func (r *Relayer) noteOutage(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.outageTo = now.Add(outage)
+}
+
+// throughPeers sends a call through other VMs until one of them reaches the
+// store.
+func (r *Relayer) throughPeers(request *http.Request, body []byte) (*http.Response, error) {
+	for _, address := range r.somePeers() {
+		call := copyOf(request, body)
+		call.URL.Host, call.Host = address, r.address
+		call.Header.Set(headerRelayed, "1")
+		response, err := r.peer.RoundTrip(call)
+		if err != nil && notDone(nil, err) {
+			continue
+		}
+		if err != nil {
+			return nil, err //nolint:wrapcheck // the store's client tells the kinds apart
+		}
+		if response.Header.Get(headerRelayed) == "" || r.turnedAway(response, nil) {
+			_ = response.Body.Close()
+			continue
+		}
+		r.counter.Count("store_calls_relayed_total")
+		return response, nil
+	}
+	return nil, errNoPeer
+}
+
+func (r *Relayer) somePeers() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := len(r.peers)
+	if n == 0 {
+		return nil
+	}
+	first := rand.IntN(n)
+	some := make([]string, 0, maxPeers)
+	for i := range min(n, maxPeers) {
+		some = append(some, r.peers[(first+i)%n])
+	}
+	return some
+}
+
+// ServeHTTP sends another VM's call to the store, directly only.
+func (r *Relayer) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	if request.Header.Get(headerRelayed) == "" {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, maxBody))
+	if err != nil {
+		w.WriteHeader(http.StatusServiceUnavailable) // not sent on
+		return
+	}
+	call, err := http.NewRequestWithContext(request.Context(), request.Method,
+		"http://"+r.address+request.URL.RequestURI(), bytes.NewReader(body))
+	if err != nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	call.Header.Set("Content-Type", request.Header.Get("Content-Type"))
+	response, err := r.direct.RoundTrip(call)
+	switch {
+	case err != nil && notDone(nil, err):
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case err != nil:
+		w.Header().Set(headerRelayed, "1")
+		w.WriteHeader(http.StatusBadGateway) // it may have been done
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	w.Header().Set(headerRelayed, "1")
+	w.Header().Set("Content-Type", response.Header.Get("Content-Type"))
+	w.WriteHeader(response.StatusCode)
+	if _, err := io.Copy(w, response.Body); err != nil {
+		panic(http.ErrAbortHandler) // the answer must not look whole
+	}
+}
--- /dev/null
+++ b/internal/storerelayer/relayer_test.go
@@ -0,0 +1,117 @@
+package storerelayer_test
+
+import (
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fescuespindle/fescuespindle/internal/counter"
+	"github.com/fescuespindle/fescuespindle/internal/storerelayer"
+)
+
+// way is what becomes of a VM's calls on their way to the store.
+type way func(request *http.Request) (*http.Response, error)
+
+// RoundTrip implements http.RoundTripper.
+func (w way) RoundTrip(request *http.Request) (*http.Response, error) { return w(request) }
+
+func open(request *http.Request) (*http.Response, error) {
+	return http.DefaultTransport.RoundTrip(request)
+}
+
+func cut(*http.Request) (*http.Response, error) {
+	return nil, &net.OpError{Op: "dial", Err: errors.New("cut")}
+}
+
+func reset(*http.Request) (*http.Response, error) { return nil, errors.New("reset") }
+
+func answering(status int) way {
+	return func(*http.Request) (*http.Response, error) {
+		return &http.Response{StatusCode: status, Body: http.NoBody, Header: http.Header{}}, nil
+	}
+}
+
+// newPair returns a VM with a way to the store, another that relays by a way of
+// its own, and the number of calls that reached the store.
+func newPair(t *testing.T, own, others way) (*storerelayer.Relayer, *atomic.Int32) {
+	t.Helper()
+	var calls atomic.Int32
+	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		body, _ := io.ReadAll(r.Body)
+		_, _ = w.Write(append([]byte(r.URL.RequestURI()+" "), body...))
+	}))
+	t.Cleanup(store.Close)
+	address := store.Listener.Addr().String()
+	logger, count := slog.New(slog.DiscardHandler), counter.New(metrics.NewSet())
+	other := httptest.NewServer(storerelayer.New(address, others, http.DefaultTransport, count, logger))
+	t.Cleanup(other.Close)
+	vm := storerelayer.New(address, own, http.DefaultTransport, count, logger)
+	vm.SetPeers([]string{other.Listener.Addr().String()}, nil)
+	return vm, &calls
+}
+
+func call(t *testing.T, vm *storerelayer.Relayer) (string, error) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodPost, "http://store/x?y=1", strings.NewReader("body"))
+	qt.Assert(t, err, qt.IsNil)
+	response, err := vm.RoundTrip(request)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	qt.Assert(t, err, qt.IsNil)
+	return http.StatusText(response.StatusCode) + " " + string(body), nil
+}
+
+func expectCall(t *testing.T, own, others way, want string, wantCalls int) {
+	t.Helper()
+	vm, calls := newPair(t, own, others)
+	got, err := call(t, vm)
+	if want == "" {
+		qt.Check(t, err, qt.IsNotNil)
+	} else {
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, got, qt.Equals, want)
+	}
+	qt.Check(t, int(calls.Load()), qt.Equals, wantCalls)
+}
+
+func TestCalls(t *testing.T) {
+	const done = "OK /x?y=1 body"
+	t.Run("refused to this VM", func(t *testing.T) {
+		expectCall(t, answering(http.StatusServiceUnavailable), open, done, 1)
+	})
+	t.Run("way cut", func(t *testing.T) { expectCall(t, cut, open, done, 1) })
+	t.Run("one that may have been done is not sent again", func(t *testing.T) { expectCall(t, reset, open, "", 0) })
+	t.Run("refused to all", func(t *testing.T) {
+		busy := answering(http.StatusServiceUnavailable)
+		expectCall(t, busy, busy, "Service Unavailable ", 0)
+	})
+	t.Run("lost behind the other VM", func(t *testing.T) {
+		expectCall(t, cut, reset, "Bad Gateway ", 0)
+	})
+	t.Run("conflict at the store", func(t *testing.T) {
+		expectCall(t, cut, answering(http.StatusPreconditionFailed), "Precondition Failed ", 0)
+	})
+}
+
+func TestTheNextCallAfterALostOneTakesTheDetour(t *testing.T) {
+	vm, calls := newPair(t, reset, open)
+	_, err := call(t, vm)
+	qt.Assert(t, err, qt.IsNotNil)
+	got, err := call(t, vm)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, got, qt.Equals, "OK /x?y=1 body")
+	qt.Check(t, int(calls.Load()), qt.Equals, 1)
+}
