--- a/internal/batchkeeper/owner.go
+++ b/internal/batchkeeper/owner.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 
 	"github.com/fescuespindle/fescuespindle/internal/rowstore"
 )
@@ -41,15 +43,44 @@
 // Release gives a job up, with what this process has of items that were running,
 // so that another VM goes on from there.
 func (k *Keeper) Release(ctx context.Context, seen Stored, progress map[int]Progress) (Stored, error) {
+	tx, err := putProgress(seen.ID, progress)
+	if err != nil {
+		return seen, err
+	}
+	return k.write(ctx, seen, tx, func(r *Record) { r.Owner = Owner{} })
+}
+
+// Checkpoint writes what this process has of items that are running, if the job
+// is as this process knows it. It may as well fail.
+func (k *Keeper) Checkpoint(ctx context.Context, seen Stored, progress map[int]Progress) error {
+	tx, err := putProgress(seen.ID, progress)
+	if err != nil {
+		return err
+	}
+	tx.Conditions = []rowstore.Condition{{Key: recordKey(seen.ID), Version: seen.Version}}
+	if _, err := k.transact(ctx, tx); err != nil {
+		return fmt.Errorf("%w: %w", ErrNotWritten, err)
+	}
+	return nil
+}
+
+// putProgress returns the writes of a job's progress. What doesn't fit into one
+// transaction is left out; the items concerned start over if it is needed.
+func putProgress(id string, progress map[int]Progress) (rowstore.Tx, error) {
 	var tx rowstore.Tx
-	for item, p := range progress {
-		row, err := put(numberedKey(tableProgress, seen.ID, item), p)
+	size := 0
+	for _, item := range slices.Sorted(maps.Keys(progress)) {
+		row, err := put(numberedKey(tableProgress, id, item), progress[item])
 		if err != nil {
-			return seen, fmt.Errorf("%w: %w", ErrNotWritten, err)
+			return tx, fmt.Errorf("%w: %w", ErrNotWritten, err)
+		}
+		size += len(row.Value)
+		if size > maxTxBytes || len(tx.Puts) == maxRows {
+			break
 		}
 		tx.Puts = append(tx.Puts, row)
 	}
-	return k.write(ctx, seen, tx, func(r *Record) { r.Owner = Owner{} })
+	return tx, nil
 }
 
 // write changes a job's record, and writes rows with it, if the record is still
--- a/internal/batchrunner/job.go
+++ b/internal/batchrunner/job.go
@@ -1,13 +1,13 @@
 package batchrunner
 
 import (
-	"cmp"
 	"context"
-	"slices"
+	"sync"
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/batchkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/placer"
+	"github.com/fescuespindle/fescuespindle/internal/ranker"
 )
 
 // job is a job that this VM runs.
@@ -19,6 +19,8 @@
 	outbox     []batchkeeper.Result
 	changed    bool // trials have changed since the last commit
 	committing bool
+	// checkpointDue is when what there is of items is written next.
+	checkpointDue time.Time
 	// dropped jobs are another VM's, or have ended.
 	dropped bool
 }
@@ -46,8 +48,18 @@
 	avoid  map[string]bool
 	place  *placer.Place
 	cancel context.CancelFunc
+	live   *live     // of the run under way
+	began  time.Time // of the run under way
+	// ran is the time of all runs so far, and kept the bytes of the last
+	// checkpoint.
+	ran  time.Duration
+	kept int
 }
 
+// checkpointBytes is what an item must have made since the last checkpoint for
+// the next one to have it.
+const checkpointBytes = 1 << 10
+
 func newJob(stored batchkeeper.Stored, loaded batchkeeper.Loaded) *job {
 	j := &job{stored: stored}
 	for index, content := range loaded.Items {
@@ -111,27 +123,100 @@
 	}
 }
 
-// pending returns the items that may start, those of the job that is due first
-// at the front, and among those of one job the ones that have got farthest.
+// newProgress returns what there is of items that run or wait, where it is
+// more than at the last checkpoint.
+func (j *job) newProgress() map[int]batchkeeper.Progress {
+	progress := map[int]batchkeeper.Progress{}
+	for _, it := range j.items {
+		if it.state == stateEnded {
+			continue
+		}
+		p := it.current()
+		if len(p.Output) >= it.kept+checkpointBytes {
+			progress[it.index] = p
+			it.kept = len(p.Output)
+		}
+	}
+	return progress
+}
+
+// current returns what there is of an item, also while it runs.
+func (it *item) current() batchkeeper.Progress {
+	if it.state == stateRunning {
+		return it.live.get()
+	}
+	return it.progress
+}
+
+// live is the progress of a run, which the run's goroutine writes.
+type live struct {
+	mu       sync.Mutex
+	progress batchkeeper.Progress
+}
+
+func (l *live) set(p batchkeeper.Progress) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.progress = p
+}
+
+func (l *live) get() batchkeeper.Progress {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.progress
+}
+
+// pace is how long items take, as the runs of this VM show.
+type pace struct {
+	run    time.Duration // running time of a whole item
+	output float64       // bytes of a whole item
+}
+
+const (
+	// startPace is taken until an item is done.
+	startPace = 5 * time.Second
+	// paceWeight is the weight of a new item in the means.
+	paceWeight = 0.1
+)
+
+// whole takes in an item that is done.
+func (p *pace) whole(run time.Duration, output int) {
+	if p.run == 0 {
+		p.run, p.output = run, float64(output)
+		return
+	}
+	p.run += time.Duration(paceWeight * float64(run-p.run))
+	p.output += paceWeight * (float64(output) - p.output)
+}
+
+// of returns how long a whole item takes, and the part of it that an output is.
+func (p *pace) of(output int) (run time.Duration, made float64) {
+	if p.run == 0 {
+		return startPace, 0
+	}
+	return p.run, min(float64(output)/max(p.output, 1), 1)
+}
+
+// pending returns the items that may start, in the order in which they get room.
 func (r *Runner) pending(now time.Time) []*item {
-	var waiting []*item
+	var waiting []ranker.Item
+	run, _ := r.pace.of(0)
 	for _, j := range r.jobs {
 		if j.dropped {
 			continue
 		}
 		for _, it := range j.items {
-			if it.state == statePending && !now.Before(it.notBefore) {
-				waiting = append(waiting, it)
+			if it.state != statePending || now.Before(it.notBefore) {
+				continue
 			}
+			_, made := r.pace.of(len(it.progress.Output))
+			waiting = append(waiting, ranker.Item{Job: j.stored.ID, Index: it.index, Due: j.stored.Due, Made: made})
 		}
 	}
-	slices.SortFunc(waiting, func(a, b *item) int {
-		return cmp.Or(
-			cmp.Compare(a.job.stored.Due, b.job.stored.Due),
-			cmp.Compare(a.job.stored.ID, b.job.stored.ID),
-			cmp.Compare(len(b.progress.Output), len(a.progress.Output)),
-			cmp.Compare(a.index, b.index),
-		)
-	})
-	return waiting
+	ranker.Order(waiting, r.keeper.Now(), run)
+	items := make([]*item, 0, len(waiting))
+	for _, w := range waiting {
+		items = append(items, r.jobs[w.Job].items[w.Index])
+	}
+	return items
 }
--- a/internal/batchrunner/run.go
+++ b/internal/batchrunner/run.go
@@ -64,18 +64,20 @@
 	call := &courier.Call{
 		ID: it.ID, Method: http.MethodPost, URI: it.URI, Host: it.job.stored.Host, Header: it.Header, Body: it.Body,
 	}
-	progress := it.progress
+	now := &live{progress: it.progress}
+	it.live, it.began = now, time.Now()
 	r.loop.Go(func(loop context.Context) stepper.Event {
 		defer context.AfterFunc(loop, cancel)()
-		ending := r.run(ctx, place, call, progress)
+		ending := r.run(ctx, place, call, now)
 		return func(now time.Time) { r.ended(it, ending, now) }
 	})
 }
 
 // run makes one attempt, which goes on after what is there already.
 func (r *Runner) run(
-	ctx context.Context, place *placer.Place, call *courier.Call, progress batchkeeper.Progress,
+	ctx context.Context, place *placer.Place, call *courier.Call, now *live,
 ) ending {
+	progress := now.get()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stall := time.AfterFunc(firstEventTime, func() { cancel(errStalled) })
@@ -88,7 +90,7 @@
 	if delivery.Status() >= http.StatusMultipleChoices {
 		return endingOfStatus(ctx, delivery, progress)
 	}
-	return readEvents(ctx, delivery, progress, stall)
+	return readEvents(ctx, delivery, now, stall)
 }
 
 var (
@@ -126,8 +128,9 @@
 
 // readEvents appends the data of all events to what is there already.
 func readEvents(
-	ctx context.Context, d *courier.Delivery, progress batchkeeper.Progress, stall *time.Timer,
+	ctx context.Context, d *courier.Delivery, now *live, stall *time.Timer,
 ) ending {
+	progress := now.get()
 	events := eventsplitter.New(d)
 	for n := 0; ; n++ {
 		event, err := events.Next()
@@ -150,6 +153,7 @@
 		}
 		progress.Output = event.AppendData(progress.Output)
 		progress.LastEvent = event.ID()
+		now.set(progress)
 	}
 }
 
@@ -158,7 +162,8 @@
 	upstream := it.place.Upstream().ID
 	delete(r.running, it.place)
 	it.cancel()
-	it.place, it.cancel = nil, nil
+	it.place, it.cancel, it.live = nil, nil, nil
+	it.ran += now.Sub(it.began)
 	it.state, it.progress = statePending, e.progress
 	it.avoid = nil
 	if e.fate != fateStopped {
@@ -171,6 +176,7 @@
 	switch e.fate {
 	case fateWhole:
 		r.counter.Count(`items_total{outcome="completed"}`)
+		r.pace.whole(it.ran, len(it.progress.Output))
 		it.job.end(it, true)
 	case fateImpossible:
 		r.giveUp(it, "impossible")
--- a/internal/batchrunner/runner.go
+++ b/internal/batchrunner/runner.go
@@ -26,6 +26,7 @@
 	Load(ctx context.Context, id string) (batchkeeper.Loaded, error)
 	Commit(ctx context.Context, seen batchkeeper.Stored, results []batchkeeper.Result, tokens int64,
 		trials map[int]batchkeeper.Trial) (batchkeeper.Stored, error)
+	Checkpoint(ctx context.Context, seen batchkeeper.Stored, progress map[int]batchkeeper.Progress) error
 	Release(ctx context.Context, seen batchkeeper.Stored, progress map[int]batchkeeper.Progress,
 	) (batchkeeper.Stored, error)
 }
@@ -45,6 +46,7 @@
 type Members interface {
 	Informed(now time.Time) bool
 	Lives(vm string, boot uint64, now time.Time) bool
+	Replaced(vm string, boot, version uint64) bool
 	Successors(now time.Time) []string
 }
 
@@ -78,6 +80,7 @@
 
 	jobs     map[string]*job
 	running  map[*placer.Place]*item
+	pace     pace
 	orphans  map[string]time.Time // when a job was first seen without an owner
 	claiming map[string]bool
 	scanning bool
@@ -150,6 +153,12 @@
 		r.scan(now)
 	}
 	r.expire()
+	if r.leaving {
+		return
+	}
+	for _, j := range r.jobs {
+		r.checkpoint(j, now)
+	}
 }
 
 // schedule is called after every change: it stops what must give way and starts
--- a/internal/batchrunner/runner_test.go
+++ b/internal/batchrunner/runner_test.go
@@ -111,6 +111,9 @@
 	return f.alive[batchkeeper.Owner{VM: vm, Boot: boot}]
 }
 
+// Replaced implements batchrunner.Members.
+func (f *fleet) Replaced(string, uint64, uint64) bool { return false }
+
 // Successors implements batchrunner.Members.
 func (f *fleet) Successors(time.Time) []string {
 	f.mu.Lock()
@@ -247,6 +250,27 @@
 	})
 }
 
+// A job goes on from its last checkpoint when its owner is lost.
+func TestALostVMCostsLittleOfARun(t *testing.T) {
+	long := func(string, *http.Request) standin.Plan { return standin.Plan{Events: 200, Gap: 50 * time.Millisecond} }
+	inFleet(t, 2, long, func(f *fleet) {
+		a, b := f.start("a"), f.start("b")
+		defer b.stop()
+		f.submit(a, 1)
+		time.Sleep(7 * time.Second)
+		a.stop()
+		time.Sleep(10 * time.Second)
+		resumed := 0
+		for _, run := range f.runs() {
+			resumed = max(resumed, run.After)
+		}
+		qt.Check(f.t, resumed >= 60, qt.IsTrue, qt.Commentf("went on after event %d", resumed))
+		page, err := b.keeper.Results(f.t.Context(), "j", 0)
+		qt.Assert(f.t, err, qt.IsNil)
+		qt.Check(f.t, page.Results, qt.HasLen, 1)
+	})
+}
+
 func TestAPausedOwnerAddsNothingToAJobTakenOver(t *testing.T) {
 	inFleet(t, 2, fast, func(f *fleet) {
 		a, b := f.start("a"), f.start("b")
--- a/internal/batchrunner/store.go
+++ b/internal/batchrunner/store.go
@@ -18,7 +18,11 @@
 	// before it is begun anew.
 	storeTime  = 3 * time.Second
 	commitTime = 8 * time.Second
-	// orphanTime is how long a job must be seen without a living owner before it
+	// checkpointPeriod is the time between two checkpoints of a job, and
+	// checkpointTime bounds the writing of one.
+	checkpointPeriod = 2 * time.Second
+	checkpointTime   = time.Second
+	// orphanTime is how long the owner of a job must seem to be lost before the job
 	// is taken over, and rankTime is added for each VM that comes first.
 	orphanTime = 1100 * time.Millisecond
 	rankTime   = 700 * time.Millisecond
@@ -73,7 +77,8 @@
 		return false
 	}
 	owner := record.Owner
-	if owner != (batchkeeper.Owner{}) && r.members.Lives(owner.VM, owner.Boot, now) {
+	ended := owner == (batchkeeper.Owner{}) || r.members.Replaced(owner.VM, owner.Boot, record.Version)
+	if !ended && r.members.Lives(owner.VM, owner.Boot, now) {
 		delete(r.orphans, record.ID)
 		return false
 	}
@@ -83,7 +88,7 @@
 		since = now
 	}
 	wait := time.Duration(r.rank(record.ID, now)) * rankTime
-	if owner != (batchkeeper.Owner{}) {
+	if !ended {
 		wait += orphanTime
 	}
 	return now.Sub(since) >= wait
@@ -180,6 +185,33 @@
 	}
 }
 
+// checkpoint writes what there is of a job's items, so that not all is lost with
+// this VM. One that fails does no harm: the next one makes up for it.
+func (r *Runner) checkpoint(j *job, now time.Time) {
+	if j.committing || j.dropped || now.Before(j.checkpointDue) {
+		return
+	}
+	j.checkpointDue = now.Add(checkpointPeriod)
+	progress := j.newProgress()
+	if len(progress) == 0 {
+		return
+	}
+	j.committing = true
+	seen := j.stored
+	r.loop.Go(func(ctx context.Context) stepper.Event {
+		ctx, cancel := context.WithTimeout(ctx, checkpointTime)
+		defer cancel()
+		err := r.keeper.Checkpoint(ctx, seen, progress)
+		return func(time.Time) {
+			j.committing = false
+			r.counter.Count("checkpoints_total")
+			if err != nil {
+				r.logger.Info("progress not kept", "job", seen.ID, "items", len(progress), "error", err)
+			}
+		}
+	})
+}
+
 // Release stops all items and gives up all jobs, with what there is of their
 // items, so that other VMs go on with them. It returns when that is done or the
 // context ends.
--- a/internal/memberkeeper/keeper.go
+++ b/internal/memberkeeper/keeper.go
@@ -165,6 +165,19 @@
 	return found && s.member.Boot == boot && now.Sub(s.changed) < lapse && !s.member.Leaving
 }
 
+// Replaced tells whether the process with a boot number surely has ended, because
+// another one of the same VM has written to the store after it: after the row
+// version at which it is known to have lived.
+func (k *Keeper) Replaced(vm string, boot, version uint64) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if vm == k.self.VM {
+		return boot != k.self.Boot
+	}
+	s, found := k.seen[vm]
+	return found && s.member.Boot != boot && s.version > version
+}
+
 // Successors returns the VMs that may take over work: all that live and are not
 // leaving, this one among them.
 func (k *Keeper) Successors(now time.Time) []string {
--- a/internal/memberkeeper/keeper_test.go
+++ b/internal/memberkeeper/keeper_test.go
@@ -66,3 +66,18 @@
 	expectLives(t, k, 12, "b", 2, true)
 	expectLives(t, k, 12, "c", 3, true)
 }
+
+func TestAProcessIsReplacedByALaterOneOfItsVM(t *testing.T) {
+	k := newKeeper()
+	k.Observe([]rowstore.Row{row(t, "b", 2, 10)}, start)
+	expect := func(vm string, boot, version uint64, want bool) {
+		t.Helper()
+		qt.Check(t, k.Replaced(vm, boot, version), qt.Equals, want)
+	}
+	expect("b", 1, 9, true)
+	expect("b", 1, 11, false) // it wrote after the row, which is yet to change
+	expect("b", 2, 9, false)
+	expect("other", 1, 9, false)
+	expect("a", 7, 99, true) // this VM's own process before
+	expect("a", 1, 99, false)
+}
--- a/internal/storerelayer/relayer.go
+++ b/internal/storerelayer/relayer.go
@@ -100,7 +100,7 @@
 		return response, err
 	}
 	r.noteTurnedAway(response, err)
-	if !notDone(response, err) || !r.takesDetour(time.Now()) {
+	if (err != nil && !notSent(err)) || !r.takesDetour(time.Now()) {
 		return response, err
 	}
 	relayed, relayErr := r.throughPeers(request, body)
@@ -143,11 +143,8 @@
 		response.StatusCode == http.StatusTooManyRequests
 }
 
-// notDone tells whether a call surely had no effect.
-func notDone(response *http.Response, err error) bool {
-	if err == nil {
-		return true // a refusal
-	}
+// notSent tells whether an error means that a call surely had no effect.
+func notSent(err error) bool {
 	var operation *net.OpError
 	return errors.As(err, &operation) && operation.Op == "dial"
 }
@@ -203,7 +200,7 @@
 		call.URL.Host, call.Host = address, r.address
 		call.Header.Set(headerRelayed, "1")
 		response, err := r.peer.RoundTrip(call)
-		if err != nil && notDone(nil, err) {
+		if err != nil && notSent(err) {
 			continue
 		}
 		if err != nil {
@@ -254,7 +251,7 @@
 	call.Header.Set("Content-Type", request.Header.Get("Content-Type"))
 	response, err := r.direct.RoundTrip(call)
 	switch {
-	case err != nil && notDone(nil, err):
+	case err != nil && notSent(err):
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case err != nil:
