Requests that crash upstreams are refused on all VMs

Cause: only batch items were bounded in the upstreams that they may crash; the same online request, sent again to whichever VM, was not.

Change: the gateway strikes a request whose upstream breaks off before its second event, and refuses one with three strikes; strikes travel on the messages between VMs. Ruled out: isolating suspects, as the product's own interface does, since streams that may run once are not sent again here. A caller that stops taking an answer no longer counts against the upstream.

--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -27,6 +27,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/memberkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/peerteller"
 	"github.com/fescuespindle/fescuespindle/internal/placer"
+	"github.com/fescuespindle/fescuespindle/internal/quarantiner"
 	"github.com/fescuespindle/fescuespindle/internal/registrar"
 	"github.com/fescuespindle/fescuespindle/internal/router"
 	"github.com/fescuespindle/fescuespindle/internal/rowstore"
@@ -49,19 +50,20 @@
 
 // VM is one entry VM.
 type VM struct {
-	settings  platform.Settings
-	boot      uint64
-	logger    *slog.Logger
-	counter   *counter.Counters
-	relayer   *storerelayer.Relayer
-	store     rowstore.Store
-	forwarder *forwarder.Forwarder
-	placer    *placer.Placer
-	teller    *peerteller.Teller
-	members   *memberkeeper.Keeper
-	gateway   *gateway.Gateway
-	keeper    *batchkeeper.Keeper
-	runner    *batchrunner.Runner
+	settings   platform.Settings
+	boot       uint64
+	logger     *slog.Logger
+	counter    *counter.Counters
+	relayer    *storerelayer.Relayer
+	store      rowstore.Store
+	forwarder  *forwarder.Forwarder
+	placer     *placer.Placer
+	teller     *peerteller.Teller
+	members    *memberkeeper.Keeper
+	gateway    *gateway.Gateway
+	quarantine *quarantiner.Quarantine
+	keeper     *batchkeeper.Keeper
+	runner     *batchrunner.Runner
 
 	readiness readiness
 	group     sync.WaitGroup
@@ -82,7 +84,8 @@
 	}
 	vm.teller = teller
 	vm.placer = placer.New(settings.VM, settings.Domain, settings.Regions, placer.WithChanged(vm.workChanged))
-	teller.SetPlacer(vm.placer, vm.wakeRunner)
+	vm.quarantine = quarantiner.New()
+	teller.SetState(&sharedState{vm: vm})
 	vm.forwarder = forwarder.New(codec.AnswerID)
 	vm.relayer = storerelayer.New(settings.StoreAddress, storeTransport(), storeTransport(), vm.counter, logger)
 	vm.store = platform.NewStore(settings.StoreAddress, vm.relayer)
@@ -93,7 +96,7 @@
 	vm.keeper = batchkeeper.New(vm.store, owner, settings.MaxRowBytes, logger)
 	vm.runner = batchrunner.New(owner, vm.keeper, vm.placer, couriers, vm.members, vm.table, vm.counter, logger)
 	jobs := batchserver.New(codec, vm.keeper, vm.runner, vm.limits, vm.counter, logger)
-	vm.gateway = gateway.New(codec, couriers, vm.placer, jobs, vm.counter, logger)
+	vm.gateway = gateway.New(codec, couriers, vm.placer, vm.quarantine, jobs, vm.counter, logger)
 	return vm, nil
 }
 
@@ -103,9 +106,6 @@
 	vm.runner.Wake()
 }
 
-// wakeRunner is called when the work of another VM has changed.
-func (vm *VM) wakeRunner() { vm.runner.Wake() }
-
 func (vm *VM) table() *router.Table { return vm.gateway.Table() }
 
 func (vm *VM) limits() router.Limits {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/courier"
 	"github.com/fescuespindle/fescuespindle/internal/placer"
+	"github.com/fescuespindle/fescuespindle/internal/quarantiner"
 	"github.com/fescuespindle/fescuespindle/internal/router"
 )
 
@@ -27,10 +28,11 @@
 	// LastEvent is the identifier of the last event that the caller has.
 	LastEvent string
 
-	route   *router.Route
-	service string
-	version uint64
-	began   time.Time
+	route       *router.Route
+	service     string
+	version     uint64
+	began       time.Time
+	fingerprint quarantiner.Fingerprint
 }
 
 // Codec translates callers' requests and the system's own answers.
@@ -50,6 +52,13 @@
 	Online(service string, avoid map[string]bool, now time.Time) (*placer.Place, bool)
 }
 
+// Quarantine knows the requests that crash upstreams.
+type Quarantine interface {
+	Condemned(f quarantiner.Fingerprint, now time.Time) bool
+	Crash(f quarantiner.Fingerprint, isolated bool, now time.Time) quarantiner.Strike
+	Cleared(f quarantiner.Fingerprint)
+}
+
 // Jobs serves the calls of batch jobs.
 type Jobs interface {
 	// Claims tells whether a request belongs to a job by its path alone.
@@ -70,6 +79,7 @@
 	codec   Codec
 	courier Courier
 	placer  Placer
+	suspect Quarantine
 	jobs    Jobs
 	counter Counter
 	logger  *slog.Logger
@@ -80,9 +90,11 @@
 }
 
 // New returns a gateway without a configuration.
-func New(codec Codec, c Courier, p Placer, jobs Jobs, counter Counter, logger *slog.Logger) *Gateway {
-	g := &Gateway{codec: codec, courier: c, placer: p, jobs: jobs, counter: counter, logger: logger}
-	g.chain = g.drain(g.configured(g.batch(g.decode(g.match(g.limit(g.run))))))
+func New(
+	codec Codec, c Courier, p Placer, suspect Quarantine, jobs Jobs, counter Counter, logger *slog.Logger,
+) *Gateway {
+	g := &Gateway{codec: codec, courier: c, placer: p, suspect: suspect, jobs: jobs, counter: counter, logger: logger}
+	g.chain = g.drain(g.configured(g.batch(g.decode(g.match(g.limit(g.harmless(g.run)))))))
 	return g
 }
 
@@ -198,6 +210,19 @@
 	}
 }
 
+// harmless refuses requests that have crashed several upstreams.
+func (g *Gateway) harmless(next handler) handler {
+	return func(x *exchange) {
+		call := x.request.Call
+		x.request.fingerprint = quarantiner.FingerprintOf(call.Host, call.URI, call.Body)
+		if g.suspect.Condemned(x.request.fingerprint, time.Now()) {
+			g.refuse(x, http.StatusBadGateway, reasonCondemned)
+			return
+		}
+		next(x)
+	}
+}
+
 const (
 	// defaultBodyTime bounds the time for a body if the configuration doesn't.
 	defaultBodyTime = 10 * time.Second
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -18,6 +18,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/forwarder"
 	"github.com/fescuespindle/fescuespindle/internal/gateway"
 	"github.com/fescuespindle/fescuespindle/internal/placer"
+	"github.com/fescuespindle/fescuespindle/internal/quarantiner"
 	"github.com/fescuespindle/fescuespindle/internal/router"
 	"github.com/fescuespindle/fescuespindle/platform"
 	"github.com/fescuespindle/fescuespindle/platform/standin"
@@ -59,7 +60,7 @@
 		v.placer.SetUpstreams(list)
 		sender := forwarder.New(platform.Codec{}.AnswerID, forwarder.WithDial(v.network.Dial))
 		defer sender.Close()
-		v.gateway = gateway.New(platform.Codec{}, courier.New(sender, v.placer, platform.Codec{}), v.placer, noJobs{},
+		v.gateway = gateway.New(platform.Codec{}, courier.New(sender, v.placer, platform.Codec{}), v.placer, quarantiner.New(), noJobs{},
 			counter.New(metrics.NewSet()), slog.New(slog.DiscardHandler))
 		v.gateway.SetTable(table())
 		defer v.network.Serve("vm:1", v.gateway)()
@@ -202,6 +203,22 @@
 	})
 }
 
+func TestARequestThatCrashesUpstreamsIsRefused(t *testing.T) {
+	crash := standin.Plan{Events: 5, CutAfter: 1}
+	inVM(t, plans(crash, crash), func(v *vm) {
+		for range quarantiner.MaxStrikes {
+			_, _, whole := v.call("/stream/x")
+			qt.Check(v.t, whole, qt.IsFalse)
+			time.Sleep(5 * time.Second)
+		}
+		for range 3 {
+			status, _, _ := v.call("/stream/x")
+			qt.Check(v.t, status, qt.Equals, http.StatusBadGateway)
+		}
+		qt.Check(v.t, v.runs(), qt.Equals, quarantiner.MaxStrikes)
+	})
+}
+
 func TestAVMWithoutAConfigurationSaysSo(t *testing.T) {
 	inVM(t, plans(sound), func(v *vm) {
 		v.gateway.SetTable(nil)
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -18,6 +18,7 @@
 	reasonBodyCut      reason = "bodyCut"
 	reasonNoUpstream   reason = "noUpstream"
 	reasonRefused      reason = "refusedByUpstreams"
+	reasonCondemned    reason = "crashesUpstreams"
 	reasonDeadline     reason = "deadline"
 	reasonFailed       reason = "failed"
 )
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -18,10 +19,17 @@
 	maxSends = 6
 	// maxAnswer bounds an answer that is held until it is whole.
 	maxAnswer = 8 << 20
+	// harmlessEvents is the number of events after which a stream that breaks off
+	// is not held against its request.
+	harmlessEvents = 2
 )
 
-// errCut means that an answer broke off after its head had gone to the caller.
-var errCut = errors.New("answer cut short")
+var (
+	// errCut means that an answer broke off after its head had gone to the caller.
+	errCut = errors.New("answer cut short")
+	// errLeft means that the caller no longer takes the answer.
+	errLeft = errors.New("caller has left")
+)
 
 // journey is the attempts of one request.
 type journey struct {
@@ -87,6 +95,7 @@
 		} else if relayer.AsFailure(err).Ran() != relayer.RanNot {
 			j.runs++
 		}
+		j.suspect(ctx, err)
 		j.path = append(j.path, id+" "+err.Error())
 		j.last = err
 		j.avoid[id] = true
@@ -97,7 +106,19 @@
 	return j.giveUp(ctx)
 }
 
+// suspect notes that an upstream broke off while it ran the request, which may
+// be what crashed it. A stream that had got on well was cut for another reason.
+func (j *journey) suspect(ctx context.Context, err error) {
+	broke := relayer.AsFailure(err).Ran() == relayer.RanMaybe && ctx.Err() == nil && !errors.Is(err, errLeft)
+	if !broke || j.events >= harmlessEvents {
+		return
+	}
+	strike := j.gateway.suspect.Crash(j.x.request.fingerprint, true, time.Now())
+	j.gateway.logger.Info("request suspected", "id", j.x.request.Call.ID, "strikes", strike.Count, "error", err)
+}
+
 func (j *journey) delivered(status int) outcome {
+	j.gateway.suspect.Cleared(j.x.request.fingerprint)
 	if status >= http.StatusMultipleChoices {
 		return outcomeFailed
 	}
@@ -109,6 +130,9 @@
 	if relayer.AsFailure(err).Ran() == relayer.RanNot {
 		return true
 	}
+	if errors.Is(err, errLeft) {
+		return false
+	}
 	route := j.x.request.route
 	return route.Repeatable() && j.runs < route.MaxAttempts
 }
@@ -116,7 +140,7 @@
 // giveUp gives the final answer of a request that no upstream has answered.
 func (j *journey) giveUp(ctx context.Context) outcome {
 	switch {
-	case j.x.r.Context().Err() != nil:
+	case j.x.r.Context().Err() != nil || errors.Is(j.last, errLeft):
 		return outcomeLeft
 	case j.headSent:
 		return outcomeCut
@@ -196,10 +220,10 @@
 			j.sendHead(d)
 		}
 		if _, err := j.x.w.Write(event.Raw()); err != nil {
-			return relayer.NewFailure(relayer.RanMaybe, err)
+			return relayer.NewFailure(relayer.RanMaybe, fmt.Errorf("%w: %w", errLeft, err))
 		}
 		if err := control.Flush(); err != nil {
-			return relayer.NewFailure(relayer.RanMaybe, err)
+			return relayer.NewFailure(relayer.RanMaybe, fmt.Errorf("%w: %w", errLeft, err))
 		}
 		j.events++
 		j.lastEvent = event.ID()
--- a/internal/peerteller/teller.go
+++ b/internal/peerteller/teller.go
@@ -18,6 +18,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/fescuespindle/fescuespindle/internal/placer"
+	"github.com/fescuespindle/fescuespindle/internal/quarantiner"
 )
 
 const (
@@ -37,6 +38,8 @@
 	Boot     uint64        `cbor:"boot"`
 	Sequence uint64        `cbor:"sequence"`
 	Counts   placer.Report `cbor:"counts"`
+	// Strikes are suspicions that requests crash upstreams.
+	Strikes []quarantiner.Strike `cbor:"strikes,omitempty"`
 }
 
 // Peer is another VM.
@@ -47,10 +50,13 @@
 	Far bool
 }
 
-// Placer has this VM's counts and takes in those of others.
-type Placer interface {
-	Report() placer.Report
-	Heard(vm string, report placer.Report, now time.Time)
+// State is what a VM tells of, and takes in from others.
+type State interface {
+	// Tell returns what is told now.
+	Tell(now time.Time) (placer.Report, []quarantiner.Strike)
+	// Hear takes in what another VM tells.
+	Hear(vm string, report placer.Report, strikes []quarantiner.Strike, now time.Time)
+	// Expire forgets VMs that have been silent for too long.
 	Expire(now time.Time)
 }
 
@@ -59,15 +65,13 @@
 	vm     string
 	boot   uint64
 	conn   *net.UDPConn
-	placer Placer
+	state  State
 	logger *slog.Logger
 	wake   chan struct{}
-	// onHeard is called whenever another VM's work has changed.
-	onHeard func()
 
 	mu    sync.Mutex
 	peers []Peer
-	heard map[string]message // without counts
+	heard map[string]message // without what they told
 }
 
 // New returns a teller on an address. The boot number is new at each start.
@@ -85,9 +89,8 @@
 	}, nil
 }
 
-// SetPlacer sets whose counts are told, and a function that is called whenever
-// another VM's have changed. It must be called before Run.
-func (t *Teller) SetPlacer(p Placer, onHeard func()) { t.placer, t.onHeard = p, onHeard }
+// SetState sets what is told. It must be called before Run.
+func (t *Teller) SetState(s State) { t.state = s }
 
 // SetPeers replaces the list of other VMs.
 func (t *Teller) SetPeers(peers []Peer) {
@@ -126,7 +129,7 @@
 			return
 		case <-ticker.C:
 			all = true
-			t.placer.Expire(time.Now())
+			t.state.Expire(time.Now())
 		case <-far.C:
 			near, all = false, true
 		case <-t.wake:
@@ -148,7 +151,8 @@
 
 // send tells the near peers, the far ones, or all.
 func (t *Teller) send(sequence uint64, near, far bool) {
-	text, err := cbor.Marshal(message{VM: t.vm, Boot: t.boot, Sequence: sequence, Counts: t.placer.Report()})
+	counts, strikes := t.state.Tell(time.Now())
+	text, err := cbor.Marshal(message{VM: t.vm, Boot: t.boot, Sequence: sequence, Counts: counts, Strikes: strikes})
 	if err != nil {
 		t.logger.Error("encode peer message", "error", err)
 		return
@@ -179,8 +183,7 @@
 			continue
 		}
 		if t.isNews(m) {
-			t.placer.Heard(m.VM, m.Counts, time.Now())
-			t.onHeard()
+			t.state.Hear(m.VM, m.Counts, m.Strikes, time.Now())
 		}
 	}
 }
@@ -197,7 +200,7 @@
 	if !found || last.Boot != m.Boot {
 		t.logger.Info("peer heard", "vm", m.VM, "boot", m.Boot)
 	}
-	m.Counts = nil
+	m.Counts, m.Strikes = nil, nil
 	t.heard[m.VM] = m
 	return true
 }
--- /dev/null
+++ b/internal/peerteller/teller_test.go
@@ -0,0 +1,78 @@
+package peerteller_test
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fescuespindle/fescuespindle/internal/peerteller"
+	"github.com/fescuespindle/fescuespindle/internal/placer"
+	"github.com/fescuespindle/fescuespindle/internal/quarantiner"
+)
+
+// state tells a count and sends on what it hears.
+type state struct {
+	mu     sync.Mutex
+	online int
+	heard  chan placer.Report
+}
+
+func (s *state) Tell(time.Time) (placer.Report, []quarantiner.Strike) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return placer.Report{"u": {Online: s.online}}, []quarantiner.Strike{{Fingerprint: 7, Count: 2}}
+}
+
+func (s *state) Hear(_ string, report placer.Report, strikes []quarantiner.Strike, _ time.Time) {
+	if len(strikes) == 1 && strikes[0].Count == 2 {
+		s.heard <- report
+	}
+}
+
+func (s *state) Expire(time.Time) {}
+
+func (s *state) set(online int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.online = online
+}
+
+// start starts a teller, which ends with the test.
+func start(t *testing.T, vm, address string, s *state) *peerteller.Teller {
+	t.Helper()
+	teller, err := peerteller.New(vm, uint64(len(vm)), address, slog.New(slog.DiscardHandler))
+	qt.Assert(t, err, qt.IsNil)
+	teller.SetState(s)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { teller.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+	})
+	return teller
+}
+
+func TestChangesAreHeardByPeersNearAndFar(t *testing.T) {
+	expect := func(t *testing.T, far bool, first, second string) {
+		t.Helper()
+		a, b := &state{heard: make(chan placer.Report, 1000)}, &state{heard: make(chan placer.Report, 1000)}
+		teller := start(t, "a", first, a)
+		start(t, "bb", second, b)
+		teller.SetPeers([]peerteller.Peer{{VM: "bb", Address: netip.MustParseAddrPort(second), Far: far}})
+		a.set(5)
+		teller.Changed()
+		for report := range b.heard {
+			if report["u"].Online == 5 {
+				break
+			}
+		}
+	}
+	t.Run("near", func(t *testing.T) { expect(t, false, "127.0.8.1:18150", "127.0.8.2:18150") })
+	t.Run("far", func(t *testing.T) { expect(t, true, "127.0.8.3:18150", "127.0.8.4:18150") })
+}
--- a/internal/quarantiner/quarantine.go
+++ b/internal/quarantiner/quarantine.go
@@ -9,6 +9,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Fingerprint identifies a request by its caller and content.
@@ -29,6 +31,16 @@
 	Count       int
 }
 
+// FingerprintOf returns the fingerprint of a request by its content.
+func FingerprintOf(host, path string, body []byte) Fingerprint {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(host)
+	_, _ = digest.WriteString(path)
+	_, _ = digest.Write(body) // none of them can fail
+	return Fingerprint(digest.Sum64())
+}
+
 type record struct {
 	strikes int
 	until   time.Time
@@ -120,3 +132,19 @@
 	defer q.mu.Unlock()
 	return len(q.records)
 }
+
+// Recent returns up to a number of suspects, for other VMs.
+func (q *Quarantine) Recent(most int, now time.Time) []Strike {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var strikes []Strike
+	for f := range q.records {
+		if len(strikes) == most {
+			break
+		}
+		if n := q.strikes(f, now); n > 0 {
+			strikes = append(strikes, Strike{Fingerprint: f, Count: n})
+		}
+	}
+	return strikes
+}
