--- /dev/null
+++ b/internal/attempter/attempter.go
@@ -0,0 +1,169 @@
+// Package attempter makes one run of a batch item at one upstream and tells how
+// it ended.
+package attempter
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/batchkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/courier"
+	"github.com/fescuespindle/fescuespindle/internal/eventsplitter"
+	"github.com/fescuespindle/fescuespindle/internal/placer"
+	"github.com/fescuespindle/fescuespindle/internal/relayer"
+)
+
+const (
+	// firstEventTime and eventTime bound the waits for the first and for each
+	// further event of a run, since an upstream may lose an answer, or a
+	// connection go silent.
+	firstEventTime = 3 * time.Second
+	eventTime      = 2 * time.Second
+)
+
+// Errors of this layer.
+var (
+	// ErrStalled means that no event came for too long.
+	ErrStalled = errors.New("upstream stalled")
+	// ErrNoEvents means that an answer ended before its first event.
+	ErrNoEvents = errors.New("answer without events")
+)
+
+// Fate is how a run ended.
+type Fate uint8
+
+// The fates of a run.
+const (
+	// FateWhole runs came to the end of the item.
+	FateWhole Fate = iota
+	// FateStopped runs were stopped by this VM.
+	FateStopped
+	// FateRefused runs surely didn't begin.
+	FateRefused
+	// FateFailed runs were answered with an error.
+	FateFailed
+	// FateImpossible items can never be done.
+	FateImpossible
+	// FateBroken runs broke off, or stalled.
+	FateBroken
+)
+
+// String returns the fate's name in logs.
+func (f Fate) String() string {
+	return [...]string{"whole", "stopped", "refused", "failed", "impossible", "broken"}[f]
+}
+
+// Ending is the outcome of one run.
+type Ending struct {
+	Fate     Fate
+	Progress batchkeeper.Progress
+	// Events is the number of events of this run.
+	Events int
+	Err    error
+}
+
+// Live is the progress of a run under way.
+type Live struct {
+	mu       sync.Mutex
+	progress batchkeeper.Progress
+}
+
+// NewLive returns the progress with which a run begins.
+func NewLive(p batchkeeper.Progress) *Live { return &Live{progress: p} }
+
+// Progress returns what there is so far.
+func (l *Live) Progress() batchkeeper.Progress {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.progress
+}
+
+func (l *Live) set(p batchkeeper.Progress) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.progress = p
+}
+
+// Courier makes attempts.
+type Courier interface {
+	Send(ctx context.Context, place *placer.Place, call *courier.Call, target courier.Target) (*courier.Delivery, error)
+}
+
+// Run makes one run on a place, which goes on after what is there already.
+func Run(ctx context.Context, c Courier, place *placer.Place, call *courier.Call, now *Live) Ending {
+	progress := now.Progress()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stall := time.AfterFunc(firstEventTime, func() { cancel(ErrStalled) })
+	defer stall.Stop()
+	delivery, err := c.Send(ctx, place, call, courier.Target{LastEvent: progress.LastEvent})
+	if err != nil {
+		return Ending{Fate: fateOfError(ctx, err), Progress: progress, Err: err}
+	}
+	defer delivery.Close()
+	if delivery.Status() >= http.StatusMultipleChoices {
+		return endingOfStatus(ctx, delivery, progress)
+	}
+	return readEvents(ctx, delivery, now, stall)
+}
+
+func fateOfError(ctx context.Context, err error) Fate {
+	switch {
+	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), ErrStalled):
+		return FateStopped
+	case relayer.AsFailure(err).Ran() == relayer.RanNot:
+		return FateRefused
+	default:
+		return FateBroken
+	}
+}
+
+func endingOfStatus(ctx context.Context, d *courier.Delivery, progress batchkeeper.Progress) Ending {
+	err := errors.New(http.StatusText(d.Status()))
+	if _, readErr := io.Copy(io.Discard, d); readErr != nil {
+		return Ending{Fate: fateOfError(ctx, readErr), Progress: progress, Err: readErr}
+	}
+	switch d.Status() {
+	case http.StatusUnprocessableEntity:
+		return Ending{Fate: FateImpossible, Progress: progress, Err: err}
+	case http.StatusInternalServerError:
+		return Ending{Fate: FateFailed, Progress: progress, Err: err}
+	default:
+		return Ending{Fate: FateBroken, Progress: progress, Err: err}
+	}
+}
+
+// readEvents appends the data of all events to what is there already.
+func readEvents(
+	ctx context.Context, d *courier.Delivery, now *Live, stall *time.Timer,
+) Ending {
+	progress := now.Progress()
+	events := eventsplitter.New(d)
+	for n := 0; ; n++ {
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			if n == 0 && progress.LastEvent == "" {
+				return Ending{Fate: FateBroken, Progress: progress, Err: ErrNoEvents}
+			}
+			return Ending{Fate: FateWhole, Progress: progress, Events: n}
+		}
+		if err != nil {
+			e := Ending{Fate: fateOfError(ctx, err), Progress: progress, Events: n, Err: err}
+			if e.Fate == FateBroken {
+				d.Broken()
+			}
+			return e
+		}
+		stall.Reset(eventTime)
+		if len(progress.Output) > 0 || progress.LastEvent != "" {
+			progress.Output = append(progress.Output, '\n')
+		}
+		progress.Output = event.AppendData(progress.Output)
+		progress.LastEvent = event.ID()
+		now.set(progress)
+	}
+}
--- a/internal/batchrunner/job.go
+++ b/internal/batchrunner/job.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
+	"github.com/fescuespindle/fescuespindle/internal/attempter"
 	"github.com/fescuespindle/fescuespindle/internal/batchkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/placer"
 	"github.com/fescuespindle/fescuespindle/internal/ranker"
@@ -48,8 +48,8 @@
 	avoid  map[string]bool
 	place  *placer.Place
 	cancel context.CancelFunc
-	live   *live     // of the run under way
-	began  time.Time // of the run under way
+	live   *attempter.Live // of the run under way
+	began  time.Time       // of the run under way
 	// ran is the time of all runs so far, and kept the bytes of the last
 	// checkpoint.
 	ran  time.Duration
@@ -143,29 +143,11 @@
 // current returns what there is of an item, also while it runs.
 func (it *item) current() batchkeeper.Progress {
 	if it.state == stateRunning {
-		return it.live.get()
+		return it.live.Progress()
 	}
 	return it.progress
 }
 
-// live is the progress of a run, which the run's goroutine writes.
-type live struct {
-	mu       sync.Mutex
-	progress batchkeeper.Progress
-}
-
-func (l *live) set(p batchkeeper.Progress) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.progress = p
-}
-
-func (l *live) get() batchkeeper.Progress {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.progress
-}
-
 // pace is how long items take, as the runs of this VM show.
 type pace struct {
 	run    time.Duration // running time of a whole item
--- a/internal/batchrunner/runner.go
+++ b/internal/batchrunner/runner.go
@@ -11,8 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fescuespindle/fescuespindle/internal/attempter"
 	"github.com/fescuespindle/fescuespindle/internal/batchkeeper"
-	"github.com/fescuespindle/fescuespindle/internal/courier"
 	"github.com/fescuespindle/fescuespindle/internal/placer"
 	"github.com/fescuespindle/fescuespindle/internal/router"
 	"github.com/fescuespindle/fescuespindle/internal/stepper"
@@ -37,11 +37,6 @@
 	Yield(now time.Time) []*placer.Place
 }
 
-// Courier makes attempts.
-type Courier interface {
-	Send(ctx context.Context, place *placer.Place, call *courier.Call, target courier.Target) (*courier.Delivery, error)
-}
-
 // Members tells which VMs live.
 type Members interface {
 	Informed(now time.Time) bool
@@ -70,7 +65,7 @@
 	self    batchkeeper.Owner
 	keeper  Keeper
 	placer  Placer
-	courier Courier
+	courier attempter.Courier
 	members Members
 	counter Counter
 	logger  *slog.Logger
@@ -92,7 +87,7 @@
 
 // New returns a runner. The function returns the configuration in force.
 func New(
-	self batchkeeper.Owner, keeper Keeper, p Placer, c Courier, members Members, table func() *router.Table,
+	self batchkeeper.Owner, keeper Keeper, p Placer, c attempter.Courier, members Members, table func() *router.Table,
 	counter Counter, logger *slog.Logger,
 ) *Runner {
 	r := &Runner{
