Counts are told first to the VMs that send there first

Change: the VMs of one's own domain, and of the domain whose upstream has changed, are told at once; other VMs of the region and of other regions at most every 4 and 12 ms for each of them, so that what a VM sends there doesn't grow with the fleet (peerteller/schedule.go, tests named after the load).

--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -78,7 +78,7 @@
 		settings: settings, boot: rand.Uint64(), logger: logger, counter: counter.New(metrics.NewSet()),
 	}
 	codec := platform.Codec{}
-	teller, err := peerteller.New(settings.VM, vm.boot, vm.peerAddress(), logger)
+	teller, err := peerteller.New(settings.VM, settings.Domain, vm.boot, vm.peerAddress(), logger)
 	if err != nil {
 		return nil, fmt.Errorf("start peer messages: %w", err)
 	}
@@ -101,8 +101,8 @@
 }
 
 // workChanged is called at every change of the work on upstreams.
-func (vm *VM) workChanged() {
-	vm.teller.Changed()
+func (vm *VM) workChanged(domain string) {
+	vm.teller.Changed(domain)
 	vm.runner.Wake()
 }
 
@@ -132,7 +132,7 @@
 		}
 		peer := peerteller.Peer{
 			VM: m.VM, Address: netip.AddrPortFrom(address, uint16(vm.settings.PeerPort)),
-			Far: vm.settings.Regions[m.Domain] != vm.settings.Region,
+			Domain: m.Domain, Far: vm.settings.Regions[m.Domain] != vm.settings.Region,
 		}
 		peers = append(peers, peer)
 		if peer.Far {
--- /dev/null
+++ b/internal/peerteller/schedule.go
@@ -0,0 +1,118 @@
+package peerteller
+
+import "time"
+
+const (
+	// period is the longest time between two messages to a peer.
+	period = 400 * time.Millisecond
+	// nearPeriod is the shortest time between two messages to the VMs that must
+	// know of a change at once: those of this VM's failure domain and of the one
+	// whose upstream the change is about, as they are the first to send there.
+	nearPeriod = time.Millisecond
+	// regionShare and farShare are the shortest time between two messages to other
+	// VMs of the region, and of other regions, for each of them, so that what a VM
+	// sends doesn't grow with the fleet. Links between regions are narrow and
+	// billed by volume.
+	regionShare = 4 * time.Millisecond
+	farShare    = 12 * time.Millisecond
+	minFar      = 100 * time.Millisecond
+)
+
+// audience is a set of peers that are told together.
+type audience uint8
+
+const (
+	audienceNear audience = iota
+	audienceRegion
+	audienceFar
+	audiences
+)
+
+// schedule decides when which peers are told. It has no clock of its own.
+type schedule struct {
+	domain  string
+	dirty   map[string]bool // failure domains that must know at once
+	changed [audiences]bool
+	last    [audiences]time.Time
+	counts  [audiences]int // peers
+}
+
+func newSchedule(domain string) *schedule {
+	return &schedule{domain: domain, dirty: map[string]bool{}}
+}
+
+// change notes that the work on an upstream of a domain has changed.
+func (s *schedule) change(domain string) {
+	s.dirty[domain] = true
+	for a := range s.changed {
+		s.changed[a] = true
+	}
+}
+
+// interval returns the shortest time between two messages to an audience.
+func (s *schedule) interval(a audience) time.Duration {
+	switch a {
+	case audienceRegion:
+		return min(time.Duration(s.counts[a])*regionShare, period)
+	case audienceFar:
+		return min(max(time.Duration(s.counts[a])*farShare, minFar), 2*period)
+	case audienceNear:
+		return nearPeriod
+	default:
+		return period
+	}
+}
+
+// due returns when an audience is told next.
+func (s *schedule) due(a audience) time.Time {
+	if s.changed[a] {
+		return s.last[a].Add(s.interval(a))
+	}
+	return s.last[a].Add(max(period, s.interval(a)))
+}
+
+// next returns when any audience is told next.
+func (s *schedule) next() time.Time {
+	earliest := s.due(audienceNear)
+	for a := audienceRegion; a < audiences; a++ {
+		if due := s.due(a); due.Before(earliest) {
+			earliest = due
+		}
+	}
+	return earliest
+}
+
+// take returns the peers that are told now.
+func (s *schedule) take(peers []Peer, now time.Time) []Peer {
+	s.counts = [audiences]int{}
+	for _, p := range peers {
+		s.counts[s.audienceOf(p)]++
+	}
+	var ready [audiences]bool
+	for a := range audiences {
+		if ready[a] = !now.Before(s.due(a)); ready[a] {
+			s.last[a], s.changed[a] = now, false
+		}
+	}
+	var told []Peer
+	for _, p := range peers {
+		if ready[s.audienceOf(p)] || (ready[audienceNear] && s.dirty[p.Domain]) {
+			told = append(told, p)
+		}
+	}
+	if ready[audienceNear] {
+		clear(s.dirty)
+	}
+	return told
+}
+
+func (s *schedule) audienceOf(p Peer) audience {
+	switch {
+	case p.Domain == s.domain:
+		return audienceNear
+	case p.Far:
+		return audienceFar
+	default:
+		return audienceRegion
+	}
+}
--- /dev/null
+++ b/internal/peerteller/schedule_test.go
@@ -0,0 +1,77 @@
+package peerteller
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// peersOf returns n peers of a domain.
+func peersOf(domain string, far bool, n int) []Peer {
+	var peers []Peer
+	for i := range n {
+		peers = append(peers, Peer{VM: fmt.Sprint(domain, i), Domain: domain, Far: far})
+	}
+	return peers
+}
+
+// messages counts the messages of a minute, by domain, under a change on an
+// upstream of a domain every so often.
+func messages(peers []Peer, domain string, every time.Duration) map[string]int {
+	s := newSchedule("a")
+	sent := map[string]int{}
+	for at := time.Duration(0); at < time.Minute; at += time.Millisecond {
+		if at%every == 0 {
+			s.change(domain)
+		}
+		now := start.Add(at)
+		if now.Before(s.next()) {
+			continue
+		}
+		for _, p := range s.take(peers, now) {
+			sent[p.Domain]++
+		}
+	}
+	return sent
+}
+
+func TestThoseWhoSendThereFirstKnowAtOnce(t *testing.T) {
+	peers := append(peersOf("a", false, 1), append(peersOf("b", false, 1), peersOf("c", true, 1)...)...)
+	s := newSchedule("a")
+	s.take(peers, start)
+	expect := func(domain string, want ...string) {
+		t.Helper()
+		s.change(domain)
+		var got []string
+		for _, p := range s.take(peers, start.Add(2*time.Millisecond)) {
+			got = append(got, p.Domain)
+		}
+		s.last[audienceNear] = start
+		qt.Check(t, got, qt.DeepEquals, want)
+	}
+	expect("a", "a")
+	expect("c", "a", "c")
+}
+
+// Steady load on a VM's own domain: what goes to other domains is bounded by the
+// shares alone, however many VMs there are.
+func TestSteadyLoadOfALargeFleet(t *testing.T) {
+	expect := func(region, far int) {
+		t.Helper()
+		peers := append(peersOf("a", false, 14), append(peersOf("b", false, region), peersOf("c", true, far)...)...)
+		sent := messages(peers, "a", 25*time.Millisecond)
+		qt.Check(t, sent["b"] <= int(time.Minute/regionShare)+region, qt.IsTrue, qt.Commentf("%d", sent["b"]))
+		qt.Check(t, sent["c"] <= int(time.Minute/farShare)+far, qt.IsTrue, qt.Commentf("%d", sent["c"]))
+	}
+	expect(4, 4)
+	expect(28, 43)
+}
+
+func TestAnIdleVMIsHeardInTime(t *testing.T) {
+	sent := messages(peersOf("c", true, 43), "a", time.Hour)
+	qt.Check(t, sent["c"] >= 43*60, qt.IsTrue, qt.Commentf("%d", sent["c"]))
+}
--- a/internal/peerteller/teller.go
+++ b/internal/peerteller/teller.go
@@ -21,16 +21,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/quarantiner"
 )
 
-const (
-	// period is the longest time between two messages to a peer.
-	period = 400 * time.Millisecond
-	// farPeriod is the shortest time between two messages to a VM of another
-	// region, whose link is narrow and billed by volume.
-	farPeriod = 100 * time.Millisecond
-	// nearPeriod is the shortest time between two messages to other VMs.
-	nearPeriod = time.Millisecond
-	maxMessage = 16 << 10
-)
+const maxMessage = 16 << 10
 
 // message is what one VM tells.
 type message struct {
@@ -46,6 +37,7 @@
 type Peer struct {
 	VM      string
 	Address netip.AddrPort
+	Domain  string
 	// Far tells whether it is in another region.
 	Far bool
 }
@@ -69,13 +61,15 @@
 	logger *slog.Logger
 	wake   chan struct{}
 
-	mu    sync.Mutex
-	peers []Peer
-	heard map[string]message // without what they told
+	mu       sync.Mutex
+	peers    []Peer
+	schedule *schedule
+	heard    map[string]message // without what they told
 }
 
-// New returns a teller on an address. The boot number is new at each start.
-func New(vm string, boot uint64, address string, logger *slog.Logger) (*Teller, error) {
+// New returns the teller of a VM of a failure domain, on an address. The boot
+// number is new at each start.
+func New(vm, domain string, boot uint64, address string, logger *slog.Logger) (*Teller, error) {
 	at, err := net.ResolveUDPAddr("udp4", address)
 	if err != nil {
 		return nil, fmt.Errorf("peer address: %w", err)
@@ -86,6 +80,7 @@
 	}
 	return &Teller{
 		vm: vm, boot: boot, conn: conn, logger: logger, wake: make(chan struct{}, 1), heard: map[string]message{},
+		schedule: newSchedule(domain),
 	}, nil
 }
 
@@ -99,8 +94,12 @@
 	t.peers = peers
 }
 
-// Changed tells that the VM's work has changed. It never blocks.
-func (t *Teller) Changed() {
+// Changed tells that the VM's work on an upstream of a failure domain has
+// changed. It never blocks for long.
+func (t *Teller) Changed(domain string) {
+	t.mu.Lock()
+	t.schedule.change(domain)
+	t.mu.Unlock()
 	select {
 	case t.wake <- struct{}{}:
 	default:
@@ -117,53 +116,38 @@
 }
 
 func (t *Teller) tell(ctx context.Context) {
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
-	far := time.NewTimer(farPeriod)
-	defer far.Stop()
-	sequence, farDue := uint64(0), false
-	for {
-		near, all := true, false
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for sequence := uint64(1); ; {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-			all = true
-			t.state.Expire(time.Now())
-		case <-far.C:
-			near, all = false, true
+		case <-timer.C:
 		case <-t.wake:
-			if !farDue {
-				farDue = true
-				far.Reset(farPeriod)
-			}
-		}
-		if all {
-			farDue = false
 		}
-		sequence++
-		t.send(sequence, near, all)
-		if near {
-			time.Sleep(nearPeriod)
+		now := time.Now()
+		t.mu.Lock()
+		told := t.schedule.take(t.peers, now)
+		next := t.schedule.next()
+		t.mu.Unlock()
+		if len(told) > 0 {
+			t.send(sequence, told)
+			sequence++
 		}
+		t.state.Expire(now)
+		timer.Reset(max(next.Sub(now), nearPeriod))
 	}
 }
 
-// send tells the near peers, the far ones, or all.
-func (t *Teller) send(sequence uint64, near, far bool) {
+// send sends all that there is to tell.
+func (t *Teller) send(sequence uint64, peers []Peer) {
 	counts, strikes := t.state.Tell(time.Now())
 	text, err := cbor.Marshal(message{VM: t.vm, Boot: t.boot, Sequence: sequence, Counts: counts, Strikes: strikes})
 	if err != nil {
 		t.logger.Error("encode peer message", "error", err)
 		return
 	}
-	t.mu.Lock()
-	peers := t.peers
-	t.mu.Unlock()
 	for _, peer := range peers {
-		if (peer.Far && !far) || (!peer.Far && !near) {
-			continue
-		}
 		if _, err := t.conn.WriteToUDPAddrPort(text, peer.Address); err != nil {
 			t.logger.Debug("peer not told", "vm", peer.VM, "error", err) // the next message makes up for it
 		}
--- a/internal/peerteller/teller_test.go
+++ b/internal/peerteller/teller_test.go
@@ -45,7 +45,7 @@
 // start starts a teller, which ends with the test.
 func start(t *testing.T, vm, address string, s *state) *peerteller.Teller {
 	t.Helper()
-	teller, err := peerteller.New(vm, uint64(len(vm)), address, slog.New(slog.DiscardHandler))
+	teller, err := peerteller.New(vm, vm, uint64(len(vm)), address, slog.New(slog.DiscardHandler))
 	qt.Assert(t, err, qt.IsNil)
 	teller.SetState(s)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -66,7 +66,7 @@
 		start(t, "bb", second, b)
 		teller.SetPeers([]peerteller.Peer{{VM: "bb", Address: netip.MustParseAddrPort(second), Far: far}})
 		a.set(5)
-		teller.Changed()
+		teller.Changed("a")
 		for report := range b.heard {
 			if report["u"].Online == 5 {
 				break
--- a/internal/placer/choice.go
+++ b/internal/placer/choice.go
@@ -28,7 +28,7 @@
 func (p *Placer) Online(service string, avoid map[string]bool, now time.Time) (*Place, bool) {
 	place, found := p.takeOnline(service, avoid, now)
 	if found {
-		p.changed()
+		p.changed(place.upstream.Domain)
 	}
 	return place, found
 }
@@ -108,7 +108,7 @@
 func (p *Placer) Batch(service string, avoid map[string]bool, now time.Time) (*Place, bool) {
 	place, found := p.takeBatch(service, avoid, now)
 	if found {
-		p.changed()
+		p.changed(place.upstream.Domain)
 	}
 	return place, found
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -136,7 +136,7 @@
 	self    string
 	domain  string
 	regions map[string]string // region by domain
-	changed func()
+	changed func(domain string)
 
 	mu        sync.Mutex
 	upstreams map[string]*upstream
@@ -148,16 +148,16 @@
 // Option sets one property of a Placer.
 type Option func(*Placer)
 
-// WithChanged sets a function that is called whenever the VM's own work has
-// changed. It must not block or call the placer.
-func WithChanged(changed func()) Option {
+// WithChanged sets a function that is called whenever the VM's own work on an
+// upstream of a failure domain has changed. It must not block or call the placer.
+func WithChanged(changed func(domain string)) Option {
 	return func(p *Placer) { p.changed = changed }
 }
 
 // New returns the placer of a VM in a failure domain.
 func New(self, domain string, regions map[string]string, options ...Option) *Placer {
 	p := &Placer{
-		self: self, domain: domain, regions: regions, changed: func() {},
+		self: self, domain: domain, regions: regions, changed: func(string) {},
 		upstreams: map[string]*upstream{}, services: map[string][]*upstream{}, peers: map[string]peer{},
 	}
 	for _, option := range options {
@@ -306,5 +306,5 @@
 		u.own.Online--
 	}
 	p.mu.Unlock()
-	p.changed()
+	p.changed(u.Domain)
 }
