The store relay: no flapping, lost reads are sent again, jobs refused sooner

Change: a refused call is relayed alone; two in a row, or one without answer, send all calls through other VMs. Reads may be sent again. VMs that don't reach the store rest for 1.5 s, and those of other regions are asked if no near one reaches it. A store that refuses is given up after 0.7 s by a submission.

--- a/internal/batchkeeper/keeper.go
+++ b/internal/batchkeeper/keeper.go
@@ -69,11 +69,15 @@
 	return sleeper.Sleep(ctx, limit/2+rand.N(limit))
 }
 
-// settle sends a transaction until its outcome is known or the context ends. It
-// returns a rowstore.ConflictError, ErrNotWritten or ErrInDoubt. It may find its
-// own earlier write as a conflict; callers recognize that by what it wrote.
-func (k *Keeper) settle(ctx context.Context, tx rowstore.Tx) (uint64, error) {
-	inDoubt := false
+// unlimited lets a call be made again for as long as its context lasts.
+const unlimited = time.Duration(1<<63 - 1)
+
+// settle sends a transaction until its outcome is known or the context ends; one
+// that surely was not done, only for as long as the patience lasts. It returns a
+// rowstore.ConflictError, ErrNotWritten or ErrInDoubt. It may find its own
+// earlier write as a conflict; callers recognize that by what it wrote.
+func (k *Keeper) settle(ctx context.Context, tx rowstore.Tx, patience time.Duration) (uint64, error) {
+	inDoubt, began := false, time.Now()
 	for attempt := 0; ; attempt++ {
 		reply, err := k.transact(ctx, tx)
 		switch {
@@ -85,7 +89,7 @@
 		case errors.Is(err, rowstore.ErrUnknown):
 			inDoubt = true
 		}
-		if pause(ctx, attempt) {
+		if (inDoubt || time.Since(began) < patience) && pause(ctx, attempt) {
 			continue
 		}
 		if inDoubt {
@@ -103,13 +107,22 @@
 
 // readAll reads a range, trying again until the context ends.
 func (k *Keeper) readAll(ctx context.Context, table, from, to string) (rowstore.Snapshot, error) {
+	return k.readPatiently(ctx, table, from, to, unlimited)
+}
+
+// readPatiently reads a range, trying again for as long as the patience lasts
+// and until the context ends.
+func (k *Keeper) readPatiently(
+	ctx context.Context, table, from, to string, patience time.Duration,
+) (rowstore.Snapshot, error) {
+	began := time.Now()
 	for attempt := 0; ; attempt++ {
 		all, err := k.readOnce(ctx, table, from, to)
 		if err == nil {
 			k.noteClock(all.Now)
 			return all, nil
 		}
-		if !pause(ctx, attempt) {
+		if time.Since(began) >= patience || !pause(ctx, attempt) {
 			return all, fmt.Errorf("%w: %s: %w", ErrNotRead, table, err)
 		}
 	}
--- a/internal/batchkeeper/keeper_test.go
+++ b/internal/batchkeeper/keeper_test.go
@@ -144,6 +144,19 @@
 	})
 }
 
+func TestAJobThatCantBeKeptIsRefusedSoon(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context, store *rowemulator.Store) {
+		k := newKeeper(store, ownerA)
+		_, err := k.Scan(ctx)
+		qt.Assert(t, err, qt.IsNil)
+		store.SetFault(func(rowemulator.Call) (bool, error) { return false, rowstore.ErrNotDone })
+		began := time.Now()
+		_, _, err = k.Submit(ctx, submission("j", 1))
+		qt.Check(t, err, qt.ErrorIs, batchkeeper.ErrNotWritten)
+		qt.Check(t, time.Since(began) < 1500*time.Millisecond, qt.IsTrue)
+	})
+}
+
 func TestQuotaHoldsAcrossVMs(t *testing.T) {
 	run(t, func(t *testing.T, ctx context.Context, store *rowemulator.Store) {
 		accepted := 0
--- a/internal/batchkeeper/owner.go
+++ b/internal/batchkeeper/owner.go
@@ -97,7 +97,7 @@
 	}
 	tx.Conditions = append(tx.Conditions, rowstore.Condition{Key: row.Key, Version: seen.Version})
 	tx.Puts = append(tx.Puts, row)
-	version, err := k.settle(ctx, tx)
+	version, err := k.settle(ctx, tx, unlimited)
 	if err == nil {
 		return Stored{Record: next, Version: version}, nil
 	}
@@ -198,7 +198,7 @@
 		}
 		_, err = k.settle(ctx, rowstore.Tx{
 			Conditions: []rowstore.Condition{{Key: row.Key, Version: stored.Version}}, Puts: []rowstore.Put{row},
-		})
+		}, unlimited)
 		if !errors.Is(err, rowstore.ErrConflict) {
 			return err
 		}
--- a/internal/batchkeeper/submission.go
+++ b/internal/batchkeeper/submission.go
@@ -34,6 +34,9 @@
 }
 
 const (
+	// submitPatience is how long a store that refuses is asked again before a job
+	// is refused, so that its caller can try another VM in time.
+	submitPatience = 700 * time.Millisecond
 	// admissionAge is how old a scan may be to admit a job by it alone.
 	admissionAge = 2 * time.Second
 	// quickDivisor and grantDivisor bound what is admitted without reading the
@@ -121,7 +124,7 @@
 // jobs by the same sum.
 func (k *Keeper) openGate(ctx context.Context, s Submission, tokens int64) (*rowstore.Condition, error) {
 	key := rowstore.Key{Table: tableAdmission, Part: part, Name: s.Route}
-	gates, err := k.readAll(ctx, tableAdmission, s.Route, s.Route+"\x00")
+	gates, err := k.readPatiently(ctx, tableAdmission, s.Route, s.Route+"\x00", submitPatience)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotWritten, err)
 	}
@@ -157,7 +160,7 @@
 		tx.Conditions = append(tx.Conditions, *gate)
 		tx.Puts = append(tx.Puts, rowstore.Put{Key: gate.Key, Value: []byte(record.ID)})
 	}
-	version, err := k.settle(ctx, tx)
+	version, err := k.settle(ctx, tx, submitPatience)
 	if err == nil {
 		return Stored{Record: record, Version: version}, true, nil
 	}
@@ -209,7 +212,7 @@
 		if n == len(puts) {
 			return puts, nil
 		}
-		if _, err := k.settle(ctx, rowstore.Tx{Puts: puts[:n]}); err != nil {
+		if _, err := k.settle(ctx, rowstore.Tx{Puts: puts[:n]}, submitPatience); err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrNotWritten, err)
 		}
 		puts = puts[n:]
--- a/internal/batchserver/server.go
+++ b/internal/batchserver/server.go
@@ -72,8 +72,8 @@
 }
 
 const (
-	// submitTime bounds the time in which a job is made durable before it is
-	// refused, while nothing has been written.
+	// submitTime bounds the time in which a job is made durable. A store that
+	// refuses is given up sooner.
 	submitTime = 2500 * time.Millisecond
 	// readTime bounds a read beyond the time that the caller waits for a result.
 	readTime = 1200 * time.Millisecond
--- a/internal/storerelayer/relayer.go
+++ b/internal/storerelayer/relayer.go
@@ -7,6 +7,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -26,8 +27,14 @@
 	// store either.
 	outage = 700 * time.Millisecond
 	// maxPeers bounds the other VMs that are asked for one call.
-	maxPeers = 2
-	maxBody  = 2 << 20
+	maxPeers = 3
+	// peerRest is how long a VM that doesn't reach the store is not asked again.
+	peerRest = 1500 * time.Millisecond
+	// awayRefusals is the number of direct calls in a row that must be refused
+	// before other calls take the detour at once. One that gets no answer is
+	// enough, since each costs its whole timeout.
+	awayRefusals = 2
+	maxBody      = 2 << 20
 	// headerRelayed marks a call that comes from another VM, or an answer of the
 	// store that another VM hands back.
 	headerRelayed = "Fescuespindle-Relayed"
@@ -50,8 +57,11 @@
 	logger  *slog.Logger
 
 	mu       sync.Mutex
-	peers    []string // addresses
-	away     bool     // the store turned this VM away when it was last asked
+	near     []string // addresses of other VMs
+	far      []string // and of those in other regions
+	resting  map[string]time.Time
+	refusals int  // direct calls in a row that were turned away
+	away     bool // so many that all calls go through other VMs
 	probeAt  time.Time
 	probing  bool
 	outageTo time.Time
@@ -65,22 +75,22 @@
 // New returns a relayer to the store at an address. The transports reach the
 // store and other VMs.
 func New(address string, direct, peer http.RoundTripper, counter Counter, logger *slog.Logger) *Relayer {
-	return &Relayer{address: address, direct: direct, peer: peer, counter: counter, logger: logger}
+	return &Relayer{
+		address: address, direct: direct, peer: peer, counter: counter, logger: logger,
+		resting: map[string]time.Time{},
+	}
 }
 
 // SetPeers replaces the addresses at which other VMs relay calls. Those in other
-// regions are asked only if there are none in the same one.
+// regions are asked only if none in the same one reaches the store.
 func (r *Relayer) SetPeers(near, far []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.peers = near
-	if len(near) == 0 {
-		r.peers = far
-	}
+	r.near, r.far = near, far
 }
 
 // RoundTrip implements http.RoundTripper. It sends a call again by another way
-// only if it surely was not done.
+// only if it surely was not done, or does nothing but read.
 func (r *Relayer) RoundTrip(request *http.Request) (*http.Response, error) {
 	body, err := readBody(request)
 	if err != nil {
@@ -99,8 +109,11 @@
 		r.noteDirect()
 		return response, err
 	}
+	if errors.Is(request.Context().Err(), context.Canceled) {
+		return response, err // given up by the caller, which says nothing of the store
+	}
 	r.noteTurnedAway(response, err)
-	if (err != nil && !notSent(err)) || !r.takesDetour(time.Now()) {
+	if (err != nil && !mayRepeat(request, err)) || !r.hasPeers(time.Now()) {
 		return response, err
 	}
 	relayed, relayErr := r.throughPeers(request, body)
@@ -143,6 +156,11 @@
 		response.StatusCode == http.StatusTooManyRequests
 }
 
+// mayRepeat tells whether a call that failed may be sent again.
+func mayRepeat(request *http.Request, err error) bool {
+	return notSent(err) || (request.Method == http.MethodGet && request.Context().Err() == nil)
+}
+
 // notSent tells whether an error means that a call surely had no effect.
 func notSent(err error) bool {
 	var operation *net.OpError
@@ -154,7 +172,7 @@
 func (r *Relayer) takesDetour(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.away || now.Before(r.outageTo) || len(r.peers) == 0 {
+	if !r.away || now.Before(r.outageTo) || len(r.near)+len(r.far) == 0 {
 		return false
 	}
 	if now.Before(r.probeAt) || r.probing {
@@ -164,18 +182,33 @@
 	return false
 }
 
+// hasPeers tells whether other VMs can be asked.
+func (r *Relayer) hasPeers(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !now.Before(r.outageTo) && len(r.near)+len(r.far) > 0
+}
+
 func (r *Relayer) noteDirect() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.away {
 		r.logger.Info("store reached directly again")
 	}
-	r.away, r.probing = false, false
+	r.refusals, r.away, r.probing = 0, false, false
 }
 
 func (r *Relayer) noteTurnedAway(response *http.Response, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.refusals++
+	if err != nil {
+		r.refusals = awayRefusals
+	}
+	r.probing, r.probeAt = false, time.Now().Add(detour)
+	if r.refusals < awayRefusals {
+		return
+	}
 	if !r.away {
 		status := 0
 		if response != nil {
@@ -183,7 +216,7 @@
 		}
 		r.logger.Warn("store turns this VM away, other VMs are asked", "status", status, "error", err)
 	}
-	r.away, r.probing, r.probeAt = true, false, time.Now().Add(detour)
+	r.away = true
 }
 
 func (r *Relayer) noteOutage(now time.Time) {
@@ -200,13 +233,15 @@
 		call.URL.Host, call.Host = address, r.address
 		call.Header.Set(headerRelayed, "1")
 		response, err := r.peer.RoundTrip(call)
-		if err != nil && notSent(err) {
-			continue
-		}
 		if err != nil {
+			r.rest(address)
+			if mayRepeat(request, err) {
+				continue
+			}
 			return nil, err //nolint:wrapcheck // the store's client tells the kinds apart
 		}
-		if response.Header.Get(headerRelayed) == "" || r.turnedAway(response, nil) {
+		if r.missed(request, response) {
+			r.rest(address)
 			_ = response.Body.Close()
 			continue
 		}
@@ -216,17 +251,42 @@
 	return nil, errNoPeer
 }
 
+// missed tells whether an answer says that the store was not reached, and the
+// call may be sent again.
+func (r *Relayer) missed(request *http.Request, response *http.Response) bool {
+	lostRead := request.Method == http.MethodGet && response.StatusCode == http.StatusBadGateway
+	return response.Header.Get(headerRelayed) == "" || r.turnedAway(response, nil) || lostRead
+}
+
+// rest notes that another VM doesn't reach the store.
+func (r *Relayer) rest(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.resting[address] = time.Now().Add(peerRest)
+}
+
+// somePeers returns other VMs to ask.
 func (r *Relayer) somePeers() []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	n := len(r.peers)
-	if n == 0 {
+	if some := r.awake(r.near); len(some) > 0 {
+		return some
+	}
+	return r.awake(r.far)
+}
+
+// awake returns some VMs that are not resting, from a random one on.
+func (r *Relayer) awake(addresses []string) []string {
+	if len(addresses) == 0 {
 		return nil
 	}
-	first := rand.IntN(n)
+	first, now := rand.IntN(len(addresses)), time.Now()
 	some := make([]string, 0, maxPeers)
-	for i := range min(n, maxPeers) {
-		some = append(some, r.peers[(first+i)%n])
+	for i := range addresses {
+		address := addresses[(first+i)%len(addresses)]
+		if now.After(r.resting[address]) && len(some) < maxPeers {
+			some = append(some, address)
+		}
 	}
 	return some
 }
--- a/internal/storerelayer/relayer_test.go
+++ b/internal/storerelayer/relayer_test.go
@@ -40,13 +40,19 @@
 	}
 }
 
-// newPair returns a VM with a way to the store, another that relays by a way of
-// its own, and the number of calls that reached the store.
-func newPair(t *testing.T, own, others way) (*storerelayer.Relayer, *atomic.Int32) {
+// pair is a VM with a way to the store, beside another that relays by a way of
+// its own.
+type pair struct {
+	vm    *storerelayer.Relayer
+	store string
+	calls atomic.Int32 // that reached the store
+}
+
+func newPair(t *testing.T, own, others way) *pair {
 	t.Helper()
-	var calls atomic.Int32
+	p := &pair{}
 	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		calls.Add(1)
+		p.calls.Add(1)
 		body, _ := io.ReadAll(r.Body)
 		_, _ = w.Write(append([]byte(r.URL.RequestURI()+" "), body...))
 	}))
@@ -55,16 +61,22 @@
 	logger, count := slog.New(slog.DiscardHandler), counter.New(metrics.NewSet())
 	other := httptest.NewServer(storerelayer.New(address, others, http.DefaultTransport, count, logger))
 	t.Cleanup(other.Close)
-	vm := storerelayer.New(address, own, http.DefaultTransport, count, logger)
-	vm.SetPeers([]string{other.Listener.Addr().String()}, nil)
-	return vm, &calls
+	p.vm = storerelayer.New(address, own, http.DefaultTransport, count, logger)
+	p.vm.SetPeers([]string{other.Listener.Addr().String()}, nil)
+	p.store = address
+	return p
 }
 
-func call(t *testing.T, vm *storerelayer.Relayer) (string, error) {
+func call(t *testing.T, p *pair) (string, error) {
 	t.Helper()
-	request, err := http.NewRequest(http.MethodPost, "http://store/x?y=1", strings.NewReader("body"))
+	return callBy(t, p, http.MethodPost)
+}
+
+func callBy(t *testing.T, p *pair, method string) (string, error) {
+	t.Helper()
+	request, err := http.NewRequest(method, "http://"+p.store+"/x?y=1", strings.NewReader("body"))
 	qt.Assert(t, err, qt.IsNil)
-	response, err := vm.RoundTrip(request)
+	response, err := p.vm.RoundTrip(request)
 	if err != nil {
 		return "", err
 	}
@@ -76,15 +88,15 @@
 
 func expectCall(t *testing.T, own, others way, want string, wantCalls int) {
 	t.Helper()
-	vm, calls := newPair(t, own, others)
-	got, err := call(t, vm)
+	p := newPair(t, own, others)
+	got, err := call(t, p)
 	if want == "" {
 		qt.Check(t, err, qt.IsNotNil)
 	} else {
 		qt.Assert(t, err, qt.IsNil)
 		qt.Check(t, got, qt.Equals, want)
 	}
-	qt.Check(t, int(calls.Load()), qt.Equals, wantCalls)
+	qt.Check(t, int(p.calls.Load()), qt.Equals, wantCalls)
 }
 
 func TestCalls(t *testing.T) {
@@ -107,11 +119,36 @@
 }
 
 func TestTheNextCallAfterALostOneTakesTheDetour(t *testing.T) {
-	vm, calls := newPair(t, reset, open)
-	_, err := call(t, vm)
+	p := newPair(t, reset, open)
+	_, err := call(t, p)
 	qt.Assert(t, err, qt.IsNotNil)
-	got, err := call(t, vm)
+	got, err := call(t, p)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, got, qt.Equals, "OK /x?y=1 body")
+	qt.Check(t, int(p.calls.Load()), qt.Equals, 1)
+}
+
+// A store that refuses a call now and then is no reason to burden other VMs
+// with all others.
+func TestASingleRefusalIsRelayedAlone(t *testing.T) {
+	var asked atomic.Int32
+	p := newPair(t, func(r *http.Request) (*http.Response, error) {
+		if asked.Add(1) == 1 {
+			return answering(http.StatusServiceUnavailable)(r)
+		}
+		return open(r)
+	}, open)
+	for range 3 {
+		got, err := call(t, p)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, got, qt.Equals, "OK /x?y=1 body")
+	}
+	qt.Check(t, int(asked.Load()), qt.Equals, 3)
+}
+
+func TestAReadThatWasLostIsSentAgain(t *testing.T) {
+	p := newPair(t, reset, open)
+	got, err := callBy(t, p, http.MethodGet)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, got, qt.Equals, "OK /x?y=1 body")
-	qt.Check(t, int(calls.Load()), qt.Equals, 1)
 }
