--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -84,15 +84,10 @@
 
 // call sends a request and returns the status, the body, and whether the answer
 // was whole.
-func (v *vm) call(path string, header ...string) (status int, body string, whole bool) {
+func (v *vm) call(path string, deadline time.Duration) (status int, body string, whole bool) {
 	v.t.Helper()
-	request, err := http.NewRequest(http.MethodPost, "http://vm:1"+path, strings.NewReader("body"))
+	request, err := standin.NewCall(http.MethodPost, "http://vm:1"+path, "h", "id", deadline)
 	qt.Assert(v.t, err, qt.IsNil)
-	request.Host = "h"
-	request.Header.Set("Request-Id", "id")
-	for i := 0; i+1 < len(header); i += 2 {
-		request.Header.Set(header[i], header[i+1])
-	}
 	response, err := v.client.Do(request)
 	if err != nil {
 		return 0, "", false
@@ -113,12 +108,13 @@
 // expectCall calls and compares the status, the time until the answer and the
 // number of runs.
 func expectCall(
-	t *testing.T, path string, plans []standin.Plan, wantStatus int, wantTook time.Duration, wantRuns int, header ...string,
+	t *testing.T, path string, plans []standin.Plan, wantStatus int, wantTook time.Duration, wantRuns int,
+	deadline time.Duration,
 ) {
 	t.Helper()
 	inVM(t, plans, func(v *vm) {
 		began := time.Now()
-		status, _, whole := v.call(path, header...)
+		status, _, whole := v.call(path, deadline)
 		qt.Check(v.t, status, qt.Equals, wantStatus)
 		qt.Check(v.t, whole, qt.IsTrue)
 		qt.Check(v.t, time.Since(began), qt.Equals, wantTook)
@@ -137,31 +133,31 @@
 
 func TestWhatMayBeRepeated(t *testing.T) {
 	t.Run("a refusal never ran", func(t *testing.T) {
-		expectCall(t, "/unsafe/x", plans(refuses, refuses, sound), http.StatusOK, 0, 1)
+		expectCall(t, "/unsafe/x", plans(refuses, refuses, sound), http.StatusOK, 0, 1, 0)
 	})
 	t.Run("all refuse", func(t *testing.T) {
-		expectCall(t, "/unsafe/x", plans(refuses, refuses), http.StatusServiceUnavailable, 0, 0)
+		expectCall(t, "/unsafe/x", plans(refuses, refuses), http.StatusServiceUnavailable, 0, 0, 0)
 	})
 	t.Run("an unsafe call that failed is not repeated", func(t *testing.T) {
-		expectCall(t, "/unsafe/x", plans(fails), http.StatusInternalServerError, 0, 1)
+		expectCall(t, "/unsafe/x", plans(fails), http.StatusInternalServerError, 0, 1, 0)
 	})
 	t.Run("a safe call that failed is", func(t *testing.T) {
-		expectCall(t, "/safe/x", plans(fails, fails, fails), http.StatusInternalServerError, 0, 2)
+		expectCall(t, "/safe/x", plans(fails, fails, fails), http.StatusInternalServerError, 0, 2, 0)
 	})
 	t.Run("no upstream", func(t *testing.T) {
-		expectCall(t, "/safe/x", nil, http.StatusServiceUnavailable, 0, 0)
+		expectCall(t, "/safe/x", nil, http.StatusServiceUnavailable, 0, 0, 0)
 	})
 }
 
 func TestFinalAnswersComeInTime(t *testing.T) {
 	t.Run("the route's timeout", func(t *testing.T) {
-		expectCall(t, "/unsafe/x", plans(silent), http.StatusGatewayTimeout, 2*time.Second, 1)
+		expectCall(t, "/unsafe/x", plans(silent), http.StatusGatewayTimeout, 2*time.Second, 1, 0)
 	})
 	t.Run("the caller's deadline", func(t *testing.T) {
-		expectCall(t, "/unsafe/x", plans(silent), http.StatusGatewayTimeout, time.Second, 1, "Deadline-Ms", "1000")
+		expectCall(t, "/unsafe/x", plans(silent), http.StatusGatewayTimeout, time.Second, 1, time.Second)
 	})
 	t.Run("a stream before its first event", func(t *testing.T) {
-		expectCall(t, "/stream/x", plans(silent), http.StatusGatewayTimeout, 2*time.Second, 1)
+		expectCall(t, "/stream/x", plans(silent), http.StatusGatewayTimeout, 2*time.Second, 1, 0)
 	})
 }
 
@@ -169,7 +165,7 @@
 func expectStream(t *testing.T, path string, plans []standin.Plan, wantEvents int, wantWhole bool) {
 	t.Helper()
 	inVM(t, plans, func(v *vm) {
-		status, body, whole := v.call(path)
+		status, body, whole := v.call(path, 0)
 		qt.Check(v.t, status, qt.Equals, http.StatusOK)
 		qt.Check(v.t, whole, qt.Equals, wantWhole)
 		var want strings.Builder
@@ -194,7 +190,7 @@
 func TestACallersCloseEndsTheRun(t *testing.T) {
 	inVM(t, plans(standin.Plan{Events: 1000, Gap: 10 * time.Millisecond}), func(v *vm) {
 		v.client.Timeout = 100 * time.Millisecond
-		_, _, whole := v.call("/stream/x")
+		_, _, whole := v.call("/stream/x", 0)
 		qt.Check(v.t, whole, qt.IsFalse)
 		time.Sleep(10 * time.Millisecond)
 		synctest.Wait()
@@ -207,12 +203,12 @@
 	crash := standin.Plan{Events: 5, CutAfter: 1}
 	inVM(t, plans(crash, crash), func(v *vm) {
 		for range quarantiner.MaxStrikes {
-			_, _, whole := v.call("/stream/x")
+			_, _, whole := v.call("/stream/x", 0)
 			qt.Check(v.t, whole, qt.IsFalse)
 			time.Sleep(5 * time.Second)
 		}
 		for range 3 {
-			status, _, _ := v.call("/stream/x")
+			status, _, _ := v.call("/stream/x", 0)
 			qt.Check(v.t, status, qt.Equals, http.StatusBadGateway)
 		}
 		qt.Check(v.t, v.runs(), qt.Equals, quarantiner.MaxStrikes)
@@ -222,10 +218,10 @@
 func TestAVMWithoutAConfigurationSaysSo(t *testing.T) {
 	inVM(t, plans(sound), func(v *vm) {
 		v.gateway.SetTable(nil)
-		status, _, _ := v.call("/safe/x")
+		status, _, _ := v.call("/safe/x", 0)
 		qt.Check(v.t, status, qt.Equals, http.StatusServiceUnavailable)
 		v.gateway.SetTable(table())
-		status, _, _ = v.call("/none/x")
+		status, _, _ = v.call("/none/x", 0)
 		qt.Check(v.t, status, qt.Equals, http.StatusNotFound)
 	})
 }
