Fewer bytes between regions and domains; cancels are told between VMs

Ruled out: the store's rates (no 429 in the logs), processor time (2.3% of a core).

Change: counts are encoded as arrays; the far region is never told at once; batch work goes to other domains only where there is clearly room; fleets of more than 32 VMs read rows half as often; a cancel is told between VMs, so that a runner stops before it looks.

--- a/internal/batchrunner/runner.go
+++ b/internal/batchrunner/runner.go
@@ -53,8 +53,12 @@
 const (
 	// tick bounds how long something that only time brings about is overlooked.
 	tick = 100 * time.Millisecond
-	// scanPeriod is the time between two looks at the records of all jobs.
+	// scanPeriod is the time between two looks at the records of all jobs, in a
+	// fleet of up to smallFleet VMs; larger ones look half as often, since all
+	// looks together would fill the link between regions. Cancels are also told
+	// between VMs.
 	scanPeriod = time.Second
+	smallFleet = 32
 	// blindTime is how long items are still started without such a look: a
 	// cancel could have been missed.
 	blindTime = 10 * time.Second
@@ -72,6 +76,7 @@
 	table   func() *router.Table
 	loop    *stepper.Loop
 	woken   atomic.Bool
+	vms     atomic.Int32
 
 	jobs     map[string]*job
 	running  map[*placer.Place]*item
@@ -113,6 +118,17 @@
 	}
 }
 
+// SetVMs sets how many VMs there are.
+func (r *Runner) SetVMs(n int) { r.vms.Store(int32(n)) }
+
+// period returns the time between two looks at the records of all jobs.
+func (r *Runner) period() time.Duration {
+	if r.vms.Load() > smallFleet {
+		return 2 * scanPeriod
+	}
+	return scanPeriod
+}
+
 // Adopt runs a job that this process has just accepted.
 func (r *Runner) Adopt(stored batchkeeper.Stored, items []batchkeeper.Item) {
 	r.loop.Post(func(time.Time) { r.adopt(stored, batchkeeper.Loaded{Items: items}) })
--- a/internal/batchrunner/store.go
+++ b/internal/batchrunner/store.go
@@ -30,7 +30,7 @@
 
 // scan looks at the records of all jobs.
 func (r *Runner) scan(now time.Time) {
-	r.scanning, r.scanDue = true, now.Add(scanPeriod)
+	r.scanning, r.scanDue = true, now.Add(r.period())
 	r.loop.Go(func(ctx context.Context) stepper.Event {
 		ctx, cancel := context.WithTimeout(ctx, storeTime)
 		defer cancel()
--- a/internal/entryvm/shared.go
+++ b/internal/entryvm/shared.go
@@ -1,33 +1,78 @@
 package entryvm
 
 import (
+	"maps"
+	"slices"
+	"sync"
 	"time"
 
+	"github.com/fescuespindle/fescuespindle/internal/batchkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/batchrunner"
+	"github.com/fescuespindle/fescuespindle/internal/peerteller"
 	"github.com/fescuespindle/fescuespindle/internal/placer"
 	"github.com/fescuespindle/fescuespindle/internal/quarantiner"
 )
 
-// maxStrikes bounds the suspects in one message to other VMs.
-const maxStrikes = 50
+const (
+	// maxStrikes bounds the suspects in one message to other VMs.
+	maxStrikes = 50
+	// cancelNews is how long a cancel is told, and maxCancels bounds those in one
+	// message.
+	cancelNews = 4 * time.Second
+	maxCancels = 50
+)
 
-// sharedState is what VMs tell each other: their work, and their suspects.
+// sharedState is what VMs tell each other: their work, their suspects, and the
+// jobs that they have cancelled.
 type sharedState struct {
-	vm *VM
+	placer     *placer.Placer
+	quarantine *quarantiner.Quarantine
+	runner     *batchrunner.Runner
+
+	mu        sync.Mutex
+	cancelled map[string]time.Time // until when a cancel is told
 }
 
+var _ peerteller.State = (*sharedState)(nil)
+
 // Tell implements peerteller.State.
-func (s *sharedState) Tell(now time.Time) (placer.Report, []quarantiner.Strike) {
-	return s.vm.placer.Report(), s.vm.quarantine.Recent(maxStrikes, now)
+func (s *sharedState) Tell(now time.Time) (placer.Report, peerteller.News) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.cancelled, func(_ string, until time.Time) bool { return now.After(until) })
+	cancelled := slices.Collect(maps.Keys(s.cancelled))
+	news := peerteller.News{
+		Strikes:   s.quarantine.Recent(maxStrikes, now),
+		Cancelled: cancelled[:min(len(cancelled), maxCancels)],
+	}
+	return s.placer.Report(), news
 }
 
 // Hear implements peerteller.State.
-func (s *sharedState) Hear(vm string, report placer.Report, strikes []quarantiner.Strike, now time.Time) {
-	s.vm.placer.Heard(vm, report, now)
-	for _, strike := range strikes {
-		s.vm.quarantine.Learn(strike, now)
+func (s *sharedState) Hear(vm string, report placer.Report, news peerteller.News, now time.Time) {
+	s.placer.Heard(vm, report, now)
+	for _, strike := range news.Strikes {
+		s.quarantine.Learn(strike, now)
+	}
+	for _, id := range news.Cancelled {
+		s.runner.Cancelled(id)
 	}
-	s.vm.runner.Wake()
+	s.runner.Wake()
 }
 
 // Expire implements peerteller.State.
-func (s *sharedState) Expire(now time.Time) { s.vm.placer.Expire(now) }
+func (s *sharedState) Expire(now time.Time) { s.placer.Expire(now) }
+
+// Adopt implements batchserver.Runner.
+func (s *sharedState) Adopt(stored batchkeeper.Stored, items []batchkeeper.Item) {
+	s.runner.Adopt(stored, items)
+}
+
+// Cancelled implements batchserver.Runner: it stops a job here, and has other VMs
+// told.
+func (s *sharedState) Cancelled(id string) {
+	s.runner.Cancelled(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cancelled[id] = time.Now().Add(cancelNews)
+}
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -50,20 +50,19 @@
 
 // VM is one entry VM.
 type VM struct {
-	settings   platform.Settings
-	boot       uint64
-	logger     *slog.Logger
-	counter    *counter.Counters
-	relayer    *storerelayer.Relayer
-	store      rowstore.Store
-	forwarder  *forwarder.Forwarder
-	placer     *placer.Placer
-	teller     *peerteller.Teller
-	members    *memberkeeper.Keeper
-	gateway    *gateway.Gateway
-	quarantine *quarantiner.Quarantine
-	keeper     *batchkeeper.Keeper
-	runner     *batchrunner.Runner
+	settings  platform.Settings
+	boot      uint64
+	logger    *slog.Logger
+	counter   *counter.Counters
+	relayer   *storerelayer.Relayer
+	store     rowstore.Store
+	forwarder *forwarder.Forwarder
+	placer    *placer.Placer
+	teller    *peerteller.Teller
+	members   *memberkeeper.Keeper
+	gateway   *gateway.Gateway
+	keeper    *batchkeeper.Keeper
+	runner    *batchrunner.Runner
 
 	readiness readiness
 	group     sync.WaitGroup
@@ -84,8 +83,6 @@
 	}
 	vm.teller = teller
 	vm.placer = placer.New(settings.VM, settings.Domain, settings.Regions, placer.WithChanged(vm.workChanged))
-	vm.quarantine = quarantiner.New()
-	teller.SetState(&sharedState{vm: vm})
 	vm.forwarder = forwarder.New(codec.AnswerID)
 	vm.relayer = storerelayer.New(settings.StoreAddress, storeTransport(), storeTransport(), vm.counter, logger)
 	vm.store = platform.NewStore(settings.StoreAddress, vm.relayer)
@@ -95,8 +92,12 @@
 	owner := batchkeeper.Owner{VM: settings.VM, Boot: vm.boot}
 	vm.keeper = batchkeeper.New(vm.store, owner, settings.MaxRowBytes, logger)
 	vm.runner = batchrunner.New(owner, vm.keeper, vm.placer, couriers, vm.members, vm.table, vm.counter, logger)
-	jobs := batchserver.New(codec, vm.keeper, vm.runner, vm.limits, vm.counter, logger)
-	vm.gateway = gateway.New(codec, couriers, vm.placer, vm.quarantine, jobs, vm.counter, logger)
+	shared := &sharedState{
+		placer: vm.placer, quarantine: quarantiner.New(), runner: vm.runner, cancelled: map[string]time.Time{},
+	}
+	teller.SetState(shared)
+	jobs := batchserver.New(codec, vm.keeper, shared, vm.limits, vm.counter, logger)
+	vm.gateway = gateway.New(codec, couriers, vm.placer, shared.quarantine, jobs, vm.counter, logger)
 	return vm, nil
 }
 
@@ -144,6 +145,7 @@
 	vm.relayer.SetPeers(near, far)
 	vm.teller.SetPeers(peers)
 	vm.keeper.SetVMs(len(peers) + 1)
+	vm.runner.SetVMs(len(peers) + 1)
 }
 
 // Start starts serving.
--- a/internal/memberkeeper/keeper.go
+++ b/internal/memberkeeper/keeper.go
@@ -19,13 +19,16 @@
 const (
 	// Table has a row for each VM.
 	Table = "vms"
-	// period is the time between two heartbeats.
-	period = time.Second
+	// period is the time between two heartbeats, and two looks at the list; fleets
+	// of more than smallFleet VMs look half as often.
+	period     = time.Second
+	smallFleet = 32
 	// callTimeout bounds one call of the store.
 	callTimeout = 1500 * time.Millisecond
 	// lapse is how long a row may stay unchanged before its VM is taken to be
-	// gone: three heartbeats and a bit.
-	lapse = 3200 * time.Millisecond
+	// gone: three heartbeats and a bit, and a look in large fleets.
+	lapse      = 3200 * time.Millisecond
+	largeLapse = lapse + period
 )
 
 // Member is a VM as its row tells.
@@ -73,17 +76,33 @@
 
 // Run sends heartbeats and reads the list until the context ends.
 func (k *Keeper) Run(ctx context.Context) {
-	for ctx.Err() == nil {
+	for n := 0; ctx.Err() == nil; n++ {
 		if err := k.beat(ctx); err != nil {
 			k.logger.Debug("heartbeat not written", "error", err) // the next one makes up for it
 		}
-		if err := k.read(ctx); err != nil {
-			k.logger.Debug("VM list not read", "error", err) // the watchers log a lost store
+		if n%2 == 0 || !k.isLarge() {
+			if err := k.read(ctx); err != nil {
+				k.logger.Debug("VM list not read", "error", err) // the watchers log a lost store
+			}
 		}
 		sleeper.Sleep(ctx, period)
 	}
 }
 
+func (k *Keeper) isLarge() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.seen) > smallFleet
+}
+
+// lapse returns how long a row may stay unchanged. The caller holds mu.
+func (k *Keeper) lapse() time.Duration {
+	if len(k.seen) > smallFleet {
+		return largeLapse
+	}
+	return lapse
+}
+
 // beat writes the VM's row.
 func (k *Keeper) beat(ctx context.Context) error {
 	k.mu.Lock()
@@ -116,14 +135,14 @@
 func (k *Keeper) Observe(rows []rowstore.Row, now time.Time) []Member {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	blind := now.Sub(k.lastRead) > lapse // nothing could be seen to change
+	blind := now.Sub(k.lastRead) > k.lapse() // nothing could be seen to change
 	k.lastRead = now
 	var others []Member
 	seen := make(map[string]sighting, len(rows))
 	for _, row := range rows {
 		s := k.sight(row, blind, now)
 		seen[row.Name] = s
-		if row.Name != k.self.VM && now.Sub(s.changed) < lapse {
+		if row.Name != k.self.VM && now.Sub(s.changed) < k.lapse() {
 			others = append(others, s.member)
 		}
 	}
@@ -150,7 +169,7 @@
 func (k *Keeper) Informed(now time.Time) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return now.Sub(k.lastRead) < lapse
+	return now.Sub(k.lastRead) < k.lapse()
 }
 
 // Lives tells whether the process with a boot number is taken to live. One that
@@ -162,7 +181,7 @@
 		return boot == k.self.Boot
 	}
 	s, found := k.seen[vm]
-	return found && s.member.Boot == boot && now.Sub(s.changed) < lapse && !s.member.Leaving
+	return found && s.member.Boot == boot && now.Sub(s.changed) < k.lapse() && !s.member.Leaving
 }
 
 // Replaced tells whether the process with a boot number surely has ended, because
@@ -188,7 +207,7 @@
 		vms = append(vms, k.self.VM)
 	}
 	for vm, s := range k.seen {
-		if vm != k.self.VM && now.Sub(s.changed) < lapse && !s.member.Leaving {
+		if vm != k.self.VM && now.Sub(s.changed) < k.lapse() && !s.member.Leaving {
 			vms = append(vms, vm)
 		}
 	}
--- a/internal/peerteller/schedule.go
+++ b/internal/peerteller/schedule.go
@@ -6,15 +6,16 @@
 	// period is the longest time between two messages to a peer.
 	period = 400 * time.Millisecond
 	// nearPeriod is the shortest time between two messages to the VMs that must
-	// know of a change at once: those of this VM's failure domain and of the one
-	// whose upstream the change is about, as they are the first to send there.
-	nearPeriod = time.Millisecond
+	// know of a change at once: those of this VM's failure domain and, in the same
+	// region, of the one whose upstream the change is about, as they are the first
+	// to send there.
+	nearPeriod = 2 * time.Millisecond
 	// regionShare and farShare are the shortest time between two messages to other
 	// VMs of the region, and of other regions, for each of them, so that what a VM
 	// sends doesn't grow with the fleet. Links between regions are narrow and
 	// billed by volume.
 	regionShare = 4 * time.Millisecond
-	farShare    = 12 * time.Millisecond
+	farShare    = 16 * time.Millisecond
 	minFar      = 100 * time.Millisecond
 )
 
@@ -96,7 +97,7 @@
 	}
 	var told []Peer
 	for _, p := range peers {
-		if ready[s.audienceOf(p)] || (ready[audienceNear] && s.dirty[p.Domain]) {
+		if ready[s.audienceOf(p)] || (ready[audienceNear] && s.dirty[p.Domain] && !p.Far) {
 			told = append(told, p)
 		}
 	}
--- a/internal/peerteller/teller.go
+++ b/internal/peerteller/teller.go
@@ -31,6 +31,14 @@
 	Counts   placer.Report `cbor:"counts"`
 	// Strikes are suspicions that requests crash upstreams.
 	Strikes []quarantiner.Strike `cbor:"strikes,omitempty"`
+	// Cancelled are jobs that were cancelled lately.
+	Cancelled []string `cbor:"cancelled,omitempty"`
+}
+
+// News is what a VM tells beside its work.
+type News struct {
+	Strikes   []quarantiner.Strike
+	Cancelled []string
 }
 
 // Peer is another VM.
@@ -45,9 +53,9 @@
 // State is what a VM tells of, and takes in from others.
 type State interface {
 	// Tell returns what is told now.
-	Tell(now time.Time) (placer.Report, []quarantiner.Strike)
+	Tell(now time.Time) (placer.Report, News)
 	// Hear takes in what another VM tells.
-	Hear(vm string, report placer.Report, strikes []quarantiner.Strike, now time.Time)
+	Hear(vm string, report placer.Report, news News, now time.Time)
 	// Expire forgets VMs that have been silent for too long.
 	Expire(now time.Time)
 }
@@ -141,8 +149,10 @@
 
 // send sends all that there is to tell.
 func (t *Teller) send(sequence uint64, peers []Peer) {
-	counts, strikes := t.state.Tell(time.Now())
-	text, err := cbor.Marshal(message{VM: t.vm, Boot: t.boot, Sequence: sequence, Counts: counts, Strikes: strikes})
+	counts, news := t.state.Tell(time.Now())
+	text, err := cbor.Marshal(message{
+		VM: t.vm, Boot: t.boot, Sequence: sequence, Counts: counts, Strikes: news.Strikes, Cancelled: news.Cancelled,
+	})
 	if err != nil {
 		t.logger.Error("encode peer message", "error", err)
 		return
@@ -167,7 +177,7 @@
 			continue
 		}
 		if t.isNews(m) {
-			t.state.Hear(m.VM, m.Counts, m.Strikes, time.Now())
+			t.state.Hear(m.VM, m.Counts, News{Strikes: m.Strikes, Cancelled: m.Cancelled}, time.Now())
 		}
 	}
 }
@@ -184,7 +194,7 @@
 	if !found || last.Boot != m.Boot {
 		t.logger.Info("peer heard", "vm", m.VM, "boot", m.Boot)
 	}
-	m.Counts, m.Strikes = nil, nil
+	m.Counts, m.Strikes, m.Cancelled = nil, nil, nil
 	t.heard[m.VM] = m
 	return true
 }
--- a/internal/placer/choice.go
+++ b/internal/placer/choice.go
@@ -18,6 +18,10 @@
 	remotePenalty = 40 * time.Millisecond
 	// blockedPenalty leaves an upstream that has just failed to the end.
 	blockedPenalty = 2 * time.Second
+	// farRoom is the room that an upstream of another region must have for batch
+	// work, as a divisor of its sequences: bytes between regions are dear, and its
+	// VMs hear late of what goes there.
+	farRoom = 2
 	// onlineReserve is the number of places on an upstream that batch work leaves
 	// free, so that an online request need not wait for one to be made.
 	onlineReserve = 1
@@ -123,7 +127,7 @@
 	for i := range members {
 		u := members[(i+p.turn)%len(members)]
 		room := u.Sequences - onlineReserve - u.load(now)
-		if u.Leaving || avoid[u.ID] || room <= 0 || now.Before(u.blockedUntil) || u.slow(now) > 1.5 {
+		if u.Leaving || avoid[u.ID] || room < batchRoom(u) || now.Before(u.blockedUntil) || u.slow(now) > 1.5 {
 			continue
 		}
 		if best == nil || u.tier < best.tier || (u.tier == best.tier && room > most) {
@@ -139,6 +143,21 @@
 	return place, true
 }
 
+// batchRoom returns the places that must be free on an upstream for batch work to
+// go there: more the later its own VMs hear of it.
+func batchRoom(u *upstream) int {
+	switch u.tier {
+	case TierRemote:
+		return max(u.Sequences/farRoom, 1)
+	case TierRegion:
+		return 2
+	case TierDomain:
+		return 1
+	default:
+		return 1
+	}
+}
+
 // Yield returns the batch places that this VM must give up now, newest first.
 // Each is returned once and counts until Done. Where several VMs have batch work
 // on an upstream, the one with the highest name gives way first, so that all
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -96,6 +96,7 @@
 
 // Count is the work of one VM on one upstream.
 type Count struct {
+	_      struct{} `cbor:",toarray"` // names would be most of a message
 	Online int
 	Batch  int
 }
--- a/internal/quarantiner/quarantine.go
+++ b/internal/quarantiner/quarantine.go
@@ -27,6 +27,7 @@
 
 // Strike is what other VMs are told of a suspect.
 type Strike struct {
+	_           struct{} `cbor:",toarray"`
 	Fingerprint Fingerprint
 	Count       int
 }
