VMs whose batch work must give way hear of online work at once

A VM of another domain with batch items on an engine heard of the online request there only at its audience's turn, up to 0.17 s (0.7 s between regions) later, and gave way only then. Besides, VMs that know of other domains' engines a little late all chose the same one.

Change: the placer names the VMs with batch work on an upstream that is over full, and these are told at once; a random time is added for upstreams of other domains.

--- a/internal/batchrunner/runner_test.go
+++ b/internal/batchrunner/runner_test.go
@@ -79,7 +79,7 @@
 	owner := batchkeeper.Owner{VM: name, Boot: 1}
 	logger := slog.New(slog.DiscardHandler)
 	v := &vm{owner: owner, keeper: batchkeeper.New(f.store, owner, 64<<10, logger)}
-	v.placer = placer.New(name, "d", map[string]string{"d": "r"}, placer.WithChanged(func(string) { v.runner.Wake() }))
+	v.placer = placer.New(name, "d", map[string]string{"d": "r"}, placer.WithChanged(func(placer.Change) { v.runner.Wake() }))
 	v.placer.SetUpstreams(f.list)
 	sender := forwarder.New(platform.Codec{}.AnswerID, forwarder.WithDial(f.network.Dial))
 	v.runner = batchrunner.New(owner, v.keeper, v.placer, courier.New(sender, v.placer, platform.Codec{}), f,
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -102,8 +102,8 @@
 }
 
 // workChanged is called at every change of the work on upstreams.
-func (vm *VM) workChanged(domain string) {
-	vm.teller.Changed(domain)
+func (vm *VM) workChanged(change placer.Change) {
+	vm.teller.Changed(change)
 	vm.runner.Wake()
 }
 
--- a/internal/peerteller/schedule.go
+++ b/internal/peerteller/schedule.go
@@ -1,6 +1,10 @@
 package peerteller
 
-import "time"
+import (
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/placer"
+)
 
 const (
 	// period is the longest time between two messages to a peer.
@@ -33,18 +37,22 @@
 type schedule struct {
 	domain  string
 	dirty   map[string]bool // failure domains that must know at once
+	vms     map[string]bool // single VMs that must
 	changed [audiences]bool
 	last    [audiences]time.Time
 	counts  [audiences]int // peers
 }
 
 func newSchedule(domain string) *schedule {
-	return &schedule{domain: domain, dirty: map[string]bool{}}
+	return &schedule{domain: domain, dirty: map[string]bool{}, vms: map[string]bool{}}
 }
 
-// change notes that the work on an upstream of a domain has changed.
-func (s *schedule) change(domain string) {
-	s.dirty[domain] = true
+// change notes that the work on an upstream has changed.
+func (s *schedule) change(c placer.Change) {
+	s.dirty[c.Domain] = true
+	for _, vm := range c.Yielding {
+		s.vms[vm] = true
+	}
 	for a := range s.changed {
 		s.changed[a] = true
 	}
@@ -97,16 +105,23 @@
 	}
 	var told []Peer
 	for _, p := range peers {
-		if ready[s.audienceOf(p)] || (ready[audienceNear] && s.dirty[p.Domain] && !p.Far) {
+		if ready[s.audienceOf(p)] || (ready[audienceNear] && s.mustKnow(p)) {
 			told = append(told, p)
 		}
 	}
 	if ready[audienceNear] {
 		clear(s.dirty)
+		clear(s.vms)
 	}
 	return told
 }
 
+// mustKnow tells whether a peer must know of the last changes at once: it may
+// send to an upstream concerned, or has batch work there that must give way.
+func (s *schedule) mustKnow(p Peer) bool {
+	return s.vms[p.VM] || (s.dirty[p.Domain] && !p.Far)
+}
+
 func (s *schedule) audienceOf(p Peer) audience {
 	switch {
 	case p.Domain == s.domain:
--- a/internal/peerteller/schedule_test.go
+++ b/internal/peerteller/schedule_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/fescuespindle/fescuespindle/internal/placer"
 )
 
 var start = time.Unix(1_700_000_000, 0)
@@ -26,7 +28,7 @@
 	sent := map[string]int{}
 	for at := time.Duration(0); at < time.Minute; at += time.Millisecond {
 		if at%every == 0 {
-			s.change(domain)
+			s.change(placer.Change{Domain: domain})
 		}
 		now := start.Add(at)
 		if now.Before(s.next()) {
@@ -43,9 +45,9 @@
 	peers := append(peersOf("a", false, 1), append(peersOf("b", false, 1), peersOf("c", true, 1)...)...)
 	s := newSchedule("a")
 	s.take(peers, start)
-	expect := func(domain string, want ...string) {
+	expect := func(change placer.Change, want ...string) {
 		t.Helper()
-		s.change(domain)
+		s.change(change)
 		var got []string
 		for _, p := range s.take(peers, start.Add(2*time.Millisecond)) {
 			got = append(got, p.Domain)
@@ -53,9 +55,10 @@
 		s.last[audienceNear] = start
 		qt.Check(t, got, qt.DeepEquals, want)
 	}
-	expect("a", "a")
-	expect("b", "a", "b")
-	expect("c", "a")
+	expect(placer.Change{Domain: "a"}, "a")
+	expect(placer.Change{Domain: "b"}, "a", "b")
+	expect(placer.Change{Domain: "c"}, "a")
+	expect(placer.Change{Domain: "a", Yielding: []string{"c0"}}, "a", "c")
 }
 
 // Steady load on a VM's own domain: what goes to other domains is bounded by the
--- a/internal/peerteller/teller.go
+++ b/internal/peerteller/teller.go
@@ -102,11 +102,11 @@
 	t.peers = peers
 }
 
-// Changed tells that the VM's work on an upstream of a failure domain has
-// changed. It never blocks for long.
-func (t *Teller) Changed(domain string) {
+// Changed tells that the VM's work on an upstream has changed. It never blocks
+// for long.
+func (t *Teller) Changed(change placer.Change) {
 	t.mu.Lock()
-	t.schedule.change(domain)
+	t.schedule.change(change)
 	t.mu.Unlock()
 	select {
 	case t.wake <- struct{}{}:
--- a/internal/peerteller/teller_test.go
+++ b/internal/peerteller/teller_test.go
@@ -68,7 +68,7 @@
 		start(t, "bb", second, b)
 		teller.SetPeers([]peerteller.Peer{{VM: "bb", Address: netip.MustParseAddrPort(second), Far: far}})
 		a.set(5)
-		teller.Changed("a")
+		teller.Changed(placer.Change{Domain: "a"})
 		for report := range b.heard {
 			if report["u"].Online == 5 {
 				break
--- a/internal/placer/choice.go
+++ b/internal/placer/choice.go
@@ -1,6 +1,9 @@
 package placer
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 const (
 	// onlineRun is the time that an online request typically takes its place.
@@ -16,6 +19,8 @@
 	// upstream in another failure domain, or another region, as waiting time.
 	regionPenalty = 12 * time.Millisecond
 	remotePenalty = 40 * time.Millisecond
+	// staleSpread is the time that is drawn for upstreams of other domains.
+	staleSpread = 30 * time.Millisecond
 	// blockedPenalty leaves an upstream that has just failed to the end.
 	blockedPenalty = 2 * time.Second
 	// farRoom is the room that an upstream of another region must have for batch
@@ -30,14 +35,17 @@
 // Online takes the place at which an online request is expected to begin
 // soonest. Upstreams to avoid are those that have already refused or failed it.
 func (p *Placer) Online(service string, avoid map[string]bool, now time.Time) (*Place, bool) {
-	place, found := p.takeOnline(service, avoid, now)
-	if found {
-		p.changed(place.upstream.Domain)
+	place, yielding := p.takeOnline(service, avoid, now)
+	if place == nil {
+		return nil, false
 	}
-	return place, found
+	p.changed(Change{Domain: place.upstream.Domain, Yielding: yielding})
+	return place, true
 }
 
-func (p *Placer) takeOnline(service string, avoid map[string]bool, now time.Time) (*Place, bool) {
+// takeOnline also returns the VMs whose batch work must give way. It returns no
+// place if there is no upstream.
+func (p *Placer) takeOnline(service string, avoid map[string]bool, now time.Time) (*Place, []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var best *upstream
@@ -49,15 +57,41 @@
 		if u.Leaving || avoid[u.ID] {
 			continue
 		}
-		if wait := u.onlineWait(now); best == nil || wait < least {
+		wait := u.onlineWait(now) + p.spread(u)
+		if best == nil || wait < least {
 			best, least = u, wait
 		}
 	}
 	if best == nil {
-		return nil, false
+		return nil, nil
 	}
 	best.own.Online++
-	return &Place{upstream: best}, true
+	return &Place{upstream: best}, p.yielding(best, now)
+}
+
+// yielding returns the other VMs with batch work on an upstream that is over
+// full.
+func (p *Placer) yielding(u *upstream, now time.Time) []string {
+	if u.others.Batch == 0 || u.load(now) <= u.Sequences {
+		return nil
+	}
+	var vms []string
+	for vm, told := range p.peers {
+		if told.counts[u.ID].Batch > 0 {
+			vms = append(vms, vm)
+		}
+	}
+	return vms
+}
+
+// spread returns a random time for upstreams of other domains. What this VM knows
+// of those is a little old, and so is what the others of its domain know: without
+// it all of them would send to the same one.
+func (p *Placer) spread(u *upstream) time.Duration {
+	if u.tier == TierDomain {
+		return 0
+	}
+	return rand.N(staleSpread)
 }
 
 // onlineWait estimates the time until an online request's first event, beyond
@@ -112,7 +146,7 @@
 func (p *Placer) Batch(service string, avoid map[string]bool, now time.Time) (*Place, bool) {
 	place, found := p.takeBatch(service, avoid, now)
 	if found {
-		p.changed(place.upstream.Domain)
+		p.changed(Change{Domain: place.upstream.Domain})
 	}
 	return place, found
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -137,7 +137,7 @@
 	self    string
 	domain  string
 	regions map[string]string // region by domain
-	changed func(domain string)
+	changed func(Change)
 
 	mu        sync.Mutex
 	upstreams map[string]*upstream
@@ -149,16 +149,24 @@
 // Option sets one property of a Placer.
 type Option func(*Placer)
 
+// Change is a change of the VM's own work on an upstream.
+type Change struct {
+	// Domain is the upstream's failure domain.
+	Domain string
+	// Yielding are the VMs whose batch work there has to give way now.
+	Yielding []string
+}
+
 // WithChanged sets a function that is called whenever the VM's own work on an
-// upstream of a failure domain has changed. It must not block or call the placer.
-func WithChanged(changed func(domain string)) Option {
+// upstream has changed. It must not block or call the placer.
+func WithChanged(changed func(Change)) Option {
 	return func(p *Placer) { p.changed = changed }
 }
 
 // New returns the placer of a VM in a failure domain.
 func New(self, domain string, regions map[string]string, options ...Option) *Placer {
 	p := &Placer{
-		self: self, domain: domain, regions: regions, changed: func(string) {},
+		self: self, domain: domain, regions: regions, changed: func(Change) {},
 		upstreams: map[string]*upstream{}, services: map[string][]*upstream{}, peers: map[string]peer{},
 	}
 	for _, option := range options {
@@ -307,5 +315,5 @@
 		u.own.Online--
 	}
 	p.mu.Unlock()
-	p.changed(u.Domain)
+	p.changed(Change{Domain: u.Domain})
 }
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -142,3 +142,15 @@
 		qt.Check(t, p.FreeForOnline("lm", start), qt.Equals, 1)
 	})
 }
+
+// Online work on an upstream that another VM's batch work fills: that VM must
+// hear of it at once, wherever it is.
+func TestStepUpTellsThoseWhoMustGiveWay(t *testing.T) {
+	var changes []placer.Change
+	p := placer.New("vm1", "a", regions, placer.WithChanged(func(c placer.Change) { changes = append(changes, c) }))
+	p.SetUpstreams(engines(1, "a"))
+	p.Heard("vm2", placer.Report{"a0": {Batch: 1}}, start)
+	takeOnline(t, p)
+	takeOnline(t, p)
+	qt.Check(t, changes, qt.DeepEquals, []placer.Change{{Domain: "a"}, {Domain: "a", Yielding: []string{"vm2"}}})
+}
