--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(CURDIR)/bin
 GO := go
 
-.PHONY: all build demo test race lint format snapshots generate fuzz bench explore red clean
+.PHONY: all build demo test race lint format snapshots generate fuzz bench explore soak red clean
 
 all: build test
 
@@ -48,6 +48,9 @@
 		$(GO) test -count=1 $(PROPERTY_TESTS) -rapid.seed=$$seed -rapid.checks=500 || exit 1; \
 	done
 
+soak: ## Keep real processes under random faults for 50 seeds other than CI's.
+	$(GO) test -count=1 -timeout 30m ./platform/integration -run TestSoak -soak.seed=$${SEED:-1000} -soak.seeds=50
+
 red: ## Run the known failures that KNOWN-RED.txt lists.
 	./scripts/known-red.sh
 
