Idle connections are shared out among the VMs; what nothing used is gone

Change: the idle limit follows the configuration's limit and the number of VMs. The gateway's stream tests also count runs, so that a stream that may run once is seen to.

--- a/internal/entryvm/sink.go
+++ b/internal/entryvm/sink.go
@@ -61,6 +61,7 @@
 	}
 	s.vm.gateway.SetTable(router.NewTable(configuration))
 	s.vm.readiness.configured.Store(true)
+	s.vm.limitIdle()
 	s.vm.logger.Info("configuration in force", "version", configuration.Version, "row", row.Version,
 		"routes", len(configuration.Routes), "services", len(configuration.Services))
 }
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -13,6 +13,7 @@
 	"net/netip"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -64,6 +65,7 @@
 	keeper    *batchkeeper.Keeper
 	runner    *batchrunner.Runner
 
+	vms       atomic.Int32 // that live, this one among them
 	readiness readiness
 	group     sync.WaitGroup
 	servers   []*http.Server
@@ -146,6 +148,32 @@
 	vm.teller.SetPeers(peers)
 	vm.keeper.SetVMs(len(peers) + 1)
 	vm.runner.SetVMs(len(peers) + 1)
+	vm.vms.Store(int32(len(peers) + 1))
+	vm.limitIdle()
+}
+
+const (
+	// idleShare is the part of the connections that an upstream takes which all VMs
+	// together may keep idle.
+	idleShare = 0.6
+	// maxIdle bounds the connections that one VM keeps to one upstream.
+	maxIdle = 16
+)
+
+// limitIdle shares out the connections that upstreams take among the VMs.
+func (vm *VM) limitIdle() {
+	table := vm.gateway.Table()
+	vms := vm.vms.Load()
+	if table == nil || vms == 0 {
+		return
+	}
+	limit := maxIdle
+	for _, s := range table.Services() {
+		if s.MaxConnections > 0 {
+			limit = min(limit, int(idleShare*float64(s.MaxConnections)/float64(vms)))
+		}
+	}
+	vm.forwarder.SetIdleLimit(max(limit, 1))
 }
 
 // Start starts serving.
--- a/internal/forwarder/connection.go
+++ b/internal/forwarder/connection.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// idlePerAddress bounds the connections that are kept to one upstream.
-	idlePerAddress = 16
+	// defaultIdleLimit bounds the connections that are kept to one upstream if the
+	// upstream's own limit isn't known.
+	defaultIdleLimit = 16
 	// defaultIdle is how long a connection is kept if the upstream doesn't say,
 	// and idleMargin is how long before the upstream's own limit it is given up.
 	defaultIdle = 4 * time.Second
@@ -77,12 +78,20 @@
 	return c, true
 }
 
+// SetIdleLimit bounds the connections that are kept to one upstream, which takes
+// a number of them from all VMs together.
+func (f *Forwarder) SetIdleLimit(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.idleLimit = n
+}
+
 // keep keeps a connection for the next request to the same upstream.
 func (f *Forwarder) keep(c *connection, header http.Header) {
 	c.expires = time.Now().Add(idleTime(header))
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.idle[c.address]) >= idlePerAddress {
+	if len(f.idle[c.address]) >= f.idleLimit {
 		_ = c.net.Close()
 		return
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -61,6 +61,8 @@
 
 	mu   sync.Mutex
 	idle map[string][]*connection // by address, the newest last
+	// idleLimit bounds those of one address.
+	idleLimit int
 }
 
 // Dial opens connections.
@@ -77,7 +79,9 @@
 // New returns a forwarder.
 func New(identify Identifier, options ...Option) *Forwarder {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
-	f := &Forwarder{identify: identify, dial: dialer.DialContext, idle: map[string][]*connection{}}
+	f := &Forwarder{
+		identify: identify, dial: dialer.DialContext, idle: map[string][]*connection{}, idleLimit: defaultIdleLimit,
+	}
 	for _, option := range options {
 		option(f)
 	}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -99,6 +99,19 @@
 	}, "1", "2", "3")
 }
 
+func TestIdleConnectionsAreBounded(t *testing.T) {
+	f := newForwarder(t)
+	f.SetIdleLimit(0)
+	address := upstream(t, func(n int, r *http.Request) string {
+		return text(r.Header.Get(idHeader), fmt.Sprint(n))
+	})
+	for range 2 {
+		got, err := send(t, f, address, "id1", nil)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, got, qt.Equals, "1", qt.Commentf("the first on its connection"))
+	}
+}
+
 func TestLateSecondAnswerIsSkipped(t *testing.T) {
 	expectAnswers(t, func(n int, r *http.Request) string {
 		own := text(r.Header.Get(idHeader), fmt.Sprint(n))
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -161,8 +161,8 @@
 	})
 }
 
-// expectStream calls and compares the body.
-func expectStream(t *testing.T, path string, plans []standin.Plan, wantEvents int, wantWhole bool) {
+// expectStream calls and compares the body and the number of runs.
+func expectStream(t *testing.T, path string, plans []standin.Plan, wantEvents int, wantWhole bool, wantRuns int) {
 	t.Helper()
 	inVM(t, plans, func(v *vm) {
 		status, body, whole := v.call(path, 0)
@@ -173,17 +173,18 @@
 			want.WriteString(standin.EventText("id", n))
 		}
 		qt.Check(v.t, body, qt.Equals, want.String())
+		qt.Check(v.t, v.runs(), qt.Equals, wantRuns)
 	})
 }
 
 func TestStreams(t *testing.T) {
 	whole := standin.Plan{Events: 5, Gap: 10 * time.Millisecond}
 	cut := standin.Plan{Events: 5, Gap: 10 * time.Millisecond, CutAfter: 2}
-	t.Run("whole", func(t *testing.T) { expectStream(t, "/stream/x", plans(whole), 5, true) })
-	t.Run("a cut one must not look whole", func(t *testing.T) { expectStream(t, "/stream/x", plans(cut), 2, false) })
-	t.Run("one that may be resumed goes on", func(t *testing.T) { expectStream(t, "/resume/x", plans(cut, cut), 4, false) })
+	t.Run("whole", func(t *testing.T) { expectStream(t, "/stream/x", plans(whole), 5, true, 1) })
+	t.Run("a cut one must not look whole", func(t *testing.T) { expectStream(t, "/stream/x", plans(cut, cut), 2, false, 1) })
+	t.Run("one that may be resumed goes on", func(t *testing.T) { expectStream(t, "/resume/x", plans(cut, cut), 4, false, 2) })
 	t.Run("one that lasts longer than its route allows", func(t *testing.T) {
-		expectStream(t, "/stream/x", plans(standin.Plan{Events: 50, Gap: 300 * time.Millisecond}), 6, false)
+		expectStream(t, "/stream/x", plans(standin.Plan{Events: 50, Gap: 300 * time.Millisecond}), 6, false, 1)
 	})
 }
 
--- a/internal/placer/choice.go
+++ b/internal/placer/choice.go
@@ -127,20 +127,6 @@
 	return load - batch - u.Sequences
 }
 
-// FreeForOnline returns the places that online requests can have at once,
-// counting those that batch work would make.
-func (p *Placer) FreeForOnline(service string, now time.Time) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	free := 0
-	for _, u := range p.services[service] {
-		if !u.Leaving && !now.Before(u.blockedUntil) {
-			free += max(0, -u.aheadOfOnline(u.load(now)))
-		}
-	}
-	return free
-}
-
 // Batch takes a place that batch work may have: one beyond the reserve, as near
 // as there is any, on the upstream with most room.
 func (p *Placer) Batch(service string, avoid map[string]bool, now time.Time) (*Place, bool) {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -219,14 +219,6 @@
 	}
 }
 
-// Known tells whether an upstream is on the list and not leaving.
-func (p *Placer) Known(id string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	u, found := p.upstreams[id]
-	return found && !u.Leaving
-}
-
 // Heard replaces what another VM has told of its work.
 func (p *Placer) Heard(vm string, report Report, now time.Time) {
 	p.mu.Lock()
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -139,7 +139,6 @@
 		p := newPlacer("vm1", engines(1, "a", "b"))
 		p.Heard("vm2", placer.Report{"a0": {Online: 2}, "b0": {Batch: 2}}, start)
 		qt.Check(t, takeOnline(t, p).Upstream().ID, qt.Equals, "b0")
-		qt.Check(t, p.FreeForOnline("lm", start), qt.Equals, 1)
 	})
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -87,11 +87,10 @@
 
 // Service is what a configuration says of a service.
 type Service struct {
-	Name           string
+	Name string
+	// MaxConnections bounds the connections to one upstream from all VMs together;
+	// 0 if it isn't known.
 	MaxConnections int
-	// Sequences is the number of requests that an upstream of the service runs
-	// at a time; 0 if only the upstreams tell.
-	Sequences int
 }
 
 // Limits bound what a caller may send.
