An upstream's unmarked 503, 429 or 408 is not handed on

Cause, found by reading the diff: these statuses promise callers that a request has not run, but an upstream that gives one without marking it so may have run it. They were handed on as they came, and a caller may send an unsafe request again after one.

Change: such an answer counts as a failed run; a request that may be repeated goes to another upstream, others get 502. The test failed before.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -141,6 +141,11 @@
 	t.Run("an unsafe call that failed is not repeated", func(t *testing.T) {
 		expectCall(t, "/unsafe/x", plans(fails), http.StatusInternalServerError, 0, 1, 0)
 	})
+	t.Run("an unmarked refusal may have run", func(t *testing.T) {
+		busy := standin.Plan{Status: http.StatusServiceUnavailable}
+		expectCall(t, "/unsafe/x", plans(busy), http.StatusBadGateway, 0, 1, 0)
+		expectCall(t, "/safe/x", plans(busy, busy), http.StatusBadGateway, 0, 2, 0)
+	})
 	t.Run("a safe call that failed is", func(t *testing.T) {
 		expectCall(t, "/safe/x", plans(fails, fails, fails), http.StatusInternalServerError, 0, 2, 0)
 	})
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -176,6 +176,9 @@
 	if d.Status() >= http.StatusInternalServerError && j.mayTryElsewhere() {
 		return relayer.NewFailure(relayer.RanFailed, errors.New(http.StatusText(d.Status())))
 	}
+	if promisesNotRun(d.Status()) {
+		return relayer.NewFailure(relayer.RanFailed, errors.New(http.StatusText(d.Status())))
+	}
 	if j.headSent {
 		return relayer.NewFailure(relayer.RanFailed, errCut)
 	}
@@ -186,6 +189,18 @@
 	return nil
 }
 
+// promisesNotRun tells whether a status tells callers that their request has not
+// run. An upstream that gives one without marking it so may have run the request,
+// and its answer must not be handed on.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // mayTryElsewhere tells whether a failure may be replaced by another attempt.
 func (j *journey) mayTryElsewhere() bool {
 	route := j.x.request.route
