A probe of the store that is given up is made again

Cause, found by reading the diff: while calls take the detour, one at a time tries the direct way. If that one was given up by its caller, no other ever tried, and the VM stayed on the detour for as long as other VMs answered. A call given up also put the VM that it went through to rest.

Change: both no longer happen; the test failed before.

--- a/internal/storerelayer/relayer.go
+++ b/internal/storerelayer/relayer.go
@@ -110,6 +110,7 @@
 		return response, err
 	}
 	if errors.Is(request.Context().Err(), context.Canceled) {
+		r.endProbe()
 		return response, err // given up by the caller, which says nothing of the store
 	}
 	r.noteTurnedAway(response, err)
@@ -182,6 +183,13 @@
 	return false
 }
 
+// endProbe lets another call try the direct way.
+func (r *Relayer) endProbe() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.probing = false
+}
+
 // hasPeers tells whether other VMs can be asked.
 func (r *Relayer) hasPeers(now time.Time) bool {
 	r.mu.Lock()
@@ -233,6 +241,9 @@
 		call.URL.Host, call.Host = address, r.address
 		call.Header.Set(headerRelayed, "1")
 		response, err := r.peer.RoundTrip(call)
+		if err != nil && request.Context().Err() != nil {
+			return nil, err //nolint:wrapcheck // given up, which says nothing of the other VM
+		}
 		if err != nil {
 			r.rest(address)
 			if mayRepeat(request, err) {
--- a/internal/storerelayer/relayer_test.go
+++ b/internal/storerelayer/relayer_test.go
@@ -1,6 +1,7 @@
 package storerelayer_test
 
 import (
+	"context"
 	"errors"
 	"io"
 	"log/slog"
@@ -10,6 +11,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	qt "github.com/frankban/quicktest"
@@ -152,3 +154,33 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, got, qt.Equals, "OK /x?y=1 body")
 }
+
+// The call that tries the direct way again may be given up by its caller; then
+// another one must try.
+func TestAProbeThatIsGivenUpIsMadeAgain(t *testing.T) {
+	var closed atomic.Bool
+	var asked atomic.Int32
+	p := newPair(t, func(r *http.Request) (*http.Response, error) {
+		asked.Add(1)
+		if closed.Load() {
+			return nil, errors.New("lost")
+		}
+		return open(r)
+	}, open)
+	closed.Store(true)
+	_, err := call(t, p)
+	qt.Assert(t, err, qt.IsNotNil)
+	for asked.Load() == 1 { // until the probe
+		ctx, cancel := context.WithCancel(t.Context())
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.store+"/x?y=1", strings.NewReader("body"))
+		qt.Assert(t, err, qt.IsNil)
+		cancel()
+		_, _ = p.vm.RoundTrip(request)
+		time.Sleep(10 * time.Millisecond)
+	}
+	closed.Store(false)
+	before := asked.Load()
+	_, err = call(t, p)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, asked.Load(), qt.Equals, before+1)
+}
