--- a/internal/storerelayer/relayer.go
+++ b/internal/storerelayer/relayer.go
@@ -241,7 +241,7 @@
 		call.URL.Host, call.Host = address, r.address
 		call.Header.Set(headerRelayed, "1")
 		response, err := r.peer.RoundTrip(call)
-		if err != nil && request.Context().Err() != nil {
+		if err != nil && errors.Is(request.Context().Err(), context.Canceled) {
 			return nil, err //nolint:wrapcheck // given up, which says nothing of the other VM
 		}
 		if err != nil {
