--- a/internal/batchserver/server.go
+++ b/internal/batchserver/server.go
@@ -131,7 +131,11 @@
 func (s *Server) submit(w http.ResponseWriter, r *http.Request, route *router.Route) int {
 	now := time.Now()
 	body, err := gateway.ReadBody(w, r, s.limits())
-	if err != nil {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return s.refuse(w, "", http.StatusRequestEntityTooLarge, err)
+	case err != nil:
 		return s.refuse(w, "", http.StatusRequestTimeout, err)
 	}
 	submission, err := s.codec.DecodeSubmission(r, body, now)
