--- a/internal/attempter/attempter.go
+++ b/internal/attempter/attempter.go
@@ -33,33 +33,33 @@
 	ErrNoEvents = errors.New("answer without events")
 )
 
-// Fate is how a run ended.
-type Fate uint8
+// Outcome is how a run ended.
+type Outcome uint8
 
-// The fates of a run.
+// The outcomes of a run.
 const (
-	// FateWhole runs came to the end of the item.
-	FateWhole Fate = iota
-	// FateStopped runs were stopped by this VM.
-	FateStopped
-	// FateRefused runs surely didn't begin.
-	FateRefused
-	// FateFailed runs were answered with an error.
-	FateFailed
-	// FateImpossible items can never be done.
-	FateImpossible
-	// FateBroken runs broke off, or stalled.
-	FateBroken
+	// OutcomeWhole runs came to the end of the item.
+	OutcomeWhole Outcome = iota
+	// OutcomeStopped runs were stopped by this VM.
+	OutcomeStopped
+	// OutcomeRefused runs surely didn't begin.
+	OutcomeRefused
+	// OutcomeFailed runs were answered with an error.
+	OutcomeFailed
+	// OutcomeImpossible items can never be done.
+	OutcomeImpossible
+	// OutcomeBroken runs broke off, or stalled.
+	OutcomeBroken
 )
 
-// String returns the fate's name in logs.
-func (f Fate) String() string {
+// String returns the outcome's name in logs.
+func (f Outcome) String() string {
 	return [...]string{"whole", "stopped", "refused", "failed", "impossible", "broken"}[f]
 }
 
-// Ending is the outcome of one run.
-type Ending struct {
-	Fate     Fate
+// Result is the outcome of one run.
+type Result struct {
+	Outcome  Outcome
 	Progress batchkeeper.Progress
 	// Events is the number of events of this run.
 	Events int
@@ -94,7 +94,7 @@
 }
 
 // Run makes one run on a place, which goes on after what is there already.
-func Run(ctx context.Context, c Courier, place *placer.Place, call *courier.Call, now *Live) Ending {
+func Run(ctx context.Context, c Courier, place *placer.Place, call *courier.Call, now *Live) Result {
 	progress := now.Progress()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -102,58 +102,58 @@
 	defer stall.Stop()
 	delivery, err := c.Send(ctx, place, call, courier.Target{LastEvent: progress.LastEvent})
 	if err != nil {
-		return Ending{Fate: fateOfError(ctx, err), Progress: progress, Err: err}
+		return Result{Outcome: outcomeOfError(ctx, err), Progress: progress, Err: err}
 	}
 	defer delivery.Close()
 	if delivery.Status() >= http.StatusMultipleChoices {
-		return endingOfStatus(ctx, delivery, progress)
+		return resultOfStatus(ctx, delivery, progress)
 	}
 	return readEvents(ctx, delivery, now, stall)
 }
 
-func fateOfError(ctx context.Context, err error) Fate {
+func outcomeOfError(ctx context.Context, err error) Outcome {
 	switch {
 	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), ErrStalled):
-		return FateStopped
+		return OutcomeStopped
 	case relayer.AsFailure(err).Ran() == relayer.RanNot:
-		return FateRefused
+		return OutcomeRefused
 	default:
-		return FateBroken
+		return OutcomeBroken
 	}
 }
 
-func endingOfStatus(ctx context.Context, d *courier.Delivery, progress batchkeeper.Progress) Ending {
+func resultOfStatus(ctx context.Context, d *courier.Delivery, progress batchkeeper.Progress) Result {
 	err := errors.New(http.StatusText(d.Status()))
 	if _, readErr := io.Copy(io.Discard, d); readErr != nil {
-		return Ending{Fate: fateOfError(ctx, readErr), Progress: progress, Err: readErr}
+		return Result{Outcome: outcomeOfError(ctx, readErr), Progress: progress, Err: readErr}
 	}
 	switch d.Status() {
 	case http.StatusUnprocessableEntity:
-		return Ending{Fate: FateImpossible, Progress: progress, Err: err}
+		return Result{Outcome: OutcomeImpossible, Progress: progress, Err: err}
 	case http.StatusInternalServerError:
-		return Ending{Fate: FateFailed, Progress: progress, Err: err}
+		return Result{Outcome: OutcomeFailed, Progress: progress, Err: err}
 	default:
-		return Ending{Fate: FateBroken, Progress: progress, Err: err}
+		return Result{Outcome: OutcomeBroken, Progress: progress, Err: err}
 	}
 }
 
 // readEvents appends the data of all events to what is there already.
 func readEvents(
 	ctx context.Context, d *courier.Delivery, now *Live, stall *time.Timer,
-) Ending {
+) Result {
 	progress := now.Progress()
 	events := eventsplitter.New(d)
 	for n := 0; ; n++ {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			if n == 0 && progress.LastEvent == "" {
-				return Ending{Fate: FateBroken, Progress: progress, Err: ErrNoEvents}
+				return Result{Outcome: OutcomeBroken, Progress: progress, Err: ErrNoEvents}
 			}
-			return Ending{Fate: FateWhole, Progress: progress, Events: n}
+			return Result{Outcome: OutcomeWhole, Progress: progress, Events: n}
 		}
 		if err != nil {
-			e := Ending{Fate: fateOfError(ctx, err), Progress: progress, Events: n, Err: err}
-			if e.Fate == FateBroken {
+			e := Result{Outcome: outcomeOfError(ctx, err), Progress: progress, Events: n, Err: err}
+			if e.Outcome == OutcomeBroken {
 				d.Broken()
 			}
 			return e
--- a/internal/batchrunner/run.go
+++ b/internal/batchrunner/run.go
@@ -39,13 +39,13 @@
 	it.live, it.began = live, time.Now()
 	r.loop.Go(func(loop context.Context) stepper.Event {
 		defer context.AfterFunc(loop, cancel)()
-		ending := attempter.Run(ctx, r.courier, place, call, live)
-		return func(now time.Time) { r.ended(it, ending, now) }
+		result := attempter.Run(ctx, r.courier, place, call, live)
+		return func(now time.Time) { r.ended(it, result, now) }
 	})
 }
 
 // ended takes in how a run of an item ended.
-func (r *Runner) ended(it *item, e attempter.Ending, now time.Time) {
+func (r *Runner) ended(it *item, e attempter.Result, now time.Time) {
 	upstream := it.place.Upstream().ID
 	delete(r.running, it.place)
 	it.cancel()
@@ -53,26 +53,26 @@
 	it.ran += now.Sub(it.began)
 	it.state, it.progress = statePending, e.Progress
 	it.avoid = nil
-	if e.Fate != attempter.FateStopped {
-		r.logger.Info("item run", "job", it.job.stored.ID, "item", it.ID, "upstream", upstream, "fate", e.Fate.String(),
+	if e.Outcome != attempter.OutcomeStopped {
+		r.logger.Info("item run", "job", it.job.stored.ID, "item", it.ID, "upstream", upstream, "outcome", e.Outcome.String(),
 			"events", e.Events, "error", errorText(e.Err), "failures", it.trial.Failures, "crashes", it.trial.Crashes)
 	}
 	if it.job.dropped {
 		return
 	}
-	switch e.Fate {
-	case attempter.FateWhole:
+	switch e.Outcome {
+	case attempter.OutcomeWhole:
 		r.counter.Count(`items_total{outcome="completed"}`)
 		r.pace.whole(it.ran, len(it.progress.Output))
 		it.job.end(it, true)
-	case attempter.FateImpossible:
+	case attempter.OutcomeImpossible:
 		r.giveUp(it, "impossible")
-	case attempter.FateStopped:
-	case attempter.FateRefused:
+	case attempter.OutcomeStopped:
+	case attempter.OutcomeRefused:
 		it.avoid, it.notBefore = map[string]bool{upstream: true}, now.Add(refusedPause)
-	case attempter.FateFailed:
+	case attempter.OutcomeFailed:
 		r.failed(it, now)
-	case attempter.FateBroken:
+	case attempter.OutcomeBroken:
 		r.broken(it, upstream, e.Events, now)
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,7 +94,7 @@
 	codec Codec, c Courier, p Placer, suspect Quarantine, jobs Jobs, counter Counter, logger *slog.Logger,
 ) *Gateway {
 	g := &Gateway{codec: codec, courier: c, placer: p, suspect: suspect, jobs: jobs, counter: counter, logger: logger}
-	g.chain = g.drain(g.configured(g.batch(g.decode(g.match(g.limit(g.harmless(g.run)))))))
+	g.chain = g.drain(g.configured(g.batch(g.decode(g.match(g.limit(g.quarantine(g.run)))))))
 	return g
 }
 
@@ -210,8 +210,8 @@
 	}
 }
 
-// harmless refuses requests that have crashed several upstreams.
-func (g *Gateway) harmless(next handler) handler {
+// quarantine refuses requests that have crashed several upstreams.
+func (g *Gateway) quarantine(next handler) handler {
 	return func(x *exchange) {
 		call := x.request.Call
 		x.request.fingerprint = quarantiner.FingerprintOf(call.Host, call.URI, call.Body)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -31,8 +31,8 @@
 	errLeft = errors.New("caller has left")
 )
 
-// journey is the attempts of one request.
-type journey struct {
+// forwarding is the attempts of one request.
+type forwarding struct {
 	gateway *Gateway
 	x       *exchange
 	avoid   map[string]bool
@@ -54,8 +54,8 @@
 		ctx, cancel = context.WithDeadline(ctx, x.request.Deadline)
 	}
 	defer cancel()
-	j := &journey{gateway: g, x: x, avoid: map[string]bool{}, lastEvent: x.request.LastEvent}
-	outcome := j.travel(ctx)
+	j := &forwarding{gateway: g, x: x, avoid: map[string]bool{}, lastEvent: x.request.LastEvent}
+	outcome := j.forward(ctx)
 	g.log(j, outcome)
 	if outcome == outcomeCut {
 		panic(http.ErrAbortHandler) // the only way to end an answer so that it doesn't look whole
@@ -73,8 +73,8 @@
 	outcomeLeft      outcome = "callerLeft"
 )
 
-// travel makes attempts until the request has its final answer.
-func (j *journey) travel(ctx context.Context) outcome {
+// forward makes attempts until the request has its final answer.
+func (j *forwarding) forward(ctx context.Context) outcome {
 	for j.sends < maxSends {
 		place, found := j.gateway.placer.Online(j.x.request.service, j.avoid, time.Now())
 		if !found {
@@ -108,7 +108,7 @@
 
 // suspect notes that an upstream broke off while it ran the request, which may
 // be what crashed it. A stream that had got on well was cut for another reason.
-func (j *journey) suspect(ctx context.Context, err error) {
+func (j *forwarding) suspect(ctx context.Context, err error) {
 	broke := relayer.AsFailure(err).Ran() == relayer.RanMaybe && ctx.Err() == nil && !errors.Is(err, errLeft)
 	if !broke || j.events >= harmlessEvents {
 		return
@@ -117,7 +117,7 @@
 	j.gateway.logger.Info("request suspected", "id", j.x.request.Call.ID, "strikes", strike.Count, "error", err)
 }
 
-func (j *journey) delivered(status int) outcome {
+func (j *forwarding) delivered(status int) outcome {
 	j.gateway.suspect.Cleared(j.x.request.fingerprint)
 	if status >= http.StatusMultipleChoices {
 		return outcomeFailed
@@ -126,7 +126,7 @@
 }
 
 // mayGoOn tells whether the request may be sent again after a failure.
-func (j *journey) mayGoOn(err error) bool {
+func (j *forwarding) mayGoOn(err error) bool {
 	if relayer.AsFailure(err).Ran() == relayer.RanNot {
 		return true
 	}
@@ -138,7 +138,7 @@
 }
 
 // giveUp gives the final answer of a request that no upstream has answered.
-func (j *journey) giveUp(ctx context.Context) outcome {
+func (j *forwarding) giveUp(ctx context.Context) outcome {
 	switch {
 	case j.x.r.Context().Err() != nil || errors.Is(j.last, errLeft):
 		return outcomeLeft
@@ -158,7 +158,7 @@
 
 // deliver hands an answer on. It returns an error if the answer is not whole,
 // or is a failure that another upstream may do better.
-func (j *journey) deliver(d *courier.Delivery) error {
+func (j *forwarding) deliver(d *courier.Delivery) error {
 	defer d.Close()
 	if j.x.request.route.Kind == router.KindStream && d.Status() < http.StatusMultipleChoices {
 		return j.stream(d)
@@ -167,7 +167,7 @@
 }
 
 // whole hands an answer on once all of it is there.
-func (j *journey) whole(d *courier.Delivery) error {
+func (j *forwarding) whole(d *courier.Delivery) error {
 	body, err := io.ReadAll(io.LimitReader(d, maxAnswer))
 	if err != nil {
 		d.Broken()
@@ -202,12 +202,12 @@
 }
 
 // mayTryElsewhere tells whether a failure may be replaced by another attempt.
-func (j *journey) mayTryElsewhere() bool {
+func (j *forwarding) mayTryElsewhere() bool {
 	route := j.x.request.route
 	return route.Repeatable() && j.runs < route.MaxAttempts && j.sends < maxSends
 }
 
-func (j *journey) sendHead(d *courier.Delivery) {
+func (j *forwarding) sendHead(d *courier.Delivery) {
 	j.gateway.codec.EncodeAnswer(j.x.w.Header(), d.Header())
 	j.x.w.WriteHeader(d.Status())
 	j.headSent = true
@@ -216,7 +216,7 @@
 
 // stream hands whole events on as they come. What an upstream has sent of an
 // event that it doesn't finish is dropped, so that another one can go on.
-func (j *journey) stream(d *courier.Delivery) error {
+func (j *forwarding) stream(d *courier.Delivery) error {
 	control := http.NewResponseController(j.x.w)
 	events := eventsplitter.New(d)
 	for {
@@ -246,7 +246,7 @@
 }
 
 // log writes the one line that tells what became of a request.
-func (g *Gateway) log(j *journey, result outcome) {
+func (g *Gateway) log(j *forwarding, result outcome) {
 	request := &j.x.request
 	took := time.Since(request.began)
 	g.counter.Count(`requests_total{outcome="` + string(result) + `"}`)
--- a/internal/memberkeeper/keeper_test.go
+++ b/internal/memberkeeper/keeper_test.go
@@ -59,7 +59,7 @@
 	qt.Check(t, successors, qt.DeepEquals, []string{"a", "b"})
 }
 
-func TestAnOutageOfTheStoreBuriesNobody(t *testing.T) {
+func TestNobodyIsTakenToBeGoneInAnOutageOfTheStore(t *testing.T) {
 	k := newKeeper()
 	observe(t, k, 1, 2, "b", "c")
 	observe(t, k, 12, 12)
--- a/internal/storerelayer/relayer.go
+++ b/internal/storerelayer/relayer.go
@@ -20,18 +20,18 @@
 )
 
 const (
-	// detour is how long all calls go through other VMs before one of them tries
+	// relayTime is how long all calls go through other VMs before one of them tries
 	// the direct way again.
-	detour = 1500 * time.Millisecond
+	relayTime = 1500 * time.Millisecond
 	// outage is how long no other VM is asked after one that doesn't reach the
 	// store either.
 	outage = 700 * time.Millisecond
 	// maxPeers bounds the other VMs that are asked for one call.
 	maxPeers = 3
-	// peerRest is how long a VM that doesn't reach the store is not asked again.
-	peerRest = 1500 * time.Millisecond
+	// skipTime is how long a VM that doesn't reach the store is not asked again.
+	skipTime = 1500 * time.Millisecond
 	// awayRefusals is the number of direct calls in a row that must be refused
-	// before other calls take the detour at once. One that gets no answer is
+	// before other calls are relayed at once. One that gets no answer is
 	// enough, since each costs its whole timeout.
 	awayRefusals = 2
 	maxBody      = 2 << 20
@@ -59,7 +59,7 @@
 	mu       sync.Mutex
 	near     []string // addresses of other VMs
 	far      []string // and of those in other regions
-	resting  map[string]time.Time
+	skipped  map[string]time.Time
 	refusals int  // direct calls in a row that were turned away
 	away     bool // so many that all calls go through other VMs
 	probeAt  time.Time
@@ -77,7 +77,7 @@
 func New(address string, direct, peer http.RoundTripper, counter Counter, logger *slog.Logger) *Relayer {
 	return &Relayer{
 		address: address, direct: direct, peer: peer, counter: counter, logger: logger,
-		resting: map[string]time.Time{},
+		skipped: map[string]time.Time{},
 	}
 }
 
@@ -97,7 +97,7 @@
 		return nil, err
 	}
 	now := time.Now()
-	if r.takesDetour(now) {
+	if r.relaysFirst(now) {
 		response, err := r.throughPeers(request, body)
 		if !errors.Is(err, errNoPeer) {
 			return response, err
@@ -168,9 +168,9 @@
 	return errors.As(err, &operation) && operation.Op == "dial"
 }
 
-// takesDetour tells whether a call goes through other VMs. While the direct way
+// relaysFirst tells whether a call goes through other VMs. While the direct way
 // is closed, one call at a time finds out whether it still is.
-func (r *Relayer) takesDetour(now time.Time) bool {
+func (r *Relayer) relaysFirst(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.away || now.Before(r.outageTo) || len(r.near)+len(r.far) == 0 {
@@ -213,7 +213,7 @@
 	if err != nil {
 		r.refusals = awayRefusals
 	}
-	r.probing, r.probeAt = false, time.Now().Add(detour)
+	r.probing, r.probeAt = false, time.Now().Add(relayTime)
 	if r.refusals < awayRefusals {
 		return
 	}
@@ -245,14 +245,14 @@
 			return nil, err //nolint:wrapcheck // given up, which says nothing of the other VM
 		}
 		if err != nil {
-			r.rest(address)
+			r.skip(address)
 			if mayRepeat(request, err) {
 				continue
 			}
 			return nil, err //nolint:wrapcheck // the store's client tells the kinds apart
 		}
 		if r.missed(request, response) {
-			r.rest(address)
+			r.skip(address)
 			_ = response.Body.Close()
 			continue
 		}
@@ -269,25 +269,25 @@
 	return response.Header.Get(headerRelayed) == "" || r.turnedAway(response, nil) || lostRead
 }
 
-// rest notes that another VM doesn't reach the store.
-func (r *Relayer) rest(address string) {
+// skip notes that another VM doesn't reach the store.
+func (r *Relayer) skip(address string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.resting[address] = time.Now().Add(peerRest)
+	r.skipped[address] = time.Now().Add(skipTime)
 }
 
 // somePeers returns other VMs to ask.
 func (r *Relayer) somePeers() []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if some := r.awake(r.near); len(some) > 0 {
+	if some := r.available(r.near); len(some) > 0 {
 		return some
 	}
-	return r.awake(r.far)
+	return r.available(r.far)
 }
 
-// awake returns some VMs that are not resting, from a random one on.
-func (r *Relayer) awake(addresses []string) []string {
+// available returns some VMs that are not skipped, from a random one on.
+func (r *Relayer) available(addresses []string) []string {
 	if len(addresses) == 0 {
 		return nil
 	}
@@ -295,7 +295,7 @@
 	some := make([]string, 0, maxPeers)
 	for i := range addresses {
 		address := addresses[(first+i)%len(addresses)]
-		if now.After(r.resting[address]) && len(some) < maxPeers {
+		if now.After(r.skipped[address]) && len(some) < maxPeers {
 			some = append(some, address)
 		}
 	}
--- a/internal/storerelayer/relayer_test.go
+++ b/internal/storerelayer/relayer_test.go
@@ -120,7 +120,7 @@
 	})
 }
 
-func TestTheNextCallAfterALostOneTakesTheDetour(t *testing.T) {
+func TestTheNextCallAfterALostOneIsRelayed(t *testing.T) {
 	p := newPair(t, reset, open)
 	_, err := call(t, p)
 	qt.Assert(t, err, qt.IsNotNil)
