--- a/internal/demonstrator/demo.go
+++ b/internal/demonstrator/demo.go
@@ -237,6 +237,6 @@
 			s.WithBatch.FirstP50, s.WithBatch.FirstP99, s.ItemsPerSecond)
 	}
 	_ = table.Flush()
-	_, _ = fmt.Fprintln(to, "\nEvery answer was right. Next: docs/ARCHITECTURE.md, docs/OPERATING.md,")
+	_, _ = fmt.Fprintln(to, "\nEvery answer was right. Next: docs/ARCHITECTURE.md, docs/OPERATIONS.md,")
 	_, _ = fmt.Fprintln(to, "and `fescuespindle experiment list` for the measurements.")
 }
