One bounded store call in batchrunner, one buffer for what processes write

Cause, found by reading the whole change: six calls of the store stood with the same four lines around them; the process tests of both programs had the same locked buffer.

Change: Runner.within, outputcollector.Buffer. Behaviour as before; tests keep their assertions. Ruled out as twins: the error lists of the layers and the constants that the search also names; each layer has its own errors.

--- a/internal/batchrunner/store.go
+++ b/internal/batchrunner/store.go
@@ -28,12 +28,20 @@
 	rankTime   = 700 * time.Millisecond
 )
 
+// within makes a call of the store off the loop, for at most so long, and runs
+// the event that it returns on the loop.
+func (r *Runner) within(limit time.Duration, call func(context.Context) stepper.Event) {
+	r.loop.Go(func(ctx context.Context) stepper.Event {
+		ctx, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
+		return call(ctx)
+	})
+}
+
 // scan looks at the records of all jobs.
 func (r *Runner) scan(now time.Time) {
 	r.scanning, r.scanDue = true, now.Add(r.period())
-	r.loop.Go(func(ctx context.Context) stepper.Event {
-		ctx, cancel := context.WithTimeout(ctx, storeTime)
-		defer cancel()
+	r.within(storeTime, func(ctx context.Context) stepper.Event {
 		records, err := r.keeper.Scan(ctx)
 		return func(now time.Time) {
 			r.scanning = false
@@ -109,9 +117,7 @@
 		return
 	}
 	r.claiming[record.ID] = true
-	r.loop.Go(func(ctx context.Context) stepper.Event {
-		ctx, cancel := context.WithTimeout(ctx, storeTime)
-		defer cancel()
+	r.within(storeTime, func(ctx context.Context) stepper.Event {
 		stored, err := r.keeper.Claim(ctx, record)
 		return func(time.Time) {
 			delete(r.claiming, record.ID)
@@ -131,9 +137,7 @@
 		return
 	}
 	r.claiming[stored.ID] = true
-	r.loop.Go(func(ctx context.Context) stepper.Event {
-		ctx, cancel := context.WithTimeout(ctx, storeTime)
-		defer cancel()
+	r.within(storeTime, func(ctx context.Context) stepper.Event {
 		loaded, err := r.keeper.Load(ctx, stored.ID)
 		return func(time.Time) {
 			delete(r.claiming, stored.ID)
@@ -154,9 +158,7 @@
 	j.committing, j.changed = true, false
 	seen, results := j.stored, slices.Clone(j.outbox)
 	tokens, trials := j.tokensLeft(), j.trials()
-	r.loop.Go(func(ctx context.Context) stepper.Event {
-		ctx, cancel := context.WithTimeout(ctx, commitTime)
-		defer cancel()
+	r.within(commitTime, func(ctx context.Context) stepper.Event {
 		stored, err := r.keeper.Commit(ctx, seen, results, tokens, trials)
 		return func(time.Time) { r.committed(j, stored, len(results), err) }
 	})
@@ -198,9 +200,7 @@
 	}
 	j.committing = true
 	seen := j.stored
-	r.loop.Go(func(ctx context.Context) stepper.Event {
-		ctx, cancel := context.WithTimeout(ctx, checkpointTime)
-		defer cancel()
+	r.within(checkpointTime, func(ctx context.Context) stepper.Event {
 		err := r.keeper.Checkpoint(ctx, seen, progress)
 		return func(time.Time) {
 			j.committing = false
@@ -260,9 +260,7 @@
 		}
 	}
 	seen := j.stored
-	r.loop.Go(func(ctx context.Context) stepper.Event {
-		ctx, cancel := context.WithTimeout(ctx, storeTime)
-		defer cancel()
+	r.within(storeTime, func(ctx context.Context) stepper.Event {
 		_, err := r.keeper.Release(ctx, seen, progress)
 		return func(time.Time) {
 			delete(r.jobs, id)
--- a/internal/integration/fleet_test.go
+++ b/internal/integration/fleet_test.go
@@ -29,6 +29,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/interrupter"
 	"github.com/fescuespindle/fescuespindle/internal/jobkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/operator"
+	"github.com/fescuespindle/fescuespindle/internal/outputcollector"
 	"github.com/fescuespindle/fescuespindle/internal/platform"
 	"github.com/fescuespindle/fescuespindle/internal/requester"
 	"github.com/fescuespindle/fescuespindle/internal/settingsloader"
@@ -64,31 +65,12 @@
 	fleet    *fleet
 	settings settingsloader.Settings
 	command  *exec.Cmd
-	log      *logBuffer
+	log      *outputcollector.Buffer
 	exited   chan error
 	platform *interrupter.Proxy
 	peers    *interrupter.Proxy
 }
 
-// logBuffer keeps what a process logs.
-type logBuffer struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-// Write implements io.Writer.
-func (b *logBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.Write(p)
-}
-
-func (b *logBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.String()
-}
-
 // fleet is a site of processes.
 type fleet struct {
 	t        *testing.T
@@ -226,7 +208,7 @@
 	path := filepath.Join(p.fleet.dir, p.settings.VM+".json")
 	qt.Assert(t, os.WriteFile(path, text, 0o600), qt.IsNil)
 	p.command = exec.Command(program, "serve", "--settings", path)
-	p.log = &logBuffer{}
+	p.log = &outputcollector.Buffer{}
 	p.command.Stderr = p.log
 	qt.Assert(t, p.command.Start(), qt.IsNil)
 	command, exited := p.command, make(chan error, 1)
