Upstreams that are read again and unchanged are not logged again

Cause, found by reading the whole change: the list of upstreams is read whole every 8 s against silent feeds, and each time every upstream had its log line.

Change: the registrar tells whether an entry is news; only that is logged. What is routed where is as before.

--- a/internal/entryvm/sink.go
+++ b/internal/entryvm/sink.go
@@ -111,7 +111,9 @@
 			s.vm.logger.Warn("upstream entry left out", "error", err, "row", row.Version)
 			continue
 		}
-		s.registrar.Listed(u, row.Version)
+		if !s.registrar.Listed(u, row.Version) {
+			continue // read again, and as it was
+		}
 		s.vm.logger.Info("upstream listed", "upstream", u.ID, "service", u.Service, "leaving", u.Leaving, "row", row.Version)
 	}
 	s.publish(now)
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -39,14 +39,15 @@
 // Outage notes that the store didn't answer.
 func (r *Registrar) Outage(now time.Time) { r.trusted = now.Add(returnTime) }
 
-// Listed takes in one entry. An older version than the one that is known
-// changes nothing.
-func (r *Registrar) Listed(u placer.Upstream, version uint64) {
+// Listed takes in one entry and tells whether it is news. An older version than
+// the one that is known changes nothing.
+func (r *Registrar) Listed(u placer.Upstream, version uint64) bool {
 	known, found := r.entries[u.ID]
 	if found && known.version > version {
-		return
+		return false
 	}
 	r.entries[u.ID] = &entry{upstream: u, version: version}
+	return !found || known.version != version || !known.missing.IsZero()
 }
 
 // Removed notes that an entry is no longer there.
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -53,6 +53,14 @@
 	})
 }
 
+func TestWhatIsReadAgainIsNoNews(t *testing.T) {
+	r := newRegistrar()
+	qt.Check(t, r.Listed(placer.Upstream{ID: "a"}, 5), qt.IsFalse)
+	qt.Check(t, r.Listed(placer.Upstream{ID: "a"}, 7), qt.IsTrue)
+	r.Removed("a", start)
+	qt.Check(t, r.Listed(placer.Upstream{ID: "a"}, 7), qt.IsTrue, qt.Commentf("it is back"))
+}
+
 func TestOlderVersionChangesNothing(t *testing.T) {
 	r := newRegistrar()
 	r.Listed(placer.Upstream{ID: "a", Leaving: true}, 8)
