--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,214 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fescuespindle/fescuespindle/internal/counter"
+	"github.com/fescuespindle/fescuespindle/internal/courier"
+	"github.com/fescuespindle/fescuespindle/internal/forwarder"
+	"github.com/fescuespindle/fescuespindle/internal/gateway"
+	"github.com/fescuespindle/fescuespindle/internal/placer"
+	"github.com/fescuespindle/fescuespindle/internal/router"
+	"github.com/fescuespindle/fescuespindle/platform"
+	"github.com/fescuespindle/fescuespindle/platform/standin"
+)
+
+// noJobs serves no jobs.
+type noJobs struct{}
+
+func (noJobs) Claims(*http.Request) bool { return false }
+
+func (noJobs) Serve(w http.ResponseWriter, _ *http.Request, _ *router.Route) {
+	w.WriteHeader(http.StatusNotImplemented)
+}
+
+// vm is a gateway with upstreams, under a clock of its own.
+type vm struct {
+	t         *testing.T
+	gateway   *gateway.Gateway
+	placer    *placer.Placer
+	upstreams []*standin.Upstream
+	network   *standin.Network
+	client    *http.Client
+}
+
+// inVM runs a test on a gateway before upstreams of one slot each, which do as
+// planned.
+func inVM(t *testing.T, plans []standin.Plan, test func(v *vm)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		v := &vm{t: t, network: standin.NewNetwork(), placer: placer.New("vm", "d", map[string]string{"d": "r"})}
+		var list []placer.Upstream
+		for n, plan := range plans {
+			id := fmt.Sprint("u", n)
+			u := standin.NewUpstream(id, 1, func(*http.Request) standin.Plan { return plan })
+			defer v.network.Serve(id+":1", u)()
+			v.upstreams = append(v.upstreams, u)
+			list = append(list, placer.Upstream{ID: id, Service: "s", Address: id + ":1", Domain: "d", Sequences: 1})
+		}
+		v.placer.SetUpstreams(list)
+		sender := forwarder.New(platform.Codec{}.AnswerID, forwarder.WithDial(v.network.Dial))
+		defer sender.Close()
+		v.gateway = gateway.New(platform.Codec{}, courier.New(sender, v.placer, platform.Codec{}), v.placer, noJobs{},
+			counter.New(metrics.NewSet()), slog.New(slog.DiscardHandler))
+		v.gateway.SetTable(table())
+		defer v.network.Serve("vm:1", v.gateway)()
+		v.client = &http.Client{Transport: &http.Transport{DialContext: v.network.Dial, DisableKeepAlives: true}}
+		test(v)
+	})
+}
+
+func table() *router.Table {
+	var routes []router.Route
+	for _, kind := range []router.Kind{router.KindSafe, router.KindUnsafe, router.KindStream} {
+		routes = append(routes, router.Route{
+			Name: kind.String(), Host: "h", Prefix: "/" + kind.String() + "/", Kind: kind, MaxAttempts: 2,
+			Timeout: 2 * time.Second, Shares: []router.Share{{Service: "s", Weight: 1}},
+		})
+	}
+	resume := routes[2]
+	resume.Name, resume.Prefix, resume.CanResume = "resume", "/resume/", true
+	return router.NewTable(router.Configuration{Version: 1, Routes: append(routes, resume)})
+}
+
+// call sends a request and returns the status, the body, and whether the answer
+// was whole.
+func (v *vm) call(path string, header ...string) (status int, body string, whole bool) {
+	v.t.Helper()
+	request, err := http.NewRequest(http.MethodPost, "http://vm:1"+path, strings.NewReader("body"))
+	qt.Assert(v.t, err, qt.IsNil)
+	request.Host = "h"
+	request.Header.Set("Request-Id", "id")
+	for i := 0; i+1 < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	response, err := v.client.Do(request)
+	if err != nil {
+		return 0, "", false
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(text), err == nil
+}
+
+func (v *vm) runs() int {
+	n := 0
+	for _, u := range v.upstreams {
+		n += len(u.Runs())
+	}
+	return n
+}
+
+// expectCall calls and compares the status, the time until the answer and the
+// number of runs.
+func expectCall(
+	t *testing.T, path string, plans []standin.Plan, wantStatus int, wantTook time.Duration, wantRuns int, header ...string,
+) {
+	t.Helper()
+	inVM(t, plans, func(v *vm) {
+		began := time.Now()
+		status, _, whole := v.call(path, header...)
+		qt.Check(v.t, status, qt.Equals, wantStatus)
+		qt.Check(v.t, whole, qt.IsTrue)
+		qt.Check(v.t, time.Since(began), qt.Equals, wantTook)
+		qt.Check(v.t, v.runs(), qt.Equals, wantRuns)
+	})
+}
+
+func plans(p ...standin.Plan) []standin.Plan { return p }
+
+var (
+	sound   = standin.Plan{Body: "ok"}
+	refuses = standin.Plan{NotRun: true}
+	fails   = standin.Plan{Status: http.StatusInternalServerError}
+	silent  = standin.Plan{Silent: true}
+)
+
+func TestWhatMayBeRepeated(t *testing.T) {
+	t.Run("a refusal never ran", func(t *testing.T) {
+		expectCall(t, "/unsafe/x", plans(refuses, refuses, sound), http.StatusOK, 0, 1)
+	})
+	t.Run("all refuse", func(t *testing.T) {
+		expectCall(t, "/unsafe/x", plans(refuses, refuses), http.StatusServiceUnavailable, 0, 0)
+	})
+	t.Run("an unsafe call that failed is not repeated", func(t *testing.T) {
+		expectCall(t, "/unsafe/x", plans(fails), http.StatusInternalServerError, 0, 1)
+	})
+	t.Run("a safe call that failed is", func(t *testing.T) {
+		expectCall(t, "/safe/x", plans(fails, fails, fails), http.StatusInternalServerError, 0, 2)
+	})
+	t.Run("no upstream", func(t *testing.T) {
+		expectCall(t, "/safe/x", nil, http.StatusServiceUnavailable, 0, 0)
+	})
+}
+
+func TestFinalAnswersComeInTime(t *testing.T) {
+	t.Run("the route's timeout", func(t *testing.T) {
+		expectCall(t, "/unsafe/x", plans(silent), http.StatusGatewayTimeout, 2*time.Second, 1)
+	})
+	t.Run("the caller's deadline", func(t *testing.T) {
+		expectCall(t, "/unsafe/x", plans(silent), http.StatusGatewayTimeout, time.Second, 1, "Deadline-Ms", "1000")
+	})
+	t.Run("a stream before its first event", func(t *testing.T) {
+		expectCall(t, "/stream/x", plans(silent), http.StatusGatewayTimeout, 2*time.Second, 1)
+	})
+}
+
+// expectStream calls and compares the body.
+func expectStream(t *testing.T, path string, plans []standin.Plan, wantEvents int, wantWhole bool) {
+	t.Helper()
+	inVM(t, plans, func(v *vm) {
+		status, body, whole := v.call(path)
+		qt.Check(v.t, status, qt.Equals, http.StatusOK)
+		qt.Check(v.t, whole, qt.Equals, wantWhole)
+		var want strings.Builder
+		for n := 1; n <= wantEvents; n++ {
+			want.WriteString(standin.EventText("id", n))
+		}
+		qt.Check(v.t, body, qt.Equals, want.String())
+	})
+}
+
+func TestStreams(t *testing.T) {
+	whole := standin.Plan{Events: 5, Gap: 10 * time.Millisecond}
+	cut := standin.Plan{Events: 5, Gap: 10 * time.Millisecond, CutAfter: 2}
+	t.Run("whole", func(t *testing.T) { expectStream(t, "/stream/x", plans(whole), 5, true) })
+	t.Run("a cut one must not look whole", func(t *testing.T) { expectStream(t, "/stream/x", plans(cut), 2, false) })
+	t.Run("one that may be resumed goes on", func(t *testing.T) { expectStream(t, "/resume/x", plans(cut, cut), 4, false) })
+	t.Run("one that lasts longer than its route allows", func(t *testing.T) {
+		expectStream(t, "/stream/x", plans(standin.Plan{Events: 50, Gap: 300 * time.Millisecond}), 6, false)
+	})
+}
+
+func TestACallersCloseEndsTheRun(t *testing.T) {
+	inVM(t, plans(standin.Plan{Events: 1000, Gap: 10 * time.Millisecond}), func(v *vm) {
+		v.client.Timeout = 100 * time.Millisecond
+		_, _, whole := v.call("/stream/x")
+		qt.Check(v.t, whole, qt.IsFalse)
+		time.Sleep(10 * time.Millisecond)
+		synctest.Wait()
+		qt.Check(v.t, v.upstreams[0].Running(), qt.Equals, 0)
+		qt.Check(v.t, v.placer.Report(), qt.HasLen, 0)
+	})
+}
+
+func TestAVMWithoutAConfigurationSaysSo(t *testing.T) {
+	inVM(t, plans(sound), func(v *vm) {
+		v.gateway.SetTable(nil)
+		status, _, _ := v.call("/safe/x")
+		qt.Check(v.t, status, qt.Equals, http.StatusServiceUnavailable)
+		v.gateway.SetTable(table())
+		status, _, _ = v.call("/none/x")
+		qt.Check(v.t, status, qt.Equals, http.StatusNotFound)
+	})
+}
--- a/scripts/check-style.sh
+++ b/scripts/check-style.sh
@@ -1,11 +1,28 @@
 #!/usr/bin/env bash
 # House rules that the linter doesn't know: goroutines start through a group,
-# and generated code is what the generator writes.
+# generated code is what the generator writes, the platform's wire is spoken in
+# platform/ only, and journal entries stay.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-if git grep -nE '^[[:space:]]*go (func|[a-zA-Z_.]+\()' -- '*.go'; then
-  echo "start goroutines through a group, not by a bare go statement" >&2
+fail() {
+  echo "$1" >&2
   exit 1
+}
+
+if git grep -nE '^[[:space:]]*go (func|[a-zA-Z_.]+\()' -- '*.go'; then
+  fail "start goroutines through a group, not by a bare go statement"
+fi
+if git grep -nFf scripts/wire-words.txt -- '*.go' ':!platform/'; then
+  fail "the platform's wire words belong in platform/"
+fi
+if git grep -nE 'fleetbench|given/kit' -- '*.go'; then
+  fail "source files don't name the users' bench"
+fi
+if git grep -nE '^[[:space:]]*"github.com/fescuespindle/fescuespindle/platform"' -- 'internal/*.go' ':!internal/entryvm/' ':!*_test.go'; then
+  fail "only the wiring imports platform/"
+fi
+if [ -n "$(git log --diff-filter=D --name-only --format= -- journal)" ]; then
+  fail "journal entries were removed"
 fi
 go tool wire diff ./internal/assembler
