--- a/internal/assembler/provider.go
+++ b/internal/assembler/provider.go
@@ -19,11 +19,11 @@
 	"github.com/fescuespindle/fescuespindle/internal/messenger"
 	"github.com/fescuespindle/fescuespindle/internal/operator"
 	"github.com/fescuespindle/fescuespindle/internal/peer"
-	"github.com/fescuespindle/fescuespindle/internal/platformcaller"
 	"github.com/fescuespindle/fescuespindle/internal/quarantiner"
 	"github.com/fescuespindle/fescuespindle/internal/relayer"
 	"github.com/fescuespindle/fescuespindle/internal/settingsloader"
 	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
+	"github.com/fescuespindle/fescuespindle/platform"
 )
 
 // Dial opens a connection. Tests and experiments put delays and faults here.
@@ -51,17 +51,17 @@
 
 func newCounters() *counter.Counters { return counter.New(metrics.NewSet()) }
 
-func newPlatform(s settingsloader.Settings, d Dials) *platformcaller.Caller {
+func newPlatform(s settingsloader.Settings, d Dials) *platform.Store {
 	transport := &http.Transport{DialContext: d.Platform, MaxIdleConnsPerHost: idlePlatformConns, DisableCompression: true}
-	return platformcaller.New(s.PlatformURL, &http.Client{Transport: transport})
+	return platform.NewStore(s.PlatformURL, transport)
 }
 
 func newStore(
-	platform *platformcaller.Caller, s settingsloader.Settings, process Process, logger *slog.Logger,
+	store *platform.Store, s settingsloader.Settings, process Process, logger *slog.Logger,
 	counters *counter.Counters,
 ) *storekeeper.Keeper {
 	incarnation := s.VM + "-" + strconv.FormatUint(uint64(process), 10)
-	return storekeeper.New(platform, incarnation, logger, counters)
+	return storekeeper.New(store, incarnation, logger, counters)
 }
 
 func newJobs(store *storekeeper.Keeper) *jobkeeper.Keeper { return jobkeeper.New(store) }
--- a/internal/assembler/wire.go
+++ b/internal/assembler/wire.go
@@ -12,13 +12,15 @@
 	"github.com/fescuespindle/fescuespindle/internal/dispatcher"
 	"github.com/fescuespindle/fescuespindle/internal/linkmeter"
 	"github.com/fescuespindle/fescuespindle/internal/operator"
-	"github.com/fescuespindle/fescuespindle/internal/platformcaller"
 	"github.com/fescuespindle/fescuespindle/internal/publisher"
 	"github.com/fescuespindle/fescuespindle/internal/quarantiner"
 	"github.com/fescuespindle/fescuespindle/internal/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/rowstore"
 	"github.com/fescuespindle/fescuespindle/internal/server"
 	"github.com/fescuespindle/fescuespindle/internal/servicecaller"
 	"github.com/fescuespindle/fescuespindle/internal/settingsloader"
+	"github.com/fescuespindle/fescuespindle/internal/vmlister"
+	"github.com/fescuespindle/fescuespindle/platform"
 )
 
 // New puts an entry VM together. Start must be called for it to serve.
@@ -28,11 +30,12 @@
 ) *VM {
 	wire.Build(
 		newCounters, newPlatform, newStore, newJobs, newRelayer, newClaimer, newPlace, newMessenger, newDispatcher,
-		newProfiling, linkmeter.New, publisher.New, quarantiner.New, controller.New, server.New, operator.New, servicecaller.New,
+		newProfiling, vmlister.New, linkmeter.New, publisher.New, quarantiner.New, controller.New, server.New, operator.New, servicecaller.New,
 		wire.Struct(new(controller.Parts), "*"),
 		wire.Struct(new(VM), "settings", "logger", "listeners", "store", "messenger", "controller", "publisher",
 			"dispatcher", "claimer", "relayer", "server", "operator"),
-		wire.Bind(new(controller.Lister), new(*platformcaller.Caller)),
+		wire.Bind(new(controller.Lister), new(*vmlister.Lister)),
+		wire.Bind(new(rowstore.Store), new(*platform.Store)),
 		wire.Bind(new(servicecaller.Sender), new(*relayer.Relayer)),
 		wire.Bind(new(dispatcher.Observer), new(*controller.Controller)),
 		wire.Bind(new(server.Announcer), new(*controller.Controller)),
--- a/internal/assembler/wire_gen.go
+++ b/internal/assembler/wire_gen.go
@@ -16,6 +16,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/server"
 	"github.com/fescuespindle/fescuespindle/internal/servicecaller"
 	"github.com/fescuespindle/fescuespindle/internal/settingsloader"
+	"github.com/fescuespindle/fescuespindle/internal/vmlister"
 	"log/slog"
 )
 
@@ -23,11 +24,12 @@
 
 // New puts an entry VM together. Start must be called for it to serve.
 func New(settings settingsloader.Settings, listeners Listeners, secret Secret, process Process, dials Dials, logger *slog.Logger, options []dispatcher.Option) *VM {
-	caller := newPlatform(settings, dials)
+	store := newPlatform(settings, dials)
 	counters := newCounters()
-	keeper := newStore(caller, settings, process, logger, counters)
+	keeper := newStore(store, settings, process, logger, counters)
 	place := newPlace(settings, process, listeners)
 	jobkeeperKeeper := newJobs(keeper)
+	lister := vmlister.New(store, logger)
 	relayer := newRelayer(dials)
 	quarantine := quarantiner.New()
 	publisherPublisher := publisher.New()
@@ -39,7 +41,7 @@
 		Counters:   counters,
 		Store:      keeper,
 		Jobs:       jobkeeperKeeper,
-		Lister:     caller,
+		Lister:     lister,
 		Relayer:    relayer,
 		Quarantine: quarantine,
 		Publisher:  publisherPublisher,
@@ -49,8 +51,8 @@
 	controllerController := controller.New(parts)
 	messenger := newMessenger(place, secret, controllerController, counters, dials)
 	dispatcherDispatcher := newDispatcher(relayer, controllerController, meter, counters, quarantine, options)
-	servicecallerCaller := servicecaller.New(relayer, controllerController, meter, counters)
-	serverServer := server.New(publisherPublisher, dispatcherDispatcher, servicecallerCaller, claimer, jobkeeperKeeper, controllerController, counters, logger)
+	caller := servicecaller.New(relayer, controllerController, meter, counters)
+	serverServer := server.New(publisherPublisher, dispatcherDispatcher, caller, claimer, jobkeeperKeeper, controllerController, counters, logger)
 	profiling := newProfiling(settings)
 	operatorOperator := operator.New(publisherPublisher, controllerController, dispatcherDispatcher, counters, profiling)
 	vm := &VM{
--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -13,8 +13,8 @@
 	"sync"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/platform"
 	"github.com/fescuespindle/fescuespindle/internal/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/rowstore"
 	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
 )
 
@@ -87,8 +87,12 @@
 	Run func(context.Context) (relayer.Answer, error)
 }
 
-func (c Call) rowKey() string {
-	return "claim/" + c.Service + "/" + digest([]byte(c.Caller+"\x00"+c.Key))
+const table = "claims"
+
+// key spreads claims over sixteen parts of the store.
+func (c Call) key() rowstore.Key {
+	id := digest([]byte(c.Caller + "\x00" + c.Key))
+	return rowstore.Key{Table: table, Part: table + "-" + id[:1], Name: c.Service + "/" + id}
 }
 
 func digest(text []byte) string {
@@ -99,7 +103,7 @@
 // Store is the store as this package needs it.
 type Store interface {
 	Transact(context.Context, storekeeper.Write) (uint64, error)
-	Read(context.Context, storekeeper.Purpose, ...string) ([]platform.Row, error)
+	Read(context.Context, storekeeper.Purpose, ...rowstore.Key) ([]rowstore.Row, error)
 	PutObject(context.Context, storekeeper.Purpose, string, []byte) error
 	GetObject(context.Context, storekeeper.Purpose, string) ([]byte, error)
 }
@@ -194,8 +198,10 @@
 	}
 	return c.store.Transact(ctx, storekeeper.Write{
 		Purpose: storekeeper.PurposeClaim, Priority: storekeeper.PriorityAcknowledge,
-		Conditions: []platform.Condition{{Key: call.rowKey(), Version: version}},
-		Puts:       []platform.Put{{Key: call.rowKey(), Value: text}},
+		Tx: rowstore.Tx{
+			Conditions: []rowstore.Condition{{Key: call.key(), Version: version}},
+			Puts:       []rowstore.Put{{Key: call.key(), Value: text}},
+		},
 	})
 }
 
@@ -203,8 +209,10 @@
 func (c *Claimer) withdraw(ctx context.Context, call Call, version uint64) error {
 	_, err := c.store.Transact(ctx, storekeeper.Write{
 		Purpose: storekeeper.PurposeClaim, Priority: storekeeper.PriorityAcknowledge,
-		Conditions: []platform.Condition{{Key: call.rowKey(), Version: version}},
-		Deletes:    []string{call.rowKey()},
+		Tx: rowstore.Tx{
+			Conditions: []rowstore.Condition{{Key: call.key(), Version: version}},
+			Removes:    []rowstore.Key{call.key()},
+		},
 	})
 	return err
 }
@@ -246,7 +254,7 @@
 		value.Body = answer.Body()
 	}
 	if len(value.Body) > maxInlineBytes {
-		value.Object = call.rowKey() + "/" + digest(value.Body)
+		value.Object = "claim/" + call.key().Name + "/" + digest(value.Body)
 		if c.store.PutObject(ctx, storekeeper.PurposeClaim, value.Object, value.Body) != nil {
 			return
 		}
@@ -257,7 +265,7 @@
 
 // replay answers a call that was claimed before.
 func (c *Claimer) replay(ctx context.Context, call Call) (Answer, error) {
-	rows, err := c.store.Read(ctx, storekeeper.PurposeClaim, call.rowKey())
+	rows, err := c.store.Read(ctx, storekeeper.PurposeClaim, call.key())
 	if err != nil {
 		return Answer{}, fmt.Errorf("%w: %w", ErrInDoubt, err)
 	}
--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -17,25 +17,25 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/claimer"
 	"github.com/fescuespindle/fescuespindle/internal/counter"
-	"github.com/fescuespindle/fescuespindle/internal/emulator/storeemulator"
+	"github.com/fescuespindle/fescuespindle/internal/emulator/rowemulator"
 	"github.com/fescuespindle/fescuespindle/internal/relayer"
 	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
 )
 
 // vms are claimers of several VMs on one store.
 type vms struct {
-	table    *storeemulator.Platform
+	store    *rowemulator.Store
 	claimers []*claimer.Claimer
 	group    sync.WaitGroup
 	stop     context.CancelFunc
 }
 
-func newVMs(ctx context.Context, n int, seed uint64) *vms {
-	v := &vms{table: storeemulator.NewPlatform(seed)}
+func newVMs(ctx context.Context, n int) *vms {
+	v := &vms{store: rowemulator.New()}
 	ctx, v.stop = context.WithCancel(ctx)
 	for i := range n {
 		name := fmt.Sprintf("vm-%d", i)
-		store := storekeeper.New(v.table, name, slog.New(slog.NewTextHandler(io.Discard, nil)),
+		store := storekeeper.New(v.store, name, slog.New(slog.NewTextHandler(io.Discard, nil)),
 			counter.New(metrics.NewSet()), storekeeper.WithBudget(1e6, 1e6))
 		v.group.Go(func() { _ = store.Run(ctx) })
 		v.claimers = append(v.claimers, claimer.New(name, store))
@@ -72,8 +72,8 @@
 	for seed := range uint64(6) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				v := newVMs(t.Context(), 4, seed)
-				v.table.SetFaults(storeemulator.PlatformFaults{Lost: 0.3})
+				v := newVMs(t.Context(), 4)
+				v.store.SetFaults(seed, rowemulator.Faults{LostShare: 0.3})
 				var o order
 				var senders sync.WaitGroup
 				for n := range 20 {
@@ -99,15 +99,15 @@
 
 func TestWithoutAStoreNothingRuns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		v := newVMs(t.Context(), 2, 1)
-		v.table.SetDown(true)
+		v := newVMs(t.Context(), 2)
+		v.store.SetDown(true)
 		var o order
 		_, err := v.claimers[0].Do(t.Context(), o.call("panel"))
 		qt.Check(t, err, qt.ErrorIs, claimer.ErrNotClaimed)
 		qt.Check(t, o.runs.Load(), qt.Equals, int32(0))
 		// The claim may still become durable; it is taken back then, so that a
 		// resend is not told that the call may have run.
-		v.table.SetDown(false)
+		v.store.SetDown(false)
 		time.Sleep(30 * time.Second)
 		_, err = v.claimers[1].Do(t.Context(), o.call("panel"))
 		qt.Check(t, err, qt.IsNil)
@@ -118,7 +118,7 @@
 
 func TestLostClaimerLeavesTheCallInDoubt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		v := newVMs(t.Context(), 2, 1)
+		v := newVMs(t.Context(), 2)
 		o := order{failure: relayer.NewFailure(relayer.RanMaybe, errors.New("connection reset"))}
 		_, err := v.claimers[0].Do(t.Context(), o.call("panel"))
 		qt.Check(t, relayer.AsFailure(err).Ran(), qt.Equals, relayer.RanMaybe)
@@ -132,7 +132,7 @@
 
 func TestCallThatWasNotRunMayBeSentAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		v := newVMs(t.Context(), 1, 1)
+		v := newVMs(t.Context(), 1)
 		o := order{failure: relayer.NewFailure(relayer.RanNot, errors.New("connection refused"))}
 		_, err := v.claimers[0].Do(t.Context(), o.call("panel"))
 		qt.Check(t, relayer.AsFailure(err).Ran(), qt.Equals, relayer.RanNot)
@@ -146,7 +146,7 @@
 
 func TestAnotherBodyUnderTheSameKeyIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		v := newVMs(t.Context(), 1, 1)
+		v := newVMs(t.Context(), 1)
 		var o order
 		_, err := v.claimers[0].Do(t.Context(), o.call("panel"))
 		qt.Check(t, err, qt.IsNil)
--- a/internal/claimer/linearizability_test.go
+++ b/internal/claimer/linearizability_test.go
@@ -14,7 +14,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fescuespindle/fescuespindle/internal/claimer"
-	"github.com/fescuespindle/fescuespindle/internal/emulator/storeemulator"
+	"github.com/fescuespindle/fescuespindle/internal/emulator/rowemulator"
 )
 
 // reply is what a sender of a call heard.
@@ -79,8 +79,8 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				const senders, rounds, keys, fleet = 6, 6, 3, 4
-				v := newVMs(t.Context(), fleet, seed)
-				v.table.SetFaults(storeemulator.PlatformFaults{Lost: 0.2, Late: 0.05, Refused: 0.1})
+				v := newVMs(t.Context(), fleet)
+				v.store.SetFaults(seed, rowemulator.Faults{LostShare: 0.2, LateShare: 0.05, RefusedShare: 0.1})
 				var clock atomic.Int64
 				var mu sync.Mutex
 				var history []porcupine.Operation
@@ -91,7 +91,7 @@
 					group.Go(func() {
 						for range rounds {
 							time.Sleep(time.Duration(random.IntN(3000)) * time.Millisecond)
-							v.table.SetDown(random.IntN(6) == 0)
+							v.store.SetDown(random.IntN(6) == 0)
 							n, at := random.IntN(keys), random.IntN(fleet)
 							call := orders[n].call("panel")
 							call.Key = fmt.Sprintf("order-%d", n)
@@ -106,7 +106,7 @@
 					})
 				}
 				group.Wait()
-				v.table.SetDown(false)
+				v.store.SetDown(false)
 				time.Sleep(2 * time.Minute)
 				v.close()
 				for n := range orders {
--- a/internal/commander/script_test.go
+++ b/internal/commander/script_test.go
@@ -17,8 +17,9 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/commander"
 	"github.com/fescuespindle/fescuespindle/internal/emulator/engineemulator"
-	"github.com/fescuespindle/fescuespindle/internal/emulator/platformemulator"
+	"github.com/fescuespindle/fescuespindle/internal/emulator/rowemulator"
 	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
+	"github.com/fescuespindle/fescuespindle/platform/standin"
 )
 
 func TestMain(m *testing.M) {
@@ -39,7 +40,7 @@
 // Sessions of operators, against a platform stand-in.
 func TestOperatorSessions(t *testing.T) {
 	run(t, "testdata/script/operator", func(env *testscript.Env) error {
-		platform := httptest.NewServer(platformemulator.New(1))
+		platform := httptest.NewServer(standin.NewStore(rowemulator.New()))
 		env.Defer(platform.Close)
 		env.Setenv("FESCUESPINDLE_PLATFORM", platform.URL)
 		return nil
--- a/internal/commander/standin.go
+++ b/internal/commander/standin.go
@@ -11,14 +11,14 @@
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/emulator/engineemulator"
-	"github.com/fescuespindle/fescuespindle/internal/emulator/platformemulator"
+	"github.com/fescuespindle/fescuespindle/internal/emulator/rowemulator"
 	"github.com/fescuespindle/fescuespindle/internal/emulator/serviceemulator"
-	"github.com/fescuespindle/fescuespindle/internal/platformcaller"
 	"github.com/fescuespindle/fescuespindle/internal/upstream"
+	"github.com/fescuespindle/fescuespindle/platform/standin"
 )
 
 type standinCommand struct {
-	Platform standinPlatformCommand `cmd:"" help:"Run a platform: table, objects, weights and VM list."`
+	Platform standinPlatformCommand `cmd:"" help:"Run the platform's store: rows and objects, in memory."`
 	Engine   standinEngineCommand   `cmd:"" help:"Run a model engine."`
 	Service  standinServiceCommand  `cmd:"" help:"Run a plain service."`
 }
@@ -47,12 +47,11 @@
 
 type standinPlatformCommand struct {
 	Address string `default:"127.0.0.1:8090" help:"Where to listen."`
-	Seed    uint64 `default:"1" help:"The seed of faults."`
 }
 
-// Run runs a platform.
+// Run runs a store.
 func (c *standinPlatformCommand) Run(e *environment) error {
-	return serveStandin(e, c.Address, platformemulator.New(c.Seed))
+	return serveStandin(e, c.Address, standin.NewStore(rowemulator.New(rowemulator.WithRates(rowemulator.SiteRates))))
 }
 
 type standinEngineCommand struct {
@@ -64,7 +63,6 @@
 	ReportLag    time.Duration `default:"1s" help:"How late load reports are."`
 	CheckFencing bool          `help:"Refuse orders with an old fencing number."`
 	LoadTime     time.Duration `default:"1s" help:"The time that loading a model takes."`
-	Platform     string        `placeholder:"URL" help:"The platform whose weight store is asked."`
 }
 
 // Run runs an engine.
@@ -77,12 +75,6 @@
 	if c.CheckFencing {
 		options = append(options, engineemulator.WithFencing())
 	}
-	if c.Platform != "" {
-		caller := platformcaller.New(c.Platform, &http.Client{})
-		options = append(options, engineemulator.WithWeights(func(ctx context.Context) error {
-			return caller.Weights(ctx, c.Model)
-		}))
-	}
 	engine := engineemulator.New(options...)
 	var group sync.WaitGroup
 	group.Go(func() { engine.Run(e.ctx) })
--- a/internal/configkeeper/keeper.go
+++ b/internal/configkeeper/keeper.go
@@ -9,7 +9,7 @@
 	"fmt"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/platform"
+	"github.com/fescuespindle/fescuespindle/internal/rowstore"
 	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
 	"github.com/fescuespindle/fescuespindle/pkg/deployer"
 )
@@ -30,7 +30,10 @@
 )
 
 const (
-	headKey      = "config/head"
+	headTable  = "config"
+	auditTable = "audit"
+	// part holds the newest version and the audit trail, which change together.
+	part         = "config"
 	historyLimit = 100
 )
 
@@ -64,8 +67,8 @@
 // Store is the store as this package needs it.
 type Store interface {
 	Transact(context.Context, storekeeper.Write) (uint64, error)
-	Read(context.Context, storekeeper.Purpose, ...string) ([]platform.Row, error)
-	Scan(ctx context.Context, purpose storekeeper.Purpose, prefix, after string, limit int) ([]platform.Row, error)
+	Read(context.Context, storekeeper.Purpose, ...rowstore.Key) ([]rowstore.Row, error)
+	Scan(context.Context, storekeeper.Purpose, storekeeper.Span) (rows []rowstore.Row, next string, err error)
 	PutObject(context.Context, storekeeper.Purpose, string, []byte) error
 	GetObject(context.Context, storekeeper.Purpose, string) ([]byte, error)
 }
@@ -78,8 +81,14 @@
 // New returns a keeper.
 func New(store Store) *Keeper { return &Keeper{store: store} }
 
-func auditKey(version uint64) string { return fmt.Sprintf("audit/%012d", version) }
-func textKey(digest string) string   { return "config/" + digest }
+func headKey() rowstore.Key { return rowstore.Key{Table: headTable, Part: part, Name: "head"} }
+
+func auditKey(version uint64) rowstore.Key {
+	return rowstore.Key{Table: auditTable, Part: part, Name: fmt.Sprintf("%012d", version)}
+}
+
+// textKey names the object that has the text with a digest.
+func textKey(digest string) string { return "config/" + digest }
 
 // Head returns the newest accepted version, or version 0 if there is none.
 func (k *Keeper) Head(ctx context.Context) (Head, error) {
@@ -88,7 +97,7 @@
 }
 
 func (k *Keeper) head(ctx context.Context) (Head, uint64, error) {
-	rows, err := k.store.Read(ctx, storekeeper.PurposeConfig, headKey)
+	rows, err := k.store.Read(ctx, storekeeper.PurposeConfig, headKey())
 	if err != nil {
 		return Head{}, 0, translate(err)
 	}
@@ -155,10 +164,10 @@
 	}
 	_, err = k.store.Transact(ctx, storekeeper.Write{
 		Purpose: storekeeper.PurposeConfig, Priority: storekeeper.PriorityAcknowledge,
-		Conditions: []platform.Condition{
-			{Key: headKey, Version: headVersion}, {Key: auditKey(entry.Version)},
+		Tx: rowstore.Tx{
+			Conditions: []rowstore.Condition{{Key: headKey(), Version: headVersion}, {Key: auditKey(entry.Version)}},
+			Puts:       []rowstore.Put{{Key: headKey(), Value: headText}, {Key: auditKey(entry.Version), Value: entryText}},
 		},
-		Puts: []platform.Put{{Key: headKey, Value: headText}, {Key: auditKey(entry.Version), Value: entryText}},
 	})
 	if errors.Is(err, storekeeper.ErrConflict) {
 		return Entry{}, fmt.Errorf("%w: another change was faster", ErrStale)
@@ -184,10 +193,12 @@
 
 // History returns the audit trail after a version, oldest first.
 func (k *Keeper) History(ctx context.Context, after uint64) ([]Entry, error) {
-	rows, err := k.store.Scan(ctx, storekeeper.PurposeConfig, "audit/", auditKey(after), historyLimit)
+	span := storekeeper.Span{Table: auditTable, Part: part, From: storekeeper.After(auditKey(after).Name)}
+	rows, _, err := k.store.Scan(ctx, storekeeper.PurposeConfig, span)
 	if err != nil {
 		return nil, translate(err)
 	}
+	rows = rows[:min(len(rows), historyLimit)]
 	entries := make([]Entry, 0, len(rows))
 	for _, row := range rows {
 		var entry Entry
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -19,13 +19,12 @@
 	"github.com/fescuespindle/fescuespindle/internal/jobkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/linkmeter"
 	"github.com/fescuespindle/fescuespindle/internal/peer"
-	"github.com/fescuespindle/fescuespindle/internal/platform"
-	"github.com/fescuespindle/fescuespindle/internal/platformcaller"
 	"github.com/fescuespindle/fescuespindle/internal/publisher"
 	"github.com/fescuespindle/fescuespindle/internal/quarantiner"
 	"github.com/fescuespindle/fescuespindle/internal/relayer"
 	"github.com/fescuespindle/fescuespindle/internal/stepper"
 	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
+	"github.com/fescuespindle/fescuespindle/internal/vmlister"
 )
 
 const (
@@ -65,9 +64,9 @@
 
 // Lister reads the platform's list of VMs.
 type Lister interface {
-	// VMs returns the list and its tag, or platformcaller.ErrUnchanged if it
+	// VMs returns the list and its version, or vmlister.ErrUnchanged if it
 	// is the one with the tag given.
-	VMs(ctx context.Context, tag string) ([]platform.VM, string, error)
+	VMs(ctx context.Context, version uint64) ([]vmlister.VM, uint64, error)
 }
 
 // Parts are what a controller works with.
@@ -92,13 +91,14 @@
 	sender  Sender
 	builder *publisher.Builder
 
-	list      []platform.VM
-	listAt    time.Time
-	listing   bool
-	listTag   string
-	listOwn   bool // the list was read from the platform, not from a peer
-	typicalAt time.Time
-	stale     bool
+	list    []vmlister.VM
+	listAt  time.Time
+	listing bool
+	// listVersion is that of the list as this VM read it, 0 if it hasn't.
+	listVersion uint64
+	listOwn     bool // the list was read from the platform, not from a peer
+	typicalAt   time.Time
+	stale       bool
 
 	members    *members
 	config     *configuration
@@ -170,7 +170,7 @@
 func (c *Controller) shareBudgets() {
 	fleet, region := 0, 0
 	for _, vm := range c.list {
-		if vm.Kind != platform.VMEntry {
+		if vm.Kind != vmlister.KindEntry {
 			continue
 		}
 		fleet++
@@ -187,7 +187,7 @@
 func (c *Controller) scaled(period time.Duration) time.Duration {
 	entries := 0
 	for _, vm := range c.list {
-		if vm.Kind == platform.VMEntry {
+		if vm.Kind == vmlister.KindEntry {
 			entries++
 		}
 	}
@@ -199,19 +199,19 @@
 		return
 	}
 	c.listing = true
-	tag := c.listTag
+	version := c.listVersion
 	c.loop.Go(func(ctx context.Context) stepper.Event {
 		ctx, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
-		list, tag, err := c.Lister.VMs(ctx, tag)
-		return func(now time.Time) { c.listRead(list, tag, err, now) }
+		list, version, err := c.Lister.VMs(ctx, version)
+		return func(now time.Time) { c.listRead(list, version, err, now) }
 	})
 }
 
-func (c *Controller) listRead(list []platform.VM, tag string, err error, now time.Time) {
+func (c *Controller) listRead(list []vmlister.VM, version uint64, err error, now time.Time) {
 	c.listing = false
 	c.listAt = now.Add(c.scaled(listPeriod))
-	if errors.Is(err, platformcaller.ErrUnchanged) {
+	if errors.Is(err, vmlister.ErrUnchanged) {
 		return
 	}
 	if err != nil {
@@ -219,11 +219,11 @@
 		return
 	}
 	c.listOwn = true
-	c.listTag = tag
+	c.listVersion = version
 	c.takeList(list)
 }
 
-func (c *Controller) takeList(list []platform.VM) {
+func (c *Controller) takeList(list []vmlister.VM) {
 	c.list = list
 	c.members.listRead(list)
 	c.upstreams.listRead(list)
@@ -381,7 +381,7 @@
 	}
 	seen := map[string]bool{c.Place.Domain: true}
 	for _, vm := range c.list {
-		if vm.Kind == platform.VMEntry && !vm.Leaving && vm.Peer != "" && !seen[vm.Domain] {
+		if vm.Kind == vmlister.KindEntry && !vm.Leaving && vm.Peer != "" && !seen[vm.Domain] {
 			seen[vm.Domain] = true
 			c.sender.Send(vm.Peer, far)
 		}
--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -6,8 +6,8 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/memberprober"
 	"github.com/fescuespindle/fescuespindle/internal/peer"
-	"github.com/fescuespindle/fescuespindle/internal/platform"
 	"github.com/fescuespindle/fescuespindle/internal/propagator"
+	"github.com/fescuespindle/fescuespindle/internal/vmlister"
 )
 
 // members steps the membership of this VM's failure domain.
@@ -42,12 +42,12 @@
 	return names
 }
 
-func (m *members) listRead(list []platform.VM) {
+func (m *members) listRead(list []vmlister.VM) {
 	m.known = true
 	clear(m.neighbours)
 	var listed []memberprober.Listed
 	for _, vm := range list {
-		if vm.Kind != platform.VMEntry || vm.Domain != m.c.Place.Domain {
+		if vm.Kind != vmlister.KindEntry || vm.Domain != m.c.Place.Domain {
 			continue
 		}
 		m.neighbours[vm.ID] = true
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -10,10 +10,10 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/orderer"
 	"github.com/fescuespindle/fescuespindle/internal/orderkeeper"
-	"github.com/fescuespindle/fescuespindle/internal/platform"
 	"github.com/fescuespindle/fescuespindle/internal/relayer"
 	"github.com/fescuespindle/fescuespindle/internal/stepper"
 	"github.com/fescuespindle/fescuespindle/internal/upstream"
+	"github.com/fescuespindle/fescuespindle/internal/vmlister"
 	"github.com/fescuespindle/fescuespindle/pkg/deployer"
 )
 
@@ -40,13 +40,13 @@
 }
 
 // listedEngines calls yield for each engine of the list with its deployment.
-func (o *orders) listedEngines(yield func(platform.VM, deployer.Deployment) bool) {
+func (o *orders) listedEngines(yield func(vmlister.VM, deployer.Deployment) bool) {
 	for _, d := range o.c.config.doc.Deployments {
 		if d.Kind != deployer.KindEngine {
 			continue
 		}
 		for _, vm := range o.c.list {
-			matches := vm.Kind == platform.VMUpstream && vm.Pool == d.Pool && d.Serves(vm.Region)
+			matches := vm.Kind == vmlister.KindUpstream && vm.Pool == d.Pool && d.Serves(vm.Region)
 			if matches && !yield(vm, d) {
 				return
 			}
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -8,11 +8,11 @@
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/peer"
-	"github.com/fescuespindle/fescuespindle/internal/platform"
 	"github.com/fescuespindle/fescuespindle/internal/publisher"
 	"github.com/fescuespindle/fescuespindle/internal/relayer"
 	"github.com/fescuespindle/fescuespindle/internal/stepper"
 	"github.com/fescuespindle/fescuespindle/internal/upstream"
+	"github.com/fescuespindle/fescuespindle/internal/vmlister"
 	"github.com/fescuespindle/fescuespindle/pkg/deployer"
 )
 
@@ -23,7 +23,7 @@
 	s.watched = map[string]*watched{}
 	for _, d := range s.c.config.doc.Deployments {
 		for _, vm := range s.c.list {
-			mine := vm.Kind == platform.VMUpstream && vm.Pool == d.Pool && d.Serves(vm.Region) &&
+			mine := vm.Kind == vmlister.KindUpstream && vm.Pool == d.Pool && d.Serves(vm.Region) &&
 				publisher.Keeper(vm.ID, keepers[vm.Domain]) == s.c.Place.VM
 			if !mine {
 				continue
@@ -39,7 +39,7 @@
 }
 
 // keeps tells whether this VM looks after a listed upstream.
-func (s *upstreams) keeps(vm platform.VM) bool {
+func (s *upstreams) keeps(vm vmlister.VM) bool {
 	_, found := s.watched[vm.ID]
 	return found
 }
--- a/internal/controller/upstreams.go
+++ b/internal/controller/upstreams.go
@@ -8,8 +8,8 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/chooser"
 	"github.com/fescuespindle/fescuespindle/internal/peer"
-	"github.com/fescuespindle/fescuespindle/internal/platform"
 	"github.com/fescuespindle/fescuespindle/internal/publisher"
+	"github.com/fescuespindle/fescuespindle/internal/vmlister"
 	"github.com/fescuespindle/fescuespindle/internal/yielder"
 	"github.com/fescuespindle/fescuespindle/pkg/deployer"
 )
@@ -53,7 +53,7 @@
 // watched is an upstream whose reports this VM reads, whether or not it serves
 // anything yet.
 type watched struct {
-	vm        platform.VM
+	vm        vmlister.VM
 	kind      deployer.Kind
 	reportAt  time.Time
 	reporting bool
@@ -88,11 +88,11 @@
 	}
 }
 
-func (s *upstreams) listRead(list []platform.VM) {
+func (s *upstreams) listRead(list []vmlister.VM) {
 	listed := map[string]bool{}
 	for _, vm := range list {
 		listed[vm.ID] = true
-		if vm.Kind == platform.VMEntry {
+		if vm.Kind == vmlister.KindEntry {
 			s.addresses[vm.ID] = vm.Peer
 		}
 	}
--- a/internal/emulator/engineemulator/engine.go
+++ b/internal/emulator/engineemulator/engine.go
@@ -43,7 +43,6 @@
 	restart      time.Duration
 	loadTime     time.Duration
 	checkFencing bool
-	weights      func(context.Context) error
 	mux          *http.ServeMux
 
 	mu       sync.Mutex
@@ -134,11 +133,6 @@
 // WithLoadTime sets how long loading one model takes.
 func WithLoadTime(d time.Duration) Option { return func(e *Engine) { e.loadTime = d } }
 
-// WithWeights sets how the engine asks the weight store for a model.
-func WithWeights(fetch func(context.Context) error) Option {
-	return func(e *Engine) { e.weights = fetch }
-}
-
 // New returns an engine. Run must be called for it to make progress.
 func New(options ...Option) *Engine {
 	e := &Engine{
@@ -151,7 +145,6 @@
 		slow:         1,
 		role:         upstream.RoleServing,
 		restart:      time.Second,
-		weights:      func(context.Context) error { return nil },
 	}
 	e.cond = sync.NewCond(&e.mu)
 	e.crashCtx, e.crashing = context.WithCancel(context.Background())
--- a/internal/emulator/engineemulator/order.go
+++ b/internal/emulator/engineemulator/order.go
@@ -23,10 +23,6 @@
 		return
 	}
 	for range missing {
-		if err := e.weights(r.Context()); err != nil {
-			http.Error(w, err.Error(), http.StatusServiceUnavailable)
-			return
-		}
 		time.Sleep(e.loadTime)
 	}
 	if !e.applyOrder(order) {
--- /dev/null
+++ b/internal/emulator/rowemulator/fault.go
@@ -0,0 +1,61 @@
+package rowemulator
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/rowstore"
+)
+
+// lateness is how long a late transaction is on its way.
+const lateness = 5 * time.Second
+
+// Faults are what goes wrong with calls. Shares are between 0 and 1.
+type Faults struct {
+	// Delay is added to every call.
+	Delay time.Duration
+	// RefusedShare of the transactions are not done.
+	RefusedShare float64
+	// LateShare of the transactions take effect long after their answer was
+	// given up, if their conditions still hold then.
+	LateShare float64
+	// LostShare of the transactions take effect, and their answers are lost.
+	LostShare float64
+}
+
+// SetDown takes the store down, so that it refuses every call, or brings it back.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// SetFaults replaces the fault in force by one that draws from a seed.
+func (s *Store) SetFaults(seed uint64, faults Faults) {
+	random := rand.New(rand.NewPCG(seed, seed))
+	var mu sync.Mutex
+	draw := func(share float64) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return random.Float64() < share
+	}
+	s.SetFault(func(c Call) (bool, error) {
+		time.Sleep(faults.Delay)
+		if !c.Write || c.Object != "" {
+			return true, nil
+		}
+		refused, late, lost := draw(faults.RefusedShare), draw(faults.LateShare), draw(faults.LostShare)
+		switch {
+		case refused:
+			return false, rowstore.ErrNotDone
+		case late:
+			time.AfterFunc(lateness, func() { _, _ = s.Apply(c.Tx) }) // conditions decide whether it still takes effect
+			return false, rowstore.ErrUnknown
+		case lost:
+			return true, rowstore.ErrUnknown
+		default:
+			return true, nil
+		}
+	})
+}
--- a/internal/emulator/rowemulator/store.go
+++ b/internal/emulator/rowemulator/store.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -20,6 +21,8 @@
 	Write bool
 	Table string // of a read
 	Tx    rowstore.Tx
+	// Object is the object's name in a call about an object.
+	Object string
 }
 
 // Fault decides what becomes of a call. It returns an error to report and
@@ -39,15 +42,41 @@
 	dropped uint64         // changes up to this version are no longer in the log
 	version uint64
 	fault   Fault
+	down    bool
 	changed chan struct{} // closed at the next change
-	calls   int
+	rates   *rates        // nil is none
+	objects map[string][]byte
+	counts  Counts
 }
 
-var _ rowstore.Store = (*Store)(nil)
+// Counts are the calls that were made of the store, answered or not.
+type Counts struct {
+	Transactions int
+	Reads        int
+	Objects      int
+}
+
+var (
+	_ rowstore.Store   = (*Store)(nil)
+	_ rowstore.Objects = (*Store)(nil)
+)
+
+// Option sets one property of a Store.
+type Option func(*Store)
 
-// New returns an empty store.
-func New() *Store {
-	return &Store{began: time.Now(), rows: map[rowstore.Key]rowstore.Row{}, changed: make(chan struct{})}
+// WithRates makes the store refuse calls beyond rates.
+func WithRates(r Rates) Option { return func(s *Store) { s.rates = newRates(r) } }
+
+// New returns an empty store that takes calls at any rate.
+func New(options ...Option) *Store {
+	s := &Store{
+		began: time.Now(), rows: map[rowstore.Key]rowstore.Row{}, changed: make(chan struct{}),
+		objects: map[string][]byte{},
+	}
+	for _, option := range options {
+		option(s)
+	}
+	return s
 }
 
 // SetFault replaces the fault in force; nil is none.
@@ -64,23 +93,57 @@
 	s.log, s.dropped = nil, s.version
 }
 
-// Calls returns the number of calls so far.
-func (s *Store) Calls() int {
+// Counts returns the calls so far.
+func (s *Store) Counts() Counts {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.calls
+	return s.counts
+}
+
+// Rows returns all rows of a table, whatever fault is in force, in the order of
+// their parts and names.
+func (s *Store) Rows(table string) []rowstore.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var rows []rowstore.Row
+	for key, row := range s.rows {
+		if key.Table == table {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b rowstore.Row) int {
+		return cmp.Or(strings.Compare(a.Part, b.Part), strings.Compare(a.Name, b.Name))
+	})
+	return rows
+}
+
+func (c *Counts) add(call Call) {
+	switch {
+	case call.Object != "":
+		c.Objects++
+	case call.Write:
+		c.Transactions++
+	default:
+		c.Reads++
+	}
 }
 
 // judge asks the fault about a call.
 func (s *Store) judge(c Call) (bool, error) {
 	s.mu.Lock()
-	s.calls++
-	fault := s.fault
+	s.counts.add(c)
+	fault, down := s.fault, s.down
 	s.mu.Unlock()
-	if fault == nil {
+	switch {
+	case down:
+		return false, rowstore.ErrNotDone
+	case !s.rates.allow(c):
+		return false, fmt.Errorf("%w: %w", rowstore.ErrNotDone, rowstore.ErrLimited)
+	case fault == nil:
 		return true, nil
+	default:
+		return fault(c)
 	}
-	return fault(c)
 }
 
 // Transact implements rowstore.Store.
@@ -101,6 +164,9 @@
 
 // Apply carries a transaction out, whatever fault is in force.
 func (s *Store) Apply(tx rowstore.Tx) (rowstore.Snapshot, error) {
+	if err := check(tx); err != nil {
+		return rowstore.Snapshot{}, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if conflicts := s.conflicts(tx.Conditions); len(conflicts) > 0 {
@@ -120,6 +186,28 @@
 	return s.snapshot(nil), nil
 }
 
+// check refuses what the platform's store would refuse.
+func check(tx rowstore.Tx) error {
+	if tx.Entries() > rowstore.MaxEntries {
+		return fmt.Errorf("%w: %d entries", rowstore.ErrNotDone, tx.Entries())
+	}
+	if bytes := tx.Bytes(); bytes > rowstore.MaxTxBytes {
+		return fmt.Errorf("%w: %d bytes", rowstore.ErrNotDone, bytes)
+	}
+	for _, put := range tx.Puts {
+		if len(put.Value) > rowstore.MaxRowBytes {
+			return fmt.Errorf("%w: row %s has %d bytes", rowstore.ErrNotDone, put.Key, len(put.Value))
+		}
+	}
+	keys := tx.Keys()
+	for _, key := range keys {
+		if key.Part != keys[0].Part {
+			return fmt.Errorf("%w: rows of parts %q and %q", rowstore.ErrNotDone, keys[0].Part, key.Part)
+		}
+	}
+	return nil
+}
+
 // conflicts returns the current rows of all conditions if one doesn't hold.
 func (s *Store) conflicts(conditions []rowstore.Condition) []rowstore.Row {
 	holds := true
--- a/internal/emulator/storeemulator/keeper.go
+++ b/internal/emulator/storeemulator/keeper.go
@@ -1,37 +1,36 @@
-// Package storeemulator stands in for the store in tests: Platform for the
-// platform's table service as the store client sees it, and Keeper for the
-// store client as those who keep something see it. Both lose answers and go
-// down on demand.
+// Package storeemulator stands in for a storekeeper.Keeper in tests, as those who
+// keep something in the store see it. It loses answers and goes down on demand.
 package storeemulator
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 
-	"github.com/fescuespindle/fescuespindle/internal/emulator/platformemulator"
-	"github.com/fescuespindle/fescuespindle/internal/platform"
+	"github.com/fescuespindle/fescuespindle/internal/emulator/rowemulator"
+	"github.com/fescuespindle/fescuespindle/internal/rowstore"
 	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
 )
 
 // Keeper stands in for a storekeeper.Keeper.
 type Keeper struct {
-	table *platformemulator.Table
+	rows *rowemulator.Store
 
 	mu      sync.Mutex
 	random  *rand.Rand
-	objects map[string][]byte
 	down    bool
 	doubted float64
 }
 
 // NewKeeper returns an empty store without faults.
 func NewKeeper(random *rand.Rand) *Keeper {
-	return &Keeper{table: platformemulator.NewTable(), random: random, objects: map[string][]byte{}}
+	return &Keeper{rows: rowemulator.New(), random: random}
 }
 
-// Table returns the rows.
-func (k *Keeper) Table() *platformemulator.Table { return k.table }
+// Rows returns all rows of a table.
+func (k *Keeper) Rows(table string) []rowstore.Row { return k.rows.Rows(table) }
 
 // SetDown takes the store down or brings it back.
 func (k *Keeper) SetDown(down bool) {
@@ -73,52 +72,60 @@
 	if !effective {
 		return 0, storekeeper.ErrUnknown
 	}
-	reply := k.table.Transact(platform.Transaction{Conditions: w.Conditions, Puts: w.Puts, Deletes: w.Deletes})
+	snapshot, err := k.rows.Apply(w.Tx)
 	switch {
 	case doubted:
 		return 0, storekeeper.ErrUnknown
-	case !reply.Committed:
+	case errors.Is(err, rowstore.ErrConflict):
 		return 0, storekeeper.ErrConflict
+	case err != nil:
+		return 0, fmt.Errorf("%w: %w", storekeeper.ErrNotWritten, err)
 	default:
-		return reply.Version, nil
+		return snapshot.Version, nil
 	}
 }
 
 // Read returns rows.
-func (k *Keeper) Read(_ context.Context, _ storekeeper.Purpose, keys ...string) ([]platform.Row, error) {
-	if k.Down() {
-		return nil, storekeeper.ErrNotRead
+func (k *Keeper) Read(ctx context.Context, purpose storekeeper.Purpose, keys ...rowstore.Key) ([]rowstore.Row, error) {
+	rows := make([]rowstore.Row, 0, len(keys))
+	for _, key := range keys {
+		span := storekeeper.Span{Table: key.Table, Part: key.Part, From: key.Name, To: storekeeper.After(key.Name)}
+		found, _, err := k.Scan(ctx, purpose, span)
+		if err != nil {
+			return nil, err
+		}
+		rows = append(rows, append(found, rowstore.Row{Key: key})[0])
 	}
-	return k.table.Read(keys), nil
+	return rows, nil
 }
 
-// Scan returns rows whose keys begin with a prefix.
+// Scan returns the first page of a span.
 func (k *Keeper) Scan(
-	_ context.Context, _ storekeeper.Purpose, prefix, after string, limit int,
-) ([]platform.Row, error) {
+	ctx context.Context, _ storekeeper.Purpose, span storekeeper.Span,
+) (rows []rowstore.Row, next string, err error) {
 	if k.Down() {
-		return nil, storekeeper.ErrNotRead
+		return nil, "", storekeeper.ErrNotRead
 	}
-	return k.table.Scan(platform.ScanRequest{Prefix: prefix, After: after, Limit: limit}), nil
+	page, next, err := k.rows.Range(ctx, span.Table, span.Part, span.From, span.To)
+	return page.Rows, next, err
 }
 
 // PutObject keeps an object.
-func (k *Keeper) PutObject(_ context.Context, _ storekeeper.Purpose, key string, body []byte) error {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.down {
+func (k *Keeper) PutObject(ctx context.Context, _ storekeeper.Purpose, name string, body []byte) error {
+	if k.Down() {
 		return storekeeper.ErrUnknown
 	}
-	k.objects[key] = body
-	return nil
+	return k.rows.PutObject(ctx, name, body)
 }
 
-// GetObject returns an object, or nil.
-func (k *Keeper) GetObject(_ context.Context, _ storekeeper.Purpose, key string) ([]byte, error) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.down {
+// GetObject returns an object.
+func (k *Keeper) GetObject(ctx context.Context, _ storekeeper.Purpose, name string) ([]byte, error) {
+	if k.Down() {
 		return nil, storekeeper.ErrNotRead
 	}
-	return k.objects[key], nil
+	body, err := k.rows.GetObject(ctx, name)
+	if errors.Is(err, rowstore.ErrNotFound) {
+		return nil, storekeeper.ErrNotFound
+	}
+	return body, err
 }
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -87,7 +87,7 @@
 	vm.placer = placer.New(settings.VM, settings.Domain, settings.Regions, placer.WithChanged(vm.workChanged))
 	vm.forwarder = forwarder.New(codec.AnswerID)
 	vm.relayer = storerelayer.New(settings.StoreAddress, storeTransport(), storeTransport(), vm.counter, logger)
-	vm.store = platform.NewStore(settings.StoreAddress, vm.relayer)
+	vm.store = platform.NewStore("http://"+settings.StoreAddress, vm.relayer)
 	self := memberkeeper.Member{VM: settings.VM, IP: settings.IP, Domain: settings.Domain, Boot: vm.boot}
 	vm.members = memberkeeper.New(vm.store, self, vm.setPeers, logger)
 	couriers := courier.New(vm.forwarder, vm.placer, codec)
--- a/internal/experimenter/cost.go
+++ b/internal/experimenter/cost.go
@@ -64,7 +64,7 @@
 func (b *bench) cost(ctx context.Context, ratePerVM float64) Metrics {
 	length := b.p.length(costLength)
 	before := b.totals()
-	platformBefore := b.site.Platform.Counts()
+	storeBefore, bytesBefore := b.site.Store.Counts(), b.site.StoreBytes()
 	cpu := processorTime()
 	begun := time.Now()
 	if ratePerVM > 0 {
@@ -76,8 +76,7 @@
 	seconds := time.Since(begun).Seconds()
 	perVM := 1 / (seconds * float64(len(b.site.VMs)))
 	after := b.totals()
-	platformAfter := b.site.Platform.Counts()
-	bytes := platformAfter.BytesIn + platformAfter.BytesOut - platformBefore.BytesIn - platformBefore.BytesOut
+	storeAfter, bytes := b.site.Store.Counts(), b.site.StoreBytes()-bytesBefore
 	runtime.GC()
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
@@ -89,8 +88,8 @@
 		"platformKilobytesPerSecondPerVM":  float64(bytes) / bytesPerKilobyte * perVM,
 		"storeReadsPerSecondPerVM":         (after[storeReadsMetric] - before[storeReadsMetric]) * perVM,
 		"storeTransactionsPerSecondPerVM":  (after[storeWritesMetric] - before[storeWritesMetric]) * perVM,
-		"listReadsPerSecondPerVM":          perVM * float64(platformAfter.Reads-platformBefore.Reads),
-		"platformTransactionsPerSecondAll": float64(platformAfter.Writes-platformBefore.Writes) / seconds,
+		"listReadsPerSecondPerVM":          perVM * float64(storeAfter.Reads-storeBefore.Reads),
+		"platformTransactionsPerSecondAll": float64(storeAfter.Transactions-storeBefore.Transactions) / seconds,
 	}
 }
 
--- a/internal/experimenter/loss.go
+++ b/internal/experimenter/loss.go
@@ -8,7 +8,6 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/jobkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/loadgenerator"
-	"github.com/fescuespindle/fescuespindle/internal/platform"
 	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
 )
 
@@ -25,21 +24,20 @@
 }
 
 const (
-	lossItems     = 6000
-	lossTokens    = 32
-	lossLimit     = 60 * time.Second
-	lossPoll      = 10 * time.Millisecond
-	outageLength  = 8 * time.Second
-	outageItems   = 2500
-	outageTokens  = 16
-	jobLimit      = 2 * time.Minute
-	maxRowsLooked = 10_000
+	lossItems    = 6000
+	lossTokens   = 32
+	lossLimit    = 60 * time.Second
+	lossPoll     = 10 * time.Millisecond
+	outageLength = 8 * time.Second
+	outageItems  = 2500
+	outageTokens = 16
+	jobLimit     = 2 * time.Minute
 )
 
 // ownedBy returns how many unfinished chunks a VM owns, as the store has it.
 func (b *bench) ownedBy(vm string) int {
 	owned := 0
-	for _, row := range b.site.Platform.Table().Scan(platform.ScanRequest{Prefix: "chunk/", Limit: maxRowsLooked}) {
+	for _, row := range b.site.Store.Rows(jobkeeper.ChunkTable) {
 		var chunk jobkeeper.ChunkRow
 		if json.Unmarshal(row.Value, &chunk) == nil && !chunk.Done && chunk.Owner.VM == vm {
 			owned++
@@ -112,7 +110,7 @@
 
 // jobID returns the identifier of the only job.
 func (b *bench) jobID() string {
-	rows := b.site.Platform.Table().Scan(platform.ScanRequest{Prefix: "job/", Limit: 1})
+	rows := b.site.Store.Rows(jobkeeper.JobTable)
 	var job jobkeeper.JobRow
 	if len(rows) == 0 || json.Unmarshal(rows[0].Value, &job) != nil {
 		return ""
@@ -143,7 +141,7 @@
 		return err
 	}
 	time.Sleep(time.Second)
-	b.site.Platform.SetFaults(platform.Faults{Outage: true})
+	b.site.Store.SetDown(true)
 	var report loadgenerator.Report
 	var group sync.WaitGroup
 	group.Go(func() {
@@ -153,7 +151,7 @@
 		}).Class("short").Report("short")
 	})
 	group.Wait()
-	b.site.Platform.SetFaults(platform.Faults{})
+	b.site.Store.SetDown(false)
 	begun := time.Now()
 	err := b.countResults(ctx, outageItems, metrics)
 	metrics["catchUpSeconds"] = time.Since(begun).Seconds()
--- a/internal/integration/failure_test.go
+++ b/internal/integration/failure_test.go
@@ -16,7 +16,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fescuespindle/fescuespindle/internal/emulator/engineemulator"
-	"github.com/fescuespindle/fescuespindle/internal/platform"
+	"github.com/fescuespindle/fescuespindle/internal/emulator/rowemulator"
 	"github.com/fescuespindle/fescuespindle/internal/requester"
 	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
 	"github.com/fescuespindle/fescuespindle/pkg/deployer"
@@ -80,7 +80,7 @@
 	const items, tokens = 300, 20
 	f := newFleet(t, kariakoo)
 	batch := f.submit(f.vms[0], items, tokens)
-	f.platform.SetFaults(platform.Faults{Outage: true})
+	f.store.SetDown(true)
 	for n := range 60 {
 		qt.Assert(t, f.complete(f.vms[n%3], fmt.Sprintf("during the outage %d", n), 12), qt.IsNil)
 	}
@@ -90,9 +90,10 @@
 	qt.Assert(t, errors.As(err, &refused), qt.IsTrue)
 	qt.Check(t, refused.Ran(), qt.Equals, "not-run")
 	qt.Check(t, f.services[0].Runs("panel 1"), qt.Equals, 0)
-	f.platform.SetFaults(platform.Faults{DelayMilliseconds: 80, LostAnswerPercent: 20})
+	f.store.SetDown(false)
+	f.store.SetFaults(1, rowemulator.Faults{Delay: 80 * time.Millisecond, LostShare: 0.2})
 	qt.Check(t, f.waitEnded(f.vms[0], batch.ID).Status, qt.Equals, "completed")
-	f.platform.SetFaults(platform.Faults{})
+	f.store.SetFault(nil)
 	f.expectAllOnce(f.vms, batch.ID, items, tokens)
 }
 
@@ -295,7 +296,10 @@
 	})
 	t.Run("as the list says", func(t *testing.T) {
 		f := newFleet(t, kariakoo)
-		f.platform.MarkLeaving(name)
+		for i := range f.list {
+			f.list[i].Leaving = f.list[i].ID == name
+		}
+		f.setList()
 		f.expectQuiet(name)
 	})
 }
--- a/internal/integration/fleet_test.go
+++ b/internal/integration/fleet_test.go
@@ -24,18 +24,20 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fescuespindle/fescuespindle/internal/emulator/engineemulator"
-	"github.com/fescuespindle/fescuespindle/internal/emulator/platformemulator"
+	"github.com/fescuespindle/fescuespindle/internal/emulator/rowemulator"
 	"github.com/fescuespindle/fescuespindle/internal/emulator/serviceemulator"
 	"github.com/fescuespindle/fescuespindle/internal/interrupter"
 	"github.com/fescuespindle/fescuespindle/internal/jobkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/operator"
 	"github.com/fescuespindle/fescuespindle/internal/outputcollector"
-	"github.com/fescuespindle/fescuespindle/internal/platform"
 	"github.com/fescuespindle/fescuespindle/internal/requester"
 	"github.com/fescuespindle/fescuespindle/internal/settingsloader"
 	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
 	"github.com/fescuespindle/fescuespindle/internal/upstream"
+	"github.com/fescuespindle/fescuespindle/internal/vmlister"
 	"github.com/fescuespindle/fescuespindle/pkg/deployer"
+	"github.com/fescuespindle/fescuespindle/platform"
+	"github.com/fescuespindle/fescuespindle/platform/standin"
 )
 
 // patience is how long an event is waited for. It bounds how long a broken
@@ -73,17 +75,17 @@
 
 // fleet is a site of processes.
 type fleet struct {
-	t        *testing.T
-	spec     sitebuilder.Spec
-	dir      string
-	platform *platformemulator.Emulator
-	server   *httptest.Server
+	t      *testing.T
+	spec   sitebuilder.Spec
+	dir    string
+	store  *rowemulator.Store
+	server *httptest.Server
 	// platformAddress is the platform's, whether or not it runs in this process.
 	platformAddress string
 	engines         map[string]*engineemulator.Engine
 	services        []*serviceemulator.Service
 	vms             []*process
-	list            []platform.VM
+	list            []vmlister.VM
 	client          *http.Client
 }
 
@@ -97,11 +99,11 @@
 func newFleet(t *testing.T, places ...place) *fleet {
 	t.Helper()
 	f := &fleet{
-		t: t, spec: sitebuilder.Authority(), dir: t.TempDir(), platform: platformemulator.New(1),
+		t: t, spec: sitebuilder.Authority(), dir: t.TempDir(), store: rowemulator.New(rowemulator.WithRates(rowemulator.SiteRates)),
 		engines: map[string]*engineemulator.Engine{}, client: &http.Client{Transport: &http.Transport{}},
 	}
 	t.Cleanup(f.client.CloseIdleConnections)
-	f.server = f.serve(f.platform)
+	f.server = f.serve(standin.NewStore(f.store))
 	f.platformAddress = f.server.Listener.Addr().String()
 	f.writeSecret()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -117,7 +119,7 @@
 			f.addVM(p, fmt.Sprintf("%s-entry-%d", p.domain, n))
 		}
 	}
-	f.platform.SetVMs(f.list)
+	f.setList()
 	_, err := sitebuilder.ApplyDocument(t.Context(), f.server.URL, f.spec.Document)
 	qt.Assert(t, err, qt.IsNil)
 	for _, vm := range f.vms {
@@ -129,6 +131,14 @@
 	return f
 }
 
+// setList makes the list of VMs the fleet's.
+func (f *fleet) setList() {
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	store := platform.NewStore("http://"+f.platformAddress, transport)
+	qt.Assert(f.t, vmlister.Write(f.t.Context(), store, f.list), qt.IsNil)
+}
+
 func (f *fleet) writeSecret() {
 	qt.Assert(f.t, os.WriteFile(filepath.Join(f.dir, "secret"), []byte(sitebuilder.Secret), 0o600), qt.IsNil)
 }
@@ -151,8 +161,8 @@
 }
 
 func (f *fleet) addUpstream(p place, id, pool, address string) {
-	f.list = append(f.list, platform.VM{
-		ID: id, Kind: platform.VMUpstream, Pool: pool, Region: p.region, Domain: p.domain,
+	f.list = append(f.list, vmlister.VM{
+		ID: id, Kind: vmlister.KindUpstream, Pool: pool, Region: p.region, Domain: p.domain,
 		Address: address,
 	})
 }
@@ -194,8 +204,8 @@
 	vm.peers = f.proxy(vm.settings.PeerAddress)
 	vm.settings.PlatformURL = "http://" + vm.platform.Address()
 	f.vms = append(f.vms, vm)
-	f.list = append(f.list, platform.VM{
-		ID: id, Kind: platform.VMEntry, Region: p.region, Domain: p.domain, Address: vm.settings.CallerAddress,
+	f.list = append(f.list, vmlister.VM{
+		ID: id, Kind: vmlister.KindEntry, Region: p.region, Domain: p.domain, Address: vm.settings.CallerAddress,
 		Peer: vm.peers.Address(),
 	})
 }
--- a/internal/integration/standin_test.go
+++ b/internal/integration/standin_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"encoding/json"
 	"net/http"
 	"os/exec"
@@ -12,8 +11,6 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fescuespindle/fescuespindle/internal/emulator/platformemulator"
-	"github.com/fescuespindle/fescuespindle/internal/platform"
 	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
 )
 
@@ -84,15 +81,3 @@
 	qt.Check(t, report.Right, qt.Equals, report.Sent)
 	qt.Check(t, report.Refused, qt.Equals, 0)
 }
-
-// setList tells the platform which VMs there are.
-func (f *fleet) setList() {
-	text, err := json.Marshal(platform.VMList{VMs: f.list})
-	qt.Assert(f.t, err, qt.IsNil)
-	request, err := http.NewRequest(http.MethodPut, "http://"+f.platformAddress+platformemulator.PathListed, bytes.NewReader(text))
-	qt.Assert(f.t, err, qt.IsNil)
-	response, err := f.client.Do(request)
-	qt.Assert(f.t, err, qt.IsNil)
-	qt.Check(f.t, response.StatusCode < http.StatusMultipleChoices, qt.IsTrue)
-	qt.Assert(f.t, response.Body.Close(), qt.IsNil)
-}
--- a/internal/jobkeeper/chunk.go
+++ b/internal/jobkeeper/chunk.go
@@ -6,9 +6,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/platform"
+	"github.com/fescuespindle/fescuespindle/internal/rowstore"
 	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
 )
 
@@ -42,12 +44,12 @@
 
 // OpenJobs returns a model's open jobs, earliest deadline first.
 func (k *Keeper) OpenJobs(ctx context.Context, model string, limit int) ([]JobRow, error) {
-	rows, err := k.store.Scan(ctx, storekeeper.PurposeJob, "open/"+model+"/", "", limit)
-	if err != nil || len(rows) == 0 {
+	rows, err := k.openRows(ctx, model)
+	if err != nil {
 		return nil, translate(err)
 	}
-	keys := make([]string, 0, len(rows))
-	for _, row := range rows {
+	keys := make([]rowstore.Key, 0, limit)
+	for _, row := range rows[:min(len(rows), limit)] {
 		var id string
 		if json.Unmarshal(row.Value, &id) == nil {
 			keys = append(keys, jobKey(id))
@@ -67,9 +69,24 @@
 	return jobs, nil
 }
 
+// openRows returns the first rows of a model's open jobs in each part, in the
+// order of their deadlines.
+func (k *Keeper) openRows(ctx context.Context, model string) ([]rowstore.Row, error) {
+	var all []rowstore.Row
+	for n := range uint64(jobParts) {
+		rows, _, err := k.store.Scan(ctx, storekeeper.PurposeJob, storekeeper.WithPrefix(openTable, jobPart(n), model+"/"))
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, rows...)
+	}
+	slices.SortFunc(all, func(a, b rowstore.Row) int { return strings.Compare(a.Name, b.Name) })
+	return all, nil
+}
+
 // Jobs returns jobs by identifier; one that doesn't exist is left out.
 func (k *Keeper) Jobs(ctx context.Context, ids []string) ([]JobRow, error) {
-	keys := make([]string, 0, len(ids))
+	keys := make([]rowstore.Key, 0, len(ids))
 	for _, id := range ids {
 		keys = append(keys, jobKey(id))
 	}
@@ -86,19 +103,22 @@
 	return jobs, nil
 }
 
-// ChunkPage returns a page of a job's chunk rows, from a number on.
+// ChunkPage returns a page of a job's chunk rows, from a number on. Chunks that
+// have no row have version 0.
 func (k *Keeper) ChunkPage(ctx context.Context, job string, from, limit int) ([]Versioned[ChunkRow], error) {
-	keys := make([]string, 0, limit)
-	for n := from; n < from+limit; n++ {
-		keys = append(keys, chunkKey(Ref{Job: job, Number: n}))
-	}
-	rows, err := k.store.Read(ctx, storekeeper.PurposeJob, keys...)
+	span := chunkSpan(job, from)
+	span.To = chunkKey(Ref{Job: job, Number: from + limit}).Name
+	rows, _, err := k.store.Scan(ctx, storekeeper.PurposeJob, span)
 	if err != nil {
 		return nil, translate(err)
 	}
-	out := make([]Versioned[ChunkRow], 0, len(rows))
+	byName := map[string]rowstore.Row{}
 	for _, row := range rows {
-		chunk, err := decodeRow[ChunkRow](row)
+		byName[row.Name] = row
+	}
+	out := make([]Versioned[ChunkRow], 0, limit)
+	for n := from; n < from+limit; n++ {
+		chunk, err := decodeRow[ChunkRow](byName[chunkKey(Ref{Job: job, Number: n}).Name])
 		if err != nil {
 			return nil, err
 		}
@@ -132,8 +152,7 @@
 	row.Epoch++
 	version, err := k.store.Transact(ctx, storekeeper.Write{
 		Purpose: storekeeper.PurposeJob, Priority: storekeeper.PriorityProgress,
-		Conditions: []platform.Condition{{Key: chunkKey(ref), Version: chunk.Version}},
-		Puts:       []platform.Put{putRow(chunkKey(ref), row)},
+		Tx: chunkTx(ref, chunk.Version, row),
 	})
 	if errors.Is(err, storekeeper.ErrConflict) {
 		return Claim{}, JobRow{}, ErrLost
@@ -206,11 +225,18 @@
 	return k.putChunk(ctx, claim, row)
 }
 
+// chunkTx replaces a chunk's row if it still has a version.
+func chunkTx(ref Ref, version uint64, row ChunkRow) rowstore.Tx {
+	return rowstore.Tx{
+		Conditions: []rowstore.Condition{{Key: chunkKey(ref), Version: version}},
+		Puts:       []rowstore.Put{putRow(chunkKey(ref), row)},
+	}
+}
+
 func (k *Keeper) putChunk(ctx context.Context, claim Claim, row ChunkRow) (Claim, error) {
 	version, err := k.store.Transact(ctx, storekeeper.Write{
 		Purpose: storekeeper.PurposeJob, Priority: storekeeper.PriorityResult,
-		Conditions: []platform.Condition{{Key: chunkKey(claim.Ref), Version: claim.Version}},
-		Puts:       []platform.Put{putRow(chunkKey(claim.Ref), row)},
+		Tx: chunkTx(claim.Ref, claim.Version, row),
 	})
 	if errors.Is(err, storekeeper.ErrConflict) {
 		return claim, ErrLost
@@ -247,20 +273,15 @@
 	job.DoneChunks++
 	job.Completed += row.Completed
 	job.Failed += row.Failed
-	write := storekeeper.Write{
-		Purpose: storekeeper.PurposeJob, Priority: storekeeper.PriorityResult,
-		Conditions: []platform.Condition{
-			{Key: chunkKey(claim.Ref), Version: claim.Version},
-			{Key: jobKey(job.ID), Version: found.Version},
-		},
-	}
+	tx := chunkTx(claim.Ref, claim.Version, row)
+	tx.Conditions = append(tx.Conditions, rowstore.Condition{Key: jobKey(job.ID), Version: found.Version})
 	if job.DoneChunks == job.Chunks && job.State == StateInProgress {
 		job.State = StateCompleted
 		job.Ended = now
-		write.Deletes = []string{openKey(job)}
+		tx.Removes = []rowstore.Key{openKey(job)}
 	}
-	write.Puts = []platform.Put{putRow(chunkKey(claim.Ref), row), putRow(jobKey(job.ID), job)}
-	return write
+	tx.Puts = append(tx.Puts, putRow(jobKey(job.ID), job))
+	return storekeeper.Write{Purpose: storekeeper.PurposeJob, Priority: storekeeper.PriorityResult, Tx: tx}
 }
 
 // ReleaseChunk gives a chunk up, so that another process may claim it at once.
@@ -275,16 +296,16 @@
 func (k *Keeper) Beat(ctx context.Context, owner Owner, beat uint64) error {
 	_, err := k.store.Transact(ctx, storekeeper.Write{
 		Purpose: storekeeper.PurposeLease, Priority: storekeeper.PriorityProgress,
-		Puts: []platform.Put{putRow(LeaseKey(owner), LeaseRow{Beat: beat})},
+		Tx: rowstore.Tx{Puts: []rowstore.Put{putRow(leaseKey(owner), LeaseRow{Beat: beat})}},
 	})
 	return translate(err)
 }
 
 // Leases returns the versions of owners' lease rows, 0 where there is none.
 func (k *Keeper) Leases(ctx context.Context, owners []Owner) ([]uint64, error) {
-	keys := make([]string, 0, len(owners))
+	keys := make([]rowstore.Key, 0, len(owners))
 	for _, owner := range owners {
-		keys = append(keys, LeaseKey(owner))
+		keys = append(keys, leaseKey(owner))
 	}
 	rows, err := k.store.Read(ctx, storekeeper.PurposeLease, keys...)
 	if err != nil {
--- a/internal/jobkeeper/file.go
+++ b/internal/jobkeeper/file.go
@@ -16,7 +16,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/fescuespindle/fescuespindle/internal/platform"
+	"github.com/fescuespindle/fescuespindle/internal/rowstore"
 	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
 )
 
@@ -52,6 +52,7 @@
 type upload struct {
 	keeper  *Keeper
 	row     FileRow
+	chunks  []FileChunk
 	whole   hash.Hash
 	buffer  bytes.Buffer
 	pending int
@@ -140,7 +141,7 @@
 		return translate(err)
 	}
 	u.whole.Write([]byte(object))
-	u.row.Chunks = append(u.row.Chunks, FileChunk{Object: object, Items: u.pending})
+	u.chunks = append(u.chunks, FileChunk{Object: object, Items: u.pending})
 	u.pending = 0
 	u.buffer.Reset()
 	return nil
@@ -155,10 +156,15 @@
 	}
 	u.whole.Write([]byte("\x00" + u.row.Caller))
 	id := "file-" + hex.EncodeToString(u.whole.Sum(nil))[:32]
+	if err := u.putChunkList(ctx); err != nil {
+		return "", FileRow{}, err
+	}
 	_, err := u.keeper.store.Transact(ctx, storekeeper.Write{
 		Purpose: storekeeper.PurposeJob, Priority: storekeeper.PriorityAcknowledge,
-		Conditions: []platform.Condition{{Key: fileKey(id)}},
-		Puts:       []platform.Put{putRow(fileKey(id), u.row)},
+		Tx: rowstore.Tx{
+			Conditions: []rowstore.Condition{{Key: fileKey(id)}},
+			Puts:       []rowstore.Put{putRow(fileKey(id), u.row)},
+		},
 	})
 	if err != nil && !errors.Is(err, storekeeper.ErrConflict) {
 		return "", FileRow{}, translate(err)
@@ -166,6 +172,28 @@
 	return id, u.row, nil
 }
 
+func (u *upload) putChunkList(ctx context.Context) error {
+	text, err := json.Marshal(u.chunks)
+	if err != nil {
+		return fmt.Errorf("encode list of chunks: %w", err)
+	}
+	u.row.Chunks, u.row.ChunkList = len(u.chunks), "chunk-list/"+digest(text)
+	return translate(u.keeper.store.PutObject(ctx, storekeeper.PurposeJob, u.row.ChunkList, text))
+}
+
+// fileChunks returns the objects of a file.
+func (k *Keeper) fileChunks(ctx context.Context, file FileRow) ([]FileChunk, error) {
+	text, err := k.store.GetObject(ctx, storekeeper.PurposeJob, file.ChunkList)
+	if err != nil {
+		return nil, translate(err)
+	}
+	var chunks []FileChunk
+	if err := json.Unmarshal(text, &chunks); err != nil {
+		return nil, fmt.Errorf("decode %s: %w", file.ChunkList, err)
+	}
+	return chunks, nil
+}
+
 // File returns a caller's input file.
 func (k *Keeper) File(ctx context.Context, caller, id string) (FileRow, error) {
 	rows, err := k.store.Read(ctx, storekeeper.PurposeJob, fileKey(id))
--- a/internal/jobkeeper/keeper.go
+++ b/internal/jobkeeper/keeper.go
@@ -8,15 +8,15 @@
 	"fmt"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/platform"
+	"github.com/fescuespindle/fescuespindle/internal/rowstore"
 	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
 )
 
 // Store is the store as this package needs it.
 type Store interface {
 	Transact(context.Context, storekeeper.Write) (uint64, error)
-	Read(context.Context, storekeeper.Purpose, ...string) ([]platform.Row, error)
-	Scan(ctx context.Context, purpose storekeeper.Purpose, prefix, after string, limit int) ([]platform.Row, error)
+	Read(context.Context, storekeeper.Purpose, ...rowstore.Key) ([]rowstore.Row, error)
+	Scan(context.Context, storekeeper.Purpose, storekeeper.Span) (rows []rowstore.Row, next string, err error)
 	PutObject(context.Context, storekeeper.Purpose, string, []byte) error
 	GetObject(context.Context, storekeeper.Purpose, string) ([]byte, error)
 }
@@ -41,8 +41,8 @@
 	Now  time.Time
 }
 
-// chunksPerWrite bounds the rows of one transaction.
-const chunksPerWrite = 200
+// chunksPerWrite bounds the rows of one transaction, each with its condition.
+const chunksPerWrite = storekeeper.MaxWriteEntries / 2
 
 // Submit accepts a job. A resend with the same key returns the same job. The
 // job is acknowledged only once its row and all its chunks' rows are durable.
@@ -59,13 +59,19 @@
 	if found.Version != 0 {
 		return resent(found.Value, job)
 	}
-	if err := k.putChunks(ctx, job, file); err != nil {
+	chunks, err := k.fileChunks(ctx, file)
+	if err != nil {
+		return JobRow{}, err
+	}
+	if err := k.putChunks(ctx, job, chunks); err != nil {
 		return JobRow{}, err
 	}
 	_, err = k.store.Transact(ctx, storekeeper.Write{
 		Purpose: storekeeper.PurposeJob, Priority: storekeeper.PriorityAcknowledge,
-		Conditions: []platform.Condition{{Key: jobKey(job.ID)}},
-		Puts:       []platform.Put{putRow(jobKey(job.ID), job), putRow(openKey(job), job.ID)},
+		Tx: rowstore.Tx{
+			Conditions: []rowstore.Condition{{Key: jobKey(job.ID)}},
+			Puts:       []rowstore.Put{putRow(jobKey(job.ID), job), putRow(openKey(job), job.ID)},
+		},
 	})
 	if errors.Is(err, storekeeper.ErrConflict) {
 		// A resend of the same request to another VM was faster.
@@ -82,7 +88,7 @@
 	return JobRow{
 		ID: jobID(s.Caller, s.Key), Caller: s.Caller, File: s.File, Model: file.Model, Endpoint: s.Endpoint,
 		BodyDigest: digest(s.Body), Created: s.Now, Deadline: s.Deadline,
-		Items: file.Items, Chunks: len(file.Chunks), State: StateInProgress,
+		Items: file.Items, Chunks: file.Chunks, State: StateInProgress,
 	}
 }
 
@@ -105,13 +111,13 @@
 
 // putChunks writes the chunk rows that don't exist yet. Rows that a lost
 // attempt left behind are the same.
-func (k *Keeper) putChunks(ctx context.Context, job JobRow, file FileRow) error {
-	for from := 0; from < len(file.Chunks); from += chunksPerWrite {
+func (k *Keeper) putChunks(ctx context.Context, job JobRow, chunks []FileChunk) error {
+	for from := 0; from < len(chunks); from += chunksPerWrite {
 		write := storekeeper.Write{Purpose: storekeeper.PurposeJob, Priority: storekeeper.PriorityAcknowledge}
-		for n := from; n < min(from+chunksPerWrite, len(file.Chunks)); n++ {
+		for n := from; n < min(from+chunksPerWrite, len(chunks)); n++ {
 			key := chunkKey(Ref{Job: job.ID, Number: n})
-			row := ChunkRow{Object: file.Chunks[n].Object, Items: file.Chunks[n].Items}
-			write.Conditions = append(write.Conditions, platform.Condition{Key: key})
+			row := ChunkRow{Object: chunks[n].Object, Items: chunks[n].Items}
+			write.Conditions = append(write.Conditions, rowstore.Condition{Key: key})
 			write.Puts = append(write.Puts, putRow(key, row))
 		}
 		_, err := k.store.Transact(ctx, write)
@@ -163,9 +169,11 @@
 		job.Ended = now
 		_, err = k.store.Transact(ctx, storekeeper.Write{
 			Purpose: storekeeper.PurposeJob, Priority: storekeeper.PriorityAcknowledge,
-			Conditions: []platform.Condition{{Key: jobKey(id), Version: found.Version}},
-			Puts:       []platform.Put{putRow(jobKey(id), job)},
-			Deletes:    []string{openKey(job)},
+			Tx: rowstore.Tx{
+				Conditions: []rowstore.Condition{{Key: jobKey(id), Version: found.Version}},
+				Puts:       []rowstore.Put{putRow(jobKey(id), job)},
+				Removes:    []rowstore.Key{openKey(job)},
+			},
 		})
 		if errors.Is(err, storekeeper.ErrConflict) {
 			continue
@@ -178,25 +186,25 @@
 // Results calls write with each committed part of a job's results, in the
 // order of the input's chunks.
 func (k *Keeper) Results(ctx context.Context, job JobRow, write func([]byte) error) error {
-	after := ""
+	span := chunkSpan(job.ID, 0)
 	for {
-		rows, err := k.store.Scan(ctx, storekeeper.PurposeJob, "chunk/"+job.ID+"/", after, chunksPerWrite)
+		rows, next, err := k.store.Scan(ctx, storekeeper.PurposeJob, span)
 		if err != nil {
 			return translate(err)
 		}
-		if len(rows) == 0 {
-			return nil
-		}
-		after = rows[len(rows)-1].Key
 		for _, row := range rows {
 			if err := k.writeParts(ctx, row, write); err != nil {
 				return err
 			}
 		}
+		if next == "" {
+			return nil
+		}
+		span.From = next
 	}
 }
 
-func (k *Keeper) writeParts(ctx context.Context, row platform.Row, write func([]byte) error) error {
+func (k *Keeper) writeParts(ctx context.Context, row rowstore.Row, write func([]byte) error) error {
 	chunk, err := decodeRow[ChunkRow](row)
 	if err != nil {
 		return err
--- a/internal/jobkeeper/row.go
+++ b/internal/jobkeeper/row.go
@@ -12,7 +12,10 @@
 	"fmt"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/platform"
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fescuespindle/fescuespindle/internal/rowstore"
+	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
 )
 
 // Errors of this layer.
@@ -45,14 +48,17 @@
 
 // FileRow is the table row of an uploaded file.
 type FileRow struct {
-	Caller   string      `json:"caller"`
-	Name     string      `json:"name"`
-	Bytes    int64       `json:"bytes"`
-	Items    int         `json:"items"`
-	Model    string      `json:"model"`
-	Created  time.Time   `json:"created"`
-	Chunks   []FileChunk `json:"chunks"`
-	Endpoint string      `json:"endpoint"`
+	Caller  string    `json:"caller"`
+	Name    string    `json:"name"`
+	Bytes   int64     `json:"bytes"`
+	Items   int       `json:"items"`
+	Model   string    `json:"model"`
+	Created time.Time `json:"created"`
+	// Chunks is the number of chunks; ChunkList is the object that lists them,
+	// as the list of a large file doesn't fit into a row.
+	Chunks    int    `json:"chunks"`
+	ChunkList string `json:"chunkList"`
+	Endpoint  string `json:"endpoint"`
 }
 
 // FileChunk is one object of a file.
@@ -112,18 +118,53 @@
 	Number int
 }
 
-// Keys of rows.
-func fileKey(id string) string { return "file/" + id }
-func jobKey(id string) string  { return "job/" + id }
+// Tables of rows.
+const (
+	fileTable  = "files"
+	JobTable   = "jobs"
+	openTable  = "openJobs"
+	ChunkTable = "chunks"
+	leaseTable = "leases"
+)
+
+// jobParts is the number of parts that jobs are spread over. The rows of one
+// job lie in one part, since they change together, and a part takes a quarter
+// of the writes that the whole store takes.
+const jobParts = 4
+
+func jobPart(n uint64) string { return fmt.Sprintf("jobs-%d", n%jobParts) }
+
+// partOf returns the part in which the rows of a job or a file lie.
+func partOf(id string) string { return jobPart(xxhash.Sum64String(id)) }
+
+func fileKey(id string) rowstore.Key {
+	return rowstore.Key{Table: fileTable, Part: partOf(id), Name: id}
+}
+
+func jobKey(id string) rowstore.Key {
+	return rowstore.Key{Table: JobTable, Part: partOf(id), Name: id}
+}
 
-func chunkKey(r Ref) string { return fmt.Sprintf("chunk/%s/%06d", r.Job, r.Number) }
+func chunkKey(r Ref) rowstore.Key {
+	return rowstore.Key{Table: ChunkTable, Part: partOf(r.Job), Name: fmt.Sprintf("%s/%06d", r.Job, r.Number)}
+}
 
-// LeaseKey returns the key of an owner's lease row.
-func LeaseKey(o Owner) string { return fmt.Sprintf("lease/%s/%d", o.VM, o.Process) }
+// chunkSpan returns the rows of a job's chunks from a number on.
+func chunkSpan(job string, from int) storekeeper.Span {
+	span := storekeeper.WithPrefix(ChunkTable, partOf(job), job+"/")
+	span.From = chunkKey(Ref{Job: job, Number: from}).Name
+	return span
+}
+
+// leaseKey returns the key of an owner's lease row.
+func leaseKey(o Owner) rowstore.Key {
+	return rowstore.Key{Table: leaseTable, Part: leaseTable, Name: fmt.Sprintf("%s/%d", o.VM, o.Process)}
+}
 
 // openKey orders a model's open jobs by their deadline.
-func openKey(j JobRow) string {
-	return fmt.Sprintf("open/%s/%015d/%s", j.Model, j.Deadline.UnixMilli(), j.ID)
+func openKey(j JobRow) rowstore.Key {
+	name := fmt.Sprintf("%s/%015d/%s", j.Model, j.Deadline.UnixMilli(), j.ID)
+	return rowstore.Key{Table: openTable, Part: partOf(j.ID), Name: name}
 }
 
 // partKey has the content's digest in it, so that a copy of a write that the
@@ -138,7 +179,7 @@
 	Version uint64
 }
 
-func decodeRow[T any](row platform.Row) (Versioned[T], error) {
+func decodeRow[T any](row rowstore.Row) (Versioned[T], error) {
 	out := Versioned[T]{Version: row.Version}
 	if row.Version == 0 {
 		return out, nil
@@ -149,10 +190,10 @@
 	return out, nil
 }
 
-func putRow(key string, value any) platform.Put {
+func putRow(key rowstore.Key, value any) rowstore.Put {
 	text, err := json.Marshal(value)
 	if err != nil {
 		panic(fmt.Sprintf("encode row %s: %v", key, err)) // rows are plain data
 	}
-	return platform.Put{Key: key, Value: text}
+	return rowstore.Put{Key: key, Value: text}
 }
--- a/internal/jobrunner/simulation_test.go
+++ b/internal/jobrunner/simulation_test.go
@@ -15,7 +15,6 @@
 	"github.com/fescuespindle/fescuespindle/internal/emulator/storeemulator"
 	"github.com/fescuespindle/fescuespindle/internal/jobkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/jobrunner"
-	"github.com/fescuespindle/fescuespindle/internal/platform"
 )
 
 const (
@@ -389,7 +388,7 @@
 	w.do(vm, vm.core.Drain(w.now))
 	w.run(5*time.Second, nil)
 	qt.Assert(t, vm.core.Drained(), qt.IsTrue)
-	for _, row := range w.store.Table().Scan(platform.ScanRequest{Prefix: "chunk/", Limit: 1000}) {
+	for _, row := range w.store.Rows(jobkeeper.ChunkTable) {
 		var chunk jobkeeper.ChunkRow
 		qt.Assert(t, json.Unmarshal(row.Value, &chunk), qt.IsNil)
 		qt.Check(t, chunk.Done || chunk.Owner != vm.owner, qt.IsTrue)
--- a/internal/orderkeeper/keeper.go
+++ b/internal/orderkeeper/keeper.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/orderer"
-	"github.com/fescuespindle/fescuespindle/internal/platform"
+	"github.com/fescuespindle/fescuespindle/internal/rowstore"
 	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
 )
 
@@ -56,7 +56,7 @@
 // Store is the store as this package needs it.
 type Store interface {
 	Transact(context.Context, storekeeper.Write) (uint64, error)
-	Read(context.Context, storekeeper.Purpose, ...string) ([]platform.Row, error)
+	Read(context.Context, storekeeper.Purpose, ...rowstore.Key) ([]rowstore.Row, error)
 }
 
 // Keeper claims upstreams for one process.
@@ -66,7 +66,7 @@
 	now    func() time.Time
 
 	mu   sync.Mutex
-	seen map[string]sighting
+	seen map[rowstore.Key]sighting
 }
 
 // sighting is when this process first saw a row in a version. Time is measured
@@ -78,18 +78,27 @@
 
 // New returns a keeper for a process.
 func New(store Store, holder string, now func() time.Time) *Keeper {
-	return &Keeper{store: store, holder: holder, now: now, seen: map[string]sighting{}}
+	return &Keeper{store: store, holder: holder, now: now, seen: map[rowstore.Key]sighting{}}
 }
 
-func orderKey(upstream string) string { return "order/" + upstream }
+const (
+	orderTable  = "orders"
+	permitTable = "permits"
+	// part holds orders and permits, which are taken together.
+	part = "orders"
+)
+
+func orderKey(upstream string) rowstore.Key {
+	return rowstore.Key{Table: orderTable, Part: part, Name: upstream}
+}
 
-func permitKey(w orderer.Wish, slot int) string {
-	return fmt.Sprintf("permit/%s/%s/%03d", w.Deployment, w.Domain, slot)
+func permitKey(w orderer.Wish, slot int) rowstore.Key {
+	return rowstore.Key{Table: permitTable, Part: part, Name: fmt.Sprintf("%s/%s/%03d", w.Deployment, w.Domain, slot)}
 }
 
 // unchangedFor returns how long a row has had its version, as far as this
 // process has seen.
-func (k *Keeper) unchangedFor(key string, version uint64) time.Duration {
+func (k *Keeper) unchangedFor(key rowstore.Key, version uint64) time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.now()
@@ -110,7 +119,7 @@
 	if c.Disturbs {
 		slots = permits(c.Wish)
 	}
-	keys := []string{orderKey(c.Wish.Upstream)}
+	keys := []rowstore.Key{orderKey(c.Wish.Upstream)}
 	for slot := range slots {
 		keys = append(keys, permitKey(c.Wish, slot))
 	}
@@ -134,7 +143,7 @@
 	return max(1, min(w.Pool-w.MinServing, w.Pool/changeShare))
 }
 
-func (k *Keeper) checkOrder(row platform.Row, w orderer.Wish) (orderRow, error) {
+func (k *Keeper) checkOrder(row rowstore.Row, w orderer.Wish) (orderRow, error) {
 	var order orderRow
 	if row.Version == 0 {
 		return order, nil
@@ -159,7 +168,7 @@
 }
 
 // freeSlot returns a permit that nobody has, or that its holder has left behind.
-func (k *Keeper) freeSlot(rows []platform.Row, c orderer.Claim) (int, error) {
+func (k *Keeper) freeSlot(rows []rowstore.Row, c orderer.Claim) (int, error) {
 	if !c.Disturbs {
 		return noPermit, nil
 	}
@@ -179,19 +188,21 @@
 }
 
 func (k *Keeper) write(
-	ctx context.Context, c orderer.Claim, order orderRow, rows []platform.Row, slot int,
+	ctx context.Context, c orderer.Claim, order orderRow, rows []rowstore.Row, slot int,
 ) (orderer.Ticket, error) {
 	order.Fencing++
 	order.Holder = k.holder
 	order.ConfigVersion = c.Wish.ConfigVersion
 	write := storekeeper.Write{
 		Purpose: storekeeper.PurposeOrder, Priority: storekeeper.PriorityProgress,
-		Conditions: []platform.Condition{{Key: rows[0].Key, Version: rows[0].Version}},
-		Puts:       []platform.Put{put(rows[0].Key, order)},
+		Tx: rowstore.Tx{
+			Conditions: []rowstore.Condition{{Key: rows[0].Key, Version: rows[0].Version}},
+			Puts:       []rowstore.Put{put(rows[0].Key, order)},
+		},
 	}
 	if slot != noPermit {
 		row := rows[1+slot]
-		write.Conditions = append(write.Conditions, platform.Condition{Key: row.Key, Version: row.Version})
+		write.Conditions = append(write.Conditions, rowstore.Condition{Key: row.Key, Version: row.Version})
 		write.Puts = append(write.Puts, put(row.Key, permitRow{Upstream: c.Wish.Upstream}))
 	}
 	if _, err := k.store.Transact(ctx, write); err != nil {
@@ -203,17 +214,17 @@
 	return orderer.Ticket{Fencing: order.Fencing, Slot: slot}, nil
 }
 
-func put(key string, value any) platform.Put {
+func put(key rowstore.Key, value any) rowstore.Put {
 	text, err := json.Marshal(value)
 	if err != nil {
 		panic(fmt.Sprintf("encode row %s: %v", key, err)) // rows are plain data
 	}
-	return platform.Put{Key: key, Value: text}
+	return rowstore.Put{Key: key, Value: text}
 }
 
 // Release gives a claim and its permit back, if they are still this process's.
 func (k *Keeper) Release(ctx context.Context, w orderer.Wish, t orderer.Ticket) error {
-	keys := []string{orderKey(w.Upstream)}
+	keys := []rowstore.Key{orderKey(w.Upstream)}
 	if t.Slot != noPermit {
 		keys = append(keys, permitKey(w, t.Slot))
 	}
@@ -228,11 +239,13 @@
 	order.Holder = ""
 	write := storekeeper.Write{
 		Purpose: storekeeper.PurposeOrder, Priority: storekeeper.PriorityProgress,
-		Conditions: []platform.Condition{{Key: rows[0].Key, Version: rows[0].Version}},
-		Puts:       []platform.Put{put(rows[0].Key, order)},
+		Tx: rowstore.Tx{
+			Conditions: []rowstore.Condition{{Key: rows[0].Key, Version: rows[0].Version}},
+			Puts:       []rowstore.Put{put(rows[0].Key, order)},
+		},
 	}
 	if t.Slot != noPermit {
-		write.Conditions = append(write.Conditions, platform.Condition{Key: rows[1].Key, Version: rows[1].Version})
+		write.Conditions = append(write.Conditions, rowstore.Condition{Key: rows[1].Key, Version: rows[1].Version})
 		write.Puts = append(write.Puts, put(rows[1].Key, permitRow{}))
 	}
 	if _, err := k.store.Transact(ctx, write); err != nil && !errors.Is(err, storekeeper.ErrConflict) {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -7,7 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/fescuespindle/fescuespindle/internal/platform"
+	"github.com/fescuespindle/fescuespindle/internal/vmlister"
 )
 
 // ProtocolVersion is the version of the messages between VMs.
@@ -263,7 +263,7 @@
 // VMList is the platform's list of VMs as the sender last read it. A VM that
 // starts while the platform can't be reached gets it from a peer.
 type VMList struct {
-	VMs []platform.VM `cbor:"1,keyasint"`
+	VMs []vmlister.VM `cbor:"1,keyasint"`
 }
 
 // Kind implements Message.
--- a/internal/peer/message_test.go
+++ b/internal/peer/message_test.go
@@ -6,7 +6,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fescuespindle/fescuespindle/internal/peer"
-	"github.com/fescuespindle/fescuespindle/internal/platform"
+	"github.com/fescuespindle/fescuespindle/internal/vmlister"
 )
 
 var sender = peer.Sender{VM: "entry-1", Incarnation: 7, Address: "127.0.0.1:8082"}
@@ -26,7 +26,7 @@
 		peer.JobCancelled{Job: "batch_1"},
 		peer.ChunksWanted{Model: "m", Most: 2},
 		peer.ChunksOffered{Model: "m", Chunks: []peer.ChunkRef{{Job: "batch_1", Number: 2, OwnerVM: "v", OwnerProcess: 3}}},
-		peer.VMList{VMs: []platform.VM{{ID: "entry-1", Kind: platform.VMEntry}}},
+		peer.VMList{VMs: []vmlister.VM{{ID: "entry-1", Kind: vmlister.KindEntry}}},
 		peer.SlowSeen{Upstream: "e", Percent: 400},
 		peer.IsolationWanted{Sequence: 1, Upstream: "e", Fingerprint: 9},
 		peer.IsolationAnswered{Sequence: 1, Granted: true},
--- a/internal/publisher/builder.go
+++ b/internal/publisher/builder.go
@@ -9,8 +9,8 @@
 	"github.com/fescuespindle/fescuespindle/internal/chooser"
 	"github.com/fescuespindle/fescuespindle/internal/dispatcher"
 	"github.com/fescuespindle/fescuespindle/internal/gauger"
-	"github.com/fescuespindle/fescuespindle/internal/platform"
 	"github.com/fescuespindle/fescuespindle/internal/propagator"
+	"github.com/fescuespindle/fescuespindle/internal/vmlister"
 	"github.com/fescuespindle/fescuespindle/pkg/deployer"
 )
 
@@ -45,7 +45,7 @@
 	Doc    deployer.Document
 	// Reason tells why the VM is not ready, or is empty.
 	Reason string
-	VMs    []platform.VM
+	VMs    []vmlister.VM
 	// Live are the entry VMs of this domain that are alive, with this one.
 	Live   []string
 	States map[string]UpstreamState
@@ -90,7 +90,7 @@
 ) *Target {
 	var upstreams []*chooser.Upstream
 	for _, vm := range in.VMs {
-		if vm.Kind != platform.VMUpstream || vm.Pool != d.Pool || !d.Serves(vm.Region) {
+		if vm.Kind != vmlister.KindUpstream || vm.Pool != d.Pool || !d.Serves(vm.Region) {
 			continue
 		}
 		if state, known := in.States[vm.ID]; known && !usable(state, model) {
@@ -127,7 +127,7 @@
 	return !state.leaving && (model == "" || slices.Contains(state.models, model))
 }
 
-func tierOf(vm platform.VM, in Inputs) chooser.Tier {
+func tierOf(vm vmlister.VM, in Inputs) chooser.Tier {
 	switch {
 	case vm.Domain == in.Domain:
 		return chooser.TierDomain
@@ -141,7 +141,7 @@
 // gauge returns the gauge of an upstream. An upstream that the list marks as
 // leaving gets no new work; its gauge outlives the mark for requests that are
 // still running.
-func (b *Builder) gauge(vm platform.VM) *gauger.Gauge {
+func (b *Builder) gauge(vm vmlister.VM) *gauger.Gauge {
 	key := vm.ID + "@" + vm.Address
 	gauge, found := b.gauges[key]
 	if !found {
@@ -153,7 +153,7 @@
 }
 
 // forget drops the gauges of upstreams that the list no longer has.
-func (b *Builder) forget(vms []platform.VM) {
+func (b *Builder) forget(vms []vmlister.VM) {
 	listed := map[string]bool{}
 	for _, vm := range vms {
 		listed[vm.ID+"@"+vm.Address] = true
@@ -172,7 +172,7 @@
 	keepers := map[string][]string{}
 	region := map[string][]string{}
 	for _, vm := range in.VMs {
-		if vm.Kind != platform.VMEntry || vm.Leaving || vm.Domain == in.Domain {
+		if vm.Kind != vmlister.KindEntry || vm.Leaving || vm.Domain == in.Domain {
 			continue
 		}
 		keepers[vm.Domain] = append(keepers[vm.Domain], vm.ID)
@@ -181,7 +181,7 @@
 	keepers[in.Domain] = in.Live
 	region[in.Region] = append(region[in.Region], in.Live...)
 	for _, vm := range in.VMs {
-		if vm.Kind == platform.VMUpstream && len(keepers[vm.Domain]) == 0 {
+		if vm.Kind == vmlister.KindUpstream && len(keepers[vm.Domain]) == 0 {
 			keepers[vm.Domain] = region[vm.Region]
 		}
 	}
--- a/internal/rowstore/rowstore.go
+++ b/internal/rowstore/rowstore.go
@@ -20,6 +20,22 @@
 	ErrUnknown = errors.New("store call in doubt")
 	// ErrHistoryGone means that the store has dropped the changes asked for.
 	ErrHistoryGone = errors.New("store history gone")
+	// ErrLimited means that the store refused a call for its rate. It comes
+	// with ErrNotDone.
+	ErrLimited = errors.New("store rate limit")
+	// ErrNotFound means that an object doesn't exist.
+	ErrNotFound = errors.New("store object not found")
+)
+
+// The store's limits on one transaction and one row.
+const (
+	// MaxEntries bounds the conditions, puts and removals of a transaction together.
+	MaxEntries = 100
+	// MaxTxBytes bounds the keys and values of a transaction. The store's own
+	// limit of 1 MB is on the encoded text, in which values take a third more.
+	MaxTxBytes = 700 << 10
+	// MaxRowBytes bounds the value of a row.
+	MaxRowBytes = 64 << 10
 )
 
 // Key names one row.
@@ -61,6 +77,38 @@
 	Removes    []Key
 }
 
+// Bytes returns the size of the transaction's keys and values.
+func (t Tx) Bytes() int {
+	bytes := 0
+	for _, c := range t.Conditions {
+		bytes += c.bytes()
+	}
+	for _, p := range t.Puts {
+		bytes += p.bytes() + len(p.Value)
+	}
+	for _, k := range t.Removes {
+		bytes += k.bytes()
+	}
+	return bytes
+}
+
+// Entries returns the number of conditions, puts and removals.
+func (t Tx) Entries() int { return len(t.Conditions) + len(t.Puts) + len(t.Removes) }
+
+// Keys returns the keys of all entries.
+func (t Tx) Keys() []Key {
+	keys := make([]Key, 0, t.Entries())
+	for _, c := range t.Conditions {
+		keys = append(keys, c.Key)
+	}
+	for _, p := range t.Puts {
+		keys = append(keys, p.Key)
+	}
+	return append(keys, t.Removes...)
+}
+
+func (k Key) bytes() int { return len(k.Table) + len(k.Part) + len(k.Name) }
+
 // Snapshot is what the store answers. Now is the store's steady clock.
 type Snapshot struct {
 	Rows    []Row
@@ -109,6 +157,16 @@
 	Changes(ctx context.Context, table string, after uint64, wait time.Duration) (Snapshot, error)
 }
 
+// Objects is the part of the platform's store that keeps large values. No call
+// is tried twice. Calls return ErrNotDone or ErrUnknown like those of Store.
+type Objects interface {
+	PutObject(ctx context.Context, name string, body []byte) error
+	// GetObject returns ErrNotFound if there is no such object.
+	GetObject(ctx context.Context, name string) ([]byte, error)
+	// DeleteObject deletes an object, if it exists.
+	DeleteObject(ctx context.Context, name string) error
+}
+
 // ReadAll reads all rows of a part with from <= name < to. If they take several
 // pages, the rows are not of one moment and Version is that of the first page,
 // so that a reader of changes after it misses nothing.
--- a/internal/sitebuilder/apply.go
+++ b/internal/sitebuilder/apply.go
@@ -14,9 +14,9 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/configkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/counter"
-	"github.com/fescuespindle/fescuespindle/internal/platformcaller"
 	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
 	"github.com/fescuespindle/fescuespindle/pkg/deployer"
+	"github.com/fescuespindle/fescuespindle/platform"
 )
 
 // WithConfigKeeper runs a function with access to a platform's configuration,
@@ -24,10 +24,10 @@
 func WithConfigKeeper(
 	ctx context.Context, platformURL string, use func(context.Context, *configkeeper.Keeper) error,
 ) error {
-	client := &http.Client{Transport: &http.Transport{}}
-	defer client.CloseIdleConnections()
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
 	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
-	store := storekeeper.New(platformcaller.New(platformURL, client), "operator-"+uuid.NewString(), logger,
+	store := storekeeper.New(platform.NewStore(platformURL, transport), "operator-"+uuid.NewString(), logger,
 		counter.New(metrics.NewSet()))
 	running, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
--- a/internal/sitebuilder/site.go
+++ b/internal/sitebuilder/site.go
@@ -19,13 +19,14 @@
 	"github.com/fescuespindle/fescuespindle/internal/configkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/dispatcher"
 	"github.com/fescuespindle/fescuespindle/internal/emulator/engineemulator"
-	"github.com/fescuespindle/fescuespindle/internal/emulator/platformemulator"
+	"github.com/fescuespindle/fescuespindle/internal/emulator/rowemulator"
 	"github.com/fescuespindle/fescuespindle/internal/emulator/serviceemulator"
-	"github.com/fescuespindle/fescuespindle/internal/platform"
 	"github.com/fescuespindle/fescuespindle/internal/requester"
 	"github.com/fescuespindle/fescuespindle/internal/settingsloader"
 	"github.com/fescuespindle/fescuespindle/internal/upstream"
+	"github.com/fescuespindle/fescuespindle/internal/vmlister"
 	"github.com/fescuespindle/fescuespindle/pkg/deployer"
+	"github.com/fescuespindle/fescuespindle/platform/standin"
 )
 
 // Secret is the peers' secret of every site.
@@ -83,7 +84,7 @@
 	Domain   string
 	Region   string
 	settings settingsloader.Settings
-	place    platform.VM
+	place    vmlister.VM
 }
 
 // URL returns the address for callers.
@@ -95,11 +96,12 @@
 // Site is a site that is up.
 type Site struct {
 	spec     Spec
-	Platform *platformemulator.Emulator
+	Store    *rowemulator.Store
 	Engines  []*Engine
 	Services []*Service
 	VMs      []*VM
 
+	face     *standin.Store // serves Store
 	platform *httpServer
 	client   *http.Client
 	group    sync.WaitGroup
@@ -122,13 +124,14 @@
 	if spec.Logger == nil {
 		spec.Logger = slog.New(slog.NewTextHandler(io.Discard, nil))
 	}
-	s := &Site{spec: spec, Platform: platformemulator.New(spec.Seed)}
+	s := &Site{spec: spec, Store: rowemulator.New(rowemulator.WithRates(rowemulator.SiteRates))}
+	s.face = standin.NewStore(s.Store)
 	s.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024, DisableCompression: true}}
 	s.links = newLinkTable(spec.Delay)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.process.Store(uint64(time.Now().UnixMilli()))
 	var err error
-	if s.platform, err = s.listen(s.Platform); err != nil {
+	if s.platform, err = s.listen(s.face); err != nil {
 		return nil, err
 	}
 	if len(spec.Domains) > 0 {
@@ -235,8 +238,8 @@
 	return &VM{
 		VM: assembler.New(settings, listeners, assembler.Secret(Secret), process, dials, s.spec.Logger, s.spec.VMOptions),
 		ID: id, Domain: d.Name, Region: d.Region, settings: settings,
-		place: platform.VM{
-			ID: id, Kind: platform.VMEntry, Region: d.Region, Domain: d.Name,
+		place: vmlister.VM{
+			ID: id, Kind: vmlister.KindEntry, Region: d.Region, Domain: d.Name,
 			Address: settings.CallerAddress, Peer: settings.PeerAddress,
 		},
 	}, nil
@@ -264,9 +267,9 @@
 	return vm
 }
 
-// Relist gives the platform the list of all VMs.
+// Relist makes the list of VMs that of all VMs.
 func (s *Site) Relist() {
-	var list []platform.VM
+	var list []vmlister.VM
 	regions := map[string]string{}
 	for _, d := range s.spec.Domains {
 		regions[d.Name] = d.Region
@@ -275,22 +278,24 @@
 		list = append(list, vm.place)
 	}
 	for _, e := range s.Engines {
-		list = append(list, platform.VM{
-			ID: e.ID, Kind: platform.VMUpstream, Pool: s.spec.EnginePool, Region: regions[e.Domain], Domain: e.Domain,
+		list = append(list, vmlister.VM{
+			ID: e.ID, Kind: vmlister.KindUpstream, Pool: s.spec.EnginePool, Region: regions[e.Domain], Domain: e.Domain,
 			Address: e.server.address(),
 		})
 	}
 	at := 0
 	for _, d := range s.spec.Domains {
 		for range d.Services {
-			list = append(list, platform.VM{
-				ID: s.Services[at].ID, Kind: platform.VMUpstream, Pool: s.spec.Service, Region: d.Region, Domain: d.Name,
+			list = append(list, vmlister.VM{
+				ID: s.Services[at].ID, Kind: vmlister.KindUpstream, Pool: s.spec.Service, Region: d.Region, Domain: d.Name,
 				Address: s.Services[at].server.address(),
 			})
 			at++
 		}
 	}
-	s.Platform.SetVMs(list)
+	if err := vmlister.Write(s.ctx, s.Store, list); err != nil {
+		s.spec.Logger.Error("list of VMs not written", "error", err)
+	}
 }
 
 // Apply applies a document as the next version, and waits until every VM has
@@ -348,6 +353,9 @@
 	return requester.New(vm.URL(), token, s.client)
 }
 
+// StoreBytes returns the bytes that VMs have sent to the store and got from it.
+func (s *Site) StoreBytes() uint64 { return s.face.Bytes() }
+
 // PlatformURL returns the platform's address.
 func (s *Site) PlatformURL() string { return "http://" + s.platform.address() }
 
--- a/internal/storekeeper/keeper.go
+++ b/internal/storekeeper/keeper.go
@@ -1,5 +1,5 @@
-// Package storekeeper is the one place that knows the faults of the platform's
-// store. It reads a lost answer back before it tries a transaction again,
+// Package storekeeper makes reads and writes of the platform's store that last
+// through its faults. It reads a lost answer back before it tries a transaction again,
 // keeps a VM's share of the fleet's budget, sends what matters most first, and
 // commits in groups.
 package storekeeper
@@ -17,8 +17,7 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
-	"github.com/fescuespindle/fescuespindle/internal/platform"
-	"github.com/fescuespindle/fescuespindle/internal/platformcaller"
+	"github.com/fescuespindle/fescuespindle/internal/rowstore"
 	"github.com/fescuespindle/fescuespindle/internal/sleeper"
 )
 
@@ -65,16 +64,31 @@
 	priorities
 )
 
-// Store is the platform as this package needs it.
+// Store is the platform's store.
 type Store interface {
-	Transact(context.Context, platform.Transaction) (platform.TransactReply, error)
-	Read(context.Context, []string) ([]platform.Row, error)
-	Scan(context.Context, platform.ScanRequest) ([]platform.Row, error)
-	PutObject(context.Context, string, []byte) error
-	GetObject(context.Context, string) ([]byte, error)
-	DeleteObject(context.Context, string) error
+	rowstore.Store
+	rowstore.Objects
 }
 
+// Span is the rows of one part of a table with From <= name < To; an empty
+// bound is none.
+type Span struct {
+	Table string
+	Part  string
+	From  string
+	To    string
+}
+
+// WithPrefix returns the span of all names with a prefix that ends in a byte
+// below 0xff.
+func WithPrefix(table, part, prefix string) Span {
+	last := len(prefix) - 1
+	return Span{Table: table, Part: part, From: prefix, To: prefix[:last] + string(prefix[last]+1)}
+}
+
+// After returns the name that follows a name in byte order.
+func After(name string) string { return name + "\x00" }
+
 // Counter counts events by name.
 type Counter interface {
 	Count(name string)
@@ -87,7 +101,8 @@
 	retryMax               = time.Second
 	attemptTimeout         = 2 * time.Second
 	laneCount              = 2
-	groupLimit             = 64
+	// readsAtOnce bounds the calls that one read of several rows makes at a time.
+	readsAtOnce = 8
 )
 
 // Keeper is one VM's client of the store.
@@ -146,24 +161,46 @@
 func (k *Keeper) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	for i := range laneCount {
-		l := &lane{keeper: k, marker: fmt.Sprintf("tx/%s/%d", k.incarnation, i)}
+		l := &lane{keeper: k, name: fmt.Sprintf("%s-%d", k.incarnation, i), marks: map[string]mark{}}
 		group.Go(func() error { return l.run(ctx) })
 	}
 	return group.Wait()
 }
 
-// Read reads rows, trying again until the context ends.
-func (k *Keeper) Read(ctx context.Context, purpose Purpose, keys ...string) ([]platform.Row, error) {
-	return readRetried(ctx, k, purpose, func(ctx context.Context) ([]platform.Row, error) {
-		return k.store.Read(ctx, keys)
-	})
+// Read reads rows, trying again until the context ends. Rows that don't exist
+// have version 0. Each row is of a moment of its own.
+func (k *Keeper) Read(ctx context.Context, purpose Purpose, keys ...rowstore.Key) ([]rowstore.Row, error) {
+	rows := make([]rowstore.Row, len(keys))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(readsAtOnce)
+	for i, key := range keys {
+		group.Go(func() error {
+			span := Span{Table: key.Table, Part: key.Part, From: key.Name, To: After(key.Name)}
+			found, _, err := k.Scan(ctx, purpose, span)
+			rows[i] = rowstore.Row{Key: key}
+			if len(found) > 0 {
+				rows[i] = found[0]
+			}
+			return err
+		})
+	}
+	return rows, group.Wait()
 }
 
-// Scan reads up to limit rows by prefix after a key.
-func (k *Keeper) Scan(ctx context.Context, purpose Purpose, prefix, after string, limit int) ([]platform.Row, error) {
-	return readRetried(ctx, k, purpose, func(ctx context.Context) ([]platform.Row, error) {
-		return k.store.Scan(ctx, platform.ScanRequest{Prefix: prefix, After: after, Limit: limit})
+// Scan reads the first page of a span, in the order of names. If there may be
+// more rows, next is where to go on.
+func (k *Keeper) Scan(ctx context.Context, purpose Purpose, span Span) (rows []rowstore.Row, next string, err error) {
+	page, err := readRetried(ctx, k, purpose, func(ctx context.Context) (scanned, error) {
+		snapshot, next, err := k.store.Range(ctx, span.Table, span.Part, span.From, span.To)
+		return scanned{rows: snapshot.Rows, next: next}, err
 	})
+	return page.rows, page.next, err
+}
+
+// scanned is one page of a span.
+type scanned struct {
+	rows []rowstore.Row
+	next string
 }
 
 // GetObject reads an object.
@@ -208,7 +245,7 @@
 		switch {
 		case err == nil:
 			return value, nil
-		case errors.Is(err, platformcaller.ErrNotFound):
+		case errors.Is(err, rowstore.ErrNotFound):
 			return zero, ErrNotFound
 		}
 		last = err
@@ -226,7 +263,7 @@
 
 // note keeps whether the store answers, for all its users at once.
 func (k *Keeper) note(err error) {
-	down := err != nil && !errors.Is(err, platformcaller.ErrNotFound) && !errors.Is(err, platformcaller.ErrLimited)
+	down := err != nil && !isAnswer(err)
 	if k.down.Swap(down) == down {
 		return
 	}
@@ -238,6 +275,11 @@
 	k.logger.Info("store available")
 }
 
+// isAnswer tells whether an error shows that the store is there.
+func isAnswer(err error) bool {
+	return errors.Is(err, rowstore.ErrNotFound) || errors.Is(err, rowstore.ErrLimited) || errors.Is(err, rowstore.ErrConflict)
+}
+
 func (k *Keeper) count(what string, purpose Purpose) {
 	k.counter.Count(fmt.Sprintf("store_%s_total{purpose=%q}", what, purpose))
 }
--- a/internal/storekeeper/keeper_test.go
+++ b/internal/storekeeper/keeper_test.go
@@ -17,8 +17,8 @@
 	"go.uber.org/goleak"
 
 	"github.com/fescuespindle/fescuespindle/internal/counter"
-	"github.com/fescuespindle/fescuespindle/internal/emulator/storeemulator"
-	"github.com/fescuespindle/fescuespindle/internal/platform"
+	"github.com/fescuespindle/fescuespindle/internal/emulator/rowemulator"
+	"github.com/fescuespindle/fescuespindle/internal/rowstore"
 	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
 )
 
@@ -29,8 +29,16 @@
 	return storekeeper.New(store, name, logger, counter.New(metrics.NewSet()), storekeeper.WithBudget(1e6, 1e6))
 }
 
+const table = "numbers"
+
+func rowKey(name string) rowstore.Key { return rowstore.Key{Table: table, Part: table, Name: name} }
+
+func putOne(name string) storekeeper.Write {
+	return storekeeper.Write{Tx: rowstore.Tx{Puts: []rowstore.Put{{Key: rowKey(name), Value: []byte("1")}}}}
+}
+
 // increment adds one to a row, as often as conflicts make it try.
-func increment(ctx context.Context, k *storekeeper.Keeper, key string) error {
+func increment(ctx context.Context, k *storekeeper.Keeper, key rowstore.Key) error {
 	for {
 		rows, err := k.Read(ctx, storekeeper.PurposeJob, key)
 		if err != nil {
@@ -43,9 +51,11 @@
 			}
 		}
 		_, err = k.Transact(ctx, storekeeper.Write{
-			Purpose:    storekeeper.PurposeJob,
-			Conditions: []platform.Condition{{Key: key, Version: rows[0].Version}},
-			Puts:       []platform.Put{{Key: key, Value: json.RawMessage(fmt.Sprint(value + 1))}},
+			Purpose: storekeeper.PurposeJob,
+			Tx: rowstore.Tx{
+				Conditions: []rowstore.Condition{{Key: key, Version: rows[0].Version}},
+				Puts:       []rowstore.Put{{Key: key, Value: []byte(fmt.Sprint(value + 1))}},
+			},
 		})
 		if !errors.Is(err, storekeeper.ErrConflict) {
 			return err
@@ -55,12 +65,12 @@
 
 // expectExactCount lets several keepers increment shared rows and compares the
 // sum with what they were told.
-func expectExactCount(t *testing.T, seed uint64, faults storeemulator.PlatformFaults) {
+func expectExactCount(t *testing.T, seed uint64, faults rowemulator.Faults) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		const keepers, increments, keys = 3, 25, 2
-		store := storeemulator.NewPlatform(seed)
-		store.SetFaults(faults)
+		store := rowemulator.New()
+		store.SetFaults(seed, faults)
 		ctx, cancel := context.WithCancel(t.Context())
 		var running, work sync.WaitGroup
 		var mu sync.Mutex
@@ -70,7 +80,7 @@
 			running.Go(func() { _ = k.Run(ctx) })
 			for i := range increments {
 				work.Go(func() {
-					err := increment(ctx, k, fmt.Sprintf("key-%d", i%keys))
+					err := increment(ctx, k, rowKey(fmt.Sprintf("key-%d", i%keys)))
 					mu.Lock()
 					defer mu.Unlock()
 					qt.Check(t, err, qt.IsNil)
@@ -81,7 +91,7 @@
 		work.Wait()
 		time.Sleep(10 * time.Second) // late copies arrive
 		sum := 0
-		for _, row := range store.Table().Read([]string{"key-0", "key-1"}) {
+		for _, row := range store.Rows(table) {
 			value := 0
 			qt.Assert(t, json.Unmarshal(row.Value, &value), qt.IsNil)
 			sum += value
@@ -95,19 +105,19 @@
 
 func TestLostAnswersTakeEffectOnce(t *testing.T) {
 	for seed := range uint64(4) {
-		expectExactCount(t, seed, storeemulator.PlatformFaults{Lost: 0.3})
+		expectExactCount(t, seed, rowemulator.Faults{LostShare: 0.3})
 	}
 }
 
 func TestLateCopiesTakeEffectOnce(t *testing.T) {
 	for seed := range uint64(4) {
-		expectExactCount(t, seed, storeemulator.PlatformFaults{Lost: 0.1, Late: 0.2, Refused: 0.2})
+		expectExactCount(t, seed, rowemulator.Faults{LostShare: 0.1, LateShare: 0.2, RefusedShare: 0.2})
 	}
 }
 
 func TestWriteThatWasNeverSentSaysSo(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := storeemulator.NewPlatform(1)
+		store := rowemulator.New()
 		store.SetDown(true)
 		k := newKeeper(store, "vm")
 		running, stop := context.WithCancel(t.Context())
@@ -116,18 +126,20 @@
 		group.Go(func() { _ = k.Run(running) })
 		for n := range 2 {
 			group.Go(func() {
-				_, _ = k.Transact(running, storekeeper.Write{Puts: []platform.Put{{Key: fmt.Sprint(n), Value: json.RawMessage("1")}}})
+				_, _ = k.Transact(running, putOne(fmt.Sprint(n)))
 			})
 			synctest.Wait()
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 		defer cancel()
-		_, err := k.Transact(ctx, storekeeper.Write{Puts: []platform.Put{{Key: "third", Value: json.RawMessage("1")}}})
+		_, err := k.Transact(ctx, putOne("third"))
 		qt.Check(t, err, qt.ErrorIs, storekeeper.ErrNotWritten)
 		qt.Check(t, k.Available(), qt.IsFalse)
 		store.SetDown(false)
 		time.Sleep(5 * time.Second)
-		qt.Check(t, store.Table().Read([]string{"third"})[0].Version, qt.Equals, uint64(0))
+		for _, row := range store.Rows(table) {
+			qt.Check(t, row.Name, qt.Not(qt.Equals), "third")
+		}
 		qt.Check(t, k.Available(), qt.IsTrue)
 		stop()
 		group.Wait()
@@ -136,22 +148,20 @@
 
 func TestWritesAreCommittedInGroups(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := storeemulator.NewPlatform(1)
+		store := rowemulator.New()
 		k := newKeeper(store, "vm")
 		running, stop := context.WithCancel(t.Context())
 		var group, work sync.WaitGroup
 		for n := range 100 {
 			work.Go(func() {
-				_, err := k.Transact(t.Context(), storekeeper.Write{
-					Puts: []platform.Put{{Key: fmt.Sprint(n), Value: json.RawMessage("1")}},
-				})
+				_, err := k.Transact(t.Context(), putOne(fmt.Sprint(n)))
 				qt.Check(t, err, qt.IsNil)
 			})
 		}
 		synctest.Wait()
 		group.Go(func() { _ = k.Run(running) })
 		work.Wait()
-		qt.Check(t, store.Requests() <= 4, qt.IsTrue, qt.Commentf("%d transactions for 100 writes", store.Requests()))
+		qt.Check(t, store.Counts().Transactions <= 4, qt.IsTrue, qt.Commentf("%d transactions for 100 writes", store.Counts().Transactions))
 		stop()
 		group.Wait()
 	})
@@ -159,16 +169,16 @@
 
 func TestOneConflictFailsAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := storeemulator.NewPlatform(1)
+		store := rowemulator.New()
 		k := newKeeper(store, "vm")
 		running, stop := context.WithCancel(t.Context())
 		var group, work sync.WaitGroup
 		outcomes := make([]error, 10)
 		for n := range outcomes {
 			work.Go(func() {
-				write := storekeeper.Write{Puts: []platform.Put{{Key: fmt.Sprint(n), Value: json.RawMessage("1")}}}
+				write := putOne(fmt.Sprint(n))
 				if n == 3 {
-					write.Conditions = []platform.Condition{{Key: "other", Version: 9}}
+					write.Conditions = []rowstore.Condition{{Key: rowKey("other"), Version: 9}}
 				}
 				_, outcomes[n] = k.Transact(t.Context(), write)
 			})
@@ -187,3 +197,70 @@
 		group.Wait()
 	})
 }
+
+// expectRefused hands a write to a keeper that nobody runs: only what is refused
+// without a call gets an outcome.
+func expectRefused(t *testing.T, write storekeeper.Write) {
+	t.Helper()
+	store := rowemulator.New()
+	_, err := newKeeper(store, "vm").Transact(t.Context(), write)
+	qt.Check(t, err, qt.ErrorIs, storekeeper.ErrNotWritten)
+	qt.Check(t, store.Counts().Transactions, qt.Equals, 0)
+}
+
+func TestWritesThatTheStoreCanNeverTakeAreRefusedAtOnce(t *testing.T) {
+	t.Run("nothing", func(t *testing.T) { expectRefused(t, storekeeper.Write{}) })
+	t.Run("rows of two parts", func(t *testing.T) {
+		write := putOne("a")
+		write.Puts = append(write.Puts, rowstore.Put{Key: rowstore.Key{Table: table, Part: "other", Name: "b"}})
+		expectRefused(t, write)
+	})
+	t.Run("a row that is too large", func(t *testing.T) {
+		write := putOne("a")
+		write.Puts[0].Value = make([]byte, rowstore.MaxRowBytes+1)
+		expectRefused(t, write)
+	})
+	t.Run("too many rows", func(t *testing.T) {
+		var write storekeeper.Write
+		for n := range storekeeper.MaxWriteEntries + 1 {
+			write.Puts = append(write.Puts, putOne(fmt.Sprint(n)).Puts...)
+		}
+		expectRefused(t, write)
+	})
+}
+
+func TestWritesOfManyPartsAndSizesAllTakeEffect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := rowemulator.New() // refuses what the platform's store would refuse
+		k := newKeeper(store, "vm")
+		running, stop := context.WithCancel(t.Context())
+		var group, work sync.WaitGroup
+		group.Go(func() { _ = k.Run(running) })
+		const writes, parts = 120, 3
+		for n := range writes {
+			work.Go(func() {
+				write := putOne(fmt.Sprint(n))
+				write.Puts[0].Part = fmt.Sprint(n % parts)
+				write.Puts[0].Value = make([]byte, n%5*(rowstore.MaxRowBytes/5))
+				_, err := k.Transact(t.Context(), write)
+				qt.Check(t, err, qt.IsNil)
+			})
+		}
+		work.Wait()
+		qt.Check(t, store.Rows(table), qt.HasLen, writes)
+		stop()
+		group.Wait()
+	})
+}
+
+func TestRowsAreReadByKeyAcrossParts(t *testing.T) {
+	store := rowemulator.New()
+	there := rowstore.Key{Table: table, Part: "b", Name: "there"}
+	_, err := store.Apply(rowstore.Tx{Puts: []rowstore.Put{{Key: there, Value: []byte("1")}}})
+	qt.Assert(t, err, qt.IsNil)
+	rows, err := newKeeper(store, "vm").Read(t.Context(), storekeeper.PurposeJob, rowKey("missing"), there)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, rows[0], qt.DeepEquals, rowstore.Row{Key: rowKey("missing")})
+	qt.Check(t, rows[1].Key, qt.Equals, there)
+	qt.Check(t, rows[1].Version, qt.Equals, uint64(1))
+}
--- a/internal/storekeeper/lane.go
+++ b/internal/storekeeper/lane.go
@@ -7,23 +7,52 @@
 	"fmt"
 	"slices"
 
-	"github.com/fescuespindle/fescuespindle/internal/platform"
-	"github.com/fescuespindle/fescuespindle/internal/platformcaller"
+	"github.com/fescuespindle/fescuespindle/internal/rowstore"
 )
 
-// Write is one atomic write. It is committed together with others, but takes
-// effect or fails by itself.
+// Write is one atomic write of rows of one part. It is committed together with
+// others, but takes effect or fails by itself.
 type Write struct {
-	Purpose    Purpose
-	Priority   Priority
-	Conditions []platform.Condition
-	Puts       []platform.Put
-	Deletes    []string
+	Purpose  Purpose
+	Priority Priority
+	rowstore.Tx
 }
 
+// part returns the part that the write's rows lie in, or an error if the store
+// could never take the write.
+func (w Write) part() (string, error) {
+	keys := w.Keys()
+	if len(keys) == 0 {
+		return "", fmt.Errorf("%w: no rows", ErrNotWritten)
+	}
+	for _, key := range keys {
+		if key.Part != keys[0].Part {
+			return "", fmt.Errorf("%w: rows of parts %q and %q", ErrNotWritten, keys[0].Part, key.Part)
+		}
+	}
+	for _, put := range w.Puts {
+		if len(put.Value) > rowstore.MaxRowBytes {
+			return "", fmt.Errorf("%w: row %s has %d bytes", ErrNotWritten, put.Key, len(put.Value))
+		}
+	}
+	if w.Entries() > MaxWriteEntries || w.Bytes() > maxWriteBytes {
+		return "", fmt.Errorf("%w: %d entries of %d bytes", ErrNotWritten, w.Entries(), w.Bytes())
+	}
+	return keys[0].Part, nil
+}
+
+const (
+	// MaxWriteEntries bounds the conditions, puts and removals of one write. A
+	// transaction has two more for the lane's marker.
+	MaxWriteEntries = rowstore.MaxEntries - 2
+	// maxWriteBytes leaves room for the marker.
+	maxWriteBytes = rowstore.MaxTxBytes - 1<<10
+)
+
 // pending is a write that waits for its outcome.
 type pending struct {
 	write   Write
+	part    string
 	done    chan struct{}
 	version uint64
 	err     error
@@ -38,7 +67,11 @@
 // When the context ends first, the error tells whether the write may still
 // take effect.
 func (k *Keeper) Transact(ctx context.Context, write Write) (uint64, error) {
-	p := &pending{write: write, done: make(chan struct{})}
+	part, err := write.part()
+	if err != nil {
+		return 0, err
+	}
+	p := &pending{write: write, part: part, done: make(chan struct{})}
 	k.mu.Lock()
 	k.waiting[write.Priority] = append(k.waiting[write.Priority], p)
 	k.mu.Unlock()
@@ -88,50 +121,62 @@
 	useWrite
 )
 
-// take removes the next group of writes that may be committed together: no
-// row that one of them writes is used by another.
-func (k *Keeper) take() []*pending {
+// group is the writes of one part that are committed together.
+type group struct {
+	part    string
+	pending []*pending
+	uses    map[rowstore.Key]use
+	entries int
+	bytes   int
+}
+
+// take removes the next group of writes that may be committed together: all of
+// one part, and no row that one of them writes is used by another.
+func (k *Keeper) take() group {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	var group []*pending
-	uses := map[string]use{}
+	g := group{uses: map[rowstore.Key]use{}}
 	for priority := range k.waiting {
 		var rest []*pending
 		for _, p := range k.waiting[priority] {
-			if len(group) < groupLimit && p.write.join(uses) {
-				group = append(group, p)
-				continue
+			if !g.join(p) {
+				rest = append(rest, p)
 			}
-			rest = append(rest, p)
 		}
 		k.waiting[priority] = rest
 	}
-	return group
+	return g
 }
 
-// join adds the write's rows to the group's, unless they clash.
-func (w Write) join(uses map[string]use) bool {
-	own := w.uses()
+// join adds a write to the group, unless it doesn't fit or its rows clash.
+func (g *group) join(p *pending) bool {
+	entries, bytes := g.entries+p.write.Entries(), g.bytes+p.write.Bytes()
+	if len(g.pending) > 0 && (p.part != g.part || entries > MaxWriteEntries || bytes > maxWriteBytes) {
+		return false
+	}
+	own := p.write.uses()
 	for key, u := range own {
-		if uses[key] == useWrite || (u == useWrite && uses[key] != useNone) {
+		if g.uses[key] == useWrite || (u == useWrite && g.uses[key] != useNone) {
 			return false
 		}
 	}
 	for key, u := range own {
-		uses[key] = max(uses[key], u)
+		g.uses[key] = max(g.uses[key], u)
 	}
+	g.part, g.entries, g.bytes = p.part, entries, bytes
+	g.pending = append(g.pending, p)
 	return true
 }
 
-func (w Write) uses() map[string]use {
-	own := map[string]use{}
+func (w Write) uses() map[rowstore.Key]use {
+	own := map[rowstore.Key]use{}
 	for _, condition := range w.Conditions {
 		own[condition.Key] = useRead
 	}
 	for _, put := range w.Puts {
 		own[put.Key] = useWrite
 	}
-	for _, key := range w.Deletes {
+	for _, key := range w.Removes {
 		own[key] = useWrite
 	}
 	return own
@@ -139,30 +184,41 @@
 
 // lane sends one transaction at a time.
 //
-// Every transaction also writes the lane's marker row, under the condition
-// that the marker still has the version that the lane wrote last. The marker
-// makes a lost answer harmless: the lane reads the marker, and finds either its
-// own sequence number, so the transaction took effect, or the old one. It may
-// then send the same transaction again even if the first copy is still on its
-// way, since only one of the two copies can find the old marker. A list of
-// transaction identifiers in the store would do as well, but it would grow and
-// would have to be cleaned.
+// Every transaction also writes the lane's marker row in the transaction's
+// part, under the condition that the marker still has the version that the lane
+// wrote there last. The marker makes a lost answer harmless: the lane reads the
+// marker, and finds either its own sequence number, so the transaction took
+// effect, or the old one. It may then send the same transaction again even if
+// the first copy is still on its way, since only one of the two copies can find
+// the old marker. A list of transaction identifiers in the store would do as
+// well, but it would grow and would have to be cleaned.
 type lane struct {
-	keeper   *Keeper
-	marker   string
+	keeper *Keeper
+	name   string
+	marks  map[string]mark // by part
+}
+
+// mark is what a lane knows of its marker row in one part.
+type mark struct {
 	version  uint64
 	sequence uint64
 }
 
-// marker is the value of a lane's marker row.
+// marker is the value of a marker row.
 type marker struct {
 	Sequence uint64 `json:"sequence"`
 }
 
+const markerTable = "markers"
+
+func (l *lane) markerKey(part string) rowstore.Key {
+	return rowstore.Key{Table: markerTable, Part: part, Name: l.name}
+}
+
 func (l *lane) run(ctx context.Context) error {
 	for {
-		group := l.keeper.take()
-		if len(group) == 0 {
+		g := l.keeper.take()
+		if len(g.pending) == 0 {
 			select {
 			case <-l.keeper.wake:
 				continue
@@ -171,39 +227,41 @@
 			}
 		}
 		l.keeper.poke() // more may wait for the other lane
-		if err := l.commit(ctx, group); err != nil {
+		if err := l.commit(ctx, g.part, g.pending); err != nil {
 			return nil //nolint:nilerr // the context ended, every write was told so
 		}
 	}
 }
 
-// commit sends the group until each of its writes has an outcome.
-func (l *lane) commit(ctx context.Context, group []*pending) error {
-	for len(group) > 0 {
-		reply, err := l.send(ctx, group)
-		if err != nil {
-			for _, p := range group {
+// commit sends the writes until each of them has an outcome.
+func (l *lane) commit(ctx context.Context, part string, writes []*pending) error {
+	for len(writes) > 0 {
+		version, err := l.send(ctx, part, writes)
+		var conflict *rowstore.ConflictError
+		switch {
+		case errors.As(err, &conflict):
+			writes = failConflicting(writes, conflict)
+		case err != nil:
+			for _, p := range writes {
 				p.finish(0, fmt.Errorf("%w: %w", ErrUnknown, err))
 			}
 			return err
-		}
-		if reply.Committed {
-			for _, p := range group {
-				p.finish(reply.Version, nil)
+		default:
+			for _, p := range writes {
+				p.finish(version, nil)
 			}
 			return nil
 		}
-		group = failConflicting(group, reply.Conflicts)
 	}
 	return nil
 }
 
 // failConflicting ends the writes whose conditions did not hold and returns the
 // others.
-func failConflicting(group []*pending, conflicts []string) []*pending {
+func failConflicting(writes []*pending, conflict *rowstore.ConflictError) []*pending {
 	var rest []*pending
-	for _, p := range group {
-		if key, conflicting := p.write.conflict(conflicts); conflicting {
+	for _, p := range writes {
+		if key, conflicting := p.write.conflict(conflict); conflicting {
 			p.finish(0, fmt.Errorf("%w: %s", ErrConflict, key))
 			continue
 		}
@@ -212,85 +270,101 @@
 	return rest
 }
 
-func (w Write) conflict(conflicts []string) (string, bool) {
+func (w Write) conflict(conflict *rowstore.ConflictError) (rowstore.Key, bool) {
 	for _, condition := range w.Conditions {
-		if slices.Contains(conflicts, condition.Key) {
+		if row, found := conflict.Current(condition.Key); found && row.Version != condition.Version {
 			return condition.Key, true
 		}
 	}
-	return "", false
+	return rowstore.Key{}, false
 }
 
-// send sends one transaction until its outcome is known.
-func (l *lane) send(ctx context.Context, group []*pending) (platform.TransactReply, error) {
-	l.sequence++
-	tx, err := l.merge(group)
+// send sends one transaction until its outcome is known. It returns the version
+// of its rows, or a ConflictError about rows of the writes.
+func (l *lane) send(ctx context.Context, part string, writes []*pending) (uint64, error) {
+	m := l.marks[part]
+	m.sequence++
+	l.marks[part] = m
+	tx, err := l.merge(part, writes)
 	if err != nil {
-		return platform.TransactReply{}, err
+		return 0, err
 	}
 	for attempt := 0; ; attempt++ {
-		reply, err := l.sendOnce(ctx, tx, group)
-		if err == nil && !slices.Contains(reply.Conflicts, l.marker) {
-			if reply.Committed {
-				l.version = reply.Version
-			}
-			return reply, nil
-		}
-		if err == nil || errors.Is(err, platformcaller.ErrUnknown) {
-			if version, ok := l.readBack(ctx); ok {
-				return platform.TransactReply{Committed: true, Version: version}, nil
+		version, err := l.sendOnce(ctx, tx, writes)
+		overtaken := l.overtaken(part, err)
+		switch {
+		case err == nil:
+			l.marks[part] = mark{version: version, sequence: m.sequence}
+			return version, nil
+		case errors.Is(err, rowstore.ErrConflict) && !overtaken:
+			return 0, err
+		case overtaken || errors.Is(err, rowstore.ErrUnknown):
+			if version, done := l.readBack(ctx, part); done {
+				return version, nil
 			}
 		}
 		if !sleepBackoff(ctx, attempt) {
-			return platform.TransactReply{}, fmt.Errorf("transaction: %w", ctx.Err())
+			return 0, fmt.Errorf("transaction: %w", ctx.Err())
 		}
 	}
 }
 
-func (l *lane) sendOnce(
-	ctx context.Context, tx platform.Transaction, group []*pending,
-) (platform.TransactReply, error) {
+// overtaken tells whether a transaction failed because the marker has moved on:
+// an earlier copy of it took effect.
+func (l *lane) overtaken(part string, err error) bool {
+	var conflict *rowstore.ConflictError
+	if !errors.As(err, &conflict) {
+		return false
+	}
+	row, found := conflict.Current(l.markerKey(part))
+	return found && row.Version != l.marks[part].version
+}
+
+func (l *lane) sendOnce(ctx context.Context, tx rowstore.Tx, writes []*pending) (uint64, error) {
 	if err := l.keeper.writes.Wait(ctx); err != nil {
-		return platform.TransactReply{}, fmt.Errorf("%w: %w", platformcaller.ErrNotSent, err)
+		return 0, fmt.Errorf("%w: %w", rowstore.ErrNotDone, err)
 	}
 	l.keeper.count("transactions", "all")
-	for _, p := range group {
+	for _, p := range writes {
 		l.keeper.count("writes", p.write.Purpose)
 	}
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	reply, err := l.keeper.store.Transact(ctx, tx)
+	snapshot, err := l.keeper.store.Transact(ctx, tx)
 	l.keeper.note(err)
-	return reply, err
+	return snapshot.Version, err
 }
 
 // readBack tells whether the marker has the lane's sequence number.
-func (l *lane) readBack(ctx context.Context) (uint64, bool) {
-	rows, err := l.keeper.Read(ctx, PurposeMarker, l.marker)
-	if err != nil || len(rows) != 1 || rows[0].Version == 0 {
+func (l *lane) readBack(ctx context.Context, part string) (uint64, bool) {
+	rows, err := l.keeper.Read(ctx, PurposeMarker, l.markerKey(part))
+	if err != nil || rows[0].Version == 0 {
 		return 0, false
 	}
 	var found marker
 	if err := json.Unmarshal(rows[0].Value, &found); err != nil {
 		return 0, false
 	}
-	l.version = rows[0].Version
-	return rows[0].Version, found.Sequence == l.sequence
+	m := l.marks[part]
+	m.version = rows[0].Version
+	l.marks[part] = m
+	return m.version, found.Sequence == m.sequence
 }
 
-func (l *lane) merge(group []*pending) (platform.Transaction, error) {
-	value, err := json.Marshal(marker{Sequence: l.sequence})
+func (l *lane) merge(part string, writes []*pending) (rowstore.Tx, error) {
+	m, key := l.marks[part], l.markerKey(part)
+	value, err := json.Marshal(marker{Sequence: m.sequence})
 	if err != nil {
-		return platform.Transaction{}, fmt.Errorf("encode marker: %w", err)
+		return rowstore.Tx{}, fmt.Errorf("encode marker: %w", err)
 	}
-	tx := platform.Transaction{
-		Conditions: []platform.Condition{{Key: l.marker, Version: l.version}},
-		Puts:       []platform.Put{{Key: l.marker, Value: value}},
+	tx := rowstore.Tx{
+		Conditions: []rowstore.Condition{{Key: key, Version: m.version}},
+		Puts:       []rowstore.Put{{Key: key, Value: value}},
 	}
-	for _, p := range group {
+	for _, p := range writes {
 		tx.Conditions = append(tx.Conditions, p.write.Conditions...)
 		tx.Puts = append(tx.Puts, p.write.Puts...)
-		tx.Deletes = append(tx.Deletes, p.write.Deletes...)
+		tx.Removes = append(tx.Removes, p.write.Removes...)
 	}
 	return tx, nil
 }
