Batch jobs are stepped through every point between two store calls

Cause: the tests of batchkeeper and batchrunner brought about lost, late and doubled writes one by one, at points that somebody had thought of.

--- a/internal/batchrunner/runner_test.go
+++ b/internal/batchrunner/runner_test.go
@@ -23,6 +23,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/forwarder"
 	"github.com/fescuespindle/fescuespindle/internal/placer"
 	"github.com/fescuespindle/fescuespindle/internal/router"
+	"github.com/fescuespindle/fescuespindle/internal/rowstore"
 	"github.com/fescuespindle/fescuespindle/platform"
 	"github.com/fescuespindle/fescuespindle/platform/standin"
 )
@@ -34,6 +35,7 @@
 	network   *standin.Network
 	upstreams []*standin.Upstream
 	list      []placer.Upstream
+	group     sync.WaitGroup // callers
 
 	mu    sync.Mutex
 	alive map[batchkeeper.Owner]bool
@@ -75,10 +77,13 @@
 }}})
 
 // start starts a VM.
-func (f *fleet) start(name string) *vm {
-	owner := batchkeeper.Owner{VM: name, Boot: 1}
+func (f *fleet) start(name string) *vm { return f.startOn(name, 1, f.store) }
+
+// startOn starts a process of a VM that reaches the store its own way.
+func (f *fleet) startOn(name string, boot uint64, store rowstore.Store) *vm {
+	owner := batchkeeper.Owner{VM: name, Boot: boot}
 	logger := slog.New(slog.DiscardHandler)
-	v := &vm{owner: owner, keeper: batchkeeper.New(f.store, owner, 64<<10, logger)}
+	v := &vm{owner: owner, keeper: batchkeeper.New(store, owner, 64<<10, logger)}
 	v.placer = placer.New(name, "d", map[string]string{"d": "r"}, placer.WithChanged(func(placer.Change) { v.runner.Wake() }))
 	v.placer.SetUpstreams(f.list)
 	sender := forwarder.New(platform.Codec{}.AnswerID, forwarder.WithDial(f.network.Dial))
