--- a/internal/batchrunner/crash_test.go
+++ b/internal/batchrunner/crash_test.go
@@ -396,6 +396,7 @@
 			continue
 		}
 		t.Run(kind.String(), func(t *testing.T) {
+			t.Parallel()
 			for n := 1; n <= callsLooked; n++ {
 				calls := test(t, map[int]trouble{n: kind})
 				if t.Failed() {
@@ -423,7 +424,10 @@
 		for range 1 + random.IntN(most) {
 			troubles[1+random.IntN(callsLooked)] = trouble(1 + random.IntN(troubleKinds))
 		}
-		t.Run(fmt.Sprint(seed, troubles), func(t *testing.T) { expectJobSurvives(t, troubles) })
+		t.Run(fmt.Sprint(seed, troubles), func(t *testing.T) {
+			t.Parallel()
+			expectJobSurvives(t, troubles)
+		})
 	}
 }
 
@@ -436,7 +440,10 @@
 			for n := range row {
 				troubles[from+n] = kind
 			}
-			t.Run(fmt.Sprint(kind, " from ", from), func(t *testing.T) { expectJobSurvives(t, troubles) })
+			t.Run(fmt.Sprint(kind, " from ", from), func(t *testing.T) {
+				t.Parallel()
+				expectJobSurvives(t, troubles)
+			})
 		}
 	}
 }
