--- a/internal/settingsloader/settings.go
+++ b/internal/settingsloader/settings.go
@@ -104,21 +104,22 @@
 // Parse reads and checks settings.
 func Parse(text []byte) (Settings, error) {
 	settings := Settings{LogFormat: LogText, BalancerLag: defaultBalancerLag, DrainTimeout: defaultDrainTimeout}
-	if err := strictdecoder.Decode(text, &settings); err != nil {
+	err := strictdecoder.Decode(text, &settings)
+	if errors.Is(err, strictdecoder.ErrSyntax) {
 		return Settings{}, fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
-	if problems := settings.problems(text); len(problems) > 0 {
-		return Settings{}, fmt.Errorf("%w: %s", ErrInvalid, strings.Join(problems, "; "))
+	if err := errors.Join(append(settings.problems(text), err)...); err != nil {
+		return Settings{}, fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
 	return settings, nil
 }
 
-func (s Settings) problems(text []byte) []string {
-	var problems []string
+func (s Settings) problems(text []byte) []error {
+	var problems []error
 	require := func(ok bool, field, want string) {
 		if !ok {
-			line := strictdecoder.LineOfField(text, field)
-			problems = append(problems, fmt.Sprintf("line %d: %s: %s", line, field, want))
+			line := strictdecoder.LineOf(text, field)
+			problems = append(problems, fmt.Errorf("line %d: %s: %s", line, field, want))
 		}
 	}
 	require(s.VM != "", "vm", "must not be empty")
--- a/internal/strictdecoder/decoder.go
+++ b/internal/strictdecoder/decoder.go
@@ -1,5 +1,6 @@
-// Package strictdecoder decodes JSON that people write: it refuses unknown
-// fields, trailing text and wrong types, and tells the line of the fault.
+// Package strictdecoder decodes JSON that people write. It lists every unknown
+// field with its line and the nearest name that is known, and tells the line of
+// a value of the wrong type.
 package strictdecoder
 
 import (
@@ -8,15 +9,32 @@
 	"errors"
 	"fmt"
 	"io"
+	"reflect"
 )
 
-// ErrSyntax is wrapped by every error of Decode.
-var ErrSyntax = errors.New("bad JSON document")
+// Errors of this layer; each fault of a document wraps one of them.
+var (
+	// ErrSyntax means that the text is not one JSON value.
+	ErrSyntax = errors.New("bad JSON document")
+	// ErrField means that a field is not known or has a value of the wrong type.
+	// The others have been read.
+	ErrField = errors.New("wrong field")
+)
 
-// Decode reads text into out.
+// Decode reads text into out, which must know every field.
 func Decode(text []byte, out any) error {
+	faults := []error{DecodeKnown(text, out)}
+	for _, f := range fieldsOf(text) {
+		if names, known := lookUp(reflect.TypeOf(out), f.path); !known {
+			faults = append(faults, fmt.Errorf("%w: line %d: %s: unknown field%s", ErrField, f.line, f, hint(f.name(), names)))
+		}
+	}
+	return errors.Join(faults...)
+}
+
+// DecodeKnown reads text into out and ignores fields that out doesn't have.
+func DecodeKnown(text []byte, out any) error {
 	decoder := json.NewDecoder(bytes.NewReader(text))
-	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(out); err != nil {
 		return describe(text, decoder.InputOffset(), err)
 	}
@@ -34,33 +52,15 @@
 		return fmt.Errorf("%w: line %d: %w", ErrSyntax, lineAt(text, syntax.Offset), err)
 	case errors.As(err, &typed):
 		return fmt.Errorf("%w: line %d: %s: must be a %s, not a %s",
-			ErrSyntax, lineAt(text, typed.Offset), typed.Field, typed.Type, typed.Value)
-	default:
-		return fmt.Errorf("%w: line %d: %w", ErrSyntax, lineOfUnknownField(text, offset, err), err)
-	}
-}
-
-// lineOfUnknownField finds the line of the first use of a field that the
-// decoder refused. The decoder reports the name but not the place.
-func lineOfUnknownField(text []byte, offset int64, err error) int {
-	var field string
-	if _, scanErr := fmt.Sscanf(err.Error(), "json: unknown field %q", &field); scanErr != nil {
-		return lineAt(text, offset)
-	}
-	at := bytes.Index(text, []byte(`"`+field+`"`))
-	if at < 0 {
-		return lineAt(text, offset)
+			ErrField, lineAt(text, typed.Offset), typed.Field, typed.Type, typed.Value)
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
+		return fmt.Errorf("%w: line %d: %w", ErrSyntax, lineAt(text, int64(len(text))), err)
+	default: // a type that reads itself
+		return fmt.Errorf("%w: line %d: %w", ErrField, lineAt(text, offset), err)
 	}
-	return lineAt(text, int64(at))
 }
 
 func lineAt(text []byte, offset int64) int {
 	offset = min(max(offset, 0), int64(len(text)))
 	return 1 + bytes.Count(text[:offset], []byte("\n"))
 }
-
-// LineOfField returns the line on which a document first uses a field name, or
-// 1 if it doesn't.
-func LineOfField(text []byte, field string) int {
-	return lineAt(text, int64(max(bytes.Index(text, []byte(`"`+field+`"`)), 0)))
-}
--- /dev/null
+++ b/internal/strictdecoder/decoder_test.go
@@ -0,0 +1,70 @@
+package strictdecoder_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fescuespindle/fescuespindle/internal/strictdecoder"
+)
+
+type place struct {
+	Region string `json:"region"`
+	Domain string `json:"domain"`
+}
+
+type document struct {
+	Name   string           `json:"name"`
+	Places []place          `json:"places"`
+	ByName map[string]place `json:"byName"`
+	Limits struct {
+		Memory int `json:"memory"`
+	} `json:"limits"`
+}
+
+func expectFault(t *testing.T, text, want string) {
+	t.Helper()
+	var d document
+	err := strictdecoder.Decode([]byte(text), &d)
+	got := ""
+	if err != nil {
+		got = err.Error()
+	}
+	qt.Check(t, got, qt.Equals, want)
+}
+
+func TestFaultsAreToldWithTheirLine(t *testing.T) {
+	expectFault(t, `{"name": "a", "places": [{"region": "r"}], "byName": {"x": {"domain": "d"}}, "limits": {"memory": 3}}`, "")
+	expectFault(t, "{\n\"name\": 1}", "wrong field: line 2: name: must be a string, not a number")
+	expectFault(t, "{\n\"name\": \"a\"\n", "bad JSON document: line 3: unexpected EOF")
+	expectFault(t, "{} {}", "bad JSON document: line 1: text after the end of the document")
+}
+
+func TestEveryUnknownFieldIsListedWithTheNearestName(t *testing.T) {
+	expectFault(t, "{\n\"naem\": \"a\",\n\"places\": [\n{\"regoin\": \"r\", \"colour\": {\"deep\": 1}}],\n\"byName\": {\"x\": {\"domian\": \"d\"}}}",
+		"wrong field: line 2: naem: unknown field; did you mean name?\n"+
+			"wrong field: line 4: places.regoin: unknown field; did you mean region?\n"+
+			"wrong field: line 4: places.colour: unknown field\n"+
+			"wrong field: line 5: byName.x.domian: unknown field; did you mean domain?")
+}
+
+func TestLineOfAField(t *testing.T) {
+	text := []byte("{\n\"name\": {\n\"limits\": 1},\n\"limits\": {\n\"memory\": 1}}")
+	expectLine := func(path string, want int) {
+		t.Helper()
+		qt.Check(t, strictdecoder.LineOf(text, path), qt.Equals, want)
+	}
+	expectLine("limits.memory", 5)
+	expectLine("limits", 4)
+	expectLine("name.limits", 3)
+	expectLine("limits.missing", 4)
+	expectLine("missing", 1)
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"name": "a", "places": [{"region": []}], "byName": {"x": null}, "limits": [[{}]]}`))
+	f.Fuzz(func(_ *testing.T, text []byte) {
+		var d document
+		_ = strictdecoder.Decode(text, &d)
+	})
+}
