--- a/internal/strictdecoder/decoder_test.go
+++ b/internal/strictdecoder/decoder_test.go
@@ -41,10 +41,10 @@
 }
 
 func TestEveryUnknownFieldIsListedWithTheNearestName(t *testing.T) {
-	expectFault(t, "{\n\"naem\": \"a\",\n\"places\": [\n{\"regoin\": \"r\", \"colour\": {\"deep\": 1}}],\n\"byName\": {\"x\": {\"domian\": \"d\"}}}",
+	expectFault(t, "{\n\"naem\": \"a\",\n\"places\": [\n{\"regoin\": \"r\", \"shade\": {\"deep\": 1}}],\n\"byName\": {\"x\": {\"domian\": \"d\"}}}",
 		"wrong field: line 2: naem: unknown field; did you mean name?\n"+
 			"wrong field: line 4: places.regoin: unknown field; did you mean region?\n"+
-			"wrong field: line 4: places.colour: unknown field\n"+
+			"wrong field: line 4: places.shade: unknown field\n"+
 			"wrong field: line 5: byName.x.domian: unknown field; did you mean domain?")
 }
 
