Upstreams that fail one VM are left by all

Change: a failure is told to all VMs at once, at most each 20 ms; they leave the upstream alone for up to a second, with a spread so that they don't all come back together. What the placer draws follows from a seed, so its tests repeat.

--- a/internal/entryvm/shared.go
+++ b/internal/entryvm/shared.go
@@ -44,6 +44,7 @@
 	news := peerteller.News{
 		Strikes:   s.quarantine.Recent(maxStrikes, now),
 		Cancelled: cancelled[:min(len(cancelled), maxCancels)],
+		Failing:   s.placer.Failing(now),
 	}
 	return s.placer.Report(), news
 }
@@ -51,6 +52,7 @@
 // Hear implements peerteller.State.
 func (s *sharedState) Hear(vm string, report placer.Report, news peerteller.News, now time.Time) {
 	s.placer.Heard(vm, report, now)
+	s.placer.HeardFailing(news.Failing, now)
 	for _, strike := range news.Strikes {
 		s.quarantine.Learn(strike, now)
 	}
--- a/internal/peerteller/schedule.go
+++ b/internal/peerteller/schedule.go
@@ -21,6 +21,8 @@
 	regionShare = 4 * time.Millisecond
 	farShare    = 16 * time.Millisecond
 	minFar      = 100 * time.Millisecond
+	// urgentPeriod is the shortest time between two messages to all VMs at once.
+	urgentPeriod = 20 * time.Millisecond
 )
 
 // audience is a set of peers that are told together.
@@ -38,6 +40,8 @@
 	domain  string
 	dirty   map[string]bool // failure domains that must know at once
 	vms     map[string]bool // single VMs that must
+	urgent  bool            // all must
+	hurried time.Time       // when all were last told at once
 	changed [audiences]bool
 	last    [audiences]time.Time
 	counts  [audiences]int // peers
@@ -53,6 +57,7 @@
 	for _, vm := range c.Yielding {
 		s.vms[vm] = true
 	}
+	s.urgent = s.urgent || c.Failing
 	for a := range s.changed {
 		s.changed[a] = true
 	}
@@ -88,6 +93,9 @@
 			earliest = due
 		}
 	}
+	if urgent := s.hurried.Add(urgentPeriod); s.urgent && urgent.Before(earliest) {
+		return urgent
+	}
 	return earliest
 }
 
@@ -97,9 +105,13 @@
 	for _, p := range peers {
 		s.counts[s.audienceOf(p)]++
 	}
+	hurry := s.urgent && !now.Before(s.hurried.Add(urgentPeriod))
+	if hurry {
+		s.urgent, s.hurried = false, now
+	}
 	var ready [audiences]bool
 	for a := range audiences {
-		if ready[a] = !now.Before(s.due(a)); ready[a] {
+		if ready[a] = hurry || !now.Before(s.due(a)); ready[a] {
 			s.last[a], s.changed[a] = now, false
 		}
 	}
--- a/internal/peerteller/schedule_test.go
+++ b/internal/peerteller/schedule_test.go
@@ -79,3 +79,25 @@
 	sent := messages(peersOf("c", true, 43), "a", time.Hour)
 	qt.Check(t, sent["c"] >= 43*60, qt.IsTrue, qt.Commentf("%d", sent["c"]))
 }
+
+// All VMs hear at once of an upstream that fails, and a series of failures, as
+// when many connections are reset, is told in a bounded number of messages.
+func TestAFailureIsToldToAllAtOnceAndASeriesOfThemInABoundedNumber(t *testing.T) {
+	peers := append(peersOf("a", false, 2), append(peersOf("b", false, 2), peersOf("c", true, 2)...)...)
+	s := newSchedule("a")
+	told := 0
+	const length = time.Second
+	for at := 50 * time.Millisecond; at < length; at += time.Millisecond {
+		s.change(placer.Change{Domain: "a", Failing: true})
+		for _, p := range s.take(peers, start.Add(at)) {
+			if p.Far {
+				told++
+			}
+		}
+		if at == 50*time.Millisecond {
+			qt.Check(t, told, qt.Equals, 2)
+		}
+	}
+	most := 2 * int(length/urgentPeriod)
+	qt.Check(t, told <= most, qt.IsTrue, qt.Commentf("%d messages to two VMs", told))
+}
--- a/internal/peerteller/teller.go
+++ b/internal/peerteller/teller.go
@@ -33,12 +33,15 @@
 	Strikes []quarantiner.Strike `cbor:"strikes,omitempty"`
 	// Cancelled are jobs that were cancelled lately.
 	Cancelled []string `cbor:"cancelled,omitempty"`
+	// Failing are upstreams that fail the sender.
+	Failing map[string]placer.Failure `cbor:"failing,omitempty"`
 }
 
 // News is what a VM tells beside its work.
 type News struct {
 	Strikes   []quarantiner.Strike
 	Cancelled []string
+	Failing   map[string]placer.Failure
 }
 
 // Peer is another VM.
@@ -152,6 +155,7 @@
 	counts, news := t.state.Tell(time.Now())
 	text, err := cbor.Marshal(message{
 		VM: t.vm, Boot: t.boot, Sequence: sequence, Counts: counts, Strikes: news.Strikes, Cancelled: news.Cancelled,
+		Failing: news.Failing,
 	})
 	if err != nil {
 		t.logger.Error("encode peer message", "error", err)
@@ -177,7 +181,7 @@
 			continue
 		}
 		if t.isNews(m) {
-			t.state.Hear(m.VM, m.Counts, News{Strikes: m.Strikes, Cancelled: m.Cancelled}, time.Now())
+			t.state.Hear(m.VM, m.Counts, News{Strikes: m.Strikes, Cancelled: m.Cancelled, Failing: m.Failing}, time.Now())
 		}
 	}
 }
@@ -194,7 +198,7 @@
 	if !found || last.Boot != m.Boot {
 		t.logger.Info("peer heard", "vm", m.VM, "boot", m.Boot)
 	}
-	m.Counts, m.Strikes, m.Cancelled = nil, nil, nil
+	m.Counts, m.Strikes, m.Cancelled, m.Failing = nil, nil, nil, nil
 	t.heard[m.VM] = m
 	return true
 }
--- a/internal/placer/choice.go
+++ b/internal/placer/choice.go
@@ -1,7 +1,6 @@
 package placer
 
 import (
-	"math/rand/v2"
 	"time"
 )
 
@@ -66,7 +65,7 @@
 		return nil, nil
 	}
 	best.own.Online++
-	return &Place{upstream: best}, p.yielding(best, now)
+	return &Place{upstream: best, taken: now}, p.yielding(best, now)
 }
 
 // yielding returns the other VMs with batch work on an upstream that is over
@@ -91,7 +90,12 @@
 	if u.tier == TierDomain {
 		return 0
 	}
-	return rand.N(staleSpread)
+	return p.draw(staleSpread)
+}
+
+// draw returns a random time below a limit.
+func (p *Placer) draw(limit time.Duration) time.Duration {
+	return time.Duration(p.random.Int64N(int64(limit)))
 }
 
 // onlineWait estimates the time until an online request's first event, beyond
@@ -114,7 +118,7 @@
 	case TierRemote:
 		wait += remotePenalty
 	}
-	if now.Before(u.blockedUntil) {
+	if now.Before(u.until) {
 		wait += blockedPenalty
 	}
 	return wait
@@ -147,7 +151,7 @@
 	for i := range members {
 		u := members[(i+p.turn)%len(members)]
 		room := u.Sequences - onlineReserve - u.load(now)
-		if u.Leaving || avoid[u.ID] || room < batchRoom(u) || now.Before(u.blockedUntil) || u.slow(now) > 1.5 {
+		if u.Leaving || avoid[u.ID] || room < batchRoom(u) || now.Before(u.until) || u.slow(now) > 1.5 {
 			continue
 		}
 		if best == nil || u.tier < best.tier || (u.tier == best.tier && room > most) {
@@ -158,7 +162,7 @@
 		return nil, false
 	}
 	best.own.Batch++
-	place := &Place{upstream: best, isBatch: true}
+	place := &Place{upstream: best, taken: now, isBatch: true}
 	best.batch = append(best.batch, place)
 	return place, true
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -53,9 +54,6 @@
 	slowSpell = 500 * time.Millisecond
 	// unseenMemory is how long work that no VM tells of is taken to last.
 	unseenMemory = 300 * time.Millisecond
-	// blockBase doubles with each failure in a row, up to maxBlock.
-	blockBase = 100 * time.Millisecond
-	maxBlock  = 2 * time.Second
 	// defaultSequences is taken for an upstream that doesn't tell.
 	defaultSequences = 4
 )
@@ -67,12 +65,11 @@
 	own    Count
 	others Count
 
-	unseen       int // work that no VM tells of, as of unseenAt
-	unseenAt     time.Time
-	slowness     float64
-	slowAt       time.Time
-	failures     int
-	blockedUntil time.Time
+	unseen   int // work that no VM tells of, as of unseenAt
+	unseenAt time.Time
+	slowness float64
+	slowAt   time.Time
+	failing
 
 	batch []*Place // this VM's, oldest first
 }
@@ -124,6 +121,7 @@
 // Place is the right to run one request on an upstream.
 type Place struct {
 	upstream *upstream
+	taken    time.Time
 	isBatch  bool
 	ended    bool
 	stopping bool
@@ -140,6 +138,7 @@
 	changed func(Change)
 
 	mu        sync.Mutex
+	random    *rand.Rand
 	upstreams map[string]*upstream
 	services  map[string][]*upstream
 	peers     map[string]peer
@@ -155,6 +154,8 @@
 	Domain string
 	// Yielding are the VMs whose batch work there has to give way now.
 	Yielding []string
+	// Failing tells that the upstream has failed, which all VMs should know.
+	Failing bool
 }
 
 // WithChanged sets a function that is called whenever the VM's own work on an
@@ -163,10 +164,16 @@
 	return func(p *Placer) { p.changed = changed }
 }
 
+// WithSeed makes all that is drawn follow from a seed.
+func WithSeed(seed uint64) Option {
+	return func(p *Placer) { p.random = rand.New(rand.NewPCG(seed, seed)) }
+}
+
 // New returns the placer of a VM in a failure domain.
 func New(self, domain string, regions map[string]string, options ...Option) *Placer {
 	p := &Placer{
 		self: self, domain: domain, regions: regions, changed: func(Change) {},
+		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		upstreams: map[string]*upstream{}, services: map[string][]*upstream{}, peers: map[string]peer{},
 	}
 	for _, option := range options {
@@ -270,7 +277,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	u := place.upstream
-	u.failures = 0
+	u.answer(place.taken, now)
 	if load.Sequences > 0 {
 		u.Sequences = load.Sequences
 	}
@@ -281,16 +288,6 @@
 	u.unseen, u.unseenAt = max(0, load.Running+load.Waiting-known), now
 }
 
-// Failed notes that an upstream broke off or could not be reached. Others are
-// preferred for a time that doubles with each failure in a row.
-func (p *Placer) Failed(place *Place, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	u := place.upstream
-	u.blockedUntil = now.Add(min(blockBase<<min(u.failures, 5), maxBlock))
-	u.failures++
-}
-
 // Done gives a place back.
 func (p *Placer) Done(place *Place) {
 	p.mu.Lock()
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -28,8 +28,8 @@
 	return list
 }
 
-func newPlacer(self string, list []placer.Upstream) *placer.Placer {
-	p := placer.New(self, "a", regions)
+func newPlacer(self string, list []placer.Upstream, options ...placer.Option) *placer.Placer {
+	p := placer.New(self, "a", regions, append([]placer.Option{placer.WithSeed(1)}, options...)...)
 	p.SetUpstreams(list)
 	return p
 }
