--- /dev/null
+++ b/internal/daysimulator/fleet.go
@@ -0,0 +1,223 @@
+package daysimulator
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/peerteller"
+	"github.com/fescuespindle/fescuespindle/internal/placer"
+)
+
+const service = "model"
+
+// fleet makes the decisions that the VMs make: each has a placer of its own that
+// knows what other VMs have told, by the schedule that decides when they tell.
+type fleet struct {
+	s        *simulator
+	deciders []*decider
+}
+
+// decider is the deciding code of one VM.
+type decider struct {
+	f        *fleet
+	vm       *vm
+	placer   *placer.Placer
+	schedule *peerteller.Schedule
+	peers    []peerteller.Peer
+	places   map[*engine][]*placer.Place // online, by engine
+	items    map[*placer.Place]*item
+	runs     map[*item]*placer.Place
+	pending  bool // a look for room is planned
+	telling  time.Duration
+}
+
+// Fleet is the policy of the VMs as they are.
+func Fleet(s *simulator) policy {
+	f := &fleet{s: s}
+	regions := map[string]string{}
+	for _, d := range s.day.Domains {
+		regions[d.Name] = d.Region
+	}
+	var list []placer.Upstream
+	for _, e := range s.engines {
+		list = append(list, placer.Upstream{
+			ID: e.id, Service: service, Address: e.id, Domain: e.domain.Name, Sequences: s.day.Engine.Sequences,
+		})
+	}
+	for i := range s.vms {
+		f.deciders = append(f.deciders, f.newDecider(&s.vms[i], list, regions))
+	}
+	for _, d := range f.deciders {
+		f.tick(d)
+	}
+	return f
+}
+
+func vmName(n int) string { return fmt.Sprintf("vm-%03d", n) }
+
+func (f *fleet) newDecider(v *vm, list []placer.Upstream, regions map[string]string) *decider {
+	d := &decider{
+		f: f, vm: v, schedule: peerteller.NewSchedule(v.domain.Name), places: map[*engine][]*placer.Place{},
+		items: map[*placer.Place]*item{}, runs: map[*item]*placer.Place{}, telling: -1,
+	}
+	d.placer = placer.New(vmName(v.number), v.domain.Name, regions, placer.WithSeed(f.s.day.Seed+uint64(v.number)),
+		placer.WithChanged(func(c placer.Change) {
+			d.schedule.Change(c)
+			d.planTelling()
+			d.wake()
+		}))
+	d.placer.SetUpstreams(list)
+	for i := range f.s.vms {
+		if other := &f.s.vms[i]; other != v {
+			d.peers = append(d.peers, peerteller.Peer{
+				VM: vmName(other.number), Domain: other.domain.Name, Far: other.domain.Region != v.domain.Region,
+			})
+		}
+	}
+	return d
+}
+
+// clock turns a moment of the day into a time.
+func clock(at time.Duration) time.Time { return time.Unix(1_700_000_000, 0).Add(at) }
+
+func (f *fleet) now() time.Time { return clock(f.s.now) }
+
+// tickPeriod is the time between two looks at what only time brings about.
+const tickPeriod = 100 * time.Millisecond
+
+func (f *fleet) tick(d *decider) {
+	d.placer.Expire(f.now())
+	d.planTelling()
+	d.wake()
+	if !d.vm.lost {
+		f.s.at(f.s.now+tickPeriod, func() { f.tick(d) })
+	}
+}
+
+// planTelling plans the next message to other VMs.
+func (d *decider) planTelling() {
+	next := max(d.schedule.Next().Sub(clock(0)), d.f.s.now)
+	if d.vm.lost || (d.telling >= d.f.s.now && d.telling <= next) {
+		return
+	}
+	d.telling = next
+	d.f.s.at(next, d.tell)
+}
+
+func (d *decider) tell() {
+	now := d.f.now()
+	told := d.schedule.Take(d.peers, now)
+	d.telling = -1
+	d.planTelling()
+	if len(told) == 0 || d.vm.lost {
+		return
+	}
+	report, failing := d.placer.Report(), d.placer.Failing(now)
+	for _, peer := range told {
+		var number int
+		if _, err := fmt.Sscanf(peer.VM, "vm-%d", &number); err != nil {
+			continue
+		}
+		other := d.f.deciders[number]
+		d.f.s.at(d.f.s.now+delay(d.vm.domain, other.vm.domain), func() {
+			other.placer.Heard(vmName(d.vm.number), report, d.f.now())
+			other.placer.HeardFailing(failing, d.f.now())
+			other.wake()
+		})
+	}
+}
+
+func (f *fleet) online(v *vm, avoid map[string]bool) *engine {
+	d := f.deciders[v.number]
+	place, found := d.placer.Online(service, avoid, f.now())
+	if !found {
+		return nil
+	}
+	e := f.s.engineNamed(place.Upstream().ID)
+	d.places[e] = append(d.places[e], place)
+	return e
+}
+
+func (f *fleet) answered(v *vm, e *engine, load int, slowness float64) {
+	d := f.deciders[v.number]
+	if place := d.anyPlace(e); place != nil {
+		running := min(load, e.spec.Sequences)
+		d.placer.Observe(place, placer.Load{
+			Running: running, Waiting: load - running, Sequences: e.spec.Sequences, Slowness: slowness,
+		}, f.now())
+	}
+}
+
+// anyPlace returns a place that the VM has on an engine.
+func (d *decider) anyPlace(e *engine) *placer.Place {
+	if places := d.places[e]; len(places) > 0 {
+		return places[0]
+	}
+	for place := range d.items {
+		if place.Upstream().ID == e.id {
+			return place
+		}
+	}
+	return nil
+}
+
+func (f *fleet) onlineEnded(v *vm, e *engine) {
+	d := f.deciders[v.number]
+	if places := d.places[e]; len(places) > 0 {
+		d.places[e] = places[1:]
+		d.placer.Done(places[0])
+	}
+}
+
+func (f *fleet) itemEnded(v *vm, it *item, _ *engine) {
+	d := f.deciders[v.number]
+	if place, found := d.runs[it]; found {
+		delete(d.runs, it)
+		delete(d.items, place)
+		d.placer.Done(place)
+	}
+}
+
+func (f *fleet) changed(v *vm) { f.deciders[v.number].wake() }
+
+// wake plans a look for work that must give way and for room.
+func (d *decider) wake() {
+	if d.pending || d.vm.lost {
+		return
+	}
+	d.pending = true
+	d.f.s.at(d.f.s.now, d.look)
+}
+
+func (d *decider) look() {
+	d.pending = false
+	now := d.f.now()
+	for _, place := range d.placer.Yield(now) {
+		if it, found := d.items[place]; found && it.work != nil {
+			d.f.s.stopItem(d.vm, it)
+		}
+	}
+	if len(d.vm.items) == len(d.runs) {
+		return
+	}
+	for _, it := range d.f.s.pending(d.vm) {
+		if _, stopping := d.runs[it]; stopping {
+			continue // its last run has not ended yet
+		}
+		place, found := d.placer.Batch(service, nil, now)
+		if !found {
+			return
+		}
+		d.runs[it], d.items[place] = place, it
+		d.f.s.startItem(d.vm, it, d.f.s.engineNamed(place.Upstream().ID))
+	}
+}
+
+func (s *simulator) engineNamed(id string) *engine {
+	for _, e := range s.engines {
+		if e.id == id {
+			return e
+		}
+	}
+	return nil
+}
--- a/internal/peerteller/schedule.go
+++ b/internal/peerteller/schedule.go
@@ -35,8 +35,8 @@
 	audiences
 )
 
-// schedule decides when which peers are told. It has no clock of its own.
-type schedule struct {
+// Schedule decides when which peers are told. It has no clock of its own.
+type Schedule struct {
 	domain  string
 	dirty   map[string]bool // failure domains that must know at once
 	vms     map[string]bool // single VMs that must
@@ -47,12 +47,13 @@
 	counts  [audiences]int // peers
 }
 
-func newSchedule(domain string) *schedule {
-	return &schedule{domain: domain, dirty: map[string]bool{}, vms: map[string]bool{}}
+// NewSchedule returns the schedule of a VM in a failure domain.
+func NewSchedule(domain string) *Schedule {
+	return &Schedule{domain: domain, dirty: map[string]bool{}, vms: map[string]bool{}}
 }
 
-// change notes that the work on an upstream has changed.
-func (s *schedule) change(c placer.Change) {
+// Change notes that the work on an upstream has changed.
+func (s *Schedule) Change(c placer.Change) {
 	s.dirty[c.Domain] = true
 	for _, vm := range c.Yielding {
 		s.vms[vm] = true
@@ -64,7 +65,7 @@
 }
 
 // interval returns the shortest time between two messages to an audience.
-func (s *schedule) interval(a audience) time.Duration {
+func (s *Schedule) interval(a audience) time.Duration {
 	switch a {
 	case audienceRegion:
 		return min(time.Duration(s.counts[a])*regionShare, period)
@@ -78,15 +79,15 @@
 }
 
 // due returns when an audience is told next.
-func (s *schedule) due(a audience) time.Time {
+func (s *Schedule) due(a audience) time.Time {
 	if s.changed[a] {
 		return s.last[a].Add(s.interval(a))
 	}
 	return s.last[a].Add(max(period, s.interval(a)))
 }
 
-// next returns when any audience is told next.
-func (s *schedule) next() time.Time {
+// Next returns when any audience is told next.
+func (s *Schedule) Next() time.Time {
 	earliest := s.due(audienceNear)
 	for a := audienceRegion; a < audiences; a++ {
 		if due := s.due(a); due.Before(earliest) {
@@ -99,8 +100,8 @@
 	return earliest
 }
 
-// take returns the peers that are told now.
-func (s *schedule) take(peers []Peer, now time.Time) []Peer {
+// Take returns the peers that are told now.
+func (s *Schedule) Take(peers []Peer, now time.Time) []Peer {
 	s.counts = [audiences]int{}
 	for _, p := range peers {
 		s.counts[s.audienceOf(p)]++
@@ -130,11 +131,11 @@
 
 // mustKnow tells whether a peer must know of the last changes at once: it may
 // send to an upstream concerned, or has batch work there that must give way.
-func (s *schedule) mustKnow(p Peer) bool {
+func (s *Schedule) mustKnow(p Peer) bool {
 	return s.vms[p.VM] || (s.dirty[p.Domain] && !p.Far)
 }
 
-func (s *schedule) audienceOf(p Peer) audience {
+func (s *Schedule) audienceOf(p Peer) audience {
 	switch {
 	case p.Domain == s.domain:
 		return audienceNear
--- a/internal/peerteller/schedule_test.go
+++ b/internal/peerteller/schedule_test.go
@@ -24,17 +24,17 @@
 // messages counts the messages of a minute, by domain, under a change on an
 // upstream of a domain every so often.
 func messages(peers []Peer, domain string, every time.Duration) map[string]int {
-	s := newSchedule("a")
+	s := NewSchedule("a")
 	sent := map[string]int{}
 	for at := time.Duration(0); at < time.Minute; at += time.Millisecond {
 		if at%every == 0 {
-			s.change(placer.Change{Domain: domain})
+			s.Change(placer.Change{Domain: domain})
 		}
 		now := start.Add(at)
-		if now.Before(s.next()) {
+		if now.Before(s.Next()) {
 			continue
 		}
-		for _, p := range s.take(peers, now) {
+		for _, p := range s.Take(peers, now) {
 			sent[p.Domain]++
 		}
 	}
@@ -43,13 +43,13 @@
 
 func TestThoseWhoSendThereFirstKnowAtOnce(t *testing.T) {
 	peers := append(peersOf("a", false, 1), append(peersOf("b", false, 1), peersOf("c", true, 1)...)...)
-	s := newSchedule("a")
-	s.take(peers, start)
+	s := NewSchedule("a")
+	s.Take(peers, start)
 	expect := func(change placer.Change, want ...string) {
 		t.Helper()
-		s.change(change)
+		s.Change(change)
 		var got []string
-		for _, p := range s.take(peers, start.Add(2*time.Millisecond)) {
+		for _, p := range s.Take(peers, start.Add(2*time.Millisecond)) {
 			got = append(got, p.Domain)
 		}
 		s.last[audienceNear] = start
@@ -84,12 +84,12 @@
 // when many connections are reset, is told in a bounded number of messages.
 func TestAFailureIsToldToAllAtOnceAndASeriesOfThemInABoundedNumber(t *testing.T) {
 	peers := append(peersOf("a", false, 2), append(peersOf("b", false, 2), peersOf("c", true, 2)...)...)
-	s := newSchedule("a")
+	s := NewSchedule("a")
 	told := 0
 	const length = time.Second
 	for at := 50 * time.Millisecond; at < length; at += time.Millisecond {
-		s.change(placer.Change{Domain: "a", Failing: true})
-		for _, p := range s.take(peers, start.Add(at)) {
+		s.Change(placer.Change{Domain: "a", Failing: true})
+		for _, p := range s.Take(peers, start.Add(at)) {
 			if p.Far {
 				told++
 			}
--- a/internal/peerteller/teller.go
+++ b/internal/peerteller/teller.go
@@ -74,7 +74,7 @@
 
 	mu       sync.Mutex
 	peers    []Peer
-	schedule *schedule
+	schedule *Schedule
 	heard    map[string]message // without what they told
 }
 
@@ -91,7 +91,7 @@
 	}
 	return &Teller{
 		vm: vm, boot: boot, conn: conn, logger: logger, wake: make(chan struct{}, 1), heard: map[string]message{},
-		schedule: newSchedule(domain),
+		schedule: NewSchedule(domain),
 	}, nil
 }
 
@@ -109,7 +109,7 @@
 // for long.
 func (t *Teller) Changed(change placer.Change) {
 	t.mu.Lock()
-	t.schedule.change(change)
+	t.schedule.Change(change)
 	t.mu.Unlock()
 	select {
 	case t.wake <- struct{}{}:
@@ -138,8 +138,8 @@
 		}
 		now := time.Now()
 		t.mu.Lock()
-		told := t.schedule.take(t.peers, now)
-		next := t.schedule.next()
+		told := t.schedule.Take(t.peers, now)
+		next := t.schedule.Next()
 		t.mu.Unlock()
 		if len(told) > 0 {
 			t.send(sequence, told)
--- a/internal/placer/choice.go
+++ b/internal/placer/choice.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -65,6 +67,7 @@
 		return nil, nil
 	}
 	best.own.Online++
+	best.noteFull(now)
 	return &Place{upstream: best, taken: now}, p.yielding(best, now)
 }
 
@@ -150,8 +153,8 @@
 	p.turn++
 	for i := range members {
 		u := members[(i+p.turn)%len(members)]
-		room := u.Sequences - onlineReserve - u.load(now)
-		if u.Leaving || avoid[u.ID] || room < batchRoom(u) || now.Before(u.until) || u.slow(now) > 1.5 {
+		room := u.room(now)
+		if !u.hasRoom(now) || u.Leaving || avoid[u.ID] || now.Before(u.until) || u.slow(now) > 1.5 {
 			continue
 		}
 		if best == nil || u.tier < best.tier || (u.tier == best.tier && room > most) {
@@ -167,6 +170,34 @@
 	return place, true
 }
 
+// batchSpread is the time over which the VMs that could take a free place are
+// spread.
+const batchSpread = 12 * time.Millisecond
+
+// batchWait returns how long there must have been room on an upstream for a VM's
+// batch work to come: another time for each VM, or all that see a place become
+// free would take it at once, and most of them would have to give way again.
+func batchWait(vm, upstream string) time.Duration {
+	return time.Duration(xxhash.Sum64String(vm+"/"+upstream) % uint64(batchSpread))
+}
+
+// room returns the places that batch work may take.
+func (u *upstream) room(now time.Time) int { return u.Sequences - onlineReserve - u.load(now) }
+
+// noteFull notes a moment at which there is no room for batch work.
+func (u *upstream) noteFull(now time.Time) {
+	if u.room(now) < batchRoom(u) {
+		u.fullAt = now
+	}
+}
+
+// hasRoom tells whether there has been room for this VM's batch work for long
+// enough.
+func (u *upstream) hasRoom(now time.Time) bool {
+	u.noteFull(now)
+	return now.Sub(u.fullAt) > u.batchWait
+}
+
 // batchRoom returns the places that must be free on an upstream for batch work to
 // go there: more the later its own VMs hear of it.
 func batchRoom(u *upstream) int {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -71,7 +71,9 @@
 	slowAt   time.Time
 	failing
 
-	batch []*Place // this VM's, oldest first
+	fullAt    time.Time     // when there was last seen to be no room for batch work
+	batchWait time.Duration // how long after that this VM's may come
+	batch     []*Place      // this VM's, oldest first
 }
 
 // load returns all requests that are known to be on the upstream.
@@ -205,7 +207,7 @@
 		listed.Sequences = defaultSequences
 	}
 	if known == nil || known.Born != listed.Born || known.Address != listed.Address {
-		u := &upstream{Upstream: listed, tier: p.tierOf(listed.Domain)}
+		u := &upstream{Upstream: listed, tier: p.tierOf(listed.Domain), batchWait: batchWait(p.self, listed.ID)}
 		for _, peer := range p.peers {
 			u.others = u.others.plus(peer.counts[listed.ID])
 		}
@@ -235,6 +237,7 @@
 	for id, count := range report {
 		if u, found := p.upstreams[id]; found {
 			u.others = u.others.plus(count)
+			u.noteFull(now)
 		}
 	}
 }
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -153,3 +153,27 @@
 	takeOnline(t, p)
 	qt.Check(t, changes, qt.DeepEquals, []placer.Change{{Domain: "a"}, {Domain: "a", Yielding: []string{"vm2"}}})
 }
+
+// Many VMs with batch work see a place become free at the same moment: few of
+// them take it before they hear of each other, and in the end one of them has it.
+func TestAFreePlaceIsNotTakenByAllVMsAtOnce(t *testing.T) {
+	const vms, heardAfter = 14, 2 * time.Millisecond
+	list := engines(1, "a")
+	var placers []*placer.Placer
+	for n := range vms {
+		p := newPlacer(fmt.Sprint("vm", n), list)
+		p.Heard("busy", placer.Report{"a0": {Online: 2}}, start)
+		placers = append(placers, p)
+	}
+	now, taken := start, 0
+	for ; now.Before(start.Add(50*time.Millisecond)) && taken == 0; now = now.Add(heardAfter) {
+		for _, p := range placers {
+			p.Heard("busy", placer.Report{}, now)
+			if _, found := p.Batch("lm", nil, now); found {
+				taken++
+			}
+		}
+	}
+	qt.Check(t, taken >= 1 && taken <= 4, qt.IsTrue, qt.Commentf("%d of %d VMs", taken, vms))
+	qt.Check(t, now.Before(start.Add(15*time.Millisecond)), qt.IsTrue, qt.Commentf("taken after %v", now.Sub(start)))
+}
