Urgent batch work comes first and gives way last

VMs competed for free places as equals, whatever their items' deadlines, and the newest item gave way, also if it was the one that could not afford it. Change: batch work comes to the placer with the latest start at which it is in time.

--- a/internal/batch/batchrunner/job.go
+++ b/internal/batch/batchrunner/job.go
@@ -179,6 +179,19 @@
 	return p.run, min(float64(output)/max(p.output, 1), 1)
 }
 
+// rankItem returns what an item's turn goes by.
+func (r *Runner) rankItem(it *item) ranker.Item {
+	_, made := r.pace.of(len(it.progress.Output))
+	return ranker.Item{Job: it.job.stored.ID, Index: it.index, Due: it.job.stored.Due, Made: made}
+}
+
+// latestStart returns when an item must start to be done in time, on the store's
+// clock.
+func (r *Runner) latestStart(it *item) time.Duration {
+	run, _ := r.pace.of(0)
+	return r.rankItem(it).LatestStart(run)
+}
+
 // pending returns the items that may start, in the order in which they get room.
 func (r *Runner) pending(now time.Time) []*item {
 	var waiting []ranker.Item
@@ -191,8 +204,7 @@
 			if it.state != statePending || now.Before(it.notBefore) {
 				continue
 			}
-			_, made := r.pace.of(len(it.progress.Output))
-			waiting = append(waiting, ranker.Item{Job: j.stored.ID, Index: it.index, Due: j.stored.Due, Made: made})
+			waiting = append(waiting, r.rankItem(it))
 		}
 	}
 	ranker.Order(waiting, r.keeper.Now(), run)
--- a/internal/batch/batchrunner/runner.go
+++ b/internal/batch/batchrunner/runner.go
@@ -33,7 +33,7 @@
 
 // Placer finds room.
 type Placer interface {
-	Batch(service string, avoid map[string]bool, now time.Time) (*placer.Place, bool)
+	Batch(work placer.BatchWork, now time.Time) (*placer.Place, bool)
 	Yield(now time.Time) []*placer.Place
 }
 
@@ -211,7 +211,9 @@
 		if full[service] {
 			continue
 		}
-		place, found := r.placer.Batch(service, it.avoid, now)
+		place, found := r.placer.Batch(placer.BatchWork{
+			Service: service, Avoid: it.avoid, LatestStart: now.Add(r.latestStart(it) - r.keeper.Now()),
+		}, now)
 		if !found {
 			full[service] = len(it.avoid) == 0
 			continue
--- a/internal/batch/ranker/ranker.go
+++ b/internal/batch/ranker/ranker.go
@@ -40,9 +40,12 @@
 }
 
 // isLate tells whether an item can't be done in time even if it starts now.
-func (i Item) isLate(now, run time.Duration) bool {
-	left := time.Duration((1 - i.Made) * float64(run))
-	return now+left > i.Due
+func (i Item) isLate(now, run time.Duration) bool { return now > i.LatestStart(run) }
+
+// LatestStart returns when an item must start to be done in time, if a whole run
+// takes so long.
+func (i Item) LatestStart(run time.Duration) time.Duration {
+	return i.Due - time.Duration((1-i.Made)*float64(run))
 }
 
 func compareBool(a, b bool) int {
--- a/internal/laboratory/daysimulator/fleet.go
+++ b/internal/laboratory/daysimulator/fleet.go
@@ -203,7 +203,8 @@
 		if _, stopping := d.runs[it]; stopping {
 			continue // its last run has not ended yet
 		}
-		place, found := d.placer.Batch(service, nil, now)
+		latest := clock(it.ranked().LatestStart(d.f.s.wholeRun()))
+		place, found := d.placer.Batch(placer.BatchWork{Service: service, LatestStart: latest}, now)
 		if !found {
 			return
 		}
--- a/internal/laboratory/daysimulator/policy.go
+++ b/internal/laboratory/daysimulator/policy.go
@@ -65,10 +65,9 @@
 			continue
 		}
 		named[name{it.job, it.index}] = it
-		waiting = append(waiting, ranker.Item{Job: it.job, Index: it.index, Due: it.due, Made: 1 - it.steps/it.whole})
+		waiting = append(waiting, it.ranked())
 	}
-	run := time.Duration(s.day.ItemSteps * float64(s.day.Engine.Step))
-	ranker.Order(waiting, s.now, run)
+	ranker.Order(waiting, s.now, s.wholeRun())
 	items := make([]*item, 0, len(waiting))
 	for _, w := range waiting {
 		items = append(items, named[name{w.Job, w.Index}])
@@ -76,6 +75,16 @@
 	return items
 }
 
+// wholeRun returns how long a whole item takes on an empty engine.
+func (s *simulator) wholeRun() time.Duration {
+	return time.Duration(s.day.ItemSteps * float64(s.day.Engine.Step))
+}
+
+// ranked returns what an item's turn goes by.
+func (it *item) ranked() ranker.Item {
+	return ranker.Item{Job: it.job, Index: it.index, Due: it.due, Made: 1 - it.steps/it.whole}
+}
+
 // placed is the work that has been sent to one engine and has not ended.
 type placed struct {
 	online int
--- a/internal/online/placer/choice.go
+++ b/internal/online/placer/choice.go
@@ -1,6 +1,8 @@
 package placer
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -134,27 +136,60 @@
 	return load - batch - u.Sequences
 }
 
+// BatchWork is a batch item that looks for a place.
+type BatchWork struct {
+	Service string
+	Avoid   map[string]bool // upstreams that have just refused it
+	// LatestStart is when it would have to start to be done in time.
+	LatestStart time.Time
+}
+
+// urgency tells how much batch work needs a place now; more is a higher value.
+type urgency uint8
+
+const (
+	urgencyLate urgency = iota // it can't be done in time any more
+	urgencyCalm
+	urgencySoon
+	urgencies
+)
+
+// soonTime is how long before its latest start batch work is urgent.
+const soonTime = 6 * time.Second
+
+func (w BatchWork) urgency(now time.Time) urgency {
+	switch left := w.LatestStart.Sub(now); {
+	case left < 0:
+		return urgencyLate
+	case left < soonTime:
+		return urgencySoon
+	default:
+		return urgencyCalm
+	}
+}
+
 // Batch takes a place that batch work may have: one beyond the reserve, as near
 // as there is any, on the upstream with most room.
-func (p *Placer) Batch(service string, avoid map[string]bool, now time.Time) (*Place, bool) {
-	place, found := p.takeBatch(service, avoid, now)
+func (p *Placer) Batch(work BatchWork, now time.Time) (*Place, bool) {
+	place, found := p.takeBatch(work, now)
 	if found {
 		p.changed(Change{Domain: place.upstream.Domain})
 	}
 	return place, found
 }
 
-func (p *Placer) takeBatch(service string, avoid map[string]bool, now time.Time) (*Place, bool) {
+func (p *Placer) takeBatch(work BatchWork, now time.Time) (*Place, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var best *upstream
 	var most int
-	members := p.services[service]
+	urgent := work.urgency(now)
+	members := p.services[work.Service]
 	p.turn++
 	for i := range members {
 		u := members[(i+p.turn)%len(members)]
 		room := u.room(now)
-		if !u.hasRoom(now) || u.Leaving || avoid[u.ID] || now.Before(u.until) || u.slow(now) > 1.5 {
+		if !u.hasRoom(urgent, now) || u.Leaving || work.Avoid[u.ID] || now.Before(u.until) || u.slow(now) > 1.5 {
 			continue
 		}
 		if best == nil || u.tier < best.tier || (u.tier == best.tier && room > most) {
@@ -165,7 +200,7 @@
 		return nil, false
 	}
 	best.own.Batch++
-	place := &Place{upstream: best, taken: now, isBatch: true}
+	place := &Place{upstream: best, taken: now, isBatch: true, urgency: urgent}
 	best.batch = append(best.batch, place)
 	return place, true
 }
@@ -192,10 +227,11 @@
 }
 
 // hasRoom tells whether there has been room for this VM's batch work for long
-// enough.
-func (u *upstream) hasRoom(now time.Time) bool {
+// enough. Work that is less urgent waits longer, so that VMs with urgent work
+// come first.
+func (u *upstream) hasRoom(urgent urgency, now time.Time) bool {
 	u.noteFull(now)
-	return now.Sub(u.fullAt) > u.batchWait
+	return now.Sub(u.fullAt) > u.batchWait+time.Duration(urgencies-1-urgent)*batchSpread
 }
 
 // batchRoom returns the places that must be free on an upstream for batch work to
@@ -213,7 +249,8 @@
 	}
 }
 
-// Yield returns the batch places that this VM must give up now, newest first.
+// Yield returns the batch places that this VM must give up now: the least urgent
+// first, of these the newest.
 // Each is returned once and counts until Done. Where several VMs have batch work
 // on an upstream, the one with the highest name gives way first, so that all
 // that see the same counts agree.
@@ -226,7 +263,7 @@
 		if excess <= 0 || u.own.Batch == 0 {
 			continue
 		}
-		yielding = append(yielding, u.newest(min(excess-p.yieldedByOthers(u), u.own.Batch))...)
+		yielding = append(yielding, u.dispensable(min(excess-p.yieldedByOthers(u), u.own.Batch))...)
 	}
 	return yielding
 }
@@ -242,16 +279,21 @@
 	return n
 }
 
-// newest marks the n newest batch places as stopping and returns those that
-// were not so before.
-func (u *upstream) newest(n int) []*Place {
-	var places []*Place
-	for i := len(u.batch) - 1; i >= 0 && n > 0; i-- {
-		n--
-		if !u.batch[i].stopping {
-			u.batch[i].stopping = true
-			places = append(places, u.batch[i])
+// dispensable marks batch places as stopping, those first that are missed least,
+// until n are. It returns those that were not so before.
+func (u *upstream) dispensable(n int) []*Place {
+	var running []*Place
+	for _, place := range slices.Backward(u.batch) {
+		if place.stopping {
+			n--
+			continue
 		}
+		running = append(running, place)
+	}
+	slices.SortStableFunc(running, func(a, b *Place) int { return cmp.Compare(a.urgency, b.urgency) })
+	running = running[:min(max(n, 0), len(running))]
+	for _, place := range running {
+		place.stopping = true
 	}
-	return places
+	return running
 }
--- a/internal/online/placer/placer.go
+++ b/internal/online/placer/placer.go
@@ -125,6 +125,7 @@
 	upstream *upstream
 	taken    time.Time
 	isBatch  bool
+	urgency  urgency // of batch work
 	ended    bool
 	stopping bool
 }
--- a/internal/online/placer/placer_test.go
+++ b/internal/online/placer/placer_test.go
@@ -34,6 +34,9 @@
 	return p
 }
 
+// soonDue is batch work that must start soon to be in time.
+var soonDue = placer.BatchWork{Service: "lm", LatestStart: start.Add(time.Second)}
+
 func takeOnline(t *testing.T, p *placer.Placer) *placer.Place {
 	t.Helper()
 	place, found := p.Online("lm", nil, start)
@@ -112,14 +115,14 @@
 func TestBatchLeavesAPlaceAndGivesWay(t *testing.T) {
 	t.Run("reserve", func(t *testing.T) {
 		p := newPlacer("vm1", engines(1, "a"))
-		_, found := p.Batch("lm", nil, start)
+		_, found := p.Batch(soonDue, start)
 		qt.Check(t, found, qt.IsTrue)
-		_, found = p.Batch("lm", nil, start)
+		_, found = p.Batch(soonDue, start)
 		qt.Check(t, found, qt.IsFalse)
 	})
 	t.Run("step up of online work", func(t *testing.T) {
 		p := newPlacer("vm1", engines(1, "a"))
-		batch, _ := p.Batch("lm", nil, start)
+		batch, _ := p.Batch(soonDue, start)
 		takeOnline(t, p)
 		qt.Check(t, p.Yield(start), qt.HasLen, 0)
 		takeOnline(t, p)
@@ -129,7 +132,7 @@
 	t.Run("the VM with the highest name goes first", func(t *testing.T) {
 		for self, want := range map[string]int{"vm1": 0, "vm3": 1} {
 			p := newPlacer(self, engines(1, "a"))
-			_, found := p.Batch("lm", nil, start)
+			_, found := p.Batch(soonDue, start)
 			qt.Assert(t, found, qt.IsTrue)
 			p.Heard("vm2", placer.Report{"a0": {Online: 1, Batch: 1}}, start)
 			qt.Check(t, p.Yield(start), qt.HasLen, want)
@@ -169,7 +172,7 @@
 	for ; now.Before(start.Add(50*time.Millisecond)) && taken == 0; now = now.Add(heardAfter) {
 		for _, p := range placers {
 			p.Heard("busy", placer.Report{}, now)
-			if _, found := p.Batch("lm", nil, now); found {
+			if _, found := p.Batch(soonDue, now); found {
 				taken++
 			}
 		}
@@ -177,3 +180,41 @@
 	qt.Check(t, taken >= 1 && taken <= 4, qt.IsTrue, qt.Commentf("%d of %d VMs", taken, vms))
 	qt.Check(t, now.Before(start.Add(15*time.Millisecond)), qt.IsTrue, qt.Commentf("taken after %v", now.Sub(start)))
 }
+
+// Under a flood of jobs, VMs whose work must start soon come to a free place
+// before those whose work has time, and those before work that is late already.
+func TestUrgentBatchWorkComesToAFreePlaceFirst(t *testing.T) {
+	waitOf := func(latest time.Duration) time.Duration {
+		p := newPlacer("vm1", engines(1, "a"))
+		p.Heard("busy", placer.Report{"a0": {Online: 2}}, start)
+		p.Heard("busy", placer.Report{}, start)
+		for wait := time.Duration(0); ; wait += time.Millisecond {
+			work := placer.BatchWork{Service: "lm", LatestStart: start.Add(latest)}
+			if _, found := p.Batch(work, start.Add(wait)); found {
+				return wait
+			}
+		}
+	}
+	soon, calm, late := waitOf(2*time.Second), waitOf(10*time.Second), waitOf(-time.Second)
+	qt.Check(t, soon < calm && calm < late, qt.IsTrue, qt.Commentf("%v, %v, %v", soon, calm, late))
+}
+
+// What gives way to online work is what is missed least.
+func TestLateBatchWorkGivesWayBeforeUrgentWork(t *testing.T) {
+	list := engines(1, "a")
+	list[0].Sequences = 4
+	p := newPlacer("vm1", list)
+	var places []*placer.Place
+	for _, latest := range []time.Duration{-time.Second, 10 * time.Second, 2 * time.Second} {
+		place, found := p.Batch(placer.BatchWork{Service: "lm", LatestStart: start.Add(latest)}, start)
+		qt.Assert(t, found, qt.IsTrue)
+		places = append(places, place)
+	}
+	for _, want := range places {
+		p.Heard("b", placer.Report{"a0": {Online: 2 + slices.Index(places, want)}}, start)
+		got := p.Yield(start)
+		qt.Assert(t, got, qt.HasLen, 1)
+		qt.Check(t, got[0], qt.Equals, want)
+		p.Done(want)
+	}
+}
