One reader of event streams, one backoff; an event with a line of a whole buffer

Cause: eventreader and eventsplitter read the same format, batchkeeper and storekeeper paused between attempts by two functions. Reading them side by side showed a fault: a line of exactly the reader's 4,096 bytes left its line feed for the next read, which took it for the blank line that ends an event. The event's id was lost if it came after such a line, and a stream that went on elsewhere would have repeated the event. Test first: 'line of a whole buffer' failed before.

--- a/internal/batch/batchkeeper/keeper.go
+++ b/internal/batch/batchkeeper/keeper.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -62,12 +61,8 @@
 	}
 }
 
-// pause waits before a call is made again. It returns false if the context ends
-// first.
-func pause(ctx context.Context, attempt int) bool {
-	limit := min(retryBase<<min(attempt, 6), retryMax)
-	return sleeper.Sleep(ctx, limit/2+rand.N(limit))
-}
+// retries are the pauses before a call is made again.
+var retries = sleeper.Backoff{First: retryBase, Most: retryMax}
 
 // unlimited lets a call be made again for as long as its context lasts.
 const unlimited = time.Duration(1<<63 - 1)
@@ -89,7 +84,7 @@
 		case errors.Is(err, rowstore.ErrUnknown):
 			inDoubt = true
 		}
-		if (inDoubt || time.Since(began) < patience) && pause(ctx, attempt) {
+		if (inDoubt || time.Since(began) < patience) && retries.Wait(ctx, attempt) {
 			continue
 		}
 		if inDoubt {
@@ -122,7 +117,7 @@
 			k.noteClock(all.Now)
 			return all, nil
 		}
-		if time.Since(began) >= patience || !pause(ctx, attempt) {
+		if time.Since(began) >= patience || !retries.Wait(ctx, attempt) {
 			return all, fmt.Errorf("%w: %s: %w", ErrNotRead, table, err)
 		}
 	}
--- a/internal/batch/batchkeeper/owner.go
+++ b/internal/batch/batchkeeper/owner.go
@@ -202,7 +202,7 @@
 		if !errors.Is(err, rowstore.ErrConflict) {
 			return err
 		}
-		if !pause(ctx, attempt) { // the owner has written meanwhile
+		if !retries.Wait(ctx, attempt) { // the owner has written meanwhile
 			return fmt.Errorf("%w: %w", ErrNotWritten, err)
 		}
 	}
--- a/internal/batch/batchkeeper/submission.go
+++ b/internal/batch/batchkeeper/submission.go
@@ -113,7 +113,7 @@
 		if !errors.Is(err, rowstore.ErrConflict) {
 			return stored, own, err
 		}
-		if !pause(ctx, attempt) { // another VM has admitted a job meanwhile
+		if !retries.Wait(ctx, attempt) { // another VM has admitted a job meanwhile
 			return Stored{}, false, fmt.Errorf("%w: %w", ErrNotWritten, err)
 		}
 	}
--- a/internal/laboratory/requester/requester.go
+++ b/internal/laboratory/requester/requester.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/faces/server"
-	"github.com/fescuespindle/fescuespindle/internal/online/eventreader"
+	"github.com/fescuespindle/fescuespindle/internal/online/eventsplitter"
 	"github.com/fescuespindle/fescuespindle/internal/online/upstream"
 )
 
@@ -103,10 +103,10 @@
 }
 
 func (c *Completion) read(body io.Reader) error {
-	events := eventreader.New(body)
+	events := eventsplitter.New(body)
 	var text strings.Builder
 	for {
-		data, err := events.Next()
+		data, err := events.NextData()
 		if err != nil {
 			return fmt.Errorf("%w: %w", ErrCut, err)
 		}
--- a/internal/online/eventsplitter/splitter.go
+++ b/internal/online/eventsplitter/splitter.go
@@ -13,7 +13,8 @@
 // ErrTooLong means that an event is longer than any should be.
 var ErrTooLong = errors.New("event too long")
 
-const maxEventBytes = 1 << 20
+// MaxEventBytes bounds one event.
+const MaxEventBytes = 1 << 20
 
 // Event is one whole event.
 type Event struct {
@@ -49,6 +50,7 @@
 type Splitter struct {
 	reader *bufio.Reader
 	buffer []byte
+	data   []byte
 }
 
 // New returns a splitter of a stream.
@@ -58,14 +60,14 @@
 // the stream ends between events, and io.ErrUnexpectedEOF if it ends inside one.
 func (s *Splitter) Next() (Event, error) {
 	s.buffer = s.buffer[:0]
+	line := 0 // where the line under way begins
 	for {
-		line, err := s.reader.ReadSlice('\n')
-		s.buffer = append(s.buffer, line...)
+		part, err := s.reader.ReadSlice('\n')
+		s.buffer = append(s.buffer, part...)
 		switch {
+		case len(s.buffer) > MaxEventBytes:
+			return Event{}, ErrTooLong
 		case errors.Is(err, bufio.ErrBufferFull):
-			if len(s.buffer) > maxEventBytes {
-				return Event{}, ErrTooLong
-			}
 			continue
 		case errors.Is(err, io.EOF) && len(s.buffer) > 0:
 			return Event{}, io.ErrUnexpectedEOF
@@ -73,9 +75,25 @@
 			return Event{}, io.EOF
 		case err != nil:
 			return Event{}, fmt.Errorf("read event: %w", err)
-		case len(bytes.TrimRight(line, "\r\n")) == 0:
+		case len(bytes.TrimRight(s.buffer[line:], "\r\n")) == 0:
 			return s.event(), nil
 		}
+		line = len(s.buffer)
+	}
+}
+
+// NextData returns the data of the next event that has any. It is valid until
+// the next call. Errors are those of Next.
+func (s *Splitter) NextData() ([]byte, error) {
+	for {
+		event, err := s.Next()
+		if err != nil {
+			return nil, err
+		}
+		s.data = event.AppendData(s.data[:0])
+		if len(s.data) > 0 {
+			return s.data, nil
+		}
 	}
 }
 
--- a/internal/online/eventsplitter/splitter_test.go
+++ b/internal/online/eventsplitter/splitter_test.go
@@ -48,6 +48,11 @@
 		long := strings.Repeat("x", 10_000)
 		expectEvents(t, "data: "+long+"\n\n", io.EOF, "="+long)
 	})
+	// The reader's buffer ends just before the line does.
+	t.Run("line of a whole buffer", func(t *testing.T) {
+		line := strings.Repeat("x", 4096-len("data: "))
+		expectEvents(t, "data: "+line+"\nid: 7\n\n", io.EOF, "7="+line)
+	})
 	t.Run("too long", func(t *testing.T) {
 		expectEvents(t, "data: "+strings.Repeat("x", 2<<20), eventsplitter.ErrTooLong)
 	})
--- a/internal/online/relayer/relayer.go
+++ b/internal/online/relayer/relayer.go
@@ -13,7 +13,7 @@
 	"net/http"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/online/eventreader"
+	"github.com/fescuespindle/fescuespindle/internal/online/eventsplitter"
 	"github.com/fescuespindle/fescuespindle/internal/online/upstream"
 )
 
@@ -95,7 +95,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Stream{id: a.ID, body: response.Body, events: eventreader.New(response.Body), prefix: idPrefix(a.ID)}, nil
+	return &Stream{id: a.ID, body: response.Body, events: eventsplitter.New(response.Body), prefix: idPrefix(a.ID)}, nil
 }
 
 // Answer is a whole answer of a plain service.
@@ -163,7 +163,7 @@
 	id     string
 	prefix []byte
 	body   io.ReadCloser
-	events *eventreader.Reader
+	events *eventsplitter.Splitter
 	ended  bool
 }
 
@@ -173,7 +173,7 @@
 	if s.ended {
 		return nil, io.EOF
 	}
-	data, err := s.events.Next()
+	data, err := s.events.NextData()
 	if err != nil {
 		// The end of the connection must not look like the end of the answer, so
 		// io.EOF is not wrapped.
--- /dev/null
+++ b/internal/plumbing/sleeper/backoff.go
@@ -0,0 +1,27 @@
+package sleeper
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+// Backoff is the pauses between the attempts of a call: they double from one to
+// the next, and half of each to one and a half of it is drawn, so that callers
+// don't come back together.
+type Backoff struct {
+	// First is the pause after the first attempt, and Most the longest one, each
+	// before the draw.
+	First time.Duration
+	Most  time.Duration
+}
+
+// maxDoublings keeps a pause from overflowing.
+const maxDoublings = 16
+
+// Wait waits before another attempt; the first one has number 0. It returns false
+// if the context ends first.
+func (b Backoff) Wait(ctx context.Context, attempt int) bool {
+	limit := min(b.First<<min(attempt, maxDoublings), b.Most)
+	return Sleep(ctx, limit/2+rand.N(limit))
+}
--- a/internal/store/storekeeper/keeper.go
+++ b/internal/store/storekeeper/keeper.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -249,7 +248,7 @@
 			return zero, ErrNotFound
 		}
 		last = err
-		if !sleepBackoff(ctx, attempt) {
+		if !retries.Wait(ctx, attempt) {
 			return zero, fmt.Errorf("%w: %w", ErrNotRead, last)
 		}
 	}
@@ -284,9 +283,5 @@
 	k.counter.Count(fmt.Sprintf("store_%s_total{purpose=%q}", what, purpose))
 }
 
-// sleepBackoff waits for an exponential time with full jitter. It returns false
-// if the context ends first.
-func sleepBackoff(ctx context.Context, attempt int) bool {
-	limit := min(retryBase<<min(attempt, 10), retryMax)
-	return sleeper.Sleep(ctx, retryBase/2+rand.N(limit))
-}
+// retries are the pauses before a call is made again.
+var retries = sleeper.Backoff{First: retryBase, Most: retryMax}
--- a/internal/store/storekeeper/lane.go
+++ b/internal/store/storekeeper/lane.go
@@ -303,7 +303,7 @@
 				return version, nil
 			}
 		}
-		if !sleepBackoff(ctx, attempt) {
+		if !retries.Wait(ctx, attempt) {
 			return 0, fmt.Errorf("transaction: %w", ctx.Err())
 		}
 	}
