Failing upstreams are logged, with who told of them

Cause: telling failures between VMs changed what a VM believes without a line in its log, which the users ask for. Change: 'upstream failing' where a failure was noted, with how many in a row and for how long it is left alone; 'upstream left alone' where the word of another VM was believed, with whose. A failure that doesn't count (cut together with the one before) hurries no message.

--- a/internal/control/peerteller/schedule.go
+++ b/internal/control/peerteller/schedule.go
@@ -58,7 +58,7 @@
 	for _, vm := range c.Yielding {
 		s.vms[vm] = true
 	}
-	s.urgent = s.urgent || c.Failing
+	s.urgent = s.urgent || len(c.Failing) > 0
 	for a := range s.changed {
 		s.changed[a] = true
 	}
--- a/internal/online/placer/failure.go
+++ b/internal/online/placer/failure.go
@@ -49,17 +49,24 @@
 	doubtedUntil time.Time // the word of others counts nothing until then
 }
 
-// note counts a failure of a request that was sent at some time. Requests that
+// note counts a failure of a request that was sent at some time, and returns
+// whether it does count. Requests that
 // were under way when the last failure was noted failed for the same cause: an
 // upstream whose connections are all reset has failed once.
-func (f *failing) note(sent, now time.Time) {
+func (f *failing) note(sent, now time.Time) (counted bool) {
 	if sent.Before(f.failedAt) {
-		return
+		return false
 	}
 	f.failedAt = now
 	f.ownUntil = now.Add(min(blockBase<<min(f.inARow, maxDoublings), maxBlock))
 	f.until = later(f.until, f.ownUntil)
 	f.inARow++
+	return true
+}
+
+// failure returns what others are told.
+func (f *failing) failure(now time.Time) Failure {
+	return Failure{InARow: f.inARow, Remaining: f.ownUntil.Sub(now)}
 }
 
 // answer notes that the upstream has answered a request that was sent at some
@@ -74,17 +81,18 @@
 	f.inARow, f.heardAt, f.ownUntil, f.until = 0, time.Time{}, time.Time{}, time.Time{}
 }
 
-// hear takes in the word of another VM. A random part of the block, below one,
-// is added to it.
-func (f *failing) hear(told Failure, part float64, now time.Time) {
+// hear takes in the word of another VM, and returns whether it changes anything.
+// A random part of the block, below one, is added to it.
+func (f *failing) hear(told Failure, part float64, now time.Time) bool {
 	remaining := min(told.Remaining, maxHeardBlock)
 	until := now.Add(remaining)
 	if now.Before(f.doubtedUntil) || until.Before(f.toldUntil.Add(sameBlock)) {
-		return
+		return false
 	}
 	f.heardAt, f.toldUntil = now, until
 	f.until = later(f.until, until.Add(time.Duration(part*blockSpread*float64(remaining))))
 	f.inARow = max(f.inARow, min(told.InARow, maxDoublings))
+	return true
 }
 
 func later(a, b time.Time) time.Time {
@@ -97,10 +105,14 @@
 // Failed notes that an upstream broke off or could not be reached. Others are
 // preferred for a time that doubles with each failure in a row.
 func (p *Placer) Failed(place *Place, now time.Time) {
+	u := place.upstream
+	change := Change{Domain: u.Domain}
 	p.mu.Lock()
-	place.upstream.note(place.taken, now)
+	if u.note(place.taken, now) {
+		change.Failing = map[string]Failure{u.ID: u.failure(now)}
+	}
 	p.mu.Unlock()
-	p.changed(Change{Domain: place.upstream.Domain, Failing: true})
+	p.changed(change)
 }
 
 // Failing returns the upstreams that fail this VM. A VM that most of them seem
@@ -111,7 +123,7 @@
 	all := map[string]Failure{}
 	for id, u := range p.upstreams {
 		if now.Before(u.ownUntil) {
-			all[id] = Failure{InARow: u.inARow, Remaining: u.ownUntil.Sub(now)}
+			all[id] = u.failure(now)
 		}
 	}
 	if len(all) > max(1, len(p.upstreams)/suspectShare) {
@@ -124,14 +136,17 @@
 }
 
 // HeardFailing takes in which upstreams fail another VM. They are left alone
-// here too, but for those that have answered here in spite of such a word.
-func (p *Placer) HeardFailing(told map[string]Failure, now time.Time) {
+// here too, but for those that have answered here in spite of such a word. It
+// returns those for which this VM didn't know it.
+func (p *Placer) HeardFailing(told map[string]Failure, now time.Time) (believed []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, id := range slices.Sorted(maps.Keys(told)) {
 		failure := told[id]
-		if u, found := p.upstreams[id]; found && failure.Remaining > 0 {
-			u.hear(failure, p.random.Float64(), now)
+		u, found := p.upstreams[id]
+		if found && failure.Remaining > 0 && u.hear(failure, p.random.Float64(), now) {
+			believed = append(believed, id)
 		}
 	}
+	return believed
 }
--- a/internal/online/placer/placer.go
+++ b/internal/online/placer/placer.go
@@ -157,8 +157,9 @@
 	Domain string
 	// Yielding are the VMs whose batch work there has to give way now.
 	Yielding []string
-	// Failing tells that the upstream has failed, which all VMs should know.
-	Failing bool
+	// Failing is the upstream that has just failed, if one has, which all VMs
+	// should know.
+	Failing map[string]Failure
 }
 
 // WithChanged sets a function that is called whenever the VM's own work on an
--- a/internal/wiring/entryvm/provider.go
+++ b/internal/wiring/entryvm/provider.go
@@ -40,6 +40,9 @@
 
 // workChanged is called at every change of the work on upstreams.
 func (c *circle) workChanged(change placer.Change) {
+	for id, f := range change.Failing {
+		c.vm.logger.Info("upstream failing", "upstream", id, "inARow", f.InARow, "for", f.Remaining)
+	}
 	c.vm.teller.Changed(change)
 	c.vm.runner.Wake()
 }
@@ -109,8 +112,10 @@
 	return batchrunner.New(owner, keeper, p, couriers, members, c.table, counters, logger)
 }
 
-func newSharedState(p *placer.Placer, q *quarantiner.Quarantine, runner *batchrunner.Runner) *sharedState {
-	return &sharedState{placer: p, quarantine: q, runner: runner, cancelled: map[string]time.Time{}}
+func newSharedState(
+	p *placer.Placer, q *quarantiner.Quarantine, runner *batchrunner.Runner, logger *slog.Logger,
+) *sharedState {
+	return &sharedState{placer: p, quarantine: q, runner: runner, logger: logger, cancelled: map[string]time.Time{}}
 }
 
 func newJobServer(
--- a/internal/wiring/entryvm/shared.go
+++ b/internal/wiring/entryvm/shared.go
@@ -1,6 +1,7 @@
 package entryvm
 
 import (
+	"log/slog"
 	"maps"
 	"slices"
 	"sync"
@@ -28,6 +29,7 @@
 	placer     *placer.Placer
 	quarantine *quarantiner.Quarantine
 	runner     *batchrunner.Runner
+	logger     *slog.Logger
 
 	mu        sync.Mutex
 	cancelled map[string]time.Time // until when a cancel is told
@@ -52,7 +54,10 @@
 // Hear implements peerteller.State.
 func (s *sharedState) Hear(vm string, report placer.Report, news peerteller.News, now time.Time) {
 	s.placer.Heard(vm, report, now)
-	s.placer.HeardFailing(news.Failing, now)
+	for _, id := range s.placer.HeardFailing(news.Failing, now) {
+		f := news.Failing[id]
+		s.logger.Info("upstream left alone", "upstream", id, "toldBy", vm, "inARow", f.InARow, "for", f.Remaining)
+	}
 	for _, strike := range news.Strikes {
 		s.quarantine.Learn(strike, now)
 	}
--- a/internal/wiring/entryvm/wire_gen.go
+++ b/internal/wiring/entryvm/wire_gen.go
@@ -35,7 +35,7 @@
 	owner := newOwner(settings, entryvmBoot)
 	batchkeeperKeeper := newJobKeeper(store, owner, settings, logger)
 	runner := newRunner(owner, batchkeeperKeeper, placer, courierCourier, keeper, entryvmCircle, counters, logger)
-	entryvmSharedState := newSharedState(placer, quarantine, runner)
+	entryvmSharedState := newSharedState(placer, quarantine, runner, logger)
 	server := newJobServer(codec, batchkeeperKeeper, entryvmSharedState, entryvmCircle, counters, logger)
 	gateway := newGateway(codec, courierCourier, placer, quarantine, server, counters, logger)
 	vm := &VM{
