An upstream that answers with errors is left alone like one that breaks off

Cause: an upstream that answers every request with 500 at once is always free, so that every VM preferred it, and batch items lost their three attempts on it. Load is taken from every answer, health from those that are not failures. A batch item that failed is tried elsewhere.

--- a/internal/batch/batchrunner/run.go
+++ b/internal/batch/batchrunner/run.go
@@ -71,6 +71,7 @@
 	case attempter.OutcomeRefused:
 		it.avoid, it.notBefore = map[string]bool{upstream: true}, now.Add(refusedPause)
 	case attempter.OutcomeFailed:
+		it.avoid = map[string]bool{upstream: true}
 		r.failed(it, now)
 	case attempter.OutcomeBroken:
 		r.broken(it, upstream, e.Events, now)
--- a/internal/faces/gateway/gateway_test.go
+++ b/internal/faces/gateway/gateway_test.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -231,3 +233,24 @@
 		qt.Check(v.t, status, qt.Equals, http.StatusNotFound)
 	})
 }
+
+// An upstream that answers every request with an error at once is always free,
+// and would draw the traffic of the others.
+func TestAnUpstreamThatFailsEveryRequestDrawsNoTraffic(t *testing.T) {
+	const requests, gap, most = 100, 20 * time.Millisecond, 8
+	busy := standin.Plan{Body: "ok", Gap: 50 * time.Millisecond}
+	inVM(t, plans(fails, busy, busy, busy, busy), func(v *vm) {
+		var callers sync.WaitGroup
+		var failed atomic.Int32
+		for range requests {
+			callers.Go(func() {
+				if status, _, _ := v.call("/unsafe/x", 0); status != http.StatusOK {
+					failed.Add(1)
+				}
+			})
+			time.Sleep(gap)
+		}
+		callers.Wait()
+		qt.Check(v.t, failed.Load() <= most, qt.IsTrue, qt.Commentf("%d of %d requests failed", failed.Load(), requests))
+	})
+}
--- a/internal/online/courier/courier.go
+++ b/internal/online/courier/courier.go
@@ -42,7 +42,9 @@
 	NotRun bool
 	// Moved answers come from another upstream at the same address.
 	Moved bool
-	Load  placer.Load
+	// Failed answers tell of a fault of the upstream, whatever the call.
+	Failed bool
+	Load   placer.Load
 	// HasLoad tells whether the answer says anything of the upstream's load.
 	HasLoad bool
 }
@@ -97,6 +99,7 @@
 		c.placer.Observe(place, verdict.Load, time.Now())
 	}
 	if !verdict.NotRun {
+		c.judge(place, verdict)
 		return &Delivery{Answer: answer, courier: c, place: place}, nil
 	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxRefusal)) // only so that the connection can be kept
@@ -106,6 +109,15 @@
 	return nil, relayer.NewFailure(relayer.RanNot, cause)
 }
 
+// judge notes what an answer says of the upstream's health.
+func (c *Courier) judge(place *placer.Place, verdict Verdict) {
+	if verdict.Failed {
+		c.placer.Failed(place, time.Now())
+		return
+	}
+	c.placer.Answered(place, time.Now())
+}
+
 // giveBack ends a place. A failure that the caller's own leaving brought about
 // says nothing of the upstream.
 func (c *Courier) giveBack(ctx context.Context, place *placer.Place, failed bool) {
--- a/internal/online/placer/failure.go
+++ b/internal/online/placer/failure.go
@@ -115,6 +115,13 @@
 	p.changed(change)
 }
 
+// Answered notes that an upstream has answered, and not with a fault of its own.
+func (p *Placer) Answered(place *Place, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	place.upstream.answer(place.taken, now)
+}
+
 // Failing returns the upstreams that fail this VM. A VM that most of them seem
 // to fail says nothing: it is more likely cut off itself.
 func (p *Placer) Failing(now time.Time) map[string]Failure {
--- a/internal/online/placer/failure_test.go
+++ b/internal/online/placer/failure_test.go
@@ -45,7 +45,7 @@
 			vm.Failed(place, f.now)
 			f.tell(vm)
 		} else {
-			vm.Observe(place, placer.Load{Sequences: 2}, f.now)
+			vm.Answered(place, f.now)
 		}
 		vm.Done(place)
 		f.hear()
--- a/internal/online/placer/placer.go
+++ b/internal/online/placer/placer.go
@@ -282,7 +282,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	u := place.upstream
-	u.answer(place.taken, now)
 	if load.Sequences > 0 {
 		u.Sequences = load.Sequences
 	}
