--- a/internal/online/placer/choice.go
+++ b/internal/online/placer/choice.go
@@ -42,7 +42,7 @@
 	if place == nil {
 		return nil, false
 	}
-	p.changed(Change{Domain: place.upstream.Domain, Yielding: yielding})
+	p.changed(Change{Domain: place.listed.Domain, Yielding: yielding})
 	return place, true
 }
 
@@ -70,7 +70,7 @@
 	}
 	best.own.Online++
 	best.noteFull(now)
-	return &Place{upstream: best, taken: now}, p.yielding(best, now)
+	return &Place{upstream: best, listed: best.Upstream, taken: now}, p.yielding(best, now)
 }
 
 // yielding returns the other VMs with batch work on an upstream that is over
@@ -173,7 +173,7 @@
 func (p *Placer) Batch(work BatchWork, now time.Time) (*Place, bool) {
 	place, found := p.takeBatch(work, now)
 	if found {
-		p.changed(Change{Domain: place.upstream.Domain})
+		p.changed(Change{Domain: place.listed.Domain})
 	}
 	return place, found
 }
@@ -200,7 +200,7 @@
 		return nil, false
 	}
 	best.own.Batch++
-	place := &Place{upstream: best, taken: now, isBatch: true, urgency: urgent}
+	place := &Place{upstream: best, listed: best.Upstream, taken: now, isBatch: true, urgency: urgent}
 	best.batch = append(best.batch, place)
 	return place, true
 }
--- a/internal/online/placer/failure.go
+++ b/internal/online/placer/failure.go
@@ -106,10 +106,10 @@
 // preferred for a time that doubles with each failure in a row.
 func (p *Placer) Failed(place *Place, now time.Time) {
 	u := place.upstream
-	change := Change{Domain: u.Domain}
+	change := Change{Domain: place.listed.Domain}
 	p.mu.Lock()
 	if u.note(place.taken, now) {
-		change.Failing = map[string]Failure{u.ID: u.failure(now)}
+		change.Failing = map[string]Failure{place.listed.ID: u.failure(now)}
 	}
 	p.mu.Unlock()
 	p.changed(change)
--- a/internal/online/placer/placer.go
+++ b/internal/online/placer/placer.go
@@ -123,6 +123,7 @@
 // Place is the right to run one request on an upstream.
 type Place struct {
 	upstream *upstream
+	listed   Upstream // as it was when the place was taken
 	taken    time.Time
 	isBatch  bool
 	urgency  urgency // of batch work
@@ -130,8 +131,8 @@
 	stopping bool
 }
 
-// Upstream returns where the request runs.
-func (p *Place) Upstream() Upstream { return p.upstream.Upstream }
+// Upstream returns where the request runs, as it was when the place was taken.
+func (p *Place) Upstream() Upstream { return p.listed }
 
 // Placer is the decisions of one VM.
 type Placer struct {
@@ -308,5 +309,5 @@
 		u.own.Online--
 	}
 	p.mu.Unlock()
-	p.changed(Change{Domain: u.Domain})
+	p.changed(Change{Domain: place.listed.Domain})
 }
--- a/internal/online/placer/placer_test.go
+++ b/internal/online/placer/placer_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -218,3 +219,22 @@
 		p.Done(want)
 	}
 }
+
+// A place is read by who runs the request while answers of other requests change
+// what is known of its upstream. The race detector judges this.
+func TestAPlaceCanBeReadWhileItsUpstreamChanges(t *testing.T) {
+	list := engines(1, "a")
+	p := newPlacer("vm1", list)
+	place, other := takeOnline(t, p), takeOnline(t, p)
+	var group sync.WaitGroup
+	group.Go(func() {
+		for n := range 100 {
+			p.Observe(other, placer.Load{Sequences: 2 + n%2}, start)
+			p.SetUpstreams(list)
+		}
+	})
+	for range 100 {
+		qt.Check(t, place.Upstream().ID, qt.Equals, "a0")
+	}
+	group.Wait()
+}
