--- a/internal/plumbing/strictdecoder/decoder.go
+++ b/internal/plumbing/strictdecoder/decoder.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"reflect"
+	"strings"
 )
 
 // Errors of this layer; each fault of a document wraps one of them.
@@ -51,8 +52,8 @@
 	case errors.As(err, &syntax):
 		return fmt.Errorf("%w: line %d: %w", ErrSyntax, lineAt(text, syntax.Offset), err)
 	case errors.As(err, &typed):
-		return fmt.Errorf("%w: line %d: %s: must be a %s, not a %s",
-			ErrField, lineAt(text, typed.Offset), typed.Field, typed.Type, typed.Value)
+		return fmt.Errorf("%w: line %d: %s: must be %s, not %s",
+			ErrField, lineAt(text, typed.Offset), typed.Field, withArticle(kindName(typed.Type)), withArticle(typed.Value))
 	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
 		return fmt.Errorf("%w: line %d: %w", ErrSyntax, lineAt(text, int64(len(text))), err)
 	default: // a type that reads itself
@@ -60,6 +61,25 @@
 	}
 }
 
+// kindName names what JSON calls a type.
+func kindName(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.Struct, reflect.Map:
+		return "object"
+	case reflect.Slice, reflect.Array:
+		return "list"
+	default:
+		return t.String()
+	}
+}
+
+func withArticle(noun string) string {
+	if noun != "" && strings.ContainsRune("aeiou", rune(noun[0])) {
+		return "an " + noun
+	}
+	return "a " + noun
+}
+
 func lineAt(text []byte, offset int64) int {
 	offset = min(max(offset, 0), int64(len(text)))
 	return 1 + bytes.Count(text[:offset], []byte("\n"))
