--- a/internal/faces/server/batch.go
+++ b/internal/faces/server/batch.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 
 	"github.com/fescuespindle/fescuespindle/internal/batch/jobkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/faces/failurewriter"
 	"github.com/fescuespindle/fescuespindle/pkg/deployer"
 )
 
@@ -73,9 +74,9 @@
 }
 
 // mayBatch refuses callers that may not submit jobs.
-func mayBatch(caller deployer.Caller) *failure {
+func mayBatch(caller deployer.Caller) *failurewriter.Failure {
 	if !caller.Batch {
-		return notRun(http.StatusForbidden, "noBatch", "this caller may not run batch jobs")
+		return failurewriter.New(http.StatusForbidden, "noBatch", "this caller may not run batch jobs")
 	}
 	return nil
 }
@@ -84,22 +85,22 @@
 func (s *Server) uploadFile(r *restful.Request, w *restful.Response) {
 	caller := callerOf(r)
 	if failed := mayBatch(caller); failed != nil {
-		failed.write(w.ResponseWriter)
+		failed.Write(w.ResponseWriter)
 		return
 	}
 	parts, err := r.Request.MultipartReader()
 	if err != nil {
-		notRun(http.StatusBadRequest, "badBody", err.Error()).write(w.ResponseWriter)
+		failurewriter.New(http.StatusBadRequest, "badBody", err.Error()).Write(w.ResponseWriter)
 		return
 	}
 	for {
 		part, err := parts.NextPart()
 		if errors.Is(err, io.EOF) {
-			notRun(http.StatusBadRequest, "badBody", "the form has no part named file").write(w.ResponseWriter)
+			failurewriter.New(http.StatusBadRequest, "badBody", "the form has no part named file").Write(w.ResponseWriter)
 			return
 		}
 		if err != nil {
-			notRun(http.StatusBadRequest, "badBody", err.Error()).write(w.ResponseWriter)
+			failurewriter.New(http.StatusBadRequest, "badBody", err.Error()).Write(w.ResponseWriter)
 			return
 		}
 		if part.FormName() != "file" {
@@ -107,7 +108,7 @@
 		}
 		id, file, err := s.jobs.PutFile(r.Request.Context(), caller.Name, part.FileName(), part, time.Now())
 		if err != nil {
-			failureOfJob(err).write(w.ResponseWriter)
+			failurewriter.OfJob(err).Write(w.ResponseWriter)
 			return
 		}
 		writeJSON(w.ResponseWriter, fileOf(id, file))
@@ -126,7 +127,7 @@
 	id := r.PathParameter("file")
 	file, err := s.jobs.File(r.Request.Context(), callerOf(r).Name, id)
 	if err != nil {
-		failureOfJob(err).write(w.ResponseWriter)
+		failurewriter.OfJob(err).Write(w.ResponseWriter)
 		return
 	}
 	writeJSON(w.ResponseWriter, fileOf(id, file))
@@ -141,44 +142,44 @@
 		failed = mayBatch(caller)
 	}
 	if failed != nil {
-		failed.write(w.ResponseWriter)
+		failed.Write(w.ResponseWriter)
 		return
 	}
 	submission, failed := s.submission(r, caller, body)
 	if failed != nil {
-		failed.write(w.ResponseWriter)
+		failed.Write(w.ResponseWriter)
 		return
 	}
 	job, err := s.jobs.Submit(r.Request.Context(), submission)
 	if err != nil {
-		failureOfJob(err).write(w.ResponseWriter)
+		failurewriter.OfJob(err).Write(w.ResponseWriter)
 		return
 	}
 	writeJSON(w.ResponseWriter, batchOf(job))
 }
 
-func (s *Server) submission(r *restful.Request, caller deployer.Caller, body []byte) (jobkeeper.Submission, *failure) {
+func (s *Server) submission(r *restful.Request, caller deployer.Caller, body []byte) (jobkeeper.Submission, *failurewriter.Failure) {
 	var request batchRequest
 	if err := json.Unmarshal(body, &request); err != nil {
-		return jobkeeper.Submission{}, notRun(http.StatusBadRequest, "badBody", err.Error())
+		return jobkeeper.Submission{}, failurewriter.New(http.StatusBadRequest, "badBody", err.Error())
 	}
 	window := defaultWindow
 	if request.CompletionWindow != "" {
 		var err error
 		window, err = time.ParseDuration(request.CompletionWindow)
 		if err != nil || window <= 0 {
-			return jobkeeper.Submission{}, notRun(http.StatusBadRequest, "badBody", "completion_window must be such as 24h")
+			return jobkeeper.Submission{}, failurewriter.New(http.StatusBadRequest, "badBody", "completion_window must be such as 24h")
 		}
 	}
 	file, err := s.jobs.File(r.Request.Context(), caller.Name, request.InputFileID)
 	if err != nil {
-		return jobkeeper.Submission{}, failureOfJob(err)
+		return jobkeeper.Submission{}, failurewriter.OfJob(err)
 	}
 	if _, failed := s.target(caller, file.Model, deployer.KindEngine); failed != nil {
 		return jobkeeper.Submission{}, failed
 	}
 	if request.Endpoint != file.Endpoint {
-		return jobkeeper.Submission{}, notRun(http.StatusBadRequest, "badBody", "endpoint differs from the file's items")
+		return jobkeeper.Submission{}, failurewriter.New(http.StatusBadRequest, "badBody", "endpoint differs from the file's items")
 	}
 	key := r.Request.Header.Get(HeaderIdempotencyKey)
 	if key == "" {
@@ -194,7 +195,7 @@
 func (s *Server) showBatch(r *restful.Request, w *restful.Response) {
 	job, err := s.jobs.Job(r.Request.Context(), callerOf(r).Name, r.PathParameter("batch"))
 	if err != nil {
-		failureOfJob(err).write(w.ResponseWriter)
+		failurewriter.OfJob(err).Write(w.ResponseWriter)
 		return
 	}
 	writeJSON(w.ResponseWriter, batchOf(job))
@@ -205,7 +206,7 @@
 func (s *Server) cancelBatch(r *restful.Request, w *restful.Response) {
 	job, err := s.jobs.Cancel(r.Request.Context(), callerOf(r).Name, r.PathParameter("batch"), time.Now())
 	if err != nil {
-		failureOfJob(err).write(w.ResponseWriter)
+		failurewriter.OfJob(err).Write(w.ResponseWriter)
 		return
 	}
 	if job.State == jobkeeper.StateCancelled {
@@ -218,13 +219,13 @@
 func (s *Server) readResults(r *restful.Request, w *restful.Response) {
 	id, found := strings.CutPrefix(r.PathParameter("file"), outputPrefix)
 	if !found {
-		notRun(http.StatusNotFound, "notFound", "only results can be read").write(w.ResponseWriter)
+		failurewriter.New(http.StatusNotFound, "notFound", "only results can be read").Write(w.ResponseWriter)
 		return
 	}
 	ctx := r.Request.Context()
 	job, err := s.jobs.Job(ctx, callerOf(r).Name, id)
 	if err != nil {
-		failureOfJob(err).write(w.ResponseWriter)
+		failurewriter.OfJob(err).Write(w.ResponseWriter)
 		return
 	}
 	control := http.NewResponseController(w.ResponseWriter)
@@ -241,7 +242,7 @@
 	})
 	switch {
 	case err != nil && !started:
-		failureOfJob(err).write(w.ResponseWriter)
+		failurewriter.OfJob(err).Write(w.ResponseWriter)
 	case err != nil:
 		panic(http.ErrAbortHandler) // a cut connection tells that the results are not whole
 	case !started:
--- a/internal/faces/server/completion.go
+++ b/internal/faces/server/completion.go
@@ -13,6 +13,7 @@
 	"github.com/emicklei/go-restful/v3"
 
 	"github.com/fescuespindle/fescuespindle/internal/control/publisher"
+	"github.com/fescuespindle/fescuespindle/internal/faces/failurewriter"
 	"github.com/fescuespindle/fescuespindle/internal/online/dispatcher"
 	"github.com/fescuespindle/fescuespindle/internal/online/quarantiner"
 	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
@@ -55,23 +56,23 @@
 }
 
 // readBody reads a bounded body.
-func readBody(r *restful.Request) ([]byte, *failure) {
+func readBody(r *restful.Request) ([]byte, *failurewriter.Failure) {
 	body, err := io.ReadAll(r.Request.Body)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return nil, notRun(http.StatusRequestEntityTooLarge, "tooLarge", "the body is too large")
+		return nil, failurewriter.New(http.StatusRequestEntityTooLarge, "tooLarge", "the body is too large")
 	case err != nil:
-		return nil, notRun(http.StatusBadRequest, "badBody", "the body could not be read: "+err.Error())
+		return nil, failurewriter.New(http.StatusBadRequest, "badBody", "the body could not be read: "+err.Error())
 	}
 	return body, nil
 }
 
 // target returns the model or service that a caller names, if it may use it.
-func (s *Server) target(caller deployer.Caller, name string, kind deployer.Kind) (*publisher.Target, *failure) {
+func (s *Server) target(caller deployer.Caller, name string, kind deployer.Kind) (*publisher.Target, *failurewriter.Failure) {
 	target, found := s.publisher.View().Target(name)
 	if !found || !caller.May(name) || target.Deployment().Kind != kind {
-		return nil, notRun(http.StatusNotFound, "unknownTarget", "no model or service "+name+" for this caller")
+		return nil, failurewriter.New(http.StatusNotFound, "unknownTarget", "no model or service "+name+" for this caller")
 	}
 	return target, nil
 }
@@ -80,23 +81,23 @@
 func (s *Server) complete(r *restful.Request, w *restful.Response) {
 	body, failed := readBody(r)
 	if failed != nil {
-		failed.write(w.ResponseWriter)
+		failed.Write(w.ResponseWriter)
 		return
 	}
 	completion, err := upstream.ParseCompletion(body)
 	if err != nil {
-		notRun(http.StatusBadRequest, "badBody", err.Error()).write(w.ResponseWriter)
+		failurewriter.New(http.StatusBadRequest, "badBody", err.Error()).Write(w.ResponseWriter)
 		return
 	}
 	caller := callerOf(r)
 	target, failed := s.target(caller, completion.Model, deployer.KindEngine)
 	if failed != nil {
-		failed.write(w.ResponseWriter)
+		failed.Write(w.ResponseWriter)
 		return
 	}
 	streaming, err := upstream.WithStreaming(body)
 	if err != nil {
-		notRun(http.StatusBadRequest, "badBody", err.Error()).write(w.ResponseWriter)
+		failurewriter.New(http.StatusBadRequest, "badBody", err.Error()).Write(w.ResponseWriter)
 		return
 	}
 	begun := time.Now()
@@ -105,7 +106,7 @@
 		Deadline: deadlineOf(r), Prefix: prefixOf(completion), Fingerprint: fingerprintOf(caller, streaming),
 	})
 	if refusal != nil {
-		failureOfRefusal(refusal).write(w.ResponseWriter)
+		failurewriter.OfRefusal(refusal).Write(w.ResponseWriter)
 		return
 	}
 	defer response.Close()
@@ -164,12 +165,9 @@
 }
 
 func failureEvent(err error) []byte {
-	f := &failure{
-		status: http.StatusBadGateway, code: "cut", message: "the answer is not whole: " + err.Error(),
-		ran: relayer.RanFailed,
-	}
-	text, _ := json.Marshal(f.body())
-	return text
+	f := failurewriter.New(http.StatusBadGateway, "cut", "the answer is not whole: "+err.Error(),
+		failurewriter.WithRan(relayer.RanFailed))
+	return f.JSON()
 }
 
 // writeEvent writes one event, within the time that a slow reader may take.
@@ -199,8 +197,8 @@
 		}
 		if err != nil {
 			s.counters.Count("streams_cut_total")
-			f := &failure{status: http.StatusBadGateway, code: "cut", message: err.Error(), ran: relayer.RanFailed}
-			f.write(w.ResponseWriter)
+			f := failurewriter.New(http.StatusBadGateway, "cut", err.Error(), failurewriter.WithRan(relayer.RanFailed))
+			f.Write(w.ResponseWriter)
 			return
 		}
 		s.counters.Count("tokens_relayed_total")
--- a/internal/faces/server/filter.go
+++ b/internal/faces/server/filter.go
@@ -10,6 +10,7 @@
 	"github.com/emicklei/go-restful/v3"
 	"github.com/google/uuid"
 
+	"github.com/fescuespindle/fescuespindle/internal/faces/failurewriter"
 	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
 	"github.com/fescuespindle/fescuespindle/pkg/deployer"
 )
@@ -52,8 +53,8 @@
 		}
 		s.counters.Count("panics_total")
 		s.logger.Error("handler panicked", "reason", reason, "stack", string(debug.Stack()))
-		f := &failure{status: http.StatusInternalServerError, code: "internal", message: "internal error", ran: relayer.RanMaybe}
-		f.write(w.ResponseWriter)
+		f := failurewriter.New(http.StatusInternalServerError, "internal", "internal error", failurewriter.WithRan(relayer.RanMaybe))
+		f.Write(w.ResponseWriter)
 	}()
 	chain.ProcessFilter(r, w)
 }
@@ -96,9 +97,8 @@
 func (s *Server) readyFilter(r *restful.Request, w *restful.Response, chain *restful.FilterChain) {
 	ready, reason := s.publisher.View().Ready()
 	if !ready {
-		f := notRun(http.StatusServiceUnavailable, "notReady", reason)
-		f.retryAt = time.Now().Add(comeBackWait)
-		f.write(w.ResponseWriter)
+		comeBack := failurewriter.WithRetryAt(time.Now().Add(failurewriter.ComeBackWait))
+		failurewriter.New(http.StatusServiceUnavailable, "notReady", reason, comeBack).Write(w.ResponseWriter)
 		return
 	}
 	chain.ProcessFilter(r, w)
@@ -111,7 +111,7 @@
 	if !found || !known {
 		s.counters.Count(`refusals_total{reason="unauthorized"}`)
 		w.Header().Set("WWW-Authenticate", "Bearer")
-		notRun(http.StatusUnauthorized, "unauthorized", "a configured bearer token is needed").write(w.ResponseWriter)
+		failurewriter.New(http.StatusUnauthorized, "unauthorized", "a configured bearer token is needed").Write(w.ResponseWriter)
 		return
 	}
 	r.SetAttribute(attributeCaller, caller)
@@ -138,12 +138,12 @@
 	if text := r.Request.Header.Get(HeaderDeadline); text != "" {
 		asked, err := time.Parse(time.RFC3339Nano, text)
 		if err != nil {
-			notRun(http.StatusBadRequest, "badDeadline", HeaderDeadline+" must be RFC 3339 text").write(w.ResponseWriter)
+			failurewriter.New(http.StatusBadRequest, "badDeadline", HeaderDeadline+" must be RFC 3339 text").Write(w.ResponseWriter)
 			return
 		}
 		if !now.Before(asked) {
 			s.counters.Count(`refusals_total{reason="deadline"}`)
-			notRun(http.StatusGatewayTimeout, "deadline", "the deadline has passed").write(w.ResponseWriter)
+			failurewriter.New(http.StatusGatewayTimeout, "deadline", "the deadline has passed").Write(w.ResponseWriter)
 			return
 		}
 		deadline = asked
--- a/internal/faces/server/server.go
+++ b/internal/faces/server/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/batch/jobkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/control/publisher"
+	"github.com/fescuespindle/fescuespindle/internal/faces/failurewriter"
 	"github.com/fescuespindle/fescuespindle/internal/online/claimer"
 	"github.com/fescuespindle/fescuespindle/internal/online/dispatcher"
 	"github.com/fescuespindle/fescuespindle/internal/online/servicecaller"
@@ -82,7 +83,7 @@
 	container.Add(s.modelRoutes())
 	container.Add(s.serviceRoutes())
 	container.ServiceErrorHandler(func(e restful.ServiceError, _ *restful.Request, response *restful.Response) {
-		notRun(e.Code, "noRoute", e.Message).write(response.ResponseWriter)
+		failurewriter.New(e.Code, "noRoute", e.Message).Write(response.ResponseWriter)
 	})
 	return container
 }
--- a/internal/faces/server/service.go
+++ b/internal/faces/server/service.go
@@ -8,6 +8,7 @@
 
 	"github.com/emicklei/go-restful/v3"
 
+	"github.com/fescuespindle/fescuespindle/internal/faces/failurewriter"
 	"github.com/fescuespindle/fescuespindle/internal/online/claimer"
 	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
 	"github.com/fescuespindle/fescuespindle/internal/online/servicecaller"
@@ -21,20 +22,20 @@
 func (s *Server) callService(r *restful.Request, w *restful.Response) {
 	body, failed := readBody(r)
 	if failed != nil {
-		failed.write(w.ResponseWriter)
+		failed.Write(w.ResponseWriter)
 		return
 	}
 	caller := callerOf(r)
 	name := r.PathParameter("service")
 	target, failed := s.target(caller, name, deployer.KindService)
 	if failed != nil {
-		failed.write(w.ResponseWriter)
+		failed.Write(w.ResponseWriter)
 		return
 	}
 	path := "/" + strings.TrimPrefix(r.PathParameter("path"), "/")
 	declared, found := target.Deployment().FindCall(r.Request.Method, path)
 	if !found {
-		notRun(http.StatusNotFound, "unknownCall", r.Request.Method+" "+path+" is not a call of "+name).write(w.ResponseWriter)
+		failurewriter.New(http.StatusNotFound, "unknownCall", r.Request.Method+" "+path+" is not a call of "+name).Write(w.ResponseWriter)
 		return
 	}
 	call := servicecaller.Call{
@@ -61,8 +62,8 @@
 func (s *Server) callOnce(r *restful.Request, w *restful.Response, call claimer.Call) {
 	call.Key = r.Request.Header.Get(HeaderIdempotencyKey)
 	if call.Key == "" {
-		notRun(http.StatusBadRequest, "keyNeeded",
-			"this call may not be repeated and needs an "+HeaderIdempotencyKey+" header").write(w.ResponseWriter)
+		failurewriter.New(http.StatusBadRequest, "keyNeeded",
+			"this call may not be repeated and needs an "+HeaderIdempotencyKey+" header").Write(w.ResponseWriter)
 		return
 	}
 	answer, err := s.claimer.Do(context.WithoutCancel(r.Request.Context()), call)
@@ -81,7 +82,7 @@
 
 func writeAnswer(w *restful.Response, answer serviceAnswer, err error) {
 	if err != nil {
-		failureOfCall(err).write(w.ResponseWriter)
+		failurewriter.OfCall(err).Write(w.ResponseWriter)
 		return
 	}
 	if answer.ContentType() != "" {
