One encoder of rows, one check of transactions, one span of a row

Cause: reading the whole change again. Rows were encoded as JSON by jobkeeper and orderkeeper (the same function twice), by claimer, configkeeper, vmlister and the lane's marker by hand. What the store can never take was checked by storekeeper and, in the same lines, by its stand-in. The span of one row was spelled out twice.

Change: rowstore.PutJSON, rowstore.Tx.Part and storekeeper.Only serve all of them; the rest is removed. Behaviour stays, but for encoding errors of claims, configurations and lists, which can't occur with plain data and now panic as those of jobs did.

--- a/internal/batch/batchrunner/runner_test.go
+++ b/internal/batch/batchrunner/runner_test.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -162,11 +161,7 @@
 	if !r.Done {
 		return "given up"
 	}
-	var want []string
-	for n := 1; n <= 5; n++ {
-		want = append(want, standin.EventData(r.Item, n))
-	}
-	if string(r.Output) == strings.Join(want, "\n") {
+	if string(r.Output) == wholeText(r.Item, normalEvents) {
 		return "ok"
 	}
 	return "wrong: " + string(r.Output)
@@ -332,9 +327,9 @@
 		v := f.start("a")
 		defer v.stop()
 		f.submit(v, 4)
-		f.store.SetFault(outage)
+		f.store.SetDown(true)
 		time.Sleep(8 * time.Second)
-		f.store.SetFault(nil)
+		f.store.SetDown(false)
 		f.expectResults(v, 2*time.Second, "item0 ok", "item1 ok", "item2 ok", "item3 ok")
 		qt.Check(f.t, f.runs(), qt.HasLen, 4)
 	})
--- a/internal/batch/jobkeeper/chunk.go
+++ b/internal/batch/jobkeeper/chunk.go
@@ -229,7 +229,7 @@
 func chunkTx(ref Ref, version uint64, row ChunkRow) rowstore.Tx {
 	return rowstore.Tx{
 		Conditions: []rowstore.Condition{{Key: chunkKey(ref), Version: version}},
-		Puts:       []rowstore.Put{putRow(chunkKey(ref), row)},
+		Puts:       []rowstore.Put{rowstore.PutJSON(chunkKey(ref), row)},
 	}
 }
 
@@ -280,7 +280,7 @@
 		job.Ended = now
 		tx.Removes = []rowstore.Key{openKey(job)}
 	}
-	tx.Puts = append(tx.Puts, putRow(jobKey(job.ID), job))
+	tx.Puts = append(tx.Puts, rowstore.PutJSON(jobKey(job.ID), job))
 	return storekeeper.Write{Purpose: storekeeper.PurposeJob, Priority: storekeeper.PriorityResult, Tx: tx}
 }
 
@@ -296,7 +296,7 @@
 func (k *Keeper) Beat(ctx context.Context, owner Owner, beat uint64) error {
 	_, err := k.store.Transact(ctx, storekeeper.Write{
 		Purpose: storekeeper.PurposeLease, Priority: storekeeper.PriorityProgress,
-		Tx: rowstore.Tx{Puts: []rowstore.Put{putRow(leaseKey(owner), LeaseRow{Beat: beat})}},
+		Tx: rowstore.Tx{Puts: []rowstore.Put{rowstore.PutJSON(leaseKey(owner), LeaseRow{Beat: beat})}},
 	})
 	return translate(err)
 }
--- a/internal/batch/jobkeeper/file.go
+++ b/internal/batch/jobkeeper/file.go
@@ -163,7 +163,7 @@
 		Purpose: storekeeper.PurposeJob, Priority: storekeeper.PriorityAcknowledge,
 		Tx: rowstore.Tx{
 			Conditions: []rowstore.Condition{{Key: fileKey(id)}},
-			Puts:       []rowstore.Put{putRow(fileKey(id), u.row)},
+			Puts:       []rowstore.Put{rowstore.PutJSON(fileKey(id), u.row)},
 		},
 	})
 	if err != nil && !errors.Is(err, storekeeper.ErrConflict) {
--- a/internal/batch/jobkeeper/keeper.go
+++ b/internal/batch/jobkeeper/keeper.go
@@ -70,7 +70,7 @@
 		Purpose: storekeeper.PurposeJob, Priority: storekeeper.PriorityAcknowledge,
 		Tx: rowstore.Tx{
 			Conditions: []rowstore.Condition{{Key: jobKey(job.ID)}},
-			Puts:       []rowstore.Put{putRow(jobKey(job.ID), job), putRow(openKey(job), job.ID)},
+			Puts:       []rowstore.Put{rowstore.PutJSON(jobKey(job.ID), job), rowstore.PutJSON(openKey(job), job.ID)},
 		},
 	})
 	if errors.Is(err, storekeeper.ErrConflict) {
@@ -118,7 +118,7 @@
 			key := chunkKey(Ref{Job: job.ID, Number: n})
 			row := ChunkRow{Object: chunks[n].Object, Items: chunks[n].Items}
 			write.Conditions = append(write.Conditions, rowstore.Condition{Key: key})
-			write.Puts = append(write.Puts, putRow(key, row))
+			write.Puts = append(write.Puts, rowstore.PutJSON(key, row))
 		}
 		_, err := k.store.Transact(ctx, write)
 		if err != nil && !errors.Is(err, storekeeper.ErrConflict) {
@@ -171,7 +171,7 @@
 			Purpose: storekeeper.PurposeJob, Priority: storekeeper.PriorityAcknowledge,
 			Tx: rowstore.Tx{
 				Conditions: []rowstore.Condition{{Key: jobKey(id), Version: found.Version}},
-				Puts:       []rowstore.Put{putRow(jobKey(id), job)},
+				Puts:       []rowstore.Put{rowstore.PutJSON(jobKey(id), job)},
 				Removes:    []rowstore.Key{openKey(job)},
 			},
 		})
--- a/internal/batch/jobkeeper/row.go
+++ b/internal/batch/jobkeeper/row.go
@@ -189,11 +189,3 @@
 	}
 	return out, nil
 }
-
-func putRow(key rowstore.Key, value any) rowstore.Put {
-	text, err := json.Marshal(value)
-	if err != nil {
-		panic(fmt.Sprintf("encode row %s: %v", key, err)) // rows are plain data
-	}
-	return rowstore.Put{Key: key, Value: text}
-}
--- a/internal/control/configkeeper/keeper.go
+++ b/internal/control/configkeeper/keeper.go
@@ -154,19 +154,12 @@
 		Version: head.Version + 1, Digest: change.Digest, Previous: head.Digest,
 		By: change.By, Why: change.Why, At: change.At.UTC(),
 	}
-	headText, err := json.Marshal(Head{Version: entry.Version, Digest: entry.Digest})
-	if err != nil {
-		return Entry{}, fmt.Errorf("encode head: %w", err)
-	}
-	entryText, err := json.Marshal(entry)
-	if err != nil {
-		return Entry{}, fmt.Errorf("encode audit entry: %w", err)
-	}
-	_, err = k.store.Transact(ctx, storekeeper.Write{
+	next := Head{Version: entry.Version, Digest: entry.Digest}
+	_, err := k.store.Transact(ctx, storekeeper.Write{
 		Purpose: storekeeper.PurposeConfig, Priority: storekeeper.PriorityAcknowledge,
 		Tx: rowstore.Tx{
 			Conditions: []rowstore.Condition{{Key: headKey(), Version: headVersion}, {Key: auditKey(entry.Version)}},
-			Puts:       []rowstore.Put{{Key: headKey(), Value: headText}, {Key: auditKey(entry.Version), Value: entryText}},
+			Puts:       []rowstore.Put{rowstore.PutJSON(headKey(), next), rowstore.PutJSON(auditKey(entry.Version), entry)},
 		},
 	})
 	if errors.Is(err, storekeeper.ErrConflict) {
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -65,7 +65,7 @@
 // Lister reads the platform's list of VMs.
 type Lister interface {
 	// VMs returns the list and its version, or vmlister.ErrUnchanged if it
-	// is the one with the tag given.
+	// is the one with the version given.
 	VMs(ctx context.Context, version uint64) ([]vmlister.VM, uint64, error)
 }
 
--- a/internal/control/orderkeeper/keeper.go
+++ b/internal/control/orderkeeper/keeper.go
@@ -197,13 +197,13 @@
 		Purpose: storekeeper.PurposeOrder, Priority: storekeeper.PriorityProgress,
 		Tx: rowstore.Tx{
 			Conditions: []rowstore.Condition{{Key: rows[0].Key, Version: rows[0].Version}},
-			Puts:       []rowstore.Put{put(rows[0].Key, order)},
+			Puts:       []rowstore.Put{rowstore.PutJSON(rows[0].Key, order)},
 		},
 	}
 	if slot != noPermit {
 		row := rows[1+slot]
 		write.Conditions = append(write.Conditions, rowstore.Condition{Key: row.Key, Version: row.Version})
-		write.Puts = append(write.Puts, put(row.Key, permitRow{Upstream: c.Wish.Upstream}))
+		write.Puts = append(write.Puts, rowstore.PutJSON(row.Key, permitRow{Upstream: c.Wish.Upstream}))
 	}
 	if _, err := k.store.Transact(ctx, write); err != nil {
 		if errors.Is(err, storekeeper.ErrConflict) {
@@ -214,14 +214,6 @@
 	return orderer.Ticket{Fencing: order.Fencing, Slot: slot}, nil
 }
 
-func put(key rowstore.Key, value any) rowstore.Put {
-	text, err := json.Marshal(value)
-	if err != nil {
-		panic(fmt.Sprintf("encode row %s: %v", key, err)) // rows are plain data
-	}
-	return rowstore.Put{Key: key, Value: text}
-}
-
 // Release gives a claim and its permit back, if they are still this process's.
 func (k *Keeper) Release(ctx context.Context, w orderer.Wish, t orderer.Ticket) error {
 	keys := []rowstore.Key{orderKey(w.Upstream)}
@@ -241,12 +233,12 @@
 		Purpose: storekeeper.PurposeOrder, Priority: storekeeper.PriorityProgress,
 		Tx: rowstore.Tx{
 			Conditions: []rowstore.Condition{{Key: rows[0].Key, Version: rows[0].Version}},
-			Puts:       []rowstore.Put{put(rows[0].Key, order)},
+			Puts:       []rowstore.Put{rowstore.PutJSON(rows[0].Key, order)},
 		},
 	}
 	if t.Slot != noPermit {
 		write.Conditions = append(write.Conditions, rowstore.Condition{Key: rows[1].Key, Version: rows[1].Version})
-		write.Puts = append(write.Puts, put(rows[1].Key, permitRow{}))
+		write.Puts = append(write.Puts, rowstore.PutJSON(rows[1].Key, permitRow{}))
 	}
 	if _, err := k.store.Transact(ctx, write); err != nil && !errors.Is(err, storekeeper.ErrConflict) {
 		return fmt.Errorf("%w: %w", ErrStore, err)
--- a/internal/control/vmlister/lister.go
+++ b/internal/control/vmlister/lister.go
@@ -96,12 +96,8 @@
 	}
 	var puts []rowstore.Put
 	for _, vm := range vms {
-		text, err := json.Marshal(vm)
-		if err != nil {
-			return fmt.Errorf("write list of VMs: %w", err)
-		}
 		delete(gone, vm.ID)
-		puts = append(puts, rowstore.Put{Key: keyOf(vm.ID), Value: text})
+		puts = append(puts, rowstore.PutJSON(keyOf(vm.ID), vm))
 	}
 	var removes []rowstore.Key
 	for name := range gone {
--- a/internal/laboratory/daysimulator/simulator.go
+++ b/internal/laboratory/daysimulator/simulator.go
@@ -66,14 +66,13 @@
 
 // item is one batch item.
 type item struct {
-	job     string
-	index   int
-	due     time.Duration
-	whole   float64
-	steps   float64 // left
-	work    *work   // while it runs
-	engine  *engine
-	started time.Duration
+	job    string
+	index  int
+	due    time.Duration
+	whole  float64
+	steps  float64 // left
+	work   *work   // while it runs
+	engine *engine
 }
 
 // Play plays a day with a policy and returns what it came to.
@@ -200,7 +199,7 @@
 // startItem runs an item on an engine.
 func (s *simulator) startItem(v *vm, it *item, e *engine) {
 	w := &work{steps: it.steps}
-	it.work, it.engine, it.started = w, e, s.now
+	it.work, it.engine = w, e
 	way := delay(v.domain, e.domain)
 	w.onFirst = func(at time.Duration) {
 		load, slowness := e.load(), e.slowness()
--- a/internal/online/claimer/claimer.go
+++ b/internal/online/claimer/claimer.go
@@ -192,15 +192,11 @@
 }
 
 func (c *Claimer) write(ctx context.Context, call Call, version uint64, value row) (uint64, error) {
-	text, err := json.Marshal(value)
-	if err != nil {
-		return 0, fmt.Errorf("encode claim: %w", err)
-	}
 	return c.store.Transact(ctx, storekeeper.Write{
 		Purpose: storekeeper.PurposeClaim, Priority: storekeeper.PriorityAcknowledge,
 		Tx: rowstore.Tx{
 			Conditions: []rowstore.Condition{{Key: call.key(), Version: version}},
-			Puts:       []rowstore.Put{{Key: call.key(), Value: text}},
+			Puts:       []rowstore.Put{rowstore.PutJSON(call.key(), value)},
 		},
 	})
 }
--- a/internal/online/placer/failure.go
+++ b/internal/online/placer/failure.go
@@ -136,7 +136,10 @@
 	if len(all) > max(1, len(p.upstreams)/suspectShare) {
 		return nil
 	}
-	for _, id := range slices.Sorted(maps.Keys(all))[min(len(all), maxFailing):] {
+	if len(all) <= maxFailing {
+		return all
+	}
+	for _, id := range slices.Sorted(maps.Keys(all))[maxFailing:] {
 		delete(all, id)
 	}
 	return all
--- a/internal/standins/rowemulator/store.go
+++ b/internal/standins/rowemulator/store.go
@@ -162,9 +162,10 @@
 	return reply, err
 }
 
-// Apply carries a transaction out, whatever fault is in force.
+// Apply carries a transaction out, whatever fault is in force. It refuses what the
+// platform's store would refuse.
 func (s *Store) Apply(tx rowstore.Tx) (rowstore.Snapshot, error) {
-	if err := check(tx); err != nil {
+	if _, err := tx.Part(rowstore.MaxEntries, rowstore.MaxTxBytes); err != nil {
 		return rowstore.Snapshot{}, err
 	}
 	s.mu.Lock()
@@ -186,28 +187,6 @@
 	return s.snapshot(nil), nil
 }
 
-// check refuses what the platform's store would refuse.
-func check(tx rowstore.Tx) error {
-	if tx.Entries() > rowstore.MaxEntries {
-		return fmt.Errorf("%w: %d entries", rowstore.ErrNotDone, tx.Entries())
-	}
-	if bytes := tx.Bytes(); bytes > rowstore.MaxTxBytes {
-		return fmt.Errorf("%w: %d bytes", rowstore.ErrNotDone, bytes)
-	}
-	for _, put := range tx.Puts {
-		if len(put.Value) > rowstore.MaxRowBytes {
-			return fmt.Errorf("%w: row %s has %d bytes", rowstore.ErrNotDone, put.Key, len(put.Value))
-		}
-	}
-	keys := tx.Keys()
-	for _, key := range keys {
-		if key.Part != keys[0].Part {
-			return fmt.Errorf("%w: rows of parts %q and %q", rowstore.ErrNotDone, keys[0].Part, key.Part)
-		}
-	}
-	return nil
-}
-
 // conflicts returns the current rows of all conditions if one doesn't hold.
 func (s *Store) conflicts(conditions []rowstore.Condition) []rowstore.Row {
 	holds := true
--- a/internal/standins/storeemulator/keeper.go
+++ b/internal/standins/storeemulator/keeper.go
@@ -89,8 +89,7 @@
 func (k *Keeper) Read(ctx context.Context, purpose storekeeper.Purpose, keys ...rowstore.Key) ([]rowstore.Row, error) {
 	rows := make([]rowstore.Row, 0, len(keys))
 	for _, key := range keys {
-		span := storekeeper.Span{Table: key.Table, Part: key.Part, From: key.Name, To: storekeeper.After(key.Name)}
-		found, _, err := k.Scan(ctx, purpose, span)
+		found, _, err := k.Scan(ctx, purpose, storekeeper.Only(key))
 		if err != nil {
 			return nil, err
 		}
--- a/internal/store/rowstore/rowstore.go
+++ b/internal/store/rowstore/rowstore.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"time"
@@ -69,6 +70,15 @@
 	Value []byte
 }
 
+// PutJSON writes one row with a value as JSON, which must be plain data.
+func PutJSON(key Key, value any) Put {
+	text, err := json.Marshal(value)
+	if err != nil {
+		panic(fmt.Sprintf("encode row %s: %v", key, err))
+	}
+	return Put{Key: key, Value: text}
+}
+
 // Tx is a set of writes inside one part that takes effect as a whole, if every
 // condition holds, or not at all.
 type Tx struct {
@@ -92,6 +102,31 @@
 	return bytes
 }
 
+// Part returns the part that all rows lie in. It returns ErrNotDone if the store
+// could never take the transaction: rows of several parts, a row that is too
+// large, or more entries or bytes than the bounds, which are the store's own or
+// lower ones.
+func (t Tx) Part(maxEntries, maxBytes int) (string, error) {
+	keys := t.Keys()
+	if len(keys) == 0 {
+		return "", nil
+	}
+	for _, key := range keys {
+		if key.Part != keys[0].Part {
+			return "", fmt.Errorf("%w: rows of parts %q and %q", ErrNotDone, keys[0].Part, key.Part)
+		}
+	}
+	for _, put := range t.Puts {
+		if len(put.Value) > MaxRowBytes {
+			return "", fmt.Errorf("%w: row %s has %d bytes", ErrNotDone, put.Key, len(put.Value))
+		}
+	}
+	if t.Entries() > maxEntries || t.Bytes() > maxBytes {
+		return "", fmt.Errorf("%w: %d entries of %d bytes", ErrNotDone, t.Entries(), t.Bytes())
+	}
+	return keys[0].Part, nil
+}
+
 // Entries returns the number of conditions, puts and removals.
 func (t Tx) Entries() int { return len(t.Conditions) + len(t.Puts) + len(t.Removes) }
 
--- a/internal/store/storekeeper/keeper.go
+++ b/internal/store/storekeeper/keeper.go
@@ -85,6 +85,11 @@
 	return Span{Table: table, Part: part, From: prefix, To: prefix[:last] + string(prefix[last]+1)}
 }
 
+// Only returns the span of one row.
+func Only(key rowstore.Key) Span {
+	return Span{Table: key.Table, Part: key.Part, From: key.Name, To: After(key.Name)}
+}
+
 // After returns the name that follows a name in byte order.
 func After(name string) string { return name + "\x00" }
 
@@ -174,8 +179,7 @@
 	group.SetLimit(readsAtOnce)
 	for i, key := range keys {
 		group.Go(func() error {
-			span := Span{Table: key.Table, Part: key.Part, From: key.Name, To: After(key.Name)}
-			found, _, err := k.Scan(ctx, purpose, span)
+			found, _, err := k.Scan(ctx, purpose, Only(key))
 			rows[i] = rowstore.Row{Key: key}
 			if len(found) > 0 {
 				rows[i] = found[0]
--- a/internal/store/storekeeper/lane.go
+++ b/internal/store/storekeeper/lane.go
@@ -18,27 +18,17 @@
 	rowstore.Tx
 }
 
-// part returns the part that the write's rows lie in, or an error if the store
-// could never take the write.
+// part returns the part that the write's rows lie in, or ErrNotWritten if the
+// store could never take the write.
 func (w Write) part() (string, error) {
-	keys := w.Keys()
-	if len(keys) == 0 {
+	if w.Entries() == 0 {
 		return "", fmt.Errorf("%w: no rows", ErrNotWritten)
 	}
-	for _, key := range keys {
-		if key.Part != keys[0].Part {
-			return "", fmt.Errorf("%w: rows of parts %q and %q", ErrNotWritten, keys[0].Part, key.Part)
-		}
-	}
-	for _, put := range w.Puts {
-		if len(put.Value) > rowstore.MaxRowBytes {
-			return "", fmt.Errorf("%w: row %s has %d bytes", ErrNotWritten, put.Key, len(put.Value))
-		}
-	}
-	if w.Entries() > MaxWriteEntries || w.Bytes() > maxWriteBytes {
-		return "", fmt.Errorf("%w: %d entries of %d bytes", ErrNotWritten, w.Entries(), w.Bytes())
+	part, err := w.Part(MaxWriteEntries, maxWriteBytes)
+	if err != nil {
+		return "", fmt.Errorf("%w: %w", ErrNotWritten, err)
 	}
-	return keys[0].Part, nil
+	return part, nil
 }
 
 const (
@@ -285,10 +275,7 @@
 	m := l.marks[part]
 	m.sequence++
 	l.marks[part] = m
-	tx, err := l.merge(part, writes)
-	if err != nil {
-		return 0, err
-	}
+	tx := l.merge(part, writes)
 	for attempt := 0; ; attempt++ {
 		version, err := l.sendOnce(ctx, tx, writes)
 		overtaken := l.overtaken(part, err)
@@ -351,20 +338,16 @@
 	return m.version, found.Sequence == m.sequence
 }
 
-func (l *lane) merge(part string, writes []*pending) (rowstore.Tx, error) {
+func (l *lane) merge(part string, writes []*pending) rowstore.Tx {
 	m, key := l.marks[part], l.markerKey(part)
-	value, err := json.Marshal(marker{Sequence: m.sequence})
-	if err != nil {
-		return rowstore.Tx{}, fmt.Errorf("encode marker: %w", err)
-	}
 	tx := rowstore.Tx{
 		Conditions: []rowstore.Condition{{Key: key, Version: m.version}},
-		Puts:       []rowstore.Put{{Key: key, Value: value}},
+		Puts:       []rowstore.Put{rowstore.PutJSON(key, marker{Sequence: m.sequence})},
 	}
 	for _, p := range writes {
 		tx.Conditions = append(tx.Conditions, p.write.Conditions...)
 		tx.Puts = append(tx.Puts, p.write.Puts...)
 		tx.Removes = append(tx.Removes, p.write.Removes...)
 	}
-	return tx, nil
+	return tx
 }
