--- a/cmd/fescuespindle-entry/main.go
+++ b/cmd/fescuespindle-entry/main.go
@@ -5,7 +5,7 @@
 import (
 	"os"
 
-	"github.com/fescuespindle/fescuespindle/internal/entryvm"
+	"github.com/fescuespindle/fescuespindle/internal/wiring/entryvm"
 )
 
 func main() { os.Exit(entryvm.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/cmd/fescuespindle/main.go
+++ b/cmd/fescuespindle/main.go
@@ -5,7 +5,7 @@
 import (
 	"os"
 
-	"github.com/fescuespindle/fescuespindle/internal/commander"
+	"github.com/fescuespindle/fescuespindle/internal/faces/commander"
 )
 
 func main() {
--- a/internal/attempter/attempter.go
+++ b/internal/batch/attempter/attempter.go
@@ -10,11 +10,11 @@
 	"sync"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/batchkeeper"
-	"github.com/fescuespindle/fescuespindle/internal/courier"
-	"github.com/fescuespindle/fescuespindle/internal/eventsplitter"
-	"github.com/fescuespindle/fescuespindle/internal/placer"
-	"github.com/fescuespindle/fescuespindle/internal/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/online/courier"
+	"github.com/fescuespindle/fescuespindle/internal/online/eventsplitter"
+	"github.com/fescuespindle/fescuespindle/internal/online/placer"
+	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
 )
 
 const (
--- a/internal/batchkeeper/keeper.go
+++ b/internal/batch/batchkeeper/keeper.go
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/rowstore"
-	"github.com/fescuespindle/fescuespindle/internal/sleeper"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/sleeper"
+	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 )
 
 const (
--- a/internal/batchkeeper/owner.go
+++ b/internal/batch/batchkeeper/owner.go
@@ -7,7 +7,7 @@
 	"maps"
 	"slices"
 
-	"github.com/fescuespindle/fescuespindle/internal/rowstore"
+	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 )
 
 // Claim makes this process the owner of a job, if its record is still as it was
--- a/internal/batchkeeper/record.go
+++ b/internal/batch/batchkeeper/record.go
@@ -25,7 +25,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/fescuespindle/fescuespindle/internal/rowstore"
+	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 )
 
 // Errors of this layer.
--- a/internal/batchkeeper/submission.go
+++ b/internal/batch/batchkeeper/submission.go
@@ -8,7 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/fescuespindle/fescuespindle/internal/rowstore"
+	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 )
 
 // Submission is a job as it is handed in.
--- a/internal/batchrunner/job.go
+++ b/internal/batch/batchrunner/job.go
@@ -4,10 +4,10 @@
 	"context"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/attempter"
-	"github.com/fescuespindle/fescuespindle/internal/batchkeeper"
-	"github.com/fescuespindle/fescuespindle/internal/placer"
-	"github.com/fescuespindle/fescuespindle/internal/ranker"
+	"github.com/fescuespindle/fescuespindle/internal/batch/attempter"
+	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/batch/ranker"
+	"github.com/fescuespindle/fescuespindle/internal/online/placer"
 )
 
 // job is a job that this VM runs.
--- a/internal/batchrunner/run.go
+++ b/internal/batch/batchrunner/run.go
@@ -5,10 +5,10 @@
 	"net/http"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/attempter"
-	"github.com/fescuespindle/fescuespindle/internal/courier"
-	"github.com/fescuespindle/fescuespindle/internal/placer"
-	"github.com/fescuespindle/fescuespindle/internal/stepper"
+	"github.com/fescuespindle/fescuespindle/internal/batch/attempter"
+	"github.com/fescuespindle/fescuespindle/internal/control/stepper"
+	"github.com/fescuespindle/fescuespindle/internal/online/courier"
+	"github.com/fescuespindle/fescuespindle/internal/online/placer"
 )
 
 const (
--- a/internal/batchrunner/runner.go
+++ b/internal/batch/batchrunner/runner.go
@@ -11,11 +11,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/attempter"
-	"github.com/fescuespindle/fescuespindle/internal/batchkeeper"
-	"github.com/fescuespindle/fescuespindle/internal/placer"
-	"github.com/fescuespindle/fescuespindle/internal/router"
-	"github.com/fescuespindle/fescuespindle/internal/stepper"
+	"github.com/fescuespindle/fescuespindle/internal/batch/attempter"
+	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/control/stepper"
+	"github.com/fescuespindle/fescuespindle/internal/online/placer"
+	"github.com/fescuespindle/fescuespindle/internal/online/router"
 )
 
 // Keeper keeps jobs in the store.
--- a/internal/batchrunner/store.go
+++ b/internal/batch/batchrunner/store.go
@@ -9,8 +9,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/fescuespindle/fescuespindle/internal/batchkeeper"
-	"github.com/fescuespindle/fescuespindle/internal/stepper"
+	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/control/stepper"
 )
 
 const (
--- a/internal/chunkfinder/finder.go
+++ b/internal/batch/chunkfinder/finder.go
@@ -9,7 +9,7 @@
 	"slices"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/jobkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/batch/jobkeeper"
 )
 
 const (
--- a/internal/chunkfinder/scanner.go
+++ b/internal/batch/chunkfinder/scanner.go
@@ -4,7 +4,7 @@
 	"context"
 	"slices"
 
-	"github.com/fescuespindle/fescuespindle/internal/jobkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/batch/jobkeeper"
 )
 
 const (
--- a/internal/itemrunner/runner.go
+++ b/internal/batch/itemrunner/runner.go
@@ -14,13 +14,13 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/fescuespindle/fescuespindle/internal/chooser"
-	"github.com/fescuespindle/fescuespindle/internal/jobkeeper"
-	"github.com/fescuespindle/fescuespindle/internal/jobrunner"
-	"github.com/fescuespindle/fescuespindle/internal/quarantiner"
-	"github.com/fescuespindle/fescuespindle/internal/relayer"
-	"github.com/fescuespindle/fescuespindle/internal/streammover"
-	"github.com/fescuespindle/fescuespindle/internal/upstream"
+	"github.com/fescuespindle/fescuespindle/internal/batch/jobkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/batch/jobrunner"
+	"github.com/fescuespindle/fescuespindle/internal/online/chooser"
+	"github.com/fescuespindle/fescuespindle/internal/online/quarantiner"
+	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/online/streammover"
+	"github.com/fescuespindle/fescuespindle/internal/online/upstream"
 )
 
 // Engines sends requests to engines.
--- a/internal/jobkeeper/chunk.go
+++ b/internal/batch/jobkeeper/chunk.go
@@ -10,8 +10,8 @@
 	"strings"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/rowstore"
-	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
+	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
+	"github.com/fescuespindle/fescuespindle/internal/store/storekeeper"
 )
 
 // Result is one line of a job's results.
--- a/internal/jobkeeper/keeper.go
+++ b/internal/batch/jobkeeper/keeper.go
@@ -8,8 +8,8 @@
 	"fmt"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/rowstore"
-	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
+	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
+	"github.com/fescuespindle/fescuespindle/internal/store/storekeeper"
 )
 
 // Store is the store as this package needs it.
--- a/internal/jobkeeper/row.go
+++ b/internal/batch/jobkeeper/row.go
@@ -14,8 +14,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/fescuespindle/fescuespindle/internal/rowstore"
-	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
+	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
+	"github.com/fescuespindle/fescuespindle/internal/store/storekeeper"
 )
 
 // Errors of this layer.
--- a/internal/jobrunner/action.go
+++ b/internal/batch/jobrunner/action.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/jobkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/batch/jobkeeper"
 )
 
 // RunID identifies one run of an item in this process.
--- a/internal/jobrunner/chunk.go
+++ b/internal/batch/jobrunner/chunk.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/jobkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/batch/jobkeeper"
 )
 
 // phase is where a chunk is on its way through this process.
--- a/internal/jobrunner/runner.go
+++ b/internal/batch/jobrunner/runner.go
@@ -10,7 +10,7 @@
 	"slices"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/jobkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/batch/jobkeeper"
 )
 
 const (
--- a/internal/configkeeper/keeper.go
+++ b/internal/control/configkeeper/keeper.go
@@ -9,8 +9,8 @@
 	"fmt"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/rowstore"
-	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
+	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
+	"github.com/fescuespindle/fescuespindle/internal/store/storekeeper"
 	"github.com/fescuespindle/fescuespindle/pkg/deployer"
 )
 
--- a/internal/controller/configuration.go
+++ b/internal/control/controller/configuration.go
@@ -6,10 +6,10 @@
 	"fmt"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/configkeeper"
-	"github.com/fescuespindle/fescuespindle/internal/peer"
-	"github.com/fescuespindle/fescuespindle/internal/propagator"
-	"github.com/fescuespindle/fescuespindle/internal/stepper"
+	"github.com/fescuespindle/fescuespindle/internal/control/configkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/control/peer"
+	"github.com/fescuespindle/fescuespindle/internal/control/propagator"
+	"github.com/fescuespindle/fescuespindle/internal/control/stepper"
 	"github.com/fescuespindle/fescuespindle/pkg/deployer"
 )
 
--- a/internal/controller/counts.go
+++ b/internal/control/controller/counts.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/chooser"
-	"github.com/fescuespindle/fescuespindle/internal/peer"
-	"github.com/fescuespindle/fescuespindle/internal/publisher"
+	"github.com/fescuespindle/fescuespindle/internal/control/peer"
+	"github.com/fescuespindle/fescuespindle/internal/control/publisher"
+	"github.com/fescuespindle/fescuespindle/internal/online/chooser"
 )
 
 // totals returns what a VM is told of the requests of all others on the upstream.
--- a/internal/controller/isolations.go
+++ b/internal/control/controller/isolations.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/chooser"
-	"github.com/fescuespindle/fescuespindle/internal/peer"
-	"github.com/fescuespindle/fescuespindle/internal/quarantiner"
+	"github.com/fescuespindle/fescuespindle/internal/control/peer"
+	"github.com/fescuespindle/fescuespindle/internal/online/chooser"
+	"github.com/fescuespindle/fescuespindle/internal/online/quarantiner"
 )
 
 // isolationTimeout bounds the wait for the keeper of an upstream.
--- a/internal/controller/members.go
+++ b/internal/control/controller/members.go
@@ -4,10 +4,10 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/memberprober"
-	"github.com/fescuespindle/fescuespindle/internal/peer"
-	"github.com/fescuespindle/fescuespindle/internal/propagator"
-	"github.com/fescuespindle/fescuespindle/internal/vmlister"
+	"github.com/fescuespindle/fescuespindle/internal/control/memberprober"
+	"github.com/fescuespindle/fescuespindle/internal/control/peer"
+	"github.com/fescuespindle/fescuespindle/internal/control/propagator"
+	"github.com/fescuespindle/fescuespindle/internal/control/vmlister"
 )
 
 // members steps the membership of this VM's failure domain.
--- a/internal/controller/orders.go
+++ b/internal/control/controller/orders.go
@@ -8,12 +8,12 @@
 	"slices"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/orderer"
-	"github.com/fescuespindle/fescuespindle/internal/orderkeeper"
-	"github.com/fescuespindle/fescuespindle/internal/relayer"
-	"github.com/fescuespindle/fescuespindle/internal/stepper"
-	"github.com/fescuespindle/fescuespindle/internal/upstream"
-	"github.com/fescuespindle/fescuespindle/internal/vmlister"
+	"github.com/fescuespindle/fescuespindle/internal/control/orderer"
+	"github.com/fescuespindle/fescuespindle/internal/control/orderkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/control/stepper"
+	"github.com/fescuespindle/fescuespindle/internal/control/vmlister"
+	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/online/upstream"
 	"github.com/fescuespindle/fescuespindle/pkg/deployer"
 )
 
--- a/internal/controller/reports.go
+++ b/internal/control/controller/reports.go
@@ -7,12 +7,12 @@
 	"net/http"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/peer"
-	"github.com/fescuespindle/fescuespindle/internal/publisher"
-	"github.com/fescuespindle/fescuespindle/internal/relayer"
-	"github.com/fescuespindle/fescuespindle/internal/stepper"
-	"github.com/fescuespindle/fescuespindle/internal/upstream"
-	"github.com/fescuespindle/fescuespindle/internal/vmlister"
+	"github.com/fescuespindle/fescuespindle/internal/control/peer"
+	"github.com/fescuespindle/fescuespindle/internal/control/publisher"
+	"github.com/fescuespindle/fescuespindle/internal/control/stepper"
+	"github.com/fescuespindle/fescuespindle/internal/control/vmlister"
+	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/online/upstream"
 	"github.com/fescuespindle/fescuespindle/pkg/deployer"
 )
 
--- a/internal/controller/upstreams.go
+++ b/internal/control/controller/upstreams.go
@@ -6,11 +6,11 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/fescuespindle/fescuespindle/internal/chooser"
-	"github.com/fescuespindle/fescuespindle/internal/peer"
-	"github.com/fescuespindle/fescuespindle/internal/publisher"
-	"github.com/fescuespindle/fescuespindle/internal/vmlister"
-	"github.com/fescuespindle/fescuespindle/internal/yielder"
+	"github.com/fescuespindle/fescuespindle/internal/batch/yielder"
+	"github.com/fescuespindle/fescuespindle/internal/control/peer"
+	"github.com/fescuespindle/fescuespindle/internal/control/publisher"
+	"github.com/fescuespindle/fescuespindle/internal/control/vmlister"
+	"github.com/fescuespindle/fescuespindle/internal/online/chooser"
 	"github.com/fescuespindle/fescuespindle/pkg/deployer"
 )
 
--- a/internal/memberkeeper/keeper.go
+++ b/internal/control/memberkeeper/keeper.go
@@ -12,8 +12,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/fescuespindle/fescuespindle/internal/rowstore"
-	"github.com/fescuespindle/fescuespindle/internal/sleeper"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/sleeper"
+	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 )
 
 const (
--- a/internal/memberprober/prober.go
+++ b/internal/control/memberprober/prober.go
@@ -13,7 +13,7 @@
 	"slices"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/peer"
+	"github.com/fescuespindle/fescuespindle/internal/control/peer"
 )
 
 const (
--- a/internal/messenger/messenger.go
+++ b/internal/control/messenger/messenger.go
@@ -17,7 +17,7 @@
 
 	"github.com/coder/websocket"
 
-	"github.com/fescuespindle/fescuespindle/internal/peer"
+	"github.com/fescuespindle/fescuespindle/internal/control/peer"
 )
 
 // Path is where VMs take their peers' connections.
--- a/internal/orderer/orderer.go
+++ b/internal/control/orderer/orderer.go
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/upstream"
+	"github.com/fescuespindle/fescuespindle/internal/online/upstream"
 )
 
 const (
--- a/internal/orderkeeper/keeper.go
+++ b/internal/control/orderkeeper/keeper.go
@@ -11,9 +11,9 @@
 	"sync"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/orderer"
-	"github.com/fescuespindle/fescuespindle/internal/rowstore"
-	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
+	"github.com/fescuespindle/fescuespindle/internal/control/orderer"
+	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
+	"github.com/fescuespindle/fescuespindle/internal/store/storekeeper"
 )
 
 // Errors of this layer.
--- a/internal/peer/message.go
+++ b/internal/control/peer/message.go
@@ -7,7 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/fescuespindle/fescuespindle/internal/vmlister"
+	"github.com/fescuespindle/fescuespindle/internal/control/vmlister"
 )
 
 // ProtocolVersion is the version of the messages between VMs.
--- a/internal/peerteller/schedule.go
+++ b/internal/control/peerteller/schedule.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/placer"
+	"github.com/fescuespindle/fescuespindle/internal/online/placer"
 )
 
 const (
--- a/internal/peerteller/teller.go
+++ b/internal/control/peerteller/teller.go
@@ -17,8 +17,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/fescuespindle/fescuespindle/internal/placer"
-	"github.com/fescuespindle/fescuespindle/internal/quarantiner"
+	"github.com/fescuespindle/fescuespindle/internal/online/placer"
+	"github.com/fescuespindle/fescuespindle/internal/online/quarantiner"
 )
 
 const maxMessage = 16 << 10
--- a/internal/propagator/propagator.go
+++ b/internal/control/propagator/propagator.go
@@ -15,7 +15,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/fescuespindle/fescuespindle/internal/peer"
+	"github.com/fescuespindle/fescuespindle/internal/control/peer"
 )
 
 const (
--- a/internal/publisher/builder.go
+++ b/internal/control/publisher/builder.go
@@ -6,11 +6,11 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/fescuespindle/fescuespindle/internal/chooser"
-	"github.com/fescuespindle/fescuespindle/internal/dispatcher"
-	"github.com/fescuespindle/fescuespindle/internal/gauger"
-	"github.com/fescuespindle/fescuespindle/internal/propagator"
-	"github.com/fescuespindle/fescuespindle/internal/vmlister"
+	"github.com/fescuespindle/fescuespindle/internal/control/propagator"
+	"github.com/fescuespindle/fescuespindle/internal/control/vmlister"
+	"github.com/fescuespindle/fescuespindle/internal/online/chooser"
+	"github.com/fescuespindle/fescuespindle/internal/online/dispatcher"
+	"github.com/fescuespindle/fescuespindle/internal/online/gauger"
 	"github.com/fescuespindle/fescuespindle/pkg/deployer"
 )
 
--- a/internal/publisher/view.go
+++ b/internal/control/publisher/view.go
@@ -5,9 +5,9 @@
 import (
 	"sync/atomic"
 
-	"github.com/fescuespindle/fescuespindle/internal/chooser"
-	"github.com/fescuespindle/fescuespindle/internal/dispatcher"
-	"github.com/fescuespindle/fescuespindle/internal/propagator"
+	"github.com/fescuespindle/fescuespindle/internal/control/propagator"
+	"github.com/fescuespindle/fescuespindle/internal/online/chooser"
+	"github.com/fescuespindle/fescuespindle/internal/online/dispatcher"
 	"github.com/fescuespindle/fescuespindle/pkg/deployer"
 )
 
--- a/internal/registrar/registrar.go
+++ b/internal/control/registrar/registrar.go
@@ -11,7 +11,7 @@
 	"slices"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/placer"
+	"github.com/fescuespindle/fescuespindle/internal/online/placer"
 )
 
 // returnTime is how long upstreams may take to write their entries again after
--- a/internal/vmlister/lister.go
+++ b/internal/control/vmlister/lister.go
@@ -9,7 +9,7 @@
 	"fmt"
 	"log/slog"
 
-	"github.com/fescuespindle/fescuespindle/internal/rowstore"
+	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 )
 
 // ErrUnchanged means that the caller has the newest list already.
--- a/internal/watcher/watcher.go
+++ b/internal/control/watcher/watcher.go
@@ -10,8 +10,8 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/rowstore"
-	"github.com/fescuespindle/fescuespindle/internal/sleeper"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/sleeper"
+	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 )
 
 const (
--- a/internal/batchserver/server.go
+++ b/internal/faces/batchserver/server.go
@@ -10,10 +10,10 @@
 	"net/http"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/batchkeeper"
-	"github.com/fescuespindle/fescuespindle/internal/gateway"
-	"github.com/fescuespindle/fescuespindle/internal/router"
-	"github.com/fescuespindle/fescuespindle/internal/sleeper"
+	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/faces/gateway"
+	"github.com/fescuespindle/fescuespindle/internal/online/router"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/sleeper"
 )
 
 // Operation is what a call asks for.
--- a/internal/commander/batch.go
+++ b/internal/faces/commander/batch.go
@@ -8,8 +8,8 @@
 
 	"github.com/google/uuid"
 
-	"github.com/fescuespindle/fescuespindle/internal/requester"
-	"github.com/fescuespindle/fescuespindle/internal/sleeper"
+	"github.com/fescuespindle/fescuespindle/internal/laboratory/requester"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/sleeper"
 )
 
 // callerFlags tell where and as whom a caller's command speaks.
--- a/internal/commander/config.go
+++ b/internal/faces/commander/config.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/configkeeper"
-	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
+	"github.com/fescuespindle/fescuespindle/internal/control/configkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/laboratory/sitebuilder"
 	"github.com/fescuespindle/fescuespindle/pkg/deployer"
 )
 
--- a/internal/commander/demo.go
+++ b/internal/faces/commander/demo.go
@@ -5,7 +5,7 @@
 
 	"golang.org/x/term"
 
-	"github.com/fescuespindle/fescuespindle/internal/demonstrator"
+	"github.com/fescuespindle/fescuespindle/internal/laboratory/demonstrator"
 )
 
 type demoCommand struct {
--- a/internal/commander/experiment.go
+++ b/internal/faces/commander/experiment.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/experimenter"
+	"github.com/fescuespindle/fescuespindle/internal/laboratory/experimenter"
 )
 
 type experimentCommand struct {
--- a/internal/commander/load.go
+++ b/internal/faces/commander/load.go
@@ -7,8 +7,8 @@
 	"strings"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/loadgenerator"
-	"github.com/fescuespindle/fescuespindle/internal/requester"
+	"github.com/fescuespindle/fescuespindle/internal/laboratory/loadgenerator"
+	"github.com/fescuespindle/fescuespindle/internal/laboratory/requester"
 )
 
 type loadCommand struct {
--- a/internal/commander/serve.go
+++ b/internal/faces/commander/serve.go
@@ -6,8 +6,8 @@
 	"io"
 	"log/slog"
 
-	"github.com/fescuespindle/fescuespindle/internal/assembler"
-	"github.com/fescuespindle/fescuespindle/internal/settingsloader"
+	"github.com/fescuespindle/fescuespindle/internal/faces/settingsloader"
+	"github.com/fescuespindle/fescuespindle/internal/wiring/assembler"
 )
 
 type serveCommand struct {
--- a/internal/commander/standin.go
+++ b/internal/faces/commander/standin.go
@@ -10,10 +10,10 @@
 	"sync"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/emulator/engineemulator"
-	"github.com/fescuespindle/fescuespindle/internal/emulator/rowemulator"
-	"github.com/fescuespindle/fescuespindle/internal/emulator/serviceemulator"
-	"github.com/fescuespindle/fescuespindle/internal/upstream"
+	"github.com/fescuespindle/fescuespindle/internal/online/upstream"
+	"github.com/fescuespindle/fescuespindle/internal/standins/engineemulator"
+	"github.com/fescuespindle/fescuespindle/internal/standins/rowemulator"
+	"github.com/fescuespindle/fescuespindle/internal/standins/serviceemulator"
 	"github.com/fescuespindle/fescuespindle/platform/standin"
 )
 
--- a/internal/gateway/gateway.go
+++ b/internal/faces/gateway/gateway.go
@@ -14,10 +14,10 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/fescuespindle/fescuespindle/internal/courier"
-	"github.com/fescuespindle/fescuespindle/internal/placer"
-	"github.com/fescuespindle/fescuespindle/internal/quarantiner"
-	"github.com/fescuespindle/fescuespindle/internal/router"
+	"github.com/fescuespindle/fescuespindle/internal/online/courier"
+	"github.com/fescuespindle/fescuespindle/internal/online/placer"
+	"github.com/fescuespindle/fescuespindle/internal/online/quarantiner"
+	"github.com/fescuespindle/fescuespindle/internal/online/router"
 )
 
 // Request is a caller's request as decoded.
--- a/internal/gateway/run.go
+++ b/internal/faces/gateway/run.go
@@ -8,10 +8,10 @@
 	"net/http"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/courier"
-	"github.com/fescuespindle/fescuespindle/internal/eventsplitter"
-	"github.com/fescuespindle/fescuespindle/internal/relayer"
-	"github.com/fescuespindle/fescuespindle/internal/router"
+	"github.com/fescuespindle/fescuespindle/internal/online/courier"
+	"github.com/fescuespindle/fescuespindle/internal/online/eventsplitter"
+	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/online/router"
 )
 
 const (
--- a/internal/operator/operator.go
+++ b/internal/faces/operator/operator.go
@@ -12,10 +12,10 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/fescuespindle/fescuespindle/internal/controller"
-	"github.com/fescuespindle/fescuespindle/internal/counter"
-	"github.com/fescuespindle/fescuespindle/internal/dispatcher"
-	"github.com/fescuespindle/fescuespindle/internal/publisher"
+	"github.com/fescuespindle/fescuespindle/internal/control/controller"
+	"github.com/fescuespindle/fescuespindle/internal/control/publisher"
+	"github.com/fescuespindle/fescuespindle/internal/online/dispatcher"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/counter"
 )
 
 // Paths of the operators' interface.
--- a/internal/server/batch.go
+++ b/internal/faces/server/batch.go
@@ -11,7 +11,7 @@
 	"github.com/emicklei/go-restful/v3"
 	"github.com/google/uuid"
 
-	"github.com/fescuespindle/fescuespindle/internal/jobkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/batch/jobkeeper"
 	"github.com/fescuespindle/fescuespindle/pkg/deployer"
 )
 
--- a/internal/server/completion.go
+++ b/internal/faces/server/completion.go
@@ -12,11 +12,11 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/emicklei/go-restful/v3"
 
-	"github.com/fescuespindle/fescuespindle/internal/dispatcher"
-	"github.com/fescuespindle/fescuespindle/internal/publisher"
-	"github.com/fescuespindle/fescuespindle/internal/quarantiner"
-	"github.com/fescuespindle/fescuespindle/internal/relayer"
-	"github.com/fescuespindle/fescuespindle/internal/upstream"
+	"github.com/fescuespindle/fescuespindle/internal/control/publisher"
+	"github.com/fescuespindle/fescuespindle/internal/online/dispatcher"
+	"github.com/fescuespindle/fescuespindle/internal/online/quarantiner"
+	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/online/upstream"
 	"github.com/fescuespindle/fescuespindle/pkg/deployer"
 )
 
--- a/internal/server/failure.go
+++ b/internal/faces/server/failure.go
@@ -7,11 +7,11 @@
 	"strconv"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/admitter"
-	"github.com/fescuespindle/fescuespindle/internal/claimer"
-	"github.com/fescuespindle/fescuespindle/internal/dispatcher"
-	"github.com/fescuespindle/fescuespindle/internal/jobkeeper"
-	"github.com/fescuespindle/fescuespindle/internal/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/batch/jobkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/online/admitter"
+	"github.com/fescuespindle/fescuespindle/internal/online/claimer"
+	"github.com/fescuespindle/fescuespindle/internal/online/dispatcher"
+	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
 )
 
 // Headers of answers to callers.
--- a/internal/server/filter.go
+++ b/internal/faces/server/filter.go
@@ -10,7 +10,7 @@
 	"github.com/emicklei/go-restful/v3"
 	"github.com/google/uuid"
 
-	"github.com/fescuespindle/fescuespindle/internal/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
 	"github.com/fescuespindle/fescuespindle/pkg/deployer"
 )
 
--- a/internal/server/server.go
+++ b/internal/faces/server/server.go
@@ -10,12 +10,12 @@
 
 	"github.com/emicklei/go-restful/v3"
 
-	"github.com/fescuespindle/fescuespindle/internal/claimer"
-	"github.com/fescuespindle/fescuespindle/internal/counter"
-	"github.com/fescuespindle/fescuespindle/internal/dispatcher"
-	"github.com/fescuespindle/fescuespindle/internal/jobkeeper"
-	"github.com/fescuespindle/fescuespindle/internal/publisher"
-	"github.com/fescuespindle/fescuespindle/internal/servicecaller"
+	"github.com/fescuespindle/fescuespindle/internal/batch/jobkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/control/publisher"
+	"github.com/fescuespindle/fescuespindle/internal/online/claimer"
+	"github.com/fescuespindle/fescuespindle/internal/online/dispatcher"
+	"github.com/fescuespindle/fescuespindle/internal/online/servicecaller"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/counter"
 )
 
 const (
--- a/internal/server/service.go
+++ b/internal/faces/server/service.go
@@ -8,9 +8,9 @@
 
 	"github.com/emicklei/go-restful/v3"
 
-	"github.com/fescuespindle/fescuespindle/internal/claimer"
-	"github.com/fescuespindle/fescuespindle/internal/relayer"
-	"github.com/fescuespindle/fescuespindle/internal/servicecaller"
+	"github.com/fescuespindle/fescuespindle/internal/online/claimer"
+	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/online/servicecaller"
 	"github.com/fescuespindle/fescuespindle/pkg/deployer"
 )
 
--- a/internal/settingsloader/settings.go
+++ b/internal/faces/settingsloader/settings.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/strictdecoder"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/strictdecoder"
 )
 
 // ErrInvalid is wrapped by every error of this package.
--- a/internal/daysimulator/fleet.go
+++ b/internal/laboratory/daysimulator/fleet.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/peerteller"
-	"github.com/fescuespindle/fescuespindle/internal/placer"
+	"github.com/fescuespindle/fescuespindle/internal/control/peerteller"
+	"github.com/fescuespindle/fescuespindle/internal/online/placer"
 )
 
 const service = "model"
@@ -31,8 +31,7 @@
 	telling  time.Duration
 }
 
-// Fleet is the policy of the VMs as they are.
-func Fleet(s *simulator) policy {
+func newFleet(s *simulator) *fleet {
 	f := &fleet{s: s}
 	regions := map[string]string{}
 	for _, d := range s.day.Domains {
--- a/internal/daysimulator/policy.go
+++ b/internal/laboratory/daysimulator/policy.go
@@ -1,13 +1,43 @@
 package daysimulator
 
 import (
+	"fmt"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/ranker"
+	"github.com/fescuespindle/fescuespindle/internal/batch/ranker"
 )
 
-// Policy makes the decisions of a day.
-type Policy func(*simulator) policy
+// Policy names who makes the decisions of a day.
+type Policy string
+
+// The policies.
+const (
+	// Fleet is the VMs as they are.
+	Fleet Policy = "fleet"
+	// AllSeeing is one scheduler for the whole fleet.
+	AllSeeing Policy = "allSeeing"
+	// LeastOwn is VMs that each send to the engine on which they have least work
+	// themselves.
+	LeastOwn Policy = "leastOwn"
+	// RoundRobin is VMs that each send to one engine after the other.
+	RoundRobin Policy = "roundRobin"
+)
+
+// newPolicy returns the decisions of a day under way.
+func newPolicy(p Policy, s *simulator) policy {
+	switch p {
+	case AllSeeing:
+		return newAllSeeing(s)
+	case LeastOwn:
+		return newLeastOwn(s)
+	case RoundRobin:
+		return newRoundRobin(s)
+	case Fleet:
+		return newFleet(s)
+	default:
+		panic(fmt.Sprintf("no policy %q", p))
+	}
+}
 
 // policy decides for all VMs of a day. It is told of what happens to their work
 // when the VM concerned comes to know it.
@@ -67,8 +97,7 @@
 	placed map[*engine]*placed
 }
 
-// AllSeeing is the policy of one scheduler for the whole fleet.
-func AllSeeing(s *simulator) policy {
+func newAllSeeing(s *simulator) *allSeeing {
 	p := &allSeeing{s: s, placed: map[*engine]*placed{}}
 	for _, e := range s.engines {
 		p.placed[e] = &placed{}
@@ -172,9 +201,7 @@
 	turn   int
 }
 
-// LeastOwn is the policy of VMs that each send to the engine on which they have
-// least work themselves.
-func LeastOwn(s *simulator) policy {
+func newLeastOwn(s *simulator) *simple {
 	return newSimple(s, func(p *simple, v *vm, avoid map[string]bool) *engine {
 		var best *engine
 		p.turn++
@@ -188,8 +215,7 @@
 	})
 }
 
-// RoundRobin is the policy of VMs that each send to one engine after the other.
-func RoundRobin(s *simulator) policy {
+func newRoundRobin(s *simulator) *simple {
 	turns := make([]int, len(s.vms))
 	return newSimple(s, func(_ *simple, v *vm, avoid map[string]bool) *engine {
 		for range s.engines {
--- a/internal/daysimulator/simulator.go
+++ b/internal/laboratory/daysimulator/simulator.go
@@ -77,7 +77,7 @@
 }
 
 // Play plays a day with a policy and returns what it came to.
-func Play(day Day, choose Policy) Result {
+func Play(day Day, p Policy) Result {
 	s := &simulator{day: day, random: rand.New(rand.NewPCG(day.Seed, day.Seed))}
 	for _, d := range day.Domains {
 		for n := range d.Engines {
@@ -87,7 +87,7 @@
 			s.vms = append(s.vms, vm{number: len(s.vms), domain: d})
 		}
 	}
-	s.policy = choose(s)
+	s.policy = newPolicy(p, s)
 	s.arrive(day.Streams, s.stream)
 	s.arrive(day.Jobs, s.job)
 	for _, e := range s.engines {
--- a/internal/demonstrator/demo.go
+++ b/internal/laboratory/demonstrator/demo.go
@@ -14,9 +14,9 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/emulator/engineemulator"
-	"github.com/fescuespindle/fescuespindle/internal/loadgenerator"
-	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
+	"github.com/fescuespindle/fescuespindle/internal/laboratory/loadgenerator"
+	"github.com/fescuespindle/fescuespindle/internal/laboratory/sitebuilder"
+	"github.com/fescuespindle/fescuespindle/internal/standins/engineemulator"
 )
 
 // ErrWrong means that an answer was not right.
--- a/internal/demonstrator/result.go
+++ b/internal/laboratory/demonstrator/result.go
@@ -4,9 +4,9 @@
 	"encoding/json"
 	"fmt"
 
-	"github.com/fescuespindle/fescuespindle/internal/jobkeeper"
-	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
-	"github.com/fescuespindle/fescuespindle/internal/upstream"
+	"github.com/fescuespindle/fescuespindle/internal/batch/jobkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/laboratory/sitebuilder"
+	"github.com/fescuespindle/fescuespindle/internal/online/upstream"
 )
 
 // parseResult returns the item and the text of one line of results.
--- a/internal/experimenter/batch.go
+++ b/internal/laboratory/experimenter/batch.go
@@ -5,9 +5,9 @@
 	"sync"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/drawer"
-	"github.com/fescuespindle/fescuespindle/internal/loadgenerator"
-	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
+	"github.com/fescuespindle/fescuespindle/internal/laboratory/drawer"
+	"github.com/fescuespindle/fescuespindle/internal/laboratory/loadgenerator"
+	"github.com/fescuespindle/fescuespindle/internal/laboratory/sitebuilder"
 )
 
 var batchBesideOnline = Experiment{
--- a/internal/experimenter/bench.go
+++ b/internal/laboratory/experimenter/bench.go
@@ -9,13 +9,13 @@
 	"sync"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/chooser"
-	"github.com/fescuespindle/fescuespindle/internal/dispatcher"
-	"github.com/fescuespindle/fescuespindle/internal/drawer"
-	"github.com/fescuespindle/fescuespindle/internal/emulator/engineemulator"
-	"github.com/fescuespindle/fescuespindle/internal/loadgenerator"
-	"github.com/fescuespindle/fescuespindle/internal/requester"
-	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
+	"github.com/fescuespindle/fescuespindle/internal/laboratory/drawer"
+	"github.com/fescuespindle/fescuespindle/internal/laboratory/loadgenerator"
+	"github.com/fescuespindle/fescuespindle/internal/laboratory/requester"
+	"github.com/fescuespindle/fescuespindle/internal/laboratory/sitebuilder"
+	"github.com/fescuespindle/fescuespindle/internal/online/chooser"
+	"github.com/fescuespindle/fescuespindle/internal/online/dispatcher"
+	"github.com/fescuespindle/fescuespindle/internal/standins/engineemulator"
 )
 
 const (
--- a/internal/experimenter/cache.go
+++ b/internal/laboratory/experimenter/cache.go
@@ -7,9 +7,9 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/emulator/engineemulator"
-	"github.com/fescuespindle/fescuespindle/internal/loadgenerator"
-	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
+	"github.com/fescuespindle/fescuespindle/internal/laboratory/loadgenerator"
+	"github.com/fescuespindle/fescuespindle/internal/laboratory/sitebuilder"
+	"github.com/fescuespindle/fescuespindle/internal/standins/engineemulator"
 )
 
 var prefixCache = Experiment{
--- a/internal/experimenter/explain.go
+++ b/internal/laboratory/experimenter/explain.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/operator"
+	"github.com/fescuespindle/fescuespindle/internal/faces/operator"
 )
 
 // explain prints the decisions for a request that took longer than the
--- a/internal/experimenter/loss.go
+++ b/internal/laboratory/experimenter/loss.go
@@ -6,9 +6,9 @@
 	"sync"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/jobkeeper"
-	"github.com/fescuespindle/fescuespindle/internal/loadgenerator"
-	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
+	"github.com/fescuespindle/fescuespindle/internal/batch/jobkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/laboratory/loadgenerator"
+	"github.com/fescuespindle/fescuespindle/internal/laboratory/sitebuilder"
 )
 
 var vmLoss = Experiment{
--- a/internal/experimenter/membership.go
+++ b/internal/laboratory/experimenter/membership.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/membersimulator"
+	"github.com/fescuespindle/fescuespindle/internal/laboratory/membersimulator"
 )
 
 var membership = Experiment{
--- a/internal/experimenter/relay.go
+++ b/internal/laboratory/experimenter/relay.go
@@ -6,10 +6,10 @@
 	"syscall"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/emulator/engineemulator"
-	"github.com/fescuespindle/fescuespindle/internal/loadgenerator"
-	"github.com/fescuespindle/fescuespindle/internal/requester"
-	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
+	"github.com/fescuespindle/fescuespindle/internal/laboratory/loadgenerator"
+	"github.com/fescuespindle/fescuespindle/internal/laboratory/requester"
+	"github.com/fescuespindle/fescuespindle/internal/laboratory/sitebuilder"
+	"github.com/fescuespindle/fescuespindle/internal/standins/engineemulator"
 )
 
 var relayCost = Experiment{
--- a/internal/experimenter/result.go
+++ b/internal/laboratory/experimenter/result.go
@@ -4,7 +4,7 @@
 	"bytes"
 	"encoding/json"
 
-	"github.com/fescuespindle/fescuespindle/internal/jobkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/batch/jobkeeper"
 )
 
 // resultCounter counts the lines of a job's results as they are written to it.
--- a/internal/experimenter/spread.go
+++ b/internal/laboratory/experimenter/spread.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/sitebuilder"
+	"github.com/fescuespindle/fescuespindle/internal/laboratory/sitebuilder"
 	"github.com/fescuespindle/fescuespindle/pkg/deployer"
 )
 
--- a/internal/loadgenerator/generator.go
+++ b/internal/laboratory/loadgenerator/generator.go
@@ -14,8 +14,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/fescuespindle/fescuespindle/internal/requester"
-	"github.com/fescuespindle/fescuespindle/internal/sleeper"
+	"github.com/fescuespindle/fescuespindle/internal/laboratory/requester"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/sleeper"
 )
 
 const (
--- a/internal/membersimulator/fleet.go
+++ b/internal/laboratory/membersimulator/fleet.go
@@ -8,8 +8,8 @@
 	"slices"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/memberprober"
-	"github.com/fescuespindle/fescuespindle/internal/peer"
+	"github.com/fescuespindle/fescuespindle/internal/control/memberprober"
+	"github.com/fescuespindle/fescuespindle/internal/control/peer"
 )
 
 const (
--- a/internal/requester/requester.go
+++ b/internal/laboratory/requester/requester.go
@@ -14,9 +14,9 @@
 	"strings"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/eventreader"
-	"github.com/fescuespindle/fescuespindle/internal/server"
-	"github.com/fescuespindle/fescuespindle/internal/upstream"
+	"github.com/fescuespindle/fescuespindle/internal/faces/server"
+	"github.com/fescuespindle/fescuespindle/internal/online/eventreader"
+	"github.com/fescuespindle/fescuespindle/internal/online/upstream"
 )
 
 // ErrCut means that an answer ended before its end mark.
--- a/internal/sitebuilder/apply.go
+++ b/internal/laboratory/sitebuilder/apply.go
@@ -12,9 +12,9 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 
-	"github.com/fescuespindle/fescuespindle/internal/configkeeper"
-	"github.com/fescuespindle/fescuespindle/internal/counter"
-	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
+	"github.com/fescuespindle/fescuespindle/internal/control/configkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/counter"
+	"github.com/fescuespindle/fescuespindle/internal/store/storekeeper"
 	"github.com/fescuespindle/fescuespindle/pkg/deployer"
 	"github.com/fescuespindle/fescuespindle/platform"
 )
--- a/internal/admitter/queue.go
+++ b/internal/online/admitter/queue.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/chooser"
+	"github.com/fescuespindle/fescuespindle/internal/online/chooser"
 )
 
 // ErrBusy means that the request would have waited too long. It was not run.
--- a/internal/chooser/pool.go
+++ b/internal/online/chooser/pool.go
@@ -10,7 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/fescuespindle/fescuespindle/internal/gauger"
+	"github.com/fescuespindle/fescuespindle/internal/online/gauger"
 )
 
 // Tier tells how far an upstream is from this VM.
--- a/internal/claimer/claimer.go
+++ b/internal/online/claimer/claimer.go
@@ -13,9 +13,9 @@
 	"sync"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/relayer"
-	"github.com/fescuespindle/fescuespindle/internal/rowstore"
-	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
+	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
+	"github.com/fescuespindle/fescuespindle/internal/store/storekeeper"
 )
 
 // Errors of this layer.
--- a/internal/courier/courier.go
+++ b/internal/online/courier/courier.go
@@ -11,9 +11,9 @@
 	"net/http"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/forwarder"
-	"github.com/fescuespindle/fescuespindle/internal/placer"
-	"github.com/fescuespindle/fescuespindle/internal/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/online/forwarder"
+	"github.com/fescuespindle/fescuespindle/internal/online/placer"
+	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
 )
 
 // Call is a request, online or of a batch, as it goes to an upstream.
--- a/internal/dispatcher/choice.go
+++ b/internal/online/dispatcher/choice.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/chooser"
-	"github.com/fescuespindle/fescuespindle/internal/sleeper"
+	"github.com/fescuespindle/fescuespindle/internal/online/chooser"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/sleeper"
 )
 
 const (
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/online/dispatcher/dispatcher.go
@@ -10,12 +10,12 @@
 	"sync"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/admitter"
-	"github.com/fescuespindle/fescuespindle/internal/budgeter"
-	"github.com/fescuespindle/fescuespindle/internal/chooser"
-	"github.com/fescuespindle/fescuespindle/internal/linkmeter"
-	"github.com/fescuespindle/fescuespindle/internal/quarantiner"
-	"github.com/fescuespindle/fescuespindle/internal/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/online/admitter"
+	"github.com/fescuespindle/fescuespindle/internal/online/budgeter"
+	"github.com/fescuespindle/fescuespindle/internal/online/chooser"
+	"github.com/fescuespindle/fescuespindle/internal/online/linkmeter"
+	"github.com/fescuespindle/fescuespindle/internal/online/quarantiner"
+	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
 )
 
 const (
--- a/internal/dispatcher/flight.go
+++ b/internal/online/dispatcher/flight.go
@@ -9,9 +9,9 @@
 	"sync"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/chooser"
-	"github.com/fescuespindle/fescuespindle/internal/linkmeter"
-	"github.com/fescuespindle/fescuespindle/internal/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/online/chooser"
+	"github.com/fescuespindle/fescuespindle/internal/online/linkmeter"
+	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
 )
 
 // flight is one attempt under way. It counts as online work of its upstream
--- a/internal/dispatcher/lane.go
+++ b/internal/online/dispatcher/lane.go
@@ -5,9 +5,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/admitter"
-	"github.com/fescuespindle/fescuespindle/internal/chooser"
-	"github.com/fescuespindle/fescuespindle/internal/tracker"
+	"github.com/fescuespindle/fescuespindle/internal/laboratory/tracker"
+	"github.com/fescuespindle/fescuespindle/internal/online/admitter"
+	"github.com/fescuespindle/fescuespindle/internal/online/chooser"
 )
 
 // Lane is what the requests of one model or service share on a VM. It outlives
--- a/internal/dispatcher/pause.go
+++ b/internal/online/dispatcher/pause.go
@@ -6,10 +6,10 @@
 	"net/http"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/chooser"
-	"github.com/fescuespindle/fescuespindle/internal/relayer"
-	"github.com/fescuespindle/fescuespindle/internal/streammover"
-	"github.com/fescuespindle/fescuespindle/internal/upstream"
+	"github.com/fescuespindle/fescuespindle/internal/online/chooser"
+	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/online/streammover"
+	"github.com/fescuespindle/fescuespindle/internal/online/upstream"
 )
 
 const (
--- a/internal/dispatcher/response.go
+++ b/internal/online/dispatcher/response.go
@@ -9,8 +9,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/chooser"
-	"github.com/fescuespindle/fescuespindle/internal/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/online/chooser"
+	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
 )
 
 // Response is the answer to a request, event by event.
--- a/internal/dispatcher/trace.go
+++ b/internal/online/dispatcher/trace.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/chooser"
+	"github.com/fescuespindle/fescuespindle/internal/online/chooser"
 )
 
 // maxTraces is the number of recent requests whose decisions are kept.
--- a/internal/forwarder/forwarder.go
+++ b/internal/online/forwarder/forwarder.go
@@ -22,7 +22,7 @@
 	"sync"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
 )
 
 const (
--- a/internal/relayer/relayer.go
+++ b/internal/online/relayer/relayer.go
@@ -13,8 +13,8 @@
 	"net/http"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/eventreader"
-	"github.com/fescuespindle/fescuespindle/internal/upstream"
+	"github.com/fescuespindle/fescuespindle/internal/online/eventreader"
+	"github.com/fescuespindle/fescuespindle/internal/online/upstream"
 )
 
 const (
--- a/internal/streammover/mover.go
+++ b/internal/online/streammover/mover.go
@@ -8,8 +8,8 @@
 	"fmt"
 	"net/http"
 
-	"github.com/fescuespindle/fescuespindle/internal/relayer"
-	"github.com/fescuespindle/fescuespindle/internal/upstream"
+	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/online/upstream"
 )
 
 // ErrNotMoved means that the state could not be moved. It may be on either
--- a/internal/emulator/engineemulator/cache.go
+++ b/internal/standins/engineemulator/cache.go
@@ -5,7 +5,7 @@
 	"hash/fnv"
 	"strings"
 
-	"github.com/fescuespindle/fescuespindle/internal/upstream"
+	"github.com/fescuespindle/fescuespindle/internal/online/upstream"
 )
 
 // blockTokens is the number of tokens in one block of the prefix cache.
--- a/internal/emulator/engineemulator/engine.go
+++ b/internal/standins/engineemulator/engine.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/upstream"
+	"github.com/fescuespindle/fescuespindle/internal/online/upstream"
 )
 
 // PoisonWord in a prompt crashes the engine that runs it.
--- a/internal/emulator/engineemulator/http.go
+++ b/internal/standins/engineemulator/http.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/upstream"
+	"github.com/fescuespindle/fescuespindle/internal/online/upstream"
 )
 
 // Paths by which tests and demos drive the stand-in itself.
--- a/internal/emulator/engineemulator/order.go
+++ b/internal/standins/engineemulator/order.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/upstream"
+	"github.com/fescuespindle/fescuespindle/internal/online/upstream"
 )
 
 // serveOrder brings the engine to the ordered state. An engine that checks
--- a/internal/emulator/rowemulator/fault.go
+++ b/internal/standins/rowemulator/fault.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/rowstore"
+	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 )
 
 // lateness is how long a late transaction is on its way.
--- a/internal/emulator/rowemulator/object.go
+++ b/internal/standins/rowemulator/object.go
@@ -4,7 +4,7 @@
 	"context"
 	"slices"
 
-	"github.com/fescuespindle/fescuespindle/internal/rowstore"
+	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 )
 
 // PutObject implements rowstore.Objects.
--- a/internal/emulator/rowemulator/store.go
+++ b/internal/standins/rowemulator/store.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/rowstore"
+	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 )
 
 // Call is what a fault is asked about.
--- a/internal/emulator/serviceemulator/service.go
+++ b/internal/standins/serviceemulator/service.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/upstream"
+	"github.com/fescuespindle/fescuespindle/internal/online/upstream"
 )
 
 // PathAdminCounts answers how often each call ran.
--- a/internal/emulator/storeemulator/keeper.go
+++ b/internal/standins/storeemulator/keeper.go
@@ -9,9 +9,9 @@
 	"math/rand/v2"
 	"sync"
 
-	"github.com/fescuespindle/fescuespindle/internal/emulator/rowemulator"
-	"github.com/fescuespindle/fescuespindle/internal/rowstore"
-	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
+	"github.com/fescuespindle/fescuespindle/internal/standins/rowemulator"
+	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
+	"github.com/fescuespindle/fescuespindle/internal/store/storekeeper"
 )
 
 // Keeper stands in for a storekeeper.Keeper.
--- a/internal/storekeeper/keeper.go
+++ b/internal/store/storekeeper/keeper.go
@@ -17,8 +17,8 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
-	"github.com/fescuespindle/fescuespindle/internal/rowstore"
-	"github.com/fescuespindle/fescuespindle/internal/sleeper"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/sleeper"
+	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 )
 
 // Errors of this layer.
--- a/internal/storekeeper/lane.go
+++ b/internal/store/storekeeper/lane.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"slices"
 
-	"github.com/fescuespindle/fescuespindle/internal/rowstore"
+	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 )
 
 // Write is one atomic write of rows of one part. It is committed together with
--- a/internal/assembler/vm.go
+++ b/internal/wiring/assembler/vm.go
@@ -11,17 +11,17 @@
 	"sync"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/claimer"
-	"github.com/fescuespindle/fescuespindle/internal/controller"
-	"github.com/fescuespindle/fescuespindle/internal/dispatcher"
-	"github.com/fescuespindle/fescuespindle/internal/messenger"
-	"github.com/fescuespindle/fescuespindle/internal/operator"
-	"github.com/fescuespindle/fescuespindle/internal/publisher"
-	"github.com/fescuespindle/fescuespindle/internal/relayer"
-	"github.com/fescuespindle/fescuespindle/internal/server"
-	"github.com/fescuespindle/fescuespindle/internal/settingsloader"
-	"github.com/fescuespindle/fescuespindle/internal/sleeper"
-	"github.com/fescuespindle/fescuespindle/internal/storekeeper"
+	"github.com/fescuespindle/fescuespindle/internal/control/controller"
+	"github.com/fescuespindle/fescuespindle/internal/control/messenger"
+	"github.com/fescuespindle/fescuespindle/internal/control/publisher"
+	"github.com/fescuespindle/fescuespindle/internal/faces/operator"
+	"github.com/fescuespindle/fescuespindle/internal/faces/server"
+	"github.com/fescuespindle/fescuespindle/internal/faces/settingsloader"
+	"github.com/fescuespindle/fescuespindle/internal/online/claimer"
+	"github.com/fescuespindle/fescuespindle/internal/online/dispatcher"
+	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/sleeper"
+	"github.com/fescuespindle/fescuespindle/internal/store/storekeeper"
 )
 
 // Listeners are the sockets of a VM.
--- a/internal/assembler/wire_gen.go
+++ b/internal/wiring/assembler/wire_gen.go
@@ -7,16 +7,16 @@
 package assembler
 
 import (
-	"github.com/fescuespindle/fescuespindle/internal/controller"
-	"github.com/fescuespindle/fescuespindle/internal/dispatcher"
-	"github.com/fescuespindle/fescuespindle/internal/linkmeter"
-	"github.com/fescuespindle/fescuespindle/internal/operator"
-	"github.com/fescuespindle/fescuespindle/internal/publisher"
-	"github.com/fescuespindle/fescuespindle/internal/quarantiner"
-	"github.com/fescuespindle/fescuespindle/internal/server"
-	"github.com/fescuespindle/fescuespindle/internal/servicecaller"
-	"github.com/fescuespindle/fescuespindle/internal/settingsloader"
-	"github.com/fescuespindle/fescuespindle/internal/vmlister"
+	"github.com/fescuespindle/fescuespindle/internal/control/controller"
+	"github.com/fescuespindle/fescuespindle/internal/control/publisher"
+	"github.com/fescuespindle/fescuespindle/internal/control/vmlister"
+	"github.com/fescuespindle/fescuespindle/internal/faces/operator"
+	"github.com/fescuespindle/fescuespindle/internal/faces/server"
+	"github.com/fescuespindle/fescuespindle/internal/faces/settingsloader"
+	"github.com/fescuespindle/fescuespindle/internal/online/dispatcher"
+	"github.com/fescuespindle/fescuespindle/internal/online/linkmeter"
+	"github.com/fescuespindle/fescuespindle/internal/online/quarantiner"
+	"github.com/fescuespindle/fescuespindle/internal/online/servicecaller"
 	"log/slog"
 )
 
--- a/internal/entryvm/main.go
+++ b/internal/wiring/entryvm/main.go
@@ -12,7 +12,7 @@
 
 	"github.com/alecthomas/kong"
 
-	"github.com/fescuespindle/fescuespindle/internal/linewriter"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/linewriter"
 	"github.com/fescuespindle/fescuespindle/platform"
 )
 
--- a/internal/entryvm/shared.go
+++ b/internal/wiring/entryvm/shared.go
@@ -6,11 +6,11 @@
 	"sync"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/batchkeeper"
-	"github.com/fescuespindle/fescuespindle/internal/batchrunner"
-	"github.com/fescuespindle/fescuespindle/internal/peerteller"
-	"github.com/fescuespindle/fescuespindle/internal/placer"
-	"github.com/fescuespindle/fescuespindle/internal/quarantiner"
+	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/batch/batchrunner"
+	"github.com/fescuespindle/fescuespindle/internal/control/peerteller"
+	"github.com/fescuespindle/fescuespindle/internal/online/placer"
+	"github.com/fescuespindle/fescuespindle/internal/online/quarantiner"
 )
 
 const (
--- a/internal/entryvm/sink.go
+++ b/internal/wiring/entryvm/sink.go
@@ -7,9 +7,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fescuespindle/fescuespindle/internal/registrar"
-	"github.com/fescuespindle/fescuespindle/internal/router"
-	"github.com/fescuespindle/fescuespindle/internal/rowstore"
+	"github.com/fescuespindle/fescuespindle/internal/control/registrar"
+	"github.com/fescuespindle/fescuespindle/internal/online/router"
+	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 	"github.com/fescuespindle/fescuespindle/platform"
 )
 
--- a/internal/entryvm/wire.go
+++ b/internal/wiring/entryvm/wire.go
@@ -7,9 +7,9 @@
 
 	"github.com/google/wire"
 
-	"github.com/fescuespindle/fescuespindle/internal/courier"
-	"github.com/fescuespindle/fescuespindle/internal/quarantiner"
-	"github.com/fescuespindle/fescuespindle/internal/rowstore"
+	"github.com/fescuespindle/fescuespindle/internal/online/courier"
+	"github.com/fescuespindle/fescuespindle/internal/online/quarantiner"
+	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 	"github.com/fescuespindle/fescuespindle/platform"
 )
 
--- a/internal/entryvm/wire_gen.go
+++ b/internal/wiring/entryvm/wire_gen.go
@@ -7,8 +7,8 @@
 package entryvm
 
 import (
-	"github.com/fescuespindle/fescuespindle/internal/courier"
-	"github.com/fescuespindle/fescuespindle/internal/quarantiner"
+	"github.com/fescuespindle/fescuespindle/internal/online/courier"
+	"github.com/fescuespindle/fescuespindle/internal/online/quarantiner"
 	"github.com/fescuespindle/fescuespindle/platform"
 	"log/slog"
 )
--- a/pkg/deployer/printer.go
+++ b/pkg/deployer/printer.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"slices"
 
-	"github.com/fescuespindle/fescuespindle/internal/strictdecoder"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/strictdecoder"
 )
 
 // Print returns the canonical text of the document. Equal documents have equal
--- a/scripts/check-style.sh
+++ b/scripts/check-style.sh
@@ -19,10 +19,10 @@
 if git grep -nE 'fleetbench|given/kit' -- '*.go'; then
   fail "source files don't name the users' bench"
 fi
-if git grep -nE '^[[:space:]]*"github.com/fescuespindle/fescuespindle/platform"' -- 'internal/*.go' ':!internal/entryvm/' ':!internal/assembler/' ':!internal/sitebuilder/' ':!*_test.go'; then
+if git grep -nE '^[[:space:]]*"github.com/fescuespindle/fescuespindle/platform"' -- 'internal/*.go' ':!internal/wiring/entryvm/' ':!internal/wiring/assembler/' ':!internal/laboratory/sitebuilder/' ':!*_test.go'; then
   fail "only the wiring imports platform/"
 fi
 if [ -n "$(git log --diff-filter=D --name-only --format= -- journal)" ]; then
   fail "journal entries were removed"
 fi
-go tool wire diff ./internal/assembler ./internal/entryvm
+go tool wire diff ./internal/wiring/assembler ./internal/wiring/entryvm
