gateway: suspects of a crash are logged with upstream, events and the parts of their prompts

The log named the requests under which an upstream broke the connection, but not what they have in common, so the hypotheses of the postmortem could not be told apart. platform/ decodes the IDs of the parts that other requests may share; the log line has them, the upstream and the events so far.

--- a/internal/faces/gateway/gateway.go
+++ b/internal/faces/gateway/gateway.go
@@ -28,6 +28,9 @@
 	// LastEvent is the identifier of the last event that the caller has received; empty
 	// for a new stream.
 	LastEvent string
+	// SharedParts are the IDs of the parts of the prompt that other requests may have too,
+	// in order.
+	SharedParts []string
 
 	route         *router.Route
 	service       string
--- a/internal/faces/gateway/run.go
+++ b/internal/faces/gateway/run.go
@@ -106,7 +106,7 @@
 			f.attemptLog = append(f.attemptLog, id+" delivered")
 			return f.recordDelivery(status)
 		}
-		f.recordCrash(ctx, err)
+		f.recordCrash(ctx, id, err)
 		f.attemptLog = append(f.attemptLog, id+" "+err.Error())
 		f.lastErr = err
 		f.avoid[id] = true
@@ -174,7 +174,7 @@
 // upstream may have been running it, since the request may have crashed the upstream. A
 // stream with minHealthyEvents is presumed to be truncated for another reason. Each strike
 // counts, as if the request had run in isolation.
-func (f *forwarding) recordCrash(ctx context.Context, err error) {
+func (f *forwarding) recordCrash(ctx context.Context, upstream string, err error) {
 	maybeCrashed := relayer.AsAttemptError(err).Ran() == relayer.RanMaybe && ctx.Err() == nil
 	maybeCrashed = maybeCrashed && !errors.Is(err, errCallerGone) && !errors.Is(err, errStalled)
 	if !maybeCrashed || f.events >= minHealthyEvents {
@@ -182,7 +182,8 @@
 	}
 	strike := f.gateway.quarantine.RecordCrash(f.x.request.fingerprint, true, time.Now())
 	f.gateway.logger.Info("request suspected of crashing an upstream",
-		"id", f.x.request.Call.ID, "strikes", strike.Count, "error", err)
+		"id", f.x.request.Call.ID, "strikes", strike.Count, "upstream", upstream, "events", f.events,
+		"parts", f.x.request.SharedParts, "error", err)
 }
 
 // recordDelivery clears the request of suspicion and returns the outcome of a complete
