--- /dev/null
+++ b/internal/faces/gateway/crash_test.go
@@ -0,0 +1,195 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fescuespindle/fescuespindle/internal/online/placer"
+	"github.com/fescuespindle/fescuespindle/platform/standin"
+)
+
+const (
+	// contactTime and unnoticedCrashes are the platform's bounds: later than contactTime
+	// after the last of unnoticedCrashes, at most lateRequests with the part that crashes
+	// servers may still be sent.
+	contactTime      = 3 * time.Second
+	unnoticedCrashes = 5
+	lateRequests     = 3
+	// restartTime is how long a crashed upstream is down.
+	restartTime = 2 * time.Second
+)
+
+// crashingPart makes each upstream crash that begins to answer a request with it.
+const crashingPart = "dead"
+
+// crashSite is a VM before upstreams that crash and restart.
+type crashSite struct {
+	*vm
+	mu      sync.Mutex
+	crashes []time.Time
+}
+
+// withCrashSite runs a test on a VM with upstreams that crash under crashingPart.
+func withCrashSite(t *testing.T, upstreams int, test func(s *crashSite)) {
+	t.Helper()
+	withVM(t, nil, func(v *vm) {
+		s := &crashSite{vm: v}
+		var list []placer.Upstream
+		for n := range upstreams {
+			id := fmt.Sprint("u", n)
+			u := standin.NewUpstream(id, 8, planWithCrash)
+			s.serve(u)
+			v.upstreams = append(v.upstreams, u)
+			list = append(list, placer.Upstream{ID: id, Service: "s", Address: id + ":1", Domain: "d", Sequences: 8})
+		}
+		v.placer.SetUpstreams(list)
+		test(s)
+		time.Sleep(2 * restartTime)
+	})
+}
+
+func planWithCrash(r *http.Request) standin.Plan {
+	if strings.Contains(r.Header.Get("Prompt-Prefix"), crashingPart+":") {
+		return standin.Plan{Crash: true, Gap: 20 * time.Millisecond}
+	}
+	return standin.Plan{Events: 5, Gap: 20 * time.Millisecond}
+}
+
+// serve serves an upstream, and restarts it restartTime after each crash.
+func (s *crashSite) serve(u *standin.Upstream) {
+	stop := s.network.Serve(u.ID()+":1", u)
+	s.t.Cleanup(stop)
+	u.SetCrash(func() {
+		u.SetCrash(func() {}) // requests beside it find it crashed already
+		s.recordCrash()
+		stop()
+		time.AfterFunc(restartTime, func() { s.serve(u) })
+	})
+}
+
+func (s *crashSite) recordCrash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashes = append(s.crashes, time.Now())
+}
+
+// crashTimes returns the times of all crashes so far.
+func (s *crashSite) crashTimes() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]time.Time(nil), s.crashes...)
+}
+
+// ask sends a stream request whose prompt has the given parts and one of its own.
+func (s *crashSite) ask(id int, parts string) (status int, complete bool) {
+	s.t.Helper()
+	path := fmt.Sprintf("/stream/%d", id)
+	request, err := standin.NewRequest(http.MethodPost, "http://vm:1"+path, "h", fmt.Sprint("id", id), 0)
+	qt.Assert(s.t, err, qt.IsNil)
+	request.Header.Set("Prompt-Prefix", fmt.Sprintf("%s,own%d:250", parts, id))
+	status, _, complete = s.send(request)
+	return status, complete && status == http.StatusOK
+}
+
+// runsWith returns the runs whose prompt contains a part, in no particular order.
+func (s *crashSite) runsWith(part string) []standin.Run {
+	var runs []standin.Run
+	for _, u := range s.upstreams {
+		for _, run := range u.Runs() {
+			if strings.Contains(run.Prompt, part+":") {
+				runs = append(runs, run)
+			}
+		}
+	}
+	return runs
+}
+
+// expectBounded checks that few requests with crashingPart reached upstreams later than
+// contactTime after the last of unnoticedCrashes.
+func (s *crashSite) expectBounded() {
+	s.t.Helper()
+	crashes := s.crashTimes()
+	if len(crashes) < unnoticedCrashes {
+		return
+	}
+	late := 0
+	for _, run := range s.runsWith(crashingPart) {
+		if run.Start.After(crashes[unnoticedCrashes-1].Add(contactTime)) {
+			late++
+		}
+	}
+	qt.Check(s.t, late <= lateRequests, qt.IsTrue, qt.Commentf("%d sent too late, %d crashes", late, len(crashes)))
+}
+
+// Guards against: requests that are never alike, but have a part of their prompts in
+// common, crash one upstream after another, as each is a new suspect.
+func TestUpstreamsDoNotCrashOneAfterAnotherUnderACommonPart(t *testing.T) {
+	withCrashSite(t, 6, func(s *crashSite) {
+		for id := range 200 {
+			s.ask(id, "common:100,rare:50,"+crashingPart+":50")
+			time.Sleep(100 * time.Millisecond)
+		}
+		s.expectBounded()
+	})
+}
+
+// Guards against: a sound part is blamed for the crashes, because the requests that crash
+// upstreams have it too and few others do.
+func TestSoundPartsBesideACrashingOneAreServed(t *testing.T) {
+	withCrashSite(t, 6, func(s *crashSite) {
+		asked, served := 0, 0
+		for id := range 300 {
+			switch {
+			case id%10 == 9 && len(s.crashTimes()) > 0:
+				asked++
+				if _, complete := s.ask(id, "common:100,rare:50"); complete {
+					served++
+				}
+			case id%2 == 0:
+				s.ask(id, "common:100,rare:50,"+crashingPart+":50")
+			default:
+				s.ask(id, fmt.Sprintf("common:100,other%d:50", id%7))
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		s.expectBounded()
+		qt.Check(t, served >= asked-len(s.crashTimes()), qt.IsTrue, qt.Commentf("%d of %d served", served, asked))
+	})
+}
+
+// Guards against: sound requests are rejected after crashes for which no request is to
+// blame.
+func TestNothingIsRejectedAfterCrashesAlone(t *testing.T) {
+	withCrashSite(t, 6, func(s *crashSite) {
+		for id := range 200 {
+			if id%10 == 0 && id < 150 {
+				s.crashBeside(id)
+				continue
+			}
+			status, _ := s.ask(id, fmt.Sprintf("common:100,rare%d:50", id%40))
+			qt.Check(t, status, qt.Equals, http.StatusOK)
+		}
+	})
+}
+
+// crashBeside crashes the upstream that runs a request, before the request's first event.
+func (s *crashSite) crashBeside(id int) {
+	before := s.runs()
+	var request sync.WaitGroup
+	request.Go(func() { s.ask(id, fmt.Sprintf("common:100,rare%d:50", id%40)) })
+	synctest.Wait()
+	qt.Assert(s.t, s.runs() > before, qt.IsTrue)
+	for _, u := range s.upstreams {
+		if u.Running() > 0 {
+			u.Crash()
+		}
+	}
+	request.Wait()
+}
--- a/internal/faces/gateway/gateway_test.go
+++ b/internal/faces/gateway/gateway_test.go
@@ -113,6 +113,11 @@
 	v.t.Helper()
 	request, err := standin.NewRequest(http.MethodPost, "http://vm:1"+path, "h", "id", deadline)
 	qt.Assert(v.t, err, qt.IsNil)
+	return v.send(request)
+}
+
+// send returns the status, the body, and whether the answer was complete.
+func (v *vm) send(request *http.Request) (status int, body string, complete bool) {
 	response, err := v.client.Do(request)
 	if err != nil {
 		return 0, "", false
