batchrunner: an item that runs when its job expires is abandoned

What callers saw: nothing but a late end of the job; servers got the item again every 200 ms for as long as the process lived. Cause: expire cancels running items at each tick and leaves them to a later one; the scheduler runs after each event, found the item pending and started it at once. Why it works: expired jobs have no pending items, so the next tick abandons them.

--- a/internal/batch/batchrunner/job.go
+++ b/internal/batch/batchrunner/job.go
@@ -214,7 +214,7 @@
 	var waiting []ranker.Item
 	run, _ := r.runStatistics.estimate(0)
 	for _, j := range r.jobs {
-		if j.discarded || now.Sub(j.renewedAt) > maxRenewalAge {
+		if j.discarded || r.expired(j) || now.Sub(j.renewedAt) > maxRenewalAge {
 			continue
 		}
 		for _, it := range j.items {
--- a/internal/batch/batchrunner/owed_test.go
+++ b/internal/batch/batchrunner/owed_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
+
 	"github.com/fescuespindle/fescuespindle/platform/standin"
 )
 
@@ -51,3 +53,18 @@
 	})
 	t.Run("that did not run it", func(t *testing.T) { expectOwed(t, 1, 1, standin.Plan{NotRun: true}, 0) })
 }
+
+// Guards against: an item that runs when its job expires is cancelled and started again,
+// many times a second and without end.
+func TestItemThatRunsWhenItsJobExpiresIsAbandoned(t *testing.T) {
+	slow := func(string, *http.Request) standin.Plan {
+		return standin.Plan{Events: 1 << 10, Gap: time.Second}
+	}
+	inFleet(t, 1, slow, func(f *fleet) {
+		v := f.start("a")
+		defer v.stop()
+		f.submit(v, 1)
+		f.expectResults(v, 62*time.Second, "item0 given up")
+		qt.Check(t, f.runs(), qt.HasLen, 1)
+	})
+}
--- a/internal/batch/batchrunner/runner.go
+++ b/internal/batch/batchrunner/runner.go
@@ -265,13 +265,13 @@
 // expire abandons the items of jobs that have expired or whose route no longer exists.
 // Running ones are cancelled first, and abandoned by a later call.
 func (r *Runner) expire() {
-	now, table := r.keeper.Now(), r.table()
+	table := r.table()
 	if table == nil {
 		return
 	}
 	for _, j := range r.jobs {
 		_, routed := table.RouteByName(j.stored.Route)
-		if routed && now < j.stored.Expires {
+		if routed && !r.expired(j) {
 			continue
 		}
 		for _, it := range j.items {
@@ -286,6 +286,9 @@
 	}
 }
 
+// expired returns whether the items of a job are no longer owed.
+func (r *Runner) expired(j *job) bool { return r.keeper.Now() >= j.stored.Expires }
+
 // abandon ends an item without an output.
 func (r *Runner) abandon(it *item, reason string) {
 	r.counter.Count(`items_total{outcome="` + reason + `"}`)
