batchrunner: an item under which upstreams crashed is still owed

What callers saw: an item of a job under which servers had crashed six times was not run again for an hour, which means never; it ended as given up. Cause: whole-item blame. Each crash near the item counted as its own, with no regard to other crashes at that time, and the sixth was a verdict without an end. Items that are handed in for later don't crash servers by themselves. Ruled out: counting only crashes of isolated runs, as nothing isolates items here.

--- a/internal/batch/batchrunner/run.go
+++ b/internal/batch/batchrunner/run.go
@@ -16,13 +16,12 @@
 	// not run, and failurePause that after a run that failed or broke off.
 	notRunPause  = 30 * time.Millisecond
 	failurePause = 200 * time.Millisecond
-	// suspectCrashes is the number of crashes from which an item is suspected of
-	// crashing its upstreams and run at most every suspectPause. From maxCrashes on its
-	// next run is an hour later, by when its job has normally expired. A new owner of
-	// the job takes over the number of crashes, but not the pause.
-	suspectCrashes = 3
-	suspectPause   = 6 * time.Second
-	maxCrashes     = 6
+	// maxCrashPause bounds the pause after a run that broke off early, which doubles with
+	// each. The item is still owed after any number of them: upstreams also crash under
+	// items that are not to blame. A new owner of the job takes over the number of
+	// crashes, but not the pause.
+	maxCrashPause = 6 * time.Second
+	maxDoublings  = 10
 	// harmlessEvents is the number of events from which a run that breaks off does
 	// not count as a crash.
 	harmlessEvents = 2
@@ -102,23 +101,21 @@
 }
 
 // recordInterruption handles a run that broke off. If it had fewer than harmlessEvents
-// events, it counts as a crash, since the item may have crashed its upstream: the pause
-// before its next run grows with its crashes. A run that breaks off later more likely
-// has another cause.
+// events, it counts as a crash, since the item may have crashed its upstream. A run that
+// breaks off later more likely has another cause.
 func (r *Runner) recordInterruption(it *item, upstream string, events int, now time.Time) {
+	it.avoidedUpstreams = map[string]bool{upstream: true}
+	it.notBefore = now.Add(failurePause)
 	if events < harmlessEvents {
 		it.failureCounts.Crashes++
 		it.job.dirty = true
+		it.notBefore = now.Add(crashPause(it.failureCounts.Crashes))
 	}
-	it.avoidedUpstreams = map[string]bool{upstream: true}
-	switch {
-	case it.failureCounts.Crashes >= maxCrashes:
-		it.notBefore = now.Add(time.Hour) // normally until it expires
-	case it.failureCounts.Crashes >= suspectCrashes:
-		it.notBefore = now.Add(suspectPause)
-	default:
-		it.notBefore = now.Add(failurePause)
-	}
+}
+
+// crashPause returns the pause after the given number of crashes.
+func crashPause(crashes int) time.Duration {
+	return min(failurePause<<min(crashes-1, maxDoublings), maxCrashPause)
 }
 
 // errorText returns the text of an error for a log line, which is empty for nil.
