batchrunner: an item returns to the only upstream of its service

What callers saw: an item whose only upstream once rejected it, failed or broke off was never placed again, although the upstream was well and had slots. The upstream of the last run was avoided until the next run, which the exclusion itself prevented. In a large fleet a VM runs items on its subset alone, so this may be one upstream of many there. Change: the upstream is avoided for 2 s.

--- a/internal/batch/batchrunner/job.go
+++ b/internal/batch/batchrunner/job.go
@@ -57,9 +57,10 @@
 	failureCounts batchkeeper.FailureCounts
 	// notBefore is when the item may run again after a failure.
 	notBefore time.Time
-	// avoidedUpstreams has the upstream of the last run, if that did not run the item,
-	// failed or broke off.
-	avoidedUpstreams map[string]bool
+	// avoidedUpstream is the upstream of the last run, if that did not run the item,
+	// failed or broke off. Another one is used until avoidUntil.
+	avoidedUpstream string
+	avoidUntil      time.Time
 	slot             *placer.Slot
 	cancel           context.CancelFunc
 	live             *attempter.LiveProgress // progress of the current run
@@ -209,6 +210,23 @@
 	return r.rankItem(it).LatestStart(run)
 }
 
+// avoidTime is how long an item prefers to wait over returning to the upstream of a
+// failed run. It ends, as there may be no other upstream.
+const avoidTime = 2 * time.Second
+
+// avoid makes an item use other upstreams for avoidTime.
+func (it *item) avoid(upstream string, now time.Time) {
+	it.avoidedUpstream, it.avoidUntil = upstream, now.Add(avoidTime)
+}
+
+// avoided returns the upstreams that the item doesn't use for now, or nil.
+func (it *item) avoided(now time.Time) map[string]bool {
+	if it.avoidedUpstream == "" || !now.Before(it.avoidUntil) {
+		return nil
+	}
+	return map[string]bool{it.avoidedUpstream: true}
+}
+
 // pending returns the items that may start, in the order in which they get slots.
 func (r *Runner) pending(now time.Time) []*item {
 	var waiting []ranker.Item
--- a/internal/batch/batchrunner/run.go
+++ b/internal/batch/batchrunner/run.go
@@ -58,7 +58,7 @@
 	it.slot, it.cancel, it.live = nil, nil, nil
 	it.totalRunTime += now.Sub(it.runStart)
 	it.state, it.progress = statePending, result.Progress
-	it.avoidedUpstreams = nil
+	it.avoidedUpstream = ""
 	if result.Outcome != attempter.OutcomeStopped {
 		r.logger.Info("item run", "job", it.job.stored.ID, "item", it.ID, "upstream", upstream,
 			"outcome", result.Outcome.String(), "events", result.Events, "error", errorText(result.Err),
@@ -76,9 +76,10 @@
 		r.abandon(it, "impossible")
 	case attempter.OutcomeStopped:
 	case attempter.OutcomeNotRun:
-		it.avoidedUpstreams, it.notBefore = map[string]bool{upstream: true}, now.Add(notRunPause)
+		it.avoid(upstream, now)
+		it.notBefore = now.Add(notRunPause)
 	case attempter.OutcomeFailed:
-		it.avoidedUpstreams = map[string]bool{upstream: true}
+		it.avoid(upstream, now)
 		r.recordFailure(it, now)
 	case attempter.OutcomeInterrupted:
 		r.recordInterruption(it, upstream, result.Events, now)
@@ -104,7 +105,7 @@
 // events, it counts as a crash, since the item may have crashed its upstream. A run that
 // breaks off later more likely has another cause.
 func (r *Runner) recordInterruption(it *item, upstream string, events int, now time.Time) {
-	it.avoidedUpstreams = map[string]bool{upstream: true}
+	it.avoid(upstream, now)
 	it.notBefore = now.Add(failurePause)
 	if events < harmlessEvents {
 		it.failureCounts.Crashes++
--- a/internal/batch/batchrunner/runner.go
+++ b/internal/batch/batchrunner/runner.go
@@ -251,11 +251,12 @@
 		if full[service] {
 			continue
 		}
+		avoid := it.avoided(now)
 		slot, found := r.placer.AcquireBatch(placer.BatchWork{
-			Service: service, Avoid: it.avoidedUpstreams, LatestStart: now.Add(r.latestStart(it) - r.keeper.Now()),
+			Service: service, Avoid: avoid, LatestStart: now.Add(r.latestStart(it) - r.keeper.Now()),
 		}, now)
 		if !found {
-			full[service] = len(it.avoidedUpstreams) == 0
+			full[service] = len(avoid) == 0
 			continue
 		}
 		r.startRun(it, slot)
