--- a/internal/faces/gateway/crash_test.go
+++ b/internal/faces/gateway/crash_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -58,7 +57,7 @@
 }
 
 func planWithCrash(r *http.Request) standin.Plan {
-	if strings.Contains(r.Header.Get("Prompt-Prefix"), crashingPart+":") {
+	if standin.HasPromptPart(r, crashingPart) {
 		return standin.Plan{Crash: true, Gap: 20 * time.Millisecond}
 	}
 	return standin.Plan{Events: 5, Gap: 20 * time.Millisecond}
@@ -95,7 +94,7 @@
 	path := fmt.Sprintf("/stream/%d", id)
 	request, err := standin.NewRequest(http.MethodPost, "http://vm:1"+path, "h", fmt.Sprint("id", id), 0)
 	qt.Assert(s.t, err, qt.IsNil)
-	request.Header.Set("Prompt-Prefix", fmt.Sprintf("%s,own%d:250", parts, id))
+	standin.SetPrompt(request, fmt.Sprintf("%s,own%d:250", parts, id))
 	status, _, complete = s.send(request)
 	return status, complete && status == http.StatusOK
 }
@@ -105,7 +104,7 @@
 	var runs []standin.Run
 	for _, u := range s.upstreams {
 		for _, run := range u.Runs() {
-			if strings.Contains(run.Prompt, part+":") {
+			if run.HasPromptPart(part) {
 				runs = append(runs, run)
 			}
 		}
