crashanalyzer: a request that is sent again does not hide the part that all have

Cause: the request itself, and any part of its own, are in both of its crashes, and counted as something that crashes have in common; a request without them was let through to tell them apart. Change: a part is a possible cause if suspects of two different requests have it; the whole request only where no part is. TestCommonPartOfRepeatedRequestsIsRejected failed before.

--- a/internal/online/crashanalyzer/analyzer.go
+++ b/internal/online/crashanalyzer/analyzer.go
@@ -44,9 +44,15 @@
 	at       time.Time // when the upstream crashed
 	crash    int       // identifies the crash on this VM
 	news     bool      // whether this VM must tell its peers
-	traits   []Trait
+	traits   []Trait   // as TraitsOf returns them
 }
 
+// parts returns the traits of the parts of the request's prompt.
+func (s *suspect) parts() []Trait { return s.traits[:len(s.traits)-1] }
+
+// request returns the trait of the whole request.
+func (s *suspect) request() Trait { return s.traits[len(s.traits)-1] }
+
 // Analyzer holds the suspects that this VM and its peers have seen. It is safe for
 // concurrent use.
 type Analyzer struct {
@@ -130,14 +136,14 @@
 		return VerdictSend
 	}
 	causes := a.possibleCauses(now)
-	own, isPossible := set[Trait]{}, false
+	own, isLikely := set[Trait]{}, false
 	for _, t := range traits {
 		if n, found := causes[t]; found {
 			own.add(t)
-			isPossible = isPossible || n >= minCrashes
+			isLikely = isLikely || n >= minCrashes
 		}
 	}
-	if !isPossible {
+	if !isLikely {
 		return VerdictSend
 	}
 	crashes, lastCrash := a.explainedCrashes(causes, own)
@@ -172,10 +178,10 @@
 }
 
 // isExplained reports whether the given traits include all possible causes of a suspect's
-// crash, of which there must be one.
+// crash, of which there must be one. The whole request is one only if no part is.
 func (a *Analyzer) isExplained(s *suspect, causes map[Trait]int, own set[Trait]) bool {
 	explained := false
-	for _, t := range s.traits {
+	for _, t := range s.parts() {
 		if causes[t] == 0 || a.isExonerated(s, t) {
 			continue
 		}
@@ -184,15 +190,14 @@
 		}
 		explained = true
 	}
-	return explained
+	return explained || own.has(s.request())
 }
 
 // isExonerated reports whether a trait was answered after a suspect's crash.
 func (a *Analyzer) isExonerated(s *suspect, t Trait) bool { return a.answers.last(t).After(s.at) }
 
-// possibleCauses returns the traits that suspects of several crashes have in common, none
-// of which were answered since or within trustTime, each with the number of crashes. The
-// caller must hold mu.
+// possibleCauses returns the traits that may have caused crashes, each with the number of
+// crashes. The caller must hold mu.
 func (a *Analyzer) possibleCauses(now time.Time) map[Trait]int {
 	if !now.Before(a.causesUntil) {
 		a.causes, a.causesUntil = a.findCauses(now), now.Add(causesTime)
@@ -200,24 +205,36 @@
 	return a.causes
 }
 
+// sightings are where a trait was among the suspects.
+type sightings struct {
+	crashes  set[int]
+	requests set[Trait]
+}
+
+// findCauses returns the parts that suspects of several requests have in common, and the
+// whole requests that are suspects of minCrashes crashes. None of them were answered since,
+// or within trustTime. A part of one request alone, which is sent again after a crash, is
+// no more of a cause than that request is.
 func (a *Analyzer) findCauses(now time.Time) map[Trait]int {
-	crashes := map[Trait]set[int]{}
+	seen := map[Trait]sightings{}
 	for i := range a.suspects {
 		s := &a.suspects[i]
 		for _, t := range s.traits {
 			if a.isExonerated(s, t) {
 				continue
 			}
-			if crashes[t] == nil {
-				crashes[t] = set[int]{}
+			if _, found := seen[t]; !found {
+				seen[t] = sightings{crashes: set[int]{}, requests: set[Trait]{}}
 			}
-			crashes[t].add(s.crash)
+			seen[t].crashes.add(s.crash)
+			seen[t].requests.add(s.request())
 		}
 	}
 	causes := map[Trait]int{}
-	for t, of := range crashes {
-		if last := a.answers.last(t); len(of) > 1 && (last.IsZero() || now.Sub(last) >= trustTime) {
-			causes[t] = len(of)
+	for t, at := range seen {
+		isCommon := len(at.requests) > 1 || (at.requests.has(t) && len(at.crashes) >= minCrashes)
+		if last := a.answers.last(t); isCommon && (last.IsZero() || now.Sub(last) >= trustTime) {
+			causes[t] = len(at.crashes)
 		}
 	}
 	return causes
--- a/internal/online/crashanalyzer/analyzer_test.go
+++ b/internal/online/crashanalyzer/analyzer_test.go
@@ -56,6 +56,21 @@
 	expectRejected(t, a, false, 60, "b")
 }
 
+// Each request is sent again after its first crash. The traits of its own that two crashes
+// have in common then don't hide the part that all have.
+func TestCommonPartOfRepeatedRequestsIsRejected(t *testing.T) {
+	var r requests
+	a := crashanalyzer.New()
+	for n := range 2 {
+		same := r.with("a", "x", fmt.Sprint("own", n))
+		a.RecordCrash(fmt.Sprint("u", n), same, start)
+		a.RecordCrash(fmt.Sprint("v", n), same, start.Add(time.Second))
+	}
+	expectRejected(t, a, true, 2, "a", "x", "own7")
+	expectRejected(t, a, false, 2, "a", "own7")
+	expectRejected(t, a, false, 2, "own1")
+}
+
 func TestRepeatedRequestIsRejected(t *testing.T) {
 	var r requests
 	a := crashanalyzer.New()
--- a/internal/online/crashanalyzer/report.go
+++ b/internal/online/crashanalyzer/report.go
@@ -23,7 +23,7 @@
 	ID       uint64   // drawn at random, as a suspect reaches a VM by several ways
 	Upstream string
 	Age      time.Duration // time since the crash
-	Traits   []Trait
+	Traits   []Trait       // as TraitsOf returns them
 }
 
 // Answer is the report of a trait that was answered.
@@ -57,7 +57,7 @@
 	}
 	a.object(r, now)
 	for _, s := range r.Suspects {
-		if s.Age < keepTime && len(s.Traits) <= maxTraits {
+		if s.Age < keepTime && len(s.Traits) > 0 && len(s.Traits) <= maxTraits {
 			a.add(suspect{id: s.ID, upstream: s.Upstream, at: now.Add(-s.Age), news: relay, traits: s.Traits}, now)
 		}
 	}
--- a/internal/online/crashanalyzer/trait.go
+++ b/internal/online/crashanalyzer/trait.go
@@ -11,8 +11,8 @@
 	requestSeed = 2
 )
 
-// TraitsOf returns the traits of a request: each shared part of its prompt, and the whole
-// request by its host, URI and body, so that repeats of it are recognized.
+// TraitsOf returns the traits of a request: each shared part of its prompt, and last the
+// whole request by its host, URI and body, so that repeats of it are recognized.
 func TraitsOf(host, uri string, body []byte, sharedParts []string) []Trait {
 	traits := make([]Trait, 0, len(sharedParts)+1)
 	for _, part := range sharedParts[:min(len(sharedParts), maxTraits-1)] {
