--- a/internal/faces/gateway/slot.go
+++ b/internal/faces/gateway/slot.go
@@ -63,5 +63,9 @@
 	}
 	verdict := f.gateway.crashes.Judge(f.x.request.traits, time.Now())
 	f.onTrial = verdict == crashanalyzer.VerdictTrial
+	if verdict != crashanalyzer.VerdictSend {
+		f.gateway.logger.Info("request likely to crash upstreams", "id", f.x.request.Call.ID,
+			"trial", f.onTrial, "parts", f.x.request.SharedParts)
+	}
 	return verdict == crashanalyzer.VerdictReject
 }
