forwarder: an answer without length or chunks is cut if its upstream has crashed

Cause: such an answer ends with its connection, and a crash closes that too. Change: at the end of such a body the forwarder checks whether the upstream refuses connections; a body without a byte is never complete. Both faces and the batch runner read answers through it. Evidence: TestCrashesUnderAnswersWithoutLengthAreNoticed, TestAnswerWithoutLengthIsNotCompleteIfItsUpstreamCrashed and TestItemIsNotCompleteWithAnAnswerThatEndsAtOnce failed before. Left: a server that crashes and listens again within the check can't be told from one that has ended its answer.

--- a/internal/batch/batchrunner/owed_test.go
+++ b/internal/batch/batchrunner/owed_test.go
@@ -68,3 +68,25 @@
 		qt.Check(t, f.runs(), qt.HasLen, 1)
 	})
 }
+
+// Guards against: an answer that has neither a length nor chunks ends before its first event,
+// and an item that resumes there counts as complete, without its last events.
+func TestItemIsNotCompleteWithAnAnswerThatEndsAtOnce(t *testing.T) {
+	var runs atomic.Int32
+	plan := func(string, *http.Request) standin.Plan {
+		switch runs.Add(1) {
+		case 1:
+			return standin.Plan{Events: 5, BreakAfter: 3, Gap: time.Millisecond}
+		case 2:
+			return standin.Plan{Events: 1, Unframed: true} // has no event after the third
+		default:
+			return standin.Plan{Events: 5, Gap: time.Millisecond}
+		}
+	}
+	inFleet(t, 2, plan, func(f *fleet) {
+		v := f.start("a")
+		defer v.stop()
+		f.submit(v, 1)
+		f.expectResults(v, calmTime, "item0 ok")
+	})
+}
--- a/internal/faces/gateway/crash_test.go
+++ b/internal/faces/gateway/crash_test.go
@@ -39,13 +39,21 @@
 
 // withCrashSite runs a test on a VM with upstreams that crash under crashingPart.
 func withCrashSite(t *testing.T, upstreams int, test func(s *crashSite)) {
+	t.Helper()
+	withCrashSiteOf(t, upstreams, planWithCrash, test)
+}
+
+// withCrashSiteOf is withCrashSite with upstreams that answer as plan says.
+func withCrashSiteOf(
+	t *testing.T, upstreams int, plan func(*http.Request) standin.Plan, test func(s *crashSite),
+) {
 	t.Helper()
 	withVM(t, nil, func(v *vm) {
 		s := &crashSite{vm: v}
 		var list []placer.Upstream
 		for n := range upstreams {
 			id := fmt.Sprint("u", n)
-			u := standin.NewUpstream(id, 8, planWithCrash)
+			u := standin.NewUpstream(id, 8, plan)
 			s.serve(u)
 			v.upstreams = append(v.upstreams, u)
 			list = append(list, placer.Upstream{ID: id, Service: "s", Address: id + ":1", Domain: "d", Sequences: 8})
@@ -56,6 +64,13 @@
 	})
 }
 
+// planUnframed is planWithCrash with answers that have neither a length nor chunks.
+func planUnframed(r *http.Request) standin.Plan {
+	plan := planWithCrash(r)
+	plan.Unframed = true
+	return plan
+}
+
 func planWithCrash(r *http.Request) standin.Plan {
 	if standin.HasPromptPart(r, crashingPart) {
 		return standin.Plan{Crash: true, Gap: 20 * time.Millisecond}
@@ -171,6 +186,37 @@
 	})
 }
 
+// Guards against: an answer that has neither a length nor chunks and ends before its first
+// event, because its upstream crashed, looks complete, and clears the request.
+func TestCrashesUnderAnswersWithoutLengthAreNoticed(t *testing.T) {
+	withCrashSiteOf(t, 6, planUnframed, func(s *crashSite) {
+		for id := range 100 {
+			status, complete := s.ask(id, "common:100,"+crashingPart+":50")
+			qt.Check(t, complete, qt.IsFalse, qt.Commentf("status %d", status))
+			_, complete = s.ask(1000+id, "common:100")
+			qt.Check(t, complete, qt.IsTrue)
+			time.Sleep(200 * time.Millisecond)
+		}
+		s.expectBounded()
+	})
+}
+
+// Guards against: an answer that has neither a length nor chunks, and whose upstream crashes
+// between two of its events, looks complete.
+func TestAnswerWithoutLengthIsNotCompleteIfItsUpstreamCrashed(t *testing.T) {
+	withCrashSiteOf(t, 1, planUnframed, func(s *crashSite) {
+		var request sync.WaitGroup
+		request.Go(func() {
+			status, complete := s.ask(1, "common:100")
+			qt.Check(t, status, qt.Equals, http.StatusOK)
+			qt.Check(t, complete, qt.IsFalse)
+		})
+		time.Sleep(50 * time.Millisecond) // between the second and the third of five events
+		s.upstreams[0].Crash()
+		request.Wait()
+	})
+}
+
 // Guards against: a sound part is blamed for the crashes, because the requests that crash
 // upstreams have it too and few others do.
 func TestSoundPartsBesideACrashingOneAreServed(t *testing.T) {
--- a/internal/faces/gateway/gateway_test.go
+++ b/internal/faces/gateway/gateway_test.go
@@ -223,6 +223,14 @@
 	t.Run("one that may be resumed goes on", func(t *testing.T) {
 		expectStream(t, "/resume/x", plans(truncated, truncated), 4, false, 2)
 	})
+	t.Run("one without length or chunks", func(t *testing.T) {
+		unframed := complete
+		unframed.Unframed = true
+		expectStream(t, "/stream/x", plans(unframed), 5, true, 1)
+		unframed.BreakAfter = 2
+		expectStream(t, "/stream/x", plans(unframed), 2, false, 1)
+		expectStream(t, "/resume/x", plans(unframed, unframed), 4, false, 2)
+	})
 	t.Run("one that lasts longer than its route allows", func(t *testing.T) {
 		expectStream(t, "/stream/x", plans(standin.Plan{Events: 50, Gap: 300 * time.Millisecond}), 6, false, 1)
 	})
--- a/internal/online/forwarder/forwarder.go
+++ b/internal/online/forwarder/forwarder.go
@@ -245,6 +245,7 @@
 	stopCancelHook func() bool
 	response       *http.Response
 	bodyWritten    chan error // receives the result of writing a large body; nil for other bodies
+	received       bool       // at least one byte of the body
 	complete       bool
 }
 
@@ -260,12 +261,29 @@
 // Read reads the body. It returns io.EOF only at the end of a complete body.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.response.Body.Read(p)
+	a.received = a.received || n > 0
 	if errors.Is(err, io.EOF) {
+		if a.isUnframed() && a.endedEarly() {
+			return n, io.ErrUnexpectedEOF
+		}
 		a.complete = true
 	}
 	return n, err //nolint:wrapcheck // io.EOF must not be wrapped
 }
 
+// isUnframed returns whether the body has neither a length nor chunks, so that its end is
+// that of the connection.
+func (a *Answer) isUnframed() bool {
+	return a.response.ContentLength < 0 && len(a.response.TransferEncoding) == 0
+}
+
+// endedEarly returns whether an unframed body has ended because the upstream has. An
+// upstream that crashes closes its connections as well, which looks the same. A body
+// without a byte never counts as complete.
+func (a *Answer) endedEarly() bool {
+	return !a.received || a.forwarder.Refuses(a.ctx, a.connection.address)
+}
+
 // Close ends the answer. Its connection is kept for reuse if the body was read to its
 // end, the request was written completely, and the upstream neither sent more bytes
 // nor announced that it will close the connection. Otherwise it is closed.
