jobrunner, itemrunner: an item under which engines crashed is still owed

What callers of the product's own interface saw: an item that ran on three engines when they crashed ended as failed; after three strikes in isolation it ended as "poison". During a burst of crashes that meets sound items, for which their callers can do nothing. A crash counted as a failed run of the item, and isolation excludes other suspects but not crashes for other reasons. Change: a run that breaks off while the engine no longer answers for its load is interrupted: no failed run, and a pause that doubles up to 30 s. An engine that answers has not crashed, so a run that it breaks off each time still fails after three. Suspected items still run where no other suspect does.

--- a/internal/batch/itemrunner/runner.go
+++ b/internal/batch/itemrunner/runner.go
@@ -82,8 +82,8 @@
 
 // Run runs an item on the target until the item ends or the context is canceled. find
 // returns an upstream by its ID, or nil; it is used to locate the state of a stopped
-// stream. Items that have crashed too many upstreams are not run, and other suspects
-// only in isolation.
+// stream. Items that ran on an engine when it crashed run only where no other such item
+// does.
 func (r *Runner) Run(
 	ctx context.Context, start jobrunner.Start, target *chooser.Upstream, find func(id string) *chooser.Upstream,
 ) jobrunner.RunResult {
@@ -91,9 +91,6 @@
 	e.stream = fmt.Sprintf("%s-%s-%d-%d", start.Job.ID, r.vm, start.Run, time.Now().UnixNano())
 	fingerprint := quarantiner.Fingerprint(xxhash.Sum64(start.Item.Body))
 	now := time.Now()
-	if r.quarantine.ShouldReject(fingerprint, now) {
-		return e.permanentFailure("poison", "the item crashed the upstreams that ran it")
-	}
 	isolated := r.quarantine.Strikes(fingerprint, now) > 0
 	if isolated {
 		release, granted := r.isolator.Isolate(ctx, target, fingerprint)
@@ -262,14 +259,32 @@
 		e.target.Gauge().SetDraining(true)
 		e.runner.observer.DrainingSeen(e.target)
 	}
-	result.Outcome = jobrunner.OutcomeFailed
-	if failure.Ran() == relayer.RanNot {
+	switch {
+	case failure.Ran() == relayer.RanNot:
 		result.Outcome = jobrunner.OutcomeNotRun
+	case failure.MayHaveCrashed() && e.isEngineDown(ctx):
+		result.Outcome = jobrunner.OutcomeInterrupted
+	default:
+		result.Outcome = jobrunner.OutcomeFailed
 	}
 	result.Result = failedResult(e.start.Item, "failed", failure.Error())
 	return result
 }
 
+// downTimeout bounds the check whether an engine is down.
+const downTimeout = 500 * time.Millisecond
+
+// isEngineDown reports whether the target doesn't answer a request for its load. One that
+// does has not crashed, and so has failed the item.
+func (e *execution) isEngineDown(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, downTimeout)
+	defer cancel()
+	_, err := e.runner.sender.Call(ctx, relayer.Attempt{
+		ID: e.stream + "-load", Address: e.target.Address(), Method: http.MethodGet, Path: upstream.PathLoad,
+	}, true)
+	return err != nil
+}
+
 // resumePoint returns where the stream can be resumed, or nil if no event of it has
 // arrived in this run.
 func (e *execution) resumePoint() *jobrunner.ResumePoint {
--- a/internal/batch/jobrunner/action.go
+++ b/internal/batch/jobrunner/action.go
@@ -96,6 +96,9 @@
 	OutcomeStopped
 	// OutcomeNotRun means that the upstream certainly did not start the run.
 	OutcomeNotRun
+	// OutcomeInterrupted means that the engine crashed during the run. The item is still
+	// owed, whatever the number of such runs.
+	OutcomeInterrupted
 	// OutcomeFailed means that the run failed and the item may be retried.
 	OutcomeFailed
 	// OutcomePermanentlyFailed means that the run failed and a retry can't succeed.
--- a/internal/batch/jobrunner/chunk.go
+++ b/internal/batch/jobrunner/chunk.go
@@ -18,10 +18,12 @@
 
 // item is an item of a claimed chunk that has no result yet.
 type item struct {
-	item      jobkeeper.Item
-	failures  int
-	notBefore time.Time
-	resume    *ResumePoint
+	item     jobkeeper.Item
+	failures int
+	// interruptions is the number of runs in which engines crashed.
+	interruptions int
+	notBefore     time.Time
+	resume        *ResumePoint
 }
 
 // chunk is a chunk that this process owns or is claiming.
--- a/internal/batch/jobrunner/runner.go
+++ b/internal/batch/jobrunner/runner.go
@@ -44,6 +44,10 @@
 	// time before an item that did not run is started again.
 	retryDelay  = 500 * time.Millisecond
 	notRunDelay = 100 * time.Millisecond
+	// maxInterruptionDelay bounds the time before an item is run again after an engine
+	// crashed, which doubles with each such run.
+	maxInterruptionDelay = 30 * time.Second
+	maxDoublings         = 10
 	// moveDelay is how long a stopped item waits for its own upstream before it may be
 	// moved to another one.
 	moveDelay = 500 * time.Millisecond
@@ -351,6 +355,9 @@
 			return
 		}
 		it.notBefore = now.Add(retryDelay)
+	case OutcomeInterrupted:
+		it.interruptions++
+		it.notBefore = now.Add(interruptionDelay(it.interruptions))
 	case OutcomeNotRun:
 		it.notBefore = now.Add(notRunDelay)
 	case OutcomeStopped:
@@ -359,6 +366,12 @@
 	c.waiting = slices.Insert(c.waiting, 0, it)
 }
 
+// interruptionDelay returns the time before an item is run again after a number of runs in
+// which engines crashed.
+func interruptionDelay(interruptions int) time.Duration {
+	return min(retryDelay<<min(interruptions-1, maxDoublings), maxInterruptionDelay)
+}
+
 // Committed handles the outcome of a Commit. The epoch is that of the claim that was
 // committed to; an outcome for an earlier claim of the same chunk is ignored.
 func (r *Runner) Committed(
--- a/internal/batch/jobrunner/simulation_test.go
+++ b/internal/batch/jobrunner/simulation_test.go
@@ -49,6 +49,7 @@
 	readableResults map[string]int
 	lastStart       map[string]time.Time // the time of the last start of an item of each job
 	failingItem     string               // custom ID of the item whose runs always fail
+	crashedItem     string               // custom ID of the item whose first crashedRuns runs end by crashes
 }
 
 func newSimulation(t *testing.T, vms int, seed uint64) *simulation {
@@ -160,6 +161,9 @@
 	switch {
 	case stopped:
 		result.Outcome = jobrunner.OutcomeStopped
+	case start.Item.CustomID == s.crashedItem && s.failedRuns[s.crashedItem] < crashedRuns:
+		s.failedRuns[s.crashedItem]++
+		result.Outcome = jobrunner.OutcomeInterrupted
 	case start.Item.CustomID == s.failingItem:
 		s.failedRuns[start.Item.CustomID]++
 		result.Outcome = jobrunner.OutcomeFailed
@@ -379,6 +383,21 @@
 	qt.Check(t, results["lot-8"].Error, qt.IsNil)
 }
 
+// crashedRuns is the number of engines that crash one after another under the same item.
+const crashedRuns = 8
+
+// Guards against an item that ends as failed because engines crashed while they ran it: it
+// is still owed when they are back.
+func TestItemUnderWhichEnginesCrashedIsStillOwed(t *testing.T) {
+	s := newSimulation(t, 3, 1)
+	s.crashedItem = "lot-7"
+	job := s.submit("lot", 20)
+	s.run(2*time.Minute, nil)
+	s.expectCompleted(job)
+	qt.Check(t, s.readResults(job)["lot-7"].Error, qt.IsNil)
+	qt.Check(t, s.failedRuns["lot-7"], qt.Equals, crashedRuns)
+}
+
 // Guards against items that stay without a result after the deadline of their job.
 func TestDeadlineEndsWhatHasNotRun(t *testing.T) {
 	s := newSimulation(t, 1, 1)
