--- a/internal/batch/batchrunner/run.go
+++ b/internal/batch/batchrunner/run.go
@@ -9,6 +9,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/control/stepper"
 	"github.com/fescuespindle/fescuespindle/internal/online/courier"
 	"github.com/fescuespindle/fescuespindle/internal/online/placer"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/sleeper"
 )
 
 const (
@@ -21,7 +22,6 @@
 	// items that are not to blame. A new owner of the job takes over the number of
 	// crashes, but not the pause.
 	maxCrashPause = 6 * time.Second
-	maxDoublings  = 10
 	// harmlessEvents is the number of events from which a run that breaks off does
 	// not count as a crash.
 	harmlessEvents = 2
@@ -116,7 +116,7 @@
 
 // crashPause returns the pause after the given number of crashes.
 func crashPause(crashes int) time.Duration {
-	return min(failurePause<<min(crashes-1, maxDoublings), maxCrashPause)
+	return sleeper.Backoff{Initial: failurePause, Max: maxCrashPause}.Delay(crashes - 1)
 }
 
 // errorText returns the text of an error for a log line, which is empty for nil.
--- a/internal/batch/jobrunner/runner.go
+++ b/internal/batch/jobrunner/runner.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/batch/jobkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/sleeper"
 )
 
 const (
@@ -47,7 +48,6 @@
 	// maxInterruptionDelay bounds the time before an item is run again after an engine
 	// crashed, which doubles with each such run.
 	maxInterruptionDelay = 30 * time.Second
-	maxDoublings         = 10
 	// moveDelay is how long a stopped item waits for its own upstream before it may be
 	// moved to another one.
 	moveDelay = 500 * time.Millisecond
@@ -369,7 +369,7 @@
 // interruptionDelay returns the time before an item is run again after a number of runs in
 // which engines crashed.
 func interruptionDelay(interruptions int) time.Duration {
-	return min(retryDelay<<min(interruptions-1, maxDoublings), maxInterruptionDelay)
+	return sleeper.Backoff{Initial: retryDelay, Max: maxInterruptionDelay}.Delay(interruptions - 1)
 }
 
 // Committed handles the outcome of a Commit. The epoch is that of the claim that was
--- a/internal/faces/gateway/run.go
+++ b/internal/faces/gateway/run.go
@@ -4,12 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/online/courier"
-	"github.com/fescuespindle/fescuespindle/internal/online/eventsplitter"
 	"github.com/fescuespindle/fescuespindle/internal/online/pacer"
 	"github.com/fescuespindle/fescuespindle/internal/online/placer"
 	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
@@ -20,11 +18,6 @@
 	// maxSends is the maximum number of attempts of a request, rejected ones included.
 	// Attempts that may have run the request are also limited by the route's MaxAttempts.
 	maxSends = 6
-	// maxBufferedBytes is how much of a plain answer is buffered, so that the request can
-	// fail over if the answer is truncated. The rest of a longer one is streamed.
-	maxBufferedBytes = 64 << 10
-	// copyBufferBytes is the size of the buffer with which the rest is streamed.
-	copyBufferBytes = 16 << 10
 	// defaultPlainTimeout applies to a plain request for which neither the caller nor the
 	// route sets a timeout.
 	defaultPlainTimeout = 10 * time.Minute
@@ -238,150 +231,6 @@
 	return outcomeRejected
 }
 
-// deliver writes an answer to the caller. It returns an error if the answer is
-// truncated, or is a failure after which the request may fail over.
-func (f *forwarding) deliver(d *courier.Delivery) error {
-	defer d.Close()
-	if f.x.request.route.Kind == router.KindStream && d.Status() < http.StatusMultipleChoices {
-		return f.deliverStream(d)
-	}
-	return f.deliverPlain(d)
-}
-
-// deliverPlain writes a plain answer to the caller: a short one once it is complete, a
-// longer one, or any if memory is exhausted, as it arrives.
-func (f *forwarding) deliverPlain(d *courier.Delivery) error {
-	reservation := f.gateway.memory.NewReservation()
-	defer reservation.Release()
-	bufferSize := 0
-	if reservation.Grow(maxBufferedBytes) {
-		bufferSize = maxBufferedBytes
-	}
-	body, err := io.ReadAll(io.LimitReader(d, int64(bufferSize)))
-	if err != nil {
-		d.RecordFailure()
-		return relayer.NewAttemptError(relayer.RanMaybe, err)
-	}
-	if (d.Status() >= http.StatusInternalServerError && f.canFailOver()) || meansNotRun(d.Status()) {
-		return relayer.NewAttemptError(relayer.RanFailed, errors.New(http.StatusText(d.Status())))
-	}
-	if f.headSent {
-		return relayer.NewAttemptError(relayer.RanFailed, errTruncated)
-	}
-	f.stallTimer.Stop() // the request can no longer fail over, however slow the rest is
-	f.writeHead(d)
-	if _, err := f.x.w.Write(body); err != nil {
-		f.gateway.counter.Count("answers_not_taken_total") // the caller disconnected
-		return nil
-	}
-	if len(body) < bufferSize {
-		return nil
-	}
-	return f.copyRest(d)
-}
-
-// copyRest streams the rest of a plain answer to the caller.
-func (f *forwarding) copyRest(d *courier.Delivery) error {
-	buffer := make([]byte, copyBufferBytes)
-	for {
-		n, err := d.Read(buffer)
-		if n > 0 {
-			if _, writeErr := f.x.w.Write(buffer[:n]); writeErr != nil {
-				return relayer.NewAttemptError(relayer.RanMaybe, fmt.Errorf("%w: %w", errCallerGone, writeErr))
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			d.RecordFailure()
-			return relayer.NewAttemptError(relayer.RanMaybe, fmt.Errorf("%w: %w", errTruncated, err))
-		}
-	}
-}
-
-// meansNotRun returns whether a status means to callers that their request has not run.
-// An upstream that sends such a status without marking the request as not run may have
-// run it, so its answer must not be delivered.
-func meansNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	default:
-		return false
-	}
-}
-
-// canFailOver returns whether another attempt may replace a failed answer.
-func (f *forwarding) canFailOver() bool {
-	route := f.x.request.route
-	return route.Repeatable() && f.runs < route.MaxAttempts && f.sends < maxSends
-}
-
-// writeHead writes the status and the header of an answer to the caller.
-func (f *forwarding) writeHead(d *courier.Delivery) {
-	f.gateway.codec.EncodeUpstreamHeader(f.x.w.Header(), d.Header())
-	f.x.w.WriteHeader(d.Status())
-	f.headSent = true
-	f.headSentAt = time.Now()
-}
-
-// deliverStream writes each event to the caller once it is complete. An incomplete event
-// at the end of a truncated stream is discarded, so that another upstream can resume.
-func (f *forwarding) deliverStream(d *courier.Delivery) error {
-	control := http.NewResponseController(f.x.w)
-	events := eventsplitter.New(d)
-	for {
-		event, err := events.Next()
-		if errors.Is(err, io.EOF) {
-			if !f.headSent {
-				f.writeHead(d)
-			}
-			return nil
-		}
-		if err != nil {
-			d.RecordFailure()
-			return relayer.NewAttemptError(relayer.RanMaybe, err)
-		}
-		if err := f.writeEvent(d, control, event); err != nil {
-			return err
-		}
-	}
-}
-
-// writeEvent writes one event to the caller. The stall timer is paused meanwhile.
-func (f *forwarding) writeEvent(
-	d *courier.Delivery, control *http.ResponseController, event eventsplitter.Event,
-) error {
-	if !f.headSent {
-		f.writeHead(d)
-	}
-	f.stallTimer.Pause()
-	if _, err := f.x.w.Write(event.Raw()); err != nil {
-		return relayer.NewAttemptError(relayer.RanMaybe, fmt.Errorf("%w: %w", errCallerGone, err))
-	}
-	if err := control.Flush(); err != nil {
-		return relayer.NewAttemptError(relayer.RanMaybe, fmt.Errorf("%w: %w", errCallerGone, err))
-	}
-	progress := event.HasData() // a comment only keeps the connection open
-	f.stallTimer.Resume(progress)
-	if progress {
-		f.countEvent()
-	}
-	if id := event.ID(); id != "" {
-		f.lastEventID = id
-	}
-	return nil
-}
-
-// countEvent counts an event with data.
-func (f *forwarding) countEvent() {
-	f.events++
-	if f.events == minHealthyEvents {
-		f.gateway.crashes.RecordAnswer(f.x.request.traits, time.Now())
-	}
-}
-
 // logOutcome logs the outcome of a request in one line and updates the metrics.
 func (g *Gateway) logOutcome(f *forwarding, result outcome) {
 	request := &f.x.request
--- a/internal/online/crashanalyzer/analyzer_test.go
+++ b/internal/online/crashanalyzer/analyzer_test.go
@@ -28,6 +28,16 @@
 	a.RecordCrash(fmt.Sprint("u", second), r.with(parts...), start.Add(time.Duration(second)*time.Second))
 }
 
+// afterCrashes returns an Analyzer that has recorded n crashes, a second apart from start on,
+// under different requests with the given parts.
+func afterCrashes(n int, r *requests, parts ...string) *crashanalyzer.Analyzer {
+	a := crashanalyzer.New()
+	for second := range n {
+		crash(a, r, second, parts...)
+	}
+	return a
+}
+
 func expectRejected(t *testing.T, a *crashanalyzer.Analyzer, want bool, second int, parts ...string) {
 	t.Helper()
 	var r requests
@@ -118,10 +128,7 @@
 // long as suspects are kept.
 func TestSoundPartIsServedAgainAfterATrial(t *testing.T) {
 	var r requests
-	a := crashanalyzer.New()
-	for second := range 3 {
-		crash(a, &r, second, "sound")
-	}
+	a := afterCrashes(3, &r, "sound")
 	expectRejected(t, a, true, 11, "sound")
 	expectRejected(t, a, false, 12, "sound")
 	expectRejected(t, a, true, 12, "sound")
@@ -132,10 +139,7 @@
 // Each trial that crashes an upstream doubles the pause until the next one.
 func TestTrialsBecomeRare(t *testing.T) {
 	var r requests
-	a := crashanalyzer.New()
-	for second := range 3 {
-		crash(a, &r, second, "x")
-	}
+	a := afterCrashes(3, &r, "x")
 	trials := 0
 	for second := 3; second < 300; second++ {
 		if a.Judge(r.with("x"), start.Add(time.Duration(second)*time.Second)) == crashanalyzer.VerdictTrial {
@@ -173,10 +177,7 @@
 
 func TestSuspectsAreForgotten(t *testing.T) {
 	var r requests
-	a := crashanalyzer.New()
-	for second := range 3 {
-		crash(a, &r, second, "x")
-	}
+	a := afterCrashes(3, &r, "x")
 	expectRejected(t, a, true, 4, "x")
 	crash(a, &r, 3600, "y")
 	expectRejected(t, a, false, 3600, "x")
@@ -184,10 +185,7 @@
 
 func TestManyOtherSuspectsDoNotHideACause(t *testing.T) {
 	var r requests
-	a := crashanalyzer.New()
-	for second := range 3 {
-		crash(a, &r, second, "x")
-	}
+	a := afterCrashes(3, &r, "x")
 	for n := range 2000 {
 		a.RecordCrash(fmt.Sprint("v", n), r.with(fmt.Sprint("rare", n)), start.Add(time.Duration(4000+n)*time.Millisecond))
 	}
@@ -197,10 +195,7 @@
 // A VM that starts learns from any one report what the others reject, and what they don't.
 func TestVMThatStartsRejectsTheSame(t *testing.T) {
 	var r requests
-	a, b := crashanalyzer.New(), crashanalyzer.New()
-	for second := range 5 {
-		crash(a, &r, second, "a", "b", "x")
-	}
+	a, b := afterCrashes(5, &r, "a", "b", "x"), crashanalyzer.New()
 	a.RecordAnswer(r.with("a", "b"), start.Add(6*time.Second))
 	at := start.Add(20 * time.Second)
 	news, toReport := a.HasNews(at)
--- a/internal/online/crashanalyzer/trial.go
+++ b/internal/online/crashanalyzer/trial.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/sleeper"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/weigher"
 )
 
@@ -16,8 +17,6 @@
 	// trialStagger is the time between the first trials of two VMs: usually the first one
 	// settles the matter for all.
 	trialStagger = time.Second
-	// maxDoublings bounds the doublings of trialPause.
-	maxDoublings = 6
 )
 
 // SetVMs sets the names of this VM and of all live VMs, which take turns at trials.
@@ -32,7 +31,7 @@
 // The caller must hold mu.
 func (a *Analyzer) takeTrial(causes set[Trait], crashes int, lastCrash, now time.Time) bool {
 	cause := smallest(causes)
-	pause := trialPause << min(crashes-minCrashes, maxDoublings)
+	pause := sleeper.Backoff{Initial: trialPause, Max: keepTime}.Delay(crashes - minCrashes)
 	due := lastCrash.Add(pause + trialStagger*time.Duration(a.rank(cause)))
 	if now.Before(due) || now.Before(a.trials[cause].Add(pause)) {
 		return false
--- a/internal/online/healthtracker/failures.go
+++ b/internal/online/healthtracker/failures.go
@@ -3,15 +3,18 @@
 // I/O and has no clock of its own.
 package healthtracker
 
-import "time"
+import (
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/sleeper"
+)
 
 const (
 	// baseBackoff doubles with each consecutive failure, up to maxBackoff.
 	baseBackoff = 100 * time.Millisecond
 	maxBackoff  = 2 * time.Second
-	// maxDoublings bounds the doublings of a backoff, and the consecutive failures that
-	// are taken over from a report.
-	maxDoublings = 5
+	// maxReportedFailures bounds the consecutive failures that are taken over from a report.
+	maxReportedFailures = 5
 	// maxReportedBackoff bounds a backoff reported by a peer VM: the first VM whose
 	// next attempt fails reports that to all others.
 	maxReportedBackoff = time.Second
@@ -52,7 +55,7 @@
 		return false
 	}
 	f.failedAt = now
-	f.localUntil = now.Add(min(baseBackoff<<min(f.consecutive, maxDoublings), maxBackoff))
+	f.localUntil = now.Add(sleeper.Backoff{Initial: baseBackoff, Max: maxBackoff}.Delay(f.consecutive))
 	f.until = later(f.until, f.localUntil)
 	f.consecutive++
 	return true
@@ -86,7 +89,7 @@
 	}
 	f.reportedAt, f.reportedUntil = now, until
 	f.until = later(f.until, until.Add(time.Duration(jitter*backoffJitter*float64(remaining))))
-	f.consecutive = max(f.consecutive, min(reported.ConsecutiveFailures, maxDoublings))
+	f.consecutive = max(f.consecutive, min(reported.ConsecutiveFailures, maxReportedFailures))
 	return true
 }
 
--- a/internal/online/quarantiner/quarantine.go
+++ b/internal/online/quarantiner/quarantine.go
@@ -134,19 +134,3 @@
 	defer q.mu.Unlock()
 	return len(q.records)
 }
-
-// Suspects returns up to the given number of suspects, in no particular order.
-func (q *Quarantine) Suspects(limit int, now time.Time) []Strike {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	var strikes []Strike
-	for f := range q.records {
-		if len(strikes) == limit {
-			break
-		}
-		if n := q.strikes(f, now); n > 0 {
-			strikes = append(strikes, Strike{Fingerprint: f, Count: n})
-		}
-	}
-	return strikes
-}
