--- a/internal/control/peerteller/reporter.go
+++ b/internal/control/peerteller/reporter.go
@@ -215,8 +215,10 @@
 			if len(summaryDue) > 0 {
 				r.send(sequence+1, summaryDue, extras{summary: r.state.Summary()})
 			}
-			if len(crashesDue) > 0 {
-				report := r.state.CrashReport(now)
+			if len(crashesDue) == 0 {
+				return
+			}
+			if report := r.state.CrashReport(now); !report.IsEmpty() {
 				r.send(sequence+2, crashesDue, extras{crashes: &report})
 			}
 		})
--- a/internal/faces/gateway/gateway.go
+++ b/internal/faces/gateway/gateway.go
@@ -68,7 +68,7 @@
 
 // CrashAnalyzer finds out which requests crash upstreams.
 type CrashAnalyzer interface {
-	Judge(traits []crashanalyzer.Trait, now time.Time) crashanalyzer.Verdict
+	Decide(traits []crashanalyzer.Trait, now time.Time) crashanalyzer.Decision
 	// RecordCrash records that an upstream crashed before it began to answer a request.
 	RecordCrash(upstream string, traits []crashanalyzer.Trait, now time.Time)
 	// RecordAnswer records that an upstream has begun to answer a request.
--- a/internal/faces/gateway/run.go
+++ b/internal/faces/gateway/run.go
@@ -54,7 +54,7 @@
 	events        int
 	headSentAt    time.Time
 	waitedForSlot bool              // for a free slot, at least once
-	onTrial       bool              // the next attempt is one to find out whether the request crashes upstreams
+	isProbe       bool              // the next attempt is one to find out whether the request crashes upstreams
 	attemptLog    []string          // upstream and outcome of each attempt, for the log
 	stallTimer    *pacer.StallTimer // of the current attempt; nil if it is plain and can't fail over
 }
@@ -106,7 +106,7 @@
 			return f.recordDelivery(status)
 		}
 		f.recordCrash(ctx, slot.Upstream(), err)
-		f.onTrial = false
+		f.isProbe = false
 		f.attemptLog = append(f.attemptLog, id+" "+err.Error())
 		f.lastErr = err
 		f.avoid[id] = true
@@ -185,7 +185,7 @@
 	g.crashes.RecordCrash(upstream.ID, f.x.request.traits, time.Now())
 	g.counter.Count("requests_on_crashed_upstreams_total")
 	g.logger.Info("request suspected of crashing an upstream", "id", f.x.request.Call.ID,
-		"upstream", upstream.ID, "events", f.events, "trial", f.onTrial, "parts", f.x.request.SharedParts, "error", err)
+		"upstream", upstream.ID, "events", f.events, "probe", f.isProbe, "parts", f.x.request.SharedParts, "error", err)
 }
 
 // recordDelivery records a complete answer and returns the outcome.
--- a/internal/faces/gateway/slot.go
+++ b/internal/faces/gateway/slot.go
@@ -56,16 +56,16 @@
 func (g *Gateway) RetainUpstreams(ids map[string]bool) { g.pacer.RetainUpstreams(ids) }
 
 // crashesUpstreams reports whether the request must not be sent, as it is likely to crash an
-// upstream. A verdict that lets it through on trial holds for one attempt.
+// upstream. One that is a probe may be sent for one attempt.
 func (f *forwarding) crashesUpstreams() bool {
-	if f.onTrial {
+	if f.isProbe {
 		return false
 	}
-	verdict := f.gateway.crashes.Judge(f.x.request.traits, time.Now())
-	f.onTrial = verdict == crashanalyzer.VerdictTrial
-	if verdict != crashanalyzer.VerdictSend {
+	decision := f.gateway.crashes.Decide(f.x.request.traits, time.Now())
+	f.isProbe = decision == crashanalyzer.DecisionProbe
+	if decision != crashanalyzer.DecisionSend {
 		f.gateway.logger.Info("request likely to crash upstreams", "id", f.x.request.Call.ID,
-			"trial", f.onTrial, "parts", f.x.request.SharedParts)
+			"probe", f.isProbe, "parts", f.x.request.SharedParts)
 	}
-	return verdict == crashanalyzer.VerdictReject
+	return decision == crashanalyzer.DecisionReject
 }
--- a/internal/online/crashanalyzer/analyzer.go
+++ b/internal/online/crashanalyzer/analyzer.go
@@ -8,7 +8,7 @@
 //
 // Example: three upstreams crash under requests with the parts A B X, A B X and A B X, and
 // meanwhile others with A C, A D and A E are answered. A is answered all the time, so B or
-// X is the cause. A request with B and X is rejected. One with B alone is let through:
+// X is the cause. A request with B and X is rejected. One with B alone is sent:
 // nothing shows that B is enough, and its answer or crash tells B and X apart. To reject
 // whatever three crashes have in common would reject sound requests with B for good.
 package crashanalyzer
@@ -21,17 +21,11 @@
 const (
 	// minCrashes is the number of upstreams that must crash before requests are rejected.
 	minCrashes = 3
-	// trustTime is how long after its last answer no trait is blamed: if many upstreams
-	// crash at once, the most common traits are on all of them.
-	trustTime = 3 * time.Second
 	// keepTime is how long a suspect counts.
 	keepTime = 10 * time.Minute
 	// sameCrashTime is the difference up to which two reports of a crash of the same
 	// upstream mean the same crash.
 	sameCrashTime = 300 * time.Millisecond
-	// causesTime is how long possible causes are used without a change of what they
-	// follow from: they also depend on time.
-	causesTime = 100 * time.Millisecond
 	// maxSuspects and maxTraits bound memory use.
 	maxSuspects = 512
 	maxTraits   = 32
@@ -63,14 +57,14 @@
 	crashes  int // number of crashes so far
 	onNews   func()
 	// newsUntil is the end of the time in which there is something that peers must learn
-	// soon: suspects that are news, or objections.
+	// soon: suspects that are news, or corrections.
 	newsUntil time.Time
-	// objections are traits to report as answered, each until a time.
-	objections map[Trait]time.Time
+	// corrections are traits to report as answered, each until a time.
+	corrections map[Trait]time.Time
 
 	self   string              // name of this VM
 	vms    []string            // names of all live VMs
-	trials map[Trait]time.Time // last trial of a request, by a cause of the crashes
+	probes map[Trait]time.Time // when a request was last sent as a probe, by a possible cause
 
 	causes      map[Trait]int // result of the last call of findCauses
 	causesUntil time.Time     // when it must be called again; zero if something has changed
@@ -88,8 +82,8 @@
 // New returns an Analyzer without suspects.
 func New(options ...Option) *Analyzer {
 	a := &Analyzer{
-		known: set[uint64]{}, answers: newAnswerTimes(), objections: map[Trait]time.Time{},
-		trials: map[Trait]time.Time{}, onNews: func() {},
+		known: set[uint64]{}, answers: newAnswerTimes(), corrections: map[Trait]time.Time{},
+		probes: map[Trait]time.Time{}, onNews: func() {},
 	}
 	for _, option := range options {
 		option(a)
@@ -113,27 +107,27 @@
 	}
 }
 
-// Verdict says whether a request may be sent to an upstream.
-type Verdict uint8
+// Decision says whether a request may be sent to an upstream.
+type Decision uint8
 
-// Verdicts on a request.
+// Decisions of Decide.
 const (
-	// VerdictSend means that nothing is known against the request.
-	VerdictSend Verdict = iota
-	// VerdictReject means that the request is as likely to crash an upstream as those
+	// DecisionSend means that nothing is known against the request.
+	DecisionSend Decision = iota
+	// DecisionReject means that the request is as likely to crash an upstream as those
 	// under which minCrashes have crashed.
-	VerdictReject
-	// VerdictTrial means the same, but that the request is to be sent once to find out.
-	VerdictTrial
+	DecisionReject
+	// DecisionProbe means the same, but that the request is to be sent once to find out.
+	DecisionProbe
 )
 
-// Judge returns the verdict on a request: it is rejected if it has all traits that may have
-// caused minCrashes crashes.
-func (a *Analyzer) Judge(traits []Trait, now time.Time) Verdict {
+// Decide returns whether a request may be sent: not if it has all traits that may have caused
+// minCrashes crashes.
+func (a *Analyzer) Decide(traits []Trait, now time.Time) Decision {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if len(a.suspects) == 0 {
-		return VerdictSend
+		return DecisionSend
 	}
 	causes := a.possibleCauses(now)
 	own, isLikely := set[Trait]{}, false
@@ -144,16 +138,16 @@
 		}
 	}
 	if !isLikely {
-		return VerdictSend
+		return DecisionSend
 	}
 	crashes, lastCrash := a.explainedCrashes(causes, own)
 	switch {
 	case crashes < minCrashes:
-		return VerdictSend
-	case a.takeTrial(own, crashes, lastCrash, now):
-		return VerdictTrial
+		return DecisionSend
+	case a.takeProbe(own, crashes, lastCrash, now):
+		return DecisionProbe
 	default:
-		return VerdictReject
+		return DecisionReject
 	}
 }
 
@@ -169,73 +163,3 @@
 	}
 	return len(explained), last
 }
-
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
-// isExplained reports whether the given traits include all possible causes of a suspect's
-// crash, of which there must be one. The whole request is one only if no part is.
-func (a *Analyzer) isExplained(s *suspect, causes map[Trait]int, own set[Trait]) bool {
-	explained := false
-	for _, t := range s.parts() {
-		if causes[t] == 0 || a.isExonerated(s, t) {
-			continue
-		}
-		if !own.has(t) {
-			return false
-		}
-		explained = true
-	}
-	return explained || own.has(s.request())
-}
-
-// isExonerated reports whether a trait was answered after a suspect's crash.
-func (a *Analyzer) isExonerated(s *suspect, t Trait) bool { return a.answers.last(t).After(s.at) }
-
-// possibleCauses returns the traits that may have caused crashes, each with the number of
-// crashes. The caller must hold mu.
-func (a *Analyzer) possibleCauses(now time.Time) map[Trait]int {
-	if !now.Before(a.causesUntil) {
-		a.causes, a.causesUntil = a.findCauses(now), now.Add(causesTime)
-	}
-	return a.causes
-}
-
-// sightings are where a trait was among the suspects.
-type sightings struct {
-	crashes  set[int]
-	requests set[Trait]
-}
-
-// findCauses returns the parts that suspects of several requests have in common, and the
-// whole requests that are suspects of minCrashes crashes. None of them were answered since,
-// or within trustTime. A part of one request alone, which is sent again after a crash, is
-// no more of a cause than that request is.
-func (a *Analyzer) findCauses(now time.Time) map[Trait]int {
-	seen := map[Trait]sightings{}
-	for i := range a.suspects {
-		s := &a.suspects[i]
-		for _, t := range s.traits {
-			if a.isExonerated(s, t) {
-				continue
-			}
-			if _, found := seen[t]; !found {
-				seen[t] = sightings{crashes: set[int]{}, requests: set[Trait]{}}
-			}
-			seen[t].crashes.add(s.crash)
-			seen[t].requests.add(s.request())
-		}
-	}
-	causes := map[Trait]int{}
-	for t, at := range seen {
-		isCommon := len(at.requests) > 1 || (at.requests.has(t) && len(at.crashes) >= minCrashes)
-		if last := a.answers.last(t); isCommon && (last.IsZero() || now.Sub(last) >= trustTime) {
-			causes[t] = len(at.crashes)
-		}
-	}
-	return causes
-}
--- a/internal/online/crashanalyzer/analyzer_test.go
+++ b/internal/online/crashanalyzer/analyzer_test.go
@@ -42,7 +42,7 @@
 	t.Helper()
 	var r requests
 	r.made = 1 << 20
-	got := a.Judge(r.with(parts...), start.Add(time.Duration(second)*time.Second)) == crashanalyzer.VerdictReject
+	got := a.Decide(r.with(parts...), start.Add(time.Duration(second)*time.Second)) == crashanalyzer.DecisionReject
 	qt.Check(t, got, qt.Equals, want, qt.Commentf("%v", parts))
 }
 
@@ -86,10 +86,10 @@
 	a := crashanalyzer.New()
 	same := r.with()
 	for second := range 3 {
-		qt.Check(t, a.Judge(same, start), qt.Equals, crashanalyzer.VerdictSend)
+		qt.Check(t, a.Decide(same, start), qt.Equals, crashanalyzer.DecisionSend)
 		a.RecordCrash("u", same, start.Add(time.Duration(second)*time.Second))
 	}
-	qt.Check(t, a.Judge(same, start.Add(3*time.Second)), qt.Equals, crashanalyzer.VerdictReject)
+	qt.Check(t, a.Decide(same, start.Add(3*time.Second)), qt.Equals, crashanalyzer.DecisionReject)
 	expectRejected(t, a, false, 3)
 }
 
@@ -124,9 +124,9 @@
 	expectRejected(t, a, true, 5, "x")
 }
 
-// A trial after trialPause shows that a part is sound; without one it would be rejected as
+// A probe after probePause shows that a part is sound; without one it would be rejected as
 // long as suspects are kept.
-func TestSoundPartIsServedAgainAfterATrial(t *testing.T) {
+func TestSoundPartIsServedAgainAfterAProbe(t *testing.T) {
 	var r requests
 	a := afterCrashes(3, &r, "sound")
 	expectRejected(t, a, true, 11, "sound")
@@ -136,21 +136,21 @@
 	expectRejected(t, a, false, 13, "sound")
 }
 
-// Each trial that crashes an upstream doubles the pause until the next one.
-func TestTrialsBecomeRare(t *testing.T) {
+// Each probe that crashes an upstream doubles the pause until the next one.
+func TestProbesBecomeRare(t *testing.T) {
 	var r requests
 	a := afterCrashes(3, &r, "x")
-	trials := 0
+	probes := 0
 	for second := 3; second < 300; second++ {
-		if a.Judge(r.with("x"), start.Add(time.Duration(second)*time.Second)) == crashanalyzer.VerdictTrial {
-			trials++
+		if a.Decide(r.with("x"), start.Add(time.Duration(second)*time.Second)) == crashanalyzer.DecisionProbe {
+			probes++
 			crash(a, &r, second, "x")
 		}
 	}
-	qt.Check(t, trials, qt.Equals, 4)
+	qt.Check(t, probes, qt.Equals, 4)
 }
 
-func TestVMsTakeTurnsAtTrials(t *testing.T) {
+func TestVMsTakeTurnsAtProbes(t *testing.T) {
 	var r requests
 	names := []string{"a", "b", "c", "d"}
 	var vms []*crashanalyzer.Analyzer
@@ -166,13 +166,13 @@
 	for _, vm := range vms[1:] {
 		vm.Receive(vms[0].Report(at), false, at)
 	}
-	trials := 0
+	probes := 0
 	for _, vm := range vms {
-		if vm.Judge(r.with("x"), at) == crashanalyzer.VerdictTrial {
-			trials++
+		if vm.Decide(r.with("x"), at) == crashanalyzer.DecisionProbe {
+			probes++
 		}
 	}
-	qt.Check(t, trials, qt.Equals, 1)
+	qt.Check(t, probes, qt.Equals, 1)
 }
 
 func TestSuspectsAreForgotten(t *testing.T) {
@@ -234,7 +234,7 @@
 const (
 	vmCount = 3
 	// maxCrashes is what VMs that hear little of each other may lose: three upstreams each,
-	// and one at each of the trials in this time.
+	// and one at each of the probes in this time.
 	maxCrashes = 3*vmCount + 4
 	// maxRejectedShare bounds the sound requests that may be rejected, as a divisor. In
 	// three minutes with a crash each three seconds, a part may well be met by three of them.
@@ -273,7 +273,7 @@
 	upstream := fmt.Sprint("u", n)
 	if s.random.IntN(10) == 0 {
 		traits := s.requests.with(append([]string{"x"}, s.companions...)...)
-		if vm.Judge(traits, s.now) != crashanalyzer.VerdictReject {
+		if vm.Decide(traits, s.now) != crashanalyzer.DecisionReject {
 			s.crashes++
 			vm.RecordCrash(upstream, traits, s.now)
 		}
@@ -286,7 +286,7 @@
 	traits := s.requests.with(parts...)
 	s.sound++
 	switch {
-	case vm.Judge(traits, s.now) == crashanalyzer.VerdictReject:
+	case vm.Decide(traits, s.now) == crashanalyzer.DecisionReject:
 		s.rejected++
 	case s.random.IntN(30) == 0: // crashes for another reason
 		vm.RecordCrash(upstream, traits, s.now)
--- a/internal/online/crashanalyzer/report.go
+++ b/internal/online/crashanalyzer/report.go
@@ -40,6 +40,9 @@
 	Answers []Answer `cbor:"answers,omitempty"`
 }
 
+// IsEmpty returns whether there is nothing in the report.
+func (r Report) IsEmpty() bool { return len(r.Suspects) == 0 && len(r.Answers) == 0 }
+
 // RecordCrash records that an upstream crashed before it began to answer a request.
 func (a *Analyzer) RecordCrash(upstream string, traits []Trait, now time.Time) {
 	a.mu.Lock()
@@ -55,7 +58,7 @@
 	for _, answer := range r.Answers {
 		a.recordAnswer(answer.Trait, now.Add(-answer.Age))
 	}
-	a.object(r, now)
+	a.correct(r, now)
 	for _, s := range r.Suspects {
 		if s.Age < keepTime && len(s.Traits) > 0 && len(s.Traits) <= maxTraits {
 			a.add(suspect{id: s.ID, upstream: s.Upstream, at: now.Add(-s.Age), news: relay, traits: s.Traits}, now)
@@ -63,9 +66,9 @@
 	}
 }
 
-// object schedules a report of the traits that this VM knows to be answered since a crash,
-// and the sender of a report doesn't. The caller must hold mu.
-func (a *Analyzer) object(r Report, now time.Time) {
+// correct schedules a report of the traits that this VM knows to be answered since a crash,
+// and the sender of the given report doesn't. The caller must hold mu.
+func (a *Analyzer) correct(r Report, now time.Time) {
 	told := answerTimes{recent: map[Trait]time.Time{}}
 	for _, answer := range r.Answers {
 		told.record(answer.Trait, now.Add(-answer.Age))
@@ -74,7 +77,7 @@
 		at := now.Add(-s.Age)
 		for _, t := range s.Traits {
 			if a.answers.last(t).After(at) && !told.last(t).After(at) {
-				a.objections[t] = now.Add(newsTime)
+				a.corrections[t] = now.Add(newsTime)
 				a.extendNews(now)
 			}
 		}
@@ -119,6 +122,7 @@
 
 // removeOld removes the suspects that no longer count.
 func (a *Analyzer) removeOld(now time.Time) {
+	maps.DeleteFunc(a.probes, func(_ Trait, at time.Time) bool { return now.Sub(at) > keepTime })
 	a.suspects = slices.DeleteFunc(a.suspects, func(s suspect) bool {
 		old := now.Sub(s.at) > keepTime
 		if old {
@@ -155,8 +159,8 @@
 	defer a.mu.Unlock()
 	var report Report
 	traits := set[Trait]{}
-	maps.DeleteFunc(a.objections, func(_ Trait, until time.Time) bool { return now.After(until) })
-	for t := range a.objections {
+	maps.DeleteFunc(a.corrections, func(_ Trait, until time.Time) bool { return now.After(until) })
+	for t := range a.corrections {
 		traits.add(t)
 	}
 	causes := a.possibleCauses(now)
@@ -183,7 +187,7 @@
 // hasCause reports whether a suspect has a trait for which requests may be rejected.
 func (a *Analyzer) hasCause(s *suspect, causes map[Trait]int) bool {
 	for _, t := range s.traits {
-		if causes[t] >= minCrashes && !a.isExonerated(s, t) {
+		if causes[t] >= minCrashes && !a.isCleared(s, t) {
 			return true
 		}
 	}
