relayer: an answer of a plain service without length or chunks is cut if the service has crashed

The same cause as in the forwarder, in the product's own interface: such an answer ends with its connection, which a crash closes too. Streams have an end marker there; plain services don't. Evidence: TestAnswerWithoutLengthIsNotCompleteIfItsServiceCrashed, crashed and empty, failed before (the answers came back as complete). The check and the type of a dialer have one copy, in relayer.

--- a/internal/online/forwarder/forwarder.go
+++ b/internal/online/forwarder/forwarder.go
@@ -19,7 +19,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
@@ -60,7 +59,7 @@
 // concurrent use.
 type Forwarder struct {
 	extractID IDExtractor
-	dial      Dial
+	dial      relayer.Dial
 	writers   sync.WaitGroup
 
 	mu   sync.Mutex
@@ -69,14 +68,11 @@
 	idleLimit int
 }
 
-// Dial opens a connection, as net.Dialer.DialContext does.
-type Dial func(ctx context.Context, network, address string) (net.Conn, error)
-
 // Option configures a Forwarder.
 type Option func(*Forwarder)
 
 // WithDial replaces the default TCP dialer.
-func WithDial(dial Dial) Option {
+func WithDial(dial relayer.Dial) Option {
 	return func(f *Forwarder) { f.dial = dial }
 }
 
@@ -92,20 +88,10 @@
 	return f
 }
 
-// refusalTimeout bounds the check whether an address refuses connections.
-const refusalTimeout = 300 * time.Millisecond
-
 // Refuses returns whether an address refuses connections, as that of a process that has
 // ended does. One that can't be reached doesn't refuse.
 func (f *Forwarder) Refuses(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
-	defer cancel()
-	conn, err := f.dial(ctx, "tcp", address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	_ = conn.Close()
-	return false
+	return relayer.Refuses(ctx, f.dial, address)
 }
 
 // Close closes idle connections and waits for writes of large bodies to end.
@@ -263,7 +249,7 @@
 	n, err := a.response.Body.Read(p)
 	a.received = a.received || n > 0
 	if errors.Is(err, io.EOF) {
-		if a.isUnframed() && a.endedEarly() {
+		if relayer.IsUnframed(a.response) && a.endedEarly() {
 			return n, io.ErrUnexpectedEOF
 		}
 		a.complete = true
@@ -271,14 +257,7 @@
 	return n, err //nolint:wrapcheck // io.EOF must not be wrapped
 }
 
-// isUnframed returns whether the body has neither a length nor chunks, so that its end is
-// that of the connection.
-func (a *Answer) isUnframed() bool {
-	return a.response.ContentLength < 0 && len(a.response.TransferEncoding) == 0
-}
-
-// endedEarly returns whether an unframed body has ended because the upstream has. An
-// upstream that crashes closes its connections as well, which looks the same. A body
+// endedEarly returns whether an unframed body has ended because the upstream has. A body
 // without a byte never counts as complete.
 func (a *Answer) endedEarly() bool {
 	return !a.received || a.forwarder.Refuses(a.ctx, a.connection.address)
--- a/internal/online/relayer/relayer.go
+++ b/internal/online/relayer/relayer.go
@@ -43,12 +43,13 @@
 
 // Relayer sends attempts and holds the HTTP connections to upstreams.
 type Relayer struct {
+	dial      Dial
 	pooled    *http.Client
 	singleUse *http.Client
 }
 
 // New returns a relayer that opens connections with dial, or over TCP if dial is nil.
-func New(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Relayer {
+func New(dial Dial) *Relayer {
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
@@ -59,7 +60,9 @@
 	// A new connection can't deliver another request's answer, and net/http never
 	// retries a request on one.
 	singleUse := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
-	return &Relayer{pooled: &http.Client{Transport: pooled}, singleUse: &http.Client{Transport: singleUse}}
+	return &Relayer{
+		dial: dial, pooled: &http.Client{Transport: pooled}, singleUse: &http.Client{Transport: singleUse},
+	}
 }
 
 // Close closes idle connections.
@@ -134,6 +137,9 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if err == nil && IsUnframed(response) && (len(body) == 0 || Refuses(ctx, r.dial, a.Address)) {
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil {
 		return Answer{}, &AttemptError{
 			ran: RanMaybe, mayHaveCrashed: true,
--- a/internal/online/relayer/relayer_test.go
+++ b/internal/online/relayer/relayer_test.go
@@ -170,3 +170,37 @@
 	}, true)
 	qt.Check(t, err, qt.ErrorIs, relayer.ErrMismatchedAnswer)
 }
+
+// expectUnframed calls a service whose answer has neither a length nor chunks. If crash is
+// set, the service stops with its answer.
+func expectUnframed(t *testing.T, body string, crash bool, wantErr error) {
+	t.Helper()
+	var server *httptest.Server
+	server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Transfer-Encoding", "identity") // net/http then sends neither
+		_, _ = io.WriteString(w, body)
+		if crash {
+			_ = server.Listener.Close()
+		}
+	}))
+	defer server.Close()
+	r := relayer.New(nil)
+	defer r.Close()
+	answer, err := r.Call(t.Context(), relayer.Attempt{
+		ID: "attempt-1", Address: server.Listener.Addr().String(), Method: http.MethodPost, Path: "/",
+	}, false)
+	if wantErr != nil {
+		qt.Check(t, err, qt.ErrorIs, wantErr)
+		return
+	}
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, string(answer.Body()), qt.Equals, body)
+}
+
+// Guards against: an answer of a service that has neither a length nor chunks looks complete
+// although the service crashed in the middle of it.
+func TestAnswerWithoutLengthIsNotCompleteIfItsServiceCrashed(t *testing.T) {
+	t.Run("complete", func(t *testing.T) { expectUnframed(t, "answer", false, nil) })
+	t.Run("crashed", func(t *testing.T) { expectUnframed(t, "answ", true, relayer.ErrTruncated) })
+	t.Run("empty", func(t *testing.T) { expectUnframed(t, "", false, relayer.ErrTruncated) })
+}
--- /dev/null
+++ b/internal/online/relayer/unframed.go
@@ -0,0 +1,34 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+)
+
+// Dial opens a connection, as net.Dialer.DialContext does.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// refusalTimeout bounds the check whether an address refuses connections.
+const refusalTimeout = 300 * time.Millisecond
+
+// Refuses returns whether an address refuses connections, as that of a process that has
+// ended does. One that can't be reached doesn't refuse.
+func Refuses(ctx context.Context, dial Dial, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
+	defer cancel()
+	conn, err := dial(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return false
+}
+
+// IsUnframed returns whether the body of an answer has neither a length nor chunks, so that
+// its end is that of the connection. An upstream that crashes closes its connections as
+// well, which looks the same.
+func IsUnframed(r *http.Response) bool { return r.ContentLength < 0 && len(r.TransferEncoding) == 0 }
--- a/internal/wiring/assembler/provider.go
+++ b/internal/wiring/assembler/provider.go
@@ -69,7 +69,7 @@
 
 func newJobs(store *storekeeper.Keeper) *jobkeeper.Keeper { return jobkeeper.New(store) }
 
-func newRelayer(d Dialers) *relayer.Relayer { return relayer.New(d.Upstream) }
+func newRelayer(d Dialers) *relayer.Relayer { return relayer.New(relayer.Dial(d.Upstream)) }
 
 func newClaimer(s settingsloader.Settings, store *storekeeper.Keeper) *claimer.Claimer {
 	return claimer.New(s.VM, store)
