--- a/internal/standins/interrupter/proxy.go
+++ b/internal/standins/interrupter/proxy.go
@@ -31,13 +31,14 @@
 
 // Proxy forwards connections to one address.
 type Proxy struct {
-	listener net.Listener
-	target   string
-	ctx      context.Context //nolint:containedctx // canceled by Close
-	cancel   context.CancelFunc
-	group    sync.WaitGroup
+	address string
+	target  string
+	ctx     context.Context //nolint:containedctx // canceled by Close
+	cancel  context.CancelFunc
+	group   sync.WaitGroup
 
 	mu           sync.Mutex
+	listener     net.Listener // nil between Stop and Restart
 	toTarget     Fault
 	toClient     Fault
 	disconnected bool
@@ -50,14 +51,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("proxy: %w", err)
 	}
-	p := &Proxy{listener: listener, target: target, conns: map[net.Conn]struct{}{}}
+	p := &Proxy{
+		address: listener.Addr().String(), listener: listener, target: target, conns: map[net.Conn]struct{}{},
+	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
-	p.group.Go(p.accept)
+	p.group.Go(func() { p.accept(listener) })
 	return p, nil
 }
 
 // Address returns the address that the proxy listens on.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
+func (p *Proxy) Address() string { return p.address }
 
 // SetFaults sets the faults of both directions, also of existing connections.
 func (p *Proxy) SetFaults(toTarget, toClient Fault) {
@@ -74,6 +77,35 @@
 	p.reset()
 }
 
+// Stop resets all connections, and makes the address refuse new ones until Restart is
+// called, as that of a process that has ended does.
+func (p *Proxy) Stop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reset()
+	if p.listener != nil {
+		_ = p.listener.Close()
+		p.listener = nil
+	}
+}
+
+// Restart listens on the address again after Stop. It returns an error if the address is
+// taken.
+func (p *Proxy) Restart() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil || p.ctx.Err() != nil {
+		return nil
+	}
+	listener, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return fmt.Errorf("proxy: %w", err)
+	}
+	p.listener = listener
+	p.group.Go(func() { p.accept(listener) })
+	return nil
+}
+
 // Reset resets all connections.
 func (p *Proxy) Reset() {
 	p.mu.Lock()
@@ -103,14 +135,13 @@
 // Close stops the proxy, resets its connections and waits until its goroutines end.
 func (p *Proxy) Close() {
 	p.cancel()
-	_ = p.listener.Close()
-	p.Reset()
+	p.Stop()
 	p.group.Wait()
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(listener net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
