crashanalyzer: requests that differ in the prompt alone are not repeats of each other

Cause: the trait of the whole request left the parts of the prompt out; host, path and body are the same for all requests of a kind there.

--- a/internal/online/crashanalyzer/analyzer_test.go
+++ b/internal/online/crashanalyzer/analyzer_test.go
@@ -93,6 +93,19 @@
 	expectRejected(t, a, false, 3)
 }
 
+// Guards against: a sound request is rejected because it differs from one that crashed three
+// upstreams in its prompt alone.
+func TestRequestsWithOtherPromptsAreNotRepeats(t *testing.T) {
+	a := crashanalyzer.New()
+	same := func(parts ...string) []crashanalyzer.Trait { return crashanalyzer.TraitsOf("h", "/", nil, parts) }
+	for second := range 3 {
+		a.RecordCrash("u", same("a", "x"), start.Add(time.Duration(second)*time.Second))
+	}
+	at := start.Add(3 * time.Second)
+	qt.Check(t, a.Decide(same("a", "x"), at), qt.Equals, crashanalyzer.DecisionReject)
+	qt.Check(t, a.Decide(same("a"), at), qt.Equals, crashanalyzer.DecisionSend)
+}
+
 func TestCrashOfOneUpstreamCountsOnce(t *testing.T) {
 	var r requests
 	a := crashanalyzer.New()
--- a/internal/online/crashanalyzer/trait.go
+++ b/internal/online/crashanalyzer/trait.go
@@ -12,24 +12,25 @@
 )
 
 // TraitsOf returns the traits of a request: each shared part of its prompt, and last the
-// whole request by its host, URI and body, so that repeats of it are recognized.
+// whole request by its host, URI, parts and body, so that repeats of it are recognized.
+// Requests may differ in the prompt alone.
 func TraitsOf(host, uri string, body []byte, sharedParts []string) []Trait {
 	traits := make([]Trait, 0, len(sharedParts)+1)
 	for _, part := range sharedParts[:min(len(sharedParts), maxTraits-1)] {
-		traits = append(traits, Trait(digest(partSeed, part, "", nil)))
+		traits = append(traits, digest(partSeed, nil, part))
 	}
-	return append(traits, Trait(digest(requestSeed, host, uri, body)))
+	return append(traits, digest(requestSeed, body, append([]string{host, uri}, sharedParts...)...))
 }
 
-func digest(seed uint64, first, second string, body []byte) uint64 {
+func digest(seed uint64, body []byte, lines ...string) Trait {
 	var d xxhash.Digest
 	d.ResetWithSeed(seed)
-	_, _ = d.WriteString(first)
-	_, _ = d.WriteString("\n")
-	_, _ = d.WriteString(second)
-	_, _ = d.WriteString("\n")
+	for _, line := range lines {
+		_, _ = d.WriteString(line)
+		_, _ = d.WriteString("\n")
+	}
 	_, _ = d.Write(body) // writes to a digest never fail
-	return d.Sum64()
+	return Trait(d.Sum64())
 }
 
 // set is a set of small values.
