crashanalyzer: a sound part is not blamed for all crashes of one request that has it

Cause: one upstream had crashed beside a sound request with the companion; then one request with both parts, sent again, crashed two more. The part that does it was in one request only, so it did not count as something suspects have in common, and the companion explained all three crashes. Evidence: the suspects that vm1 had logged: resume-5-10 on lm1, resume-4-46 on lm1 and lm2. Change: a request that is sent again counts once against a request that lacks an uncleared part of it, and each time against one that has them all. TestPartIsNotBlamedForAllCrashesOfOneRequest failed before.

--- a/internal/online/crashanalyzer/analyzer.go
+++ b/internal/online/crashanalyzer/analyzer.go
@@ -130,8 +130,9 @@
 		return DecisionSend
 	}
 	causes := a.possibleCauses(now)
-	own, isLikely := set[Trait]{}, false
+	own, all, isLikely := set[Trait]{}, set[Trait]{}, false
 	for _, t := range traits {
+		all.add(t)
 		if n, found := causes[t]; found {
 			own.add(t)
 			isLikely = isLikely || n >= minCrashes
@@ -140,7 +141,7 @@
 	if !isLikely {
 		return DecisionSend
 	}
-	crashes, lastCrash := a.explainedCrashes(causes, own)
+	crashes, lastCrash := a.explainedCrashes(causes, own, all)
 	switch {
 	case crashes < minCrashes:
 		return DecisionSend
@@ -150,16 +151,3 @@
 		return DecisionReject
 	}
 }
-
-// explainedCrashes returns the number of crashes that the given traits explain, and when
-// the last of them was.
-func (a *Analyzer) explainedCrashes(causes map[Trait]int, own set[Trait]) (crashes int, last time.Time) {
-	explained := set[int]{}
-	for i := range a.suspects {
-		if s := &a.suspects[i]; a.isExplained(s, causes, own) {
-			explained.add(s.crash)
-			last = later(last, s.at)
-		}
-	}
-	return len(explained), last
-}
--- a/internal/online/crashanalyzer/cause.go
+++ b/internal/online/crashanalyzer/cause.go
@@ -11,6 +11,40 @@
 	causesTime = 100 * time.Millisecond
 )
 
+// explainedCrashes returns the number of crashes that the given traits explain, and when
+// the last of them was. A request that is sent again after a crash, and has a part that
+// the given traits lack, counts once: that part may be the cause of all its crashes.
+func (a *Analyzer) explainedCrashes(causes map[Trait]int, own, all set[Trait]) (crashes int, last time.Time) {
+	explained, once := set[int]{}, map[Trait]int{}
+	for i := range a.suspects {
+		s := &a.suspects[i]
+		if !a.isExplained(s, causes, own) {
+			continue
+		}
+		last = later(last, s.at)
+		if _, counted := once[s.request()]; a.hasUnclearedPartsOf(s, all) {
+			explained.add(s.crash)
+		} else if !counted {
+			once[s.request()] = s.crash
+		}
+	}
+	for _, crash := range once {
+		explained.add(crash)
+	}
+	return len(explained), last
+}
+
+// hasUnclearedPartsOf reports whether the traits of a request include all parts of a suspect
+// that may be the cause, whether or not other suspects have them.
+func (a *Analyzer) hasUnclearedPartsOf(s *suspect, all set[Trait]) bool {
+	for _, t := range s.parts() {
+		if !all.has(t) && !a.isCleared(s, t) {
+			return false
+		}
+	}
+	return true
+}
+
 // isExplained reports whether the given traits include all possible causes of a suspect's
 // crash, of which there must be one. The whole request is one only if no part is.
 func (a *Analyzer) isExplained(s *suspect, causes map[Trait]int, own set[Trait]) bool {
