gateway: a probe that no upstream ran is sent again; the analyzer keeps less and allocates less

A fault: a request that was sent as a probe and rejected by a full upstream was refused on its next attempt, and no other was a probe for 10 s or more. The probe now lasts until an upstream may have run it (TestAProbeThatWasNotRunIsSentAgain failed before). Without a change in behaviour: the analyzer no longer keeps the IDs of suspects apart from the suspects; the causes of a request are looked up in its traits instead of copied into sets, so a request that has none allocates nothing; a stream records its answer once; the reporter asks for crash news before it locks; FingerprintOf had no caller left.

--- a/internal/control/peerteller/reporter.go
+++ b/internal/control/peerteller/reporter.go
@@ -202,10 +202,10 @@
 		case <-r.wake:
 		}
 		now := time.Now()
+		news, toReport := r.state.HasCrashNews(now)
 		r.mu.Lock()
 		due := r.schedule.TakeDue(r.peers, now)
 		summaryDue := r.schedule.TakeSummaryDue(r.peers, now)
-		news, toReport := r.state.HasCrashNews(now)
 		crashesDue := r.schedule.TakeCrashesDue(r.peers, news, toReport, now)
 		next := r.schedule.Next()
 		r.mu.Unlock()
--- a/internal/faces/gateway/crash_test.go
+++ b/internal/faces/gateway/crash_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -256,6 +257,31 @@
 	})
 }
 
+// Guards against: a sound part stays rejected because the upstream that got the probe was
+// full and did not run it.
+func TestAProbeThatWasNotRunIsSentAgain(t *testing.T) {
+	var crashing, rejecting atomic.Bool
+	crashing.Store(true)
+	plan := func(*http.Request) standin.Plan {
+		return standin.Plan{Crash: crashing.Load(), NotRun: rejecting.Swap(false), Events: 5, Gap: time.Millisecond}
+	}
+	withCrashSiteOf(t, 4, plan, func(s *crashSite) {
+		for id := range crashesBeforeRejection {
+			s.ask(id, "sound:50")
+		}
+		crashing.Store(false)
+		status, _ := s.ask(10, "sound:50")
+		qt.Check(t, status, qt.Equals, http.StatusBadGateway)
+		time.Sleep(11 * time.Second)
+		rejecting.Store(true)
+		for id := range 2 {
+			status, complete := s.ask(20+id, "sound:50")
+			qt.Check(t, status, qt.Equals, http.StatusOK)
+			qt.Check(t, complete, qt.IsTrue)
+		}
+	})
+}
+
 // crashBeside crashes the upstream that runs a request, before the request's first event.
 func (s *crashSite) crashBeside(id int) {
 	before := s.runs()
--- a/internal/faces/gateway/run.go
+++ b/internal/faces/gateway/run.go
@@ -54,7 +54,7 @@
 	events        int
 	headSentAt    time.Time
 	waitedForSlot bool              // for a free slot, at least once
-	isProbe       bool              // the next attempt is one to find out whether the request crashes upstreams
+	isProbe       bool              // the next run is one to find out whether the request crashes upstreams
 	attemptLog    []string          // upstream and outcome of each attempt, for the log
 	stallTimer    *pacer.StallTimer // of the current attempt; nil if it is plain and can't fail over
 }
@@ -106,7 +106,7 @@
 			return f.recordDelivery(status)
 		}
 		f.recordCrash(ctx, slot.Upstream(), err)
-		f.isProbe = false
+		f.isProbe = f.isProbe && relayer.AsAttemptError(err).Ran() == relayer.RanNot
 		f.attemptLog = append(f.attemptLog, id+" "+err.Error())
 		f.lastErr = err
 		f.avoid[id] = true
@@ -190,7 +190,9 @@
 
 // recordDelivery records a complete answer and returns the outcome.
 func (f *forwarding) recordDelivery(status int) outcome {
-	f.gateway.crashes.RecordAnswer(f.x.request.traits, time.Now())
+	if f.events < minHealthyEvents { // otherwise countEvent has recorded it
+		f.gateway.crashes.RecordAnswer(f.x.request.traits, time.Now())
+	}
 	if status >= http.StatusMultipleChoices {
 		return outcomeFailed
 	}
--- a/internal/faces/gateway/slot.go
+++ b/internal/faces/gateway/slot.go
@@ -56,7 +56,7 @@
 func (g *Gateway) RetainUpstreams(ids map[string]bool) { g.pacer.RetainUpstreams(ids) }
 
 // crashesUpstreams reports whether the request must not be sent, as it is likely to crash an
-// upstream. One that is a probe may be sent for one attempt.
+// upstream. One that is a probe may be sent until an upstream may have run it.
 func (f *forwarding) crashesUpstreams() bool {
 	if f.isProbe {
 		return false
--- a/internal/online/crashanalyzer/analyzer.go
+++ b/internal/online/crashanalyzer/analyzer.go
@@ -14,6 +14,7 @@
 package crashanalyzer
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -52,7 +53,6 @@
 type Analyzer struct {
 	mu       sync.Mutex
 	suspects []suspect // in the order in which this VM learned of them
-	known    set[uint64]
 	answers  answerTimes
 	crashes  int // number of crashes so far
 	onNews   func()
@@ -82,7 +82,7 @@
 // New returns an Analyzer without suspects.
 func New(options ...Option) *Analyzer {
 	a := &Analyzer{
-		known: set[uint64]{}, answers: newAnswerTimes(), corrections: map[Trait]time.Time{},
+		answers: newAnswerTimes(), corrections: map[Trait]time.Time{},
 		probes: map[Trait]time.Time{}, onNews: func() {},
 	}
 	for _, option := range options {
@@ -130,22 +130,15 @@
 		return DecisionSend
 	}
 	causes := a.possibleCauses(now)
-	own, all, isLikely := set[Trait]{}, set[Trait]{}, false
-	for _, t := range traits {
-		all.add(t)
-		if n, found := causes[t]; found {
-			own.add(t)
-			isLikely = isLikely || n >= minCrashes
-		}
-	}
-	if !isLikely {
+	isLikely := func(t Trait) bool { return causes[t] >= minCrashes }
+	if !slices.ContainsFunc(traits, isLikely) {
 		return DecisionSend
 	}
-	crashes, lastCrash := a.explainedCrashes(causes, own, all)
+	crashes, lastCrash := a.explainedCrashes(causes, traits)
 	switch {
 	case crashes < minCrashes:
 		return DecisionSend
-	case a.takeProbe(own, crashes, lastCrash, now):
+	case a.takeProbe(leastCause(traits, causes), crashes, lastCrash, now):
 		return DecisionProbe
 	default:
 		return DecisionReject
--- a/internal/online/crashanalyzer/cause.go
+++ b/internal/online/crashanalyzer/cause.go
@@ -1,6 +1,9 @@
 package crashanalyzer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// answerGrace is how long after its last answer no trait is a possible cause: if many
@@ -11,54 +14,50 @@
 	causesTime = 100 * time.Millisecond
 )
 
-// explainedCrashes returns the number of crashes that the given traits explain, and when
-// the last of them was. A request that is sent again after a crash, and has a part that
-// the given traits lack, counts once: that part may be the cause of all its crashes.
-func (a *Analyzer) explainedCrashes(causes map[Trait]int, own, all set[Trait]) (crashes int, last time.Time) {
-	explained, once := set[int]{}, map[Trait]int{}
+// explainedCrashes returns the number of crashes that the traits of a request explain, and
+// when the last of them was. A suspect that is sent again after a crash, and has a part that
+// the request lacks, counts once: that part may be the cause of all its crashes.
+func (a *Analyzer) explainedCrashes(causes map[Trait]int, traits []Trait) (crashes int, last time.Time) {
+	explained, countedOnce := set[int]{}, set[Trait]{}
 	for i := range a.suspects {
 		s := &a.suspects[i]
-		if !a.isExplained(s, causes, own) {
+		if !a.isExplained(s, causes, traits) {
 			continue
 		}
 		last = later(last, s.at)
-		if _, counted := once[s.request()]; a.hasUnclearedPartsOf(s, all) {
-			explained.add(s.crash)
-		} else if !counted {
-			once[s.request()] = s.crash
+		if !a.hasUnclearedPartsOf(s, traits) {
+			if countedOnce.has(s.request()) {
+				continue
+			}
+			countedOnce.add(s.request())
 		}
-	}
-	for _, crash := range once {
-		explained.add(crash)
+		explained.add(s.crash)
 	}
 	return len(explained), last
 }
 
 // hasUnclearedPartsOf reports whether the traits of a request include all parts of a suspect
 // that may be the cause, whether or not other suspects have them.
-func (a *Analyzer) hasUnclearedPartsOf(s *suspect, all set[Trait]) bool {
-	for _, t := range s.parts() {
-		if !all.has(t) && !a.isCleared(s, t) {
-			return false
-		}
-	}
-	return true
+func (a *Analyzer) hasUnclearedPartsOf(s *suspect, traits []Trait) bool {
+	return !slices.ContainsFunc(s.parts(), func(t Trait) bool {
+		return !slices.Contains(traits, t) && !a.isCleared(s, t)
+	})
 }
 
-// isExplained reports whether the given traits include all possible causes of a suspect's
-// crash, of which there must be one. The whole request is one only if no part is.
-func (a *Analyzer) isExplained(s *suspect, causes map[Trait]int, own set[Trait]) bool {
+// isExplained reports whether the traits of a request include all possible causes of a
+// suspect's crash, of which there must be one. The whole request is one only if no part is.
+func (a *Analyzer) isExplained(s *suspect, causes map[Trait]int, traits []Trait) bool {
 	explained := false
 	for _, t := range s.parts() {
 		if causes[t] == 0 || a.isCleared(s, t) {
 			continue
 		}
-		if !own.has(t) {
+		if !slices.Contains(traits, t) {
 			return false
 		}
 		explained = true
 	}
-	return explained || own.has(s.request())
+	return explained || (causes[s.request()] > 0 && slices.Contains(traits, s.request()))
 }
 
 // isCleared reports whether a trait was answered after a suspect's crash.
--- a/internal/online/crashanalyzer/probe.go
+++ b/internal/online/crashanalyzer/probe.go
@@ -26,11 +26,9 @@
 	a.self, a.vms = self, vms
 }
 
-// takeProbe reports whether a request that would be rejected is sent as a probe. It has
-// possible causes of the given number of crashes, the last of which was at lastCrash. The
-// caller must hold mu.
-func (a *Analyzer) takeProbe(causes set[Trait], crashes int, lastCrash, now time.Time) bool {
-	cause := smallest(causes)
+// takeProbe reports whether a request that would be rejected is sent as a probe. It explains
+// the given number of crashes, the last of which was at lastCrash. The caller must hold mu.
+func (a *Analyzer) takeProbe(cause Trait, crashes int, lastCrash, now time.Time) bool {
 	pause := sleeper.Backoff{Initial: probePause, Max: keepTime}.Delay(crashes - minCrashes)
 	due := later(lastCrash, a.probes[cause]).Add(pause)
 	if now.Before(due) || now.Before(lastCrash.Add(pause+probeStagger*time.Duration(a.rank(cause)))) {
@@ -52,13 +50,13 @@
 	return max(slices.Index(weigher.Order(strconv.FormatUint(uint64(t), 16), a.vms), a.self), 0)
 }
 
-// smallest returns the trait by which a set of causes is known, on all VMs the same.
-func smallest(traits set[Trait]) Trait {
-	var least Trait
-	first := true
-	for t := range traits {
-		if first || t < least {
-			least, first = t, false
+// leastCause returns the possible cause by which probes of a request are counted. It is the
+// same on all VMs.
+func leastCause(traits []Trait, causes map[Trait]int) Trait {
+	least, found := Trait(0), false
+	for _, t := range traits {
+		if causes[t] > 0 && (!found || t < least) {
+			least, found = t, true
 		}
 	}
 	return least
--- a/internal/online/crashanalyzer/report.go
+++ b/internal/online/crashanalyzer/report.go
@@ -86,7 +86,7 @@
 
 // add adds a suspect, unless it is known. The caller must hold mu.
 func (a *Analyzer) add(s suspect, now time.Time) {
-	if a.known.has(s.id) {
+	if slices.ContainsFunc(a.suspects, func(known suspect) bool { return known.id == s.id }) {
 		return
 	}
 	a.removeOld(now)
@@ -94,7 +94,6 @@
 		a.evict(now)
 	}
 	s.crash = a.crashOf(s)
-	a.known.add(s.id)
 	a.suspects = append(a.suspects, s)
 	a.causesUntil = time.Time{}
 	if s.news {
@@ -123,20 +122,13 @@
 // removeOld removes the suspects that no longer count.
 func (a *Analyzer) removeOld(now time.Time) {
 	maps.DeleteFunc(a.probes, func(_ Trait, at time.Time) bool { return now.Sub(at) > keepTime })
-	a.suspects = slices.DeleteFunc(a.suspects, func(s suspect) bool {
-		old := now.Sub(s.at) > keepTime
-		if old {
-			delete(a.known, s.id)
-		}
-		return old
-	})
+	a.suspects = slices.DeleteFunc(a.suspects, func(s suspect) bool { return now.Sub(s.at) > keepTime })
 }
 
 // evict removes one suspect: the first one for which nothing is rejected, if there is one.
 func (a *Analyzer) evict(now time.Time) {
 	causes := a.possibleCauses(now)
 	n := max(slices.IndexFunc(a.suspects, func(s suspect) bool { return !a.hasCause(&s, causes) }), 0)
-	delete(a.known, a.suspects[n].id)
 	a.suspects = slices.Delete(a.suspects, n, n+1)
 }
 
--- a/internal/online/quarantiner/quarantine.go
+++ b/internal/online/quarantiner/quarantine.go
@@ -9,11 +9,9 @@
 import (
 	"sync"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
-// Fingerprint is a hash of what identifies a request, such as its host, URI and body.
+// Fingerprint is a hash of what identifies a request, such as its body.
 type Fingerprint uint64
 
 const (
@@ -32,16 +30,6 @@
 	Count       int
 }
 
-// FingerprintOf returns the fingerprint of a request by its host, URI and body.
-func FingerprintOf(host, uri string, body []byte) Fingerprint {
-	var digest xxhash.Digest
-	digest.Reset()
-	_, _ = digest.WriteString(host)
-	_, _ = digest.WriteString(uri)
-	_, _ = digest.Write(body) // writes to a digest never fail
-	return Fingerprint(digest.Sum64())
-}
-
 type record struct {
 	strikes int
 	until   time.Time
