--- a/internal/faces/batchserver/server.go
+++ b/internal/faces/batchserver/server.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/faces/bodyreader"
 	"github.com/fescuespindle/fescuespindle/internal/faces/gateway"
 	"github.com/fescuespindle/fescuespindle/internal/online/router"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
@@ -144,11 +145,11 @@
 // submit handles a submission and returns the status of the answer.
 func (s *Server) submit(w http.ResponseWriter, r *http.Request, route *router.Route) int {
 	now := time.Now()
-	body, reservation, err := gateway.ReadBody(w, r, s.limits(), s.memory)
+	body, reservation, err := bodyreader.Read(w, r, s.limits(), s.memory)
 	defer func() { reservation.Release() }()
 	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.Is(err, gateway.ErrNoMemory):
+	case errors.Is(err, bodyreader.ErrNoMemory):
 		return s.reject(w, "", http.StatusServiceUnavailable, err)
 	case errors.As(err, &tooLarge):
 		return s.reject(w, "", http.StatusRequestEntityTooLarge, err)
--- a/internal/faces/gateway/body.go
+++ b/internal/faces/bodyreader/reader.go
@@ -1,4 +1,6 @@
-package gateway
+// Package bodyreader reads the bodies of callers' requests within the limits of the
+// configuration and the VM's memory budget.
+package bodyreader
 
 import (
 	"cmp"
@@ -25,13 +27,13 @@
 // ErrNoMemory means that the VM's memory budget has no space for a request body.
 var ErrNoMemory = errors.New("no memory for the request body")
 
-// ReadBody reads a request's body within the limits of the configuration and the
+// Read reads a request's body within the limits of the configuration and the
 // VM's memory budget. The caller must release the reservation once it no longer holds
 // the body, also after an error; the reservation may be nil.
 //
-// ReadBody returns ErrNoMemory if the budget is exhausted, and *http.MaxBytesError if
+// Read returns ErrNoMemory if the budget is exhausted, and *http.MaxBytesError if
 // the body is too large.
-func ReadBody(
+func Read(
 	w http.ResponseWriter, r *http.Request, limits router.Limits, memory *rationer.Rationer,
 ) ([]byte, *rationer.Reservation, error) {
 	if r.ContentLength == 0 {
@@ -67,14 +69,14 @@
 	switch {
 	case length > maxBytes:
 		_, err := io.Copy(io.Discard, body)
-		return nil, err //nolint:wrapcheck // ReadBody does
+		return nil, err //nolint:wrapcheck // Read does
 	case length > 0 && !reservation.Grow(length):
 		_, err := io.Copy(io.Discard, body)
 		return nil, cmp.Or(err, ErrNoMemory)
 	case length > 0:
 		content := make([]byte, length)
 		_, err := io.ReadFull(body, content)
-		return content, err //nolint:wrapcheck // ReadBody does
+		return content, err //nolint:wrapcheck // Read does
 	}
 	var content []byte
 	for {
@@ -85,7 +87,7 @@
 		chunk, err := io.ReadAll(io.LimitReader(body, bodyChunkBytes))
 		content = append(content, chunk...)
 		if err != nil || len(chunk) < bodyChunkBytes {
-			return content, err //nolint:wrapcheck // ReadBody does
+			return content, err //nolint:wrapcheck // Read does
 		}
 	}
 }
--- a/internal/faces/gateway/gateway.go
+++ b/internal/faces/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/fescuespindle/fescuespindle/internal/faces/bodyreader"
 	"github.com/fescuespindle/fescuespindle/internal/online/courier"
 	"github.com/fescuespindle/fescuespindle/internal/online/crashanalyzer"
 	"github.com/fescuespindle/fescuespindle/internal/online/pacer"
@@ -224,11 +225,11 @@
 // the rest of the chain returns.
 func (g *Gateway) readBody(next handler) handler {
 	return func(x *exchange) {
-		body, reservation, err := ReadBody(x.w, x.r, x.table.Limits(), g.memory)
+		body, reservation, err := bodyreader.Read(x.w, x.r, x.table.Limits(), g.memory)
 		defer reservation.Release()
 		var tooLarge *http.MaxBytesError
 		switch {
-		case errors.Is(err, ErrNoMemory):
+		case errors.Is(err, bodyreader.ErrNoMemory):
 			g.reject(x, http.StatusServiceUnavailable, reasonNoMemory)
 		case errors.As(err, &tooLarge):
 			g.reject(x, http.StatusRequestEntityTooLarge, reasonTooLarge)
--- a/internal/online/crashanalyzer/analyzer_test.go
+++ b/internal/online/crashanalyzer/analyzer_test.go
@@ -46,6 +46,7 @@
 	qt.Check(t, got, qt.Equals, want, qt.Commentf("%v", parts))
 }
 
+// Guards against: the parts that requests share with the cause are rejected with it.
 func TestCommonPartIsRejectedAndItsCompanionsAreNot(t *testing.T) {
 	var r requests
 	a := crashanalyzer.New()
@@ -143,7 +144,8 @@
 	expectRejected(t, a, false, 1, "x")
 }
 
-func TestCommonPartsAreTrustedWhenManyUpstreamsCrashAtOnce(t *testing.T) {
+// Guards against: what nearly all requests share is rejected when many upstreams crash at once.
+func TestCommonPartsAreSentWhenManyUpstreamsCrashAtOnce(t *testing.T) {
 	var r requests
 	a := crashanalyzer.New()
 	a.RecordAnswer(r.with("common"), start)
@@ -155,6 +157,7 @@
 	expectRejected(t, a, false, 60, "common")
 }
 
+// Guards against: a part that was answered before it began to crash upstreams is never found.
 func TestPartThatWasSoundBeforeIsRejected(t *testing.T) {
 	var r requests
 	a := crashanalyzer.New()
@@ -216,6 +219,7 @@
 	qt.Check(t, probes, qt.Equals, 1)
 }
 
+// Guards against: a part is rejected, and remembered, without end.
 func TestSuspectsAreForgotten(t *testing.T) {
 	var r requests
 	a := afterCrashes(3, &r, "x")
@@ -224,6 +228,7 @@
 	expectRejected(t, a, false, 3600, "x")
 }
 
+// Guards against: suspects of other crashes push a cause out of memory.
 func TestManyOtherSuspectsDoNotHideACause(t *testing.T) {
 	var r requests
 	a := afterCrashes(3, &r, "x")
