courier: the log says which upstreams name a rate limit, and what they were sent since

With the line and its counts of online requests and items the hypotheses of the postmortem can be told apart. The limit is not yet used: logic is unchanged.

--- a/internal/online/courier/courier.go
+++ b/internal/online/courier/courier.go
@@ -52,6 +52,9 @@
 	// Draining is whether the upstream announces that it is draining.
 	Draining bool
 	Load     placer.Load
+	// RateLimit is the number of requests per second that the upstream accepts from all VMs
+	// together; 0 means no limit.
+	RateLimit float64
 	// HasLoad is whether the answer reports the upstream's load.
 	HasLoad bool
 }
@@ -106,6 +109,10 @@
 	if classification.HasLoad {
 		c.placer.RecordLoad(slot, classification.Load, time.Now())
 	}
+	if previous, changed := c.placer.RecordRateLimit(slot, classification.RateLimit); changed {
+		c.logger.Info("upstream names another rate limit", "upstream", target.Upstream.ID, "perSecond", classification.RateLimit,
+			"previous", previous.PerSecond, "sentOnline", previous.SentOnline, "sentItems", previous.SentBatch)
+	}
 	if classification.Draining && c.placer.MarkDraining(slot) {
 		c.logger.Info("upstream is draining", "upstream", target.Upstream.ID, "toldIn", call.ID)
 	}
--- a/internal/online/placer/batch.go
+++ b/internal/online/placer/batch.go
@@ -89,6 +89,7 @@
 		return nil, false
 	}
 	best.localCount.Batch++
+	best.rateLimit.SentBatch++
 	slot := &Slot{upstream: best, info: best.Upstream, acquiredAt: now, isBatch: true, urgency: level}
 	best.batchSlots = append(best.batchSlots, slot)
 	return slot, true
--- a/internal/online/placer/online.go
+++ b/internal/online/placer/online.go
@@ -112,6 +112,7 @@
 		return nil, nil, ErrRetryLater
 	}
 	best.localCount.Online++
+	best.rateLimit.SentOnline++
 	best.updateLastFull(now)
 	return &Slot{upstream: best, info: best.Upstream, acquiredAt: now, queued: queue > 0}, p.vmsToYield(best, now), nil
 }
--- a/internal/online/placer/placer.go
+++ b/internal/online/placer/placer.go
@@ -78,6 +78,8 @@
 
 	receivedSummary receivedSummary
 
+	rateLimit RateLimit // named by the upstream
+
 	unreported        int // requests that no VM reports, as of unreportedAt
 	unreportedAt      time.Time
 	slowness          float64
