ratelimiter: the limit that an upstream names is kept by all VMs together

Ruled out: VMs that keep the limit each by itself (no VM alone exceeded it, so that would not be a fix), and repeats (online requests alone were too many). Class: a limit on the sum over all VMs needs a count over all VMs. Change: up to eight holders per upstream share the limit; each has a bucket that is filled with the whole limit and takes its own requests and those that the others report as totals. What is learned late is owed; the share of a holder that isn't heard is left to it. Online requests prefer upstreams without a limit and items those with one. What nothing accepts is rejected after 50 ms. The schedule of reports on crashes serves reports on limits too (bulletin.go). Why it works: each request is counted at every holder, and the sum of what holders that can't hear each other may use is the limit.

--- a/internal/control/peerteller/crashes_test.go
+++ b/internal/control/peerteller/bulletin_test.go
@@ -52,7 +52,7 @@
 	s := NewSchedule("self", "a", nil)
 	qt.Check(t, s.TakeCrashesDue(peers, true, true, start), qt.HasLen, 2)
 	s.TakeDue(peers, start)
-	qt.Check(t, s.Next(), qt.Equals, start.Add(crashNewsPeriod))
+	qt.Check(t, s.Next(), qt.Equals, start.Add(newsPeriod))
 	qt.Check(t, s.TakeCrashesDue(peers, true, true, start.Add(time.Millisecond)), qt.HasLen, 0)
-	qt.Check(t, s.Next(), qt.Equals, start.Add(crashNewsPeriod))
+	qt.Check(t, s.Next(), qt.Equals, start.Add(newsPeriod))
 }
--- a/internal/control/peerteller/reporter.go
+++ b/internal/control/peerteller/reporter.go
@@ -21,6 +21,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/online/crashanalyzer"
 	"github.com/fescuespindle/fescuespindle/internal/online/healthtracker"
 	"github.com/fescuespindle/fescuespindle/internal/online/placer"
+	"github.com/fescuespindle/fescuespindle/internal/online/ratelimiter"
 )
 
 // maxMessageBytes is the size of the receive buffer. A longer datagram is truncated and so
@@ -42,14 +43,18 @@
 	// Leaving are the upstreams that have announced that they are draining, with the start
 	// time of their processes.
 	Leaving map[string]int64 `cbor:"leaving,omitempty"`
-	// Crashes are only in some messages: they are long, and kept for minutes.
+	// Sent is how many requests the sender's process has sent to upstreams with a rate limit.
+	Sent map[string]uint64 `cbor:"sent,omitempty"`
+	// Crashes and Limits are only in some messages, see bulletinKind.
 	Crashes *crashanalyzer.Report `cbor:"crashes,omitempty"`
+	Limits  ratelimiter.Report    `cbor:"limits,omitempty"`
 }
 
 // extras are the parts of a message that only some messages have.
 type extras struct {
 	summary placer.Summary
 	crashes *crashanalyzer.Report
+	limits  ratelimiter.Report
 }
 
 // Notices are what a VM reports besides the counts of its work.
@@ -58,6 +63,7 @@
 	Summary   placer.Summary // only in messages to other domains of a large fleet
 	Failing   map[string]healthtracker.Failure
 	Leaving   map[string]int64
+	Sent      map[string]uint64
 }
 
 // Peer is another VM to which reports are sent.
@@ -83,6 +89,14 @@
 	// ReceiveCrashes handles the report on crashes of another VM. If relay is set, this VM
 	// must report what is new in it to others.
 	ReceiveCrashes(report crashanalyzer.Report, relay bool, now time.Time)
+	// HasLimitNews returns whether there are rate limits that other VMs must learn soon, and
+	// whether there are any to report.
+	HasLimitNews(now time.Time) (news, toReport bool)
+	// LimitReport returns what this VM tells others of rate limits.
+	LimitReport(now time.Time) ratelimiter.Report
+	// ReceiveLimits handles the rate limits that another VM reports. If relay is set, this VM
+	// must report what is new in them to others.
+	ReceiveLimits(report ratelimiter.Report, relay bool, now time.Time)
 	// Subscribers returns the VMs that must be informed at once of changes on an upstream;
 	// all is true if these are all VMs of the upstream's domain.
 	Subscribers(upstream string) (vms []string, all bool)
@@ -202,11 +216,13 @@
 		case <-r.wake:
 		}
 		now := time.Now()
-		news, toReport := r.state.HasCrashNews(now)
+		crashNews, hasCrashes := r.state.HasCrashNews(now)
+		limitNews, hasLimits := r.state.HasLimitNews(now)
 		r.mu.Lock()
 		due := r.schedule.TakeDue(r.peers, now)
 		summaryDue := r.schedule.TakeSummaryDue(r.peers, now)
-		crashesDue := r.schedule.TakeCrashesDue(r.peers, news, toReport, now)
+		crashesDue := r.schedule.TakeCrashesDue(r.peers, crashNews, hasCrashes, now)
+		limitsDue := r.schedule.TakeLimitsDue(r.peers, limitNews, hasLimits, now)
 		next := r.schedule.Next()
 		r.mu.Unlock()
 		r.guard.Guard("peer messages", func() {
@@ -215,11 +231,9 @@
 			if len(summaryDue) > 0 {
 				r.send(sequence+1, summaryDue, extras{summary: r.state.Summary()})
 			}
-			if len(crashesDue) == 0 {
-				return
-			}
-			if report := r.state.CrashReport(now); !report.IsEmpty() {
-				r.send(sequence+2, crashesDue, extras{crashes: &report})
+			r.sendCrashes(sequence+2, crashesDue, now)
+			if len(limitsDue) > 0 {
+				r.send(sequence+3, limitsDue, extras{limits: r.state.LimitReport(now)})
 			}
 		})
 		sequence += messagesPerRound
@@ -228,7 +242,17 @@
 }
 
 // messagesPerRound is the number of different messages that sendLoop may send at a time.
-const messagesPerRound = 3
+const messagesPerRound = 4
+
+// sendCrashes sends a report on crashes to some peers if there is anything to report.
+func (r *Reporter) sendCrashes(sequence uint64, peers []Peer, now time.Time) {
+	if len(peers) == 0 {
+		return
+	}
+	if report := r.state.CrashReport(now); !report.IsEmpty() {
+		r.send(sequence, peers, extras{crashes: &report})
+	}
+}
 
 // send sends a report with some extras to some peers.
 func (r *Reporter) send(sequence uint64, peers []Peer, extra extras) {
@@ -239,6 +263,7 @@
 	data, err := cbor.Marshal(message{
 		VM: r.vm, Boot: r.boot, Sequence: sequence, Counts: counts, Cancelled: notices.Cancelled,
 		Failing: notices.Failing, Leaving: notices.Leaving, Summary: extra.summary, Crashes: extra.crashes,
+		Sent: notices.Sent, Limits: extra.limits,
 	})
 	if err != nil {
 		r.logger.Error("encode peer message", "error", err)
@@ -275,19 +300,22 @@
 	}
 	now := time.Now()
 	r.state.Receive(m.VM, m.Counts, Notices{
-		Cancelled: m.Cancelled, Failing: m.Failing, Leaving: m.Leaving, Summary: m.Summary,
+		Cancelled: m.Cancelled, Failing: m.Failing, Leaving: m.Leaving, Summary: m.Summary, Sent: m.Sent,
 	}, now)
 	if m.Crashes != nil {
 		r.state.ReceiveCrashes(*m.Crashes, r.mustRelay(m.VM), now)
 	}
+	if len(m.Limits) > 0 {
+		r.state.ReceiveLimits(m.Limits, r.mustRelay(m.VM), now)
+	}
 }
 
-// mustRelay returns whether news on crashes from a VM must be relayed to the peers of this
+// mustRelay returns whether news in a bulletin from a VM must be relayed to the peers of this
 // VM's domain, as its sender tells only one VM there.
 func (r *Reporter) mustRelay(vm string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !tellsFewOfCrashes(len(r.peers)) {
+	if !RelaysNews(len(r.peers)) {
 		return false
 	}
 	return slices.ContainsFunc(r.peers, func(p Peer) bool { return p.VM == vm && p.Domain != r.domain })
@@ -321,7 +349,6 @@
 		r.logStart(m, found)
 		r.onNewPeer(from)
 	}
-	m.Counts, m.Cancelled, m.Failing, m.Leaving, m.Summary, m.Crashes = nil, nil, nil, nil, nil, nil
-	r.lastMessages[m.VM] = m
+	r.lastMessages[m.VM] = message{VM: m.VM, Boot: m.Boot, Sequence: m.Sequence}
 	return true
 }
--- a/internal/control/peerteller/reporter_test.go
+++ b/internal/control/peerteller/reporter_test.go
@@ -14,6 +14,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/control/peerteller"
 	"github.com/fescuespindle/fescuespindle/internal/online/crashanalyzer"
 	"github.com/fescuespindle/fescuespindle/internal/online/placer"
+	"github.com/fescuespindle/fescuespindle/internal/online/ratelimiter"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/counter"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/supervisor"
 )
@@ -27,6 +28,9 @@
 	// crashes is reported to other VMs if it is not empty; crashReports is what they report.
 	crashes      crashanalyzer.Report
 	crashReports chan crashanalyzer.Report
+	// limits and limitReports are the same for rate limits.
+	limits       ratelimiter.Report
+	limitReports chan ratelimiter.Report
 }
 
 func (s *state) Report(time.Time) (placer.Report, peerteller.Notices) {
@@ -56,6 +60,16 @@
 	s.crashReports <- report
 }
 
+func (s *state) HasLimitNews(time.Time) (news, toReport bool) {
+	return len(s.limits) > 0, len(s.limits) > 0
+}
+
+func (s *state) LimitReport(time.Time) ratelimiter.Report { return s.limits }
+
+func (s *state) ReceiveLimits(report ratelimiter.Report, _ bool, _ time.Time) {
+	s.limitReports <- report
+}
+
 func (s *state) Summary() placer.Summary { return nil }
 
 func (s *state) Subscribers(string) ([]string, bool) { return nil, true }
@@ -120,6 +134,18 @@
 	qt.Check(t, <-b.crashReports, qt.DeepEquals, want)
 }
 
+func TestPeersLearnOfRateLimits(t *testing.T) {
+	const first, second = "127.0.8.9:18150", "127.0.8.10:18150"
+	want := ratelimiter.Report{"u": {PerSecond: 2.5, Age: time.Second, ProcessStart: 7}}
+	a := &state{received: make(chan placer.Report, 1000), limits: want}
+	b := &state{received: make(chan placer.Report, 1000), limitReports: make(chan ratelimiter.Report, 1000)}
+	reporter := start(t, "a", first, a)
+	start(t, "bb", second, b)
+	reporter.SetPeers([]peerteller.Peer{{VM: "bb", Address: netip.MustParseAddrPort(second)}})
+	reporter.RecordCrashNews()
+	qt.Check(t, <-b.limitReports, qt.DeepEquals, want)
+}
+
 func TestPanicLosesOnlyItsOwnMessage(t *testing.T) {
 	const first, second = "127.0.8.5:18150", "127.0.8.6:18150"
 	a, b := &state{received: make(chan placer.Report, 1000), online: 3},
--- a/internal/control/peerteller/schedule.go
+++ b/internal/control/peerteller/schedule.go
@@ -48,9 +48,7 @@
 	lastSent     [groupCount]time.Time // when a group was last sent messages
 	groupSizes   [groupCount]int       // number of peers in each group
 
-	lastCrashes   time.Time // when a report on crashes was last sent
-	crashesAt     time.Time // when the next one may be due; zero for none
-	crashRotation uint64    // advances by one at each report on crashes, to choose recipients
+	bulletins [bulletinKinds]bulletin
 
 	peerCount   int // number of all peers
 	subscribers SubscribersFunc
@@ -60,10 +58,14 @@
 // NewSchedule returns the schedule of a VM of a failure domain. If subscribers is nil,
 // the VM sends its reports to all others, however many they are.
 func NewSchedule(vm, domain string, subscribers SubscribersFunc) *Schedule {
-	return &Schedule{
-		crashRotation: xxhash.Sum64String(vm),
-		domain:        domain, dirtyDomains: map[string]bool{}, yieldingVMs: map[string]bool{}, subscribers: subscribers, large: newLarge(vm),
+	s := &Schedule{
+		domain: domain, dirtyDomains: map[string]bool{}, yieldingVMs: map[string]bool{}, subscribers: subscribers,
+		large: newLarge(vm),
 	}
+	for kind := range s.bulletins {
+		s.bulletins[kind].rotation = xxhash.Sum64String(vm)
+	}
+	return s
 }
 
 // Change records a change of this VM's work on an upstream.
@@ -110,8 +112,10 @@
 // Next returns when the next message to any peer is due.
 func (s *Schedule) Next() time.Time {
 	next := s.nextReport()
-	if !s.crashesAt.IsZero() && s.crashesAt.Before(next) {
-		return s.crashesAt
+	for _, b := range s.bulletins {
+		if !b.next.IsZero() && b.next.Before(next) {
+			next = b.next
+		}
 	}
 	return next
 }
--- a/internal/faces/gateway/localreply.go
+++ b/internal/faces/gateway/localreply.go
@@ -18,6 +18,7 @@
 	reasonBodyTruncated    reason = "bodyCut"
 	reasonNoMemory         reason = "noMemory"
 	reasonNoUpstream       reason = "noUpstream"
+	reasonRateLimited      reason = "rateLimited"
 	reasonRejected         reason = "refusedByUpstreams"
 	reasonCrashesUpstreams reason = "crashesUpstreams"
 	reasonDeadline         reason = "deadline"
--- a/internal/faces/gateway/run.go
+++ b/internal/faces/gateway/run.go
@@ -93,7 +93,7 @@
 func (f *forwarding) forward(ctx context.Context) outcome {
 	for f.sends < maxSends {
 		slot, err := f.acquireSlot(ctx)
-		if errors.Is(err, errCrashesUpstreams) {
+		if errors.Is(err, errCrashesUpstreams) || errors.Is(err, placer.ErrRateLimited) {
 			f.lastErr = err
 		}
 		if err != nil {
@@ -225,6 +225,8 @@
 		f.gateway.reject(f.x, http.StatusGatewayTimeout, reasonDeadline)
 	case f.runs > 0:
 		f.gateway.reject(f.x, http.StatusBadGateway, reasonFailed)
+	case errors.Is(f.lastErr, placer.ErrRateLimited):
+		f.gateway.reject(f.x, http.StatusServiceUnavailable, reasonRateLimited)
 	case f.sends > 0:
 		f.gateway.reject(f.x, http.StatusServiceUnavailable, reasonRejected)
 	default:
--- a/internal/faces/gateway/slot.go
+++ b/internal/faces/gateway/slot.go
@@ -20,6 +20,9 @@
 	slotWaitDivisor = 3
 	// SlotPollInterval is the mean interval at which a waiting request polls for a slot.
 	SlotPollInterval = 40 * time.Millisecond
+	// MaxLimitWait is how long a new request waits while the rate limits of all upstreams are
+	// reached. Another VM may have something left of them, so it is soon rejected.
+	MaxLimitWait = 50 * time.Millisecond
 )
 
 // acquireSlot acquires a slot for the next attempt. While the placer returns
@@ -30,6 +33,7 @@
 	if target := f.x.request.route.LatencyTarget; target > 0 && !f.headSent {
 		work.Target, work.WaitUntil = f.x.request.receivedAt.Add(target), f.slotDeadline()
 	}
+	work.LimitWaitUntil = f.limitWaitUntil(time.Now())
 	for {
 		if f.crashesUpstreams() {
 			return nil, errCrashesUpstreams
@@ -42,6 +46,15 @@
 	}
 }
 
+// limitWaitUntil returns the time until which the request waits while the rate limits of all
+// upstreams are reached. A stream that has begun is worth a longer wait.
+func (f *forwarding) limitWaitUntil(now time.Time) time.Time {
+	if f.headSent {
+		return now.Add(MaxSlotWait)
+	}
+	return f.x.request.receivedAt.Add(MaxLimitWait)
+}
+
 // slotDeadline returns the time from which the request accepts a slot on any upstream,
 // however long the queue there.
 func (f *forwarding) slotDeadline() time.Time {
--- a/internal/laboratory/daysimulator/day.go
+++ b/internal/laboratory/daysimulator/day.go
@@ -44,6 +44,8 @@
 	// LostVM is the index, over all domains, of a VM that fails at LostAt, or noVM.
 	LostVM int
 	LostAt time.Duration
+	// RateLimits are named by some engines in their answers.
+	RateLimits RateLimits
 }
 
 // JobItems is the number of items of a job.
--- a/internal/laboratory/daysimulator/engine.go
+++ b/internal/laboratory/daysimulator/engine.go
@@ -27,9 +27,23 @@
 	slow    bool
 	version int // counts changes: events scheduled for an older version are ignored
 
+	rateLimit rateLimit
+
 	busy time.Duration // summed running time of all requests
 }
 
+// answer is what an engine tells of itself in an answer.
+type answer struct {
+	load      int // running and waiting requests
+	slowness  float64
+	rateLimit float64 // requests per second; 0 for none
+}
+
+// tell returns what the engine tells of itself at present.
+func (e *engine) tell(now time.Duration) answer {
+	return answer{load: e.load(), slowness: e.slowness(), rateLimit: e.rateLimit.current(now)}
+}
+
 func (e *engine) load() int { return len(e.running) + len(e.waiting) }
 
 func (e *engine) slowness() float64 {
--- a/internal/laboratory/daysimulator/fleet.go
+++ b/internal/laboratory/daysimulator/fleet.go
@@ -132,6 +132,32 @@
 	if len(summarizeTo) > 0 {
 		d.send(summarizeTo, d.placer.Summary())
 	}
+	d.sendLimits(now)
+}
+
+// sendLimits sends the rate limits of upstreams to the VMs that they are due to.
+func (d *vmPolicy) sendLimits(now time.Time) {
+	news, toReport := d.placer.HasRateLimitNews(now)
+	due := d.schedule.TakeLimitsDue(d.peers, news, toReport, now)
+	report := d.placer.RateLimitReport(now)
+	for _, peer := range due {
+		relay := peerteller.RelaysNews(len(d.peers)) && peer.Domain != d.vm.domain.Name
+		d.deliver(peer, func(p *placer.Placer) { p.ReceiveRateLimits(report, relay, d.f.now()) })
+	}
+}
+
+// deliver handles a message at a peer once it has arrived there.
+func (d *vmPolicy) deliver(peer peerteller.Peer, handle func(p *placer.Placer)) {
+	var number int
+	if _, err := fmt.Sscanf(peer.VM, "vm-%d", &number); err != nil {
+		return
+	}
+	other := d.f.vms[number]
+	d.f.s.result.Messages++
+	d.f.s.schedule(d.f.s.now+networkDelay(d.vm.domain, other.vm.domain), func() {
+		handle(other.placer)
+		other.wake()
+	})
 }
 
 // send sends the VM's current load and failures to peers, with a summary if it
@@ -140,19 +166,14 @@
 	if len(peers) == 0 {
 		return
 	}
-	report, failing := d.placer.Report(), d.placer.Failing(d.f.now())
+	now := d.f.now()
+	report, failing, sent := d.placer.Report(), d.placer.Failing(now), d.placer.SentToLimited(now)
 	for _, peer := range peers {
-		var number int
-		if _, err := fmt.Sscanf(peer.VM, "vm-%d", &number); err != nil {
-			continue
-		}
-		other := d.f.vms[number]
-		d.f.s.result.Messages++
-		d.f.s.schedule(d.f.s.now+networkDelay(d.vm.domain, other.vm.domain), func() {
-			other.placer.ReceiveReport(vmName(d.vm.number), report, d.f.now())
-			other.placer.ReceiveSummary(summary, d.f.now())
-			other.placer.ReceiveFailures(failing, d.f.now())
-			other.wake()
+		d.deliver(peer, func(p *placer.Placer) {
+			p.ReceiveReport(vmName(d.vm.number), report, d.f.now())
+			p.ReceiveSentToLimited(vmName(d.vm.number), sent)
+			p.ReceiveSummary(summary, d.f.now())
+			p.ReceiveFailures(failing, d.f.now())
 		})
 	}
 }
@@ -171,15 +192,18 @@
 	return e, false
 }
 
-func (f *fleet) recordAnswer(v *vm, e *engine, load int, slowness float64) {
+func (f *fleet) recordAnswer(v *vm, e *engine, told answer) {
 	d := f.vms[v.number]
-	if slot := d.anySlot(e); slot != nil {
-		d.placer.RecordAnswer(slot, f.now())
-		running := min(load, e.spec.Sequences)
-		d.placer.RecordLoad(slot, placer.Load{
-			Running: running, Waiting: load - running, Sequences: e.spec.Sequences, Slowness: slowness,
-		}, f.now())
+	slot := d.anySlot(e)
+	if slot == nil {
+		return
 	}
+	d.placer.RecordAnswer(slot, f.now())
+	running := min(told.load, e.spec.Sequences)
+	d.placer.RecordLoad(slot, placer.Load{
+		Running: running, Waiting: told.load - running, Sequences: e.spec.Sequences, Slowness: told.slowness,
+	}, f.now())
+	d.placer.RecordRateLimit(slot, told.rateLimit, f.now())
 }
 
 // anySlot returns a slot that the VM holds on an engine, or nil.
--- a/internal/laboratory/daysimulator/policy.go
+++ b/internal/laboratory/daysimulator/policy.go
@@ -44,8 +44,8 @@
 	// acquireOnline acquires a slot for a stream. It returns nil if there is none,
 	// and whether the stream may ask again later.
 	acquireOnline(v *vm, arrived time.Duration, avoid map[string]bool) (e *engine, later bool)
-	// recordAnswer records the load and slowness that an engine reports in an answer.
-	recordAnswer(v *vm, e *engine, load int, slowness float64)
+	// recordAnswer records what an engine tells of itself in an answer.
+	recordAnswer(v *vm, e *engine, told answer)
 	onlineEnded(v *vm, e *engine)
 	itemEnded(v *vm, it *item, e *engine)
 	// itemsAdded is called when a VM has new items.
@@ -152,7 +152,7 @@
 	return time.Duration(steps*step) + 2*networkDelay(v.domain, e.domain)
 }
 
-func (p *omniscient) recordAnswer(*vm, *engine, int, float64) {}
+func (p *omniscient) recordAnswer(*vm, *engine, answer) {}
 
 func (p *omniscient) onlineEnded(_ *vm, e *engine) {
 	p.placed[e].online--
@@ -254,7 +254,7 @@
 	return e, false
 }
 
-func (p *localPolicy) recordAnswer(*vm, *engine, int, float64) {}
+func (p *localPolicy) recordAnswer(*vm, *engine, answer) {}
 
 func (p *localPolicy) onlineEnded(v *vm, e *engine) { p.localLoad[v.number][e]-- }
 
--- a/internal/laboratory/daysimulator/simulator.go
+++ b/internal/laboratory/daysimulator/simulator.go
@@ -19,6 +19,9 @@
 	OnTimeItems   int           // items that completed before their job's deadline
 	Yields        int           // runs of items that were stopped for online requests or a lost VM
 	Messages      int           // reports between VMs
+	LimitExcess   int           // requests by which an engine's rate limit was exceeded, at most
+	LimitUsed     float64       // mean share of their rate limits that engines were sent
+	RejectedAfter time.Duration // longest time from a stream's arrival to its rejection
 	FirstP50      time.Duration // time to the first event
 	FirstP99      time.Duration
 	Utilization   float64 // share of the engines' slots in use, averaged over time
@@ -89,6 +92,7 @@
 			s.vms = append(s.vms, vm{number: len(s.vms), domain: d})
 		}
 	}
+	s.assignRateLimits()
 	s.policy = newPolicy(p, s)
 	s.generateArrivals(day.Streams, s.arriveStream)
 	s.generateArrivals(day.Jobs, s.arriveJob)
@@ -164,6 +168,7 @@
 	}
 	if e == nil || len(avoid) >= maxSends {
 		s.result.Rejected++
+		s.result.RejectedAfter = max(s.result.RejectedAfter, s.now-arrived)
 		return
 	}
 	latency := networkDelay(v.domain, e.domain)
@@ -173,8 +178,8 @@
 		if first <= s.day.LatencyTarget {
 			s.result.OnTimeStreams++
 		}
-		load, slowness := e.load(), e.slowness()
-		s.schedule(at+latency, func() { s.policy.recordAnswer(v, e, load, slowness) })
+		told := e.tell(at)
+		s.schedule(at+latency, func() { s.policy.recordAnswer(v, e, told) })
 	}
 	w.onEnd = func(at time.Duration) { s.schedule(at+latency, func() { s.policy.onlineEnded(v, e) }) }
 	s.schedule(s.now+latency, func() {
@@ -213,8 +218,8 @@
 	it.work, it.engine = w, e
 	latency := networkDelay(v.domain, e.domain)
 	w.onFirst = func(at time.Duration) {
-		load, slowness := e.load(), e.slowness()
-		s.schedule(at+latency, func() { s.policy.recordAnswer(v, e, load, slowness) })
+		told := e.tell(at)
+		s.schedule(at+latency, func() { s.policy.recordAnswer(v, e, told) })
 	}
 	w.onEnd = func(at time.Duration) {
 		if at <= it.due {
@@ -251,6 +256,7 @@
 }
 
 func (s *simulator) add(e *engine, w *request) bool {
+	e.rateLimit.recordArrival(s.now)
 	accepted := e.add(w, s.now)
 	s.scheduleEngine(e)
 	return accepted
@@ -309,6 +315,7 @@
 }
 
 func (s *simulator) finish() Result {
+	s.recordRateLimits()
 	slices.Sort(s.firsts)
 	if n := len(s.firsts); n > 0 {
 		s.result.FirstP50, s.result.FirstP99 = s.firsts[n/2], s.firsts[n*99/100]
--- a/internal/online/courier/courier.go
+++ b/internal/online/courier/courier.go
@@ -109,7 +109,7 @@
 	if classification.HasLoad {
 		c.placer.RecordLoad(slot, classification.Load, time.Now())
 	}
-	if previous, changed := c.placer.RecordRateLimit(slot, classification.RateLimit); changed {
+	if previous, changed := c.placer.RecordRateLimit(slot, classification.RateLimit, time.Now()); changed {
 		c.logger.Info("upstream names another rate limit", "upstream", target.Upstream.ID, "perSecond", classification.RateLimit,
 			"previous", previous.PerSecond, "sentOnline", previous.SentOnline, "sentItems", previous.SentBatch)
 	}
--- a/internal/online/placer/batch.go
+++ b/internal/online/placer/batch.go
@@ -52,7 +52,8 @@
 }
 
 // AcquireBatch acquires a slot for batch work: on the nearest tier that has capacity
-// beyond the online reserve, and there on the upstream with the most. Upstreams that are
+// beyond the online reserve, and there on an upstream with a rate limit, of which a long item
+// uses up little, or else on the upstream with the most capacity. Upstreams that are
 // slow or have recently failed are not eligible, nor, in a large fleet, are those outside
 // the VM's subset. AcquireBatch returns false if no upstream is eligible.
 func (p *Placer) AcquireBatch(work BatchWork, now time.Time) (*Slot, bool) {
@@ -67,7 +68,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var best *upstream
-	var mostCapacity int
+	var bestRank batchRank
 	level := work.urgency(now)
 	members := p.byService[work.Service]
 	p.rotation++
@@ -76,25 +77,43 @@
 		if p.largeFleet && u.tier != TierDomain {
 			continue // the VM would learn too late that its batch work must yield there
 		}
-		capacity := u.batchCapacity(now)
 		if !u.hasBatchCapacity(level, now) || !u.acceptsWork() || work.Avoid[u.ID] ||
-			u.failures.ShouldAvoid(now) || u.currentSlowness(now) > 1.5 {
+			u.failures.ShouldAvoid(now) || u.currentSlowness(now) > 1.5 || !p.withinRateLimit(u, true, now) {
 			continue
 		}
-		if best == nil || u.tier < best.tier || (u.tier == best.tier && capacity > mostCapacity) {
-			best, mostCapacity = u, capacity
+		rank := batchRank{tier: u.tier, isLimited: p.limiter.IsLimited(u.ID), capacity: u.batchCapacity(now)}
+		if best == nil || rank.isBefore(bestRank) {
+			best, bestRank = u, rank
 		}
 	}
 	if best == nil {
 		return nil, false
 	}
 	best.localCount.Batch++
-	best.rateLimit.SentBatch++
+	p.limiter.RecordSend(best.ID, true, now)
 	slot := &Slot{upstream: best, info: best.Upstream, acquiredAt: now, isBatch: true, urgency: level}
 	best.batchSlots = append(best.batchSlots, slot)
 	return slot, true
 }
 
+// batchRank is what decides which upstream batch work prefers.
+type batchRank struct {
+	tier      Tier
+	isLimited bool
+	capacity  int
+}
+
+func (r batchRank) isBefore(other batchRank) bool {
+	switch {
+	case r.tier != other.tier:
+		return r.tier < other.tier
+	case r.isLimited != other.isLimited:
+		return r.isLimited
+	default:
+		return r.capacity > other.capacity
+	}
+}
+
 // batchDelaySpread is the range over which the batch delays of VMs are spread.
 const batchDelaySpread = 12 * time.Millisecond
 
--- a/internal/online/placer/online.go
+++ b/internal/online/placer/online.go
@@ -38,6 +38,9 @@
 	// that seem to have free slots may be full by now.
 	outsideSubsetPenalty    = 25 * time.Millisecond
 	largeFleetRegionPenalty = 30 * time.Millisecond
+	// limitPenalty expresses that a request to an upstream with a rate limit uses up what is
+	// scarcer there than slots.
+	limitPenalty = 20 * time.Millisecond
 	// staleJitter bounds the random waiting time added to upstreams outside TierDomain.
 	staleJitter = 30 * time.Millisecond
 	// failingPenalty makes an upstream that has just failed the last choice.
@@ -48,6 +51,9 @@
 var (
 	// ErrNoUpstream means that no upstream accepts the request.
 	ErrNoUpstream = errors.New("no upstream")
+	// ErrRateLimited means that all upstreams that accept the request have got as many
+	// requests as they accept at present.
+	ErrRateLimited = errors.New("rate limits of all upstreams reached")
 	// ErrRetryLater means that the request should ask again a little later.
 	ErrRetryLater = errors.New("no slot available in time")
 )
@@ -62,6 +68,9 @@
 	// WaitUntil is the time from which the request accepts a slot on any upstream,
 	// however long the queue there; zero for at once.
 	WaitUntil time.Time
+	// LimitWaitUntil is the time until which the request waits for an upstream whose rate
+	// limit allows it, if those of all are reached; zero for not at all.
+	LimitWaitUntil time.Time
 }
 
 // AcquireOnline acquires a slot on the upstream where the request is expected to start
@@ -73,7 +82,7 @@
 // VM, and leaves the queues of the upstreams to requests that can still meet theirs.
 // It gets a slot that these leave free, or any slot from WaitUntil on.
 //
-// AcquireOnline returns ErrNoUpstream or ErrRetryLater.
+// AcquireOnline returns ErrNoUpstream, ErrRateLimited or ErrRetryLater.
 func (p *Placer) AcquireOnline(work OnlineWork, now time.Time) (*Slot, error) {
 	slot, yielding, err := p.acquireOnline(work, now)
 	if err != nil {
@@ -93,18 +102,23 @@
 	slotTime := p.meanSlotTime(work.Service)
 	estimate := p.loadEstimate(work.Service, now)
 	p.rotation++
+	isLimited := false
 	for i := range members {
 		u := members[(i+p.rotation)%len(members)]
 		if !u.acceptsWork() || work.Avoid[u.ID] {
 			continue
 		}
-		wait := u.firstEventWait(estimate.freeSlots(u, now), slotTime, now) + p.distancePenalty(u)
+		if !p.withinRateLimit(u, false, now) {
+			isLimited = true
+			continue
+		}
+		wait := u.firstEventWait(estimate.freeSlots(u, now), slotTime, now) + p.choicePenalty(u)
 		if best == nil || wait < leastWait {
 			best, leastWait = u, wait
 		}
 	}
 	if best == nil {
-		return nil, nil, ErrNoUpstream
+		return nil, nil, work.errNone(isLimited, now)
 	}
 	free := estimate.freeSlots(best, now)
 	queue := best.queueWait(free, slotTime, now)
@@ -112,11 +126,24 @@
 		return nil, nil, ErrRetryLater
 	}
 	best.localCount.Online++
-	best.rateLimit.SentOnline++
+	p.limiter.RecordSend(best.ID, false, now)
 	best.updateLastFull(now)
 	return &Slot{upstream: best, info: best.Upstream, acquiredAt: now, queued: queue > 0}, p.vmsToYield(best, now), nil
 }
 
+// errNone returns the error of a request that no upstream can take now, maybe because of rate
+// limits.
+func (w OnlineWork) errNone(isLimited bool, now time.Time) error {
+	switch {
+	case !isLimited:
+		return ErrNoUpstream
+	case now.Before(w.LimitWaitUntil):
+		return ErrRetryLater
+	default:
+		return ErrRateLimited
+	}
+}
+
 // shouldWait reports whether the request should wait in this VM, given the number of
 // slots of the best upstream, the free ones among them, and the estimated queue wait
 // there.
@@ -168,10 +195,13 @@
 	return vms
 }
 
-// distancePenalty returns the waiting time that an upstream's distance adds, with
-// jitter.
-func (p *Placer) distancePenalty(u *upstream) time.Duration {
+// choicePenalty returns the waiting time that the distance of an upstream and its rate limit
+// count for, with jitter.
+func (p *Placer) choicePenalty(u *upstream) time.Duration {
 	penalty := p.jitter(u)
+	if p.limiter.IsLimited(u.ID) {
+		penalty += limitPenalty
+	}
 	switch u.tier {
 	case TierDomain:
 	case TierOutsideSubset:
--- a/internal/online/placer/placer.go
+++ b/internal/online/placer/placer.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/online/healthtracker"
+	"github.com/fescuespindle/fescuespindle/internal/online/ratelimiter"
 )
 
 // Tier is the distance of an upstream from this VM.
@@ -78,7 +79,7 @@
 
 	receivedSummary receivedSummary
 
-	rateLimit RateLimit // named by the upstream
+	limitHolders []string // VMs that share its rate limit; nil until computed
 
 	unreported        int // requests that no VM reports, as of unreportedAt
 	unreportedAt      time.Time
@@ -180,6 +181,7 @@
 	lastSampleAt      time.Time                // when loadHistory was last extended
 	vmDomains         map[string]string        // failure domain by VM
 	rotation          int
+	limiter           *ratelimiter.Limiter
 }
 
 // Option sets one property of a Placer.
@@ -217,7 +219,7 @@
 		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		upstreams: map[string]*upstream{}, byService: map[string][]*upstream{}, peers: map[string]peer{},
 		announcedDraining: healthtracker.NewDrainingSet(), subscribers: map[string][]string{},
-		meanSlotTimes: map[string]time.Duration{}, loadHistory: map[string]*loadHistory{},
+		meanSlotTimes: map[string]time.Duration{}, loadHistory: map[string]*loadHistory{}, limiter: ratelimiter.New(),
 	}
 	for _, option := range options {
 		option(p)
@@ -243,6 +245,7 @@
 		slices.SortFunc(members, func(a, b *upstream) int { return cmp.Compare(a.ID, b.ID) })
 	}
 	p.assignTiers()
+	p.retainLimits()
 }
 
 func (p *Placer) mergeUpstream(known *upstream, listed Upstream) *upstream {
@@ -300,6 +303,7 @@
 			p.forgetPeer(vm)
 		}
 	}
+	p.limiter.Expire(p.holdsLimit, now)
 }
 
 func (p *Placer) forgetPeer(vm string) {
--- a/internal/online/placer/subset.go
+++ b/internal/online/placer/subset.go
@@ -46,6 +46,7 @@
 func (p *Placer) assignTiers() {
 	clear(p.subscribers)
 	for _, u := range p.upstreams {
+		u.limitHolders = nil
 		u.tier = p.tierOf(u.Domain)
 		if u.tier == TierDomain && !p.isFullMesh(u.Domain) && !slices.Contains(p.subscribersOf(u.Upstream), p.self) {
 			u.tier = TierOutsideSubset
@@ -73,6 +74,9 @@
 	if p.isFullMesh(u.Domain) {
 		return nil, true
 	}
+	if p.limiter.IsLimited(id) {
+		return p.limitHolders(u), false
+	}
 	if vms = p.subscribersOf(u.Upstream); len(vms) > 2*subsetter.SubsettingThreshold {
 		return nil, false
 	}
--- a/internal/wiring/entryvm/shared.go
+++ b/internal/wiring/entryvm/shared.go
@@ -12,6 +12,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/control/peerteller"
 	"github.com/fescuespindle/fescuespindle/internal/online/crashanalyzer"
 	"github.com/fescuespindle/fescuespindle/internal/online/placer"
+	"github.com/fescuespindle/fescuespindle/internal/online/ratelimiter"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
 )
 
@@ -47,6 +48,7 @@
 		Cancelled: cancelled[:min(len(cancelled), maxCancels)],
 		Failing:   s.placer.Failing(now),
 		Leaving:   s.placer.Draining(),
+		Sent:      s.placer.SentToLimited(now),
 	}
 	return s.placer.Report(), notices
 }
@@ -62,6 +64,7 @@
 // Receive implements peerteller.State.
 func (s *sharedState) Receive(vm string, report placer.Report, notices peerteller.Notices, now time.Time) {
 	s.placer.ReceiveReport(vm, report, now)
+	s.placer.ReceiveSentToLimited(vm, notices.Sent)
 	s.placer.ReceiveSummary(notices.Summary, now)
 	s.placer.ReceiveDraining(notices.Leaving)
 	for _, id := range s.placer.ReceiveFailures(notices.Failing, now) {
@@ -88,6 +91,21 @@
 	s.crashes.Receive(report, relay, now)
 }
 
+// HasLimitNews implements peerteller.State.
+func (s *sharedState) HasLimitNews(now time.Time) (news, toReport bool) {
+	return s.placer.HasRateLimitNews(now)
+}
+
+// LimitReport implements peerteller.State.
+func (s *sharedState) LimitReport(now time.Time) ratelimiter.Report {
+	return s.placer.RateLimitReport(now)
+}
+
+// ReceiveLimits implements peerteller.State.
+func (s *sharedState) ReceiveLimits(report ratelimiter.Report, relay bool, now time.Time) {
+	s.placer.ReceiveRateLimits(report, relay, now)
+}
+
 // Expire implements peerteller.State.
 func (s *sharedState) Expire(now time.Time) { s.placer.Expire(now) }
 
