--- a/internal/batch/batchrunner/run.go
+++ b/internal/batch/batchrunner/run.go
@@ -52,7 +52,7 @@
 
 // runEnded handles the outcome of a run: the item has its result, or is pending again.
 func (r *Runner) runEnded(it *item, result attempter.Result, now time.Time) {
-	upstream := it.slot.Upstream().ID
+	upstream, software := it.slot.Upstream().ID, it.slot.Upstream().Version
 	delete(r.running, it.slot)
 	it.cancel()
 	it.slot, it.cancel, it.live = nil, nil, nil
@@ -61,7 +61,7 @@
 	it.avoidedUpstream = ""
 	if result.Outcome != attempter.OutcomeStopped {
 		r.logger.Info("item run", "job", it.job.stored.ID, "item", it.ID, "upstream", upstream,
-			"outcome", result.Outcome.String(), "events", result.Events, "error", errorText(result.Err),
+			"software", software, "outcome", result.Outcome.String(), "events", result.Events, "error", errorText(result.Err),
 			"failures", it.failureCounts.Failures, "crashes", it.failureCounts.Crashes)
 	}
 	if it.job.discarded {
--- a/internal/faces/gateway/gateway.go
+++ b/internal/faces/gateway/gateway.go
@@ -29,6 +29,9 @@
 	// LastEvent is the identifier of the last event that the caller has received; empty
 	// for a new stream.
 	LastEvent string
+	// Resumes is the ID of the caller's request whose answer had the first event of the
+	// stream; empty for a new stream.
+	Resumes string
 	// SharedParts are the IDs of the parts of the prompt that other requests may have too,
 	// in order.
 	SharedParts []string
--- a/internal/faces/gateway/run.go
+++ b/internal/faces/gateway/run.go
@@ -99,15 +99,15 @@
 		if err != nil {
 			break
 		}
-		id := slot.Upstream().ID
+		id, version := slot.Upstream().ID, slot.Upstream().Version
 		status, err := f.attempt(ctx, slot)
 		if err == nil {
-			f.attemptLog = append(f.attemptLog, id+" delivered")
+			f.attemptLog = append(f.attemptLog, id+" "+version+" delivered")
 			return f.recordDelivery(status)
 		}
 		f.recordCrash(ctx, slot.Upstream(), err)
 		f.isProbe = f.isProbe && relayer.AsAttemptError(err).Ran() == relayer.RanNot
-		f.attemptLog = append(f.attemptLog, id+" "+err.Error())
+		f.attemptLog = append(f.attemptLog, id+" "+version+" "+err.Error())
 		f.lastErr = err
 		f.avoid[id] = true
 		if ctx.Err() != nil || !f.canRetry(err) {
@@ -248,5 +248,5 @@
 	}
 	g.logger.Info("request", "id", request.Call.ID, "outcome", result, "route", request.route.Name,
 		"version", request.configVersion, "first", first, "took", took, "events", f.events, "waited", f.waitedForSlot,
-		"attempts", f.attemptLog)
+		"resumes", request.Resumes, "after", request.LastEvent, "attempts", f.attemptLog)
 }
--- a/internal/online/placer/placer.go
+++ b/internal/online/placer/placer.go
@@ -39,7 +39,8 @@
 	Service   string
 	Address   string
 	Domain    string
-	Sequences int // maximum number of concurrent requests
+	Version   string // of its software
+	Sequences int    // maximum number of concurrent requests
 	// Draining upstreams accept no new work.
 	Draining bool
 	// ProcessStart identifies the upstream's process, in Unix milliseconds. A restarted
--- a/internal/wiring/entryvm/sink.go
+++ b/internal/wiring/entryvm/sink.go
@@ -132,7 +132,7 @@
 			continue
 		}
 		s.vm.logger.Info("upstream listed",
-			"upstream", u.ID, "service", u.Service, "leaving", u.Draining, "row", row.Version)
+			"upstream", u.ID, "service", u.Service, "software", u.Version, "leaving", u.Draining, "row", row.Version)
 	}
 	if first {
 		s.vm.logger.Info("upstreams listed at the start", "upstreams", listed)
