versionkeeper: a stream goes on only at the software version that began it

Cause: a stream that broke off was sent on to any server of its service, within the answer as well as when its caller took it up. Ruled out: servers that change their version under a known ID. Same class: items of jobs, and take-ups on split routes. Change: the placer chooses by version. Within an answer the gateway knows it. For take-ups the store has the versions of each service, stored before any stream begins at them, and while there are several, the version of each stream that can be resumed, stored before its first event. What can't be told is rejected at once. Items go on at the version of their output or start again. Why it works: with one stored version no stream can have begun at another one; with several the record decides, and it is read from the store, so it survives the loss of all VMs.

--- a/internal/batch/attempter/attempter.go
+++ b/internal/batch/attempter/attempter.go
@@ -157,6 +157,7 @@
 	ctx context.Context, d *courier.Delivery, live *LiveProgress, stallTimer *time.Timer,
 ) Result {
 	progress := live.Progress()
+	progress.SoftwareVersion = d.Upstream().Version
 	events := eventsplitter.New(d)
 	for n := 0; ; n++ {
 		event, err := events.Next()
--- a/internal/batch/batchkeeper/record.go
+++ b/internal/batch/batchkeeper/record.go
@@ -135,6 +135,8 @@
 type Progress struct {
 	LastEvent string `cbor:"lastEvent"`
 	Output    []byte `cbor:"output"`
+	// SoftwareVersion is that of the upstreams that have written the output.
+	SoftwareVersion string `cbor:"softwareVersion,omitempty"`
 }
 
 // VersionedRecord is a Record with the version of its row.
--- a/internal/batch/batchrunner/runner.go
+++ b/internal/batch/batchrunner/runner.go
@@ -42,6 +42,9 @@
 	AcquireBatch(work placer.BatchWork, now time.Time) (*placer.Slot, bool)
 	// Yield returns the slots whose items must be cancelled now; each is returned once.
 	Yield(now time.Time) []*placer.Slot
+	// AcceptsVersion returns whether an upstream of a service with a software version
+	// accepts work.
+	AcceptsVersion(service, version string) bool
 }
 
 // Members describes the VMs of the fleet.
@@ -251,18 +254,35 @@
 		if full[service] {
 			continue
 		}
-		avoid := it.avoided(now)
+		avoid, versions := it.avoided(now), r.allowedVersions(it, service)
 		slot, found := r.placer.AcquireBatch(placer.BatchWork{
-			Service: service, Avoid: avoid, LatestStart: now.Add(r.latestStart(it) - r.keeper.Now()),
+			Service: service, Avoid: avoid, Versions: versions, LatestStart: now.Add(r.latestStart(it) - r.keeper.Now()),
 		}, now)
 		if !found {
-			full[service] = len(avoid) == 0
+			full[service] = len(avoid) == 0 && len(versions) == 0
 			continue
 		}
 		r.startRun(it, slot)
 	}
 }
 
+// allowedVersions returns the software versions at which an item may go on; none stands for
+// any. If no upstream has that of its output, the item starts again.
+func (r *Runner) allowedVersions(it *item, service string) []string {
+	if it.progress.LastEvent == "" {
+		return nil
+	}
+	version := it.progress.SoftwareVersion
+	if r.placer.AcceptsVersion(service, version) {
+		return []string{version}
+	}
+	r.counter.Count("items_restarted_total")
+	r.logger.Info("item starts again at another software version", "job", it.job.stored.ID, "item", it.ID,
+		"software", version, "bytes", len(it.progress.Output))
+	it.progress = batchkeeper.Progress{}
+	return nil
+}
+
 // expire abandons the items of jobs that have expired or whose route no longer exists.
 // Running ones are cancelled first, and abandoned by a later call.
 func (r *Runner) expire() {
--- a/internal/faces/gateway/deliver.go
+++ b/internal/faces/gateway/deliver.go
@@ -136,10 +136,11 @@
 func (f *forwarding) writeEvent(
 	d *courier.Delivery, control *http.ResponseController, event eventsplitter.Event,
 ) error {
+	f.stallTimer.Pause()
+	f.beginStream(f.x.r.Context(), d.Upstream())
 	if !f.headSent {
 		f.writeHead(d)
 	}
-	f.stallTimer.Pause()
 	if _, err := f.x.w.Write(event.Raw()); err != nil {
 		return relayer.NewAttemptError(relayer.RanMaybe, fmt.Errorf("%w: %w", errCallerGone, err))
 	}
--- a/internal/faces/gateway/gateway.go
+++ b/internal/faces/gateway/gateway.go
@@ -43,6 +43,15 @@
 	traits        []crashanalyzer.Trait
 }
 
+// beganAs returns the ID of the request that began the stream, or of this one. A stream goes
+// on at the service that began it.
+func (r *Request) beganAs() string {
+	if r.Resumes != "" && r.LastEvent != "" {
+		return r.Resumes
+	}
+	return r.Call.ID
+}
+
 // Codec translates between callers' wire format and requests, answers and local
 // replies.
 type Codec interface {
@@ -101,11 +110,13 @@
 	courier Courier
 	placer  Placer
 	crashes CrashAnalyzer
-	jobs    Jobs
-	memory  *rationer.Rationer
-	pacer   *pacer.Pacer
-	counter Counter
-	logger  *slog.Logger
+	// versions are those of streams.
+	versions StreamVersions
+	jobs     Jobs
+	memory   *rationer.Rationer
+	pacer    *pacer.Pacer
+	counter  Counter
+	logger   *slog.Logger
 
 	table     atomic.Pointer[router.Table]
 	draining  atomic.Bool
@@ -116,11 +127,11 @@
 // New returns a gateway without a configuration. Bytes that it holds for callers are
 // reserved from memory.
 func New(
-	codec Codec, c Courier, p Placer, crashes CrashAnalyzer, jobs Jobs, memory *rationer.Rationer, counter Counter,
+	codec Codec, c Courier, p Placer, crashes CrashAnalyzer, versions StreamVersions, jobs Jobs, memory *rationer.Rationer, counter Counter,
 	logger *slog.Logger,
 ) *Gateway {
 	g := &Gateway{
-		codec: codec, courier: c, placer: p, crashes: crashes, jobs: jobs, memory: memory, counter: counter,
+		codec: codec, courier: c, placer: p, crashes: crashes, versions: versions, jobs: jobs, memory: memory, counter: counter,
 		logger: logger, pacer: pacer.New(), startGate: newStartGate(),
 	}
 	g.chain = g.closeIfDraining(g.waitForStart(g.requireConfiguration(g.serveJobCalls(
@@ -201,7 +212,7 @@
 			return
 		}
 		x.request.route, x.request.configVersion = route, x.table.Version()
-		x.request.service = route.Service(xxhash.Sum64String(x.request.Call.ID))
+		x.request.service = route.Service(xxhash.Sum64String(x.request.beganAs()))
 		if route.Timeout > 0 {
 			x.request.Deadline = earliest(x.request.Deadline, x.request.receivedAt.Add(route.Timeout))
 		}
--- a/internal/faces/gateway/gateway_test.go
+++ b/internal/faces/gateway/gateway_test.go
@@ -21,8 +21,11 @@
 	"github.com/fescuespindle/fescuespindle/internal/online/forwarder"
 	"github.com/fescuespindle/fescuespindle/internal/online/placer"
 	"github.com/fescuespindle/fescuespindle/internal/online/router"
+	"github.com/fescuespindle/fescuespindle/internal/online/versionkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/counter"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/supervisor"
+	"github.com/fescuespindle/fescuespindle/internal/standins/rowemulator"
 	"github.com/fescuespindle/fescuespindle/platform"
 	"github.com/fescuespindle/fescuespindle/platform/standin"
 )
@@ -42,6 +45,8 @@
 	gateway   *gateway.Gateway
 	placer    *placer.Placer
 	memory    *rationer.Rationer
+	store     *rowemulator.Store
+	versions  *versionkeeper.Keeper
 	upstreams []*standin.Upstream
 	network   *standin.Network
 	client    *http.Client
@@ -78,11 +83,15 @@
 		}
 		v.placer.SetUpstreams(list)
 		v.memory = rationer.New(64 << 20)
+		tasks := supervisor.New(counter.New(metrics.NewSet()), slog.New(slog.DiscardHandler))
+		defer tasks.Wait()
+		v.store = rowemulator.New()
+		v.versions = versionkeeper.New("vm", v.store, tasks, slog.New(slog.DiscardHandler))
 		sender := forwarder.New(platform.Codec{}.AnswerID, forwarder.WithDial(v.network.Dial))
 		defer sender.Close()
 		v.gateway = gateway.New(platform.Codec{},
 			courier.New(sender, v.placer, platform.Codec{}, slog.New(slog.DiscardHandler)),
-			v.placer, crashanalyzer.New(), noJobs{}, v.memory, counter.New(metrics.NewSet()), slog.New(slog.DiscardHandler))
+			v.placer, crashanalyzer.New(), v.versions, noJobs{}, v.memory, counter.New(metrics.NewSet()), slog.New(slog.DiscardHandler))
 		defer v.network.Serve("vm:1", v.gateway)()
 		v.client = &http.Client{Transport: &http.Transport{DialContext: v.network.Dial, DisableKeepAlives: true}}
 		test(v)
--- a/internal/faces/gateway/localreply.go
+++ b/internal/faces/gateway/localreply.go
@@ -19,6 +19,7 @@
 	reasonNoMemory         reason = "noMemory"
 	reasonNoUpstream       reason = "noUpstream"
 	reasonRateLimited      reason = "rateLimited"
+	reasonVersionUnknown   reason = "streamVersionUnknown"
 	reasonRejected         reason = "refusedByUpstreams"
 	reasonCrashesUpstreams reason = "crashesUpstreams"
 	reasonDeadline         reason = "deadline"
--- a/internal/faces/gateway/run.go
+++ b/internal/faces/gateway/run.go
@@ -49,6 +49,11 @@
 	runs    int             // attempts that may have run the request
 	lastErr error
 
+	// allowedVersions are the software versions at which the stream may go on; empty for any.
+	allowedVersions []string
+	streamBegun     bool
+	endStream       func()
+
 	headSent      bool
 	lastEventID   string
 	events        int
@@ -69,7 +74,10 @@
 		ctx, cancel = context.WithDeadline(ctx, x.request.Deadline)
 	}
 	defer cancel()
-	f := &forwarding{gateway: g, x: x, avoid: map[string]bool{}, lastEventID: x.request.LastEvent}
+	f := &forwarding{
+		gateway: g, x: x, avoid: map[string]bool{}, lastEventID: x.request.LastEvent, endStream: func() {},
+	}
+	defer func() { f.endStream() }()
 	outcome := f.forward(ctx)
 	g.logOutcome(f, outcome)
 	if outcome == outcomeTruncated {
@@ -91,6 +99,10 @@
 // forward makes attempts until the request has its final answer, may not be retried,
 // or maxSends is reached.
 func (f *forwarding) forward(ctx context.Context) outcome {
+	if err := f.findVersion(ctx); err != nil {
+		f.lastErr = err
+		return f.finish(ctx)
+	}
 	for f.sends < maxSends {
 		slot, err := f.acquireSlot(ctx)
 		if errors.Is(err, errCrashesUpstreams) || errors.Is(err, placer.ErrRateLimited) {
@@ -225,6 +237,8 @@
 		f.gateway.reject(f.x, http.StatusGatewayTimeout, reasonDeadline)
 	case f.runs > 0:
 		f.gateway.reject(f.x, http.StatusBadGateway, reasonFailed)
+	case errors.Is(f.lastErr, errVersionUnknown):
+		f.gateway.reject(f.x, http.StatusServiceUnavailable, reasonVersionUnknown)
 	case errors.Is(f.lastErr, placer.ErrRateLimited):
 		f.gateway.reject(f.x, http.StatusServiceUnavailable, reasonRateLimited)
 	case f.sends > 0:
--- a/internal/online/courier/courier.go
+++ b/internal/online/courier/courier.go
@@ -153,6 +153,9 @@
 	c.placer.Release(slot, time.Now())
 }
 
+// Upstream returns the upstream that answers.
+func (d *Delivery) Upstream() placer.Upstream { return d.slot.Upstream() }
+
 // RecordFailure records that the upstream truncated the answer or stalled.
 func (d *Delivery) RecordFailure() { d.courier.placer.RecordFailure(d.slot, time.Now()) }
 
--- a/internal/online/placer/batch.go
+++ b/internal/online/placer/batch.go
@@ -22,6 +22,8 @@
 type BatchWork struct {
 	Service string
 	Avoid   map[string]bool // upstreams that have just rejected it
+	// Versions are the software versions that may run the item; empty for any.
+	Versions []string
 	// LatestStart is the latest time at which the item can start and still finish in
 	// time.
 	LatestStart time.Time
@@ -77,7 +79,7 @@
 		if p.largeFleet && u.tier != TierDomain {
 			continue // the VM would learn too late that its batch work must yield there
 		}
-		if !u.hasBatchCapacity(level, now) || !u.acceptsWork() || work.Avoid[u.ID] ||
+		if !u.hasBatchCapacity(level, now) || !u.acceptsWork() || work.Avoid[u.ID] || !u.hasVersion(work.Versions) ||
 			u.failures.ShouldAvoid(now) || u.currentSlowness(now) > 1.5 || !p.withinRateLimit(u, true, now) {
 			continue
 		}
--- a/internal/online/placer/online.go
+++ b/internal/online/placer/online.go
@@ -62,6 +62,8 @@
 type OnlineWork struct {
 	Service string
 	Avoid   map[string]bool // upstreams that have already rejected or failed it
+	// Versions are the software versions that may serve the request; empty for any.
+	Versions []string
 	// Target is the latency target, the time at which the first event is due. It is zero
 	// for none, and WaitUntil must be zero then too.
 	Target time.Time
@@ -105,7 +107,7 @@
 	isLimited := false
 	for i := range members {
 		u := members[(i+p.rotation)%len(members)]
-		if !u.acceptsWork() || work.Avoid[u.ID] {
+		if !u.acceptsWork() || work.Avoid[u.ID] || !u.hasVersion(work.Versions) {
 			continue
 		}
 		if !p.withinRateLimit(u, false, now) {
--- /dev/null
+++ b/internal/online/versionkeeper/keeper_test.go
@@ -0,0 +1,195 @@
+package versionkeeper_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fescuespindle/fescuespindle/internal/online/placer"
+	"github.com/fescuespindle/fescuespindle/internal/online/versionkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/counter"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/supervisor"
+	"github.com/fescuespindle/fescuespindle/internal/standins/rowemulator"
+)
+
+// fleet is a store and the VMs that use it.
+type fleet struct {
+	t     *testing.T
+	store *rowemulator.Store
+	tasks *supervisor.Supervisor
+	stop  []context.CancelFunc
+	vms   []*versionkeeper.Keeper
+}
+
+func withFleet(t *testing.T, test func(f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		logger := slog.New(slog.DiscardHandler)
+		f := &fleet{t: t, store: rowemulator.New(), tasks: supervisor.New(counter.New(metrics.NewSet()), logger)}
+		test(f)
+		f.loseAll()
+		f.tasks.Wait()
+	})
+}
+
+// start starts a VM at which upstreams of service s with the given versions are listed.
+func (f *fleet) start(versions ...string) *versionkeeper.Keeper {
+	ctx, cancel := context.WithCancel(context.Background())
+	k := versionkeeper.New(fmt.Sprint("vm", len(f.vms)), f.store, f.tasks, slog.New(slog.DiscardHandler))
+	f.vms, f.stop = append(f.vms, k), append(f.stop, cancel)
+	f.tasks.Go("keeper", func() { k.Run(ctx) })
+	f.read(k)
+	list(k, versions...)
+	f.settle()
+	return k
+}
+
+// loseAll ends all VMs.
+func (f *fleet) loseAll() {
+	for _, stop := range f.stop {
+		stop()
+	}
+	f.vms, f.stop = nil, nil
+}
+
+func list(k *versionkeeper.Keeper, versions ...string) {
+	var upstreams []placer.Upstream
+	for _, v := range versions {
+		upstreams = append(upstreams, placer.Upstream{ID: "u" + v, Service: "s", Version: v})
+	}
+	k.SetUpstreams(upstreams, time.Now())
+}
+
+func (f *fleet) read(k *versionkeeper.Keeper) { k.Replace(f.store.Rows(versionkeeper.TableVersions)) }
+
+// settle waits until what is due is written, and lets all VMs read it.
+func (f *fleet) settle() {
+	time.Sleep(time.Second)
+	for _, k := range f.vms {
+		f.read(k)
+	}
+	synctest.Wait()
+}
+
+// begin begins a stream, and returns the function that ends it.
+func (f *fleet) begin(k *versionkeeper.Keeper, id, version string) func() {
+	return k.Begin(f.t.Context(), versionkeeper.Stream{ID: id, Service: "s", Version: version})
+}
+
+func (f *fleet) expectVersion(k *versionkeeper.Keeper, id, want string) {
+	f.t.Helper()
+	got, err := k.VersionOf(f.t.Context(), "s", id)
+	if want == "" {
+		qt.Check(f.t, err, qt.ErrorIs, versionkeeper.ErrUnknown)
+		return
+	}
+	qt.Assert(f.t, err, qt.IsNil)
+	qt.Check(f.t, got, qt.Equals, want)
+}
+
+func (f *fleet) records() int { return len(f.store.Rows(versionkeeper.TableStreams)) }
+
+func TestStreamsOfTheOnlyVersionNeedNoRecord(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		f.begin(f.start("v1"), "r1", "v1")
+		qt.Check(t, f.records(), qt.Equals, 0)
+		f.loseAll()
+		f.expectVersion(f.start("v1"), "r1", "v1")
+	})
+}
+
+// Guards against: all VMs lose power while two versions serve, or just after the old one
+// has left, and streams of the one are continued by the other.
+func TestVersionOfAStreamSurvivesTheLossOfAllVMs(t *testing.T) {
+	expect := func(t *testing.T, after ...string) {
+		t.Helper()
+		withFleet(t, func(f *fleet) {
+			k := f.start("v1", "v1.1")
+			f.begin(k, "old", "v1")
+			f.begin(k, "new", "v1.1")
+			f.loseAll()
+			k = f.start(after...)
+			f.expectVersion(k, "old", "v1")
+			f.expectVersion(k, "new", "v1.1")
+		})
+	}
+	t.Run("two versions serve", func(t *testing.T) { expect(t, "v1", "v1.1") })
+	t.Run("the old one has left", func(t *testing.T) { expect(t, "v1.1") })
+}
+
+func TestStreamWithoutARecordIsUnknownWhileTwoVersionsServe(t *testing.T) {
+	withFleet(t, func(f *fleet) { f.expectVersion(f.start("v1", "v1.1"), "other", "") })
+}
+
+// Guards against: a stream that began before the second version came can't be told from one
+// that began after it.
+func TestStreamsUnderWayAreRecordedWhenASecondVersionComes(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		k := f.start("v1")
+		f.begin(k, "r1", "v1")
+		f.begin(k, "ended", "v1")()
+		list(k, "v1", "v1.1")
+		f.settle()
+		f.expectVersion(f.start("v1", "v1.1"), "r1", "v1")
+		f.expectVersion(k, "ended", "")
+	})
+}
+
+// Guards against: a VM takes a version into use before the others can know of it.
+func TestStreamsBeginOnlyAtVersionsThatAreStored(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		k, other := f.start("v1"), f.start("v1")
+		f.store.SetDown(true)
+		list(k, "v1", "v1.1")
+		f.settle()
+		qt.Check(f.t, k.Versions("s"), qt.DeepEquals, []string{"v1"})
+		f.store.SetDown(false)
+		time.Sleep(time.Minute)
+		f.settle()
+		qt.Check(t, other.Versions("s"), qt.DeepEquals, []string{"v1", "v1.1"})
+	})
+}
+
+func TestStreamsBeginAlthoughTheStoreIsDown(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		k := f.start("v1", "v1.1")
+		f.store.SetDown(true)
+		start := time.Now()
+		f.begin(k, "r1", "v1")
+		qt.Check(t, time.Since(start) < 100*time.Millisecond, qt.IsTrue)
+		f.expectVersion(k, "r1", "")
+	})
+}
+
+func TestVersionsAndRecordsAreRemovedWhenTheyNoLongerMatter(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		k := f.start("v1", "v1.1")
+		f.begin(k, "r1", "v1")
+		list(k, "v1.1")
+		time.Sleep(time.Minute)
+		f.settle()
+		qt.Check(f.t, k.Versions("s"), qt.DeepEquals, []string{"v1", "v1.1"})
+		f.expectVersion(k, "r1", "v1")
+		for range 5 {
+			time.Sleep(time.Minute)
+			f.settle()
+		}
+		qt.Check(f.t, k.Versions("s"), qt.DeepEquals, []string{"v1.1"})
+		qt.Check(t, f.records(), qt.Equals, 0)
+	})
+}
+
+// A stream of a VM that hasn't read the versions yet is recorded too.
+func TestStreamOfAVMThatKnowsNoVersionsIsRecorded(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		k := versionkeeper.New("vm", f.store, f.tasks, slog.New(slog.DiscardHandler))
+		f.begin(k, "r1", "v1")
+		qt.Check(t, f.records(), qt.Equals, 1)
+	})
+}
--- a/internal/wiring/entryvm/provider.go
+++ b/internal/wiring/entryvm/provider.go
@@ -23,6 +23,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/online/forwarder"
 	"github.com/fescuespindle/fescuespindle/internal/online/placer"
 	"github.com/fescuespindle/fescuespindle/internal/online/router"
+	"github.com/fescuespindle/fescuespindle/internal/online/versionkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/counter"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/supervisor"
@@ -116,6 +117,12 @@
 	return crashanalyzer.New(crashanalyzer.WithOnNews(c.onCrashNews))
 }
 
+func newVersionKeeper(
+	s platform.Settings, store rowstore.Store, tasks *supervisor.Supervisor, logger *slog.Logger,
+) *versionkeeper.Keeper {
+	return versionkeeper.New(s.VM, store, tasks, logger)
+}
+
 func newForwarder(codec platform.Codec) *forwarder.Forwarder { return forwarder.New(codec.AnswerID) }
 
 func newRelayer(s platform.Settings, counters *counter.Counters, logger *slog.Logger) *storerelayer.Relayer {
@@ -169,7 +176,7 @@
 
 func newGateway(
 	codec platform.Codec, sender *courier.Courier, p *placer.Placer, crashes *crashanalyzer.Analyzer,
-	jobs *batchserver.Server, budget *rationer.Rationer, counters *counter.Counters, logger *slog.Logger,
+	versions *versionkeeper.Keeper, jobs *batchserver.Server, budget *rationer.Rationer, counters *counter.Counters, logger *slog.Logger,
 ) *gateway.Gateway {
-	return gateway.New(codec, sender, p, crashes, jobs, budget, counters, logger)
+	return gateway.New(codec, sender, p, crashes, versions, jobs, budget, counters, logger)
 }
--- a/internal/wiring/entryvm/sink.go
+++ b/internal/wiring/entryvm/sink.go
@@ -145,6 +145,7 @@
 func (s *upstreamSink) publish(now time.Time) {
 	list := s.registrar.Upstreams(now)
 	s.vm.placer.SetUpstreams(list)
+	s.vm.versions.SetUpstreams(list, now)
 	addresses, ids := make(map[string]string, len(list)), make(map[string]bool, len(list))
 	for _, u := range list {
 		addresses[u.Address], ids[u.ID] = u.ID, true
--- a/internal/wiring/entryvm/vm.go
+++ b/internal/wiring/entryvm/vm.go
@@ -25,6 +25,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/online/crashanalyzer"
 	"github.com/fescuespindle/fescuespindle/internal/online/forwarder"
 	"github.com/fescuespindle/fescuespindle/internal/online/placer"
+	"github.com/fescuespindle/fescuespindle/internal/online/versionkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/counter"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/supervisor"
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
@@ -55,6 +56,7 @@
 	forwarder    *forwarder.Forwarder
 	placer       *placer.Placer
 	crashes      *crashanalyzer.Analyzer
+	versions     *versionkeeper.Keeper
 	reporter     *peerteller.Reporter
 	memberKeeper *memberkeeper.Keeper
 	gateway      *gateway.Gateway
@@ -118,6 +120,7 @@
 		names = append(names, m.VM)
 	}
 	vm.crashes.SetVMs(vm.settings.VM, names)
+	vm.versions.SetVMs(names)
 	vm.placer.SetVMs(vms)
 	vm.relayer.SetPeers(local, remote)
 	vm.reporter.SetPeers(peers)
@@ -166,6 +169,8 @@
 		vm.newWatcher(platform.TableConfiguration, "", &configurationSink{vm: vm}, watcher.WithReread(vm.rereadInterval)),
 		vm.newWatcher(platform.TableUpstreams, "", &upstreamSink{vm: vm, registrar: registrar.New()},
 			watcher.WithReread(vm.rereadInterval)),
+		vm.newWatcher(versionkeeper.TableVersions, versionkeeper.PartVersions, vm.versions,
+			watcher.WithReread(vm.rereadInterval)),
 	}
 	if err := errors.Join(
 		vm.serve(vm.settings.CallerAddress, vm.callerServer),
@@ -180,6 +185,7 @@
 	vm.tasks.GoWithRestart(ctx, "peer messages", vm.reporter.Run)
 	vm.tasks.GoWithRestart(ctx, "membership", vm.memberKeeper.Run)
 	vm.tasks.GoWithRestart(ctx, "lost VMs", vm.memberKeeper.Sweep)
+	vm.tasks.GoWithRestart(ctx, "versions of streams", vm.versions.Run)
 	vm.tasks.GoWithRestart(ctx, "questions to neighbours", vm.bootstrapper.Run)
 	for _, w := range watchers {
 		vm.tasks.GoWithRestart(ctx, "watcher of "+w.Table(), w.Run)
--- a/internal/wiring/entryvm/wire_gen.go
+++ b/internal/wiring/entryvm/wire_gen.go
@@ -26,21 +26,22 @@
 	placer := newPlacer(settings, entryvmCallbacks)
 	analyzer := newAnalyzer(entryvmCallbacks)
 	supervisor := newSupervisor(counters, logger)
+	keeper := newVersionKeeper(settings, store, supervisor, logger)
 	bootstrapper := newBootstrapper(supervisor, logger)
 	reporter, err := newReporter(settings, entryvmBootID, bootstrapper, supervisor, logger)
 	if err != nil {
 		return nil, err
 	}
-	keeper := newMemberKeeper(store, settings, entryvmBootID, entryvmCallbacks, logger)
+	memberkeeperKeeper := newMemberKeeper(store, settings, entryvmBootID, entryvmCallbacks, logger)
 	courierCourier := courier.New(forwarder, placer, codec, logger)
 	owner := newOwner(settings, entryvmBootID)
 	batchkeeperKeeper := newJobKeeper(store, owner, settings, logger)
 	rationer := newRationer(settings)
 	mover := newMover(logger)
-	runner := newRunner(owner, batchkeeperKeeper, placer, courierCourier, keeper, entryvmCallbacks, rationer, mover, supervisor, counters, logger)
+	runner := newRunner(owner, batchkeeperKeeper, placer, courierCourier, memberkeeperKeeper, entryvmCallbacks, rationer, mover, supervisor, counters, logger)
 	entryvmSharedState := newSharedState(placer, analyzer, runner, logger)
 	server := newJobServer(codec, batchkeeperKeeper, entryvmSharedState, entryvmCallbacks, rationer, counters, logger)
-	gateway := newGateway(codec, courierCourier, placer, analyzer, server, rationer, counters, logger)
+	gateway := newGateway(codec, courierCourier, placer, analyzer, keeper, server, rationer, counters, logger)
 	vm := &VM{
 		settings:     settings,
 		bootID:       entryvmBootID,
@@ -51,8 +52,9 @@
 		forwarder:    forwarder,
 		placer:       placer,
 		crashes:      analyzer,
+		versions:     keeper,
 		reporter:     reporter,
-		memberKeeper: keeper,
+		memberKeeper: memberkeeperKeeper,
 		gateway:      gateway,
 		jobKeeper:    batchkeeperKeeper,
 		runner:       runner,
