relayer, forwarder: a repeated rejection is not taken for that of another request

What callers saw: none of ours so far; other operators report requests that a server had run and that were rejected as not run, or ran at a second server. Traced by reading, shown by tests. Cause: relayer (the product's own interface) compared the ID of complete answers and events, but not of rejections, so any rejection on a reused connection meant "not run". forwarder (the users' platform) compares IDs, but an item that is rejected and sent once more to the same upstream over the same connection has the ID of its earlier rejection. Change: a rejection must carry the attempt's ID; without one it counts on a new connection only. The stand-ins of engines repeat the ID in all answers, as the protocol now says, also the one in the dispatcher's tests. A connection doesn't carry two requests with one ID. Why it works: IDs of attempts are unique in the own interface; on the platform they are so on each connection.

--- a/internal/online/dispatcher/dispatcher_test.go
+++ b/internal/online/dispatcher/dispatcher_test.go
@@ -95,6 +95,7 @@
 	for n, answer := range engines {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			_, _ = io.Copy(io.Discard, r.Body)
+			w.Header().Set(upstream.HeaderRequestID, r.Header.Get(upstream.HeaderRequestID))
 			answer(w, r, r.Header.Get(upstream.HeaderRequestID))
 		}))
 		t.Cleanup(server.Close)
--- a/internal/online/forwarder/connection.go
+++ b/internal/online/forwarder/connection.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -54,10 +55,13 @@
 
 // connect returns a healthy idle connection, or dials a new one. Idle connections that
 // have expired or have unexpected input are closed.
-func (f *Forwarder) connect(ctx context.Context, address string) (*connection, error) {
+//
+// A connection that has carried a request with the same ID is not used: an upstream that
+// repeats its rejection of that one would seem to reject this one, which runs.
+func (f *Forwarder) connect(ctx context.Context, address, id string) (*connection, error) {
 	now := time.Now()
 	for {
-		c, found := f.popIdle(address)
+		c, found := f.popIdle(address, id)
 		if !found {
 			break
 		}
@@ -74,17 +78,30 @@
 	return &connection{net: conn, address: address, limiter: limiter, reader: bufio.NewReader(limiter)}, nil
 }
 
-// popIdle removes and returns the most recently used idle connection to an address.
-func (f *Forwarder) popIdle(address string) (*connection, bool) {
+// popIdle removes and returns the most recently used idle connection to an address that has
+// carried no request with the given ID.
+func (f *Forwarder) popIdle(address, id string) (*connection, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	idle := f.idle[address]
-	if len(idle) == 0 {
-		return nil, false
+	for n, c := range slices.Backward(idle) {
+		if !slices.Contains(c.carried, id) {
+			f.idle[address] = slices.Delete(idle, n, n+1)
+			return c, true
+		}
+	}
+	return nil, false
+}
+
+// maxCarried bounds the IDs that a connection remembers.
+const maxCarried = 8
+
+// recordCarried records the ID of a request that is sent over the connection.
+func (c *connection) recordCarried(id string) {
+	if len(c.carried) == maxCarried {
+		c.carried = slices.Delete(c.carried, 0, 1)
 	}
-	c := idle[len(idle)-1]
-	f.idle[address] = idle[:len(idle)-1]
-	return c, true
+	c.carried = append(c.carried, id)
 }
 
 // SetIdleLimit sets the maximum number of idle connections to one upstream. It should be
--- a/internal/online/forwarder/forwarder.go
+++ b/internal/online/forwarder/forwarder.go
@@ -110,7 +110,7 @@
 // Send sends an attempt and returns once the head of its answer was read. Errors are
 // of type relayer.AttemptError and say whether the request may have run.
 func (f *Forwarder) Send(ctx context.Context, a Attempt) (*Answer, error) {
-	c, err := f.connect(ctx, a.Address)
+	c, err := f.connect(ctx, a.Address, a.ID)
 	if err != nil {
 		return nil, relayer.NewAttemptError(relayer.RanNot, fmt.Errorf("%w: %w", relayer.ErrUnreachable, err))
 	}
@@ -131,6 +131,7 @@
 	if err != nil {
 		return relayer.NewAttemptError(relayer.RanNot, err)
 	}
+	c.recordCarried(a.ID)
 	if _, err := c.net.Write(head); err != nil {
 		return connectionLost(err)
 	}
@@ -302,5 +303,6 @@
 	limiter *headLimiter
 	reader  *bufio.Reader // reads through limiter
 	used    bool          // an answer has been read from it
+	carried []string      // IDs of the last requests, oldest first
 	expires time.Time     // when it must no longer be reused, if it is idle
 }
--- a/internal/online/forwarder/forwarder_test.go
+++ b/internal/online/forwarder/forwarder_test.go
@@ -122,6 +122,27 @@
 	}, "1", "2", "3")
 }
 
+// Guards against: an item is rejected and sent once more to the same upstream, which repeats
+// its rejection, so that the item seems not to run and is sent to another upstream as well.
+func TestRepeatedRejectionIsNotTakenForThatOfTheSameRequestSentAgain(t *testing.T) {
+	f := newForwarder(t)
+	address := startUpstream(t, func(n int, r *http.Request) string {
+		id := r.Header.Get(idHeader)
+		if n > 1 {
+			return text("id1", "rejected") + text(id, "repeated")
+		}
+		return text(id, "first on its connection")
+	})
+	for range 3 {
+		got, err := send(t, f, address, "id1", nil)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, got, qt.Equals, "first on its connection")
+	}
+	got, err := send(t, f, address, "id2", nil)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, got, qt.Equals, "repeated")
+}
+
 func TestLargeBodyIsWrittenCompletely(t *testing.T) {
 	var size int64
 	f := newForwarder(t)
--- a/internal/online/relayer/relayer.go
+++ b/internal/online/relayer/relayer.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/online/eventsplitter"
@@ -162,7 +163,9 @@
 	if err != nil {
 		return nil, &AttemptError{ran: RanNot, cause: err}
 	}
-	response, err := client.Do(request)
+	reused := false
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused = info.Reused }}
+	response, err := client.Do(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		return nil, classifySendError(err)
 	}
@@ -170,12 +173,23 @@
 		return response, nil
 	}
 	defer func() { _ = response.Body.Close() }()
+	if !isRejectionOf(a, response, reused) {
+		return nil, &AttemptError{ran: RanMaybe, cause: ErrMismatchedAnswer}
+	}
 	text, _ := io.ReadAll(io.LimitReader(response.Body, maxRejectionBytes))
 	notRun := response.Header.Get(upstream.HeaderNotRun) != ""
 	draining := response.Header.Get(upstream.HeaderLeaving) != ""
 	return nil, classifyStatus(response.StatusCode, notRun, draining, string(bytes.TrimSpace(text)))
 }
 
+// isRejectionOf returns whether an error answer belongs to an attempt. On a reused connection an
+// upstream may repeat its answer to an earlier request, and a rejection that counts for a
+// request that runs would let it run twice. So one without an ID counts on a new connection only.
+func isRejectionOf(a Attempt, response *http.Response, reused bool) bool {
+	id := response.Header.Get(upstream.HeaderRequestID)
+	return id == a.ID || (id == "" && !reused)
+}
+
 // Stream is the event stream that an engine sends for one attempt.
 type Stream struct {
 	id       string
--- a/internal/online/upstream/protocol.go
+++ b/internal/online/upstream/protocol.go
@@ -27,8 +27,9 @@
 
 // Headers of requests and answers.
 const (
-	// HeaderRequestID identifies one attempt. Engines repeat the identifier in each
-	// event.
+	// HeaderRequestID identifies one attempt. Upstreams repeat it in the header of each
+	// answer, so that a rejection is not taken for that of another request, and engines in
+	// each event.
 	HeaderRequestID = "X-Request-Id"
 	// HeaderNotRun marks a rejection of a request that was not run.
 	HeaderNotRun = "X-Not-Run"
--- a/internal/standins/engineemulator/http.go
+++ b/internal/standins/engineemulator/http.go
@@ -48,6 +48,7 @@
 	if down && !strings.HasPrefix(r.URL.Path, "/admin/") {
 		panic(http.ErrAbortHandler) // aborts the connection without a response
 	}
+	w.Header().Set(upstream.HeaderRequestID, r.Header.Get(upstream.HeaderRequestID))
 	e.mux.ServeHTTP(w, r)
 }
 
