gateway, attempter: a broken stream is not continued by an answer that is no stream

What callers saw: none of ours so far; other operators report the text of an error in the middle of a stream, or a stream that ends as complete although it is not. Cause: once a stream has begun, an answer with a success status was read as its continuation, whatever it was. Its text was delivered, and one without events ended the stream, or completed an item. Ruled out by the same test: error answers (302 to 504) are not delivered and the answer is cut. In the product's own interface a stream that has begun is not sent on, but for paused ones, whose events must carry the ID and end with a mark. Evidence: TestErrorOfTheNextUpstreamIsNotPartOfTheStream failed for a text that is no stream and for an empty answer; TestItemIsNotCompletedByAnAnswerThatIsNoStream failed too.

--- a/internal/batch/attempter/attempter.go
+++ b/internal/batch/attempter/attempter.go
@@ -32,6 +32,8 @@
 	// ErrNoEvents means that a response ended before its first event, and that no
 	// earlier run had produced output either.
 	ErrNoEvents = errors.New("response ended without events")
+	// ErrNoStream means that an answer that should go on with the output is no stream.
+	ErrNoStream = errors.New("answer is no stream")
 	// ErrTooLong means that the output would exceed batchkeeper.MaxOutput.
 	ErrTooLong = errors.New("output exceeds the maximum size")
 )
@@ -120,6 +122,10 @@
 	if delivery.Status() >= http.StatusMultipleChoices {
 		return resultOfStatus(ctx, delivery, progress)
 	}
+	if progress.LastEvent != "" && !delivery.IsStream() {
+		delivery.RecordFailure()
+		return Result{Outcome: OutcomeInterrupted, Progress: progress, Err: ErrNoStream}
+	}
 	return readEvents(ctx, delivery, live, stallTimer)
 }
 
--- /dev/null
+++ b/internal/batch/batchrunner/continue_test.go
@@ -0,0 +1,37 @@
+package batchrunner_test
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/platform/standin"
+)
+
+// Guards against: an item breaks off, the next upstream answers with something that is no
+// stream, and the item counts as completed with the part of its output that it had.
+func TestItemIsNotCompletedByAnAnswerThatIsNoStream(t *testing.T) {
+	expect := func(t *testing.T, second standin.Plan) {
+		t.Helper()
+		var runs atomic.Int32
+		inFleet(t, 1, func(upstream string, r *http.Request) standin.Plan {
+			plan := fastPlan(upstream, r)
+			switch runs.Add(1) {
+			case 1:
+				plan.BreakAfter = 2
+			case 2:
+				return second
+			}
+			return plan
+		}, func(f *fleet) {
+			v := f.start("a")
+			defer v.stop()
+			f.submit(v, 1)
+			f.expectResults(v, 15*time.Second, "item0 ok")
+		})
+	}
+	t.Run("text", func(t *testing.T) { expect(t, standin.Plan{Body: "overloaded\n\n"}) })
+	t.Run("nothing", func(t *testing.T) { expect(t, standin.Plan{}) })
+	t.Run("an error", func(t *testing.T) { expect(t, standin.Plan{Status: 500, Body: "data: x\n\n"}) })
+}
--- a/internal/faces/gateway/deliver.go
+++ b/internal/faces/gateway/deliver.go
@@ -25,6 +25,10 @@
 // truncated, or is a failure after which the request may fail over.
 func (f *forwarding) deliver(d *courier.Delivery) error {
 	defer d.Close()
+	if f.headSent && d.Status() < http.StatusMultipleChoices && !d.IsStream() {
+		d.RecordFailure()
+		return relayer.NewAttemptError(relayer.RanFailed, errNoStream)
+	}
 	if f.x.request.route.Kind == router.KindStream && d.Status() < http.StatusMultipleChoices {
 		return f.deliverStream(d)
 	}
--- a/internal/faces/gateway/run.go
+++ b/internal/faces/gateway/run.go
@@ -30,6 +30,8 @@
 	// errTruncated means that a plain answer was truncated after its head was sent to the
 	// caller, or that a resumed stream got an answer that can't continue it.
 	errTruncated = errors.New("answer truncated")
+	// errNoStream means that a stream got an answer that is no stream, and can't go on with it.
+	errNoStream = errors.New("answer is no stream")
 	// errCallerGone means that the answer can't be written because the caller
 	// disconnected.
 	errCallerGone = errors.New("caller disconnected")
--- a/internal/online/courier/courier.go
+++ b/internal/online/courier/courier.go
@@ -49,6 +49,8 @@
 	Misdirected bool
 	// Failed is whether the answer shows a fault of the upstream, whatever the call.
 	Failed bool
+	// IsStream is whether the answer is a series of events.
+	IsStream bool
 	// Draining is whether the upstream announces that it is draining.
 	Draining bool
 	Load     placer.Load
@@ -88,8 +90,9 @@
 // Delivery is an answer whose body is being read. Close must be called.
 type Delivery struct {
 	*forwarder.Answer
-	courier *Courier
-	slot    *placer.Slot
+	courier  *Courier
+	slot     *placer.Slot
+	isStream bool
 }
 
 // Send sends a call to the upstream of a slot. It releases the slot if it returns an
@@ -118,7 +121,7 @@
 	}
 	if !classification.NotRun {
 		c.recordHealth(slot, classification)
-		return &Delivery{Answer: answer, courier: c, slot: slot}, nil
+		return &Delivery{Answer: answer, courier: c, slot: slot, isStream: classification.IsStream}, nil
 	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxRejectionBytes)) // only to make the connection reusable
 	answer.Close()
@@ -153,6 +156,9 @@
 	c.placer.Release(slot, time.Now())
 }
 
+// IsStream returns whether the answer is a series of events.
+func (d *Delivery) IsStream() bool { return d.isStream }
+
 // Upstream returns the upstream that answers.
 func (d *Delivery) Upstream() placer.Upstream { return d.slot.Upstream() }
 
