--- a/internal/control/peerteller/reporter_test.go
+++ b/internal/control/peerteller/reporter_test.go
@@ -130,7 +130,7 @@
 	reporter := start(t, "a", first, a)
 	start(t, "bb", second, b)
 	reporter.SetPeers([]peerteller.Peer{{VM: "bb", Address: netip.MustParseAddrPort(second)}})
-	reporter.RecordCrashNews()
+	reporter.Wake()
 	qt.Check(t, <-b.crashReports, qt.DeepEquals, want)
 }
 
@@ -142,7 +142,7 @@
 	reporter := start(t, "a", first, a)
 	start(t, "bb", second, b)
 	reporter.SetPeers([]peerteller.Peer{{VM: "bb", Address: netip.MustParseAddrPort(second)}})
-	reporter.RecordCrashNews()
+	reporter.Wake()
 	qt.Check(t, <-b.limitReports, qt.DeepEquals, want)
 }
 
--- a/internal/online/ratelimiter/limiter.go
+++ b/internal/online/ratelimiter/limiter.go
@@ -14,7 +14,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/weigher"
@@ -38,7 +37,7 @@
 	// upstream is reported.
 	sentReportTime = 5 * time.Second
 	// maxReported bounds the limits in one report.
-	maxReported = 300
+	maxReported = 200
 )
 
 // Holders returns the VMs of the candidates that share the limit of an upstream. VMs with the
@@ -220,6 +219,3 @@
 func (l *Limiter) Retain(keep func(p Process) bool) {
 	maps.DeleteFunc(l.buckets, func(id string, b *bucket) bool { return !keep(Process{id, b.processStart}) })
 }
-
-// upstreams returns the upstreams in a fixed order.
-func (l *Limiter) upstreams() []string { return slices.Sorted(maps.Keys(l.buckets)) }
--- a/internal/online/ratelimiter/report.go
+++ b/internal/online/ratelimiter/report.go
@@ -26,13 +26,12 @@
 // Report returns the limits that have changed, and those that this VM shares.
 func (l *Limiter) Report(holds func(upstream string) bool, now time.Time) Report {
 	report := Report{}
-	for _, id := range l.upstreams() {
-		b := l.buckets[id]
+	for id, b := range l.buckets {
 		if !b.isNews(now) && (b.limit.PerSecond == 0 || !holds(id)) {
 			continue
 		}
 		if len(report) == maxReported {
-			break // the next reports make up for it
+			break // others come first in the next reports, as the order is random
 		}
 		report[id] = Named{PerSecond: b.limit.PerSecond, Age: now.Sub(b.toldAt), ProcessStart: b.processStart}
 	}
--- a/internal/wiring/entryvm/provider.go
+++ b/internal/wiring/entryvm/provider.go
@@ -54,7 +54,7 @@
 }
 
 // onCrashNews tells peer VMs of crashes of upstreams.
-func (c *callbacks) onCrashNews() { c.vm.reporter.RecordCrashNews() }
+func (c *callbacks) onCrashNews() { c.vm.reporter.Wake() }
 
 func (c *callbacks) setPeers(members []memberkeeper.Member) { c.vm.setPeers(members) }
 
