versionkeeper, gateway: the record of a stream counts first; a stream returns to the only upstream of its version

Found by reading the change once more. A VM that has not read the versions yet may begin a stream at a version that the store doesn't have; it records the stream, but a VM that then read one version did not look for the record, and would have joined two versions. And a stream whose version only one upstream has was cut when that broke it off once, although it was alive. Change: a take-up reads the record first. A begun stream may return to an upstream that failed it if no other one has its version, as items do.

--- a/internal/faces/gateway/version.go
+++ b/internal/faces/gateway/version.go
@@ -68,16 +68,29 @@
 }
 
 // acquireVersioned acquires a slot at an upstream at whose version the request may begin or go
-// on. A new stream takes any version if there is no upstream of those that are known.
+// on.
 func (f *forwarding) acquireVersioned(work placer.OnlineWork, now time.Time) (*placer.Slot, error) {
-	work.Versions = f.allowedVersions
-	isNew := f.canResume() && len(work.Versions) == 0
-	if isNew {
+	if len(f.allowedVersions) > 0 {
+		return f.acquireToContinue(work, now)
+	}
+	if f.canResume() {
 		work.Versions = f.gateway.versions.Versions(f.x.request.service)
 	}
 	slot, err := f.gateway.placer.AcquireOnline(work, now)
-	if isNew && errors.Is(err, placer.ErrNoUpstream) {
-		work.Versions = nil
+	if errors.Is(err, placer.ErrNoUpstream) && len(work.Versions) > 0 {
+		work.Versions = nil // none is left of those that are known
+		slot, err = f.gateway.placer.AcquireOnline(work, now)
+	}
+	return slot, err //nolint:wrapcheck // compared by the caller
+}
+
+// acquireToContinue acquires a slot for a stream that has begun. It returns to an upstream
+// that has failed it if no other one has its version.
+func (f *forwarding) acquireToContinue(work placer.OnlineWork, now time.Time) (*placer.Slot, error) {
+	work.Versions = f.allowedVersions
+	slot, err := f.gateway.placer.AcquireOnline(work, now)
+	if errors.Is(err, placer.ErrNoUpstream) && len(work.Avoid) > 0 {
+		work.Avoid = nil
 		slot, err = f.gateway.placer.AcquireOnline(work, now)
 	}
 	return slot, err //nolint:wrapcheck // compared by the caller
--- a/internal/faces/gateway/version_test.go
+++ b/internal/faces/gateway/version_test.go
@@ -59,6 +59,28 @@
 	t.Run("no other upstream has it", func(t *testing.T) { expect(t, []string{"v1", "v2"}, false) })
 }
 
+func TestStreamReturnsToTheOnlyUpstreamOfItsVersion(t *testing.T) {
+	withVM(t, []standin.Plan{{}, {}}, func(v *vm) {
+		v.setVersions("v1", "v2")
+		broken := false
+		for _, u := range v.upstreams {
+			u.SetPlanFunc(func(*http.Request) standin.Plan {
+				plan := standin.Plan{Events: 5}
+				if !broken {
+					broken, plan.BreakAfter = true, 2
+				}
+				return plan
+			})
+		}
+		_, body, complete := v.call("/resume/x", time.Second)
+		qt.Check(v.t, complete, qt.IsTrue)
+		qt.Check(v.t, strings.Count(body, "data:"), qt.Equals, 5)
+		for _, u := range v.upstreams {
+			qt.Check(v.t, len(u.Runs()) == 0 || len(u.Runs()) == 2, qt.IsTrue)
+		}
+	})
+}
+
 // Guards against: a caller takes up a stream at a VM that doesn't know it, for instance
 // after all VMs have restarted, and another software version continues it.
 func TestResumedStreamGoesOnAtTheVersionThatBeganIt(t *testing.T) {
--- a/internal/online/versionkeeper/keeper.go
+++ b/internal/online/versionkeeper/keeper.go
@@ -192,23 +192,21 @@
 func (k *Keeper) VersionOf(ctx context.Context, service, id string) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
-	// The versions are read first: a version that is added after that is that of no stream
-	// that can be resumed already.
-	versions, err := k.readVersions(ctx, service)
+	recorded, err := k.readRecord(ctx, id)
 	if err != nil {
 		return "", err
 	}
-	if len(versions) == 1 {
-		return versions[0], nil
+	if recorded.Service == service {
+		return recorded.Version, nil
 	}
-	recorded, err := k.readRecord(ctx, id)
+	versions, err := k.readVersions(ctx, service)
 	if err != nil {
 		return "", err
 	}
-	if recorded.Service != service {
+	if len(versions) != 1 {
 		return "", fmt.Errorf("%w: no record", ErrUnknown)
 	}
-	return recorded.Version, nil
+	return versions[0], nil
 }
 
 // readVersions reads the versions of a service from the store.
--- a/internal/online/versionkeeper/keeper_test.go
+++ b/internal/online/versionkeeper/keeper_test.go
@@ -188,8 +188,10 @@
 // A stream of a VM that hasn't read the versions yet is recorded too.
 func TestStreamOfAVMThatKnowsNoVersionsIsRecorded(t *testing.T) {
 	withFleet(t, func(f *fleet) {
+		other := f.start("v1")
 		k := versionkeeper.New("vm", f.store, f.tasks, slog.New(slog.DiscardHandler))
-		f.begin(k, "r1", "v1")
+		f.begin(k, "r1", "v2")
 		qt.Check(t, f.records(), qt.Equals, 1)
+		f.expectVersion(other, "r1", "v2")
 	})
 }
