versionkeeper: few VMs write the versions of a service, also while the store is down

Found by reading: from the 20th VM on all would have added a new version at the same time, and each VM with a change that could not be written tried again every 150 ms, so 1,200 VMs would have made 8,000 calls a second of a store that is down or has just come back. VMs that have just started, and know no other, all came first. Change: VMs take turns without a cap, a failed write is tried again after 1.5 to 4.5 s, and a VM that knows no other waits 500 ms. TestVersionsAreWrittenByFewVMs failed before.

--- a/internal/online/versionkeeper/keeper.go
+++ b/internal/online/versionkeeper/keeper.go
@@ -86,7 +86,11 @@
 	stored     map[string]versionSet
 	listings   map[string]map[string]listing // by service and version
 	unrecorded map[string]Stream             // streams under way without a record
-	sweep      sweep
+
+	// Only Run uses these.
+	changedAt time.Time // since when stored and listed versions differ; zero if they don't
+	retryAt   time.Time // when a failed write of them may be tried again
+	sweep     sweep
 }
 
 // New returns the Keeper of a VM.
--- a/internal/online/versionkeeper/keeper_test.go
+++ b/internal/online/versionkeeper/keeper_test.go
@@ -195,3 +195,31 @@
 		f.expectVersion(other, "r1", "v2")
 	})
 }
+
+// Guards against: while the store is down, every VM tries again and again to write the same.
+func TestVersionsAreWrittenByFewVMs(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		const vms = 20
+		for range vms {
+			f.start("v1")
+		}
+		names := make([]string, vms)
+		for n := range names {
+			names[n] = fmt.Sprint("vm", n)
+		}
+		for _, k := range f.vms {
+			k.SetVMs(names)
+		}
+		before := f.store.Counts().Transactions
+		f.store.SetDown(true)
+		for _, k := range f.vms {
+			list(k, "v1", "v2")
+		}
+		time.Sleep(10 * time.Second)
+		qt.Check(t, f.store.Counts().Transactions-before < 10*vms, qt.IsTrue)
+		f.store.SetDown(false)
+		time.Sleep(10 * time.Second)
+		f.settle()
+		qt.Check(t, f.vms[0].Versions("s"), qt.DeepEquals, []string{"v1", "v2"})
+	})
+}
--- a/internal/online/versionkeeper/versions.go
+++ b/internal/online/versionkeeper/versions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -20,7 +21,10 @@
 	// addDelay is the time between two VMs that may add the same version. The first one does
 	// so at once; the others only if it has not.
 	addDelay = 150 * time.Millisecond
-	maxRank  = 20
+	// aloneDelay is how long a VM that knows no other waits: all VMs may have just started.
+	aloneDelay = 500 * time.Millisecond
+	// retryPause is the time until a failed write is tried again.
+	retryPause = 3 * time.Second
 	// idlePeriod is the longest time between two checks of what is to be written.
 	idlePeriod = 10 * time.Second
 	// versionsTimeout bounds a write of the versions of a service.
@@ -138,7 +142,6 @@
 func (k *Keeper) Run(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	missingSince := time.Time{}
 	for {
 		select {
 		case <-ctx.Done():
@@ -147,21 +150,39 @@
 		case <-timer.C:
 		}
 		now := time.Now()
-		next := idlePeriod
-		switch changes := k.changes(now); {
-		case len(changes) == 0:
-			missingSince = time.Time{}
-		default:
-			if missingSince.IsZero() {
-				missingSince = now
-			}
-			next = k.apply(ctx, changes, missingSince, now)
-		}
+		next := k.update(ctx, now)
 		k.sweepIfDue(ctx, now)
 		timer.Reset(next)
 	}
 }
 
+// update writes the versions that have changed if it is this VM's turn, and returns the time
+// until the next check. Only Run calls it.
+func (k *Keeper) update(ctx context.Context, now time.Time) time.Duration {
+	changes := k.changes(now)
+	if len(changes) == 0 {
+		k.changedAt = time.Time{}
+		return idlePeriod
+	}
+	if k.changedAt.IsZero() {
+		k.changedAt = now
+	}
+	turn := k.changedAt.Add(k.turnDelay())
+	if k.retryAt.After(turn) {
+		turn = k.retryAt
+	}
+	if now.Before(turn) {
+		return turn.Sub(now)
+	}
+	for _, c := range changes {
+		if err := k.write(ctx, c); err != nil {
+			k.logger.Info("writing the versions of a service failed", "service", c.service, "error", err)
+			k.retryAt = now.Add(retryPause/2 + rand.N(retryPause))
+		}
+	}
+	return addDelay // whether they have arrived
+}
+
 // change is the next content of the versions of a service.
 type change struct {
 	service  string
@@ -198,24 +219,22 @@
 	return all
 }
 
-// apply writes changes if it is this VM's turn, and returns the time until the next check.
-func (k *Keeper) apply(ctx context.Context, changes []change, since, now time.Time) time.Duration {
-	if turn := since.Add(time.Duration(k.rank(TableVersions)) * addDelay); now.Before(turn) {
-		return turn.Sub(now)
-	}
-	for _, c := range changes {
-		if err := k.write(ctx, c); err != nil {
-			k.logger.Info("writing the versions of a service failed", "service", c.service, "error", err)
-		}
+// turnDelay returns how long this VM leaves a change of the versions to others.
+func (k *Keeper) turnDelay() time.Duration {
+	k.mu.Lock()
+	isAlone := len(k.vms) == 1
+	k.mu.Unlock()
+	if isAlone {
+		return aloneDelay
 	}
-	return addDelay // check that they have arrived
+	return time.Duration(k.rank(TableVersions)) * addDelay
 }
 
 // rank returns how many VMs come before this one for a task.
 func (k *Keeper) rank(task string) int {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return min(max(slices.Index(weigher.Order(task, k.vms), k.self), 0), maxRank)
+	return max(slices.Index(weigher.Order(task, k.vms), k.self), 0)
 }
 
 func (k *Keeper) write(ctx context.Context, c change) error {
