--- a/internal/control/memberprober/prober.go
+++ b/internal/control/memberprober/prober.go
@@ -38,30 +38,6 @@
 	minTransmissions = 3
 )
 
-// Member is one VM of the failure domain.
-type Member struct {
-	sender     peer.Sender
-	state      peer.MemberState
-	listed     bool
-	leaving    bool
-	stateUntil time.Time // end of the suspicion, or of the retention of a dead VM
-}
-
-// VM returns the member's ID.
-func (m Member) VM() string { return m.sender.VM }
-
-// Address returns the member's peer address.
-func (m Member) Address() string { return m.sender.Address }
-
-// Incarnation returns the member's incarnation number; its process number follows from it.
-func (m Member) Incarnation() uint64 { return m.sender.Incarnation }
-
-// State returns the member's state as this VM knows it.
-func (m Member) State() peer.MemberState { return m.state }
-
-// Leaving reports whether the platform's list has the member as leaving.
-func (m Member) Leaving() bool { return m.leaving }
-
 // Send is a message to be sent to a peer address.
 type Send struct {
 	Address string
@@ -101,11 +77,6 @@
 	relaySequence uint64
 }
 
-type queuedRumour struct {
-	rumour            peer.Rumour
-	transmissionsLeft int
-}
-
 // New returns a Prober that knows no other VM.
 func New(self peer.Sender, random *rand.Rand) *Prober {
 	return &Prober{
@@ -312,33 +283,6 @@
 	p.enqueueRumour(peer.Rumour{Member: m.sender, State: peer.MemberDead})
 }
 
-// enqueueRumour queues a rumour for dissemination. It replaces an older one about the same
-// member.
-func (p *Prober) enqueueRumour(r peer.Rumour) {
-	p.rumours = slices.DeleteFunc(p.rumours, func(t queuedRumour) bool { return t.rumour.Member.VM == r.Member.VM })
-	transmissions := minTransmissions
-	for n := len(p.members); n > 1; n /= 2 {
-		transmissions++
-	}
-	p.rumours = append(p.rumours, queuedRumour{rumour: r, transmissionsLeft: transmissions})
-}
-
-// takeRumours returns the rumours for the next message: dead members first, then suspects,
-// as receivers act on these; among equals those with the most transmissions left.
-func (p *Prober) takeRumours() []peer.Rumour {
-	slices.SortStableFunc(p.rumours, func(a, b queuedRumour) int {
-		return cmp.Or(cmp.Compare(b.rumour.State, a.rumour.State), cmp.Compare(b.transmissionsLeft, a.transmissionsLeft))
-	})
-	n := min(maxRumoursPerMessage, len(p.rumours))
-	taken := make([]peer.Rumour, 0, n)
-	for i := range n {
-		taken = append(taken, p.rumours[i].rumour)
-		p.rumours[i].transmissionsLeft--
-	}
-	p.rumours = slices.DeleteFunc(p.rumours, func(t queuedRumour) bool { return t.transmissionsLeft <= 0 })
-	return taken
-}
-
 // Receive handles a message from a VM of this failure domain and returns the messages to
 // send. A message of another kind only shows that its sender is alive.
 func (p *Prober) Receive(from peer.Sender, message peer.Message, now time.Time) []Send {
@@ -411,59 +355,5 @@
 	return []Send{p.probe(target, pending)}
 }
 
-func (p *Prober) applyRumours(rumours []peer.Rumour, now time.Time) {
-	for _, r := range rumours {
-		p.applyRumour(r, now)
-	}
-}
-
-// applyRumour updates a member from a rumour. A rumour about an older incarnation, or a
-// weaker one about the same incarnation, is ignored. A rumour that this VM is suspect or dead is
-// refuted with a higher incarnation.
-func (p *Prober) applyRumour(r peer.Rumour, now time.Time) {
-	if r.Member.VM == p.self.VM {
-		p.refute(r)
-		return
-	}
-	m, found := p.members[r.Member.VM]
-	if !found {
-		if r.State == peer.MemberDead {
-			return
-		}
-		m = &Member{sender: r.Member, state: peer.MemberAlive}
-		p.members[r.Member.VM] = m
-		p.changed = true
-	}
-	newer := r.Member.Incarnation > m.sender.Incarnation
-	same := r.Member.Incarnation == m.sender.Incarnation
-	if !newer && (!same || r.State <= m.state) {
-		return
-	}
-	before := m.state
-	unknown := m.sender.Incarnation == 0
-	m.sender = r.Member
-	m.state = r.State
-	p.changed = p.changed || newer || (before == peer.MemberDead) != (r.State == peer.MemberDead)
-	switch r.State {
-	case peer.MemberSuspect:
-		m.stateUntil = now.Add(suspectTimeout)
-	case peer.MemberDead:
-		m.stateUntil = now.Add(forgetTimeout)
-	case peer.MemberAlive:
-		if unknown {
-			return // the process of a listed VM has become known, which is not worth a rumour
-		}
-	}
-	p.enqueueRumour(r)
-}
-
-func (p *Prober) refute(r peer.Rumour) {
-	if r.State == peer.MemberAlive || r.Member.Incarnation < p.self.Incarnation {
-		return
-	}
-	p.self.Incarnation = r.Member.Incarnation + 1
-	p.enqueueRumour(peer.Rumour{Member: p.self, State: peer.MemberAlive})
-}
-
 // Self returns this VM's identity with its current incarnation.
 func (p *Prober) Self() peer.Sender { return p.self }
