--- a/internal/faces/gateway/gateway.go
+++ b/internal/faces/gateway/gateway.go
@@ -106,11 +106,10 @@
 
 // Gateway is the HTTP handler for callers.
 type Gateway struct {
-	codec   Codec
-	courier Courier
-	placer  Placer
-	crashes CrashAnalyzer
-	// versions are those of streams.
+	codec    Codec
+	courier  Courier
+	placer   Placer
+	crashes  CrashAnalyzer
 	versions StreamVersions
 	jobs     Jobs
 	memory   *rationer.Rationer
--- a/internal/faces/gateway/run.go
+++ b/internal/faces/gateway/run.go
@@ -53,8 +53,8 @@
 
 	// allowedVersions are the software versions at which the stream may go on; empty for any.
 	allowedVersions []string
-	streamBegun     bool
-	endStream       func()
+	streamBegun     bool   // an event was delivered
+	endStream       func() // as StreamVersions.Begin returns it; otherwise it does nothing
 
 	headSent      bool
 	lastEventID   string
