versionkeeper: records of streams are in 16 parts of the store

A part takes 200 transactions a second. In a release at a site whose main route can be resumed, 344 streams a second begin on average and some 640 in a step up: 160 for each of four parts, and more after all VMs were without power. At 1,200 VMs four parts would not do. Found by calculating, not seen.

--- a/internal/online/versionkeeper/keeper.go
+++ b/internal/online/versionkeeper/keeper.go
@@ -37,8 +37,9 @@
 	PartVersions  = "streamVersions"
 	// TableStreams has a row for each recorded stream.
 	TableStreams = "streams"
-	// StreamParts is the number of parts of TableStreams.
-	StreamParts = 4
+	// StreamParts is the number of parts of TableStreams. A part takes a limited number of
+	// writes per second, and in a release all streams of a large fleet are recorded.
+	StreamParts = 16
 )
 
 const (
