batchrunner: items that wait for the same upstreams search once for a slot

So each of the items that had yielded searched all upstreams, at each message of another VM, while none had a slot. Cause: the pass over pending items remembered full services, and left pinned items out. Change: a pass remembers full targets, which are a service or one version of it, and asks once per target whether it accepts work. The pass has a file of its own (start.go). TestItemsThatWaitForTheSameUpstreamsSearchOnce fails on the code before: ten items, more than two searches.

--- a/internal/batch/batchrunner/runner.go
+++ b/internal/batch/batchrunner/runner.go
@@ -238,51 +238,6 @@
 	r.startPending(now)
 }
 
-// startPending starts items until there are no free slots.
-func (r *Runner) startPending(now time.Time) {
-	table := r.table()
-	if table == nil {
-		return
-	}
-	full := map[string]bool{}
-	for _, it := range r.pending(now) {
-		route, found := table.RouteByName(it.job.stored.Route)
-		if !found {
-			continue
-		}
-		service := route.Service(uint64(it.index))
-		if full[service] {
-			continue
-		}
-		avoid, versions := it.avoided(now), r.allowedVersions(it, service)
-		slot, found := r.placer.AcquireBatch(placer.BatchWork{
-			Service: service, Avoid: avoid, Versions: versions, LatestStart: now.Add(r.latestStart(it) - r.keeper.Now()),
-		}, now)
-		if !found {
-			full[service] = len(avoid) == 0 && len(versions) == 0
-			continue
-		}
-		r.startRun(it, slot)
-	}
-}
-
-// allowedVersions returns the software versions at which an item may go on; none stands for
-// any. If no upstream has that of its output, the item starts again.
-func (r *Runner) allowedVersions(it *item, service string) []string {
-	if it.progress.LastEvent == "" {
-		return nil
-	}
-	version := it.progress.SoftwareVersion
-	if r.placer.AcceptsVersion(service, version) {
-		return []string{version}
-	}
-	r.counter.Count("items_restarted_total")
-	r.logger.Info("item starts again at another software version", "job", it.job.stored.ID, "item", it.ID,
-		"software", version, "bytes", len(it.progress.Output))
-	it.progress = batchkeeper.Progress{}
-	return nil
-}
-
 // expire abandons the items of jobs that have expired or whose route no longer exists.
 // Running ones are cancelled first, and abandoned by a later call.
 func (r *Runner) expire() {
--- a/internal/batch/batchrunner/runner_test.go
+++ b/internal/batch/batchrunner/runner_test.go
@@ -43,6 +43,8 @@
 	alive map[batchkeeper.Owner]bool
 	// receivers are the VMs that take over jobs from others, by name; nil means none.
 	receivers map[string]*vm
+	// wrapPlacer replaces the placer of each VM that starts, if it is not nil.
+	wrapPlacer func(batchrunner.Placer) batchrunner.Placer
 }
 
 // vm is one VM of a fleet.
@@ -97,7 +99,11 @@
 	v.placer.SetUpstreams(f.placerUpstreams)
 	sender := forwarder.New(platform.Codec{}.AnswerID, forwarder.WithDial(f.network.Dial))
 	counters := counter.New(metrics.NewSet())
-	v.runner = batchrunner.New(owner, v.keeper, v.placer, courier.New(sender, v.placer, platform.Codec{}, logger), f,
+	var slots batchrunner.Placer = v.placer
+	if f.wrapPlacer != nil {
+		slots = f.wrapPlacer(v.placer)
+	}
+	v.runner = batchrunner.New(owner, v.keeper, slots, courier.New(sender, v.placer, platform.Codec{}, logger), f,
 		func() *router.Table { return table }, rationer.New(64<<20), supervisor.New(counters, logger), counters, logger,
 		batchrunner.WithMover(f))
 	f.setAlive(owner, true)
--- /dev/null
+++ b/internal/batch/batchrunner/start.go
@@ -0,0 +1,89 @@
+package batchrunner
+
+import (
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/online/placer"
+)
+
+// target is where an item may run: at any upstream of a service, or only at those of the
+// software version that has written its output.
+type target struct {
+	service string
+	version string
+	pinned  bool // to the version
+}
+
+func (t target) versions() []string {
+	if !t.pinned {
+		return nil
+	}
+	return []string{t.version}
+}
+
+// starter starts items in one pass over all that are pending. It searches each target for a
+// slot until none is left, not for each of the many items that wait for the same one.
+type starter struct {
+	runner  *Runner
+	now     time.Time
+	full    map[target]bool
+	accepts map[target]bool // whether upstreams of a pinned target accept work
+}
+
+// startPending starts items until there are no free slots.
+func (r *Runner) startPending(now time.Time) {
+	table := r.table()
+	if table == nil {
+		return
+	}
+	s := &starter{runner: r, now: now, full: map[target]bool{}, accepts: map[target]bool{}}
+	for _, it := range r.pending(now) {
+		if route, found := table.RouteByName(it.job.stored.Route); found {
+			s.start(it, route.Service(uint64(it.index)))
+		}
+	}
+}
+
+// start starts an item at a service if there is a free slot for it.
+func (s *starter) start(it *item, service string) {
+	if s.full[target{service: service}] {
+		return
+	}
+	where := s.targetOf(it, service)
+	if s.full[where] {
+		return
+	}
+	r, avoid := s.runner, it.avoided(s.now)
+	slot, found := r.placer.AcquireBatch(placer.BatchWork{
+		Service: service, Avoid: avoid, Versions: where.versions(),
+		LatestStart: s.now.Add(r.latestStart(it) - r.keeper.Now()),
+	}, s.now)
+	if !found {
+		s.full[where] = len(avoid) == 0
+		return
+	}
+	r.startRun(it, slot)
+}
+
+// targetOf returns where an item may run. If no upstream of the version of its output accepts
+// work, the item starts again.
+func (s *starter) targetOf(it *item, service string) target {
+	if it.progress.LastEvent == "" {
+		return target{service: service}
+	}
+	where := target{service: service, version: it.progress.SoftwareVersion, pinned: true}
+	accepts, known := s.accepts[where]
+	if !known {
+		accepts = s.runner.placer.AcceptsVersion(service, where.version)
+		s.accepts[where] = accepts
+	}
+	if accepts {
+		return where
+	}
+	s.runner.counter.Count("items_restarted_total")
+	s.runner.logger.Info("item starts again at another software version", "job", it.job.stored.ID, "item", it.ID,
+		"software", where.version, "bytes", len(it.progress.Output))
+	it.progress = batchkeeper.Progress{}
+	return target{service: service}
+}
--- a/internal/batch/batchrunner/version_test.go
+++ b/internal/batch/batchrunner/version_test.go
@@ -1,12 +1,17 @@
 package batchrunner_test
 
 import (
+	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/fescuespindle/fescuespindle/internal/batch/batchrunner"
+	"github.com/fescuespindle/fescuespindle/internal/online/placer"
 	"github.com/fescuespindle/fescuespindle/platform/standin"
 )
 
@@ -50,3 +55,46 @@
 		qt.Check(f.t, runs[0].LastEvent, qt.Equals, 0)
 	})
 }
+
+// searchCounter counts the searches for a slot.
+type searchCounter struct {
+	batchrunner.Placer
+	searches atomic.Int32
+}
+
+func (c *searchCounter) AcquireBatch(work placer.BatchWork, now time.Time) (*placer.Slot, bool) {
+	c.searches.Add(1)
+	return c.Placer.AcquireBatch(work, now)
+}
+
+// Guards against: each of the items that have yielded searches all upstreams for a slot, again
+// at each change of the load, while none is free.
+func TestItemsThatWaitForTheSameUpstreamsSearchOnce(t *testing.T) {
+	const upstreams = 10
+	inFleet(t, upstreams, fastPlan, func(f *fleet) {
+		counter := &searchCounter{}
+		f.wrapPlacer = func(p batchrunner.Placer) batchrunner.Placer {
+			counter.Placer = p
+			return counter
+		}
+		v := f.start("a")
+		defer v.stop()
+		f.submit(v, upstreams)
+		time.Sleep(250 * time.Millisecond) // each item has some output
+		busy := placer.Report{}
+		for n := range upstreams {
+			busy[fmt.Sprint("u", n)] = placer.Count{Online: 2}
+		}
+		v.placer.ReceiveReport("b", busy, time.Now())
+		v.runner.Wake()
+		time.Sleep(10 * time.Millisecond)
+		synctest.Wait()
+		qt.Check(f.t, v.placer.Report(), qt.HasLen, 0)
+		before := counter.searches.Load()
+		v.runner.Wake()
+		time.Sleep(10 * time.Millisecond)
+		synctest.Wait()
+		searches := counter.searches.Load() - before
+		qt.Check(f.t, searches > 0 && searches <= 2, qt.IsTrue, qt.Commentf("%d", searches))
+	})
+}
