--- a/internal/online/courier/courier.go
+++ b/internal/online/courier/courier.go
@@ -55,8 +55,10 @@
 	Draining bool
 	Load     placer.Load
 	// RateLimit is the number of requests per second that the upstream accepts from all VMs
-	// together; 0 means no limit.
-	RateLimit float64
+	// together; 0 means no limit. If RateLimitInvalid is set, the answer names one that can't
+	// be read, and says nothing of it.
+	RateLimit        float64
+	RateLimitInvalid bool
 	// HasLoad is whether the answer reports the upstream's load.
 	HasLoad bool
 }
@@ -112,10 +114,7 @@
 	if classification.HasLoad {
 		c.placer.RecordLoad(slot, classification.Load, time.Now())
 	}
-	if previous, changed := c.placer.RecordRateLimit(slot, classification.RateLimit, time.Now()); changed {
-		c.logger.Info("upstream names another rate limit", "upstream", target.Upstream.ID, "perSecond", classification.RateLimit,
-			"previous", previous.PerSecond, "sentOnline", previous.SentOnline, "sentItems", previous.SentBatch)
-	}
+	c.recordRateLimit(slot, classification)
 	if classification.Draining && c.placer.MarkDraining(slot) {
 		c.logger.Info("upstream is draining", "upstream", target.Upstream.ID, "toldIn", call.ID)
 	}
@@ -136,6 +135,19 @@
 	return c.forwarder.Refuses(ctx, u.Address)
 }
 
+// recordRateLimit records with the placer the rate limit that the answer names, if any.
+func (c *Courier) recordRateLimit(slot *placer.Slot, classification Classification) {
+	if classification.RateLimitInvalid || classification.Misdirected {
+		return
+	}
+	previous, changed := c.placer.RecordRateLimit(slot, classification.RateLimit, time.Now())
+	if changed {
+		c.logger.Info("upstream names another rate limit", "upstream", slot.Upstream().ID,
+			"perSecond", classification.RateLimit, "previous", previous.PerSecond,
+			"sentOnline", previous.SentOnline, "sentItems", previous.SentBatch)
+	}
+}
+
 // recordHealth records with the placer whether the answer shows the upstream to be
 // healthy.
 func (c *Courier) recordHealth(slot *placer.Slot, classification Classification) {
--- a/internal/online/ratelimiter/limiter.go
+++ b/internal/online/ratelimiter/limiter.go
@@ -38,6 +38,9 @@
 	sentReportTime = 5 * time.Second
 	// maxReported bounds the limits in one report.
 	maxReported = 200
+	// minPerSecond is kept in place of a lower limit, as only an answer can show that a
+	// limit has ended.
+	minPerSecond = 0.1
 )
 
 // Holders returns the VMs of the candidates that share the limit of an upstream. VMs with the
@@ -47,13 +50,16 @@
 	return ordered[:min(len(ordered), MaxHolders)]
 }
 
-// Limit is a rate limit and the requests that this VM has sent under it.
+// Limit is the rate limit of an upstream, and the requests that this VM has sent it while it
+// had one.
 type Limit struct {
 	PerSecond  float64 // 0 means no limit
-	SentOnline int
-	SentBatch  int
+	SentOnline uint64
+	SentBatch  uint64
 }
 
+func (l Limit) sent() uint64 { return l.SentOnline + l.SentBatch }
+
 // Group is how many VMs share a limit, and how many of them are heard from, this one included.
 type Group struct {
 	Size  int
@@ -75,7 +81,6 @@
 	newsUntil    time.Time // until when peers must be told soon
 	tokens       float64
 	filledAt     time.Time
-	sent         uint64 // by this VM
 	lastSentAt   time.Time
 	peerSent     map[string]uint64 // by VM
 }
@@ -100,6 +105,8 @@
 		return Limit{}, false
 	case b == nil:
 		b = l.add(p)
+	case b.processStart != p.Start: // a late answer of an earlier process
+		return b.limit, false
 	case perSecond == 0 && !sentAt.After(b.toldAt):
 		return b.limit, false
 	}
@@ -129,12 +136,15 @@
 
 // set records what an upstream has said of its limit.
 func (b *bucket) set(perSecond float64, toldAt, now time.Time) (previous Limit, changed bool) {
+	if perSecond > 0 {
+		perSecond = max(perSecond, minPerSecond)
+	}
 	previous = b.limit
 	b.toldAt, b.refreshedAt = toldAt, now
 	if perSecond == previous.PerSecond {
 		return previous, false
 	}
-	b.limit = Limit{PerSecond: perSecond}
+	b.limit.PerSecond = perSecond
 	b.tokens, b.filledAt = min(b.tokens, 0), now
 	return previous, true
 }
@@ -175,7 +185,6 @@
 	if b == nil || b.limit.PerSecond == 0 {
 		return
 	}
-	b.sent++
 	b.lastSentAt = now
 	b.take(1)
 	if isBatch {
@@ -190,8 +199,8 @@
 func (l *Limiter) Sent(now time.Time) map[string]uint64 {
 	sent := map[string]uint64{}
 	for id, b := range l.buckets {
-		if b.sent > 0 && now.Sub(b.lastSentAt) < sentReportTime {
-			sent[id] = b.sent
+		if b.limit.sent() > 0 && now.Sub(b.lastSentAt) < sentReportTime {
+			sent[id] = b.limit.sent()
 		}
 	}
 	return sent
--- a/internal/online/ratelimiter/limiter_test.go
+++ b/internal/online/ratelimiter/limiter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -68,6 +69,27 @@
 	qt.Check(t, l.Allows("u", ratelimiter.Group{Size: 2, Heard: 2}, false, at(3100*time.Millisecond)), qt.IsTrue)
 }
 
+// Guards against: an upstream that accepts nothing for a while, or says something absurd, never
+// gets a request again, as only an answer can show that its limit has ended.
+func TestEndOfAnyLimitIsNoticed(t *testing.T) {
+	expect := func(perSecond float64) {
+		t.Helper()
+		l := limited(perSecond)
+		g := ratelimiter.Group{Size: 1, Heard: 1}
+		qt.Check(t, l.Allows("u", g, false, at(time.Second)), qt.IsFalse)
+		qt.Check(t, l.Allows("u", g, false, at(11*time.Second)), qt.IsTrue)
+	}
+	expect(0.01)
+	expect(1e-12)
+	expect(math.SmallestNonzeroFloat64)
+}
+
+func TestLateAnswerOfAnEarlierProcessSaysNothing(t *testing.T) {
+	l := limited(2)
+	_, changed := l.RecordAnswer(ratelimiter.Process{Upstream: "u", Start: 6}, 50, at(time.Second), at(time.Second))
+	qt.Check(t, changed, qt.IsFalse)
+}
+
 func TestEndOfALimit(t *testing.T) {
 	expect := func(p ratelimiter.Process, sentAt time.Duration, want bool) {
 		t.Helper()
--- a/internal/online/ratelimiter/report.go
+++ b/internal/online/ratelimiter/report.go
@@ -42,27 +42,25 @@
 
 // Receive records what another VM reports of the limit of a process of an upstream. What an
 // upstream has said later counts. If relay is set, this VM must tell others what is new in it.
-func (l *Limiter) Receive(p Process, named Named, relay bool, now time.Time) (changed bool) {
+func (l *Limiter) Receive(p Process, named Named, relay bool, now time.Time) {
 	if named.ProcessStart != p.Start {
-		return false
+		return
 	}
 	b := l.current(p)
 	if b == nil {
 		if named.PerSecond <= 0 {
-			return false
+			return
 		}
 		b = l.add(p)
 	}
-	toldAt := now.Add(-named.Age)
+	toldAt := now.Add(-max(named.Age, 0))
 	if !toldAt.After(b.toldAt) {
 		b.refreshedAt = now
-		return false
+		return
 	}
-	_, changed = b.set(max(named.PerSecond, 0), toldAt, now)
-	if changed && relay {
+	if _, changed := b.set(max(named.PerSecond, 0), toldAt, now); changed && relay {
 		b.newsUntil = now.Add(newsTime)
 	}
-	return changed
 }
 
 // Expire discards limits of which this VM has not heard for long, and which it doesn't share,
