--- a/internal/control/memberkeeper/keeper.go
+++ b/internal/control/memberkeeper/keeper.go
@@ -19,6 +19,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/repeater"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/sleeper"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/weigher"
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
@@ -75,7 +76,7 @@
 	store  rowstore.Store
 	logger *slog.Logger
 	onList func([]Member)
-	wake   chan struct{}
+	writes *repeater.Repeater
 
 	mu              sync.Mutex
 	self            Member
@@ -88,7 +89,7 @@
 // their list has changed.
 func New(store rowstore.Store, self Member, onList func([]Member), logger *slog.Logger) *Keeper {
 	return &Keeper{
-		store: store, self: self, onList: onList, logger: logger, rows: map[string]rowState{}, wake: make(chan struct{}, 1),
+		store: store, self: self, onList: onList, logger: logger, rows: map[string]rowState{}, writes: repeater.New(),
 	}
 }
 
@@ -97,26 +98,11 @@
 	k.mu.Lock()
 	k.self.Leaving = true
 	k.mu.Unlock()
-	select {
-	case k.wake <- struct{}{}:
-	default:
-	}
+	k.writes.Wake()
 }
 
 // Run writes this VM's row periodically until the context ends.
-func (k *Keeper) Run(ctx context.Context) {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-k.wake:
-		case <-timer.C:
-		}
-		timer.Reset(k.write(ctx))
-	}
-}
+func (k *Keeper) Run(ctx context.Context) { k.writes.Run(ctx, k.write) }
 
 // Sweep periodically updates the list and removes the rows of lost VMs until the context
 // ends.
--- a/internal/control/peerteller/reporter.go
+++ b/internal/control/peerteller/reporter.go
@@ -19,6 +19,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/fescuespindle/fescuespindle/internal/online/placer"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/repeater"
 )
 
 // Guard runs a task so that a panic ends that task alone.
@@ -36,7 +37,7 @@
 	guard     Guard
 	logger    *slog.Logger
 	onNewPeer func(netip.AddrPort)
-	wake      chan struct{}
+	sending   *repeater.Repeater
 
 	mu           sync.Mutex
 	peers        []Peer
@@ -68,7 +69,7 @@
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
 	r := &Reporter{
-		vm: vm, boot: boot, conn: conn, guard: guard, logger: logger, wake: make(chan struct{}, 1),
+		vm: vm, boot: boot, conn: conn, guard: guard, logger: logger, sending: repeater.New(),
 		lastMessages: map[string]message{}, domain: domain, onNewPeer: func(netip.AddrPort) {},
 	}
 	for _, option := range options {
@@ -101,59 +102,48 @@
 }
 
 // Wake makes the Reporter check which messages are due. It doesn't block.
-func (r *Reporter) Wake() {
-	select {
-	case r.wake <- struct{}{}:
-	default:
-	}
-}
+func (r *Reporter) Wake() { r.sending.Wake() }
 
 // Run sends and receives reports until the context ends.
 func (r *Reporter) Run(ctx context.Context) {
 	var group sync.WaitGroup
 	group.Go(r.receiveLoop)
-	r.sendLoop(ctx)
+	sequence := uint64(1)
+	r.sending.Run(ctx, func(context.Context) time.Duration {
+		pause := r.sendDue(sequence, time.Now())
+		sequence += messagesPerRound
+		return pause
+	})
 	_ = r.conn.Close()
 	group.Wait()
 }
 
-func (r *Reporter) sendLoop(ctx context.Context) {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for sequence := uint64(1); ; {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		case <-r.wake:
+// sendDue sends the messages that are due, and returns the time until the next ones may be.
+func (r *Reporter) sendDue(sequence uint64, now time.Time) time.Duration {
+	crashNews, hasCrashes := r.state.HasCrashNews(now)
+	limitNews, hasLimits := r.state.HasLimitNews(now)
+	r.mu.Lock()
+	due := r.schedule.TakeDue(r.peers, now)
+	summaryDue := r.schedule.TakeSummaryDue(r.peers, now)
+	crashesDue := r.schedule.TakeCrashesDue(r.peers, crashNews, hasCrashes, now)
+	limitsDue := r.schedule.TakeLimitsDue(r.peers, limitNews, hasLimits, now)
+	next := r.schedule.Next()
+	r.mu.Unlock()
+	r.guard.Guard("peer messages", func() {
+		r.state.Expire(now)
+		r.send(sequence, due, extras{})
+		if len(summaryDue) > 0 {
+			r.send(sequence+1, summaryDue, extras{summary: r.state.Summary()})
 		}
-		now := time.Now()
-		crashNews, hasCrashes := r.state.HasCrashNews(now)
-		limitNews, hasLimits := r.state.HasLimitNews(now)
-		r.mu.Lock()
-		due := r.schedule.TakeDue(r.peers, now)
-		summaryDue := r.schedule.TakeSummaryDue(r.peers, now)
-		crashesDue := r.schedule.TakeCrashesDue(r.peers, crashNews, hasCrashes, now)
-		limitsDue := r.schedule.TakeLimitsDue(r.peers, limitNews, hasLimits, now)
-		next := r.schedule.Next()
-		r.mu.Unlock()
-		r.guard.Guard("peer messages", func() {
-			r.state.Expire(now)
-			r.send(sequence, due, extras{})
-			if len(summaryDue) > 0 {
-				r.send(sequence+1, summaryDue, extras{summary: r.state.Summary()})
-			}
-			r.sendCrashes(sequence+2, crashesDue, now)
-			if len(limitsDue) > 0 {
-				r.send(sequence+3, limitsDue, extras{limits: r.state.LimitReport(now)})
-			}
-		})
-		sequence += messagesPerRound
-		timer.Reset(max(next.Sub(now), localPeriod))
-	}
+		r.sendCrashes(sequence+2, crashesDue, now)
+		if len(limitsDue) > 0 {
+			r.send(sequence+3, limitsDue, extras{limits: r.state.LimitReport(now)})
+		}
+	})
+	return max(next.Sub(now), localPeriod)
 }
 
-// messagesPerRound is the number of different messages that sendLoop may send at a time.
+// messagesPerRound is the number of different messages that sendDue may send at a time.
 const messagesPerRound = 4
 
 // sendCrashes sends a report on crashes to some peers if there is anything to report.
