versionkeeper: records are kept as long as streams may last, and all state is bounded

Found by reading once more. - Versions and records were kept for two minutes. A stream may be longer, and its take-up then found one version, not its own: it could be joined. They are kept for twice the longest timeout of the routes now. It also ran before the writes of versions, and could delay them by seconds; it is a task of its own. - IDs are callers' text of any length, but were names of rows. Names are hashes. - Listings of versions were never forgotten, and their number was not bounded. - A stream returned at once, up to six times, to the only upstream of its version; it waits 100 ms. - The gateway had an error of its own for what versionkeeper.ErrUnknown says.

--- a/internal/faces/gateway/run.go
+++ b/internal/faces/gateway/run.go
@@ -12,6 +12,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/online/placer"
 	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
 	"github.com/fescuespindle/fescuespindle/internal/online/router"
+	"github.com/fescuespindle/fescuespindle/internal/online/versionkeeper"
 )
 
 const (
@@ -239,7 +240,7 @@
 		f.gateway.reject(f.x, http.StatusGatewayTimeout, reasonDeadline)
 	case f.runs > 0:
 		f.gateway.reject(f.x, http.StatusBadGateway, reasonFailed)
-	case errors.Is(f.lastErr, errVersionUnknown):
+	case errors.Is(f.lastErr, versionkeeper.ErrUnknown):
 		f.gateway.reject(f.x, http.StatusServiceUnavailable, reasonVersionUnknown)
 	case errors.Is(f.lastErr, placer.ErrRateLimited):
 		f.gateway.reject(f.x, http.StatusServiceUnavailable, reasonRateLimited)
--- a/internal/faces/gateway/slot.go
+++ b/internal/faces/gateway/slot.go
@@ -38,7 +38,7 @@
 		if f.crashesUpstreams() {
 			return nil, errCrashesUpstreams
 		}
-		slot, err := f.acquireVersioned(work, time.Now())
+		slot, err := f.acquireVersioned(ctx, work)
 		if !errors.Is(err, placer.ErrRetryLater) || !sleeper.Sleep(ctx, SlotPollInterval/2+rand.N(SlotPollInterval)) {
 			return slot, err //nolint:wrapcheck // only compared with nil
 		}
--- a/internal/faces/gateway/version.go
+++ b/internal/faces/gateway/version.go
@@ -8,6 +8,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/online/placer"
 	"github.com/fescuespindle/fescuespindle/internal/online/router"
 	"github.com/fescuespindle/fescuespindle/internal/online/versionkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/sleeper"
 )
 
 // StreamVersions knows which software version of a service began a stream.
@@ -22,10 +23,6 @@
 	VersionOf(ctx context.Context, service, id string) (string, error)
 }
 
-// errVersionUnknown means that a stream can't be resumed because it isn't known at which
-// software version it began.
-var errVersionUnknown = errors.New("software version of the stream unknown")
-
 // canResume returns whether the answer is a stream that can be resumed.
 func (f *forwarding) canResume() bool {
 	route := f.x.request.route
@@ -33,7 +30,7 @@
 }
 
 // findVersion finds out at which version a stream that the caller resumes has begun. It
-// returns errVersionUnknown if that can't be told.
+// returns versionkeeper.ErrUnknown if that can't be told.
 func (f *forwarding) findVersion(ctx context.Context) error {
 	request := &f.x.request
 	if !f.canResume() || request.LastEvent == "" {
@@ -42,7 +39,7 @@
 	version, err := f.gateway.versions.VersionOf(ctx, request.service, request.Resumes)
 	if err != nil {
 		f.gateway.logger.Info("stream can't be resumed", "id", request.Call.ID, "resumes", request.Resumes, "error", err)
-		return errVersionUnknown
+		return err //nolint:wrapcheck // compared by the caller
 	}
 	f.setVersion(version)
 	return nil
@@ -69,10 +66,11 @@
 
 // acquireVersioned acquires a slot at an upstream at whose version the request may begin or go
 // on.
-func (f *forwarding) acquireVersioned(work placer.OnlineWork, now time.Time) (*placer.Slot, error) {
+func (f *forwarding) acquireVersioned(ctx context.Context, work placer.OnlineWork) (*placer.Slot, error) {
 	if len(f.allowedVersions) > 0 {
-		return f.acquireToContinue(work, now)
+		return f.acquireToContinue(ctx, work)
 	}
+	now := time.Now()
 	if f.canResume() {
 		work.Versions = f.gateway.versions.Versions(f.x.request.service)
 	}
@@ -84,14 +82,18 @@
 	return slot, err //nolint:wrapcheck // compared by the caller
 }
 
+// returnPause is the pause before a stream returns to an upstream that has failed it, which may
+// be restarting or full.
+const returnPause = 100 * time.Millisecond
+
 // acquireToContinue acquires a slot for a stream that has begun. It returns to an upstream
 // that has failed it if no other one has its version.
-func (f *forwarding) acquireToContinue(work placer.OnlineWork, now time.Time) (*placer.Slot, error) {
+func (f *forwarding) acquireToContinue(ctx context.Context, work placer.OnlineWork) (*placer.Slot, error) {
 	work.Versions = f.allowedVersions
-	slot, err := f.gateway.placer.AcquireOnline(work, now)
-	if errors.Is(err, placer.ErrNoUpstream) && len(work.Avoid) > 0 {
-		work.Avoid = nil
-		slot, err = f.gateway.placer.AcquireOnline(work, now)
+	slot, err := f.gateway.placer.AcquireOnline(work, time.Now())
+	if !errors.Is(err, placer.ErrNoUpstream) || len(work.Avoid) == 0 || !sleeper.Sleep(ctx, returnPause) {
+		return slot, err //nolint:wrapcheck // compared by the caller
 	}
-	return slot, err //nolint:wrapcheck // compared by the caller
+	work.Avoid = nil
+	return f.gateway.placer.AcquireOnline(work, time.Now()) //nolint:wrapcheck // compared by the caller
 }
--- a/internal/online/router/router.go
+++ b/internal/online/router/router.go
@@ -146,6 +146,22 @@
 // Services returns the services of the configuration.
 func (t *Table) Services() []Service { return t.configuration.Services }
 
+// LongestStream returns the longest timeout of the routes whose streams can be resumed. A route
+// without a timeout counts with the given time.
+func (t *Table) LongestStream(unlimited time.Duration) time.Duration {
+	longest := time.Duration(0)
+	for _, route := range t.configuration.Routes {
+		switch {
+		case route.Kind != KindStream || !route.CanResume:
+		case route.Timeout == 0:
+			longest = max(longest, unlimited)
+		default:
+			longest = max(longest, route.Timeout)
+		}
+	}
+	return longest
+}
+
 // Match returns the route of the host with the longest prefix of the path. The host may
 // include a port, and is lowercased before it is compared.
 func (t *Table) Match(host, path string) (*Route, bool) {
--- a/internal/online/router/router_test.go
+++ b/internal/online/router/router_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -53,3 +54,21 @@
 	expect(router.KindStream, false, false)
 	expect(router.KindStream, true, true)
 }
+
+func TestLongestStream(t *testing.T) {
+	expect := func(want time.Duration, timeouts ...time.Duration) {
+		t.Helper()
+		routes := []router.Route{
+			{Name: "plain", Kind: router.KindSafe, Timeout: time.Hour},
+			{Name: "once", Kind: router.KindStream, Timeout: time.Hour},
+		}
+		for _, timeout := range timeouts {
+			routes = append(routes, router.Route{Kind: router.KindStream, CanResume: true, Timeout: timeout})
+		}
+		table := router.NewTable(router.Configuration{Version: 1, Routes: routes})
+		qt.Check(t, table.LongestStream(24*time.Hour), qt.Equals, want)
+	}
+	expect(0)
+	expect(time.Minute, time.Second, time.Minute)
+	expect(24*time.Hour, time.Second, 0)
+}
--- a/internal/online/versionkeeper/keeper.go
+++ b/internal/online/versionkeeper/keeper.go
@@ -17,6 +17,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -24,9 +26,9 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/repeater"
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 )
 
@@ -49,6 +51,11 @@
 	// recordTimeout bounds the write of a record, and lookupTimeout finding one out.
 	recordTimeout = 1500 * time.Millisecond
 	lookupTimeout = 600 * time.Millisecond
+	// minKeepTime, and keepTimeFactor times the longest stream, is how long a version is kept
+	// that no upstream has any more, and a record. A caller may resume a stream late, and more
+	// than once.
+	minKeepTime    = 2 * time.Minute
+	keepTimeFactor = 2
 )
 
 // ErrUnknown means that it can't be told which version began a stream.
@@ -79,7 +86,7 @@
 	store  rowstore.Store
 	tasks  Tasks
 	logger *slog.Logger
-	wake   chan struct{}
+	writes *repeater.Repeater // of versions
 
 	mu         sync.Mutex
 	vms        []string // all live VMs, including this one
@@ -87,19 +94,21 @@
 	stored     map[string]versionSet
 	listings   map[string]map[string]listing // by service and version
 	unrecorded map[string]Stream             // streams under way without a record
+	keepTime   time.Duration                 // how long a stream may be resumed after it has begun
 
 	// Only Run uses these.
 	changedAt time.Time // since when stored and listed versions differ; zero if they don't
 	retryAt   time.Time // when a failed write of them may be tried again
-	sweep     sweep
+
+	sweeps sweeps // only Sweep uses it
 }
 
 // New returns the Keeper of a VM.
 func New(self string, store rowstore.Store, tasks Tasks, logger *slog.Logger) *Keeper {
 	return &Keeper{
-		self: self, store: store, tasks: tasks, logger: logger, wake: make(chan struct{}, 1), vms: []string{self},
+		self: self, store: store, tasks: tasks, logger: logger, writes: repeater.New(), vms: []string{self},
 		stored: map[string]versionSet{}, listings: map[string]map[string]listing{}, unrecorded: map[string]Stream{},
-		sweep: newSweep(),
+		keepTime: minKeepTime, sweeps: newSweeps(),
 	}
 }
 
@@ -110,6 +119,13 @@
 	k.vms = vms
 }
 
+// SetLongestStream sets the longest time that the configuration allows a stream.
+func (k *Keeper) SetLongestStream(longest time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.keepTime = max(keepTimeFactor*longest, minKeepTime)
+}
+
 // Versions returns the versions at which streams of a service may begin. It returns nil if
 // none are known, so that there is nothing to go by.
 func (k *Keeper) Versions(service string) []string {
@@ -186,10 +202,16 @@
 	}
 }
 
+// keyOf returns the key of the record of a stream. Its name is a hash, as callers choose IDs,
+// which may be longer than a name of a row.
 func keyOf(id string) rowstore.Key {
-	return rowstore.Key{Table: TableStreams, Part: partName(int(xxhash.Sum64String(id) % StreamParts)), Name: id}
+	hash := sha256.Sum256([]byte(id))
+	return rowstore.Key{Table: TableStreams, Part: partName(int(hash[0]) % StreamParts), Name: hex.EncodeToString(hash[:keyBytes])}
 }
 
+// keyBytes is how much of a hash identifies a stream.
+const keyBytes = 16
+
 func partName(n int) string { return fmt.Sprint("streams", n) }
 
 // VersionOf returns the version of the service that began a stream, given the ID of the
--- a/internal/online/versionkeeper/keeper_test.go
+++ b/internal/online/versionkeeper/keeper_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -43,7 +45,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	k := versionkeeper.New(fmt.Sprint("vm", len(f.vms)), f.store, f.tasks, slog.New(slog.DiscardHandler))
 	f.vms, f.stop = append(f.vms, k), append(f.stop, cancel)
-	f.tasks.Go("keeper", func() { k.Run(ctx) })
+	f.tasks.Go("versions", func() { k.Run(ctx) })
+	f.tasks.Go("records", func() { k.Sweep(ctx) })
 	f.read(k)
 	list(k, versions...)
 	f.settle()
@@ -77,6 +80,14 @@
 	synctest.Wait()
 }
 
+// wait lets time pass, with all VMs reading what is stored.
+func (f *fleet) wait(length time.Duration) {
+	for end := time.Now().Add(length); time.Now().Before(end); {
+		time.Sleep(9 * time.Second)
+		f.settle()
+	}
+}
+
 // begin begins a stream, and returns the function that ends it.
 func (f *fleet) begin(k *versionkeeper.Keeper, id, version string) func() {
 	return k.Begin(f.t.Context(), versionkeeper.Stream{ID: id, Service: "s", Version: version})
@@ -185,6 +196,69 @@
 	})
 }
 
+// Guards against: the record of a stream, or its version, is forgotten while the stream may
+// still be taken up, so that another version is taken for its own.
+func TestLongStreamsAreKeptLonger(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		k := f.start("v1", "v1.1")
+		k.SetLongestStream(10 * time.Minute)
+		f.begin(k, "r1", "v1")
+		list(k, "v1.1")
+		f.wait(19 * time.Minute)
+		f.expectVersion(k, "r1", "v1")
+		f.wait(3 * time.Minute)
+		qt.Check(f.t, k.Versions("s"), qt.DeepEquals, []string{"v1.1"})
+		qt.Check(f.t, f.records(), qt.Equals, 0)
+	})
+}
+
+// Guards against: a sweep that fails now and then never removes anything.
+func TestRecordsAreRemovedAlthoughSomeReadsFail(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		k := f.start("v1", "v1.1")
+		f.begin(k, "r1", "v1")
+		for range 8 {
+			f.wait(35 * time.Second)
+			f.store.SetDown(true)
+			time.Sleep(35 * time.Second)
+			f.store.SetDown(false)
+		}
+		qt.Check(f.t, f.records(), qt.Equals, 0)
+	})
+}
+
+func TestVersionsOfAServiceAreBounded(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		k := f.start("v1")
+		all := []string{"v1"}
+		for n := range 1000 {
+			all = append(all, fmt.Sprint("a", n))
+		}
+		list(k, all...)
+		f.wait(time.Minute)
+		qt.Check(f.t, k.Versions("s"), qt.HasLen, 50)
+		qt.Check(f.t, slices.Contains(k.Versions("s"), "v1"), qt.IsTrue)
+		list(k, "v1")
+		f.wait(5 * time.Minute)
+		qt.Check(f.t, k.Versions("s"), qt.DeepEquals, []string{"v1"})
+	})
+}
+
+// Guards against: a caller chooses an ID that is no name of a row, so that its streams can't be
+// resumed.
+func TestIDsOfAnyLengthAreRecorded(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		k := f.start("v1", "v1.1")
+		for _, id := range []string{strings.Repeat("x", 5000), "a\xff/\x00", "r"} {
+			f.begin(k, id, "v1.1")
+			f.expectVersion(k, id, "v1.1")
+		}
+		for _, row := range f.store.Rows(versionkeeper.TableStreams) {
+			qt.Check(f.t, row.Name, qt.HasLen, 32)
+		}
+	})
+}
+
 // A stream of a VM that hasn't read the versions yet is recorded too.
 func TestStreamOfAVMThatKnowsNoVersionsIsRecorded(t *testing.T) {
 	withFleet(t, func(f *fleet) {
--- a/internal/online/versionkeeper/versions.go
+++ b/internal/online/versionkeeper/versions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -15,9 +16,9 @@
 )
 
 const (
-	// absentTime is how long no upstream of a version must have been listed for the version
-	// to be removed. It is longer than any stream, with all requests that resume it.
-	absentTime = 2 * time.Minute
+	// maxVersions bounds the versions of a service. No stream that can be resumed begins at
+	// another one while an upstream of these accepts work.
+	maxVersions = 50
 	// addDelay is the time between two VMs that may add the same version. The first one does
 	// so at once; the others only if it has not.
 	addDelay = 150 * time.Millisecond
@@ -43,7 +44,10 @@
 	lastAt time.Time // while none is listed
 }
 
-func (l listing) isAbsent(now time.Time) bool { return !l.listed && now.Sub(l.lastAt) > absentTime }
+// isAbsent returns whether no upstream was listed for longer than a time.
+func (l listing) isAbsent(keepTime time.Duration, now time.Time) bool {
+	return !l.listed && now.Sub(l.lastAt) > keepTime
+}
 
 func versionsKey(service string) rowstore.Key {
 	return rowstore.Key{Table: TableVersions, Part: PartVersions, Name: service}
@@ -94,7 +98,7 @@
 	if len(streams) > 0 {
 		k.tasks.Go("records of streams under way", func() { k.record(context.Background(), streams) })
 	}
-	k.wakeUp()
+	k.writes.Wake()
 }
 
 // takeToRecord removes and returns the streams that must be recorded from now on. The caller
@@ -127,33 +131,13 @@
 		k.listings[u.Service][u.Version] = listing{listed: true}
 	}
 	k.mu.Unlock()
-	k.wakeUp()
-}
-
-func (k *Keeper) wakeUp() {
-	select {
-	case k.wake <- struct{}{}:
-	default:
-	}
+	k.writes.Wake()
 }
 
 // Run adds the versions of listed upstreams to the store, and removes those that are no longer
-// listed and the records of streams that have ended, until the context ends.
+// listed, until the context ends.
 func (k *Keeper) Run(ctx context.Context) {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-k.wake:
-		case <-timer.C:
-		}
-		now := time.Now()
-		next := k.update(ctx, now)
-		k.sweepIfDue(ctx, now)
-		timer.Reset(next)
-	}
+	k.writes.Run(ctx, func(ctx context.Context) time.Duration { return k.update(ctx, time.Now()) })
 }
 
 // update writes the versions that have changed if it is this VM's turn, and returns the time
@@ -200,18 +184,7 @@
 	var all []change
 	for service, listings := range k.listings {
 		set := k.stored[service]
-		for _, v := range set.versions {
-			if _, known := listings[v]; !known {
-				listings[v] = listing{lastAt: now} // it may have been listed until this VM started
-			}
-		}
-		var wanted []string
-		for v, l := range listings {
-			if !l.isAbsent(now) {
-				wanted = append(wanted, v)
-			}
-		}
-		slices.Sort(wanted)
+		wanted := wantedVersions(set.versions, listings, k.keepTime, now)
 		if len(wanted) > 0 && !slices.Equal(wanted, set.versions) {
 			all = append(all, change{service: service, versions: wanted, row: set.row})
 		}
@@ -219,6 +192,30 @@
 	return all
 }
 
+// wantedVersions returns the versions that a service should have in the store, sorted. It
+// forgets listings that no longer matter.
+func wantedVersions(
+	stored []string, listings map[string]listing, keepTime time.Duration, now time.Time,
+) []string {
+	for _, v := range stored {
+		if _, known := listings[v]; !known {
+			listings[v] = listing{lastAt: now} // it may have been listed until this VM started
+		}
+	}
+	wanted := slices.DeleteFunc(slices.Clone(stored), func(v string) bool { return listings[v].isAbsent(keepTime, now) })
+	for _, v := range slices.Sorted(maps.Keys(listings)) {
+		switch {
+		case slices.Contains(stored, v):
+		case listings[v].isAbsent(keepTime, now):
+			delete(listings, v)
+		case len(wanted) < maxVersions:
+			wanted = append(wanted, v)
+		}
+	}
+	slices.Sort(wanted)
+	return wanted
+}
+
 // turnDelay returns how long this VM leaves a change of the versions to others.
 func (k *Keeper) turnDelay() time.Duration {
 	k.mu.Lock()
--- a/internal/wiring/entryvm/sink.go
+++ b/internal/wiring/entryvm/sink.go
@@ -38,6 +38,9 @@
 	}
 }
 
+// unlimitedStreamTime is how long a stream of a route without a timeout is assumed to last at most.
+const unlimitedStreamTime = time.Hour
+
 // configurationSink puts configurations from the store in force if they are newer than the
 // current one.
 type configurationSink struct {
@@ -67,10 +70,12 @@
 			"error", err, "row", row.Version)
 		return
 	}
-	if table := s.vm.gateway.Table(); table != nil && table.Version() >= configuration.Version {
+	if current := s.vm.gateway.Table(); current != nil && current.Version() >= configuration.Version {
 		return
 	}
-	s.vm.gateway.SetTable(router.NewTable(configuration))
+	table := router.NewTable(configuration)
+	s.vm.gateway.SetTable(table)
+	s.vm.versions.SetLongestStream(table.LongestStream(unlimitedStreamTime))
 	s.vm.readiness.configured.Store(true)
 	s.vm.openIfReady()
 	s.vm.limitIdleConnections()
--- a/internal/wiring/entryvm/vm.go
+++ b/internal/wiring/entryvm/vm.go
@@ -186,6 +186,7 @@
 	vm.tasks.GoWithRestart(ctx, "membership", vm.memberKeeper.Run)
 	vm.tasks.GoWithRestart(ctx, "lost VMs", vm.memberKeeper.Sweep)
 	vm.tasks.GoWithRestart(ctx, "versions of streams", vm.versions.Run)
+	vm.tasks.GoWithRestart(ctx, "records of streams", vm.versions.Sweep)
 	vm.tasks.GoWithRestart(ctx, "questions to neighbours", vm.bootstrapper.Run)
 	for _, w := range watchers {
 		vm.tasks.GoWithRestart(ctx, "watcher of "+w.Table(), w.Run)
