Tests: the platform's header names stand in platform/, exact answers come from one stand-in

Two tests had a server of their own that writes exact bytes; both use internal/standins/rawresponder. No check has changed.

--- a/internal/faces/gateway/version_test.go
+++ b/internal/faces/gateway/version_test.go
@@ -30,8 +30,7 @@
 	v.t.Helper()
 	request, err := standin.NewRequest(http.MethodPost, "http://vm:1/resume/x", "h", "second", time.Second)
 	qt.Assert(v.t, err, qt.IsNil)
-	request.Header.Set("Last-Event-Id", "2")
-	request.Header.Set("Resumes", "first")
+	standin.SetResumed(request, "first", 2)
 	return v.send(request)
 }
 
--- a/internal/online/forwarder/forwarder_test.go
+++ b/internal/online/forwarder/forwarder_test.go
@@ -1,14 +1,12 @@
 package forwarder_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/url"
-	"sync"
 	"testing"
 	"time"
 
@@ -16,43 +14,19 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/online/forwarder"
 	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/standins/rawresponder"
 )
 
 const idHeader = "Call-Id"
 
-// startUpstream starts an upstream that answers the n-th request on each connection
-// with the bytes that answer returns; "" closes the connection.
-func startUpstream(t *testing.T, answer func(n int, r *http.Request) string) string {
+// startUpstream starts an upstream that answers with the given bytes until the end of the
+// test, and returns its address.
+func startUpstream(t *testing.T, answer rawresponder.Answer) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	server, err := rawresponder.New(answer)
 	qt.Assert(t, err, qt.IsNil)
-	var group sync.WaitGroup
-	group.Go(func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			group.Go(func() {
-				defer func() { _ = conn.Close() }()
-				reader := bufio.NewReader(conn)
-				for n := 1; ; n++ {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, request.Body)
-					text := answer(n, request)
-					if text == "" {
-						return
-					}
-					_, _ = io.WriteString(conn, text)
-				}
-			})
-		}
-	})
-	t.Cleanup(func() { _ = listener.Close() })
-	return listener.Addr().String()
+	t.Cleanup(server.Close)
+	return server.Address()
 }
 
 func newForwarder(t *testing.T) *forwarder.Forwarder {
--- a/internal/online/relayer/repeated_test.go
+++ b/internal/online/relayer/repeated_test.go
@@ -1,56 +1,17 @@
 package relayer_test
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
-	"sync"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
 	"github.com/fescuespindle/fescuespindle/internal/online/upstream"
+	"github.com/fescuespindle/fescuespindle/internal/standins/rawresponder"
 )
 
-// startRawUpstream starts an upstream that answers the requests of each connection, in order,
-// with the given bytes, and then closes it.
-func startRawUpstream(t *testing.T, answers ...string) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	var group sync.WaitGroup
-	group.Go(func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			serveRaw(conn, answers)
-		}
-	})
-	t.Cleanup(func() {
-		_ = listener.Close()
-		group.Wait()
-	})
-	return listener.Addr().String()
-}
-
-func serveRaw(conn net.Conn, answers []string) {
-	defer func() { _ = conn.Close() }()
-	reader := bufio.NewReader(conn)
-	for _, answer := range answers {
-		request, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, request.Body)
-		_, _ = io.WriteString(conn, answer)
-	}
-}
-
 // rejection returns a rejection of a request that has not run. An empty ID is left out.
 func rejection(id string) string {
 	header := ""
@@ -66,12 +27,19 @@
 func TestRepeatedRejectionIsNotTakenForThatOfAnotherRequest(t *testing.T) {
 	expect := func(t *testing.T, second string, want relayer.Ran) {
 		t.Helper()
-		address := startRawUpstream(t, rejection("attempt-1"), second)
+		server, err := rawresponder.New(func(n int, _ *http.Request) string {
+			if n == 1 {
+				return rejection("attempt-1")
+			}
+			return second
+		})
+		qt.Assert(t, err, qt.IsNil)
+		defer server.Close()
 		r := relayer.New(nil)
 		defer r.Close()
 		for n, want := range []relayer.Ran{relayer.RanNot, want} {
 			_, err := r.Open(t.Context(), relayer.Attempt{
-				ID: fmt.Sprint("attempt-", n+1), Address: address, Method: http.MethodPost, Path: upstream.PathChat,
+				ID: fmt.Sprint("attempt-", n+1), Address: server.Address(), Method: http.MethodPost, Path: upstream.PathChat,
 				Body: []byte("{}"),
 			})
 			qt.Check(t, relayer.AsAttemptError(err).Ran(), qt.Equals, want)
