gateway: the log says over which connection an answer came

Cause: nothing yet. Ruled out: metrics alone, as the three kinds of VM have to be compared in the same seconds.

--- a/internal/faces/gateway/run.go
+++ b/internal/faces/gateway/run.go
@@ -63,6 +63,7 @@
 	headSentAt    time.Time
 	waitedForSlot bool              // for a free slot, at least once
 	isProbe       bool              // the next run is one to find out whether the request crashes upstreams
+	connection    string            // of the last answer, for the log
 	attemptLog    []string          // upstream and outcome of each attempt, for the log
 	stallTimer    *pacer.StallTimer // of the current attempt; nil if it is plain and can't fail over
 }
@@ -117,7 +118,7 @@
 		id, version := slot.Upstream().ID, slot.Upstream().Version
 		status, err := f.attempt(ctx, slot)
 		if err == nil {
-			f.attemptLog = append(f.attemptLog, id+" "+version+" delivered")
+			f.attemptLog = append(f.attemptLog, id+" "+version+" delivered over "+f.connection)
 			return f.recordDelivery(status)
 		}
 		f.recordCrash(ctx, slot.Upstream(), err)
@@ -155,6 +156,7 @@
 		return 0, f.recordStall(ctx, slot, err)
 	}
 	f.runs++
+	f.connection = connectionName(delivery)
 	err = f.recordStall(ctx, slot, f.deliver(delivery))
 	if now := time.Now(); err == nil && !paced.Deadline.IsZero() {
 		f.gateway.pacer.RecordAnswer(paced.Service, paced.Upstream, now.Sub(start), now)
@@ -162,6 +164,14 @@
 	return delivery.Status(), err
 }
 
+// connectionName returns how the connection of an answer appears in the log.
+func connectionName(d *courier.Delivery) string {
+	if d.Reused() {
+		return "reused connection"
+	}
+	return "new connection"
+}
+
 // pacerAttempt describes an attempt to the pacer, which derives the stall timeout from it.
 func (f *forwarding) pacerAttempt(upstream string) pacer.Attempt {
 	route := f.x.request.route
--- a/internal/online/forwarder/forwarder.go
+++ b/internal/online/forwarder/forwarder.go
@@ -146,7 +146,7 @@
 	if err != nil {
 		return connectionLost(err)
 	}
-	c.used = true
+	answer.reused, c.used = c.used, true
 	answer.response = response
 	return nil
 }
@@ -232,13 +232,17 @@
 	stopCancelHook func() bool
 	response       *http.Response
 	bodyWritten    chan error // receives the result of writing a large body; nil for other bodies
-	received       bool       // at least one byte of the body
+	reused         bool
+	received       bool // at least one byte of the body
 	complete       bool
 }
 
 // Status returns the HTTP status code.
 func (a *Answer) Status() int { return a.response.StatusCode }
 
+// Reused returns whether the connection had carried a request before this one.
+func (a *Answer) Reused() bool { return a.reused }
+
 // Header returns the HTTP header.
 func (a *Answer) Header() http.Header { return a.response.Header }
 
