--- a/internal/standins/interrupter/proxy.go
+++ b/internal/standins/interrupter/proxy.go
@@ -38,7 +38,8 @@
 	group   sync.WaitGroup
 
 	mu           sync.Mutex
-	listener     net.Listener // nil between Stop and Restart
+	listener     net.Listener // nil between Stop, Refuse or Partition and Restart
+	full         *fullListener
 	toTarget     Fault
 	toClient     Fault
 	disconnected bool
@@ -83,20 +84,54 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.reset()
+	p.closeListener()
+}
+
+// Refuse makes the address refuse new connections until Restart is called. Open ones go on.
+func (p *Proxy) Refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeListener()
+}
+
+// Partition makes the address leave new connections unanswered until Restart is called, as one
+// behind a partition does, and stops the data of open ones. It returns an error if the address
+// is taken.
+func (p *Proxy) Partition() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.toTarget, p.toClient = Stopped(), Stopped()
+	p.closeListener()
+	full, err := listenWithFullBacklog(p.address)
+	if err != nil {
+		return err
+	}
+	p.full = full
+	return nil
+}
+
+// closeListener closes the listener, if there is one. The caller holds mu.
+func (p *Proxy) closeListener() {
 	if p.listener != nil {
 		_ = p.listener.Close()
 		p.listener = nil
 	}
+	if p.full != nil {
+		p.full.close()
+		p.full = nil
+	}
 }
 
-// Restart listens on the address again after Stop. It returns an error if the address is
-// taken.
+// Restart listens on the address again after Stop, Refuse or Partition, and removes the faults of
+// both directions. It returns an error if the address is taken.
 func (p *Proxy) Restart() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.listener != nil || p.ctx.Err() != nil {
 		return nil
 	}
+	p.closeListener()
+	p.toTarget, p.toClient = Fault{}, Fault{}
 	listener, err := net.Listen("tcp", p.address)
 	if err != nil {
 		return fmt.Errorf("proxy: %w", err)
