pathfinder: a VM that has lost its link to an upstream reaches it through a peer VM

What callers saw: at VMs cut off from all upstreams every request failed: streams waited 2 s and were given up, other requests were refused after 0.4 to 1.2 s, while other VMs served 511 of 511. Cause: a VM had one way to an upstream, its own link, and took each failed dial for the upstream's fault. It told the others so (842 reports in the first cut, 970 accepted by the VMs in touch). Ruled out: false reports as the cause (the others delivered all the same); timeouts that are too long (later attempts use the same link). Change: linkkeeper holds what is known of each link: it is lost if this VM fails to connect while a peer VM connects. tunneler carries bytes for another VM, over own links only, so there is one hop and no circle. pathfinder dials over the own link, after a head start through peers too, at once through peers while the link is lost, and fails at once where nobody reaches the upstream; links are checked beside requests. The forwarder has the link checked when a request over a reused connection gets no answer for 250 ms. A VM that is cut off reports no failures, also not at once. Why it works: nothing about a request moves to the peer: slots, retries, limits, versions, deadlines and the single run stay with the VM that has the caller; the connection ends with the request.

--- a/internal/faces/gateway/localreply.go
+++ b/internal/faces/gateway/localreply.go
@@ -18,6 +18,7 @@
 	reasonBodyTruncated    reason = "bodyCut"
 	reasonNoMemory         reason = "noMemory"
 	reasonNoUpstream       reason = "noUpstream"
+	reasonUnreachable      reason = "unreachable"
 	reasonRateLimited      reason = "rateLimited"
 	reasonVersionUnknown   reason = "streamVersionUnknown"
 	reasonRejected         reason = "refusedByUpstreams"
--- a/internal/faces/gateway/run.go
+++ b/internal/faces/gateway/run.go
@@ -166,10 +166,14 @@
 
 // connectionName returns how the connection of an answer appears in the log.
 func connectionName(d *courier.Delivery) string {
+	name := "new connection"
 	if d.Reused() {
-		return "reused connection"
+		name = "reused connection"
 	}
-	return "new connection"
+	if d.ThroughPeer() {
+		name += " through a peer VM"
+	}
+	return name
 }
 
 // pacerAttempt describes an attempt to the pacer, which derives the stall timeout from it.
@@ -254,6 +258,8 @@
 		f.gateway.reject(f.x, http.StatusServiceUnavailable, reasonVersionUnknown)
 	case errors.Is(f.lastErr, placer.ErrRateLimited):
 		f.gateway.reject(f.x, http.StatusServiceUnavailable, reasonRateLimited)
+	case errors.Is(f.lastErr, relayer.ErrUnreachable):
+		f.gateway.reject(f.x, http.StatusServiceUnavailable, reasonUnreachable)
 	case f.sends > 0:
 		f.gateway.reject(f.x, http.StatusServiceUnavailable, reasonRejected)
 	default:
--- a/internal/online/forwarder/connection.go
+++ b/internal/online/forwarder/connection.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -23,36 +22,8 @@
 	defaultIdleTimeout = 4 * time.Second
 	idleMargin         = 400 * time.Millisecond
 	maxIdleTimeout     = 30 * time.Second
-
-	// userTimeout is how long sent bytes may stay unacknowledged before the kernel
-	// closes the connection.
-	userTimeout = 2 * time.Second
-	// optionTCPUserTimeout is Linux's TCP_USER_TIMEOUT. Package syscall lacks it on
-	// amd64.
-	optionTCPUserTimeout = 18
 )
 
-// keepAlive makes the kernel probe idle connections, to detect peers that vanished
-// without a reset.
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
-
-// setUserTimeout sets TCP_USER_TIMEOUT on a new socket. It is a net.Dialer.Control
-// function.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var optionErr error
-	err := raw.Control(func(fd uintptr) {
-		optionErr = syscall.SetsockoptInt(
-			int(fd), syscall.IPPROTO_TCP, optionTCPUserTimeout, int(userTimeout.Milliseconds()))
-	})
-	if err == nil {
-		err = optionErr
-	}
-	if err != nil {
-		return fmt.Errorf("set user timeout: %w", err)
-	}
-	return nil
-}
-
 // connect returns a healthy idle connection, or dials a new one. Idle connections that
 // have expired or have unexpected input are closed.
 //
@@ -74,7 +45,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial: %w", err)
 	}
-	limiter := &headLimiter{source: conn}
+	limiter := &headLimiter{source: conn, lastInput: f.lastInput(address)}
 	return &connection{net: conn, address: address, limiter: limiter, reader: bufio.NewReader(limiter)}, nil
 }
 
@@ -113,10 +84,23 @@
 	f.idleLimit = n
 }
 
+// reuseLimiter is a connection that may carry further requests only until a time.
+type reuseLimiter interface {
+	ReuseUntil() time.Time
+}
+
+// bufferedConn is a connection that reads ahead.
+type bufferedConn interface {
+	Buffered() int
+}
+
 // pushIdle keeps a connection for the next request to the same upstream, or closes it
 // if the idle limit is reached.
 func (f *Forwarder) pushIdle(c *connection, header http.Header) {
 	c.expires = time.Now().Add(idleTimeout(header))
+	if limited, ok := c.net.(reuseLimiter); ok && limited.ReuseUntil().Before(c.expires) {
+		c.expires = limited.ReuseUntil()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if len(f.idle[c.address]) >= f.idleLimit {
@@ -146,6 +130,9 @@
 // upstream nor received bytes that belong to no request. It peeks at the socket
 // without blocking, and returns false for connections that have no file descriptor.
 func (c *connection) inputEmpty() bool {
+	if ahead, ok := c.net.(bufferedConn); ok && ahead.Buffered() > 0 {
+		return false
+	}
 	source, ok := c.net.(syscall.Conn)
 	if !ok {
 		return false
@@ -164,6 +151,14 @@
 	return err == nil && inputEmpty
 }
 
+// Forget closes the idle connections to an address that is no longer used.
+func (f *Forwarder) Forget(address string) {
+	f.CloseIdle(address)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.inputs, address)
+}
+
 // CloseIdle closes the idle connections to an address.
 func (f *Forwarder) CloseIdle(address string) {
 	f.mu.Lock()
--- a/internal/online/forwarder/forwarder.go
+++ b/internal/online/forwarder/forwarder.go
@@ -19,13 +19,19 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/online/tunneler"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/socketdialer"
 )
 
 const (
 	dialTimeout = 700 * time.Millisecond
+	// quietTime is how long a request may get no answer, and nothing else may come from its
+	// address, until the link to it is suspected.
+	quietTime = 250 * time.Millisecond
 	// maxInlineBodyBytes is the largest body that is written before the answer is
 	// read. A larger one is written concurrently: otherwise the upstream could block
 	// on writing its answer while the VM blocks on writing the body.
@@ -60,10 +66,12 @@
 type Forwarder struct {
 	extractID IDExtractor
 	dial      relayer.Dial
+	onQuiet   func(address string)
 	writers   sync.WaitGroup
 
-	mu   sync.Mutex
-	idle map[string][]*connection // by address, most recently used last
+	mu     sync.Mutex
+	idle   map[string][]*connection // by address, most recently used last
+	inputs map[string]*atomic.Int64 // when bytes last came from an address, as Unix nanoseconds
 	// idleLimit bounds the idle connections to one address.
 	idleLimit int
 }
@@ -76,11 +84,18 @@
 	return func(f *Forwarder) { f.dial = dial }
 }
 
+// WithOnQuiet sets a function that is called when a request over a reused connection gets no
+// answer, and nothing else comes from the address either, so that the link to it may be lost. It
+// must not block.
+func WithOnQuiet(onQuiet func(address string)) Option {
+	return func(f *Forwarder) { f.onQuiet = onQuiet }
+}
+
 // New returns a forwarder that matches answers to requests by the given identifier.
 func New(extractID IDExtractor, options ...Option) *Forwarder {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
 	f := &Forwarder{
-		extractID: extractID, dial: dialer.DialContext, idle: map[string][]*connection{}, idleLimit: defaultIdleLimit,
+		extractID: extractID, dial: socketdialer.New(dialTimeout).DialContext, onQuiet: func(string) {},
+		idle: map[string][]*connection{}, inputs: map[string]*atomic.Int64{}, idleLimit: defaultIdleLimit,
 	}
 	for _, option := range options {
 		option(f)
@@ -142,6 +157,10 @@
 			answer.bodyWritten <- err
 		})
 	}
+	if c.used {
+		quietTimer := f.startQuietTimer(c)
+		defer quietTimer.Stop()
+	}
 	response, err := f.readMatching(c, a)
 	if err != nil {
 		return connectionLost(err)
@@ -151,6 +170,29 @@
 	return nil
 }
 
+// startQuietTimer starts a timer that calls onQuiet if nothing comes from the address of a
+// connection within quietTime.
+func (f *Forwarder) startQuietTimer(c *connection) *time.Timer {
+	began := time.Now().UnixNano()
+	return time.AfterFunc(quietTime, func() {
+		if c.limiter.lastInput.Load() < began {
+			f.onQuiet(c.address)
+		}
+	})
+}
+
+// lastInput returns the record of when bytes last came from an address.
+func (f *Forwarder) lastInput(address string) *atomic.Int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	last, found := f.inputs[address]
+	if !found {
+		last = &atomic.Int64{}
+		f.inputs[address] = last
+	}
+	return last
+}
+
 // encode serializes a request. If the body is larger than maxInlineBodyBytes, head
 // ends before the body and tail is the body; otherwise head has both and tail is nil.
 func encode(a Attempt) (head, tail []byte, err error) {
@@ -243,6 +285,12 @@
 // Reused returns whether the connection had carried a request before this one.
 func (a *Answer) Reused() bool { return a.reused }
 
+// ThroughPeer returns whether a peer VM carries the connection.
+func (a *Answer) ThroughPeer() bool {
+	_, ok := a.connection.net.(*tunneler.Conn)
+	return ok
+}
+
 // Header returns the HTTP header.
 func (a *Answer) Header() http.Header { return a.response.Header }
 
--- a/internal/online/forwarder/headlimiter.go
+++ b/internal/online/forwarder/headlimiter.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"io"
+	"sync/atomic"
+	"time"
 )
 
 // maxHeadBytes bounds the bytes that are read as heads in one exchange: the answer's
@@ -14,11 +16,12 @@
 var ErrHeadTooLong = errors.New("answer head too long")
 
 // headLimiter wraps the read side of a connection and bounds the bytes that are read
-// while a head is parsed. Bodies are not limited.
+// while a head is parsed. Bodies are not limited. It records when bytes arrive.
 type headLimiter struct {
 	source      io.Reader
-	remaining   int  // bytes of heads that may still be read in this exchange
-	readingHead bool // whether a head is being read
+	lastInput   *atomic.Int64 // when bytes last came from the address, as Unix nanoseconds
+	remaining   int           // bytes of heads that may still be read in this exchange
+	readingHead bool          // whether a head is being read
 }
 
 // reset restores the full limit at the start of an exchange.
@@ -26,13 +29,18 @@
 
 // Read implements io.Reader.
 func (l *headLimiter) Read(p []byte) (int, error) {
-	if !l.readingHead {
-		return l.source.Read(p) //nolint:wrapcheck // io.EOF must not be wrapped
+	if l.readingHead {
+		if l.remaining <= 0 {
+			return 0, ErrHeadTooLong
+		}
+		p = p[:min(len(p), l.remaining)]
 	}
-	if l.remaining <= 0 {
-		return 0, ErrHeadTooLong
+	n, err := l.source.Read(p)
+	if l.readingHead {
+		l.remaining -= n
+	}
+	if n > 0 {
+		l.lastInput.Store(time.Now().UnixNano())
 	}
-	n, err := l.source.Read(p[:min(len(p), l.remaining)])
-	l.remaining -= n
 	return n, err //nolint:wrapcheck // io.EOF must not be wrapped
 }
--- /dev/null
+++ b/internal/online/pathfinder/check.go
@@ -0,0 +1,124 @@
+package pathfinder
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// checkInterval is the time between two rounds of checks of lost links.
+	checkInterval = 400 * time.Millisecond
+	// maxChecks bounds the links that are checked in one round, and maxChecksRestored those in a
+	// round after a link was restored, as others are likely to be.
+	maxChecks         = 8
+	maxChecksRestored = 64
+	// suspicionInterval is the least time between two checks of the same link on suspicion.
+	suspicionInterval = time.Second
+)
+
+// wakeChecks makes Run check links.
+func (f *Finder) wakeChecks() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run checks lost links without a request until the context ends, so that no caller pays for the
+// attempt. While no link is lost it does nothing.
+func (f *Finder) Run(ctx context.Context) {
+	for round := 0; ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.wake:
+		}
+		for f.checkRound(round) {
+			round++
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(checkInterval):
+			}
+		}
+	}
+}
+
+// checkRound starts the checks of one round, and returns whether any link is lost.
+func (f *Finder) checkRound(round int) bool {
+	due := f.links.Due(time.Now())
+	limit := maxChecks
+	if f.restored.Swap(false) {
+		limit = maxChecksRestored
+	}
+	for _, address := range share(due.Lost, round, limit) {
+		f.startCheck(address, f.checkLink)
+	}
+	for _, address := range share(due.Unreachable, round, limit) {
+		f.startCheck(address, f.checkAllWays)
+	}
+	return len(due.Lost)+len(due.Unreachable) > 0
+}
+
+// startCheck starts a check of an address unless one is running.
+func (f *Finder) startCheck(address string, check func(address string)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.checking[address] {
+		return
+	}
+	f.checking[address] = true
+	f.group.Go(func() {
+		defer func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			delete(f.checking, address)
+		}()
+		check(address)
+	})
+}
+
+// share returns the addresses of one round, up to a limit.
+func share(addresses []string, round, limit int) []string {
+	if len(addresses) <= limit {
+		return addresses
+	}
+	chosen := make([]string, 0, limit)
+	for n := range limit {
+		chosen = append(chosen, addresses[(round*limit+n)%len(addresses)])
+	}
+	return chosen
+}
+
+// checkLink checks this VM's own link.
+func (f *Finder) checkLink(address string) {
+	if o := f.dialDirect(address); o.conn != nil {
+		_ = o.conn.Close()
+	}
+}
+
+// checkAllWays checks this VM's own link and whether a peer VM reaches the upstream.
+func (f *Finder) checkAllWays(address string) {
+	ctx, cancel := context.WithTimeout(f.ctx, dialTimeout)
+	defer cancel()
+	if conn, err := f.dialEither(ctx, address, patience{headStart: cutOffHeadStart, awaitLink: true}); err == nil {
+		_ = conn.Close()
+	}
+}
+
+// Suspect checks the link to an address over which a request gets no answer, unless it was
+// checked a moment ago. It doesn't block.
+func (f *Finder) Suspect(address string) {
+	now := time.Now()
+	f.mu.Lock()
+	_, listed := f.ids[address]
+	due := listed && now.Sub(f.checkedAt[address]) >= suspicionInterval
+	if due {
+		f.checkedAt[address] = now
+	}
+	f.mu.Unlock()
+	if due && f.ctx.Err() == nil && !f.links.IsLost(address) {
+		f.counter.Count("links_suspected_total")
+		f.startCheck(address, f.checkAllWays)
+	}
+}
--- /dev/null
+++ b/internal/online/pathfinder/detour.go
@@ -0,0 +1,289 @@
+package pathfinder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/online/tunneler"
+)
+
+const (
+	// maxAsked bounds the peer VMs that are asked for one connection.
+	maxAsked = 12
+	// askInterval is how long one peer VM may take before the next one is asked too.
+	askInterval = 100 * time.Millisecond
+	// enoughOpinions is the number of peer VMs that don't reach the upstream either after which no
+	// more are asked.
+	enoughOpinions = 2
+	// provenTime is how long a peer VM that has carried a connection is preferred, and
+	// enoughProven the number of these from which on no others are tried beside them.
+	provenTime   = 5 * time.Second
+	enoughProven = 4
+	// exploreShare is the share of connections for which another peer VM is tried until enough are
+	// proven, as a divisor, so that one does not carry all.
+	exploreShare = 3
+)
+
+// Times for which a peer VM is not asked after it has failed.
+const (
+	skipNoLink     = 1500 * time.Millisecond
+	skipBusy       = 300 * time.Millisecond
+	skipIncapable  = 10 * time.Second
+	skipUnanswered = time.Second
+)
+
+var (
+	// errDetour is wrapped by all errors of a detour.
+	errDetour = errors.New("through peer VMs")
+	// errNobodyToAsk means that no peer VM can tell whether it reaches the upstream.
+	errNobodyToAsk = errors.New("no peer VM to ask")
+)
+
+// Distance is how far a peer VM is from this VM.
+type Distance uint8
+
+// The distances, nearest first.
+const (
+	DistanceDomain Distance = iota
+	DistanceRegion
+	DistanceRemote
+)
+
+// Peer is a peer VM.
+type Peer struct {
+	Address  string
+	Distance Distance
+}
+
+// peerState is what is known of a peer VM.
+type peerState struct {
+	Peer
+	skippedUntil time.Time
+	provenUntil  time.Time
+}
+
+// detour opens connections to upstreams through peer VMs.
+type detour struct {
+	dial relayer.Dial
+
+	mu    sync.Mutex
+	peers map[string]*peerState // by address
+}
+
+func newDetour(dial relayer.Dial) *detour { return &detour{dial: dial, peers: map[string]*peerState{}} }
+
+func (d *detour) setPeers(peers []Peer) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := d.peers
+	d.peers = make(map[string]*peerState, len(peers))
+	for _, p := range peers {
+		state := &peerState{Peer: p}
+		if known, found := old[p.Address]; found {
+			state.skippedUntil, state.provenUntil = known.skippedUntil, known.provenUntil
+		}
+		d.peers[p.Address] = state
+	}
+}
+
+func (d *detour) hasPeers() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.peers) > 0
+}
+
+// answer is a peer VM's answer.
+type answer struct {
+	conn *tunneler.Conn
+	err  error
+}
+
+// open opens a connection to an upstream through the first peer VM that reaches it. One is asked
+// after another: when the one before has failed, or hasn't answered within askInterval.
+func (d *detour) open(ctx context.Context, upstream string) (net.Conn, error) {
+	if upstream == "" {
+		return nil, fmt.Errorf("%w: %w", errDetour, errNobodyToAsk) // no upstream of the list
+	}
+	candidates := d.candidates(time.Now())
+	if len(candidates) == 0 {
+		return nil, fmt.Errorf("%w: %w", errDetour, tunneler.ErrNoLink) // all have failed a moment ago
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	answers := make(chan answer, len(candidates))
+	var group sync.WaitGroup
+	asked, pending := 0, 0
+	ask := func() {
+		peer := candidates[asked]
+		asked++
+		pending++
+		group.Go(func() { answers <- d.ask(ctx, peer, upstream) })
+	}
+	defer func() {
+		cancel()
+		group.Wait()
+		for range pending {
+			if a := <-answers; a.conn != nil {
+				_ = a.conn.Close()
+			}
+		}
+	}()
+	ask()
+	ticker := time.NewTicker(askInterval)
+	defer ticker.Stop()
+	var opinions opinions
+	for pending > 0 {
+		select {
+		case a := <-answers:
+			pending--
+			if a.err == nil {
+				return a.conn, nil
+			}
+			opinions.add(a.err)
+		case <-ticker.C:
+		}
+		if opinions.isEnough() || ctx.Err() != nil {
+			break
+		}
+		if asked < len(candidates) {
+			ask()
+			ticker.Reset(askInterval)
+		}
+	}
+	return nil, opinions.err()
+}
+
+// ask asks one peer VM, and records what its answer shows of that VM.
+func (d *detour) ask(ctx context.Context, peer, upstream string) answer {
+	began := time.Now()
+	conn, err := tunneler.Open(ctx, d.dial, peer, upstream)
+	if now := time.Now(); ctx.Err() == nil || now.Sub(began) >= askInterval {
+		d.record(peer, err, now)
+	} // otherwise another one was faster
+	return answer{conn: conn, err: err}
+}
+
+func (d *detour) record(peer string, err error, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	state, found := d.peers[peer]
+	if !found {
+		return
+	}
+	switch {
+	case err == nil:
+		state.provenUntil = now.Add(provenTime)
+		return
+	case errors.Is(err, tunneler.ErrRefused), errors.Is(err, tunneler.ErrUnanswered), errors.Is(err, tunneler.ErrUnlisted):
+		return // says nothing about the peer VM
+	case errors.Is(err, tunneler.ErrNoLink):
+		state.skippedUntil = now.Add(skipNoLink)
+	case errors.Is(err, tunneler.ErrBusy):
+		state.skippedUntil = now.Add(skipBusy)
+	case errors.Is(err, tunneler.ErrIncapable):
+		state.skippedUntil = now.Add(skipIncapable)
+	default:
+		state.skippedUntil = now.Add(skipUnanswered)
+	}
+	state.provenUntil = time.Time{}
+}
+
+// candidates returns the peer VMs to ask, in order. Those that have carried a connection lately come
+// first, the nearest of these at the front; the others follow, of near and far domains in turns, as a
+// whole failure domain may be cut off.
+func (d *detour) candidates(now time.Time) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var proven []*peerState
+	others := map[Distance][]*peerState{}
+	for _, p := range d.peers {
+		switch {
+		case now.Before(p.skippedUntil):
+		case now.Before(p.provenUntil):
+			proven = append(proven, p)
+		default:
+			others[p.Distance] = append(others[p.Distance], p)
+		}
+	}
+	for _, list := range others {
+		shuffle(list)
+	}
+	shuffle(proven)
+	slices.SortStableFunc(proven, func(a, b *peerState) int { return int(a.Distance) - int(b.Distance) })
+	mixed := mix(others)
+	explored := 0
+	if len(proven) < enoughProven && rand.N(exploreShare) == 0 {
+		explored = min(1, len(mixed))
+	}
+	order := append(slices.Clone(mixed[:explored]), proven...)
+	order = append(order, mixed[explored:]...)
+	addresses := make([]string, 0, maxAsked)
+	for _, p := range order[:min(len(order), maxAsked)] {
+		addresses = append(addresses, p.Address)
+	}
+	return addresses
+}
+
+// mix returns peer VMs of all distances in turns, nearest first.
+func mix(byDistance map[Distance][]*peerState) []*peerState {
+	var mixed []*peerState
+	for n, more := 0, true; more; n++ {
+		more = false
+		for distance := DistanceDomain; distance <= DistanceRemote; distance++ {
+			if list := byDistance[distance]; n < len(list) {
+				mixed, more = append(mixed, list[n]), true
+			}
+		}
+	}
+	return mixed
+}
+
+func shuffle(peers []*peerState) {
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+}
+
+// opinions collects what peer VMs say of an upstream that they don't reach.
+type opinions struct {
+	refused, unanswered, noLink int
+	last                        error
+}
+
+func (o *opinions) add(err error) {
+	o.last = err
+	switch {
+	case errors.Is(err, tunneler.ErrRefused):
+		o.refused++
+	case errors.Is(err, tunneler.ErrUnanswered):
+		o.unanswered++
+	case errors.Is(err, tunneler.ErrIncapable), errors.Is(err, tunneler.ErrUnlisted): // no opinion
+	default:
+		o.noLink++
+	}
+}
+
+// isEnough returns whether no further peer VM has to be asked.
+func (o *opinions) isEnough() bool { return o.refused > 0 || o.unanswered >= enoughOpinions }
+
+// err returns what the answers mean together.
+func (o *opinions) err() error {
+	switch {
+	case o.refused > 0:
+		return fmt.Errorf("%w: %w: %w", errDetour, tunneler.ErrRefused, syscall.ECONNREFUSED)
+	case o.unanswered > 0:
+		return fmt.Errorf("%w: %w", errDetour, tunneler.ErrUnanswered)
+	case o.noLink > 0:
+		return fmt.Errorf("%w: %w", errDetour, o.last)
+	default:
+		return fmt.Errorf("%w: %w", errDetour, errNobodyToAsk)
+	}
+}
+
+// isRefusal returns whether an error says that an address refuses connections.
+func isRefusal(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- /dev/null
+++ b/internal/online/pathfinder/finder.go
@@ -0,0 +1,341 @@
+// Package pathfinder opens connections to upstreams: over this VM's own link, or through a peer
+// VM while that link is lost.
+//
+//	link works            dial                                  one connection
+//	not known to be lost  dial; after headStart also a peer VM  the first to connect is used
+//	known to be lost      a peer VM; the link is checked beside  no caller waits for the link
+//	nobody reaches it     fail at once                           checked beside as well
+package pathfinder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/online/linkkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/online/tunneler"
+)
+
+const (
+	// headStart is how long a dial over this VM's own link may take before a peer VM is asked
+	// too. It exceeds the time that a dial between regions takes.
+	headStart = 150 * time.Millisecond
+	// cutOffHeadStart is the same while other links are lost.
+	cutOffHeadStart = 40 * time.Millisecond
+	// dialTimeout bounds a dial over this VM's own link, and all attempts through peer VMs.
+	dialTimeout = 700 * time.Millisecond
+)
+
+// ErrNoWay means that neither this VM nor a peer VM reached the upstream a moment ago.
+var ErrNoWay = errors.New("no way to the upstream")
+
+// Counter counts events by name.
+type Counter interface {
+	Count(name string)
+}
+
+// Finder opens connections to upstreams. It is safe for concurrent use.
+type Finder struct {
+	direct  relayer.Dial
+	links   *linkkeeper.Keeper
+	detour  *detour
+	counter Counter
+	logger  *slog.Logger
+	onLost  func(address string)
+	group   sync.WaitGroup
+	ctx     context.Context //nolint:containedctx // ends the dials that no request waits for
+	cancel  context.CancelFunc
+	wake    chan struct{} // holds a value if a check may be due
+	// restored is whether a link was restored since the last round of checks.
+	restored atomic.Bool
+
+	mu        sync.Mutex
+	ids       map[string]string    // of upstreams, by address
+	addresses map[string]string    // of upstreams, by ID
+	checkedAt map[string]time.Time // on suspicion, by address
+	checking  map[string]bool      // addresses that are being checked
+}
+
+// Option sets one property of a Finder.
+type Option func(*Finder)
+
+// WithOnLost sets a function that is called when the link to an address has become silent, so that
+// open connections are likely to be dead. It must not block.
+func WithOnLost(onLost func(address string)) Option {
+	return func(f *Finder) { f.onLost = onLost }
+}
+
+// New returns a Finder without peer VMs. It dials upstreams with direct and peer VMs with peer.
+func New(direct, peer relayer.Dial, counter Counter, logger *slog.Logger, options ...Option) *Finder {
+	f := &Finder{
+		direct: direct, links: linkkeeper.New(), detour: newDetour(peer), counter: counter, logger: logger,
+		onLost: func(string) {}, wake: make(chan struct{}, 1), checkedAt: map[string]time.Time{}, checking: map[string]bool{},
+	}
+	f.ctx, f.cancel = context.WithCancel(context.Background())
+	for _, option := range options {
+		option(f)
+	}
+	return f
+}
+
+// Close ends all dials and waits for them.
+func (f *Finder) Close() {
+	f.cancel()
+	f.group.Wait()
+}
+
+// SetPeers replaces the peer VMs.
+func (f *Finder) SetPeers(peers []Peer) { f.detour.setPeers(peers) }
+
+// SetUpstreams replaces the list of upstreams, given as their IDs by address.
+func (f *Finder) SetUpstreams(ids map[string]string) {
+	addresses := make(map[string]string, len(ids))
+	for address, id := range ids {
+		addresses[id] = address
+	}
+	f.mu.Lock()
+	f.ids, f.addresses = ids, addresses
+	for address := range f.checkedAt {
+		if _, listed := ids[address]; !listed {
+			delete(f.checkedAt, address)
+		}
+	}
+	f.mu.Unlock()
+	f.links.Retain(ids)
+}
+
+// IsCutOff returns whether this VM itself, rather than the upstreams, is likely to be at fault
+// when connections fail.
+func (f *Finder) IsCutOff(now time.Time) bool { return f.links.IsCutOff(now) }
+
+// Dial connects to the upstream at an address. Its error wraps syscall.ECONNREFUSED only if the
+// upstream refuses connections, not if this VM's link does.
+func (f *Finder) Dial(ctx context.Context, _, address string) (net.Conn, error) {
+	switch f.links.Way(address, time.Now()) {
+	case linkkeeper.WayNone:
+		return nil, ErrNoWay
+	case linkkeeper.WayPeer:
+		return f.dialThroughPeer(ctx, address)
+	case linkkeeper.WayEither:
+		return f.dialEither(ctx, address, patience{headStart: cutOffHeadStart})
+	default:
+		return f.dialEither(ctx, address, patience{headStart: headStart, awaitLink: true})
+	}
+}
+
+// dialThroughPeer connects to an address whose link is lost.
+func (f *Finder) dialThroughPeer(ctx context.Context, address string) (net.Conn, error) {
+	o := f.dialDetour(ctx, address)
+	if o.err != nil && ctx.Err() == nil {
+		f.conclude(address, o.err)
+	}
+	return o.conn, o.err
+}
+
+// dialDetour connects through peer VMs, and records what that shows of this VM's link.
+func (f *Finder) dialDetour(ctx context.Context, address string) outcome {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := f.detour.open(ctx, f.id(address))
+	if err != nil {
+		return outcome{err: err}
+	}
+	f.counter.Count(`upstream_dials_total{outcome="throughPeer"}`)
+	if f.links.RecordPeerSuccess(address, time.Now()) {
+		f.linkLost(address)
+	}
+	return outcome{conn: conn}
+}
+
+// conclude records what it shows that no way has led to an upstream.
+func (f *Finder) conclude(address string, err error) {
+	if errors.Is(err, tunneler.ErrRefused) || errors.Is(err, tunneler.ErrUnanswered) {
+		f.links.RecordUpstreamDown(address)
+	}
+	if !isRefusal(err) {
+		f.links.RecordUnreachable(address, time.Now())
+		f.wakeChecks()
+	}
+}
+
+// outcome is the outcome of one of two concurrent dials.
+type outcome struct {
+	conn net.Conn
+	err  error
+}
+
+// patience is how long this VM's own link is waited for.
+type patience struct {
+	headStart time.Duration // until peer VMs are asked
+	awaitLink bool          // also when peer VMs have failed
+}
+
+// dialEither dials over this VM's own link, and after a head start, or when that fails, through
+// peer VMs too. It returns the connection that is established first, and closes the other one.
+func (f *Finder) dialEither(ctx context.Context, address string, p patience) (net.Conn, error) {
+	outcomes := make(chan outcome, 2)
+	f.group.Go(func() { outcomes <- f.dialDirect(address) })
+	first, pending, err := f.awaitHeadStart(ctx, outcomes, p.headStart)
+	if first.conn != nil || err != nil {
+		return first.conn, err
+	}
+	if f.detour.hasPeers() {
+		detourCtx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		f.group.Go(func() { outcomes <- f.dialDetour(detourCtx, address) })
+		pending++
+	}
+	conn, err := f.await(ctx, outcomes, pending, first.err, p.awaitLink)
+	if err != nil && ctx.Err() == nil {
+		f.conclude(address, err)
+	}
+	return conn, err
+}
+
+// awaitHeadStart waits for the direct dial, for a head start at most. It returns the outcome, if it
+// has come, or an error if the context has ended, and the number of dials that are pending.
+func (f *Finder) awaitHeadStart(
+	ctx context.Context, outcomes chan outcome, head time.Duration,
+) (first outcome, pending int, err error) {
+	timer := time.NewTimer(head)
+	defer timer.Stop()
+	select {
+	case first = <-outcomes:
+		return first, 0, nil
+	case <-timer.C:
+		return outcome{}, 1, nil
+	case <-ctx.Done():
+		f.closeUnused(outcomes, 1)
+		return outcome{}, 0, context.Cause(ctx)
+	}
+}
+
+// await returns the first connection of the pending dials, or what their errors and that of an
+// earlier one mean together. Unless awaitLink is set, it doesn't wait for this VM's own link when
+// peer VMs have failed.
+func (f *Finder) await(
+	ctx context.Context, outcomes chan outcome, pending int, earlier error, awaitLink bool,
+) (net.Conn, error) {
+	errs := []error{earlier}
+	for pending > 0 {
+		select {
+		case o := <-outcomes:
+			pending--
+			if o.err == nil {
+				f.closeUnused(outcomes, pending)
+				return o.conn, nil
+			}
+			errs = append(errs, o.err)
+			if !awaitLink && errors.Is(o.err, errDetour) {
+				f.closeUnused(outcomes, pending)
+				return nil, combine(errs)
+			}
+		case <-ctx.Done():
+			f.closeUnused(outcomes, pending)
+			return nil, context.Cause(ctx)
+		}
+	}
+	return nil, combine(errs)
+}
+
+// closeUnused closes the connections of pending dials once they are established.
+func (f *Finder) closeUnused(outcomes chan outcome, pending int) {
+	for range pending {
+		f.group.Go(func() {
+			if o := <-outcomes; o.conn != nil {
+				_ = o.conn.Close()
+			}
+		})
+	}
+}
+
+// dialDirect dials over this VM's own link, and records what that shows of the link. No request
+// cancels it: when it ends late, it is evidence all the same.
+func (f *Finder) dialDirect(address string) outcome {
+	ctx, cancel := context.WithTimeout(f.ctx, dialTimeout)
+	defer cancel()
+	conn, err := f.direct(ctx, "tcp", address)
+	now := time.Now()
+	switch {
+	case err == nil:
+		f.counter.Count(`upstream_dials_total{outcome="connected"}`)
+		if f.links.RecordSuccess(address, now) {
+			f.restored.Store(true)
+			f.logger.Info("link to upstream restored", "upstream", f.id(address))
+		}
+	case f.ctx.Err() == nil:
+		f.counter.Count(`upstream_dials_total{outcome="` + dialOutcome(err) + `"}`)
+		if f.links.RecordFailure(address, isRefusal(err), now) {
+			f.linkLost(address)
+		}
+	}
+	return outcome{conn: conn, err: err}
+}
+
+// dialOutcome returns how a failed dial appears in the metrics.
+func dialOutcome(err error) string {
+	if isRefusal(err) {
+		return "refused"
+	}
+	return "unanswered"
+}
+
+// linkLost begins to check a lost link. Open connections are closed if they are likely to be dead.
+func (f *Finder) linkLost(address string) {
+	silent := f.links.IsSilent(address)
+	f.logger.Warn("link to upstream lost, peer VMs reach it", "upstream", f.id(address), "silent", silent)
+	if silent {
+		f.closeDead(address)
+	}
+	f.wakeChecks()
+}
+
+// closeDead closes the open connections to an address whose link has become silent, or to all
+// addresses if several links have: otherwise each of them would cost a request.
+func (f *Finder) closeDead(address string) {
+	if !f.links.IsSilentlyCutOff() {
+		f.onLost(address)
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for address := range f.ids {
+		f.onLost(address)
+	}
+}
+
+// id returns the ID of the upstream at an address.
+func (f *Finder) id(address string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ids[address]
+}
+
+// combine returns what the errors of all ways mean together. The upstream refuses connections only
+// if peer VMs say so too, or there is none to ask.
+func combine(errs []error) error {
+	var direct, peers error
+	for _, err := range errs {
+		switch {
+		case err == nil:
+		case errors.Is(err, errDetour):
+			peers = err
+		default:
+			direct = err
+		}
+	}
+	switch {
+	case peers == nil || (errors.Is(peers, errNobodyToAsk) && direct != nil):
+		return direct
+	case isRefusal(peers):
+		return peers
+	default:
+		return fmt.Errorf("%w: %w; own link: %v", ErrNoWay, peers, direct) //nolint:errorlint // not a refusal by the upstream
+	}
+}
--- a/internal/online/placer/failure.go
+++ b/internal/online/placer/failure.go
@@ -24,7 +24,7 @@
 	u := slot.upstream
 	change := Change{Upstream: slot.info.ID, Domain: slot.info.Domain}
 	p.mu.Lock()
-	if u.failures.RecordFailure(slot.acquiredAt, now) {
+	if u.failures.RecordFailure(slot.acquiredAt, now) && p.failing(now) != nil {
 		change.Failing = map[string]healthtracker.Failure{slot.info.ID: u.failures.Failure(now)}
 	}
 	p.mu.Unlock()
@@ -40,12 +40,28 @@
 }
 
 // Failing returns up to maxReportedFailures of the upstreams that currently fail for this
-// VM. It returns nil if more fail than failingDivisor allows, since the VM itself is then
-// more likely to be cut off.
+// VM. It returns nil if the VM itself is more likely to be cut off: if it seems to be so by its
+// links, or if more upstreams fail than failingDivisor allows.
 func (p *Placer) Failing(now time.Time) map[string]healthtracker.Failure {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	all := p.failing(now)
+	if len(all) <= maxReportedFailures {
+		return all
+	}
+	for _, id := range slices.Sorted(maps.Keys(all))[maxReportedFailures:] {
+		delete(all, id)
+	}
+	return all
+}
+
+// failing returns all upstreams that fail for this VM, or nil if the VM itself is more likely to
+// be cut off. The caller must hold mu.
+func (p *Placer) failing(now time.Time) map[string]healthtracker.Failure {
 	all := map[string]healthtracker.Failure{}
+	if p.isCutOff(now) {
+		return nil
+	}
 	for id, u := range p.upstreams {
 		if u.failures.FailsLocally(now) {
 			all[id] = u.failures.Failure(now)
@@ -54,12 +70,6 @@
 	if len(all) > max(1, len(p.upstreams)/failingDivisor) {
 		return nil
 	}
-	if len(all) <= maxReportedFailures {
-		return all
-	}
-	for _, id := range slices.Sorted(maps.Keys(all))[maxReportedFailures:] {
-		delete(all, id)
-	}
 	return all
 }
 
--- a/internal/online/placer/placer.go
+++ b/internal/online/placer/placer.go
@@ -40,6 +40,7 @@
 	domain   string
 	regions  map[string]string // region by domain
 	onChange func(Change)
+	isCutOff func(now time.Time) bool
 
 	mu                sync.Mutex
 	random            *rand.Rand
@@ -82,6 +83,12 @@
 	return func(p *Placer) { p.onChange = onChange }
 }
 
+// WithCutOff sets a function that returns whether this VM itself is likely to be cut off from
+// upstreams, so that its failures must not be reported. It must not call the placer.
+func WithCutOff(isCutOff func(now time.Time) bool) Option {
+	return func(p *Placer) { p.isCutOff = isCutOff }
+}
+
 // WithSeed makes all random decisions deterministic.
 func WithSeed(seed uint64) Option {
 	return func(p *Placer) { p.random = rand.New(rand.NewPCG(seed, seed)) }
@@ -91,6 +98,7 @@
 func New(self, domain string, regions map[string]string, options ...Option) *Placer {
 	p := &Placer{
 		self: self, domain: domain, regions: regions, onChange: func(Change) {},
+		isCutOff:  func(time.Time) bool { return false },
 		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		upstreams: map[string]*upstream{}, byService: map[string][]*upstream{}, peers: map[string]peer{},
 		announcedDraining: healthtracker.NewDrainingSet(), subscribers: map[string][]string{},
--- a/internal/wiring/entryvm/provider.go
+++ b/internal/wiring/entryvm/provider.go
@@ -21,11 +21,14 @@
 	"github.com/fescuespindle/fescuespindle/internal/online/courier"
 	"github.com/fescuespindle/fescuespindle/internal/online/crashanalyzer"
 	"github.com/fescuespindle/fescuespindle/internal/online/forwarder"
+	"github.com/fescuespindle/fescuespindle/internal/online/pathfinder"
 	"github.com/fescuespindle/fescuespindle/internal/online/placer"
 	"github.com/fescuespindle/fescuespindle/internal/online/router"
+	"github.com/fescuespindle/fescuespindle/internal/online/tunneler"
 	"github.com/fescuespindle/fescuespindle/internal/online/versionkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/counter"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/socketdialer"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/supervisor"
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 	"github.com/fescuespindle/fescuespindle/internal/store/storerelayer"
@@ -56,6 +59,9 @@
 // onCrashNews tells peer VMs of crashes of upstreams.
 func (c *callbacks) onCrashNews() { c.vm.reporter.Wake() }
 
+// onLinkLost closes the idle connections of a link that has become silent.
+func (c *callbacks) onLinkLost(address string) { c.vm.forwarder.CloseIdle(address) }
+
 func (c *callbacks) setPeers(members []memberkeeper.Member) { c.vm.setPeers(members) }
 
 // table returns the configuration in force, or nil.
@@ -109,8 +115,8 @@
 	return bootstrapper.New(storeTransport(), tasks, logger)
 }
 
-func newPlacer(s platform.Settings, c *callbacks) *placer.Placer {
-	return placer.New(s.VM, s.Domain, s.Regions, placer.WithOnChange(c.onWorkChange))
+func newPlacer(s platform.Settings, c *callbacks, finder *pathfinder.Finder) *placer.Placer {
+	return placer.New(s.VM, s.Domain, s.Regions, placer.WithOnChange(c.onWorkChange), placer.WithCutOff(finder.IsCutOff))
 }
 
 func newAnalyzer(c *callbacks) *crashanalyzer.Analyzer {
@@ -123,7 +129,28 @@
 	return versionkeeper.New(s.VM, store, tasks, logger)
 }
 
-func newForwarder(codec platform.Codec) *forwarder.Forwarder { return forwarder.New(codec.AnswerID) }
+const (
+	// upstreamDialTimeout and peerDialTimeout bound the opening of connections.
+	upstreamDialTimeout = 700 * time.Millisecond
+	peerDialTimeout     = 300 * time.Millisecond
+)
+
+func newFinder(c *callbacks, counters *counter.Counters, logger *slog.Logger) *pathfinder.Finder {
+	return pathfinder.New(socketdialer.New(upstreamDialTimeout).DialContext, socketdialer.New(peerDialTimeout).DialContext,
+		counters, logger, pathfinder.WithOnLost(c.onLinkLost))
+}
+
+func newCarrier(
+	finder *pathfinder.Finder, budget *rationer.Rationer, counters *counter.Counters, logger *slog.Logger,
+) *tunneler.Carrier {
+	carrier := tunneler.NewCarrier(finder, budget, counters, logger)
+	counters.Gauge("tunnels", func() float64 { return float64(carrier.Tunnels()) })
+	return carrier
+}
+
+func newForwarder(codec platform.Codec, finder *pathfinder.Finder) *forwarder.Forwarder {
+	return forwarder.New(codec.AnswerID, forwarder.WithDial(finder.Dial), forwarder.WithOnQuiet(finder.Suspect))
+}
 
 func newRelayer(s platform.Settings, counters *counter.Counters, logger *slog.Logger) *storerelayer.Relayer {
 	return storerelayer.New(s.StoreAddress, storeTransport(), storeTransport(), counters, logger)
--- a/internal/wiring/entryvm/sink.go
+++ b/internal/wiring/entryvm/sink.go
@@ -155,10 +155,11 @@
 	for _, u := range list {
 		addresses[u.Address], ids[u.ID] = u.ID, true
 	}
+	s.vm.finder.SetUpstreams(addresses)
 	s.vm.gateway.RetainUpstreams(ids)
 	for address, id := range s.addresses {
 		if addresses[address] != id {
-			s.vm.forwarder.CloseIdle(address)
+			s.vm.forwarder.Forget(address)
 		}
 	}
 	s.addresses = addresses
@@ -194,8 +195,8 @@
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
 	}
 	return &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleStoreConnections, IdleConnTimeout: storeIdleTimeout,
-		DisableCompression: true,
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleStoreConnections,
+		IdleConnTimeout: storeIdleTimeout, DisableCompression: true,
 	}
 }
 
--- a/internal/wiring/entryvm/vm.go
+++ b/internal/wiring/entryvm/vm.go
@@ -24,7 +24,9 @@
 	"github.com/fescuespindle/fescuespindle/internal/faces/gateway"
 	"github.com/fescuespindle/fescuespindle/internal/online/crashanalyzer"
 	"github.com/fescuespindle/fescuespindle/internal/online/forwarder"
+	"github.com/fescuespindle/fescuespindle/internal/online/pathfinder"
 	"github.com/fescuespindle/fescuespindle/internal/online/placer"
+	"github.com/fescuespindle/fescuespindle/internal/online/tunneler"
 	"github.com/fescuespindle/fescuespindle/internal/online/versionkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/counter"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/supervisor"
@@ -53,6 +55,8 @@
 	counter      *counter.Counters
 	relayer      *storerelayer.Relayer
 	store        rowstore.Store
+	finder       *pathfinder.Finder
+	carrier      *tunneler.Carrier
 	forwarder    *forwarder.Forwarder
 	placer       *placer.Placer
 	crashes      *crashanalyzer.Analyzer
@@ -123,6 +127,7 @@
 	vm.versions.SetVMs(names)
 	vm.placer.SetVMs(vms)
 	vm.relayer.SetPeers(local, remote)
+	vm.finder.SetPeers(vm.carriers(peers))
 	vm.reporter.SetPeers(peers)
 	vm.mover.SetPeers(addresses)
 	vm.jobKeeper.SetVMCount(len(peers) + 1)
@@ -130,6 +135,22 @@
 	vm.limitIdleConnections()
 }
 
+// carriers returns the peer VMs that may carry connections for this one.
+func (vm *VM) carriers(peers []peerteller.Peer) []pathfinder.Peer {
+	carriers := make([]pathfinder.Peer, 0, len(peers))
+	for _, p := range peers {
+		distance := pathfinder.DistanceRegion
+		switch {
+		case p.Domain == vm.settings.Domain:
+			distance = pathfinder.DistanceDomain
+		case p.Remote:
+			distance = pathfinder.DistanceRemote
+		}
+		carriers = append(carriers, pathfinder.Peer{Address: p.Address.String(), Distance: distance})
+	}
+	return carriers
+}
+
 const (
 	// idleConnectionShare is the share of an upstream's maximum number of connections that
 	// all VMs together may keep idle.
@@ -183,6 +204,7 @@
 	vm.setPeers(nil)
 	vm.runner.Start()
 	vm.tasks.GoWithRestart(ctx, "peer messages", vm.reporter.Run)
+	vm.tasks.GoWithRestart(ctx, "checks of links", vm.finder.Run)
 	vm.tasks.GoWithRestart(ctx, "membership", vm.memberKeeper.Run)
 	vm.tasks.GoWithRestart(ctx, "lost VMs", vm.memberKeeper.Sweep)
 	vm.tasks.GoWithRestart(ctx, "versions of streams", vm.versions.Run)
@@ -240,11 +262,12 @@
 }
 
 // peerHandler returns the handler of requests from other VMs: for copies of tables, jobs to
-// take over, and calls to relay to the store.
+// take over, connections to carry to upstreams, and calls to relay to the store.
 func (vm *VM) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+bootstrapper.Path, vm.bootstrapper)
 	mux.Handle("POST "+jobmover.Path, vm.mover)
+	mux.Handle("GET "+tunneler.Path, vm.carrier)
 	mux.Handle("/", vm.relayer)
 	return mux
 }
@@ -288,6 +311,7 @@
 	vm.readiness.draining.Store(true)
 	vm.gateway.SetDraining()
 	vm.memberKeeper.SetLeaving()
+	vm.carrier.Drain()
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(vm.settings.GracePeriod-graceMargin))
 	defer cancel()
 	vm.tasks.Go("release of jobs", func() { vm.runner.Release(ctx) })
@@ -296,6 +320,7 @@
 		vm.logger.Warn("requests aborted at the end of the grace period", "error", err)
 	}
 	vm.runner.Stop()
+	vm.carrier.Wait(ctx)
 	vm.stop()
 	for _, s := range vm.servers {
 		if err := s.Close(); err != nil {
@@ -303,6 +328,7 @@
 		}
 	}
 	vm.forwarder.Close()
+	vm.finder.Close()
 	vm.tasks.Wait()
 	vm.logger.Info("stopped", "vm", vm.settings.VM, "took", time.Since(began))
 }
--- a/internal/wiring/entryvm/wire.go
+++ b/internal/wiring/entryvm/wire.go
@@ -16,10 +16,10 @@
 func assemble(settings platform.Settings, logger *slog.Logger) (*VM, error) {
 	wire.Build(
 		newBootID, newCallbacks, newCounters, newRationer, newSupervisor, newCodec, newBootstrapper,
-		newReporter, newPlacer, newForwarder, newRelayer, newStore, newMemberKeeper,
+		newReporter, newFinder, newCarrier, newPlacer, newForwarder, newRelayer, newStore, newMemberKeeper,
 		newOwner, newJobKeeper, newMover, newRunner, newSharedState, newJobServer, newGateway, courier.New, newAnalyzer,
 		newVersionKeeper,
-		wire.Struct(new(VM), "settings", "bootID", "logger", "counter", "relayer", "store", "forwarder", "placer",
+		wire.Struct(new(VM), "settings", "bootID", "logger", "counter", "relayer", "store", "finder", "carrier", "forwarder", "placer",
 			"crashes", "versions", "reporter", "memberKeeper",
 			"gateway", "jobKeeper", "runner", "shared", "callbacks", "tasks", "bootstrapper", "mover"),
 		wire.Bind(new(rowstore.Store), new(*platform.Store)),
--- a/internal/wiring/entryvm/wire_gen.go
+++ b/internal/wiring/entryvm/wire_gen.go
@@ -20,10 +20,13 @@
 	counters := newCounters()
 	relayer := newRelayer(settings, counters, logger)
 	store := newStore(settings, relayer)
-	codec := newCodec()
-	forwarder := newForwarder(codec)
 	entryvmCallbacks := newCallbacks()
-	placer := newPlacer(settings, entryvmCallbacks)
+	finder := newFinder(entryvmCallbacks, counters, logger)
+	rationer := newRationer(settings)
+	carrier := newCarrier(finder, rationer, counters, logger)
+	codec := newCodec()
+	forwarder := newForwarder(codec, finder)
+	placer := newPlacer(settings, entryvmCallbacks, finder)
 	analyzer := newAnalyzer(entryvmCallbacks)
 	supervisor := newSupervisor(counters, logger)
 	keeper := newVersionKeeper(settings, store, supervisor, logger)
@@ -36,7 +39,6 @@
 	courierCourier := courier.New(forwarder, placer, codec, logger)
 	owner := newOwner(settings, entryvmBootID)
 	batchkeeperKeeper := newJobKeeper(store, owner, settings, logger)
-	rationer := newRationer(settings)
 	mover := newMover(logger)
 	runner := newRunner(owner, batchkeeperKeeper, placer, courierCourier, memberkeeperKeeper, entryvmCallbacks, rationer, mover, supervisor, counters, logger)
 	entryvmSharedState := newSharedState(placer, analyzer, runner, logger)
@@ -49,6 +51,8 @@
 		counter:      counters,
 		relayer:      relayer,
 		store:        store,
+		finder:       finder,
+		carrier:      carrier,
 		forwarder:    forwarder,
 		placer:       placer,
 		crashes:      analyzer,
