socketdialer: a sound peer that is silent for a second keeps its connections

What callers saw: nothing measured; the issue warns that a user timeout also decides when probes give up. Cause: connections to upstreams had a user timeout of 2 s and probes after 1 s and each second. Linux then ends a connection at the second firing if the first probe was not acknowledged: one lost packet, or a server silent for a moment, ended a stream that waited for its next event. Connections to the store and to peers, with a count of 2 and no user timeout, ended after a silence of 1 s. Ruled out: the product's own interface, whose connections have Go's probes of 15 s and no user timeout.

--- a/internal/plumbing/socketdialer/dialer.go
+++ b/internal/plumbing/socketdialer/dialer.go
@@ -11,8 +11,8 @@
 
 const (
 	// maxSilence is how long a peer may acknowledge nothing before the kernel closes the
-	// connection.
-	maxSilence = 2 * time.Second
+	// connection. A sound peer may be silent for a second or so.
+	maxSilence = 4 * time.Second
 	// probeInterval is the time between two probes of a connection that is idle or waits for
 	// data.
 	probeInterval = time.Second
@@ -25,7 +25,7 @@
 // sets, Linux ignores the count, and ends a connection at the first probe that is due after the
 // user timeout.
 var keepAlive = net.KeepAliveConfig{
-	Enable: true, Idle: probeInterval, Interval: probeInterval, Count: 2,
+	Enable: true, Idle: probeInterval, Interval: probeInterval, Count: int(maxSilence/probeInterval) - 1,
 }
 
 // New returns a dialer whose attempts to connect end after a timeout.
--- a/internal/wiring/entryvm/sink.go
+++ b/internal/wiring/entryvm/sink.go
@@ -1,7 +1,6 @@
 package entryvm
 
 import (
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -9,6 +8,7 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/control/registrar"
 	"github.com/fescuespindle/fescuespindle/internal/online/router"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/socketdialer"
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 	"github.com/fescuespindle/fescuespindle/platform"
 )
@@ -190,12 +190,8 @@
 // storeTransport returns a transport for calls to the store and to other VMs. Its short
 // timeouts make it detect unresponsive connections early.
 func storeTransport() http.RoundTripper {
-	dialer := &net.Dialer{
-		Timeout:         storeDialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
-	}
 	return &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleStoreConnections,
+		DialContext: socketdialer.New(storeDialTimeout).DialContext, MaxIdleConnsPerHost: maxIdleStoreConnections,
 		IdleConnTimeout: storeIdleTimeout, DisableCompression: true,
 	}
 }
