assembler: the product's own interface reaches upstreams through peer VMs too

What callers saw: the same fault as on the users' platform: at a VM without links every request ends with 'upstream unreachable: connection refused'. Cause: the same, one way to an upstream; here the relayer's dial. Change: the relayer dials through pathfinder; peers are the live VMs of the domain and the listed ones of others; the peer listener carries connections for VMs that prove the fleet's secret, as messages do (messenger.Authenticator). A connection through a peer VM carries one request here, as net/http's pool knows no end of reuse. Ruled out: a way of its own for each stack; both need no more than a dial function. Not covered here: open connections over a link that falls silent are found by the kernel's probes only (4 s), not by a check when a request gets no answer.

--- a/internal/batch/itemrunner/runner_test.go
+++ b/internal/batch/itemrunner/runner_test.go
@@ -56,7 +56,7 @@
 	server := httptest.NewServer(e)
 	defer server.Close()
 	sender := relayer.New((&net.Dialer{}).DialContext)
-	defer sender.Close()
+	defer sender.CloseIdle()
 	target := chooser.NewUpstream("engine", server.Listener.Addr().String(), 8, &gauger.Gauge{})
 	runner := itemrunner.New("vm", sender, observer{}, observer{}, quarantiner.New())
 	for run := range 2 * quarantiner.MaxStrikes {
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -21,6 +21,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/online/claimer"
 	"github.com/fescuespindle/fescuespindle/internal/online/dispatcher"
 	"github.com/fescuespindle/fescuespindle/internal/online/linkmeter"
+	"github.com/fescuespindle/fescuespindle/internal/online/pathfinder"
 	"github.com/fescuespindle/fescuespindle/internal/online/quarantiner"
 	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/counter"
@@ -70,6 +71,13 @@
 	VMs(ctx context.Context, version uint64) ([]vmlister.VM, uint64, error)
 }
 
+// Links opens connections to upstreams, directly or through peer VMs.
+type Links interface {
+	// SetUpstreams replaces the list of upstreams, given as their IDs by address.
+	SetUpstreams(ids map[string]string)
+	SetPeers(peers []pathfinder.Peer)
+}
+
 // Dependencies are the components that a Controller uses.
 type Dependencies struct {
 	Location   Location
@@ -83,6 +91,7 @@
 	Publisher  *publisher.Publisher
 	Claimer    *claimer.Claimer
 	Link       *linkmeter.Meter
+	Links      Links
 }
 
 // Controller is the control state of one VM.
@@ -255,6 +264,7 @@
 		Config: c.config.current(), Document: c.config.document, Reason: c.config.reason(),
 		List: c.list, Members: c.members.activeNames(), States: c.upstreams.states,
 	}
+	c.updateLinks()
 	view := c.builder.Build(inputs)
 	c.Publisher.Publish(view)
 	c.upstreams.pollOwned(publisher.OwnerCandidates(inputs))
@@ -264,6 +274,31 @@
 	c.Counters.Count("views_published_total")
 }
 
+// updateLinks passes on the upstreams and the VMs that can carry connections to them: those of the
+// domain that are alive, and those that are listed in other domains.
+func (c *Controller) updateLinks() {
+	ids := map[string]string{}
+	var peers []pathfinder.Peer
+	for _, vm := range c.list {
+		switch {
+		case vm.Kind == vmlister.KindUpstream:
+			ids[vm.Address] = vm.ID
+		case vm.Domain == c.Location.Domain || vm.Leaving:
+		case vm.Region == c.Location.Region:
+			peers = append(peers, pathfinder.Peer{Address: vm.Peer, Distance: pathfinder.DistanceRegion})
+		default:
+			peers = append(peers, pathfinder.Peer{Address: vm.Peer, Distance: pathfinder.DistanceRemote})
+		}
+	}
+	for _, member := range c.members.prober.Live() {
+		if member.VM() != c.Location.VM {
+			peers = append(peers, pathfinder.Peer{Address: member.Address(), Distance: pathfinder.DistanceDomain})
+		}
+	}
+	c.Links.SetUpstreams(ids)
+	c.Links.SetPeers(peers)
+}
+
 func (c *Controller) refreshStatistics(now time.Time) {
 	if now.Before(c.nextStatisticsAt) {
 		return
--- a/internal/control/messenger/messenger.go
+++ b/internal/control/messenger/messenger.go
@@ -5,9 +5,6 @@
 
 import (
 	"context"
-	"crypto/hmac"
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"net"
 	"net/http"
@@ -24,8 +21,6 @@
 const Path = "/peer"
 
 const (
-	// headerFrom is the header with the ID of the VM that opens a connection.
-	headerFrom = "X-Fescuespindle-From"
 	// queueLength bounds the messages that wait for one peer; further ones are discarded.
 	queueLength     = 512
 	maxMessageBytes = 32 << 20 // limit of a received message; a longer one closes the connection
@@ -45,11 +40,11 @@
 
 // Messenger sends messages to the peers of one VM, and receives theirs.
 type Messenger struct {
-	self    atomic.Pointer[peer.Sender]
-	secret  []byte
-	handler Handler
-	counter Counter
-	client  *http.Client
+	self          atomic.Pointer[peer.Sender]
+	authenticator *Authenticator
+	handler       Handler
+	counter       Counter
+	client        *http.Client
 
 	ctx    context.Context //nolint:containedctx // lifetime of all links
 	cancel context.CancelFunc
@@ -61,10 +56,10 @@
 
 // New returns a Messenger. The dial function opens connections; nil means TCP.
 func New(
-	self peer.Sender, secret []byte, handler Handler, counter Counter,
+	self peer.Sender, authenticator *Authenticator, handler Handler, counter Counter,
 	dial func(ctx context.Context, network, address string) (net.Conn, error),
 ) *Messenger {
-	m := &Messenger{secret: secret, handler: handler, counter: counter, links: map[string]*link{}}
+	m := &Messenger{authenticator: authenticator, handler: handler, counter: counter, links: map[string]*link{}}
 	m.SetSelf(self)
 	m.client = &http.Client{Transport: &http.Transport{DialContext: dial, DisableCompression: true}}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
@@ -188,11 +183,8 @@
 func (m *Messenger) dial(address string) *websocket.Conn {
 	ctx, cancel := context.WithTimeout(m.ctx, dialTimeout)
 	defer cancel()
-	header := http.Header{}
-	header.Set(headerFrom, m.self.Load().VM)
-	header.Set("Authorization", m.authorization(m.self.Load().VM))
 	conn, response, err := websocket.Dial(ctx, "ws://"+address+Path, &websocket.DialOptions{
-		HTTPClient: m.client, HTTPHeader: header,
+		HTTPClient: m.client, HTTPHeader: m.authenticator.Header(m.self.Load().VM),
 	})
 	if response != nil && response.Body != nil {
 		_ = response.Body.Close()
@@ -213,22 +205,10 @@
 	}
 }
 
-// authorization returns the Authorization header that proves that a VM knows the
-// fleet's secret.
-func (m *Messenger) authorization(vm string) string {
-	mac := hmac.New(sha256.New, m.secret)
-	mac.Write([]byte(vm))
-	return "Bearer " + hex.EncodeToString(mac.Sum(nil))
-}
-
-// ServeHTTP accepts a peer's connection and receives its messages.
+// ServeHTTP accepts a peer's connection, which the Authenticator has let pass, and receives its
+// messages.
 func (m *Messenger) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	from := r.Header.Get(headerFrom)
-	if !hmac.Equal([]byte(r.Header.Get("Authorization")), []byte(m.authorization(from))) {
-		m.counter.Add("peer_unauthorized_total", 1)
-		http.Error(w, "unknown peer", http.StatusUnauthorized)
-		return
-	}
 	conn, err := websocket.Accept(w, r, nil)
 	if err != nil {
 		return
--- a/internal/laboratory/sitebuilder/link.go
+++ b/internal/laboratory/sitebuilder/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -15,13 +16,14 @@
 	mu          sync.Mutex
 	domains     map[string]string // by address
 	partitioned func(from, to string) bool
+	lost        map[string]bool // VMs without links to upstreams
 }
 
 func newLinkTable(delay func(from, to string) time.Duration) *linkTable {
 	if delay == nil {
 		delay = func(string, string) time.Duration { return 0 }
 	}
-	return &linkTable{delay: delay, domains: map[string]string{}, partitioned: func(string, string) bool { return false }}
+	return &linkTable{delay: delay, domains: map[string]string{}, partitioned: func(string, string) bool { return false }, lost: map[string]bool{}}
 }
 
 func (t *linkTable) add(address, domain string) {
@@ -48,10 +50,32 @@
 	return t.partitioned(from, to)
 }
 
+// LoseLinks makes upstreams refuse all new connections of a VM, or ends that.
+func (s *Site) LoseLinks(vm string, lost bool) {
+	s.links.mu.Lock()
+	defer s.links.mu.Unlock()
+	s.links.lost[vm] = lost
+}
+
+type dialFunc = func(context.Context, string, string) (net.Conn, error)
+
+// unlessLost returns a dial function that fails while a VM has lost its links.
+func (t *linkTable) unlessLost(vm string, dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		t.mu.Lock()
+		lost := t.lost[vm]
+		t.mu.Unlock()
+		if lost {
+			return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
+		}
+		return dial(ctx, network, address)
+	}
+}
+
 const dialTimeout = time.Second
 
 // dialFrom returns the dial function of the VMs in a failure domain.
-func (t *linkTable) dialFrom(from string) func(context.Context, string, string) (net.Conn, error) {
+func (t *linkTable) dialFrom(from string) dialFunc {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		to := t.domain(address)
--- a/internal/laboratory/sitebuilder/site.go
+++ b/internal/laboratory/sitebuilder/site.go
@@ -234,7 +234,7 @@
 	settings.PeerAddress = listeners.Peer.Addr().String()
 	s.links.add(settings.PeerAddress, d.Name)
 	dial := s.links.dialFrom(d.Name)
-	dials := assembler.Dialers{Platform: dial, Upstream: dial, Peer: dial}
+	dials := assembler.Dialers{Platform: dial, Upstream: s.links.unlessLost(id, dial), Peer: dial}
 	process := assembler.ProcessNumber(s.lastProcess.Add(1))
 	return &VM{
 		VM: assembler.New(
--- a/internal/online/dispatcher/dispatcher_test.go
+++ b/internal/online/dispatcher/dispatcher_test.go
@@ -104,7 +104,7 @@
 	}
 	f.lane.SetPool(chooser.NewPool(upstreams))
 	r := relayer.New(nil)
-	t.Cleanup(r.Close)
+	t.Cleanup(r.CloseIdle)
 	f.dispatcher = dispatcher.New(r, nopObserver{}, isolator, linkmeter.New(f.counts), f.counts, quarantiner.New(),
 		dispatcher.WithPolicy(policy))
 	return f
--- a/internal/online/dispatcher/pause_test.go
+++ b/internal/online/dispatcher/pause_test.go
@@ -53,7 +53,7 @@
 	}
 	f.lane.SetPool(chooser.NewPool(upstreams))
 	r := relayer.New(nil)
-	t.Cleanup(r.Close)
+	t.Cleanup(r.CloseIdle)
 	f.dispatcher = dispatcher.New(r, nopObserver{}, nopObserver{}, linkmeter.New(f.counts), f.counts, quarantiner.New(),
 		dispatcher.WithHedging(false))
 	return f
--- a/internal/online/pathfinder/detour.go
+++ b/internal/online/pathfinder/detour.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"syscall"
@@ -72,7 +73,8 @@
 
 // detour opens connections to upstreams through peer VMs.
 type detour struct {
-	dial relayer.Dial
+	dial   relayer.Dial
+	header http.Header
 
 	mu    sync.Mutex
 	peers map[string]*peerState // by address
@@ -163,7 +165,7 @@
 // ask asks one peer VM, and records what its answer shows of that VM.
 func (d *detour) ask(ctx context.Context, peer, upstream string) answer {
 	began := time.Now()
-	conn, err := tunneler.Open(ctx, d.dial, peer, upstream)
+	conn, err := tunneler.Open(ctx, d.dial, peer, upstream, d.header)
 	if now := time.Now(); ctx.Err() == nil || now.Sub(began) >= askInterval {
 		d.record(peer, err, now)
 	} // otherwise another one was faster
--- a/internal/online/pathfinder/finder.go
+++ b/internal/online/pathfinder/finder.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,16 +43,16 @@
 
 // Finder opens connections to upstreams. It is safe for concurrent use.
 type Finder struct {
-	direct  relayer.Dial
-	links   *linkkeeper.Keeper
-	detour  *detour
-	counter Counter
-	logger  *slog.Logger
-	onLost  func(address string)
-	group   sync.WaitGroup
-	ctx     context.Context //nolint:containedctx // ends the dials that no request waits for
-	cancel  context.CancelFunc
-	wake    chan struct{} // holds a value if a check may be due
+	direct   relayer.Dial
+	links    *linkkeeper.Keeper
+	detour   *detour
+	counter  Counter
+	logger   *slog.Logger
+	onChange atomic.Pointer[func(address string)]
+	group    sync.WaitGroup
+	ctx      context.Context //nolint:containedctx // ends the dials that no request waits for
+	cancel   context.CancelFunc
+	wake     chan struct{} // holds a value if a check may be due
 	// restored is whether a link was restored since the last round of checks.
 	restored atomic.Bool
 
@@ -65,18 +66,18 @@
 // Option sets one property of a Finder.
 type Option func(*Finder)
 
-// WithOnLost sets a function that is called when the link to an address has become silent, so that
-// open connections are likely to be dead. It must not block.
-func WithOnLost(onLost func(address string)) Option {
-	return func(f *Finder) { f.onLost = onLost }
+// WithPeerHeader sets the header that is sent to peer VMs.
+func WithPeerHeader(header http.Header) Option {
+	return func(f *Finder) { f.detour.header = header }
 }
 
 // New returns a Finder without peer VMs. It dials upstreams with direct and peer VMs with peer.
 func New(direct, peer relayer.Dial, counter Counter, logger *slog.Logger, options ...Option) *Finder {
 	f := &Finder{
 		direct: direct, links: linkkeeper.New(), detour: newDetour(peer), counter: counter, logger: logger,
-		onLost: func(string) {}, wake: make(chan struct{}, 1), checkedAt: map[string]time.Time{}, checking: map[string]bool{},
+		wake: make(chan struct{}, 1), checkedAt: map[string]time.Time{}, checking: map[string]bool{},
 	}
+	f.SetOnChange(func(string) {})
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	for _, option := range options {
 		option(f)
@@ -84,6 +85,11 @@
 	return f
 }
 
+// SetOnChange sets a function that is called when idle connections to an address should be closed:
+// they are likely to be dead as its link has become silent, or go through peer VMs although its link
+// works again. It must not block.
+func (f *Finder) SetOnChange(onChange func(address string)) { f.onChange.Store(&onChange) }
+
 // Close ends all dials and waits for them.
 func (f *Finder) Close() {
 	f.cancel()
@@ -110,13 +116,25 @@
 	f.links.Retain(ids)
 }
 
+// IsLost returns whether this VM's link to an address is lost, so that connections to it go through
+// peer VMs.
+func (f *Finder) IsLost(address string) bool { return f.links.IsLost(address) }
+
 // IsCutOff returns whether this VM itself, rather than the upstreams, is likely to be at fault
 // when connections fail.
 func (f *Finder) IsCutOff(now time.Time) bool { return f.links.IsCutOff(now) }
 
-// Dial connects to the upstream at an address. Its error wraps syscall.ECONNREFUSED only if the
-// upstream refuses connections, not if this VM's link does.
-func (f *Finder) Dial(ctx context.Context, _, address string) (net.Conn, error) {
+// Dial connects to the upstream at an address. Its errors have the type *net.OpError. They wrap
+// syscall.ECONNREFUSED only if the upstream refuses connections, not if this VM's link does.
+func (f *Finder) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := f.dial(ctx, address)
+	if err != nil {
+		return nil, &net.OpError{Op: "dial", Net: network, Err: err}
+	}
+	return conn, nil
+}
+
+func (f *Finder) dial(ctx context.Context, address string) (net.Conn, error) {
 	switch f.links.Way(address, time.Now()) {
 	case linkkeeper.WayNone:
 		return nil, ErrNoWay
@@ -267,6 +285,7 @@
 		f.counter.Count(`upstream_dials_total{outcome="connected"}`)
 		if f.links.RecordSuccess(address, now) {
 			f.restored.Store(true)
+			(*f.onChange.Load())(address)
 			f.logger.Info("link to upstream restored", "upstream", f.id(address))
 		}
 	case f.ctx.Err() == nil:
@@ -300,13 +319,13 @@
 // addresses if several links have: otherwise each of them would cost a request.
 func (f *Finder) closeDead(address string) {
 	if !f.links.IsSilentlyCutOff() {
-		f.onLost(address)
+		(*f.onChange.Load())(address)
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for address := range f.ids {
-		f.onLost(address)
+		(*f.onChange.Load())(address)
 	}
 }
 
--- a/internal/online/relayer/relayer.go
+++ b/internal/online/relayer/relayer.go
@@ -47,10 +47,20 @@
 	dial      Dial
 	pooled    *http.Client
 	singleUse *http.Client
+	mayPool   func(address string) bool
+}
+
+// Option sets one property of a Relayer.
+type Option func(*Relayer)
+
+// WithMayPool sets a function that returns whether a connection to an address may be kept for
+// further requests.
+func WithMayPool(mayPool func(address string) bool) Option {
+	return func(r *Relayer) { r.mayPool = mayPool }
 }
 
 // New returns a relayer that opens connections with dial, or over TCP if dial is nil.
-func New(dial Dial) *Relayer {
+func New(dial Dial, options ...Option) *Relayer {
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
@@ -61,13 +71,18 @@
 	// A new connection can't deliver another request's answer, and net/http never
 	// retries a request on one.
 	singleUse := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
-	return &Relayer{
+	r := &Relayer{
 		dial: dial, pooled: &http.Client{Transport: pooled}, singleUse: &http.Client{Transport: singleUse},
+		mayPool: func(string) bool { return true },
+	}
+	for _, option := range options {
+		option(r)
 	}
+	return r
 }
 
-// Close closes idle connections.
-func (r *Relayer) Close() {
+// CloseIdle closes idle connections.
+func (r *Relayer) CloseIdle() {
 	r.pooled.CloseIdleConnections()
 	r.singleUse.CloseIdleConnections()
 }
@@ -100,7 +115,7 @@
 // Open sends an attempt and returns its event stream, which must be closed. Errors are of
 // type AttemptError.
 func (r *Relayer) Open(ctx context.Context, a Attempt) (*Stream, error) {
-	response, err := r.send(ctx, r.pooled, a)
+	response, err := r.send(ctx, r.client(a.Address), a)
 	if err != nil {
 		return nil, err
 	}
@@ -109,6 +124,14 @@
 	}, nil
 }
 
+// client returns the client for an address.
+func (r *Relayer) client(address string) *http.Client {
+	if r.mayPool(address) {
+		return r.pooled
+	}
+	return r.singleUse
+}
+
 // Answer is the complete answer of a plain service.
 type Answer struct {
 	status int
@@ -130,7 +153,7 @@
 func (r *Relayer) Call(ctx context.Context, a Attempt, repeatable bool) (Answer, error) {
 	client := r.singleUse
 	if repeatable {
-		client = r.pooled
+		client = r.client(a.Address)
 	}
 	response, err := r.send(ctx, client, a)
 	if err != nil {
--- a/internal/online/relayer/relayer_test.go
+++ b/internal/online/relayer/relayer_test.go
@@ -36,7 +36,7 @@
 	}))
 	defer server.Close()
 	r := relayer.New(nil)
-	defer r.Close()
+	defer r.CloseIdle()
 	events, err := readAll(t, r, server.Listener.Addr().String())
 	qt.Check(t, events, qt.Equals, wantEvents)
 	if wantErr == nil {
@@ -124,7 +124,7 @@
 	address := listener.Addr().String()
 	qt.Assert(t, listener.Close(), qt.IsNil)
 	r := relayer.New(nil)
-	defer r.Close()
+	defer r.CloseIdle()
 	_, err = readAll(t, r, address)
 	qt.Check(t, relayer.AsAttemptError(err).Ran(), qt.Equals, relayer.RanNot)
 }
@@ -143,7 +143,7 @@
 			}))
 			defer server.Close()
 			r := relayer.New(nil)
-			defer r.Close()
+			defer r.CloseIdle()
 			attempt := relayer.Attempt{
 				ID: "a", Address: server.Listener.Addr().String(), Method: http.MethodPost, Path: "/commissions",
 				Body: []byte(body), Header: http.Header{"Idempotency-Key": {"k"}},
@@ -164,7 +164,7 @@
 	}))
 	defer server.Close()
 	r := relayer.New(nil)
-	defer r.Close()
+	defer r.CloseIdle()
 	_, err := r.Call(t.Context(), relayer.Attempt{
 		ID: "mine", Address: strings.TrimPrefix(server.URL, "http://"), Method: http.MethodGet, Path: "/prices",
 	}, true)
@@ -185,7 +185,7 @@
 	}))
 	defer server.Close()
 	r := relayer.New(nil)
-	defer r.Close()
+	defer r.CloseIdle()
 	answer, err := r.Call(t.Context(), relayer.Attempt{
 		ID: "attempt-1", Address: server.Listener.Addr().String(), Method: http.MethodPost, Path: "/",
 	}, false)
--- a/internal/online/relayer/repeated_test.go
+++ b/internal/online/relayer/repeated_test.go
@@ -36,7 +36,7 @@
 		qt.Assert(t, err, qt.IsNil)
 		defer server.Close()
 		r := relayer.New(nil)
-		defer r.Close()
+		defer r.CloseIdle()
 		for n, want := range []relayer.Ran{relayer.RanNot, want} {
 			_, err := r.Open(t.Context(), relayer.Attempt{
 				ID: fmt.Sprint("attempt-", n+1), Address: server.Address(), Method: http.MethodPost, Path: upstream.PathChat,
--- a/internal/online/tunneler/open.go
+++ b/internal/online/tunneler/open.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/url"
@@ -60,14 +61,14 @@
 )
 
 // Open opens a connection to an upstream, given by its ID, through the peer VM at an address. The
-// context bounds the opening only.
-func Open(ctx context.Context, dial relayer.Dial, peer, upstream string) (*Conn, error) {
+// header is sent to the peer VM and may be nil. The context bounds the opening only.
+func Open(ctx context.Context, dial relayer.Dial, peer, upstream string, header http.Header) (*Conn, error) {
 	conn, err := dial(ctx, "tcp", peer)
 	if err != nil {
 		return nil, fmt.Errorf("dial peer VM: %w", err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	tunnel, err := handshake(conn, peer, upstream)
+	tunnel, err := handshake(conn, peer, upstream, header)
 	if !stop() && err == nil {
 		err = context.Cause(ctx)
 	}
@@ -79,11 +80,13 @@
 }
 
 // handshake asks the peer VM to connect to the upstream.
-func handshake(conn net.Conn, peer, upstream string) (*Conn, error) {
-	target := url.URL{Path: Path, RawQuery: url.Values{queryUpstream: {upstream}}.Encode()}
-	_, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: Upgrade\r\nUpgrade: %s\r\n\r\n",
-		target.RequestURI(), peer, protocol)
-	if err != nil {
+func handshake(conn net.Conn, peer, upstream string, header http.Header) (*Conn, error) {
+	request := &http.Request{
+		Method: http.MethodGet, Host: peer, Header: http.Header{"Connection": {"Upgrade"}, "Upgrade": {protocol}},
+		URL: &url.URL{Path: Path, RawQuery: url.Values{queryUpstream: {upstream}}.Encode()},
+	}
+	maps.Copy(request.Header, header)
+	if err := request.Write(conn); err != nil {
 		return nil, fmt.Errorf("ask peer VM: %w", err)
 	}
 	reader := bufio.NewReaderSize(conn, readBufferSize)
--- a/internal/online/tunneler/tunneler_test.go
+++ b/internal/online/tunneler/tunneler_test.go
@@ -90,7 +90,7 @@
 
 func open(t *testing.T, address string) *tunneler.Conn {
 	t.Helper()
-	conn, err := tunneler.Open(t.Context(), (&net.Dialer{}).DialContext, address, "u 1")
+	conn, err := tunneler.Open(t.Context(), (&net.Dialer{}).DialContext, address, "u 1", nil)
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { _ = conn.Close() })
 	return conn
@@ -98,7 +98,7 @@
 
 func expectOpenError(t *testing.T, address string, want error) {
 	t.Helper()
-	_, err := tunneler.Open(t.Context(), (&net.Dialer{}).DialContext, address, "u 1")
+	_, err := tunneler.Open(t.Context(), (&net.Dialer{}).DialContext, address, "u 1", nil)
 	qt.Check(t, err, qt.ErrorIs, want)
 }
 
@@ -168,7 +168,7 @@
 	for _, reason := range reasons {
 		t.Run(reason.Error(), func(t *testing.T) {
 			_, address, _ := startCarrier(t, connector{err: reason})
-			_, err := tunneler.Open(t.Context(), (&net.Dialer{}).DialContext, address, "u 1")
+			_, err := tunneler.Open(t.Context(), (&net.Dialer{}).DialContext, address, "u 1", nil)
 			qt.Check(t, err, qt.Equals, reason)
 		})
 	}
--- a/internal/wiring/assembler/provider.go
+++ b/internal/wiring/assembler/provider.go
@@ -19,9 +19,13 @@
 	"github.com/fescuespindle/fescuespindle/internal/online/claimer"
 	"github.com/fescuespindle/fescuespindle/internal/online/dispatcher"
 	"github.com/fescuespindle/fescuespindle/internal/online/linkmeter"
+	"github.com/fescuespindle/fescuespindle/internal/online/pathfinder"
 	"github.com/fescuespindle/fescuespindle/internal/online/quarantiner"
 	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/online/tunneler"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/counter"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/socketdialer"
 	"github.com/fescuespindle/fescuespindle/internal/store/storekeeper"
 	"github.com/fescuespindle/fescuespindle/platform"
 )
@@ -69,7 +73,44 @@
 
 func newJobs(store *storekeeper.Keeper) *jobkeeper.Keeper { return jobkeeper.New(store) }
 
-func newRelayer(d Dialers) *relayer.Relayer { return relayer.New(relayer.Dial(d.Upstream)) }
+const (
+	// upstreamDialTimeout and peerDialTimeout bound the opening of connections.
+	upstreamDialTimeout = 500 * time.Millisecond
+	peerDialTimeout     = 300 * time.Millisecond
+	// tunnelMemoryBytes bounds the buffers of connections that are carried for other VMs.
+	tunnelMemoryBytes = 16 << 20
+)
+
+// orTCP returns a dial function, or one over TCP if it is nil.
+func orTCP(dial DialFunc, timeout time.Duration) relayer.Dial {
+	if dial == nil {
+		return socketdialer.New(timeout).DialContext
+	}
+	return relayer.Dial(dial)
+}
+
+func newAuthenticator(secret PeerSecret) *messenger.Authenticator {
+	return messenger.NewAuthenticator(secret)
+}
+
+func newFinder(
+	s settingsloader.Settings, authenticator *messenger.Authenticator, counters *counter.Counters, logger *slog.Logger, d Dialers,
+) *pathfinder.Finder {
+	return pathfinder.New(orTCP(d.Upstream, upstreamDialTimeout), orTCP(d.Peer, peerDialTimeout), counters, logger,
+		pathfinder.WithPeerHeader(authenticator.Header(s.VM)))
+}
+
+func newCarrier(finder *pathfinder.Finder, counters *counter.Counters, logger *slog.Logger) *tunneler.Carrier {
+	return tunneler.NewCarrier(finder, rationer.New(tunnelMemoryBytes), counters, logger)
+}
+
+// newRelayer returns a relayer that keeps connections only over the VM's own links. Those that were
+// open before a link became silent, and those through peer VMs once it is restored, are closed.
+func newRelayer(finder *pathfinder.Finder) *relayer.Relayer {
+	r := relayer.New(finder.Dial, relayer.WithMayPool(func(address string) bool { return !finder.IsLost(address) }))
+	finder.SetOnChange(func(string) { r.CloseIdle() })
+	return r
+}
 
 func newClaimer(s settingsloader.Settings, store *storekeeper.Keeper) *claimer.Claimer {
 	return claimer.New(s.VM, store)
@@ -83,10 +124,11 @@
 }
 
 func newMessenger(
-	location controller.Location, secret PeerSecret, c *controller.Controller, counters *counter.Counters, d Dialers,
+	location controller.Location, authenticator *messenger.Authenticator, c *controller.Controller,
+	counters *counter.Counters, d Dialers,
 ) *messenger.Messenger {
 	self := peer.Sender{VM: location.VM, Incarnation: peer.FirstIncarnation(location.Process), Address: location.Peer}
-	m := messenger.New(self, secret, c.ReceiveMessage, counters, d.Peer)
+	m := messenger.New(self, authenticator, c.ReceiveMessage, counters, d.Peer)
 	c.SetSender(m)
 	return m
 }
--- a/internal/wiring/assembler/vm.go
+++ b/internal/wiring/assembler/vm.go
@@ -19,7 +19,10 @@
 	"github.com/fescuespindle/fescuespindle/internal/faces/settingsloader"
 	"github.com/fescuespindle/fescuespindle/internal/online/claimer"
 	"github.com/fescuespindle/fescuespindle/internal/online/dispatcher"
+	"github.com/fescuespindle/fescuespindle/internal/online/pathfinder"
 	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/online/tunneler"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/counter"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/sleeper"
 	"github.com/fescuespindle/fescuespindle/internal/store/storekeeper"
 )
@@ -60,8 +63,14 @@
 	dispatcher *dispatcher.Dispatcher
 	claimer    *claimer.Claimer
 	relayer    *relayer.Relayer
-	server     *server.Server
-	operator   *operator.Operator
+	finder     *pathfinder.Finder
+	carrier    *tunneler.Carrier
+
+	authenticator *messenger.Authenticator
+	counters      *counter.Counters
+
+	server   *server.Server
+	operator *operator.Operator
 
 	group   sync.WaitGroup
 	servers []*http.Server
@@ -79,18 +88,20 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	vm.stop = cancel
 	vm.group.Go(func() { _ = vm.store.Run(ctx) }) // ends with the context
+	vm.group.Go(func() { vm.finder.Run(ctx) })
 	vm.controller.Start()
-	vm.serve(vm.listeners.Peer, &http.Server{Handler: peerHandler(vm.messenger), ReadHeaderTimeout: time.Second})
+	vm.serve(vm.listeners.Peer, &http.Server{Handler: vm.peerHandler(), ReadHeaderTimeout: time.Second})
 	vm.serve(vm.listeners.Operator, vm.operator.HTTP())
 	vm.serve(vm.listeners.Caller, vm.server.HTTP())
 	vm.logger.Info("serving", "vm", vm.settings.VM, "callers", vm.listeners.Caller.Addr().String())
 }
 
 // peerHandler returns the handler of the peer listener.
-func peerHandler(m *messenger.Messenger) http.Handler {
+func (vm *VM) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(messenger.Path, m)
-	return mux
+	mux.Handle(messenger.Path, vm.messenger)
+	mux.Handle("GET "+tunneler.Path, vm.carrier)
+	return vm.authenticator.Require(vm.counters, mux)
 }
 
 // serve serves on a listener until the server is closed.
@@ -113,6 +124,7 @@
 	defer cancel()
 	vm.operator.SetDraining()
 	vm.server.SetDraining()
+	vm.carrier.Drain()
 	drained := make(chan error, 1)
 	vm.group.Go(func() { drained <- vm.controller.DrainBatch(ctx) })
 	sleeper.Sleep(ctx, time.Duration(vm.settings.BalancerLag))
@@ -120,6 +132,7 @@
 	err := errors.Join(caller.Shutdown(ctx), <-drained)
 	vm.dispatcher.Wait()
 	vm.claimer.Wait()
+	vm.carrier.Wait(ctx)
 	vm.Close()
 	if err != nil {
 		return fmt.Errorf("drain: %w", err)
@@ -137,5 +150,6 @@
 	vm.messenger.Close()
 	vm.stop()
 	vm.group.Wait()
-	vm.relayer.Close()
+	vm.relayer.CloseIdle()
+	vm.finder.Close()
 }
--- a/internal/wiring/assembler/wire.go
+++ b/internal/wiring/assembler/wire.go
@@ -15,6 +15,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/faces/settingsloader"
 	"github.com/fescuespindle/fescuespindle/internal/online/dispatcher"
 	"github.com/fescuespindle/fescuespindle/internal/online/linkmeter"
+	"github.com/fescuespindle/fescuespindle/internal/online/pathfinder"
 	"github.com/fescuespindle/fescuespindle/internal/online/quarantiner"
 	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
 	"github.com/fescuespindle/fescuespindle/internal/online/servicecaller"
@@ -29,12 +30,13 @@
 	logger *slog.Logger, options []dispatcher.Option,
 ) *VM {
 	wire.Build(
-		newCounters, newPlatform, newStore, newJobs, newRelayer, newClaimer, newLocation, newMessenger, newDispatcher,
+		newCounters, newPlatform, newStore, newJobs, newAuthenticator, newFinder, newCarrier, newRelayer, newClaimer, newLocation, newMessenger, newDispatcher,
 		newProfiling, vmlister.New, linkmeter.New, publisher.New, quarantiner.New, controller.New, server.New,
 		operator.New, servicecaller.New,
 		wire.Struct(new(controller.Dependencies), "*"),
 		wire.Struct(new(VM), "settings", "logger", "listeners", "store", "messenger", "controller", "publisher",
-			"dispatcher", "claimer", "relayer", "server", "operator"),
+			"dispatcher", "claimer", "relayer", "finder", "carrier", "authenticator", "counters", "server", "operator"),
+		wire.Bind(new(controller.Links), new(*pathfinder.Finder)),
 		wire.Bind(new(controller.Lister), new(*vmlister.Lister)),
 		wire.Bind(new(rowstore.Store), new(*platform.Store)),
 		wire.Bind(new(servicecaller.Sender), new(*relayer.Relayer)),
--- a/internal/wiring/assembler/wire_gen.go
+++ b/internal/wiring/assembler/wire_gen.go
@@ -28,9 +28,11 @@
 	counters := newCounters()
 	keeper := newStore(store, settings, process, logger, counters)
 	location := newLocation(settings, process, listeners)
+	authenticator := newAuthenticator(secret)
 	jobkeeperKeeper := newJobs(keeper)
 	lister := vmlister.New(store, logger)
-	relayer := newRelayer(dialers)
+	finder := newFinder(settings, authenticator, counters, logger, dialers)
+	relayer := newRelayer(finder)
 	quarantine := quarantiner.New()
 	publisherPublisher := publisher.New()
 	claimer := newClaimer(settings, keeper)
@@ -47,27 +49,33 @@
 		Publisher:  publisherPublisher,
 		Claimer:    claimer,
 		Link:       meter,
+		Links:      finder,
 	}
 	controllerController := controller.New(dependencies)
-	messenger := newMessenger(location, secret, controllerController, counters, dialers)
+	messenger := newMessenger(location, authenticator, controllerController, counters, dialers)
 	dispatcherDispatcher := newDispatcher(relayer, controllerController, meter, counters, quarantine, options)
+	carrier := newCarrier(finder, counters, logger)
 	caller := servicecaller.New(relayer, controllerController, meter, counters)
 	serverServer := server.New(publisherPublisher, dispatcherDispatcher, caller, claimer, jobkeeperKeeper, controllerController, counters, logger)
 	profiling := newProfiling(settings)
 	operatorOperator := operator.New(publisherPublisher, controllerController, dispatcherDispatcher, counters, profiling)
 	vm := &VM{
-		settings:   settings,
-		logger:     logger,
-		listeners:  listeners,
-		store:      keeper,
-		messenger:  messenger,
-		controller: controllerController,
-		publisher:  publisherPublisher,
-		dispatcher: dispatcherDispatcher,
-		claimer:    claimer,
-		relayer:    relayer,
-		server:     serverServer,
-		operator:   operatorOperator,
+		settings:      settings,
+		logger:        logger,
+		listeners:     listeners,
+		store:         keeper,
+		messenger:     messenger,
+		controller:    controllerController,
+		publisher:     publisherPublisher,
+		dispatcher:    dispatcherDispatcher,
+		claimer:       claimer,
+		relayer:       relayer,
+		finder:        finder,
+		carrier:       carrier,
+		authenticator: authenticator,
+		counters:      counters,
+		server:        serverServer,
+		operator:      operatorOperator,
 	}
 	return vm
 }
--- a/internal/wiring/entryvm/provider.go
+++ b/internal/wiring/entryvm/provider.go
@@ -59,9 +59,6 @@
 // onCrashNews tells peer VMs of crashes of upstreams.
 func (c *callbacks) onCrashNews() { c.vm.reporter.Wake() }
 
-// onLinkLost closes the idle connections of a link that has become silent.
-func (c *callbacks) onLinkLost(address string) { c.vm.forwarder.CloseIdle(address) }
-
 func (c *callbacks) setPeers(members []memberkeeper.Member) { c.vm.setPeers(members) }
 
 // table returns the configuration in force, or nil.
@@ -135,9 +132,9 @@
 	peerDialTimeout     = 300 * time.Millisecond
 )
 
-func newFinder(c *callbacks, counters *counter.Counters, logger *slog.Logger) *pathfinder.Finder {
+func newFinder(counters *counter.Counters, logger *slog.Logger) *pathfinder.Finder {
 	return pathfinder.New(socketdialer.New(upstreamDialTimeout).DialContext, socketdialer.New(peerDialTimeout).DialContext,
-		counters, logger, pathfinder.WithOnLost(c.onLinkLost))
+		counters, logger)
 }
 
 func newCarrier(
@@ -149,7 +146,9 @@
 }
 
 func newForwarder(codec platform.Codec, finder *pathfinder.Finder) *forwarder.Forwarder {
-	return forwarder.New(codec.AnswerID, forwarder.WithDial(finder.Dial), forwarder.WithOnQuiet(finder.Suspect))
+	f := forwarder.New(codec.AnswerID, forwarder.WithDial(finder.Dial), forwarder.WithOnQuiet(finder.Suspect))
+	finder.SetOnChange(f.CloseIdle)
+	return f
 }
 
 func newRelayer(s platform.Settings, counters *counter.Counters, logger *slog.Logger) *storerelayer.Relayer {
