platform: odd entries among the upstreams name no upstream

What callers would see: requests sent to nowhere, as the entry seems to have room for everything. Cause: an entry needed only a service, an address in form and a state. Accepted were slots, a start time of, the addresses 0.0.0.0 and 127.0.0.1, and entries without slots or domain. Ruled out, by tests that passed before: 32,000 levels, 1e400 and port 70000 were errors of their row, and a running VM goes on; so nothing ended by itself here, and the list was followed.

--- a/internal/wiring/entryvm/sink.go
+++ b/internal/wiring/entryvm/sink.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -129,6 +130,10 @@
 			s.vm.logger.Warn("malformed upstream entry ignored", "error", err, "row", row.Version)
 			continue
 		}
+		if s.isLoopbackOnly(u.Address) {
+			s.vm.logger.Warn("upstream entry with a loopback address ignored", "upstream", u.ID, "address", u.Address)
+			continue
+		}
 		if !s.registrar.Update(u, row.Version) {
 			continue // not newer than the known entry
 		}
@@ -145,6 +150,17 @@
 	s.publish(now)
 }
 
+// isLoopbackOnly returns whether an address is a loopback address although this VM has another one: no
+// upstream can be reached there by all VMs.
+func (s *upstreamSink) isLoopbackOnly(address string) bool {
+	at, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return false
+	}
+	self, err := netip.ParseAddr(s.vm.settings.IP)
+	return err == nil && at.Addr().IsLoopback() && !self.IsLoopback()
+}
+
 // publish passes the list of upstreams on, and closes idle connections to addresses that
 // are no longer listed or now belong to another upstream. The caller must hold mu.
 func (s *upstreamSink) publish(now time.Time) {
