--- a/internal/standins/rawresponder/responder.go
+++ b/internal/standins/rawresponder/responder.go
@@ -17,24 +17,36 @@
 
 // Responder is a server on loopback.
 type Responder struct {
-	listener net.Listener
-	group    sync.WaitGroup
+	listener    net.Listener
+	closesAfter bool
+	group       sync.WaitGroup
+}
+
+// Option sets one property of a Responder.
+type Option func(*Responder)
+
+// WithClose closes each connection in order after its first answer.
+func WithClose() Option {
+	return func(r *Responder) { r.closesAfter = true }
 }
 
 // New starts a Responder.
-func New(answer Answer) (*Responder, error) {
+func New(answer Answer, options ...Option) (*Responder, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	r := &Responder{listener: listener}
+	for _, option := range options {
+		option(r)
+	}
 	r.group.Go(func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return // it is closed
 			}
-			r.group.Go(func() { serve(conn, answer) })
+			r.group.Go(func() { r.serve(conn, answer) })
 		}
 	})
 	return r, nil
@@ -46,7 +58,7 @@
 // Close ends the listener. Open connections end when their clients close them.
 func (r *Responder) Close() { _ = r.listener.Close() }
 
-func serve(conn net.Conn, answer Answer) {
+func (r *Responder) serve(conn net.Conn, answer Answer) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for n := 1; ; n++ {
@@ -60,5 +72,8 @@
 			return
 		}
 		_, _ = io.WriteString(conn, text)
+		if r.closesAfter {
+			return
+		}
 	}
 }
