gateway, server: what comes late in a planned stop is answered, and rejected if it can't end in time

What callers saw: from 3.2 s after SIGTERM on, a request on an open connection was read and the connection closed without an answer; one that was still running at 7.5 s of 8 was cut without one. Cause: http.Server.Shutdown closes a connection that delivers a request during it; and nothing told running requests that the VM ends. Ruled out: that such late requests are passed on to upstreams, as the issue says of other systems: net/http drops them first. Change: conntracker drains a server whose listener is closed: idle connections are closed, requests on others are answered until the end. From 3 s after SIGTERM on a request whose deadline is after the end is rejected at once (503, not run, Retry-After); calls on jobs within 3 s of the end. 700 ms before the end of the grace running requests get 502, those that were never sent 503. Why: 503 is a promise that lets any caller go to another VM; a closed connection promises nothing. Conclusion: fixed for both interfaces, but a running request of the product's own interface is still cut when its drain timeout (not the platform's grace) ends.

--- a/internal/faces/gateway/gateway.go
+++ b/internal/faces/gateway/gateway.go
@@ -118,7 +118,9 @@
 	logger   *slog.Logger
 
 	table     atomic.Pointer[router.Table]
-	draining  atomic.Bool
+	draining  atomic.Pointer[drainPlan] // nil until Drain
+	aborted   context.Context           //nolint:containedctx // ends with the gateway, not with a request
+	abort     context.CancelCauseFunc
 	chain     handler
 	startGate startGate
 }
@@ -133,6 +135,7 @@
 		codec: codec, courier: c, placer: p, crashes: crashes, versions: versions, jobs: jobs, memory: memory, counter: counter,
 		logger: logger, pacer: pacer.New(), startGate: newStartGate(),
 	}
+	g.aborted, g.abort = context.WithCancelCause(context.Background())
 	g.chain = g.closeIfDraining(g.waitForStart(g.requireConfiguration(g.serveJobCalls(
 		g.decodeHead(g.matchRoute(g.readBody(g.run)))))))
 	return g
@@ -144,9 +147,6 @@
 // Table returns the current configuration, or nil.
 func (g *Gateway) Table() *router.Table { return g.table.Load() }
 
-// SetDraining makes the gateway close each connection after its next answer.
-func (g *Gateway) SetDraining() { g.draining.Store(true) }
-
 // exchange is the state of one request in the filter chain.
 type exchange struct {
 	w       http.ResponseWriter
@@ -163,17 +163,6 @@
 	g.chain(&exchange{w: w, r: r})
 }
 
-// closeIfDraining closes callers' connections while the VM drains, so that they
-// connect to other VMs.
-func (g *Gateway) closeIfDraining(next handler) handler {
-	return func(x *exchange) {
-		if g.draining.Load() {
-			x.w.Header().Set("Connection", "close")
-		}
-		next(x)
-	}
-}
-
 // requireConfiguration rejects requests while the gateway has no configuration.
 func (g *Gateway) requireConfiguration(next handler) handler {
 	return func(x *exchange) {
@@ -190,13 +179,20 @@
 func (g *Gateway) serveJobCalls(next handler) handler {
 	return func(x *exchange) {
 		if g.jobs.IsJobCall(x.r) {
-			g.jobs.Serve(x.w, x.r, nil)
+			g.serveJob(x, nil)
 			return
 		}
 		next(x)
 	}
 }
 
+// serveJob passes a call on a job to Jobs. The route is nil for calls that are identified by path.
+func (g *Gateway) serveJob(x *exchange, route *router.Route) {
+	if !g.rejectIfLate(x, time.Now().Add(maxJobCallTime)) {
+		g.jobs.Serve(x.w, x.r, route)
+	}
+}
+
 // matchRoute finds the route. It passes requests on a batch route to Jobs; for others, it
 // chooses the service by the request ID, and applies the route's timeout to the deadline.
 func (g *Gateway) matchRoute(next handler) handler {
@@ -207,7 +203,7 @@
 			return
 		}
 		if route.Kind == router.KindBatch {
-			g.jobs.Serve(x.w, x.r, route)
+			g.serveJob(x, route)
 			return
 		}
 		x.request.route, x.request.configVersion = route, x.table.Version()
@@ -215,7 +211,9 @@
 		if route.Timeout > 0 {
 			x.request.Deadline = earliest(x.request.Deadline, x.request.receivedAt.Add(route.Timeout))
 		}
-		next(x)
+		if !g.rejectIfLate(x, x.request.Deadline) {
+			next(x)
+		}
 	}
 }
 
--- a/internal/faces/gateway/localreply.go
+++ b/internal/faces/gateway/localreply.go
@@ -19,6 +19,7 @@
 	reasonNoMemory         reason = "noMemory"
 	reasonNoUpstream       reason = "noUpstream"
 	reasonUnreachable      reason = "unreachable"
+	reasonStopping         reason = "stopping"
 	reasonRateLimited      reason = "rateLimited"
 	reasonVersionUnknown   reason = "streamVersionUnknown"
 	reasonRejected         reason = "refusedByUpstreams"
--- a/internal/faces/gateway/run.go
+++ b/internal/faces/gateway/run.go
@@ -70,7 +70,10 @@
 
 // run forwards a request to upstreams until it has a final answer, and logs the outcome.
 func (g *Gateway) run(x *exchange) {
-	ctx, cancel := x.r.Context(), context.CancelFunc(func() {})
+	ctx, abort := context.WithCancelCause(x.r.Context())
+	defer abort(nil)
+	defer context.AfterFunc(g.aborted, func() { abort(errStopping) })()
+	cancel := context.CancelFunc(func() {})
 	if x.request.Deadline.IsZero() && x.request.route.Kind != router.KindStream {
 		x.request.Deadline = x.request.receivedAt.Add(defaultPlainTimeout)
 	}
@@ -250,6 +253,10 @@
 		return outcomeTruncated
 	case errors.Is(f.lastErr, errCrashesUpstreams):
 		f.gateway.reject(f.x, http.StatusBadGateway, reasonCrashesUpstreams)
+	case f.sends == 0 && errors.Is(context.Cause(ctx), errStopping):
+		f.gateway.reject(f.x, http.StatusServiceUnavailable, reasonStopping)
+	case f.runs > 0 && errors.Is(context.Cause(ctx), errStopping):
+		f.gateway.reject(f.x, http.StatusBadGateway, reasonStopping)
 	case f.runs > 0 && ctx.Err() != nil:
 		f.gateway.reject(f.x, http.StatusGatewayTimeout, reasonDeadline)
 	case f.runs > 0:
--- a/internal/faces/server/filter.go
+++ b/internal/faces/server/filter.go
@@ -91,15 +91,6 @@
 	return true
 }
 
-// drainFilter closes the connection after each response while the VM shuts down, so that
-// callers reconnect to other VMs.
-func (s *Server) drainFilter(r *restful.Request, w *restful.Response, chain *restful.FilterChain) {
-	if s.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	chain.ProcessFilter(r, w)
-}
-
 // readinessFilter rejects requests while the VM has no view from which it can serve them.
 func (s *Server) readinessFilter(r *restful.Request, w *restful.Response, chain *restful.FilterChain) {
 	ready, reason := s.publisher.View().Ready()
@@ -140,7 +131,7 @@
 }
 
 // deadlineFilter sets the deadline of a request: the caller's, or defaultRequestTimeout from
-// now. It rejects requests whose deadline has passed.
+// now. It rejects requests whose deadline has passed, or that may not end before the VM does.
 func (s *Server) deadlineFilter(r *restful.Request, w *restful.Response, chain *restful.FilterChain) {
 	now := time.Now()
 	deadline := now.Add(defaultRequestTimeout)
@@ -158,6 +149,13 @@
 		}
 		deadline = requested
 	}
+	if s.isTooLate(deadline, now) {
+		s.counters.Count(`refusals_total{reason="stopping"}`)
+		w.Header().Set("Connection", "close")
+		retryAt := failurewriter.WithRetryAt(now.Add(failurewriter.RetryDelay))
+		failurewriter.New(http.StatusServiceUnavailable, "stopping", "this VM is shutting down", retryAt).Write(w.ResponseWriter)
+		return
+	}
 	r.SetAttribute(attributeDeadline, deadline)
 	chain.ProcessFilter(r, w)
 }
--- a/internal/faces/server/server.go
+++ b/internal/faces/server/server.go
@@ -16,6 +16,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/online/claimer"
 	"github.com/fescuespindle/fescuespindle/internal/online/dispatcher"
 	"github.com/fescuespindle/fescuespindle/internal/online/servicecaller"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/conntracker"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/counter"
 )
 
@@ -46,7 +47,8 @@
 	broadcaster CancellationBroadcaster
 	counters    *counter.Counters
 	logger      *slog.Logger
-	draining    atomic.Bool
+	draining    atomic.Pointer[drainPlan] // nil until Drain
+	conns       *conntracker.Tracker
 	active      atomic.Int64
 }
 
@@ -58,7 +60,7 @@
 ) *Server {
 	return &Server{
 		publisher: publisher, dispatcher: dispatcher, services: services, claimer: claimer, jobs: jobs,
-		broadcaster: broadcaster, counters: counters, logger: logger,
+		broadcaster: broadcaster, counters: counters, logger: logger, conns: conntracker.New(),
 	}
 }
 
@@ -67,6 +69,7 @@
 func (s *Server) HTTP() *http.Server {
 	return &http.Server{
 		Handler: s.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: s.conns.Observe,
 	}
 }
 
@@ -113,8 +116,5 @@
 	return ws
 }
 
-// SetDraining makes the server close each connection after its next response.
-func (s *Server) SetDraining() { s.draining.Store(true) }
-
 // Active returns the number of requests in progress.
 func (s *Server) Active() int { return int(s.active.Load()) }
--- /dev/null
+++ b/internal/laboratory/sitebuilder/drain_test.go
@@ -0,0 +1,56 @@
+package sitebuilder_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fescuespindle/fescuespindle/internal/laboratory/sitebuilder"
+)
+
+// Guards against: a request that comes over an open connection while a VM shuts down gets no answer, in
+// the product's own interface.
+func TestRequestOnOpenConnectionOfAStoppingVMIsAnswered(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	spec := sitebuilder.Authority()
+	site, err := sitebuilder.New(spec)
+	qt.Assert(t, err, qt.IsNil)
+	defer site.Close()
+	_, err = site.Apply(ctx, spec.Document)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, site.WaitReady(ctx), qt.IsNil)
+	vm := site.VMs[0]
+	var conns []net.Conn
+	for range 10 {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(vm.URL(), "http://"))
+		qt.Assert(t, err, qt.IsNil)
+		defer func() { _ = conn.Close() }()
+		conns = append(conns, conn)
+	}
+	var group sync.WaitGroup
+	group.Go(func() { qt.Check(t, vm.Shutdown(ctx), qt.IsNil) })
+	for n, conn := range conns {
+		time.Sleep(100 * time.Millisecond)
+		body := fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":"verse"}],"max_tokens":3}`, spec.Model)
+		_, err := fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\n"+
+			"Content-Length: %d\r\n\r\n%s", sitebuilder.OnlineToken, len(body), body)
+		qt.Assert(t, err, qt.IsNil)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		qt.Assert(t, err, qt.IsNil, qt.Commentf("connection %d", n))
+		_, err = io.Copy(io.Discard, response.Body)
+		qt.Check(t, err, qt.IsNil)
+		isAnswered := response.StatusCode == http.StatusOK || response.StatusCode == http.StatusServiceUnavailable
+		qt.Check(t, isAnswered, qt.IsTrue, qt.Commentf("status %d", response.StatusCode))
+	}
+	group.Wait()
+}
--- a/internal/wiring/assembler/vm.go
+++ b/internal/wiring/assembler/vm.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/control/controller"
@@ -72,9 +73,10 @@
 	server   *server.Server
 	operator *operator.Operator
 
-	group   sync.WaitGroup
-	servers []*http.Server
-	stop    context.CancelFunc
+	group    sync.WaitGroup
+	servers  []*http.Server
+	draining atomic.Bool // the callers' listener is closed
+	stop     context.CancelFunc
 }
 
 // Publisher returns the publisher of the VM's view of the fleet.
@@ -109,7 +111,9 @@
 	s.ErrorLog = slog.NewLogLogger(vm.logger.Handler(), slog.LevelDebug)
 	vm.servers = append(vm.servers, s)
 	vm.group.Go(func() {
-		if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		err := s.Serve(listener)
+		isIntended := errors.Is(err, http.ErrServerClosed) || (errors.Is(err, net.ErrClosed) && vm.draining.Load())
+		if !isIntended {
 			vm.logger.Error("listener failed", "error", err)
 		}
 	})
@@ -123,13 +127,14 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(vm.settings.DrainTimeout))
 	defer cancel()
 	vm.operator.SetDraining()
-	vm.server.SetDraining()
+	now := time.Now()
+	vm.server.SetDraining(now.Add(time.Duration(vm.settings.BalancerLag)), now.Add(time.Duration(vm.settings.DrainTimeout)))
 	vm.carrier.Drain()
 	drained := make(chan error, 1)
 	vm.group.Go(func() { drained <- vm.controller.DrainBatch(ctx) })
 	sleeper.Sleep(ctx, time.Duration(vm.settings.BalancerLag))
-	caller := vm.servers[len(vm.servers)-1]
-	err := errors.Join(caller.Shutdown(ctx), <-drained)
+	vm.draining.Store(true)
+	err := errors.Join(vm.server.Drain(ctx, vm.listeners.Caller), <-drained)
 	vm.dispatcher.Wait()
 	vm.claimer.Wait()
 	vm.carrier.Wait(ctx)
--- a/internal/wiring/entryvm/vm.go
+++ b/internal/wiring/entryvm/vm.go
@@ -28,6 +28,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/online/placer"
 	"github.com/fescuespindle/fescuespindle/internal/online/tunneler"
 	"github.com/fescuespindle/fescuespindle/internal/online/versionkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/conntracker"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/counter"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/supervisor"
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
@@ -73,12 +74,15 @@
 	shared    *sharedState
 	callbacks *callbacks
 
-	vmCount      atomic.Int32 // live VMs, including this one
-	readiness    readiness
-	tasks        *supervisor.Supervisor
-	servers      []*http.Server
-	callerServer *http.Server
-	stop         context.CancelFunc
+	vmCount     atomic.Int32 // live VMs, including this one
+	readiness   readiness
+	tasks       *supervisor.Supervisor
+	servers     []*http.Server
+	callerConns *conntracker.Tracker
+	// callerListener accepts callers' connections until callersDraining is set.
+	callerListener  net.Listener
+	callersDraining atomic.Bool
+	stop            context.CancelFunc
 }
 
 // New returns a VM that has not started.
@@ -181,8 +185,14 @@
 func (vm *VM) Start() error {
 	ctx, cancel := context.WithCancel(context.Background())
 	vm.stop = cancel
-	vm.callerServer = &http.Server{
+	vm.callerConns = conntracker.New()
+	callerServer := &http.Server{
 		Handler: vm.gateway, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: vm.callerConns.Observe,
+	}
+	var err error
+	if vm.callerListener, err = net.Listen("tcp", vm.settings.CallerAddress); err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
 	}
 	watchers := []*watcher.Watcher{
 		vm.newWatcher(memberkeeper.Table, memberkeeper.Part, vm.memberKeeper,
@@ -194,13 +204,13 @@
 			watcher.WithReread(vm.rereadInterval)),
 	}
 	if err := errors.Join(
-		vm.serve(vm.settings.CallerAddress, vm.callerServer),
 		vm.serve(vm.settings.ReadyAddress, &http.Server{Handler: &vm.readiness, ReadHeaderTimeout: readHeaderTimeout}),
 		vm.serve(peerAddress(vm.settings), &http.Server{Handler: vm.peerHandler(), ReadHeaderTimeout: readHeaderTimeout}),
 		vm.serve(net.JoinHostPort(vm.settings.IP, strconv.Itoa(metricsPort)), vm.metricsServer()),
 	); err != nil {
 		return err
 	}
+	vm.serveListener(vm.callerListener, callerServer)
 	vm.setPeers(nil)
 	vm.runner.Start()
 	vm.tasks.GoWithRestart(ctx, "peer messages", vm.reporter.Run)
@@ -278,14 +288,21 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	vm.serveListener(listener, s)
+	return nil
+}
+
+// serveListener serves on a listener until it or the server is closed.
+func (vm *VM) serveListener(listener net.Listener, s *http.Server) {
 	s.ErrorLog = slog.NewLogLogger(vm.logger.Handler(), slog.LevelDebug)
 	vm.servers = append(vm.servers, s)
 	vm.tasks.Go("listener", func() {
-		if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			vm.logger.Error("listener failed", "address", address, "error", err)
+		err := s.Serve(listener)
+		isIntended := errors.Is(err, http.ErrServerClosed) || (errors.Is(err, net.ErrClosed) && vm.callersDraining.Load())
+		if !isIntended {
+			vm.logger.Error("listener failed", "address", listener.Addr().String(), "error", err)
 		}
 	})
-	return nil
 }
 
 // metricsServer returns a server that answers each request with the metrics in Prometheus
@@ -299,8 +316,12 @@
 	// balancerLag is how long the balancer may still open new connections after the VM
 	// has become not ready: two of its readiness checks and a margin.
 	balancerLag = 3200 * time.Millisecond
-	// graceMargin is the remainder of the grace period when running requests are aborted.
-	graceMargin = 500 * time.Millisecond
+	// lateAfter is when requests are rejected that may not end in time.
+	lateAfter = 3 * time.Second
+	// graceMargin is the remainder of the grace period when running requests are aborted, and
+	// answerMargin the time before for answers that say so.
+	graceMargin  = 500 * time.Millisecond
+	answerMargin = 200 * time.Millisecond
 )
 
 // Shutdown drains and stops the VM. It hands over or releases batch jobs, waits for running
@@ -308,17 +329,16 @@
 func (vm *VM) Shutdown() {
 	began := time.Now()
 	vm.logger.Info("stopping", "vm", vm.settings.VM)
+	end := began.Add(vm.settings.GracePeriod - graceMargin)
 	vm.readiness.draining.Store(true)
-	vm.gateway.SetDraining()
+	vm.gateway.Drain(began.Add(lateAfter), end.Add(-answerMargin))
 	vm.memberKeeper.SetLeaving()
 	vm.carrier.Drain()
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(vm.settings.GracePeriod-graceMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	vm.tasks.Go("release of jobs", func() { vm.runner.Release(ctx) })
 	time.Sleep(balancerLag)
-	if err := vm.callerServer.Shutdown(ctx); err != nil {
-		vm.logger.Warn("requests aborted at the end of the grace period", "error", err)
-	}
+	vm.drainCallers(ctx, end)
 	vm.runner.Stop()
 	vm.carrier.Wait(ctx)
 	vm.stop()
@@ -332,3 +352,16 @@
 	vm.tasks.Wait()
 	vm.logger.Info("stopped", "vm", vm.settings.VM, "took", time.Since(began))
 }
+
+// drainCallers takes no more connections of callers and waits until all requests have ended.
+func (vm *VM) drainCallers(ctx context.Context, end time.Time) {
+	vm.callersDraining.Store(true)
+	if err := vm.callerListener.Close(); err != nil {
+		vm.logger.Warn("closing the listener for callers failed", "error", err)
+	}
+	abort := time.AfterFunc(time.Until(end.Add(-answerMargin)), vm.gateway.Abort)
+	defer abort.Stop()
+	if err := vm.callerConns.Drain(ctx); err != nil {
+		vm.logger.Warn("requests aborted at the end of the grace period", "error", err)
+	}
+}
