--- a/internal/online/pathfinder/detour.go
+++ b/internal/online/pathfinder/detour.go
@@ -27,7 +27,7 @@
 	// provenTime is how long a peer VM that has carried a connection is preferred, and
 	// enoughProven the number of these from which on no others are tried beside them.
 	provenTime   = 5 * time.Second
-	enoughProven = 4
+	enoughProven = 8
 	// exploreShare is the share of connections for which another peer VM is tried until enough are
 	// proven, as a divisor, so that one does not carry all.
 	exploreShare = 3
@@ -56,6 +56,7 @@
 	DistanceDomain Distance = iota
 	DistanceRegion
 	DistanceRemote
+	distanceCount
 )
 
 // Peer is a peer VM.
@@ -220,12 +221,10 @@
 	shuffle(proven)
 	slices.SortStableFunc(proven, func(a, b *peerState) int { return int(a.Distance) - int(b.Distance) })
 	mixed := mix(others)
-	explored := 0
-	if len(proven) < enoughProven && rand.N(exploreShare) == 0 {
-		explored = min(1, len(mixed))
+	order := append(slices.Clone(proven), mixed...)
+	if len(proven) < enoughProven && len(mixed) > 0 && rand.N(exploreShare) == 0 {
+		order = slices.Insert(order, 0, mixed[rand.N(min(len(mixed), int(distanceCount)))])
 	}
-	order := append(slices.Clone(mixed[:explored]), proven...)
-	order = append(order, mixed[explored:]...)
 	addresses := make([]string, 0, maxAsked)
 	for _, p := range order[:min(len(order), maxAsked)] {
 		addresses = append(addresses, p.Address)
--- a/internal/online/pathfinder/finder_test.go
+++ b/internal/online/pathfinder/finder_test.go
@@ -32,12 +32,12 @@
 	network   *standin.Network
 	upstreams map[string]string // IDs by address
 	finders   []*pathfinder.Finder
+	domains   int
 
 	mu    sync.Mutex
-	lost  map[int]error     // how links of a VM fail; nil for all that work
-	only  map[int]string    // an address that a VM reaches nevertheless
-	dials map[int]int       // over links of a VM
-	dead  map[string]string // addresses that idle connections were closed to, by VM
+	lost  map[int]error  // how links of a VM fail; nil for all that work
+	only  map[int]string // an address that a VM reaches nevertheless
+	dials map[int]int    // over links of a VM
 }
 
 // errHang stands for a link that never answers.
@@ -45,10 +45,12 @@
 
 func addressOf(n int) string { return fmt.Sprint("upstream", n) }
 
-func newFleet(t *testing.T, vms, upstreams int) *fleet {
+func newFleet(t *testing.T, vms, upstreams int) *fleet { return newFleetOf(t, vms, upstreams, 1) }
+
+func newFleetOf(t *testing.T, vms, upstreams, domains int) *fleet {
 	f := &fleet{
-		t: t, network: standin.NewNetwork(), upstreams: map[string]string{}, lost: map[int]error{},
-		only: map[int]string{}, dials: map[int]int{}, dead: map[string]string{},
+		t: t, domains: domains, network: standin.NewNetwork(), upstreams: map[string]string{}, lost: map[int]error{},
+		only: map[int]string{}, dials: map[int]int{},
 	}
 	for n := range upstreams {
 		f.upstreams[addressOf(n)] = fmt.Sprint("id", n)
@@ -62,6 +64,9 @@
 	return f
 }
 
+// domainOf returns the failure domain of a VM in a fleet of VMs that are spread over domains.
+func (f *fleet) domainOf(vm int) int { return vm % max(f.domains, 1) }
+
 func (f *fleet) addVM(vm, vms int) {
 	logger := slog.New(slog.DiscardHandler)
 	finder := pathfinder.New(func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -71,7 +76,11 @@
 	var peers []pathfinder.Peer
 	for other := range vms {
 		if other != vm {
-			peers = append(peers, pathfinder.Peer{Address: fmt.Sprint("vm", other)})
+			distance := pathfinder.DistanceRegion
+			if f.domainOf(other) == f.domainOf(vm) {
+				distance = pathfinder.DistanceDomain
+			}
+			peers = append(peers, pathfinder.Peer{Address: fmt.Sprint("vm", other), Distance: distance})
 		}
 	}
 	finder.SetPeers(peers)
