--- a/internal/faces/gateway/drain.go
+++ b/internal/faces/gateway/drain.go
@@ -4,6 +4,8 @@
 	"errors"
 	"net/http"
 	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/drainer"
 )
 
 // errStopping means that the VM ends before the request does.
@@ -12,18 +14,9 @@
 // maxJobCallTime is the time that a call on a job needs at most.
 const maxJobCallTime = 3 * time.Second
 
-// drainPlan says which requests a gateway that drains still takes.
-type drainPlan struct {
-	lateFrom time.Time // from here on, requests must end before end
-	end      time.Time // when running requests are aborted
-}
-
-// Drain makes the gateway close each connection after its next answer. From lateFrom on, when no
-// load balancer sends callers here any more, it rejects requests whose deadline is after end: they
-// might be aborted, and run at once on another VM.
-func (g *Gateway) Drain(lateFrom, end time.Time) {
-	g.draining.Store(&drainPlan{lateFrom: lateFrom, end: end})
-}
+// Drain makes the gateway close each connection after its next answer, and reject requests that are too
+// late for the plan: they might be aborted, and can run on another VM at once.
+func (g *Gateway) Drain(plan *drainer.Plan) { g.draining.Store(plan) }
 
 // Abort ends all requests with an answer that says what became of them.
 func (g *Gateway) Abort() { g.abort(errStopping) }
@@ -42,11 +35,7 @@
 // rejectIfLate rejects a request that may not end before the VM does, and returns whether it did. A zero
 // deadline means none.
 func (g *Gateway) rejectIfLate(x *exchange, deadline time.Time) bool {
-	plan := g.draining.Load()
-	if plan == nil || time.Now().Before(plan.lateFrom) {
-		return false
-	}
-	if !deadline.IsZero() && !deadline.After(plan.end) {
+	if !g.draining.Load().IsTooLate(deadline, time.Now()) {
 		return false
 	}
 	x.w.Header().Set("Connection", "close") // it may not have been draining when the request came
--- a/internal/faces/gateway/gateway.go
+++ b/internal/faces/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/online/pacer"
 	"github.com/fescuespindle/fescuespindle/internal/online/placer"
 	"github.com/fescuespindle/fescuespindle/internal/online/router"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/drainer"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
 )
 
@@ -118,8 +119,8 @@
 	logger   *slog.Logger
 
 	table     atomic.Pointer[router.Table]
-	draining  atomic.Pointer[drainPlan] // nil until Drain
-	aborted   context.Context           //nolint:containedctx // ends with the gateway, not with a request
+	draining  atomic.Pointer[drainer.Plan] // nil until Drain
+	aborted   context.Context              //nolint:containedctx // ends with the gateway, not with a request
 	abort     context.CancelCauseFunc
 	chain     handler
 	startGate startGate
--- a/internal/faces/server/filter.go
+++ b/internal/faces/server/filter.go
@@ -149,7 +149,7 @@
 		}
 		deadline = requested
 	}
-	if s.isTooLate(deadline, now) {
+	if s.draining.Load().IsTooLate(deadline, now) {
 		s.counters.Count(`refusals_total{reason="stopping"}`)
 		w.Header().Set("Connection", "close")
 		retryAt := failurewriter.WithRetryAt(now.Add(failurewriter.RetryDelay))
--- a/internal/faces/server/server.go
+++ b/internal/faces/server/server.go
@@ -16,8 +16,8 @@
 	"github.com/fescuespindle/fescuespindle/internal/online/claimer"
 	"github.com/fescuespindle/fescuespindle/internal/online/dispatcher"
 	"github.com/fescuespindle/fescuespindle/internal/online/servicecaller"
-	"github.com/fescuespindle/fescuespindle/internal/plumbing/conntracker"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/counter"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/drainer"
 )
 
 const (
@@ -47,8 +47,8 @@
 	broadcaster CancellationBroadcaster
 	counters    *counter.Counters
 	logger      *slog.Logger
-	draining    atomic.Pointer[drainPlan] // nil until Drain
-	conns       *conntracker.Tracker
+	draining    atomic.Pointer[drainer.Plan] // nil until Drain
+	conns       *drainer.Conns
 	active      atomic.Int64
 }
 
@@ -60,7 +60,7 @@
 ) *Server {
 	return &Server{
 		publisher: publisher, dispatcher: dispatcher, services: services, claimer: claimer, jobs: jobs,
-		broadcaster: broadcaster, counters: counters, logger: logger, conns: conntracker.New(),
+		broadcaster: broadcaster, counters: counters, logger: logger, conns: drainer.NewConns(),
 	}
 }
 
--- a/internal/plumbing/conntracker/tracker.go
+++ b/internal/plumbing/drainer/conns.go
@@ -1,12 +1,12 @@
-// Package conntracker tracks the connections of an HTTP server, so that it can be drained while
-// requests on open connections are still answered.
+// Package drainer drains an HTTP server of a process that will end at a known time: requests on open
+// connections are still answered, and those that might not end in time are rejected.
 //
 // http.Server.Shutdown closes a connection that has just delivered a request without an answer, so
 // a caller can't tell whether the request has run. A drained server answers it, if only with a
 // rejection:
 //
-//	listener closed ── CloseIdle ── requests on other connections are answered ── Wait ── Close
-package conntracker
+//	listener closed ── idle connections closed ── requests on the others are answered ── end
+package drainer
 
 import (
 	"context"
@@ -30,32 +30,32 @@
 	since time.Time
 }
 
-// Tracker tracks the connections of one server.
-type Tracker struct {
+// Conns are the connections of one server.
+type Conns struct {
 	mu    sync.Mutex
 	conns map[net.Conn]connState
 }
 
-// New returns a Tracker without connections.
-func New() *Tracker { return &Tracker{conns: map[net.Conn]connState{}} }
+// NewConns returns no connections.
+func NewConns() *Conns { return &Conns{conns: map[net.Conn]connState{}} }
 
 // Observe records the state of a connection. It is an http.Server.ConnState function.
-func (t *Tracker) Observe(conn net.Conn, state http.ConnState) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+func (c *Conns) Observe(conn net.Conn, state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if state == http.StateClosed || state == http.StateHijacked {
-		delete(t.conns, conn)
+		delete(c.conns, conn)
 		return
 	}
-	t.conns[conn] = connState{state: state, since: time.Now()}
+	c.conns[conn] = connState{state: state, since: time.Now()}
 }
 
 // Drain closes connections that carry no request, and waits until none is left or the context
 // ends. Connections that become idle meanwhile are closed too. The server must accept no more.
-func (t *Tracker) Drain(ctx context.Context) error {
+func (c *Conns) Drain(ctx context.Context) error {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
-	for t.closeIdle(time.Now()) > 0 {
+	for c.closeIdle(time.Now()) > 0 {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -67,17 +67,18 @@
 
 // closeIdle closes connections that carry no request, and returns the number of the others. A new
 // connection may still deliver its first request.
-func (t *Tracker) closeIdle(now time.Time) (others int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for conn, c := range t.conns {
-		isIdle := c.state == http.StateIdle || (c.state == http.StateNew && now.Sub(c.since) >= firstRequestTime)
+func (c *Conns) closeIdle(now time.Time) (others int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, known := range c.conns {
+		isNewTooLong := known.state == http.StateNew && now.Sub(known.since) >= firstRequestTime
+		isIdle := known.state == http.StateIdle || isNewTooLong
 		if !isIdle {
 			others++
 			continue
 		}
 		_ = conn.Close()
-		delete(t.conns, conn)
+		delete(c.conns, conn)
 	}
 	return others
 }
--- a/internal/wiring/assembler/vm.go
+++ b/internal/wiring/assembler/vm.go
@@ -24,6 +24,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
 	"github.com/fescuespindle/fescuespindle/internal/online/tunneler"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/counter"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/drainer"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/sleeper"
 	"github.com/fescuespindle/fescuespindle/internal/store/storekeeper"
 )
@@ -128,7 +129,8 @@
 	defer cancel()
 	vm.operator.SetDraining()
 	now := time.Now()
-	vm.server.SetDraining(now.Add(time.Duration(vm.settings.BalancerLag)), now.Add(time.Duration(vm.settings.DrainTimeout)))
+	vm.server.SetDraining(drainer.NewPlan(
+		now.Add(time.Duration(vm.settings.BalancerLag)), now.Add(time.Duration(vm.settings.DrainTimeout))))
 	vm.carrier.Drain()
 	drained := make(chan error, 1)
 	vm.group.Go(func() { drained <- vm.controller.DrainBatch(ctx) })
--- a/internal/wiring/entryvm/vm.go
+++ b/internal/wiring/entryvm/vm.go
@@ -8,7 +8,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"net/netip"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -28,8 +27,8 @@
 	"github.com/fescuespindle/fescuespindle/internal/online/placer"
 	"github.com/fescuespindle/fescuespindle/internal/online/tunneler"
 	"github.com/fescuespindle/fescuespindle/internal/online/versionkeeper"
-	"github.com/fescuespindle/fescuespindle/internal/plumbing/conntracker"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/counter"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/drainer"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/supervisor"
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 	"github.com/fescuespindle/fescuespindle/internal/store/storerelayer"
@@ -78,7 +77,7 @@
 	readiness   readiness
 	tasks       *supervisor.Supervisor
 	servers     []*http.Server
-	callerConns *conntracker.Tracker
+	callerConns *drainer.Conns
 	// callerListener accepts callers' connections until callersDraining is set.
 	callerListener  net.Listener
 	callersDraining atomic.Bool
@@ -97,95 +96,12 @@
 	return vm, nil
 }
 
-// setPeers passes the list of other live VMs to the parts that communicate with them or
-// depend on their number.
-func (vm *VM) setPeers(members []memberkeeper.Member) {
-	peers := make([]peerteller.Peer, 0, len(members))
-	addresses := make(map[string]string, len(members))
-	var local, remote []string
-	for _, m := range members {
-		address, err := netip.ParseAddr(m.IP)
-		if err != nil {
-			vm.logger.Warn("invalid address of VM", "vm", m.VM, "error", err)
-			continue
-		}
-		peer := peerteller.Peer{
-			VM: m.VM, Address: netip.AddrPortFrom(address, uint16(vm.settings.PeerPort)),
-			Domain: m.Domain, Remote: vm.settings.Regions[m.Domain] != vm.settings.Region,
-		}
-		peers = append(peers, peer)
-		addresses[m.VM] = peer.Address.String()
-		if peer.Remote {
-			remote = append(remote, peer.Address.String())
-		} else {
-			local = append(local, peer.Address.String())
-		}
-	}
-	vms := map[string][]string{vm.settings.Domain: {vm.settings.VM}}
-	names := []string{vm.settings.VM}
-	for _, m := range members {
-		vms[m.Domain] = append(vms[m.Domain], m.VM)
-		names = append(names, m.VM)
-	}
-	vm.crashes.SetVMs(vm.settings.VM, names)
-	vm.versions.SetVMs(names)
-	vm.placer.SetVMs(vms)
-	vm.relayer.SetPeers(local, remote)
-	vm.finder.SetPeers(vm.carriers(peers))
-	vm.reporter.SetPeers(peers)
-	vm.mover.SetPeers(addresses)
-	vm.jobKeeper.SetVMCount(len(peers) + 1)
-	vm.vmCount.Store(int32(len(peers) + 1))
-	vm.limitIdleConnections()
-}
-
-// carriers returns the peer VMs that may carry connections for this one.
-func (vm *VM) carriers(peers []peerteller.Peer) []pathfinder.Peer {
-	carriers := make([]pathfinder.Peer, 0, len(peers))
-	for _, p := range peers {
-		distance := pathfinder.DistanceRegion
-		switch {
-		case p.Domain == vm.settings.Domain:
-			distance = pathfinder.DistanceDomain
-		case p.Remote:
-			distance = pathfinder.DistanceRemote
-		}
-		carriers = append(carriers, pathfinder.Peer{Address: p.Address.String(), Distance: distance})
-	}
-	return carriers
-}
-
-const (
-	// idleConnectionShare is the share of an upstream's maximum number of connections that
-	// all VMs together may keep idle.
-	idleConnectionShare = 0.6
-	// maxIdleConnections bounds the idle connections of one VM to one upstream.
-	maxIdleConnections = 16
-)
-
-// limitIdleConnections divides the idle connections that upstreams allow equally among the
-// live VMs; each VM may keep at least one to each upstream.
-func (vm *VM) limitIdleConnections() {
-	table := vm.gateway.Table()
-	vms := vm.vmCount.Load()
-	if table == nil || vms == 0 {
-		return
-	}
-	limit := maxIdleConnections
-	for _, s := range table.Services() {
-		if s.MaxConnections > 0 {
-			limit = min(limit, int(idleConnectionShare*float64(s.MaxConnections)/float64(vms)))
-		}
-	}
-	vm.forwarder.SetIdleLimit(max(limit, 1))
-}
-
 // Start opens the VM's listeners and starts its tasks. It returns an error if an address
 // can't be listened on.
 func (vm *VM) Start() error {
 	ctx, cancel := context.WithCancel(context.Background())
 	vm.stop = cancel
-	vm.callerConns = conntracker.New()
+	vm.callerConns = drainer.NewConns()
 	callerServer := &http.Server{
 		Handler: vm.gateway, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: vm.callerConns.Observe,
@@ -311,57 +227,3 @@
 	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { vm.counter.Set().WritePrometheus(w) })
 	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
 }
-
-const (
-	// balancerLag is how long the balancer may still open new connections after the VM
-	// has become not ready: two of its readiness checks and a margin.
-	balancerLag = 3200 * time.Millisecond
-	// lateAfter is when requests are rejected that may not end in time.
-	lateAfter = 3 * time.Second
-	// graceMargin is the remainder of the grace period when running requests are aborted, and
-	// answerMargin the time before for answers that say so.
-	graceMargin  = 500 * time.Millisecond
-	answerMargin = 200 * time.Millisecond
-)
-
-// Shutdown drains and stops the VM. It hands over or releases batch jobs, waits for running
-// requests, and aborts those that still run shortly before the grace period ends.
-func (vm *VM) Shutdown() {
-	began := time.Now()
-	vm.logger.Info("stopping", "vm", vm.settings.VM)
-	end := began.Add(vm.settings.GracePeriod - graceMargin)
-	vm.readiness.draining.Store(true)
-	vm.gateway.Drain(began.Add(lateAfter), end.Add(-answerMargin))
-	vm.memberKeeper.SetLeaving()
-	vm.carrier.Drain()
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	vm.tasks.Go("release of jobs", func() { vm.runner.Release(ctx) })
-	time.Sleep(balancerLag)
-	vm.drainCallers(ctx, end)
-	vm.runner.Stop()
-	vm.carrier.Wait(ctx)
-	vm.stop()
-	for _, s := range vm.servers {
-		if err := s.Close(); err != nil {
-			vm.logger.Warn("closing a listener failed", "error", err)
-		}
-	}
-	vm.forwarder.Close()
-	vm.finder.Close()
-	vm.tasks.Wait()
-	vm.logger.Info("stopped", "vm", vm.settings.VM, "took", time.Since(began))
-}
-
-// drainCallers takes no more connections of callers and waits until all requests have ended.
-func (vm *VM) drainCallers(ctx context.Context, end time.Time) {
-	vm.callersDraining.Store(true)
-	if err := vm.callerListener.Close(); err != nil {
-		vm.logger.Warn("closing the listener for callers failed", "error", err)
-	}
-	abort := time.AfterFunc(time.Until(end.Add(-answerMargin)), vm.gateway.Abort)
-	defer abort.Stop()
-	if err := vm.callerConns.Drain(ctx); err != nil {
-		vm.logger.Warn("requests aborted at the end of the grace period", "error", err)
-	}
-}
