--- /dev/null
+++ b/internal/online/forwarder/quiet_test.go
@@ -0,0 +1,104 @@
+package forwarder_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/url"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fescuespindle/fescuespindle/internal/online/forwarder"
+)
+
+// quietTime is more than the time after which a link is suspected.
+const quietTime = 600 * time.Millisecond
+
+func newQuietForwarder(t *testing.T, quiet *atomic.Int32, options ...forwarder.Option) *forwarder.Forwarder {
+	t.Helper()
+	options = append(options, forwarder.WithOnQuiet(func(string) { quiet.Add(1) }))
+	f := forwarder.New(func(h http.Header) string { return h.Get(idHeader) }, options...)
+	t.Cleanup(f.Close)
+	return f
+}
+
+// sendFor sends a request and gives up after a time.
+func sendFor(t *testing.T, f *forwarder.Forwarder, address, id string, patience time.Duration) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	answer, err := f.Send(ctx, forwarder.Attempt{
+		Request: &http.Request{
+			Method: http.MethodPost, Host: "a", URL: &url.URL{Opaque: "/x"}, Header: http.Header{idHeader: {id}},
+		},
+		ID: id, Address: address,
+	})
+	if err == nil {
+		answer.Close()
+	}
+}
+
+// Guards against: each open connection over a link that has become silent costs a request before the link
+// is checked.
+func TestSilentConnectionIsSuspected(t *testing.T) {
+	expectSuspected := func(t *testing.T, answered int, want int32) {
+		t.Helper()
+		hang := make(chan struct{})
+		defer close(hang)
+		address := startUpstream(t, func(n int, r *http.Request) string {
+			if n > answered {
+				<-hang
+				return ""
+			}
+			return text(r.Header.Get(idHeader), "")
+		})
+		var quiet atomic.Int32
+		f := newQuietForwarder(t, &quiet)
+		for _, id := range []string{"1", "2"} {
+			if id == "1" && answered > 0 {
+				_, err := send(t, f, address, id, nil)
+				qt.Assert(t, err, qt.IsNil)
+				continue
+			}
+			sendFor(t, f, address, id, quietTime)
+		}
+		qt.Check(t, quiet.Load(), qt.Equals, want)
+	}
+	t.Run("reused connection", func(t *testing.T) { expectSuspected(t, 1, 1) })
+	t.Run("answered in time", func(t *testing.T) { expectSuspected(t, 2, 0) })
+	t.Run("new connection, which has just shown that the link works", func(t *testing.T) { expectSuspected(t, 0, 0) })
+}
+
+// limitedConn is a connection that may not carry another request.
+type limitedConn struct {
+	*net.TCPConn
+	reuseUntil time.Time
+}
+
+func (c limitedConn) ReuseUntil() time.Time { return c.reuseUntil }
+
+// Guards against: a peer VM that shuts down gets new requests over connections that it carries.
+func TestConnectionIsReusedOnlyAsLongAsItMayBe(t *testing.T) {
+	expectDials := func(t *testing.T, reuseTime time.Duration, want int) {
+		t.Helper()
+		dials := 0
+		address := startUpstream(t, func(_ int, r *http.Request) string { return text(r.Header.Get(idHeader), "") })
+		var quiet atomic.Int32
+		f := newQuietForwarder(t, &quiet, forwarder.WithDial(func(ctx context.Context, network, address string) (net.Conn, error) {
+			dials++
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			qt.Assert(t, err, qt.IsNil)
+			return limitedConn{TCPConn: conn.(*net.TCPConn), reuseUntil: time.Now().Add(reuseTime)}, nil
+		}))
+		for _, id := range []string{"1", "2", "3"} {
+			_, err := send(t, f, address, id, nil)
+			qt.Assert(t, err, qt.IsNil)
+		}
+		qt.Check(t, dials, qt.Equals, want)
+	}
+	t.Run("for long", func(t *testing.T) { expectDials(t, time.Minute, 1) })
+	t.Run("not at all", func(t *testing.T) { expectDials(t, 0, 3) })
+}
--- a/internal/online/placer/failure_test.go
+++ b/internal/online/placer/failure_test.go
@@ -198,3 +198,22 @@
 		expectAvoided(t, p, draining, start.Add(time.Hour))
 	})
 }
+
+// Guards against: a VM that is cut off from upstreams tells others at once that sound upstreams fail.
+func TestVMThatIsCutOffReportsNoFailureAtOnce(t *testing.T) {
+	expectReported := func(t *testing.T, failures, want int, isCutOff bool) {
+		t.Helper()
+		reported := 0
+		p := newPlacer("vm1", testUpstreams(8, "a"),
+			placer.WithOnChange(func(c placer.Change) { reported += len(c.Failing) }),
+			placer.WithCutOff(func(time.Time) bool { return isCutOff }))
+		for n := range failures {
+			slot := slotOn(t, p, fmt.Sprint("a", n))
+			p.RecordFailure(slot, start.Add(time.Duration(n)*time.Millisecond))
+		}
+		qt.Check(t, reported, qt.Equals, want)
+	}
+	t.Run("links work", func(t *testing.T) { expectReported(t, 1, 1, false) })
+	t.Run("links are lost", func(t *testing.T) { expectReported(t, 1, 0, true) })
+	t.Run("too many fail", func(t *testing.T) { expectReported(t, 5, 2, false) })
+}
