pathfinder: a dial while the VM stops can't meet the end of its tasks

Found by reading, not seen: handlers that are aborted at the end may still dial while Close waits for the group of tasks, and a WaitGroup that is added to then may panic. Tasks after Close run on their caller's goroutine.

--- a/internal/online/pathfinder/check.go
+++ b/internal/online/pathfinder/check.go
@@ -62,20 +62,30 @@
 
 // startCheck starts a check of an address unless one is running.
 func (f *Finder) startCheck(address string, check func(address string)) {
+	if !f.setChecking(address) {
+		return
+	}
+	f.spawn(func() {
+		defer f.endChecking(address)
+		check(address)
+	})
+}
+
+// setChecking returns false if the address is being checked.
+func (f *Finder) setChecking(address string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.checking[address] {
-		return
+		return false
 	}
 	f.checking[address] = true
-	f.group.Go(func() {
-		defer func() {
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			delete(f.checking, address)
-		}()
-		check(address)
-	})
+	return true
+}
+
+func (f *Finder) endChecking(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.checking, address)
 }
 
 // share returns the addresses of one round, up to a limit.
--- a/internal/online/pathfinder/connect.go
+++ b/internal/online/pathfinder/connect.go
@@ -34,7 +34,7 @@
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
 	outcomes := make(chan outcome, 1)
-	f.group.Go(func() { outcomes <- f.dialDirect(address) })
+	f.spawn(func() { outcomes <- f.dialDirect(address) })
 	first, pending, err := f.awaitHeadStart(ctx, outcomes, controlDelay)
 	switch {
 	case err != nil:
@@ -69,9 +69,9 @@
 	outcomes := make(chan outcome, maxControls)
 	controls := f.controls(except)
 	for _, address := range controls {
-		f.group.Go(func() { outcomes <- f.dialDirect(address) })
+		f.spawn(func() { outcomes <- f.dialDirect(address) })
 	}
-	f.group.Go(func() {
+	f.spawn(func() {
 		conn, _ := f.await(ctx, outcomes, len(controls), nil, true)
 		if conn != nil {
 			_ = conn.Close()
--- a/internal/online/pathfinder/finder.go
+++ b/internal/online/pathfinder/finder.go
@@ -49,12 +49,14 @@
 	counter  Counter
 	logger   *slog.Logger
 	onChange atomic.Pointer[func(address string)]
-	group    sync.WaitGroup
-	ctx      context.Context //nolint:containedctx // ends the dials that no request waits for
-	cancel   context.CancelFunc
 	wake     chan struct{} // holds a value if a check may be due
-	// restored is whether a link was restored since the last round of checks.
-	restored atomic.Bool
+	restored atomic.Bool   // a link was restored since the last round of checks
+
+	ctx     context.Context //nolint:containedctx // ends the dials that no request waits for
+	cancel  context.CancelFunc
+	closing sync.Mutex // guards closed, and the start of tasks
+	closed  bool
+	group   sync.WaitGroup
 
 	mu        sync.Mutex
 	ids       map[string]string    // of upstreams, by address
@@ -93,9 +95,25 @@
 // Close ends all dials and waits for them.
 func (f *Finder) Close() {
 	f.cancel()
+	f.closing.Lock()
+	f.closed = true
+	f.closing.Unlock()
 	f.group.Wait()
 }
 
+// spawn runs a task on a goroutine that Close waits for; after Close, on the calling goroutine.
+func (f *Finder) spawn(task func()) {
+	f.closing.Lock()
+	closed := f.closed
+	if !closed {
+		f.group.Go(task)
+	}
+	f.closing.Unlock()
+	if closed {
+		task()
+	}
+}
+
 // SetPeers replaces the peer VMs.
 func (f *Finder) SetPeers(peers []Peer) { f.detour.setPeers(peers) }
 
@@ -198,7 +216,7 @@
 // peer VMs too. It returns the connection that is established first, and closes the other one.
 func (f *Finder) dialEither(ctx context.Context, address string, p patience) (net.Conn, error) {
 	outcomes := make(chan outcome, 2)
-	f.group.Go(func() { outcomes <- f.dialDirect(address) })
+	f.spawn(func() { outcomes <- f.dialDirect(address) })
 	first, pending, err := f.awaitHeadStart(ctx, outcomes, p.headStart)
 	if first.conn != nil || err != nil {
 		return first.conn, err
@@ -206,7 +224,7 @@
 	if f.detour.hasPeers() {
 		detourCtx, cancel := context.WithCancel(ctx)
 		defer cancel()
-		f.group.Go(func() { outcomes <- f.dialDetour(detourCtx, address) })
+		f.spawn(func() { outcomes <- f.dialDetour(detourCtx, address) })
 		pending++
 	}
 	conn, err := f.await(ctx, outcomes, pending, first.err, p.awaitLink)
@@ -265,7 +283,7 @@
 // closeUnused closes the connections of pending dials once they are established.
 func (f *Finder) closeUnused(outcomes chan outcome, pending int) {
 	for range pending {
-		f.group.Go(func() {
+		f.spawn(func() {
 			if o := <-outcomes; o.conn != nil {
 				_ = o.conn.Close()
 			}
--- a/internal/online/pathfinder/finder_test.go
+++ b/internal/online/pathfinder/finder_test.go
@@ -330,3 +330,17 @@
 		}
 	})
 }
+
+// Guards against: a request that dials while the VM stops ends the process.
+func TestDialAfterClose(t *testing.T) {
+	inBubble(t, "fails", func(t *testing.T) {
+		f := newFleet(t, 2, 2)
+		finder := f.finders[0]
+		finder.Close()
+		finder.Suspect(addressOf(0))
+		conn, err := finder.Dial(t.Context(), "tcp", addressOf(0))
+		if err == nil {
+			_ = conn.Close() // through the peer VM
+		}
+	})
+}
