pathfinder: the word of a peer VM that lists one upstream only counts; a query of peers has functions of its own

What callers would see: in a fleet with one upstream, a request that crashes it is never found out, as a peer that has no other upstream to try said that it has no link itself. Evidence: TestRefusal/the_only_upstream_has_ended failed before. Found by reading the diff; the search for a peer is split up without a change of behaviour.

--- a/internal/online/pathfinder/connect.go
+++ b/internal/online/pathfinder/connect.go
@@ -62,12 +62,12 @@
 // Without that, a VM that is cut off would take a sound upstream for one that has ended.
 func (f *Finder) dialOthers(ctx context.Context, except string, since time.Time) (reached chan bool) {
 	reached = make(chan bool, 1)
-	if f.links.SucceededSince(since) {
+	controls := f.controls(except)
+	if len(controls) == 0 || f.links.SucceededSince(since) { // without others, nothing speaks against its links
 		reached <- true
 		return reached
 	}
 	outcomes := make(chan outcome, maxControls)
-	controls := f.controls(except)
 	for _, address := range controls {
 		f.spawn(func() { outcomes <- f.dialDirect(address) })
 	}
--- a/internal/online/pathfinder/detour.go
+++ b/internal/online/pathfinder/detour.go
@@ -103,12 +103,6 @@
 	return len(d.peers) > 0
 }
 
-// answer is a peer VM's answer.
-type answer struct {
-	conn *tunneler.Conn
-	err  error
-}
-
 // open opens a connection to an upstream through the first peer VM that reaches it. One is asked
 // after another: when the one before has failed, or hasn't answered within askInterval.
 func (d *detour) open(ctx context.Context, upstream string) (net.Conn, error) {
@@ -120,47 +114,71 @@
 		return nil, fmt.Errorf("%w: %w", errDetour, tunneler.ErrNoLink) // all have failed a moment ago
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	answers := make(chan answer, len(candidates))
-	var group sync.WaitGroup
-	asked, pending := 0, 0
-	ask := func() {
-		peer := candidates[asked]
-		asked++
-		pending++
-		group.Go(func() { answers <- d.ask(ctx, peer, upstream) })
-	}
-	defer func() {
-		cancel()
-		group.Wait()
-		for range pending {
-			if a := <-answers; a.conn != nil {
-				_ = a.conn.Close()
-			}
-		}
-	}()
-	ask()
+	q := &query{detour: d, upstream: upstream, candidates: candidates, answers: make(chan answer, len(candidates))}
+	defer q.closeUnused()
+	defer cancel()
+	return q.run(ctx)
+}
+
+// answer is a peer VM's answer.
+type answer struct {
+	conn *tunneler.Conn
+	err  error
+}
+
+// query is the state of one search for a peer VM that reaches an upstream.
+type query struct {
+	detour     *detour
+	upstream   string
+	candidates []string // that have not been asked, in order
+	answers    chan answer
+	pending    int // peer VMs that have not answered
+	group      sync.WaitGroup
+	opinions   opinions
+}
+
+// run asks candidates until one reaches the upstream, enough have said that they don't, or the context
+// ends.
+func (q *query) run(ctx context.Context) (net.Conn, error) {
 	ticker := time.NewTicker(askInterval)
 	defer ticker.Stop()
-	var opinions opinions
-	for pending > 0 {
+	q.askNext(ctx)
+	for q.pending > 0 && !q.opinions.isEnough() && ctx.Err() == nil {
 		select {
-		case a := <-answers:
-			pending--
+		case a := <-q.answers:
+			q.pending--
 			if a.err == nil {
 				return a.conn, nil
 			}
-			opinions.add(a.err)
+			q.opinions.add(a.err)
+			ticker.Reset(askInterval)
 		case <-ticker.C:
 		}
-		if opinions.isEnough() || ctx.Err() != nil {
-			break
-		}
-		if asked < len(candidates) {
-			ask()
-			ticker.Reset(askInterval)
+		q.askNext(ctx)
+	}
+	return nil, q.opinions.err()
+}
+
+// askNext asks the next candidate, if there is one and the others' opinions are not enough.
+func (q *query) askNext(ctx context.Context) {
+	if len(q.candidates) == 0 || q.opinions.isEnough() {
+		return
+	}
+	peer := q.candidates[0]
+	q.candidates = q.candidates[1:]
+	q.pending++
+	q.group.Go(func() { q.answers <- q.detour.ask(ctx, peer, q.upstream) })
+}
+
+// closeUnused waits for the answers of peer VMs that were asked beside the one that is used, and closes their
+// connections. The context must have ended.
+func (q *query) closeUnused() {
+	q.group.Wait()
+	for range q.pending {
+		if a := <-q.answers; a.conn != nil {
+			_ = a.conn.Close()
 		}
 	}
-	return nil, opinions.err()
 }
 
 // ask asks one peer VM, and records what its answer shows of that VM.
--- a/internal/online/pathfinder/finder_test.go
+++ b/internal/online/pathfinder/finder_test.go
@@ -252,6 +252,11 @@
 		}
 		expectRefused(t, f, addressOf(0), false)
 	})
+	inBubble(t, "the only upstream has ended", func(t *testing.T) {
+		f := newFleet(t, 2, 0)
+		f.addEnded()
+		expectRefused(t, f, "ended", true)
+	})
 	inBubble(t, "no peer VM to ask", func(t *testing.T) {
 		f := newFleet(t, 1, 2)
 		f.setLost(0, syscall.ECONNREFUSED)
