forwarder: in an overload a quiet upstream is not suspected at once

Cause: a request over a reused connection without an answer for 250 ms has its link checked by a connection. Change: while other upstreams answer over this VM's own links, the check waits for a second. Evidence: TestQuietUpstreamBesideOthersThatAnswerIsSuspectedLater.

--- a/internal/online/forwarder/connection.go
+++ b/internal/online/forwarder/connection.go
@@ -10,6 +10,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/online/tunneler"
 )
 
 const (
@@ -46,6 +48,9 @@
 		return nil, fmt.Errorf("dial: %w", err)
 	}
 	limiter := &headLimiter{source: conn, lastInput: f.lastInput(address)}
+	if _, isCarried := conn.(*tunneler.Conn); !isCarried {
+		limiter.linkInput = &f.linkInput
+	}
 	return &connection{net: conn, address: address, limiter: limiter, reader: bufio.NewReader(limiter)}, nil
 }
 
--- a/internal/online/forwarder/forwarder.go
+++ b/internal/online/forwarder/forwarder.go
@@ -31,7 +31,8 @@
 	dialTimeout = 700 * time.Millisecond
 	// quietTime is how long a request may get no answer, and nothing else may come from its
 	// address, until the link to it is suspected.
-	quietTime = 250 * time.Millisecond
+	quietTime    = 250 * time.Millisecond
+	overloadTime = time.Second
 	// maxInlineBodyBytes is the largest body that is written before the answer is
 	// read. A larger one is written concurrently: otherwise the upstream could block
 	// on writing its answer while the VM blocks on writing the body.
@@ -68,6 +69,7 @@
 	dial      relayer.Dial
 	onQuiet   func(address string)
 	writers   sync.WaitGroup
+	linkInput atomic.Int64 // when bytes last came over this VM's own links, as Unix nanoseconds
 
 	mu     sync.Mutex
 	idle   map[string][]*connection // by address, most recently used last
@@ -170,15 +172,28 @@
 	return nil
 }
 
-// startQuietTimer starts a timer that calls onQuiet if nothing comes from the address of a
-// connection within quietTime.
+// startQuietTimer starts a timer that calls onQuiet if a request gets no answer over a connection, and
+// nothing else comes from its address: within quietTime if this VM's links bring nothing at all, otherwise
+// within overloadTime, as an upstream with long queues is quiet too.
 func (f *Forwarder) startQuietTimer(c *connection) *time.Timer {
-	began := time.Now().UnixNano()
-	return time.AfterFunc(quietTime, func() {
-		if c.limiter.lastInput.Load() < began {
+	began := time.Now()
+	isSilent := func(lastInput *atomic.Int64) bool { return lastInput.Load() < began.UnixNano() }
+	var mu sync.Mutex // guards timer, as it may fire before it is assigned
+	mu.Lock()
+	defer mu.Unlock()
+	var timer *time.Timer
+	timer = time.AfterFunc(quietTime, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		switch waited := time.Since(began); {
+		case !isSilent(c.limiter.lastInput):
+		case isSilent(&f.linkInput) || waited >= overloadTime:
 			f.onQuiet(c.address)
+		default:
+			timer.Reset(overloadTime - waited)
 		}
 	})
+	return timer
 }
 
 // lastInput returns the record of when bytes last came from an address.
--- a/internal/online/forwarder/headlimiter.go
+++ b/internal/online/forwarder/headlimiter.go
@@ -20,6 +20,7 @@
 type headLimiter struct {
 	source      io.Reader
 	lastInput   *atomic.Int64 // when bytes last came from the address, as Unix nanoseconds
+	linkInput   *atomic.Int64 // the same for all links of this VM; nil if a peer VM carries the connection
 	remaining   int           // bytes of heads that may still be read in this exchange
 	readingHead bool          // whether a head is being read
 }
@@ -40,7 +41,14 @@
 		l.remaining -= n
 	}
 	if n > 0 {
-		l.lastInput.Store(time.Now().UnixNano())
+		l.recordInput(time.Now().UnixNano())
 	}
 	return n, err //nolint:wrapcheck // io.EOF must not be wrapped
 }
+
+func (l *headLimiter) recordInput(now int64) {
+	l.lastInput.Store(now)
+	if l.linkInput != nil {
+		l.linkInput.Store(now)
+	}
+}
--- a/internal/online/forwarder/quiet_test.go
+++ b/internal/online/forwarder/quiet_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -72,6 +73,37 @@
 	t.Run("new connection, which has just shown that the link works", func(t *testing.T) { expectSuspected(t, 0, 0) })
 }
 
+// Guards against: in an overload, links are checked by connections that the upstreams must bear besides.
+func TestQuietUpstreamBesideOthersThatAnswerIsSuspectedLater(t *testing.T) {
+	expectSuspected := func(t *testing.T, patience time.Duration, want int32) {
+		t.Helper()
+		hang := make(chan struct{})
+		defer close(hang)
+		quietAddress := startUpstream(t, func(n int, r *http.Request) string {
+			if n > 1 {
+				<-hang
+				return ""
+			}
+			return text(r.Header.Get(idHeader), "")
+		})
+		busyAddress := startUpstream(t, func(_ int, r *http.Request) string { return text(r.Header.Get(idHeader), "") })
+		var quiet atomic.Int32
+		f := newQuietForwarder(t, &quiet)
+		_, err := send(t, f, quietAddress, "1", nil)
+		qt.Assert(t, err, qt.IsNil)
+		var group sync.WaitGroup
+		group.Go(func() { sendFor(t, f, quietAddress, "2", patience) })
+		for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			_, err := send(t, f, busyAddress, "other", nil)
+			qt.Check(t, err, qt.IsNil)
+		}
+		group.Wait()
+		qt.Check(t, quiet.Load(), qt.Equals, want)
+	}
+	t.Run("not yet", func(t *testing.T) { expectSuspected(t, quietTime, 0) })
+	t.Run("in the end", func(t *testing.T) { expectSuspected(t, 3*quietTime, 1) })
+}
+
 // limitedConn is a connection that may not carry another request.
 type limitedConn struct {
 	*net.TCPConn
