pathfinder: a peer VM tries five other upstreams before it says that it has no link

Cause: the peer that is asked whether an upstream has ended tries two others by lot; after two crashes both may have ended as well, and it says that it has no link, so the crash is not counted. Why: five others are not all gone unless most upstreams are, and then no answer is right.

--- a/internal/online/pathfinder/connect.go
+++ b/internal/online/pathfinder/connect.go
@@ -13,7 +13,7 @@
 	connectTimeout = 300 * time.Millisecond
 	// maxControls is the number of other upstreams that are tried to find out whether it is this
 	// VM that is cut off. They are tried when the dial has failed or taken controlDelay.
-	maxControls  = 2
+	maxControls  = 5
 	controlDelay = 100 * time.Millisecond
 )
 
--- a/internal/online/pathfinder/finder_test.go
+++ b/internal/online/pathfinder/finder_test.go
@@ -252,6 +252,15 @@
 		}
 		expectRefused(t, f, addressOf(0), false)
 	})
+	inBubble(t, "several upstreams have ended", func(t *testing.T) {
+		f := newFleet(t, 2, 4)
+		f.upstreams["ended1"], f.upstreams["ended2"] = "ended1", "ended2"
+		f.addEnded()
+		for range 30 {
+			expectRefused(t, f, "ended", true)
+			time.Sleep(5 * time.Second)
+		}
+	})
 	inBubble(t, "the only upstream has ended", func(t *testing.T) {
 		f := newFleet(t, 2, 0)
 		f.addEnded()
