peerdialer, racer: one search for the first of several attempts; a peer tries other upstreams one by one

What callers would see: in an overload, each connection that a full upstream refuses costs a peer VM connections to five other upstreams at once, which are full as well. Cause: the peer dialed all upstreams by which it checks its own links at the same time. The same search, first result of attempts that start a little after each other, stood three times: own link and peers, one peer after another, and these checks. A peer's answer about an upstream that hangs takes up to 400 ms instead of 300; the next peer is asked after 100 ms in any case.

--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -21,7 +21,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/online/claimer"
 	"github.com/fescuespindle/fescuespindle/internal/online/dispatcher"
 	"github.com/fescuespindle/fescuespindle/internal/online/linkmeter"
-	"github.com/fescuespindle/fescuespindle/internal/online/pathfinder"
+	"github.com/fescuespindle/fescuespindle/internal/online/peerdialer"
 	"github.com/fescuespindle/fescuespindle/internal/online/quarantiner"
 	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/counter"
@@ -75,7 +75,7 @@
 type Links interface {
 	// SetUpstreams replaces the list of upstreams, given as their IDs by address.
 	SetUpstreams(ids map[string]string)
-	SetPeers(peers []pathfinder.Peer)
+	SetPeers(peers []peerdialer.Peer)
 }
 
 // Dependencies are the components that a Controller uses.
@@ -278,21 +278,21 @@
 // domain that are alive, and those that are listed in other domains.
 func (c *Controller) updateLinks() {
 	ids := map[string]string{}
-	var peers []pathfinder.Peer
+	var peers []peerdialer.Peer
 	for _, vm := range c.list {
 		switch {
 		case vm.Kind == vmlister.KindUpstream:
 			ids[vm.Address] = vm.ID
 		case vm.Domain == c.Location.Domain || vm.Leaving:
 		case vm.Region == c.Location.Region:
-			peers = append(peers, pathfinder.Peer{Address: vm.Peer, Distance: pathfinder.DistanceRegion})
+			peers = append(peers, peerdialer.Peer{Address: vm.Peer, Distance: peerdialer.DistanceRegion})
 		default:
-			peers = append(peers, pathfinder.Peer{Address: vm.Peer, Distance: pathfinder.DistanceRemote})
+			peers = append(peers, peerdialer.Peer{Address: vm.Peer, Distance: peerdialer.DistanceRemote})
 		}
 	}
 	for _, member := range c.members.prober.Live() {
 		if member.VM() != c.Location.VM {
-			peers = append(peers, pathfinder.Peer{Address: member.Address(), Distance: pathfinder.DistanceDomain})
+			peers = append(peers, peerdialer.Peer{Address: member.Address(), Distance: peerdialer.DistanceDomain})
 		}
 	}
 	c.Links.SetUpstreams(ids)
--- a/internal/online/pathfinder/check.go
+++ b/internal/online/pathfinder/check.go
@@ -102,8 +102,8 @@
 
 // checkLink checks this VM's own link.
 func (f *Finder) checkLink(address string) {
-	if o := f.dialDirect(address); o.conn != nil {
-		_ = o.conn.Close()
+	if conn, err := f.dialDirect(address); err == nil {
+		_ = conn.Close()
 	}
 }
 
--- a/internal/online/pathfinder/connect.go
+++ b/internal/online/pathfinder/connect.go
@@ -6,15 +6,16 @@
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/online/tunneler"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/racer"
 )
 
 const (
 	// connectTimeout bounds a dial for another VM, which asks the next one meanwhile.
-	connectTimeout = 300 * time.Millisecond
+	connectTimeout = 200 * time.Millisecond
 	// maxControls is the number of other upstreams that are tried to find out whether it is this
-	// VM that is cut off. They are tried when the dial has failed or taken controlDelay.
-	maxControls  = 5
-	controlDelay = 100 * time.Millisecond
+	// VM that is cut off, one after another.
+	maxControls     = 5
+	controlInterval = 20 * time.Millisecond
 )
 
 var _ tunneler.Connector = (*Finder)(nil)
@@ -31,54 +32,51 @@
 		return nil, tunneler.ErrNoLink
 	}
 	began := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
-	defer cancel()
-	outcomes := make(chan outcome, 1)
-	f.spawn(func() { outcomes <- f.dialDirect(address) })
-	first, pending, err := f.awaitHeadStart(ctx, outcomes, controlDelay)
+	reason := tunneler.ErrUnanswered
+	conn, found := f.dialWithin(ctx, []string{address}, func(err error) {
+		if isRefusal(err) {
+			reason = tunneler.ErrRefused
+		}
+	})
 	switch {
-	case err != nil:
+	case found:
+		return conn, nil
+	case ctx.Err() != nil:
 		return nil, tunneler.ErrUnanswered // the other VM has left
-	case first.conn != nil:
-		return first.conn, nil
-	}
-	reached := f.dialOthers(ctx, address, began)
-	if pending > 0 {
-		first.conn, first.err = f.await(ctx, outcomes, pending, nil, true)
-	}
-	switch {
-	case first.err == nil:
-		return first.conn, nil
-	case !<-reached:
+	case !f.reachesOthers(ctx, address, began):
 		return nil, tunneler.ErrNoLink
-	case isRefusal(first.err):
-		return nil, tunneler.ErrRefused
 	default:
-		return nil, tunneler.ErrUnanswered
+		return nil, reason
 	}
 }
 
-// dialOthers finds out whether this VM's links work, by a dial to another upstream since a time.
-// Without that, a VM that is cut off would take a sound upstream for one that has ended.
-func (f *Finder) dialOthers(ctx context.Context, except string, since time.Time) (reached chan bool) {
-	reached = make(chan bool, 1)
+// dialWithin dials addresses over this VM's own links, one after another, within connectTimeout. It
+// returns the first connection.
+func (f *Finder) dialWithin(ctx context.Context, addresses []string, onError func(err error)) (net.Conn, bool) {
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	attempts := make([]racer.Attempt[net.Conn], 0, len(addresses))
+	for _, address := range addresses {
+		attempts = append(attempts, func(context.Context) (net.Conn, error) { return f.dialDirect(address) })
+	}
+	return racer.First(ctx, f.spawn, controlInterval, attempts, func(err error) bool {
+		onError(err)
+		return false
+	})
+}
+
+// reachesOthers returns whether this VM's links work, as a dial to another upstream since a time
+// shows. Without that, a VM that is cut off would take a sound upstream for one that has ended.
+func (f *Finder) reachesOthers(ctx context.Context, except string, since time.Time) bool {
 	controls := f.controls(except)
 	if len(controls) == 0 || f.links.SucceededSince(since) { // without others, nothing speaks against its links
-		reached <- true
-		return reached
+		return true
 	}
-	outcomes := make(chan outcome, maxControls)
-	for _, address := range controls {
-		f.spawn(func() { outcomes <- f.dialDirect(address) })
+	conn, found := f.dialWithin(ctx, controls, func(error) {})
+	if found {
+		_ = conn.Close()
 	}
-	f.spawn(func() {
-		conn, _ := f.await(ctx, outcomes, len(controls), nil, true)
-		if conn != nil {
-			_ = conn.Close()
-		}
-		reached <- conn != nil
-	})
-	return reached
+	return found
 }
 
 // controls returns other upstreams to try.
--- a/internal/online/pathfinder/finder.go
+++ b/internal/online/pathfinder/finder.go
@@ -16,11 +16,14 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/online/linkkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/online/peerdialer"
 	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
 	"github.com/fescuespindle/fescuespindle/internal/online/tunneler"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/racer"
 )
 
 const (
@@ -43,14 +46,16 @@
 
 // Finder opens connections to upstreams. It is safe for concurrent use.
 type Finder struct {
-	direct   relayer.Dial
-	links    *linkkeeper.Keeper
-	detour   *detour
-	counter  Counter
-	logger   *slog.Logger
-	onChange atomic.Pointer[func(address string)]
-	wake     chan struct{} // holds a value if a check may be due
-	restored atomic.Bool   // a link was restored since the last round of checks
+	direct  relayer.Dial
+	links   *linkkeeper.Keeper
+	peers   *peerdialer.Dialer
+	counter Counter
+	logger  *slog.Logger
+
+	peerHeader http.Header
+	onChange   atomic.Pointer[func(address string)]
+	wake       chan struct{} // holds a value if a check may be due
+	restored   atomic.Bool   // a link was restored since the last round of checks
 
 	ctx     context.Context //nolint:containedctx // ends the dials that no request waits for
 	cancel  context.CancelFunc
@@ -70,13 +75,13 @@
 
 // WithPeerHeader sets the header that is sent to peer VMs.
 func WithPeerHeader(header http.Header) Option {
-	return func(f *Finder) { f.detour.header = header }
+	return func(f *Finder) { f.peerHeader = header }
 }
 
 // New returns a Finder without peer VMs. It dials upstreams with direct and peer VMs with peer.
 func New(direct, peer relayer.Dial, counter Counter, logger *slog.Logger, options ...Option) *Finder {
 	f := &Finder{
-		direct: direct, links: linkkeeper.New(), detour: newDetour(peer), counter: counter, logger: logger,
+		direct: direct, links: linkkeeper.New(), counter: counter, logger: logger,
 		wake: make(chan struct{}, 1), checkedAt: map[string]time.Time{}, checking: map[string]bool{},
 	}
 	f.SetOnChange(func(string) {})
@@ -84,6 +89,7 @@
 	for _, option := range options {
 		option(f)
 	}
+	f.peers = peerdialer.New(peer, f.peerHeader)
 	return f
 }
 
@@ -115,7 +121,7 @@
 }
 
 // SetPeers replaces the peer VMs.
-func (f *Finder) SetPeers(peers []Peer) { f.detour.setPeers(peers) }
+func (f *Finder) SetPeers(peers []peerdialer.Peer) { f.peers.SetPeers(peers) }
 
 // SetUpstreams replaces the list of upstreams, given as their IDs by address.
 func (f *Finder) SetUpstreams(ids map[string]string) {
@@ -167,26 +173,26 @@
 
 // dialThroughPeer connects to an address whose link is lost.
 func (f *Finder) dialThroughPeer(ctx context.Context, address string) (net.Conn, error) {
-	o := f.dialDetour(ctx, address)
-	if o.err != nil && ctx.Err() == nil {
-		f.conclude(address, o.err)
+	conn, err := f.openThroughPeer(ctx, address)
+	if err != nil && ctx.Err() == nil {
+		f.conclude(address, err)
 	}
-	return o.conn, o.err
+	return conn, err
 }
 
-// dialDetour connects through peer VMs, and records what that shows of this VM's link.
-func (f *Finder) dialDetour(ctx context.Context, address string) outcome {
+// openThroughPeer connects through a peer VM, and records what that shows of this VM's link.
+func (f *Finder) openThroughPeer(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := f.detour.open(ctx, f.id(address))
+	conn, err := f.peers.Open(ctx, f.spawn, f.id(address))
 	if err != nil {
-		return outcome{err: err}
+		return nil, err //nolint:wrapcheck // combine distinguishes the errors
 	}
 	f.counter.Count(`upstream_dials_total{outcome="throughPeer"}`)
 	if f.links.RecordPeerSuccess(address, time.Now()) {
 		f.linkLost(address)
 	}
-	return outcome{conn: conn}
+	return conn, nil
 }
 
 // conclude records what it shows that no way has led to an upstream.
@@ -200,12 +206,6 @@
 	}
 }
 
-// outcome is the outcome of one of two concurrent dials.
-type outcome struct {
-	conn net.Conn
-	err  error
-}
-
 // patience is how long this VM's own link is waited for.
 type patience struct {
 	headStart time.Duration // until peer VMs are asked
@@ -213,87 +213,31 @@
 }
 
 // dialEither dials over this VM's own link, and after a head start, or when that fails, through
-// peer VMs too. It returns the connection that is established first, and closes the other one.
+// peer VMs too. It returns the connection that is established first.
 func (f *Finder) dialEither(ctx context.Context, address string, p patience) (net.Conn, error) {
-	outcomes := make(chan outcome, 2)
-	f.spawn(func() { outcomes <- f.dialDirect(address) })
-	first, pending, err := f.awaitHeadStart(ctx, outcomes, p.headStart)
-	if first.conn != nil || err != nil {
-		return first.conn, err
-	}
-	if f.detour.hasPeers() {
-		detourCtx, cancel := context.WithCancel(ctx)
-		defer cancel()
-		f.spawn(func() { outcomes <- f.dialDetour(detourCtx, address) })
-		pending++
-	}
-	conn, err := f.await(ctx, outcomes, pending, first.err, p.awaitLink)
-	if err != nil && ctx.Err() == nil {
-		f.conclude(address, err)
+	ways := []racer.Attempt[net.Conn]{func(context.Context) (net.Conn, error) { return f.dialDirect(address) }}
+	if f.peers.HasPeers() {
+		ways = append(ways, func(ctx context.Context) (net.Conn, error) { return f.openThroughPeer(ctx, address) })
 	}
-	return conn, err
-}
-
-// awaitHeadStart waits for the direct dial, for a head start at most. It returns the outcome, if it
-// has come, or an error if the context has ended, and the number of dials that are pending.
-func (f *Finder) awaitHeadStart(
-	ctx context.Context, outcomes chan outcome, head time.Duration,
-) (first outcome, pending int, err error) {
-	timer := time.NewTimer(head)
-	defer timer.Stop()
-	select {
-	case first = <-outcomes:
-		return first, 0, nil
-	case <-timer.C:
-		return outcome{}, 1, nil
-	case <-ctx.Done():
-		f.closeUnused(outcomes, 1)
-		return outcome{}, 0, context.Cause(ctx)
-	}
-}
-
-// await returns the first connection of the pending dials, or what their errors and that of an
-// earlier one mean together. Unless awaitLink is set, it doesn't wait for this VM's own link when
-// peer VMs have failed.
-func (f *Finder) await(
-	ctx context.Context, outcomes chan outcome, pending int, earlier error, awaitLink bool,
-) (net.Conn, error) {
-	errs := []error{earlier}
-	for pending > 0 {
-		select {
-		case o := <-outcomes:
-			pending--
-			if o.err == nil {
-				f.closeUnused(outcomes, pending)
-				return o.conn, nil
-			}
-			errs = append(errs, o.err)
-			if !awaitLink && errors.Is(o.err, errDetour) {
-				f.closeUnused(outcomes, pending)
-				return nil, combine(errs)
-			}
-		case <-ctx.Done():
-			f.closeUnused(outcomes, pending)
-			return nil, context.Cause(ctx)
-		}
-	}
-	return nil, combine(errs)
-}
-
-// closeUnused closes the connections of pending dials once they are established.
-func (f *Finder) closeUnused(outcomes chan outcome, pending int) {
-	for range pending {
-		f.spawn(func() {
-			if o := <-outcomes; o.conn != nil {
-				_ = o.conn.Close()
-			}
-		})
+	var errs []error
+	conn, found := racer.First(ctx, f.spawn, p.headStart, ways, func(err error) bool {
+		errs = append(errs, err)
+		return !p.awaitLink && errors.Is(err, peerdialer.Err)
+	})
+	switch {
+	case found:
+		return conn, nil
+	case ctx.Err() != nil:
+		return nil, context.Cause(ctx)
 	}
+	err := combine(errs)
+	f.conclude(address, err)
+	return nil, err
 }
 
 // dialDirect dials over this VM's own link, and records what that shows of the link. No request
 // cancels it: when it ends late, it is evidence all the same.
-func (f *Finder) dialDirect(address string) outcome {
+func (f *Finder) dialDirect(address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(f.ctx, dialTimeout)
 	defer cancel()
 	conn, err := f.direct(ctx, "tcp", address)
@@ -312,7 +256,7 @@
 			f.linkLost(address)
 		}
 	}
-	return outcome{conn: conn, err: err}
+	return conn, err //nolint:wrapcheck // combine distinguishes the errors
 }
 
 // dialOutcome returns how a failed dial appears in the metrics.
@@ -360,15 +304,14 @@
 	var direct, peers error
 	for _, err := range errs {
 		switch {
-		case err == nil:
-		case errors.Is(err, errDetour):
+		case errors.Is(err, peerdialer.Err):
 			peers = err
 		default:
 			direct = err
 		}
 	}
 	switch {
-	case peers == nil || (errors.Is(peers, errNobodyToAsk) && direct != nil):
+	case peers == nil || (errors.Is(peers, peerdialer.ErrNobodyToAsk) && direct != nil):
 		return direct
 	case isRefusal(peers):
 		return peers
@@ -376,3 +319,6 @@
 		return fmt.Errorf("%w: %w; own link: %v", ErrNoWay, peers, direct) //nolint:errorlint // not a refusal by the upstream
 	}
 }
+
+// isRefusal returns whether an error says that an address refuses connections.
+func isRefusal(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- a/internal/online/pathfinder/finder_test.go
+++ b/internal/online/pathfinder/finder_test.go
@@ -17,6 +17,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fescuespindle/fescuespindle/internal/online/pathfinder"
+	"github.com/fescuespindle/fescuespindle/internal/online/peerdialer"
 	"github.com/fescuespindle/fescuespindle/internal/online/tunneler"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
 	"github.com/fescuespindle/fescuespindle/platform/standin"
@@ -35,9 +36,10 @@
 	domains   int
 
 	mu    sync.Mutex
-	lost  map[int]error  // how links of a VM fail; nil for all that work
-	only  map[int]string // an address that a VM reaches nevertheless
-	dials map[int]int    // over links of a VM
+	lost  map[int]error    // how links of a VM fail; nil for all that work
+	only  map[int]string   // an address that a VM reaches nevertheless
+	links map[string]error // how single links fail, by VM and address
+	dials map[int]int      // over links of a VM
 }
 
 // errHang stands for a link that never answers.
@@ -50,7 +52,8 @@
 func newFleetOf(t *testing.T, vms, upstreams, domains int) *fleet {
 	f := &fleet{
 		t: t, domains: domains, network: standin.NewNetwork(), upstreams: map[string]string{}, lost: map[int]error{},
-		only: map[int]string{}, dials: map[int]int{},
+		only: map[int]string{}, links: map[string]error{},
+		dials: map[int]int{},
 	}
 	for n := range upstreams {
 		f.upstreams[addressOf(n)] = fmt.Sprint("id", n)
@@ -73,14 +76,14 @@
 		return f.dialLink(ctx, vm, network, address)
 	}, f.network.Dial, noCounter{}, logger)
 	finder.SetUpstreams(f.upstreams)
-	var peers []pathfinder.Peer
+	var peers []peerdialer.Peer
 	for other := range vms {
 		if other != vm {
-			distance := pathfinder.DistanceRegion
+			distance := peerdialer.DistanceRegion
 			if f.domainOf(other) == f.domainOf(vm) {
-				distance = pathfinder.DistanceDomain
+				distance = peerdialer.DistanceDomain
 			}
-			peers = append(peers, pathfinder.Peer{Address: fmt.Sprint("vm", other), Distance: distance})
+			peers = append(peers, peerdialer.Peer{Address: fmt.Sprint("vm", other), Distance: distance})
 		}
 	}
 	finder.SetPeers(peers)
@@ -106,6 +109,9 @@
 	if f.only[vm] == address {
 		fault = nil
 	}
+	if single, isLost := f.links[linkName(vm, address)]; isLost {
+		fault = single
+	}
 	f.dials[vm]++
 	f.mu.Unlock()
 	if errors.Is(fault, errHang) {
@@ -133,6 +139,22 @@
 	f.lost[vm] = fault
 }
 
+func linkName(vm int, address string) string { return fmt.Sprint(vm, " ", address) }
+
+// loseLink loses one link of a VM.
+func (f *fleet) loseLink(vm int, address string, fault error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.links[linkName(vm, address)] = fault
+}
+
+// dialsOf returns how many connections a VM has begun over its own links.
+func (f *fleet) dialsOf(vm int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.dials[vm]
+}
+
 // dial dials an upstream from VM 0 and returns how long it took.
 func (f *fleet) dial(address string) (net.Conn, time.Duration, error) { return f.dialFrom(0, address) }
 
@@ -274,7 +296,7 @@
 	inBubble(t, "peer VMs of an earlier release", func(t *testing.T) {
 		f := newFleet(t, 1, 2)
 		t.Cleanup(f.network.Serve("old", http.NotFoundHandler()))
-		f.finders[0].SetPeers([]pathfinder.Peer{{Address: "old"}})
+		f.finders[0].SetPeers([]peerdialer.Peer{{Address: "old"}})
 		f.setLost(0, syscall.ECONNREFUSED)
 		expectRefused(t, f, addressOf(0), true)
 	})
--- a/internal/online/pathfinder/detour.go
+++ b/internal/online/peerdialer/dialer.go
@@ -1,4 +1,6 @@
-package pathfinder
+// Package peerdialer opens connections to upstreams through peer VMs: it finds one that reaches the
+// upstream, and what those that don't say of it.
+package peerdialer
 
 import (
 	"context"
@@ -14,6 +16,7 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
 	"github.com/fescuespindle/fescuespindle/internal/online/tunneler"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/racer"
 )
 
 const (
@@ -42,10 +45,10 @@
 )
 
 var (
-	// errDetour is wrapped by all errors of a detour.
-	errDetour = errors.New("through peer VMs")
-	// errNobodyToAsk means that no peer VM can tell whether it reaches the upstream.
-	errNobodyToAsk = errors.New("no peer VM to ask")
+	// Err is wrapped by all errors of Open.
+	Err = errors.New("through peer VMs")
+	// ErrNobodyToAsk means that no peer VM can tell whether it reaches the upstream.
+	ErrNobodyToAsk = errors.New("no peer VM to ask")
 )
 
 // Distance is how far a peer VM is from this VM.
@@ -72,8 +75,8 @@
 	provenUntil  time.Time
 }
 
-// detour opens connections to upstreams through peer VMs.
-type detour struct {
+// Dialer opens connections through peer VMs. It is safe for concurrent use.
+type Dialer struct {
 	dial   relayer.Dial
 	header http.Header
 
@@ -81,9 +84,14 @@
 	peers map[string]*peerState // by address
 }
 
-func newDetour(dial relayer.Dial) *detour { return &detour{dial: dial, peers: map[string]*peerState{}} }
+// New returns a Dialer without peer VMs. It connects to them with dial, and sends them the header, which
+// may be nil.
+func New(dial relayer.Dial, header http.Header) *Dialer {
+	return &Dialer{dial: dial, header: header, peers: map[string]*peerState{}}
+}
 
-func (d *detour) setPeers(peers []Peer) {
+// SetPeers replaces the peer VMs.
+func (d *Dialer) SetPeers(peers []Peer) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	old := d.peers
@@ -97,101 +105,50 @@
 	}
 }
 
-func (d *detour) hasPeers() bool {
+// HasPeers returns whether there is any peer VM.
+func (d *Dialer) HasPeers() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return len(d.peers) > 0
 }
 
-// open opens a connection to an upstream through the first peer VM that reaches it. One is asked
-// after another: when the one before has failed, or hasn't answered within askInterval.
-func (d *detour) open(ctx context.Context, upstream string) (net.Conn, error) {
+// Open opens a connection to an upstream, given by its ID, through the first peer VM that reaches it. It
+// starts goroutines with spawn. All of its errors wrap Err; one wraps syscall.ECONNREFUSED if a peer VM
+// with working links says that the upstream refuses connections.
+func (d *Dialer) Open(ctx context.Context, spawn func(task func()), upstream string) (net.Conn, error) {
 	if upstream == "" {
-		return nil, fmt.Errorf("%w: %w", errDetour, errNobodyToAsk) // no upstream of the list
+		return nil, fmt.Errorf("%w: %w", Err, ErrNobodyToAsk) // no upstream of the list
 	}
 	candidates := d.candidates(time.Now())
 	if len(candidates) == 0 {
-		return nil, fmt.Errorf("%w: %w", errDetour, tunneler.ErrNoLink) // all have failed a moment ago
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	q := &query{detour: d, upstream: upstream, candidates: candidates, answers: make(chan answer, len(candidates))}
-	defer q.closeUnused()
-	defer cancel()
-	return q.run(ctx)
-}
-
-// answer is a peer VM's answer.
-type answer struct {
-	conn *tunneler.Conn
-	err  error
-}
-
-// query is the state of one search for a peer VM that reaches an upstream.
-type query struct {
-	detour     *detour
-	upstream   string
-	candidates []string // that have not been asked, in order
-	answers    chan answer
-	pending    int // peer VMs that have not answered
-	group      sync.WaitGroup
-	opinions   opinions
-}
-
-// run asks candidates until one reaches the upstream, enough have said that they don't, or the context
-// ends.
-func (q *query) run(ctx context.Context) (net.Conn, error) {
-	ticker := time.NewTicker(askInterval)
-	defer ticker.Stop()
-	q.askNext(ctx)
-	for q.pending > 0 && !q.opinions.isEnough() && ctx.Err() == nil {
-		select {
-		case a := <-q.answers:
-			q.pending--
-			if a.err == nil {
-				return a.conn, nil
-			}
-			q.opinions.add(a.err)
-			ticker.Reset(askInterval)
-		case <-ticker.C:
-		}
-		q.askNext(ctx)
+		return nil, fmt.Errorf("%w: %w", Err, tunneler.ErrNoLink) // all have failed a moment ago
 	}
-	return nil, q.opinions.err()
-}
-
-// askNext asks the next candidate, if there is one and the others' opinions are not enough.
-func (q *query) askNext(ctx context.Context) {
-	if len(q.candidates) == 0 || q.opinions.isEnough() {
-		return
+	attempts := make([]racer.Attempt[*tunneler.Conn], 0, len(candidates))
+	for _, peer := range candidates {
+		attempts = append(attempts, func(ctx context.Context) (*tunneler.Conn, error) { return d.ask(ctx, peer, upstream) })
 	}
-	peer := q.candidates[0]
-	q.candidates = q.candidates[1:]
-	q.pending++
-	q.group.Go(func() { q.answers <- q.detour.ask(ctx, peer, q.upstream) })
-}
-
-// closeUnused waits for the answers of peer VMs that were asked beside the one that is used, and closes their
-// connections. The context must have ended.
-func (q *query) closeUnused() {
-	q.group.Wait()
-	for range q.pending {
-		if a := <-q.answers; a.conn != nil {
-			_ = a.conn.Close()
-		}
+	var opinions opinions
+	conn, found := racer.First(ctx, spawn, askInterval, attempts, func(err error) bool {
+		opinions.add(err)
+		return opinions.isEnough()
+	})
+	if !found {
+		return nil, opinions.err()
 	}
+	return conn, nil
 }
 
 // ask asks one peer VM, and records what its answer shows of that VM.
-func (d *detour) ask(ctx context.Context, peer, upstream string) answer {
+func (d *Dialer) ask(ctx context.Context, peer, upstream string) (*tunneler.Conn, error) {
 	began := time.Now()
 	conn, err := tunneler.Open(ctx, d.dial, peer, upstream, d.header)
 	if now := time.Now(); ctx.Err() == nil || now.Sub(began) >= askInterval {
 		d.record(peer, err, now)
 	} // otherwise another one was faster
-	return answer{conn: conn, err: err}
+	return conn, err //nolint:wrapcheck // opinions distinguishes the errors
 }
 
-func (d *detour) record(peer string, err error, now time.Time) {
+func (d *Dialer) record(peer string, err error, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	state, found := d.peers[peer]
@@ -219,7 +176,7 @@
 // candidates returns the peer VMs to ask, in order. Those that have carried a connection lately come
 // first, the nearest of these at the front; the others follow, of near and far domains in turns, as a
 // whole failure domain may be cut off.
-func (d *detour) candidates(now time.Time) []string {
+func (d *Dialer) candidates(now time.Time) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var proven []*peerState
@@ -294,15 +251,12 @@
 func (o *opinions) err() error {
 	switch {
 	case o.refused > 0:
-		return fmt.Errorf("%w: %w: %w", errDetour, tunneler.ErrRefused, syscall.ECONNREFUSED)
+		return fmt.Errorf("%w: %w: %w", Err, tunneler.ErrRefused, syscall.ECONNREFUSED)
 	case o.unanswered > 0:
-		return fmt.Errorf("%w: %w", errDetour, tunneler.ErrUnanswered)
+		return fmt.Errorf("%w: %w", Err, tunneler.ErrUnanswered)
 	case o.noLink > 0:
-		return fmt.Errorf("%w: %w", errDetour, o.last)
+		return fmt.Errorf("%w: %w", Err, o.last)
 	default:
-		return fmt.Errorf("%w: %w", errDetour, errNobodyToAsk)
+		return fmt.Errorf("%w: %w", Err, ErrNobodyToAsk)
 	}
 }
-
-// isRefusal returns whether an error says that an address refuses connections.
-func isRefusal(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- a/internal/wiring/entryvm/peers.go
+++ b/internal/wiring/entryvm/peers.go
@@ -5,7 +5,7 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/control/memberkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/control/peerteller"
-	"github.com/fescuespindle/fescuespindle/internal/online/pathfinder"
+	"github.com/fescuespindle/fescuespindle/internal/online/peerdialer"
 )
 
 // setPeers passes the list of other live VMs to the parts that communicate with them or
@@ -51,17 +51,17 @@
 }
 
 // carriers returns the peer VMs that may carry connections for this one.
-func (vm *VM) carriers(peers []peerteller.Peer) []pathfinder.Peer {
-	carriers := make([]pathfinder.Peer, 0, len(peers))
+func (vm *VM) carriers(peers []peerteller.Peer) []peerdialer.Peer {
+	carriers := make([]peerdialer.Peer, 0, len(peers))
 	for _, p := range peers {
-		distance := pathfinder.DistanceRegion
+		distance := peerdialer.DistanceRegion
 		switch {
 		case p.Domain == vm.settings.Domain:
-			distance = pathfinder.DistanceDomain
+			distance = peerdialer.DistanceDomain
 		case p.Remote:
-			distance = pathfinder.DistanceRemote
+			distance = peerdialer.DistanceRemote
 		}
-		carriers = append(carriers, pathfinder.Peer{Address: p.Address.String(), Distance: distance})
+		carriers = append(carriers, peerdialer.Peer{Address: p.Address.String(), Distance: distance})
 	}
 	return carriers
 }
