pathfinder: a check of an upstream that nobody reaches has a verdict

What callers saw: where no VM reaches an upstream and its dials hang, requests wait 0.7 s for it again every few seconds, though it is checked all the while. Cause: a check's timeout was that of one dial, so it ended before the dial that it waited for, and recorded nothing. Evidence: TestChecksKeepAnUnreachableUpstreamFromRequests failed before, 700 ms where it fails at once now. A check on suspicion also gives this VM's own link the usual head start now, so that a busy upstream costs no peer a connection.

--- a/internal/online/pathfinder/check.go
+++ b/internal/online/pathfinder/check.go
@@ -107,11 +107,10 @@
 	}
 }
 
-// checkAllWays checks this VM's own link and whether a peer VM reaches the upstream.
+// checkAllWays checks this VM's own link and whether a peer VM reaches the upstream. Both ways end by
+// themselves; a timeout here would end the check before it has a verdict.
 func (f *Finder) checkAllWays(address string) {
-	ctx, cancel := context.WithTimeout(f.ctx, dialTimeout)
-	defer cancel()
-	if conn, err := f.dialEither(ctx, address, patience{headStart: cutOffHeadStart, awaitLink: true}); err == nil {
+	if conn, err := f.dialEither(f.ctx, address, patience{headStart: headStart, awaitLink: true}); err == nil {
 		_ = conn.Close()
 	}
 }
