pathfinder: a VM that has lost some links proves that others work

What callers would see: at VMs cut off from all, connections through a peer that lost one link itself are refused, though the peer reaches what they need; and failures of upstreams that such a VM sees are not reported. Cause: a VM counts as cut off while no dial has succeeded since a link was lost. One whose open connections to the other upstreams work dials none of them, and so stays cut off in its own eyes. Evidence: TestVMThatLostOneLinkSoonKnowsThatOthersWork failed before, for links that are refused and that hang. Change: while links are checked, and no dial has succeeded for a second, one more link is.

--- a/internal/online/pathfinder/check.go
+++ b/internal/online/pathfinder/check.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/online/linkkeeper"
 )
 
 const (
@@ -12,6 +15,8 @@
 	// round after a link was restored, as others are likely to be.
 	maxChecks         = 8
 	maxChecksRestored = 64
+	// proofTime is how long a successful dial shows that this VM is not cut off as a whole.
+	proofTime = time.Second
 	// suspicionInterval is the least time between two checks of the same link on suspicion.
 	suspicionInterval = time.Second
 )
@@ -46,7 +51,14 @@
 
 // checkRound starts the checks of one round, and returns whether any link is lost.
 func (f *Finder) checkRound(round int) bool {
-	due := f.links.Due(time.Now())
+	now := time.Now()
+	due := f.links.Due(now)
+	if len(due.Lost)+len(due.Unreachable) == 0 {
+		return false
+	}
+	if !f.links.SucceededSince(now.Add(-proofTime)) {
+		f.checkAnother(due)
+	}
 	limit := maxChecks
 	if f.restored.Swap(false) {
 		limit = maxChecksRestored
@@ -57,7 +69,20 @@
 	for _, address := range share(due.Unreachable, round, limit) {
 		f.startCheck(address, f.checkAllWays)
 	}
-	return len(due.Lost)+len(due.Unreachable) > 0
+	return true
+}
+
+// checkAnother checks the link to an upstream that is not known to be lost, so that a VM whose open
+// connections to others work, and which therefore dials none of them, doesn't take itself for cut off.
+func (f *Finder) checkAnother(due linkkeeper.Checks) {
+	others := f.others(func(address string) bool {
+		_, isLost := slices.BinarySearch(due.Lost, address)
+		_, isUnreachable := slices.BinarySearch(due.Unreachable, address)
+		return isLost || isUnreachable
+	}, 1)
+	for _, address := range others {
+		f.startCheck(address, f.checkLink)
+	}
 }
 
 // startCheck starts a check of an address unless one is running.
--- a/internal/online/pathfinder/check_test.go
+++ b/internal/online/pathfinder/check_test.go
@@ -9,6 +9,23 @@
 	"github.com/fescuespindle/fescuespindle/internal/online/tunneler"
 )
 
+// Guards against: a VM that has lost one link, and dials nothing else as its connections are open, tells other
+// VMs that it has no link at all, and its own failures of other upstreams go unreported.
+func TestVMThatLostOneLinkSoonKnowsThatOthersWork(t *testing.T) {
+	eachFault(t, func(t *testing.T, fault error) {
+		f := newFleet(t, 3, 4)
+		f.loseLink(0, addressOf(0), fault)
+		f.expectConnected(addressOf(0), 300*time.Millisecond, true)
+		time.Sleep(2 * time.Second)
+		qt.Check(t, f.finders[0].IsCutOff(time.Now()), qt.IsFalse)
+		conn, err := f.finders[0].Connect(t.Context(), f.upstreams[addressOf(1)])
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, conn.Close(), qt.IsNil)
+		_, err = f.finders[0].Connect(t.Context(), f.upstreams[addressOf(0)])
+		qt.Check(t, err, qt.Equals, tunneler.ErrNoLink)
+	})
+}
+
 // Guards against: each connection that an upstream refuses costs a peer VM connections to five others.
 func TestRefusalCostsPeerFewConnections(t *testing.T) {
 	inBubble(t, "one other upstream answers", func(t *testing.T) {
--- a/internal/online/pathfinder/connect.go
+++ b/internal/online/pathfinder/connect.go
@@ -68,7 +68,7 @@
 // reachesOthers returns whether this VM's links work, as a dial to another upstream since a time
 // shows. Without that, a VM that is cut off would take a sound upstream for one that has ended.
 func (f *Finder) reachesOthers(ctx context.Context, except string, since time.Time) bool {
-	controls := f.controls(except)
+	controls := f.others(func(address string) bool { return address == except }, maxControls)
 	if len(controls) == 0 || f.links.SucceededSince(since) { // without others, nothing speaks against its links
 		return true
 	}
@@ -79,13 +79,13 @@
 	return found
 }
 
-// controls returns other upstreams to try.
-func (f *Finder) controls(except string) []string {
+// others returns some listed upstreams but those to skip, in random order.
+func (f *Finder) others(skip func(address string) bool, limit int) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var chosen []string
-	for address := range f.ids { // in random order
-		if address != except && len(chosen) < maxControls {
+	for address := range f.ids {
+		if len(chosen) < limit && !skip(address) {
 			chosen = append(chosen, address)
 		}
 	}
