forwarder: a carried connection is closed when it may not be reused

What it would cost: a VM that shuts down waits, up to the end of its grace, for idle connections that it carries for others, and these hold a connection to the upstream each. Cause: the pool looks at the end of a connection's time only when it hands it out, and takes the latest ones first. Evidence: TestConnectionThatMayNotBeReusedIsClosed failed before.

--- a/internal/online/forwarder/connection.go
+++ b/internal/online/forwarder/connection.go
@@ -100,11 +100,13 @@
 }
 
 // pushIdle keeps a connection for the next request to the same upstream, or closes it
-// if the idle limit is reached.
+// if the idle limit is reached. One that may be reused for a time only is closed then: a peer VM
+// may be waiting for its end.
 func (f *Forwarder) pushIdle(c *connection, header http.Header) {
 	c.expires = time.Now().Add(idleTimeout(header))
 	if limited, ok := c.net.(reuseLimiter); ok && limited.ReuseUntil().Before(c.expires) {
 		c.expires = limited.ReuseUntil()
+		time.AfterFunc(time.Until(c.expires), func() { f.closeIfIdle(c) })
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -115,6 +117,17 @@
 	f.idle[c.address] = append(f.idle[c.address], c)
 }
 
+// closeIfIdle closes a connection unless it carries a request.
+func (f *Forwarder) closeIfIdle(c *connection) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	idle := f.idle[c.address]
+	if n := slices.Index(idle, c); n >= 0 {
+		f.idle[c.address] = slices.Delete(idle, n, n+1)
+		_ = c.net.Close()
+	}
+}
+
 // idleTimeout returns how long a connection may stay idle: the timeout in the answer's
 // Keep-Alive header minus idleMargin, at most maxIdleTimeout, or else
 // defaultIdleTimeout.
--- a/internal/online/forwarder/quiet_test.go
+++ b/internal/online/forwarder/quiet_test.go
@@ -134,3 +134,35 @@
 	t.Run("for long", func(t *testing.T) { expectDials(t, time.Minute, 1) })
 	t.Run("not at all", func(t *testing.T) { expectDials(t, 0, 3) })
 }
+
+// Guards against: a connection that may carry no further request stays open, so that the peer VM which
+// carries it waits for it when it shuts down.
+func TestConnectionThatMayNotBeReusedIsClosed(t *testing.T) {
+	closed := make(chan struct{})
+	address := startUpstream(t, func(_ int, r *http.Request) string { return text(r.Header.Get(idHeader), "") })
+	var quiet atomic.Int32
+	f := newQuietForwarder(t, &quiet, forwarder.WithDial(func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		qt.Assert(t, err, qt.IsNil)
+		limited := limitedConn{TCPConn: conn.(*net.TCPConn), reuseUntil: time.Now().Add(50 * time.Millisecond)}
+		return closingConn{limitedConn: limited, closed: closed}, nil
+	}))
+	_, err := send(t, f, address, "1", nil)
+	qt.Assert(t, err, qt.IsNil)
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Error("the connection is still open")
+	}
+}
+
+// closingConn tells that it was closed.
+type closingConn struct {
+	limitedConn
+	closed chan struct{}
+}
+
+func (c closingConn) Close() error {
+	close(c.closed)
+	return c.limitedConn.Close()
+}
