forwarder: what is kept of an address ends with the list that names it

Cause: a request to an upstream that has just left the list made its address known again, and nothing removed it: one small record for each address that is ever used. Now each new list removes all that it doesn't name.

--- a/internal/online/forwarder/connection.go
+++ b/internal/online/forwarder/connection.go
@@ -169,18 +169,28 @@
 	return err == nil && inputEmpty
 }
 
-// Forget closes the idle connections to an address that is no longer used.
-func (f *Forwarder) Forget(address string) {
-	f.CloseIdle(address)
+// RetainAddresses discards what is kept of all addresses except the given ones, and closes the idle
+// connections to them.
+func (f *Forwarder) RetainAddresses(ids map[string]string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	delete(f.inputs, address)
+	for address := range f.inputs {
+		if _, listed := ids[address]; !listed {
+			f.closeIdle(address)
+			delete(f.inputs, address)
+		}
+	}
 }
 
 // CloseIdle closes the idle connections to an address.
 func (f *Forwarder) CloseIdle(address string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.closeIdle(address)
+}
+
+// closeIdle is CloseIdle. The caller must hold mu.
+func (f *Forwarder) closeIdle(address string) {
 	for _, c := range f.idle[address] {
 		_ = c.net.Close()
 	}
--- a/internal/wiring/entryvm/sink.go
+++ b/internal/wiring/entryvm/sink.go
@@ -175,9 +175,10 @@
 	s.vm.gateway.RetainUpstreams(ids)
 	for address, id := range s.addresses {
 		if addresses[address] != id {
-			s.vm.forwarder.Forget(address)
+			s.vm.forwarder.CloseIdle(address)
 		}
 	}
+	s.vm.forwarder.RetainAddresses(addresses)
 	s.addresses = addresses
 	s.scheduleRemoval(now)
 	s.vm.readiness.upstreamsListed.Store(true)
