review: case 1, a repeated large submission destroys the stored one

Cause: batchkeeper writes the first rows of a large submission without a condition, and encodes headers in the random order of Go maps, so that a repeat replaces some rows of an accepted job by rows that don't fit. Change: a script that shows it with real processes; nothing is fixed.

--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins that the cases start.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+go build -buildvcs=false -o review/bin/ ./review/_standins/resent
