review: case 2, a large fleet never runs batch work of a zone without servers

Cause: in a fleet of more than 96 machines, batch items run only on upstreams of the machine's own zone. Without any there, accepted submissions are never run and never handed over.

--- a/review/_standins/lagging/main.go
+++ b/review/_standins/lagging/main.go
@@ -32,13 +32,13 @@
 )
 
 func main() {
-	s := site.New()
+	s := site.New(site.Small)
 	for n := range upstreams {
 		plan := func(*http.Request) standin.Plan { return standin.Plan{Events: events, Gap: eventGap} }
-		s.AddUpstream(standin.NewUpstream(fmt.Sprintf("i-lm%d", n), slots, plan), slots)
+		s.AddUpstream(standin.NewUpstream(fmt.Sprintf("i-lm%d", n), slots, plan), site.Zone, slots)
 	}
 	s.Configure("r-reports")
-	a, b, c := s.StartVM("vm-a"), s.StartVM("vm-b"), s.StartVM("vm-c")
+	a, b, c := s.StartVM("vm-a", site.Zone), s.StartVM("vm-b", site.Zone), s.StartVM("vm-c", site.Zone)
 	time.Sleep(3 * time.Second) // all VMs know each other
 	began := time.Now()
 	if site.HasTrouble() {
--- a/review/_standins/resent/main.go
+++ b/review/_standins/resent/main.go
@@ -6,9 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/platform/standin"
@@ -27,18 +25,16 @@
 	// finishTime is the bound finish_s, and retention the route's retention_s.
 	finishTime = 18 * time.Second
 	retention  = 60 * time.Second
-	// calmTime is how long no server may have had an item before an unlisted one counts as lost.
-	calmTime = 6 * time.Second
 )
 
 func main() {
-	s := site.New()
+	s := site.New(site.Small)
 	for n := range upstreams {
 		plan := func(*http.Request) standin.Plan { return standin.Plan{Events: events, Gap: eventGap} }
-		s.AddUpstream(standin.NewUpstream(fmt.Sprintf("i-lm%d", n), slots, plan), slots)
+		s.AddUpstream(standin.NewUpstream(fmt.Sprintf("i-lm%d", n), slots, plan), site.Zone, slots)
 	}
 	s.Configure("r-reports")
-	a, b, c := s.StartVM("vm-a"), s.StartVM("vm-b"), s.StartVM("vm-c")
+	a, b, c := s.StartVM("vm-a", site.Zone), s.StartVM("vm-b", site.Zone), s.StartVM("vm-c", site.Zone)
 	time.Sleep(3 * time.Second) // all VMs know each other
 	all := makeSubmissions()
 	began := s.Record.Elapsed()
@@ -56,7 +52,7 @@
 		a.Start()
 	}
 	ended := s.Record.Elapsed()
-	unlisted := waitForResults(s, c, all, ended+finishTime, began+retention-5*time.Second)
+	unlisted := s.WaitForResults(c, all, ended+finishTime, began+retention-5*time.Second)
 	var violations []string
 	for _, submission := range all {
 		left := unlisted[submission.ID]
@@ -113,73 +109,3 @@
 	}
 	return text
 }
-
-// waitForResults waits until all items are listed, or until the given time and then until no server has had an
-// item for calmTime. It returns the items that are not listed, by submission.
-func waitForResults(s *site.Site, vm *site.VM, all []site.Submission, earliest, latest time.Duration) map[string][]string {
-	activity := newActivity(s)
-	for {
-		time.Sleep(500 * time.Millisecond)
-		activity.update()
-		unlisted := readUnlisted(vm, all)
-		calm := time.Since(activity.last)
-		now := s.Record.Elapsed()
-		count := 0
-		for _, left := range unlisted {
-			count += len(left)
-		}
-		s.Record.Add("%d items in %d submissions are not listed; servers idle for %.1f s; %d runs so far",
-			count, len(unlisted), calm.Seconds(), activity.runs)
-		if count == 0 {
-			return nil
-		}
-		if now >= earliest && calm >= calmTime {
-			return unlisted
-		}
-		if now > latest {
-			site.Fatal("servers are still at work before the retention time")
-		}
-	}
-}
-
-// readUnlisted returns the items that are not listed, by submission.
-func readUnlisted(vm *site.VM, all []site.Submission) map[string][]string {
-	unlisted := map[string][]string{}
-	var mu sync.Mutex
-	var group sync.WaitGroup
-	for _, submission := range all {
-		group.Go(func() {
-			page, _ := vm.Results(submission.ID)
-			for _, item := range submission.Items {
-				if !slices.ContainsFunc(page.Results, func(r site.Result) bool { return r.ID == item.ID }) {
-					mu.Lock()
-					unlisted[submission.ID] = append(unlisted[submission.ID], item.ID)
-					mu.Unlock()
-				}
-			}
-		})
-	}
-	group.Wait()
-	return unlisted
-}
-
-// activity is what the servers have done.
-type activity struct {
-	site *site.Site
-	runs int
-	last time.Time // when a server last had an item
-}
-
-func newActivity(s *site.Site) *activity { return &activity{site: s, last: time.Now()} }
-
-func (a *activity) update() {
-	runs, busy := 0, false
-	for _, u := range a.site.Upstreams {
-		runs += len(u.Runs())
-		busy = busy || u.Running() > 0
-	}
-	if busy || runs != a.runs {
-		a.last = time.Now()
-	}
-	a.runs = runs
-}
--- a/review/_standins/site/names.go
+++ b/review/_standins/site/names.go
@@ -14,6 +14,9 @@
 //go:embed settings.json
 var settingsText []byte
 
+//go:embed settings_large.json
+var settingsLargeText []byte
+
 // Host is the host of all routes.
 const Host = "a.example"
 
--- a/review/_standins/site/site.go
+++ b/review/_standins/site/site.go
@@ -32,6 +32,21 @@
 	startTimeout = 15 * time.Second
 )
 
+// Zone is the failure domain of all VMs and servers of a small site.
+const Zone = "nottingham"
+
+// Size is the size of a site.
+type Size struct {
+	settings []byte
+	limits   rowemulator.RateLimits
+}
+
+// Small is a site of one zone, and Large one of six, with the settings of the users' pages.
+var (
+	Small = Size{settings: settingsText, limits: rowemulator.SmallSiteRateLimits}
+	Large = Size{settings: settingsLargeText, limits: rowemulator.RateLimits{Writes: 4000, Reads: 16000, PartWrites: 200}}
+)
+
 // Site is a store, model servers and VMs.
 type Site struct {
 	Record    *Record
@@ -39,11 +54,13 @@
 	Upstreams []*standin.Upstream
 	VMs       []*VM
 
+	size    Size
 	dir     string
 	network string // first three numbers of the VMs' addresses
 	ports   ports
 	store   string
 	version int
+	servers map[*standin.Upstream]*http.Server
 }
 
 // ports are the ports of the VMs, the same on each.
@@ -56,6 +73,7 @@
 	Link *interrupter.Proxy
 
 	site     *Site
+	zone     string
 	ip       string
 	settings string
 	command  *exec.Cmd
@@ -85,33 +103,36 @@
 	}
 }
 
-// New starts a store.
-func New() *Site {
+// New starts the store of a site.
+func New(size Size) *Site {
 	dir, err := os.MkdirTemp("", "case")
 	if err != nil {
 		Fatal("temporary folder: %v", err)
 	}
 	running.dir = dir
-	s := &Site{Record: NewRecord(), Rows: rowemulator.New(rowemulator.WithRateLimits(rowemulator.SmallSiteRateLimits)), dir: dir}
+	s := &Site{
+		Record: NewRecord(), Rows: rowemulator.New(rowemulator.WithRateLimits(size.limits)), size: size, dir: dir,
+		servers: map[*standin.Upstream]*http.Server{},
+	}
 	s.Rows.SetFaultFunc(func(rowemulator.Call) (bool, error) {
 		time.Sleep(storeDelay)
 		return true, nil
 	})
-	s.store = serve(standin.NewStore(s.Rows))
+	s.store, _ = serve(standin.NewStore(s.Rows))
 	s.network, s.ports = freeAddresses()
 	return s
 }
 
 // serve serves a handler on a free port.
-func serve(handler http.Handler) (address string) {
+func serve(handler http.Handler) (address string, server *http.Server) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		Fatal("listen: %v", err)
 	}
-	server := &http.Server{Handler: handler}
+	server = &http.Server{Handler: handler}
 	var group sync.WaitGroup
 	group.Go(func() { _ = server.Serve(listener) })
-	return listener.Addr().String()
+	return listener.Addr().String(), server
 }
 
 // freeAddresses returns a network and ports on which nothing listens.
@@ -139,20 +160,35 @@
 	return true
 }
 
-// AddUpstream starts a model server and lists it in the store.
-func (s *Site) AddUpstream(u *standin.Upstream, slots int) {
+// AddUpstream starts a model server in a zone and lists it in the store.
+func (s *Site) AddUpstream(u *standin.Upstream, zone string, slots int) {
 	s.Upstreams = append(s.Upstreams, u)
-	s.List(u, serve(u), slots)
-}
-
-// List writes the entry of a model server.
-func (s *Site) List(u *standin.Upstream, address string, slots int) {
-	s.write(rowstore.Key{Table: platform.TableUpstreams, Name: u.ID()}, map[string]any{
-		"service": "lm", "address": address, "zone": "nottingham", "version": "v1", "slots": slots, "state": "ready",
+	address, server := serve(u)
+	s.servers[u] = server
+	s.write(entryOf(u), map[string]any{
+		"service": "lm", "address": address, "zone": zone, "version": "v1", "slots": slots, "state": "ready",
 		"cold_remaining_ms": 0, "call_seq": 1, "born": time.Now().UnixMilli(),
 	})
 }
 
+func entryOf(u *standin.Upstream) rowstore.Key {
+	return rowstore.Key{Table: platform.TableUpstreams, Name: u.ID()}
+}
+
+// Crash ends a model server for good. Its address refuses connections from then on.
+func (s *Site) Crash(u *standin.Upstream) {
+	_ = s.servers[u].Close()
+	s.Record.Add("servers: %s has crashed", u.ID())
+}
+
+// Unlist removes the entry of a model server, as the store does after three intervals of silence.
+func (s *Site) Unlist(u *standin.Upstream) {
+	if _, err := s.Rows.Apply(rowstore.Tx{Removes: []rowstore.Key{entryOf(u)}}); err != nil {
+		Fatal("%s: %v", u.ID(), err)
+	}
+	s.Record.Add("store: the entry of %s is removed", u.ID())
+}
+
 // write writes a row as the operator or a server does.
 func (s *Site) write(key rowstore.Key, value any) {
 	text, err := json.Marshal(value)
@@ -185,13 +221,13 @@
 	s.Record.Add("operator: configuration version %d with routes %v confirmed", s.version, routes)
 }
 
-// StartVM starts a VM and waits until it is ready.
-func (s *Site) StartVM(name string) *VM {
+// StartVM starts a VM in a zone and waits until it is ready.
+func (s *Site) StartVM(name, zone string) *VM {
 	link, err := interrupter.New(s.store)
 	if err != nil {
 		Fatal("proxy: %v", err)
 	}
-	vm := &VM{Name: name, Link: link, site: s, ip: fmt.Sprintf("%s.%d", s.network, len(s.VMs)+1)}
+	vm := &VM{Name: name, Link: link, site: s, zone: zone, ip: fmt.Sprintf("%s.%d", s.network, len(s.VMs)+1)}
 	s.VMs = append(s.VMs, vm)
 	vm.writeSettings()
 	vm.Start()
@@ -204,10 +240,13 @@
 func (vm *VM) writeSettings() {
 	p := vm.site.ports
 	var settings map[string]any
-	if err := json.Unmarshal(settingsText, &settings); err != nil {
+	if err := json.Unmarshal(vm.site.size.settings, &settings); err != nil {
 		Fatal("settings: %v", err)
 	}
-	settings["node"], settings["ip"] = vm.Name, vm.ip
+	settings["node"], settings["ip"], settings["zone"] = vm.Name, vm.ip, vm.zone
+	if zones, ok := settings["zones"].(map[string]any); ok {
+		settings["region"] = zones[vm.zone]
+	}
 	settings["listen"] = map[string]string{"front": vm.address(p.caller), "ready": vm.address(p.ready)}
 	settings["internal_ports"] = []int{p.peer, p.peer + 1}
 	if store, ok := settings["platform"].(map[string]any); ok {
@@ -298,3 +337,9 @@
 	_ = response.Body.Close()
 	return response.StatusCode == http.StatusOK
 }
+
+// Signal sends a signal to the process.
+func (vm *VM) Signal(signal syscall.Signal) {
+	_ = vm.command.Process.Signal(signal)
+	vm.site.Record.Add("platform: %s gets signal %v", vm.Name, signal)
+}
