--- a/review/_standins/lagging/main.go
+++ b/review/_standins/lagging/main.go
@@ -23,9 +23,9 @@
 	cutTime = 5500 * time.Millisecond
 	// changeDelay, submitDelay and stopDelay are when the operator adds a route, a caller uses it and a machine is
 	// stopped, after the cut.
-	changeDelay = 300 * time.Millisecond
-	submitDelay = 600 * time.Millisecond
-	stopDelay   = 900 * time.Millisecond
+	changeDelay = 200 * time.Millisecond
+	submitDelay = 400 * time.Millisecond
+	stopDelay   = 700 * time.Millisecond
 	// readTime is how long results are read. It is shorter than the retention time of the route.
 	readTime  = 35 * time.Second
 	retention = 60 * time.Second
--- a/review/_standins/site/site.go
+++ b/review/_standins/site/site.go
@@ -337,9 +337,3 @@
 	_ = response.Body.Close()
 	return response.StatusCode == http.StatusOK
 }
-
-// Signal sends a signal to the process.
-func (vm *VM) Signal(signal syscall.Signal) {
-	_ = vm.command.Process.Signal(signal)
-	vm.site.Record.Add("platform: %s gets signal %v", vm.Name, signal)
-}
