--- a/review/_standins/site/caller.go
+++ b/review/_standins/site/caller.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strings"
 	"time"
 )
 
@@ -107,3 +108,26 @@
 	vm.site.Record.Add("caller: body of item %s of %s read at %s: answer %d, %d bytes", item, submission, vm.Name, status, len(text))
 	return status, text
 }
+
+// Stream sends a request for a stream, and returns the status, 0 for none, and what has arrived of the answer.
+// The answer is complete if complete is true.
+func (vm *VM) Stream(path, id string) (status int, text string, complete bool) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+vm.address(vm.site.ports.caller)+path, strings.NewReader("a question"))
+	if err != nil {
+		Fatal("request: %v", err)
+	}
+	request.Host = Host
+	request.Header.Set(names.ID, id)
+	request.Header.Set(names.Timeout, "5000")
+	request.Header.Set("Model", "m")
+	request.Header.Set(names.Tokens, "300,200")
+	request.Header.Set(names.Prompt, "5c1e07a2:200,"+id+":100")
+	client := http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, "", false
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(body), err == nil
+}
--- a/review/_standins/site/site.go
+++ b/review/_standins/site/site.go
@@ -118,21 +118,26 @@
 		time.Sleep(storeDelay)
 		return true, nil
 	})
-	s.store, _ = serve(standin.NewStore(s.Rows))
+	s.store = serveOn(listen("127.0.0.1:0"), standin.NewStore(s.Rows)).Addr
 	s.network, s.ports = freeAddresses()
 	return s
 }
 
-// serve serves a handler on a free port.
-func serve(handler http.Handler) (address string, server *http.Server) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// listen listens on an address.
+func listen(address string) net.Listener {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		Fatal("listen: %v", err)
 	}
-	server = &http.Server{Handler: handler}
+	return listener
+}
+
+// serveOn serves a handler.
+func serveOn(listener net.Listener, handler http.Handler) *http.Server {
+	server := &http.Server{Addr: listener.Addr().String(), Handler: handler}
 	var group sync.WaitGroup
 	group.Go(func() { _ = server.Serve(listener) })
-	return listener.Addr().String(), server
+	return server
 }
 
 // freeAddresses returns a network and ports on which nothing listens.
@@ -163,12 +168,32 @@
 // AddUpstream starts a model server in a zone and lists it in the store.
 func (s *Site) AddUpstream(u *standin.Upstream, zone string, slots int) {
 	s.Upstreams = append(s.Upstreams, u)
-	address, server := serve(u)
-	s.servers[u] = server
+	listener := listen("127.0.0.1:0")
+	s.List(u, listener.Addr().String(), zone, slots)
+	s.servers[u] = serveOn(listener, u)
+}
+
+// List writes the entry of a model server that starts now.
+func (s *Site) List(u *standin.Upstream, address, zone string, slots int) {
+	version := u.Version()
+	if version == "" {
+		version = "v1"
+	}
 	s.write(entryOf(u), map[string]any{
-		"service": "lm", "address": address, "zone": zone, "version": "v1", "slots": slots, "state": "ready",
+		"service": "lm", "address": address, "zone": zone, "version": version, "slots": slots, "state": "ready",
 		"cold_remaining_ms": 0, "call_seq": 1, "born": time.Now().UnixMilli(),
 	})
+	s.Record.Add("servers: %s with software %s is listed", u.ID(), version)
+}
+
+// Address returns the address of a model server.
+func (s *Site) Address(u *standin.Upstream) string { return s.servers[u].Addr }
+
+// Restart starts a model server at an address.
+func (s *Site) Restart(u *standin.Upstream, address string) {
+	s.Upstreams = append(s.Upstreams, u)
+	s.servers[u] = serveOn(listen(address), u)
+	s.Record.Add("servers: %s with software %s is started", u.ID(), u.Version())
 }
 
 func entryOf(u *standin.Upstream) rowstore.Key {
