--- a/review/_standins/site/wait.go
+++ b/review/_standins/site/wait.go
@@ -17,7 +17,7 @@
 	for {
 		time.Sleep(500 * time.Millisecond)
 		activity.update()
-		unlisted := vm.unlisted(all)
+		unlisted, complete := vm.unlisted(all)
 		calm := time.Since(activity.last)
 		now := s.Record.Elapsed()
 		count := 0
@@ -26,37 +26,41 @@
 		}
 		s.Record.Add("caller: %d items in %d submissions are not listed; servers idle for %.1f s; %d runs so far",
 			count, len(unlisted), calm.Seconds(), activity.runs)
-		if count == 0 {
+		switch {
+		case !complete: // a read was not answered, which shows nothing
+			count = -1
+		case count == 0:
 			return nil
 		}
-		if now >= earliest && calm >= calmTime {
+		if count > 0 && now >= earliest && calm >= calmTime {
 			return unlisted
 		}
 		if now > latest {
-			Fatal("servers are still at work before the retention time")
+			Fatal("no verdict before the retention time: servers are still at work, or results can't be read")
 		}
 	}
 }
 
-// unlisted returns the items that are not listed, by submission.
-func (vm *VM) unlisted(all []Submission) map[string][]string {
-	unlisted := map[string][]string{}
+// unlisted returns the items that are not listed, by submission. It returns false if not all results could be read.
+func (vm *VM) unlisted(all []Submission) (unlisted map[string][]string, complete bool) {
+	unlisted, complete = map[string][]string{}, true
 	var mu sync.Mutex
 	var group sync.WaitGroup
 	for _, submission := range all {
 		group.Go(func() {
-			page, _ := vm.Results(submission.ID)
+			page, ok := vm.Results(submission.ID)
+			mu.Lock()
+			defer mu.Unlock()
+			complete = complete && ok
 			for _, item := range submission.Items {
 				if !slices.ContainsFunc(page.Results, func(r Result) bool { return r.ID == item.ID }) {
-					mu.Lock()
 					unlisted[submission.ID] = append(unlisted[submission.ID], item.ID)
-					mu.Unlock()
 				}
 			}
 		})
 	}
 	group.Wait()
-	return unlisted
+	return unlisted, complete
 }
 
 // activity is what the servers have done.
