batchrunner: a long wait of items for a slot is logged, with the reasons

Hypotheses: (1) the subset of a large fleet excludes all upstreams that are left; (2) the upstreams count as failing, avoided or of another version; (3) they look full, as summaries are stale. Change: the placer names the first obstacle of each upstream (BatchObstacles); the runner logs once, after 5 s in which no item of a target got a slot, and counts batch_long_waits_total. Yielding moves to a file of its own. No decision changes.

--- a/internal/batch/batchrunner/runner.go
+++ b/internal/batch/batchrunner/runner.go
@@ -40,6 +40,8 @@
 type Placer interface {
 	// AcquireBatch acquires a slot for an item, and returns false if none is free.
 	AcquireBatch(work placer.BatchWork, now time.Time) (*placer.Slot, bool)
+	// BatchObstacles returns why no upstream, or only some, would get an item now.
+	BatchObstacles(work placer.BatchWork, now time.Time) placer.Obstacles
 	// Yield returns the slots whose items must be cancelled now; each is returned once.
 	Yield(now time.Time) []*placer.Slot
 	// AcceptsVersion returns whether an upstream of a service with a software version
@@ -96,6 +98,7 @@
 
 	jobs              map[string]*job
 	running           map[*placer.Slot]*item
+	waits             waits
 	runStatistics     runStatistics
 	scans             [batchkeeper.Parts]partScan
 	orphans           *orphanwatcher.Watcher
@@ -122,7 +125,7 @@
 		self: self, keeper: keeper, placer: p, courier: c, members: members, table: table, memory: memory,
 		guard: guard, counter: counter, logger: logger, jobs: map[string]*job{},
 		running: map[*placer.Slot]*item{}, orphans: orphanwatcher.New(self.VM),
-		mover: noMover{}, claimingOrLoading: map[string]bool{}, drained: make(chan struct{}),
+		mover: noMover{}, waits: waits{}, claimingOrLoading: map[string]bool{}, drained: make(chan struct{}),
 	}
 	for _, option := range options {
 		option(r)
--- a/internal/batch/batchrunner/start.go
+++ b/internal/batch/batchrunner/start.go
@@ -43,27 +43,32 @@
 			s.start(it, route.Service(uint64(it.index)))
 		}
 	}
+	r.waits.retain(s.full)
 }
 
 // start starts an item at a service if there is a free slot for it.
 func (s *starter) start(it *item, service string) {
-	if s.full[target{service: service}] {
-		return
-	}
 	where := s.targetOf(it, service)
 	if s.full[where] {
 		return
 	}
 	r, avoid := s.runner, it.avoided(s.now)
-	slot, found := r.placer.AcquireBatch(placer.BatchWork{
+	work := placer.BatchWork{
 		Service: service, Avoid: avoid, Versions: where.versions(),
 		LatestStart: s.now.Add(r.latestStart(it) - r.keeper.Now()),
-	}, s.now)
-	if !found {
-		s.full[where] = len(avoid) == 0
+	}
+	if s.full[target{service: service}] {
+		s.recordRefusal(where, work)
 		return
 	}
-	r.startRun(it, slot)
+	slot, found := r.placer.AcquireBatch(work, s.now)
+	switch {
+	case found:
+		s.recordSlot(where)
+		r.startRun(it, slot)
+	case len(avoid) == 0:
+		s.recordRefusal(where, work)
+	}
 }
 
 // targetOf returns where an item may run. If no upstream of the version of its output accepts
--- a/internal/online/placer/batch.go
+++ b/internal/online/placer/batch.go
@@ -1,8 +1,6 @@
 package placer
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -71,16 +69,11 @@
 	defer p.mu.Unlock()
 	var best *upstream
 	var bestRank batchRank
-	level := work.urgency(now)
 	members := p.byService[work.Service]
 	p.rotation++
 	for i := range members {
 		u := members[(i+p.rotation)%len(members)]
-		if p.largeFleet && u.tier != TierDomain {
-			continue // the VM would learn too late that its batch work must yield there
-		}
-		if !u.hasBatchCapacity(level, now) || !u.acceptsWork() || work.Avoid[u.ID] || !u.hasVersion(work.Versions) ||
-			u.failures.ShouldAvoid(now) || u.currentSlowness(now) > 1.5 || !p.withinRateLimit(u, true, now) {
+		if p.batchObstacle(u, work, now) != obstacleNone {
 			continue
 		}
 		rank := batchRank{tier: u.tier, isLimited: p.limiter.IsLimited(u.ID), capacity: u.batchCapacity(now)}
@@ -93,7 +86,7 @@
 	}
 	best.localCount.Batch++
 	p.limiter.RecordSend(best.ID, true, now)
-	slot := &Slot{upstream: best, info: best.Upstream, acquiredAt: now, isBatch: true, urgency: level}
+	slot := &Slot{upstream: best, info: best.Upstream, acquiredAt: now, isBatch: true, urgency: work.urgency(now)}
 	best.batchSlots = append(best.batchSlots, slot)
 	return slot, true
 }
@@ -160,56 +153,3 @@
 		return 1
 	}
 }
-
-// Yield returns the batch slots that this VM must give up now, the least urgent first
-// and the newest first among equally urgent ones. Each slot is returned once and
-// counts until it is released. Where several VMs have batch work on an upstream, the
-// VM with the greatest name yields first, so that all VMs that see the same counts
-// agree.
-func (p *Placer) Yield(now time.Time) []*Slot {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var yielding []*Slot
-	for _, u := range p.upstreams {
-		if u.localCount.Batch == 0 {
-			continue
-		}
-		excess := u.load(now) - u.Sequences
-		if excess <= 0 {
-			continue
-		}
-		yielding = append(yielding, u.markYielding(min(excess-p.yieldedByPeers(u), u.localCount.Batch))...)
-	}
-	return yielding
-}
-
-// yieldedByPeers returns the number of batch requests on the upstream of VMs that yield
-// before this one.
-func (p *Placer) yieldedByPeers(u *upstream) int {
-	n := 0
-	for vm, last := range p.peers {
-		if vm > p.self {
-			n += last.counts[u.ID].Batch
-		}
-	}
-	return n
-}
-
-// markYielding marks batch slots as yielding until n are, the least urgent first and
-// the newest first among equally urgent ones. It returns the newly marked slots.
-func (u *upstream) markYielding(n int) []*Slot {
-	var running []*Slot
-	for _, slot := range slices.Backward(u.batchSlots) {
-		if slot.yielding {
-			n--
-			continue
-		}
-		running = append(running, slot)
-	}
-	slices.SortStableFunc(running, func(a, b *Slot) int { return cmp.Compare(a.urgency, b.urgency) })
-	running = running[:min(max(n, 0), len(running))]
-	for _, slot := range running {
-		slot.yielding = true
-	}
-	return running
-}
