placer: batch work leaves a subset that can't run it

Cause: batch work of a large fleet was confined to the VM's subset of its domain's upstreams, also when that subset can't run it, and its VM renews the job, so nobody takes it over. Why it works: whatever keeps the subset from running the work, the work has another place to go within 4 s, and the pace bounds what online requests elsewhere can meet until the next summary. Tests, all failed before: TestJobOfADomainWithoutUpstreamsRunsInAnother (no result in 10 s), TestBatchWorkLeavesASubsetThatCanNotRunIt (gone, draining, version), TestBatchWorkLeavesAFullSubsetWhenItHasWaitedLong, TestBatchWorkLeavesTheSubsetOnePerInterval.

--- a/internal/batch/batchrunner/runner_test.go
+++ b/internal/batch/batchrunner/runner_test.go
@@ -419,3 +419,22 @@
 		qt.Check(f.t, f.runs(), qt.HasLen, 4)
 	})
 }
+
+// Guards against: in a fleet of more than 96 VMs, a job that a VM has accepted never runs when
+// the VM's domain has no upstreams, as those of other domains get no batch work of it.
+func TestJobOfADomainWithoutUpstreamsRunsInAnother(t *testing.T) {
+	inFleet(t, 2, fastPlan, func(f *fleet) {
+		for i := range f.placerUpstreams {
+			f.placerUpstreams[i].Domain, f.placerUpstreams[i].Sequences = "other", 7
+		}
+		v := f.start("a")
+		defer v.stop()
+		vms := map[string][]string{"d": {"a"}}
+		for n := range placer.MaxFullMeshVMs {
+			vms["other"] = append(vms["other"], fmt.Sprint("other", n))
+		}
+		v.placer.SetVMs(vms)
+		f.submit(v, 3)
+		f.expectResults(v, 10*time.Second, "item0 ok", "item1 ok", "item2 ok")
+	})
+}
--- a/internal/batch/batchrunner/start.go
+++ b/internal/batch/batchrunner/start.go
@@ -55,7 +55,8 @@
 	r, avoid := s.runner, it.avoided(s.now)
 	work := placer.BatchWork{
 		Service: service, Avoid: avoid, Versions: where.versions(),
-		LatestStart: s.now.Add(r.latestStart(it) - r.keeper.Now()),
+		LeaveSubsetAt: r.waits.leaveSubsetAt(where, s.now),
+		LatestStart:   s.now.Add(r.latestStart(it) - r.keeper.Now()),
 	}
 	if s.full[target{service: service}] {
 		s.recordRefusal(where, work)
--- a/internal/batch/batchrunner/wait.go
+++ b/internal/batch/batchrunner/wait.go
@@ -6,8 +6,14 @@
 	"github.com/fescuespindle/fescuespindle/internal/online/placer"
 )
 
-// longWait is how long the items of a target wait without a single slot until it is logged.
-const longWait = 5 * time.Second
+const (
+	// longWait is how long the items of a target wait without a single slot until it is
+	// logged.
+	longWait = 5 * time.Second
+	// subsetWait is how long they wait until they may leave the VM's subset of a large
+	// fleet.
+	subsetWait = 4 * time.Second
+)
 
 // wait is the time in which items of a target have waited and none of them got a slot.
 type wait struct {
@@ -26,6 +32,14 @@
 	return w[where]
 }
 
+// leaveSubsetAt returns when the items of a target may leave the VM's subset.
+func (w waits) leaveSubsetAt(where target, now time.Time) time.Time {
+	if current, found := w[where]; found {
+		return current.since.Add(subsetWait)
+	}
+	return now.Add(subsetWait)
+}
+
 // retain removes the waits of targets without waiting items.
 func (w waits) retain(refused map[target]bool) {
 	for where := range w {
--- a/internal/online/placer/batch.go
+++ b/internal/online/placer/batch.go
@@ -22,6 +22,9 @@
 	Avoid   map[string]bool // upstreams that have just rejected it
 	// Versions are the software versions that may run the item; empty for any.
 	Versions []string
+	// LeaveSubsetAt is the time from which the work accepts a slot outside the VM's subset of
+	// a large fleet although the subset has upstreams that could run it; zero for never.
+	LeaveSubsetAt time.Time
 	// LatestStart is the latest time at which the item can start and still finish in
 	// time.
 	LatestStart time.Time
@@ -55,7 +58,8 @@
 // beyond the online reserve, and there on an upstream with a rate limit, of which a long item
 // uses up little, or else on the upstream with the most capacity. Upstreams that are
 // slow or have recently failed are not eligible, nor, in a large fleet, are those outside
-// the VM's subset. AcquireBatch returns false if no upstream is eligible.
+// the VM's subset, as long as the subset can run the work. AcquireBatch returns false if no
+// upstream is eligible.
 func (p *Placer) AcquireBatch(work BatchWork, now time.Time) (*Slot, bool) {
 	slot, found := p.acquireBatch(work, now)
 	if found {
@@ -67,18 +71,12 @@
 func (p *Placer) acquireBatch(work BatchWork, now time.Time) (*Slot, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var best *upstream
-	var bestRank batchRank
-	members := p.byService[work.Service]
 	p.rotation++
-	for i := range members {
-		u := members[(i+p.rotation)%len(members)]
-		if p.batchObstacle(u, work, now) != obstacleNone {
-			continue
-		}
-		rank := batchRank{tier: u.tier, isLimited: p.limiter.IsLimited(u.ID), capacity: u.batchCapacity(now)}
-		if best == nil || rank.isBefore(bestRank) {
-			best, bestRank = u, rank
+	reach := p.batchReach()
+	best, obstacles := p.bestForBatch(work, reach, now)
+	if best == nil && reach == reachSubset && p.mayLeaveSubset(work, obstacles, now) {
+		if best, _ = p.bestForBatch(work, reachAll, now); best != nil {
+			p.nextLeaveAt = now.Add(leaveInterval)
 		}
 	}
 	if best == nil {
@@ -91,6 +89,27 @@
 	return slot, true
 }
 
+// bestForBatch returns the best upstream for batch work within a reach, or nil, and why the
+// others are not eligible. The caller must hold mu.
+func (p *Placer) bestForBatch(work BatchWork, r reach, now time.Time) (*upstream, Obstacles) {
+	var best *upstream
+	var bestRank batchRank
+	var obstacles Obstacles
+	members := p.byService[work.Service]
+	for i := range members {
+		u := members[(i+p.rotation)%len(members)]
+		if found := p.batchObstacle(u, work, r, now); found != obstacleNone {
+			obstacles.counts[found]++
+			continue
+		}
+		rank := batchRank{tier: u.tier, isLimited: p.limiter.IsLimited(u.ID), capacity: p.rankedCapacity(u, now)}
+		if best == nil || rank.isBefore(bestRank) {
+			best, bestRank = u, rank
+		}
+	}
+	return best, obstacles
+}
+
 // batchRank is what decides which upstream batch work prefers.
 type batchRank struct {
 	tier      Tier
--- a/internal/online/placer/obstacle.go
+++ b/internal/online/placer/obstacle.go
@@ -31,12 +31,12 @@
 	}[o]
 }
 
-// batchObstacle returns the first reason why an upstream is not eligible for batch work. The
-// caller must hold mu.
-func (p *Placer) batchObstacle(u *upstream, work BatchWork, now time.Time) obstacle {
+// batchObstacle returns the first reason why an upstream is not eligible for batch work within
+// a reach. The caller must hold mu.
+func (p *Placer) batchObstacle(u *upstream, work BatchWork, r reach, now time.Time) obstacle {
 	hasCapacity := u.hasBatchCapacity(work.urgency(now), now)
 	switch {
-	case p.largeFleet && u.tier != TierDomain:
+	case r == reachSubset && u.tier != TierDomain:
 		return obstacleOutsideSubset // the VM would learn too late that its batch work must yield there
 	case !u.acceptsWork():
 		return obstacleDraining
@@ -74,13 +74,21 @@
 	return strings.Join(parts, " ")
 }
 
+// passing returns whether an upstream within reach is not eligible for a reason that may pass
+// soon.
+func (o Obstacles) passing() bool {
+	return o.counts[obstacleAvoided]+o.counts[obstacleFailing]+o.counts[obstacleSlow]+
+		o.counts[obstacleFull]+o.counts[obstacleRateLimit] > 0
+}
+
 // BatchObstacles returns why the upstreams of a service are not eligible for batch work.
 func (p *Placer) BatchObstacles(work BatchWork, now time.Time) Obstacles {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var o Obstacles
-	for _, u := range p.byService[work.Service] {
-		o.counts[p.batchObstacle(u, work, now)]++
+	reach := p.batchReach()
+	if work.mayLeave(now) {
+		reach = reachAll
 	}
-	return o
+	_, obstacles := p.bestForBatch(work, reach, now)
+	return obstacles
 }
--- a/internal/online/placer/placer.go
+++ b/internal/online/placer/placer.go
@@ -57,6 +57,7 @@
 	lastSampleAt      time.Time                // when loadHistory was last extended
 	vmDomains         map[string]string        // failure domain by VM
 	rotation          int
+	nextLeaveAt       time.Time // when batch work may next acquire a slot outside the subset
 	limiter           *ratelimiter.Limiter
 }
 
--- a/internal/online/placer/subset_test.go
+++ b/internal/online/placer/subset_test.go
@@ -99,3 +99,78 @@
 		qt.Check(t, preferred, qt.Contains, slot.Upstream().ID)
 	}
 }
+
+// largeFleetWork is batch work that has not waited for a slot yet.
+var largeFleetWork = placer.BatchWork{
+	Service: "lm", Versions: []string{""}, LatestStart: start.Add(10 * time.Second), LeaveSubsetAt: start.Add(10 * time.Second),
+}
+
+// Guards against: in a fleet of more than 96 VMs, jobs accepted in a domain whose upstreams are
+// gone, draining or of other software versions never run, though other domains are idle.
+func TestBatchWorkLeavesASubsetThatCanNotRunIt(t *testing.T) {
+	with := func(change func(*placer.Upstream)) []placer.Upstream {
+		list := testUpstreams(9, "a", "b")
+		for i := range list {
+			list[i].Sequences = 7
+			if list[i].Domain == "a" {
+				change(&list[i])
+			}
+		}
+		return list
+	}
+	for name, list := range map[string][]placer.Upstream{
+		"gone":     with(func(*placer.Upstream) {})[9:],
+		"draining": with(func(u *placer.Upstream) { u.Draining = true }),
+		"version":  with(func(u *placer.Upstream) { u.Version = "v2" }),
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPlacer("a-vm0", list)
+			p.SetVMs(fleetOf(60, "a", "b"))
+			slot, found := p.AcquireBatch(largeFleetWork, start.Add(time.Second))
+			qt.Assert(t, found, qt.IsTrue)
+			qt.Check(t, slot.Upstream().Domain, qt.Equals, "b")
+		})
+	}
+}
+
+// Guards against: in a fleet of more than 96 VMs, jobs wait for ever in a domain whose few upstreams
+// are full or fail, though other domains are idle.
+func TestBatchWorkLeavesAFullSubsetWhenItHasWaitedLong(t *testing.T) {
+	p := newPlacer("a-vm0", testUpstreams(9, "a", "b"))
+	p.SetVMs(fleetOf(60, "a", "b"))
+	full := placer.Report{}
+	for n := range 9 {
+		full[fmt.Sprint("a", n)] = placer.Count{Online: 2}
+	}
+	p.ReceiveReport("a-vm1", full, start)
+	list := testUpstreams(9, "a", "b")
+	for i := range list {
+		list[i].Sequences = 7
+		if list[i].Domain == "a" {
+			list[i].Sequences = 2
+		}
+	}
+	p.SetUpstreams(list)
+	_, found := p.AcquireBatch(largeFleetWork, start.Add(time.Second))
+	qt.Check(t, found, qt.IsFalse, qt.Commentf("work that has just come waits"))
+	slot, found := p.AcquireBatch(largeFleetWork, largeFleetWork.LeaveSubsetAt)
+	qt.Assert(t, found, qt.IsTrue)
+	qt.Check(t, slot.Upstream().Domain, qt.Equals, "b")
+}
+
+// The VMs of a domain learn late what each has sent to another one, so each sends little.
+func TestBatchWorkLeavesTheSubsetOnePerInterval(t *testing.T) {
+	list := testUpstreams(9, "b")
+	for i := range list {
+		list[i].Sequences = 7
+	}
+	p := newPlacer("a-vm0", list)
+	p.SetVMs(fleetOf(60, "a", "b"))
+	count := 0
+	for at := time.Duration(0); at < time.Second; at += 10 * time.Millisecond {
+		if _, found := p.AcquireBatch(largeFleetWork, start.Add(time.Second+at)); found {
+			count++
+		}
+	}
+	qt.Check(t, count, qt.Equals, 4)
+}
