batchrunner: why an item was given up is logged, with the configuration in force

Change: two reasons, expired and routeRemoved; version of the configuration and the time until the job expires. No decision changes.

--- a/internal/batch/batchrunner/runner.go
+++ b/internal/batch/batchrunner/runner.go
@@ -250,13 +250,18 @@
 	}
 	for _, j := range r.jobs {
 		_, routed := table.RouteByName(j.stored.Route)
-		if routed && !r.expired(j) {
+		reason := "expired"
+		switch {
+		case r.expired(j):
+		case !routed:
+			reason = "routeRemoved"
+		default:
 			continue
 		}
 		for _, it := range j.items {
 			switch it.state {
 			case statePending:
-				r.abandon(it, "expired")
+				r.abandon(it, reason)
 			case stateRunning:
 				it.cancel()
 			case stateEnded:
@@ -271,7 +276,12 @@
 // abandon ends an item without an output.
 func (r *Runner) abandon(it *item, reason string) {
 	r.counter.Count(`items_total{outcome="` + reason + `"}`)
-	r.logger.Info("item abandoned", "job", it.job.stored.ID, "item", it.ID, "reason", reason,
+	version := uint64(0)
+	if table := r.table(); table != nil {
+		version = table.Version()
+	}
+	r.logger.Info("item abandoned", "job", it.job.stored.ID, "item", it.ID, "reason", reason, "route", it.job.stored.Route,
+		"configuration", version, "expiresIn", it.job.stored.Expires-r.keeper.Now(),
 		"failures", it.failureCounts.Failures, "crashes", it.failureCounts.Crashes)
 	it.job.finish(it, false)
 }
