batchrunner: a configuration older than a job gives up none of its items

Cause: expire took a route that the VM's own table lacks for a removed one. A job reaches a VM before its configuration by a handover, a scan or a start. Change: the record names the configuration under which the job was accepted; a table that is older ends no item by a missing route or by its attempts. For records of earlier releases, the table must have all changes up to the record (watcher.Version). The configuration is reread every 2 s meanwhile. Why it works: a table at least as new as the one that had the route lacks it only if it was removed. With VMs that know all changes, the other tests of the package are unchanged.

--- a/internal/batch/batchkeeper/record.go
+++ b/internal/batch/batchkeeper/record.go
@@ -86,6 +86,9 @@
 	Host  string `cbor:"host"`
 	Owner Owner  `cbor:"owner"`
 	Items int    `cbor:"items"`
+	// Configuration is the version of the configuration under which the job was accepted; 0 if
+	// the record was written by a release that doesn't store it.
+	Configuration uint64 `cbor:"configuration,omitempty"`
 	// Results is the number of items that have a result.
 	Results int `cbor:"results"`
 	// Tokens is the sum of the tokens of items that have no result.
--- a/internal/batch/batchkeeper/submission.go
+++ b/internal/batch/batchkeeper/submission.go
@@ -19,6 +19,8 @@
 	Items []Item
 	// MaxTokens bounds the tokens of open jobs on the route; 0 means no limit.
 	MaxTokens int64
+	// Configuration is the version of the configuration that has the route.
+	Configuration uint64
 	// CompletionTarget and Retention are durations from now until all results are due, and
 	// until items without a result are abandoned.
 	CompletionTarget time.Duration
@@ -80,7 +82,7 @@
 func (k *Keeper) encodeSubmission(s Submission) (Record, []rowstore.Put, error) {
 	now := k.Now()
 	record := Record{
-		ID: s.ID, Route: s.Route, Host: s.Host, Owner: k.owner, Items: len(s.Items),
+		ID: s.ID, Route: s.Route, Host: s.Host, Owner: k.owner, Items: len(s.Items), Configuration: s.Configuration,
 		Due: now + s.CompletionTarget, Expires: now + s.Retention,
 	}
 	for _, item := range s.Items {
--- a/internal/batch/batchrunner/job.go
+++ b/internal/batch/batchrunner/job.go
@@ -14,7 +14,9 @@
 // job is a batch job that this VM runs.
 type job struct {
 	stored batchkeeper.VersionedRecord
-	items  []*item
+	// firstVersion is the version of the record with which this VM got the job.
+	firstVersion uint64
+	items        []*item
 	// outbox has the results that are not committed yet, in the order of their
 	// positions.
 	outbox  []batchkeeper.Result
@@ -34,6 +36,8 @@
 	// the store, and handoverFailed that a handover has not succeeded.
 	releasing      bool
 	handoverFailed bool
+	// awaitLogged means that a wait for the configuration of the job's route has been logged.
+	awaitLogged bool
 	// reservation is the memory that is reserved for the items.
 	reservation *rationer.Reservation
 }
@@ -77,7 +81,7 @@
 
 // newJob returns a job whose items are pending, except for those that have a result.
 func newJob(stored batchkeeper.VersionedRecord, loaded batchkeeper.LoadedJob) *job {
-	j := &job{stored: stored}
+	j := &job{stored: stored, firstVersion: stored.Version}
 	for index, content := range loaded.Items {
 		it := &item{
 			Item: content, job: j, index: index,
--- a/internal/batch/batchrunner/run.go
+++ b/internal/batch/batchrunner/run.go
@@ -73,7 +73,7 @@
 		r.runStatistics.record(it.totalRunTime, len(it.progress.Output))
 		it.job.finish(it, true)
 	case attempter.OutcomeUnprocessable:
-		r.abandon(it, "impossible")
+		r.abandon(it, reasonImpossible)
 	case attempter.OutcomeStopped:
 	case attempter.OutcomeNotRun:
 		it.avoid(upstream, now)
@@ -92,12 +92,13 @@
 	it.failureCounts.Failures++
 	it.job.dirty = true
 	it.notBefore = now.Add(failurePause)
-	table := r.table()
-	if table == nil {
-		return
+	current, found := r.routing()
+	if !found || !current.covers(it.job) {
+		return // an older configuration may allow fewer attempts
 	}
-	if route, found := table.RouteByName(it.job.stored.Route); found && it.failureCounts.Failures >= route.MaxAttempts {
-		r.abandon(it, "failed")
+	route, found := current.table.RouteByName(it.job.stored.Route)
+	if found && it.failureCounts.Failures >= route.MaxAttempts {
+		r.abandon(it, reasonFailed)
 	}
 }
 
--- a/internal/batch/batchrunner/runner.go
+++ b/internal/batch/batchrunner/runner.go
@@ -58,6 +58,14 @@
 	Successors(now time.Time) []string
 }
 
+// Configuration is what this VM knows of the operators' configuration.
+type Configuration interface {
+	// Table returns the routes in force at this VM, or nil if there are none yet.
+	Table() *router.Table
+	// AsOf returns a version of the store: Table has all changes up to it.
+	AsOf() uint64
+}
+
 // Guard runs tasks so that a panic ends only the task in which it occurs.
 type Guard interface {
 	Guard(name string, task func())
@@ -91,10 +99,12 @@
 	guard      Guard
 	counter    Counter
 	logger     *slog.Logger
-	table      func() *router.Table
+	config     Configuration
 	loop       *stepper.Loop
 	wakePosted atomic.Bool // a wake-up is posted and not yet handled
 	hasJobs    atomic.Bool // this VM has jobs
+	// awaitsConfiguration means that a job waits for a configuration that has its route.
+	awaitsConfiguration atomic.Bool
 
 	jobs              map[string]*job
 	running           map[*placer.Slot]*item
@@ -115,14 +125,13 @@
 	return func(r *Runner) { r.mover = m }
 }
 
-// New returns a runner for the process self. table returns the routes in force, or nil
-// if there are none yet.
+// New returns a runner for the process self.
 func New(
-	self batchkeeper.Owner, keeper Keeper, p Placer, c attempter.Courier, members Members, table func() *router.Table,
+	self batchkeeper.Owner, keeper Keeper, p Placer, c attempter.Courier, members Members, config Configuration,
 	memory *rationer.Rationer, guard Guard, counter Counter, logger *slog.Logger, options ...Option,
 ) *Runner {
 	r := &Runner{
-		self: self, keeper: keeper, placer: p, courier: c, members: members, table: table, memory: memory,
+		self: self, keeper: keeper, placer: p, courier: c, members: members, config: config, memory: memory,
 		guard: guard, counter: counter, logger: logger, jobs: map[string]*job{},
 		running: map[*placer.Slot]*item{}, orphans: orphanwatcher.New(self.VM),
 		mover: noMover{}, waits: waits{}, claimingOrLoading: map[string]bool{}, drained: make(chan struct{}),
@@ -240,48 +249,3 @@
 	}
 	r.startPending(now)
 }
-
-// expire abandons the items of jobs that have expired or whose route no longer exists.
-// Running ones are cancelled first, and abandoned by a later call.
-func (r *Runner) expire() {
-	table := r.table()
-	if table == nil {
-		return
-	}
-	for _, j := range r.jobs {
-		_, routed := table.RouteByName(j.stored.Route)
-		reason := "expired"
-		switch {
-		case r.expired(j):
-		case !routed:
-			reason = "routeRemoved"
-		default:
-			continue
-		}
-		for _, it := range j.items {
-			switch it.state {
-			case statePending:
-				r.abandon(it, reason)
-			case stateRunning:
-				it.cancel()
-			case stateEnded:
-			}
-		}
-	}
-}
-
-// expired returns whether the items of a job are no longer owed.
-func (r *Runner) expired(j *job) bool { return r.keeper.Now() >= j.stored.Expires }
-
-// abandon ends an item without an output.
-func (r *Runner) abandon(it *item, reason string) {
-	r.counter.Count(`items_total{outcome="` + reason + `"}`)
-	version := uint64(0)
-	if table := r.table(); table != nil {
-		version = table.Version()
-	}
-	r.logger.Info("item abandoned", "job", it.job.stored.ID, "item", it.ID, "reason", reason, "route", it.job.stored.Route,
-		"configuration", version, "expiresIn", it.job.stored.Expires-r.keeper.Now(),
-		"failures", it.failureCounts.Failures, "crashes", it.failureCounts.Crashes)
-	it.job.finish(it, false)
-}
--- a/internal/batch/batchrunner/runner_test.go
+++ b/internal/batch/batchrunner/runner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math"
 	"net/http"
 	"slices"
 	"sync"
@@ -54,6 +55,22 @@
 	placer *placer.Placer
 	runner *batchrunner.Runner
 	stop   func()
+	// config is the configuration in force at the VM, and asOf the version of the store up to
+	// which it has all changes.
+	config atomic.Pointer[router.Table]
+	asOf   atomic.Uint64
+}
+
+// Table implements batchrunner.Configuration.
+func (v *vm) Table() *router.Table { return v.config.Load() }
+
+// AsOf implements batchrunner.Configuration.
+func (v *vm) AsOf() uint64 { return v.asOf.Load() }
+
+// setConfiguration sets the configuration in force at the VM, as of a version of the store.
+func (v *vm) setConfiguration(t *router.Table, asOf uint64) {
+	v.config.Store(t)
+	v.asOf.Store(asOf)
 }
 
 // inFleet runs a test on a fleet without VMs. Each of its upstreams has two slots and
@@ -94,6 +111,7 @@
 	owner := batchkeeper.Owner{VM: name, Boot: boot}
 	logger := slog.New(slog.DiscardHandler)
 	v := &vm{owner: owner, keeper: batchkeeper.New(store, owner, 64<<10, logger)}
+	v.setConfiguration(table, math.MaxUint64)
 	v.placer = placer.New(name, "d", map[string]string{"d": "r"},
 		placer.WithOnChange(func(placer.Change) { v.runner.Wake() }))
 	v.placer.SetUpstreams(f.placerUpstreams)
@@ -104,7 +122,7 @@
 		slots = f.wrapPlacer(v.placer)
 	}
 	v.runner = batchrunner.New(owner, v.keeper, slots, courier.New(sender, v.placer, platform.Codec{}, logger), f,
-		func() *router.Table { return table }, rationer.New(64<<20), supervisor.New(counters, logger), counters, logger,
+		v, rationer.New(64<<20), supervisor.New(counters, logger), counters, logger,
 		batchrunner.WithMover(f))
 	f.setAlive(owner, true)
 	v.runner.Start()
--- a/internal/batch/batchrunner/start.go
+++ b/internal/batch/batchrunner/start.go
@@ -33,7 +33,7 @@
 
 // startPending starts items until there are no free slots.
 func (r *Runner) startPending(now time.Time) {
-	table := r.table()
+	table := r.config.Table()
 	if table == nil {
 		return
 	}
--- a/internal/control/watcher/known.go
+++ b/internal/control/watcher/known.go
@@ -48,6 +48,14 @@
 	return c, true
 }
 
+// Version returns a version of the store that the content passed to the sink is at least as new
+// as; 0 while nothing is known.
+func (w *Watcher) Version() uint64 {
+	w.mu.Lock() // held until the sink has the content
+	defer w.mu.Unlock()
+	return w.tableState.version
+}
+
 // HasData reports whether any content of the table is known, so that no copy is needed.
 func (w *Watcher) HasData() bool {
 	w.mu.Lock()
--- a/internal/control/watcher/watcher.go
+++ b/internal/control/watcher/watcher.go
@@ -92,7 +92,8 @@
 	return func(w *Watcher) { w.pause = pause }
 }
 
-// WithReread sets a function that returns the time between two reads of the whole table.
+// WithReread sets a function that returns the time between two reads of the whole table. It is
+// called after each call for changes.
 func WithReread(reread func() time.Duration) Option {
 	return func(w *Watcher) { w.reread = reread }
 }
@@ -205,8 +206,8 @@
 }
 
 func (w *Watcher) followChanges(ctx context.Context, version uint64) error {
-	deadline := time.Now().Add(w.reread())
-	for time.Now().Before(deadline) {
+	began := time.Now()
+	for time.Since(began) < w.reread() {
 		changes, err := w.changes(ctx, version)
 		if err != nil {
 			return err
--- a/internal/control/watcher/watcher_test.go
+++ b/internal/control/watcher/watcher_test.go
@@ -401,3 +401,22 @@
 		})
 	})
 }
+
+// Guards against: a VM that lags behind, and on which a job waits for a newer configuration, learns of
+// the wait only when the long interval between two reads of the whole table is over.
+func TestTableIsReadAgainSoonOnceTheIntervalIsShorter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		var interval atomic.Int64
+		interval.Store(int64(time.Minute))
+		time.AfterFunc(2500*time.Millisecond, func() { interval.Store(int64(time.Second)) })
+		to := &sink{}
+		s := &store{all: rowstore.Snapshot{Rows: []rowstore.Row{row("a", 3)}, Version: 3}}
+		w := watcher.New(s, "t", "", to, slog.New(slog.DiscardHandler),
+			watcher.WithReread(func() time.Duration { return time.Duration(interval.Load()) }))
+		w.Run(ctx)
+		qt.Check(t, to.events, qt.DeepEquals, []string{"replace a", "replace a", "replace a"})
+		qt.Check(t, w.Version(), qt.Equals, uint64(3))
+	})
+}
--- a/internal/faces/batchserver/server.go
+++ b/internal/faces/batchserver/server.go
@@ -129,11 +129,11 @@
 }
 
 // Serve implements gateway.Jobs.
-func (s *Server) Serve(w http.ResponseWriter, r *http.Request, route *router.Route) {
+func (s *Server) Serve(w http.ResponseWriter, r *http.Request, route *router.Route, configuration uint64) {
 	start := time.Now()
 	var status int
 	if route != nil {
-		status = s.submit(w, r, route)
+		status = s.submit(w, r, route, configuration)
 	} else {
 		status = s.call(w, r)
 	}
@@ -142,8 +142,9 @@
 		"took", time.Since(start))
 }
 
-// submit handles a submission and returns the status of the answer.
-func (s *Server) submit(w http.ResponseWriter, r *http.Request, route *router.Route) int {
+// submit handles a submission under a version of the configuration, and returns the status of
+// the answer.
+func (s *Server) submit(w http.ResponseWriter, r *http.Request, route *router.Route, configuration uint64) int {
 	now := time.Now()
 	body, reservation, err := bodyreader.Read(w, r, s.limits(), s.memory)
 	defer func() { reservation.Release() }()
@@ -168,7 +169,7 @@
 	defer cancel()
 	stored, shouldRun, err := s.keeper.Submit(ctx, batchkeeper.Submission{
 		ID: submission.ID, Route: route.Name, Host: r.Host, Items: submission.Items, MaxTokens: route.MaxTokens,
-		CompletionTarget: route.CompletionTarget, Retention: route.Retention,
+		CompletionTarget: route.CompletionTarget, Retention: route.Retention, Configuration: configuration,
 	})
 	switch {
 	case err == nil:
--- a/internal/faces/gateway/gateway.go
+++ b/internal/faces/gateway/gateway.go
@@ -94,9 +94,9 @@
 type Jobs interface {
 	// IsJobCall returns whether a request is a call on a job, by its path alone.
 	IsJobCall(r *http.Request) bool
-	// Serve answers a request that belongs to a job. The route is nil if IsJobCall
-	// identified the request.
-	Serve(w http.ResponseWriter, r *http.Request, route *router.Route)
+	// Serve answers a request that belongs to a job. The route, of a version of the
+	// configuration, is nil if IsJobCall identified the request.
+	Serve(w http.ResponseWriter, r *http.Request, route *router.Route, configuration uint64)
 }
 
 // Counter updates metrics by name.
@@ -190,7 +190,7 @@
 // serveJob passes a call on a job to Jobs. The route is nil for calls that are identified by path.
 func (g *Gateway) serveJob(x *exchange, route *router.Route) {
 	if !g.rejectIfLate(x, time.Now().Add(maxJobCallTime)) {
-		g.jobs.Serve(x.w, x.r, route)
+		g.jobs.Serve(x.w, x.r, route, x.table.Version())
 	}
 }
 
--- a/internal/wiring/entryvm/provider.go
+++ b/internal/wiring/entryvm/provider.go
@@ -61,11 +61,14 @@
 
 func (c *callbacks) setPeers(members []memberkeeper.Member) { c.vm.setPeers(members) }
 
-// table returns the configuration in force, or nil.
-func (c *callbacks) table() *router.Table { return c.vm.gateway.Table() }
+// Table implements batchrunner.Configuration.
+func (c *callbacks) Table() *router.Table { return c.vm.gateway.Table() }
+
+// AsOf implements batchrunner.Configuration.
+func (c *callbacks) AsOf() uint64 { return c.vm.configuration.Version() }
 
 func (c *callbacks) limits() router.Limits {
-	if table := c.table(); table != nil {
+	if table := c.Table(); table != nil {
 		return table.Limits()
 	}
 	return router.Limits{}
@@ -181,7 +184,7 @@
 	members *memberkeeper.Keeper, c *callbacks, budget *rationer.Rationer, mover *jobmover.Mover,
 	tasks *supervisor.Supervisor, counters *counter.Counters, logger *slog.Logger,
 ) *batchrunner.Runner {
-	return batchrunner.New(owner, keeper, p, sender, members, c.table, budget, tasks, counters, logger,
+	return batchrunner.New(owner, keeper, p, sender, members, c, budget, tasks, counters, logger,
 		batchrunner.WithMover(mover))
 }
 
--- a/internal/wiring/entryvm/vm.go
+++ b/internal/wiring/entryvm/vm.go
@@ -65,8 +65,9 @@
 	memberKeeper *memberkeeper.Keeper
 	gateway      *gateway.Gateway
 
-	bootstrapper *bootstrapper.Bootstrapper
-	mover        *jobmover.Mover
+	bootstrapper  *bootstrapper.Bootstrapper
+	configuration *watcher.Watcher
+	mover         *jobmover.Mover
 
 	jobKeeper *batchkeeper.Keeper
 	runner    *batchrunner.Runner
@@ -110,10 +111,12 @@
 	if vm.callerListener, err = net.Listen("tcp", vm.settings.CallerAddress); err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
+	vm.configuration = vm.newWatcher(platform.TableConfiguration, "", &configurationSink{vm: vm},
+		watcher.WithReread(vm.configurationRereadInterval))
 	watchers := []*watcher.Watcher{
 		vm.newWatcher(memberkeeper.Table, memberkeeper.Part, vm.memberKeeper,
 			watcher.WithWait(memberWait), watcher.WithPause(memberPause)),
-		vm.newWatcher(platform.TableConfiguration, "", &configurationSink{vm: vm}, watcher.WithReread(vm.rereadInterval)),
+		vm.configuration,
 		vm.newWatcher(platform.TableUpstreams, "", &upstreamSink{vm: vm, registrar: registrar.New()},
 			watcher.WithReread(vm.rereadInterval)),
 		vm.newWatcher(versionkeeper.TableVersions, versionkeeper.PartVersions, vm.versions,
@@ -149,6 +152,9 @@
 	// bounds how long a stalled feed of changes leaves a VM with outdated data.
 	rereadInterval = 8 * time.Second
 	smallFleetVMs  = placer.MaxFullMeshVMs
+	// awaitedRereadInterval is the time between two reads of the configuration while a job
+	// waits for a newer one.
+	awaitedRereadInterval = 2 * time.Second
 )
 
 const (
@@ -170,6 +176,13 @@
 	return rereadInterval * time.Duration(max(vm.vmCount.Load(), smallFleetVMs)) / smallFleetVMs
 }
 
+func (vm *VM) configurationRereadInterval() time.Duration {
+	if vm.runner.AwaitsConfiguration() {
+		return awaitedRereadInterval
+	}
+	return vm.rereadInterval()
+}
+
 const (
 	// memberWait is how long the store holds a request for changes of the VM list, and
 	// memberPause the time between two such requests. Some row of that table changes all
