batchkeeper: each submission writes content of its own

Cause: content beyond one transaction is written before the transaction that accepts the job, without a condition, to rows that all submissions of a job share. So a repetition replaces part of an accepted job's content. That maps are encoded in random order isn't the cause: other items, or the same job at two VMs at once, mix contents with any encoding. Evidence: the next owners log 'corrupt row: content of ...: 13923 bytes of extraneous data' and 'invalid additional information'. Ruled out: missing rows (all are there), memory and timeouts (other errors). Change: a copy per call, named at random; its last row is written with the record; readers take the complete one. A large job that exists is found first. Copies of rejected jobs are removed. Both layouts are read. Why it works: no row of the accepted copy has another writer, and only the accepting transaction completes a copy. Related path: a job that was cancelled at once and sent again to its owner ran after all; only the call that has written the accepted copy runs the job now.

--- /dev/null
+++ b/internal/batch/batchkeeper/content.go
@@ -0,0 +1,167 @@
+package batchkeeper
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
+)
+
+// A job's content is its encoded items, split into rows. Content that is larger than one
+// transaction is written before the transaction that accepts the job, when nobody knows yet
+// whether the job exists: the caller may have submitted it to two VMs, or a write of an
+// earlier submission may still take effect. So each call of Submit writes rows of its own, a
+// copy of the content with a random name:
+//
+//	j1/cKQ4.../000000  written first, by the call that was accepted
+//	j1/cKQ4.../000001  written in the transaction that accepted the job
+//	j1/cZ7X.../000000  written first, by a call that found the job and then ended
+//
+// The last row of a copy is only written in the transaction that accepts its job. So exactly
+// one copy of an accepted job is complete, whatever else was written, and no row of it
+// ever changes. Copies without a name, from an earlier release, are read too.
+
+// copyPrefix begins the name of each copy, so that it sorts after the rows of an unnamed one.
+const copyPrefix = "c"
+
+// errIncomplete reports that a copy of a job's content isn't the accepted one.
+var errIncomplete = errors.New("incomplete copy")
+
+// encodeContent returns the rows of a new copy of a job's content.
+func (k *Keeper) encodeContent(id string, items []Item) ([]rowstore.Put, error) {
+	encoded, err := cbor.Marshal(items)
+	if err != nil {
+		return nil, fmt.Errorf("%w: encode items: %w", ErrNotWritten, err)
+	}
+	name := copyPrefix + rand.Text()
+	var puts []rowstore.Put
+	for n := 0; len(encoded) > 0; n++ {
+		size := min(k.rowSize, len(encoded))
+		puts = append(puts, rowstore.Put{Key: contentKey(id, name, n), Value: encoded[:size]})
+		encoded = encoded[size:]
+	}
+	return puts, nil
+}
+
+// contentKey returns the key of the n-th row of a copy of a job's content.
+func contentKey(id, name string, n int) rowstore.Key {
+	return rowstore.Key{Table: tableContent, Part: partNameOf(id), Name: fmt.Sprintf("%s/%s/%06d", id, name, n)}
+}
+
+// takeTx returns as many rows as fit into one transaction.
+func takeTx(puts []rowstore.Put) []rowstore.Put {
+	n, size := 0, 0
+	for n < len(puts) && n < maxTxRows && size+len(puts[n].Value) <= maxTxBytes {
+		size += len(puts[n].Value)
+		n++
+	}
+	return puts[:n]
+}
+
+// splitContent splits content rows into those that must be written before the transaction that
+// accepts the job, and the remaining ones, at least the last.
+func splitContent(puts []rowstore.Put) (excess, rest []rowstore.Put) {
+	rest = puts
+	for {
+		n := len(takeTx(rest))
+		if n == len(rest) {
+			return puts[:len(puts)-len(rest)], rest
+		}
+		rest = rest[n:]
+	}
+}
+
+// writeContent writes content rows, in as many transactions as they need. It returns
+// ErrNotWritten.
+func (k *Keeper) writeContent(ctx context.Context, puts []rowstore.Put) error {
+	for len(puts) > 0 {
+		some := takeTx(puts)
+		if _, err := k.transactWithRetry(ctx, rowstore.Tx{Puts: some}, submitRetryTimeout); err != nil {
+			return fmt.Errorf("%w: %w", ErrNotWritten, err)
+		}
+		puts = puts[len(some):]
+	}
+	return nil
+}
+
+// removeContent removes content rows of a submission that was not accepted, in one attempt: rows
+// that remain do no harm.
+func (k *Keeper) removeContent(ctx context.Context, puts []rowstore.Put) {
+	for len(puts) > 0 {
+		some := puts[:min(len(puts), maxTxRows)]
+		var tx rowstore.Tx
+		for _, put := range some {
+			tx.Removes = append(tx.Removes, put.Key)
+		}
+		if _, err := k.transact(ctx, tx); err != nil {
+			k.logger.Info("content of a rejected job not removed", "row", some[0].String(), "error", err)
+			return
+		}
+		puts = puts[len(some):]
+	}
+}
+
+// Items reads the items of a job. It returns ErrNotFound, ErrNotRead or ErrCorrupt.
+func (k *Keeper) Items(ctx context.Context, record Record) ([]Item, error) {
+	from, to := numberedRange(record.ID, 0)
+	all, err := k.readRange(ctx, tableContent, partNameOf(record.ID), from, to)
+	if err != nil {
+		return nil, err
+	}
+	if len(all.Rows) == 0 {
+		return nil, fmt.Errorf("%w: %s has no content", ErrNotFound, record.ID)
+	}
+	var failures []error
+	for _, encoded := range copiesOf(record.ID, all.Rows) {
+		items, err := decodeContent(encoded, record.Items)
+		if err == nil {
+			return items, nil
+		}
+		failures = append(failures, err)
+	}
+	return nil, fmt.Errorf("%w: content of %s: %w", ErrCorrupt, record.ID, errors.Join(failures...))
+}
+
+// copiesOf returns the copies of a job's content that are in rows, which are sorted by name.
+func copiesOf(id string, rows []rowstore.Row) [][]byte {
+	var copies [][]byte
+	last := ""
+	for i, row := range rows {
+		name := copyName(strings.TrimPrefix(row.Name, id+"/"))
+		if i == 0 || name != last {
+			copies = append(copies, nil)
+		}
+		last = name
+		n := len(copies) - 1
+		copies[n] = append(copies[n], row.Value...)
+	}
+	return copies
+}
+
+// copyName returns the name of the copy that a row belongs to, given the row's name without the
+// job's ID. It is empty for a row of an earlier release.
+func copyName(row string) string {
+	name, _, named := strings.Cut(row, "/")
+	if !named {
+		return ""
+	}
+	return name
+}
+
+// decodeContent decodes a copy of a job's content. It returns errIncomplete for a copy that
+// isn't the accepted one.
+func decodeContent(encoded []byte, count int) ([]Item, error) {
+	var items []Item
+	if err := cbor.Unmarshal(encoded, &items); err != nil {
+		return nil, fmt.Errorf("%w: %w", errIncomplete, err)
+	}
+	if len(items) != count {
+		return nil, fmt.Errorf("%w: %d items instead of %d", errIncomplete, len(items), count)
+	}
+	return items, nil
+}
--- a/internal/batch/batchkeeper/keeper_test.go
+++ b/internal/batch/batchkeeper/keeper_test.go
@@ -108,9 +108,9 @@
 				s.Items[i].Body = []byte(strings.Repeat("x", 20_000))
 			}
 			k := newKeeper(store, ownerA)
-			_, _, err := k.Submit(ctx, s)
+			stored, _, err := k.Submit(ctx, s)
 			qt.Assert(t, err, qt.IsNil)
-			items, err := k.Items(ctx, "j")
+			items, err := k.Items(ctx, stored.Record)
 			qt.Assert(t, err, qt.IsNil)
 			qt.Check(t, items, qt.HasLen, 200)
 		})
@@ -272,7 +272,7 @@
 		qt.Assert(t, err, qt.IsNil)
 		claimed, err := b.Claim(ctx, released)
 		qt.Assert(t, err, qt.IsNil)
-		loaded, err := b.Load(ctx, claimed.ID)
+		loaded, err := b.Load(ctx, claimed.Record)
 		qt.Assert(t, err, qt.IsNil)
 		qt.Check(t, loaded.Items, qt.HasLen, 2)
 		qt.Check(t, loaded.HasResult, qt.DeepEquals, map[string]bool{"item0": true})
@@ -333,7 +333,7 @@
 				qt.Assert(t, r.Item == results[n].Item && string(r.Output) == string(results[n].Output), qt.IsTrue,
 					qt.Commentf("result %d has %d bytes", n, len(r.Output)))
 			}
-			loaded, err := k.Load(ctx, "j")
+			loaded, err := k.Load(ctx, stored.Record)
 			qt.Assert(t, err, qt.IsNil)
 			qt.Check(t, len(loaded.HasResult), qt.Equals, items)
 		})
@@ -353,7 +353,7 @@
 		}
 		_, err := k.Release(ctx, stored, progress)
 		qt.Assert(t, err, qt.IsNil)
-		loaded, err := k.Load(ctx, "j")
+		loaded, err := k.Load(ctx, stored.Record)
 		qt.Assert(t, err, qt.IsNil)
 		qt.Check(t, len(loaded.Progress), qt.Equals, 1)
 		qt.Check(t, loaded.Progress[1].LastEvent, qt.Equals, "1")
--- a/internal/batch/batchkeeper/owner.go
+++ b/internal/batch/batchkeeper/owner.go
@@ -154,10 +154,11 @@
 
 // Load reads the data needed to run a job that this process owns. It returns ErrNotFound,
 // ErrNotRead or ErrCorrupt.
-func (k *Keeper) Load(ctx context.Context, id string) (LoadedJob, error) {
+func (k *Keeper) Load(ctx context.Context, record Record) (LoadedJob, error) {
+	id := record.ID
 	loaded := LoadedJob{HasResult: map[string]bool{}, Progress: map[int]Progress{}}
 	var err error
-	if loaded.Items, err = k.Items(ctx, id); err != nil {
+	if loaded.Items, err = k.Items(ctx, record); err != nil {
 		return loaded, err
 	}
 	results, err := k.readAllResults(ctx, id)
--- a/internal/batch/batchkeeper/record.go
+++ b/internal/batch/batchkeeper/record.go
@@ -6,7 +6,7 @@
 // over several parts by a hash of their identifiers:
 //
 //	jobs          ID             Record: owner, counts, deadlines
-//	jobContent    ID/chunk       the encoded items, split into rows
+//	jobContent    ID/copy/chunk  the encoded items, split into rows
 //	jobResults    ID/position    one immutable result per row
 //	jobResultRest ID/position/n  continuation rows of a long result
 //	jobProgress   ID/item        partial output of a running item
--- a/internal/batch/batchkeeper/submission.go
+++ b/internal/batch/batchkeeper/submission.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 )
 
@@ -28,9 +26,9 @@
 }
 
 // Submit accepts a job. Once it returns no error the job is stored. It returns the job's
-// record, and whether this call created it or found one that this process owns and has
-// not written since. It returns ErrOverQuota, ErrNotWritten, ErrInDoubt or, if the existing
-// record can't be decoded, ErrCorrupt.
+// record, and whether this process is to run the job because this call has accepted it. It
+// returns ErrOverQuota, ErrNotWritten, ErrInDoubt or, if the record of an existing job can't be
+// decoded, ErrCorrupt.
 func (k *Keeper) Submit(ctx context.Context, s Submission) (VersionedRecord, bool, error) {
 	if k.Now() == 0 {
 		if _, err := k.ScanPart(ctx, PartOf(s.ID)); err != nil { // needed to compute the job's deadlines
@@ -41,25 +39,57 @@
 	if err != nil {
 		return VersionedRecord{}, false, err
 	}
-	content, err = k.writeExcessContent(ctx, content)
-	if err != nil {
+	excess, rest := splitContent(content)
+	if len(excess) > 0 {
+		if stored, found, err := k.findRecord(ctx, s.ID); err != nil || found {
+			return stored, false, err
+		}
+	}
+	stored, accepted, err := k.submit(ctx, s, record, excess, rest)
+	if (err == nil && !accepted) || errors.Is(err, ErrOverQuota) {
+		k.removeContent(ctx, excess)
+	}
+	return stored, accepted && stored.Owner == k.owner && stored.Open(), err
+}
+
+// submit writes the excess content of a job and accepts the job, if its tokens are admitted. It
+// returns the job's record, and whether this call has accepted the job.
+func (k *Keeper) submit(
+	ctx context.Context, s Submission, record Record, excess, rest []rowstore.Put,
+) (VersionedRecord, bool, error) {
+	if err := k.writeContent(ctx, excess); err != nil {
 		return VersionedRecord{}, false, err
 	}
 	if err := k.admit(ctx, s, record.Tokens); err != nil {
 		return VersionedRecord{}, false, err
 	}
-	return k.accept(ctx, record, content)
+	return k.accept(ctx, record, rest)
+}
+
+// findRecord reads the record of a job that may exist. It returns ErrNotWritten if it can't be
+// read, or ErrCorrupt.
+func (k *Keeper) findRecord(ctx context.Context, id string) (VersionedRecord, bool, error) {
+	all, err := k.readRangeWithTimeout(ctx, tableJobs, partNameOf(id), id, id+"\x00", submitRetryTimeout)
+	if err != nil {
+		return VersionedRecord{}, false, fmt.Errorf("%w: %w", ErrNotWritten, err)
+	}
+	if len(all.Rows) == 0 {
+		return VersionedRecord{}, false, nil
+	}
+	stored, err := decodeRecord(all.Rows[0])
+	return stored, err == nil, err
 }
 
 // accept writes the job's record together with the given content rows, unless the record
-// already exists; it then returns the existing one.
+// already exists. It returns the record in the store, and whether this call has written it.
 func (k *Keeper) accept(ctx context.Context, record Record, content []rowstore.Put) (VersionedRecord, bool, error) {
 	recordPut, err := encodeRow(recordKey(record.ID), record)
 	if err != nil {
 		return VersionedRecord{}, false, fmt.Errorf("%w: %w", ErrNotWritten, err)
 	}
+	ownRow := content[len(content)-1].Key // only this call writes it
 	tx := rowstore.Tx{
-		Conditions: []rowstore.Condition{{Key: recordPut.Key}},
+		Conditions: []rowstore.Condition{{Key: recordPut.Key}, {Key: ownRow}},
 		Puts:       append([]rowstore.Put{recordPut}, content...),
 	}
 	version, err := k.transactWithRetry(ctx, tx, submitRetryTimeout)
@@ -75,10 +105,11 @@
 		return VersionedRecord{}, false, fmt.Errorf("%w: %w", ErrInDoubt, err)
 	}
 	stored, err := decodeRecord(row)
-	return stored, err == nil && stored.Owner == k.owner && stored.Writes == 0, err
+	written, found := conflict.Current(ownRow) // by an attempt whose response was lost
+	return stored, err == nil && found && written.Version > 0, err
 }
 
-// encodeSubmission returns a job's record and its encoded items, split into rows.
+// encodeSubmission returns a job's record and its content rows.
 func (k *Keeper) encodeSubmission(s Submission) (Record, []rowstore.Put, error) {
 	now := k.Now()
 	record := Record{
@@ -88,35 +119,6 @@
 	for _, item := range s.Items {
 		record.Tokens += item.Tokens
 	}
-	encoded, err := cbor.Marshal(s.Items)
-	if err != nil {
-		return record, nil, fmt.Errorf("%w: encode items: %w", ErrNotWritten, err)
-	}
-	var puts []rowstore.Put
-	for n := 0; len(encoded) > 0; n++ {
-		size := min(k.rowSize, len(encoded))
-		puts = append(puts, rowstore.Put{Key: numberedKey(tableContent, s.ID, n), Value: encoded[:size]})
-		encoded = encoded[size:]
-	}
-	return record, puts, nil
-}
-
-// writeExcessContent writes the content rows of a large job that don't fit into the
-// transaction that accepts it, and returns the remaining ones. Content rows without a
-// record have no meaning, and writing them twice is harmless.
-func (k *Keeper) writeExcessContent(ctx context.Context, puts []rowstore.Put) ([]rowstore.Put, error) {
-	for {
-		n, size := 0, 0
-		for n < len(puts) && n < maxTxRows && size+len(puts[n].Value) <= maxTxBytes {
-			size += len(puts[n].Value)
-			n++
-		}
-		if n == len(puts) {
-			return puts, nil
-		}
-		if _, err := k.transactWithRetry(ctx, rowstore.Tx{Puts: puts[:n]}, submitRetryTimeout); err != nil {
-			return nil, fmt.Errorf("%w: %w", ErrNotWritten, err)
-		}
-		puts = puts[n:]
-	}
+	content, err := k.encodeContent(s.ID, s.Items)
+	return record, content, err
 }
--- a/internal/batch/batchrunner/runner.go
+++ b/internal/batch/batchrunner/runner.go
@@ -26,7 +26,7 @@
 	SetClock(now time.Duration)
 	ScanPart(ctx context.Context, part int) ([]batchkeeper.VersionedRecord, error)
 	Claim(ctx context.Context, seen batchkeeper.VersionedRecord) (batchkeeper.VersionedRecord, error)
-	Load(ctx context.Context, id string) (batchkeeper.LoadedJob, error)
+	Load(ctx context.Context, record batchkeeper.Record) (batchkeeper.LoadedJob, error)
 	Commit(ctx context.Context, seen batchkeeper.VersionedRecord, results []batchkeeper.Result, tokens int64,
 		failureCounts map[int]batchkeeper.FailureCounts) (batchkeeper.VersionedRecord, error)
 	Renew(ctx context.Context, seen batchkeeper.VersionedRecord, tokens int64,
--- a/internal/batch/batchrunner/store.go
+++ b/internal/batch/batchrunner/store.go
@@ -62,11 +62,14 @@
 	r.claimingOrLoading[stored.ID] = true
 	var loaded batchkeeper.LoadedJob
 	r.callAsync(storeTimeout, func(ctx context.Context) (err error) {
-		loaded, err = r.keeper.Load(ctx, stored.ID)
+		loaded, err = r.keeper.Load(ctx, stored.Record)
 		return err //nolint:wrapcheck // logged as it is
 	}, func(_ time.Time, err error) {
 		delete(r.claimingOrLoading, stored.ID)
 		if err != nil {
+			if errors.Is(err, batchkeeper.ErrCorrupt) {
+				r.counter.Count("jobs_corrupt_total")
+			}
 			r.logger.Warn("job not loaded", "job", stored.ID, "error", err)
 			return // the next scan tries again
 		}
