batchrunner: an old write doesn't end a new instance of its job

Cause: the outcome of a write was applied to whatever instance of the job the VM ran by then, found by ID; and a job of this VM was loaded without a claim, beside a write that its earlier instance still had under way. That write, with the same owner and number, was taken for one of the new instance: results that aren't stored are dropped, or the write is repeated for ever without a pause. Evidence: TestLateScanDoesNotReviveACompletedJob (a panic before), TestOldWriteDoesNotEndANewInstanceOfTheJob (before: never ended; the stack is in writeEnded, slice bounds). Ruled out as far as tests go: handovers. Change: outcomes count for their own instance; a job that this VM owns and doesn't run is claimed before it is loaded, if two scans say so; more results than known end the instance with an error in the log. Why it works: after the claim no older write can take effect, and what took effect before is in the record that the claim returns.

--- a/internal/batch/batchrunner/handover.go
+++ b/internal/batch/batchrunner/handover.go
@@ -55,7 +55,7 @@
 		r.logger.Info("job handed over", "job", exported.Record.ID, "to", to, "record", exported.Version,
 			"results", len(exported.Outbox), "progress", len(exported.Progress), "error", errorText(err))
 		if err == nil {
-			r.remove(exported.Record.ID)
+			r.remove(j)
 			return
 		}
 		j.releasing, j.handoverFailed = false, true
--- a/internal/batch/batchrunner/runner.go
+++ b/internal/batch/batchrunner/runner.go
@@ -113,6 +113,7 @@
 	scans             [batchkeeper.Parts]partScan
 	orphans           *orphanwatcher.Watcher
 	claimingOrLoading map[string]bool
+	idle              map[string]idleJob // by ID
 	draining          bool
 	drained           chan struct{} // closed when a draining runner has no jobs left
 }
@@ -134,7 +135,7 @@
 		self: self, keeper: keeper, placer: p, courier: c, members: members, config: config, memory: memory,
 		guard: guard, counter: counter, logger: logger, jobs: map[string]*job{},
 		running: map[*placer.Slot]*item{}, orphans: orphanwatcher.New(self.VM),
-		mover: noMover{}, waits: waits{}, claimingOrLoading: map[string]bool{}, drained: make(chan struct{}),
+		mover: noMover{}, waits: waits{}, claimingOrLoading: map[string]bool{}, idle: map[string]idleJob{}, drained: make(chan struct{}),
 	}
 	for _, option := range options {
 		option(r)
@@ -179,6 +180,7 @@
 	j.renewDue = j.renewedAt.Add(renewPeriod)
 	r.jobs[stored.ID] = j
 	r.setHasJobs(true)
+	delete(r.idle, stored.ID)
 	r.orphans.Forget(stored.ID)
 	r.logger.Info("job adopted", "job", stored.ID, "route", stored.Route, "items", stored.Items,
 		"results", stored.Results, "record", stored.Version, "due", stored.Due-r.keeper.Now())
@@ -197,15 +199,16 @@
 		return
 	}
 	j.discard()
-	r.remove(id)
+	r.remove(j)
 	r.logger.Info("job discarded", "job", id, "reason", reason, "uncommitted", len(j.outbox))
 }
 
-// remove removes a job from this VM and releases its reservation of memory.
-func (r *Runner) remove(id string) {
-	if j, found := r.jobs[id]; found {
+// remove removes a job from this VM and releases its reservation of memory. It leaves another
+// instance of the job alone.
+func (r *Runner) remove(j *job) {
+	if r.jobs[j.stored.ID] == j {
 		j.reservation.Release()
-		delete(r.jobs, id)
+		delete(r.jobs, j.stored.ID)
 	}
 }
 
--- a/internal/batch/batchrunner/runner_test.go
+++ b/internal/batch/batchrunner/runner_test.go
@@ -46,6 +46,8 @@
 	receivers map[string]*vm
 	// wrapPlacer replaces the placer of each VM that starts, if it is not nil.
 	wrapPlacer func(batchrunner.Placer) batchrunner.Placer
+	// wrapKeeper replaces the keeper of each runner that starts, if it is not nil.
+	wrapKeeper func(batchrunner.Keeper) batchrunner.Keeper
 }
 
 // vm is one VM of a fleet.
@@ -55,6 +57,8 @@
 	placer *placer.Placer
 	runner *batchrunner.Runner
 	stop   func()
+	// counters are the runner's.
+	counters *counter.Counters
 	// config is the configuration in force at the VM, and asOf the version of the store up to
 	// which it has all changes.
 	config atomic.Pointer[router.Table]
@@ -116,13 +120,17 @@
 		placer.WithOnChange(func(placer.Change) { v.runner.Wake() }))
 	v.placer.SetUpstreams(f.placerUpstreams)
 	sender := forwarder.New(platform.Codec{}.AnswerID, forwarder.WithDial(f.network.Dial))
-	counters := counter.New(metrics.NewSet())
+	v.counters = counter.New(metrics.NewSet())
 	var slots batchrunner.Placer = v.placer
 	if f.wrapPlacer != nil {
 		slots = f.wrapPlacer(v.placer)
 	}
-	v.runner = batchrunner.New(owner, v.keeper, slots, courier.New(sender, v.placer, platform.Codec{}, logger), f,
-		v, rationer.New(64<<20), supervisor.New(counters, logger), counters, logger,
+	var jobs batchrunner.Keeper = v.keeper
+	if f.wrapKeeper != nil {
+		jobs = f.wrapKeeper(jobs)
+	}
+	v.runner = batchrunner.New(owner, jobs, slots, courier.New(sender, v.placer, platform.Codec{}, logger), f,
+		v, rationer.New(64<<20), supervisor.New(v.counters, logger), v.counters, logger,
 		batchrunner.WithMover(f))
 	f.setAlive(owner, true)
 	v.runner.Start()
--- a/internal/batch/batchrunner/store.go
+++ b/internal/batch/batchrunner/store.go
@@ -33,55 +33,6 @@
 	})
 }
 
-// claim takes over an orphaned job.
-func (r *Runner) claim(record batchkeeper.VersionedRecord) {
-	if r.claimingOrLoading[record.ID] {
-		return
-	}
-	r.claimingOrLoading[record.ID] = true
-	var stored batchkeeper.VersionedRecord
-	r.callAsync(storeTimeout, func(ctx context.Context) (err error) {
-		stored, err = r.keeper.Claim(ctx, record)
-		return err //nolint:wrapcheck // logged as it is
-	}, func(_ time.Time, err error) {
-		delete(r.claimingOrLoading, record.ID)
-		r.logger.Info("job claimed", "job", record.ID, "from", record.Owner.VM, "record", record.Version,
-			"error", errorText(err))
-		if err == nil {
-			r.counter.Count("jobs_taken_over_total")
-			r.load(stored)
-		}
-	})
-}
-
-// load reads a job that this process owns in the store, and runs it.
-func (r *Runner) load(stored batchkeeper.VersionedRecord) {
-	if r.claimingOrLoading[stored.ID] {
-		return
-	}
-	r.claimingOrLoading[stored.ID] = true
-	var loaded batchkeeper.LoadedJob
-	r.callAsync(storeTimeout, func(ctx context.Context) (err error) {
-		loaded, err = r.keeper.Load(ctx, stored.Record)
-		return err //nolint:wrapcheck // logged as it is
-	}, func(_ time.Time, err error) {
-		delete(r.claimingOrLoading, stored.ID)
-		if err != nil {
-			if errors.Is(err, batchkeeper.ErrCorrupt) {
-				r.counter.Count("jobs_corrupt_total")
-			}
-			r.logger.Warn("job not loaded", "job", stored.ID, "error", err)
-			return // the next scan tries again
-		}
-		reservation := r.memory.NewReservation()
-		if !reservation.Grow(loaded.Bytes()) {
-			r.logger.Warn("job not loaded, no memory for its items", "job", stored.ID, "bytes", loaded.Bytes())
-			return
-		}
-		r.adopt(stored, loaded, reservation)
-	})
-}
-
 // commit writes new results and failure counts of a job. At most one write of a job is
 // in flight at a time.
 func (r *Runner) commit(j *job) {
@@ -103,7 +54,10 @@
 func (r *Runner) writeEnded(j *job, stored batchkeeper.VersionedRecord, sent int, now time.Time, err error) {
 	j.writing = false
 	id := j.stored.ID
+	written := stored.Results - j.stored.Results
 	switch {
+	case j.discarded: // this VM may run another instance of the job, which the outcome says nothing of
+		return
 	case j.releasing: // the next owner finds out what was written
 		return
 	case errors.Is(err, batchkeeper.ErrOwnershipLost):
@@ -113,10 +67,15 @@
 		j.dirty = true
 		r.logger.Warn("job not written", "job", id, "results", sent, "error", err)
 		return
+	case written < 0 || written > len(j.outbox): // never drop a result that may not be stored
+		r.counter.Count("jobs_inconsistent_total")
+		r.logger.Error("record doesn't match the job's results, loading it again", "job", id, "record", stored.Version,
+			"written", written, "uncommitted", len(j.outbox))
+		r.discard(id, "inconsistent")
+		return
 	}
 	j.renewedAt = now
 	j.renewDue = now.Add(renewPeriod)
-	written := stored.Results - j.stored.Results
 	j.outbox = j.outbox[written:]
 	j.stored = stored
 	if written == 0 && sent == 0 {
@@ -125,7 +84,7 @@
 	r.logger.Info("results committed", "job", id, "results", written, "of", stored.Items, "listed", stored.Results,
 		"record", stored.Version)
 	if stored.Results == stored.Items {
-		r.remove(id)
+		r.remove(j)
 	}
 }
 
@@ -195,7 +154,6 @@
 // release releases one job in the store, with the progress of its items.
 func (r *Runner) release(j *job) {
 	j.releasing = true
-	id := j.stored.ID
 	progress := map[int]batchkeeper.Progress{}
 	for _, it := range j.items {
 		if it.state == statePending && it.progress.LastEvent != "" {
@@ -207,7 +165,7 @@
 		_, err := r.keeper.Release(ctx, seen, progress)
 		return err //nolint:wrapcheck // logged as it is
 	}, func(_ time.Time, err error) {
-		r.remove(id)
-		r.logger.Info("job released", "job", id, "progress", len(progress), "error", errorText(err))
+		r.remove(j)
+		r.logger.Info("job released", "job", seen.ID, "progress", len(progress), "error", errorText(err))
 	})
 }
--- a/internal/batch/batchrunner/watch.go
+++ b/internal/batch/batchrunner/watch.go
@@ -65,8 +65,9 @@
 	case !record.Open():
 		r.discard(record.ID, "ended")
 		r.orphans.Forget(record.ID)
+		delete(r.idle, record.ID)
 	case record.Owner == r.self && !running:
-		r.load(record)
+		r.resume(record)
 	case record.Owner == r.self:
 		// A write of this process, whose response is still to come.
 	case running && j.unclaimed:
