versionkeeper: tests of a VM that has missed a new software version

Ruled out here: such a VM asks the store about each take-up, record first and then the versions of the service, and never its own copy. With the record it gets the right version, and rejects at once if its list has no upstream of it; without, several versions are stored, and it rejects; without the store too. Change: tests only, of a VM whose list and versions are older than the stream: with its record, without, without the store, and at the gateway. All pass, so nothing is fixed.

--- a/internal/faces/gateway/version_test.go
+++ b/internal/faces/gateway/version_test.go
@@ -113,3 +113,20 @@
 	t.Run("its version is gone", func(t *testing.T) { expect(t, "v0") })
 	t.Run("its version is unknown", func(t *testing.T) { expect(t, "") })
 }
+
+// Guards against: a VM that has missed a release, whose list has upstreams of the old version only,
+// goes on there with a stream that another VM began at the new one.
+func TestStreamOfAVersionThatTheVMHasMissedIsRejected(t *testing.T) {
+	withVM(t, []standin.Plan{{Events: 5}, {Events: 5}}, func(v *vm) {
+		v.setVersions("v1", "v1")
+		v.versions.Replace(nil)
+		v.versions.Begin(v.t.Context(), versionkeeper.Stream{ID: "first", Service: "s", Version: "v1.1"})
+		status, _, _ := v.resume()
+		qt.Check(v.t, status, qt.Equals, http.StatusServiceUnavailable)
+		qt.Check(v.t, v.runs(), qt.Equals, 0)
+		v.setVersions("v1", "v1.1") // the list arrives
+		status, _, complete := v.resume()
+		qt.Check(v.t, status == http.StatusOK && complete, qt.IsTrue)
+		qt.Check(v.t, v.upstreams[0].Runs(), qt.HasLen, 0)
+	})
+}
--- a/internal/online/versionkeeper/keeper_test.go
+++ b/internal/online/versionkeeper/keeper_test.go
@@ -297,3 +297,42 @@
 		qt.Check(t, f.vms[0].Versions("s"), qt.DeepEquals, []string{"v1", "v2"})
 	})
 }
+
+// Guards against: during a release a VM that is cut off or suspended misses the new version; a stream
+// that began at it through another VM is taken up at this one, and goes on at the old version.
+func TestVMThatIsOutOfStepKnowsNoStreamOfANewerVersion(t *testing.T) {
+	outOfStep := func(t *testing.T, test func(f *fleet, stale, other *versionkeeper.Keeper)) {
+		t.Helper()
+		withFleet(t, func(f *fleet) {
+			stale, other := f.start("v1"), f.start("v1")
+			list(other, "v1", "v1.1") // stale learns neither of the upstreams nor of the versions
+			time.Sleep(time.Second)
+			f.read(other)
+			qt.Assert(t, other.Versions("s"), qt.DeepEquals, []string{"v1", "v1.1"})
+			qt.Assert(t, stale.Versions("s"), qt.DeepEquals, []string{"v1"})
+			test(f, stale, other)
+		})
+	}
+	t.Run("recorded", func(t *testing.T) {
+		outOfStep(t, func(f *fleet, stale, other *versionkeeper.Keeper) {
+			f.begin(other, "r1", "v1.1")
+			f.expectVersion(stale, "r1", "v1.1")
+		})
+	})
+	t.Run("its record is lost", func(t *testing.T) {
+		outOfStep(t, func(f *fleet, stale, other *versionkeeper.Keeper) {
+			f.store.SetDown(true)
+			f.begin(other, "r1", "v1.1")
+			time.Sleep(5 * time.Second)
+			f.store.SetDown(false)
+			f.expectVersion(stale, "r1", "")
+		})
+	})
+	t.Run("the store is out of reach", func(t *testing.T) {
+		outOfStep(t, func(f *fleet, stale, other *versionkeeper.Keeper) {
+			f.begin(other, "r1", "v1.1")
+			f.store.SetDown(true)
+			f.expectVersion(stale, "r1", "")
+		})
+	})
+}
