placer: upstreams with one or two slots run batch work

What callers would see: accepted jobs of a service whose upstreams have one slot are never run; with two slots, none of a VM whose own domain has none. Cause: the slot that is reserved for online requests, and the two that must be free in another domain, exceed what such an upstream has. Change: a single slot has no reserve; the margin is at most what is there. Why it works: batch work can start there when nothing else runs, and yields to the first online request, which the test shows.

--- a/internal/online/placer/batch.go
+++ b/internal/online/placer/batch.go
@@ -140,7 +140,11 @@
 
 // batchCapacity returns the number of slots available to batch work. It is negative if
 // load exceeds the slots beyond the reserve.
-func (u *upstream) batchCapacity(now time.Time) int { return u.Sequences - onlineReserve - u.load(now) }
+func (u *upstream) batchCapacity(now time.Time) int { return u.batchSequences() - u.load(now) }
+
+// batchSequences returns the number of slots beyond the reserve. An upstream with a single one has
+// no reserve, as it would never run batch work.
+func (u *upstream) batchSequences() int { return max(u.Sequences-onlineReserve, 1) }
 
 // updateLastFull records the current time if the upstream has too little capacity for
 // batch work.
@@ -165,7 +169,7 @@
 	case TierRemote:
 		return max(u.Sequences/remoteCapacityDivisor, 1)
 	case TierRegion, TierOutsideSubset:
-		return 2
+		return min(2, u.batchSequences())
 	case TierDomain:
 		return 1
 	default:
--- a/internal/online/placer/placer_test.go
+++ b/internal/online/placer/placer_test.go
@@ -243,3 +243,24 @@
 	}
 	group.Wait()
 }
+
+// Guards against: jobs that a VM has accepted never run, as the upstreams that are left, in whatever
+// domain, have so few slots that the reserve for online requests takes them all.
+func TestBatchWorkRunsOnUpstreamsWithFewSlots(t *testing.T) {
+	for _, domain := range []string{"a", "b", "c"} {
+		for sequences := 1; sequences <= 3; sequences++ {
+			t.Run(fmt.Sprint(domain, " ", sequences), func(t *testing.T) {
+				list := testUpstreams(1, domain)
+				list[0].Sequences = sequences
+				p := newPlacer("vm1", list)
+				slot, found := p.AcquireBatch(urgentWork, start)
+				qt.Assert(t, found, qt.IsTrue)
+				for range sequences {
+					acquireOnline(t, p)
+				}
+				yielding := p.Yield(start)
+				qt.Check(t, len(yielding) == 1 && yielding[0] == slot, qt.IsTrue, qt.Commentf("online requests come first"))
+			})
+		}
+	}
+}
