--- a/internal/control/watcher/watcher_test.go
+++ b/internal/control/watcher/watcher_test.go
@@ -406,7 +406,7 @@
 // the wait only when the long interval between two reads of the whole table is over.
 func TestTableIsReadAgainSoonOnceTheIntervalIsShorter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), 4500*time.Millisecond)
 		defer cancel()
 		var interval atomic.Int64
 		interval.Store(int64(time.Minute))
