batchrunner: items keep their output while nothing is free

What was lost: the output of every waiting item whose software version has no upstream for a moment; the items start again. Cause: to count waits by version, each item was asked for its target, and that question drops an output that nothing can go on with. Change: the target is computed without an effect; restarting is a step of its own, taken only while the service has slots.

--- a/internal/batch/batchrunner/start.go
+++ b/internal/batch/batchrunner/start.go
@@ -49,17 +49,22 @@
 
 // start starts an item at a service if there is a free slot for it.
 func (s *starter) start(it *item, service string) {
-	where := s.targetOf(it, service)
+	r, avoid := s.runner, it.avoided(s.now)
+	where := it.target(service)
+	isFull := s.full[target{service: service}]
+	if !isFull && where.pinned && !s.acceptsWork(where) {
+		s.restart(it, where)
+		where = it.target(service)
+	}
 	if s.full[where] {
 		return
 	}
-	r, avoid := s.runner, it.avoided(s.now)
 	work := placer.BatchWork{
 		Service: service, Avoid: avoid, Versions: where.versions(),
 		LeaveSubsetAt: r.waits.leaveSubsetAt(where, s.now),
 		LatestStart:   s.now.Add(r.latestStart(it) - r.keeper.Now()),
 	}
-	if s.full[target{service: service}] {
+	if isFull {
 		s.recordRefusal(where, work)
 		return
 	}
@@ -73,24 +78,28 @@
 	}
 }
 
-// targetOf returns where an item may run. If no upstream of the version of its output accepts
-// work, the item starts again.
-func (s *starter) targetOf(it *item, service string) target {
+// target returns where an item may run at a service.
+func (it *item) target(service string) target {
 	if it.progress.LastEvent == "" {
 		return target{service: service}
 	}
-	where := target{service: service, version: it.progress.SoftwareVersion, pinned: true}
+	return target{service: service, version: it.progress.SoftwareVersion, pinned: true}
+}
+
+// acceptsWork returns whether an upstream of a pinned target accepts work.
+func (s *starter) acceptsWork(where target) bool {
 	accepts, known := s.accepts[where]
 	if !known {
-		accepts = s.runner.placer.AcceptsVersion(service, where.version)
+		accepts = s.runner.placer.AcceptsVersion(where.service, where.version)
 		s.accepts[where] = accepts
 	}
-	if accepts {
-		return where
-	}
+	return accepts
+}
+
+// restart makes an item start again, as no upstream of the version of its output accepts work.
+func (s *starter) restart(it *item, where target) {
 	s.runner.counter.Count("items_restarted_total")
 	s.runner.logger.Info("item starts again at another software version", "job", it.job.stored.ID, "item", it.ID,
 		"software", where.version, "bytes", len(it.progress.Output))
 	it.progress = batchkeeper.Progress{}
-	return target{service: service}
 }
--- a/internal/batch/batchrunner/version_test.go
+++ b/internal/batch/batchrunner/version_test.go
@@ -98,3 +98,27 @@
 		qt.Check(f.t, searches > 0 && searches <= 2, qt.IsTrue, qt.Commentf("%d", searches))
 	})
 }
+
+// Guards against: the output of all items of a version that is gone for a moment is dropped, although
+// there is a slot for none of them.
+func TestItemsKeepTheirOutputWhileNothingIsFree(t *testing.T) {
+	inFleet(t, 3, fastPlan, func(f *fleet) {
+		for i, version := range []string{"v1", "v1", "v2"} {
+			f.placerUpstreams[i].Version = version
+		}
+		f.placerUpstreams[2].Draining = true
+		v := f.start("a")
+		defer v.stop()
+		f.submit(v, 2)
+		time.Sleep(250 * time.Millisecond) // both have some output of v1
+		v.placer.ReceiveReport("b", placer.Report{"u0": {Online: 2}, "u1": {Online: 2}, "u2": {Online: 2}}, time.Now())
+		v.runner.Wake()
+		time.Sleep(10 * time.Millisecond)
+		f.placerUpstreams[2].Draining = false
+		v.placer.SetUpstreams(f.placerUpstreams[2:])
+		v.runner.Wake()
+		time.Sleep(time.Second)
+		restarts := v.counters.Get("items_restarted_total")
+		qt.Check(f.t, restarts, qt.Equals, uint64(1), qt.Commentf("the one that has looked for a slot"))
+	})
+}
