batchkeeper: rows of a job with a longer ID are not taken for a copy

What callers would see: a job is run with the items of another, whose ID is its own ID, a slash and more. Cause: whatever stands between the job's ID and the next slash was taken for the name of a copy. Evidence: TestContentOfAJobWithALongerIDIsNotRead, the other job's body before. Change: a content row has the exact form of a copy's row or of an earlier release's.

--- a/internal/batch/batchkeeper/content.go
+++ b/internal/batch/batchkeeper/content.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
+	"regexp"
 	"strings"
 
 	"github.com/fxamacker/cbor/v2"
@@ -26,8 +27,17 @@
 // one copy of an accepted job is complete, whatever else was written, and no row of it
 // ever changes. Copies without a name, from an earlier release, are read too.
 
-// copyPrefix begins the name of each copy, so that it sorts after the rows of an unnamed one.
-const copyPrefix = "c"
+const (
+	// copyPrefix begins the name of each copy, so that it sorts after the rows of an unnamed one.
+	copyPrefix = "c"
+	// randomNameChars is the length of the rest of the name. The calls of Submit for one job are
+	// few, and the name of a row is short.
+	randomNameChars = 10
+)
+
+// contentRow matches the names of content rows without the ID of their job, and finds the name of the
+// copy. Others belong to a job whose ID begins with that of this one and a slash.
+var contentRow = regexp.MustCompile(fmt.Sprintf(`^(?:(%s[A-Z2-7]{%d})/)?[0-9]{6}$`, copyPrefix, randomNameChars))
 
 // errIncomplete reports that a copy of a job's content isn't the accepted one.
 var errIncomplete = errors.New("incomplete copy")
@@ -38,7 +48,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: encode items: %w", ErrNotWritten, err)
 	}
-	name := copyPrefix + rand.Text()
+	name := copyPrefix + rand.Text()[:randomNameChars]
 	var puts []rowstore.Put
 	for n := 0; len(encoded) > 0; n++ {
 		size := min(k.rowSize, len(encoded))
@@ -113,11 +123,12 @@
 	if err != nil {
 		return nil, err
 	}
-	if len(all.Rows) == 0 {
+	copies := copiesOf(record.ID, all.Rows)
+	if len(copies) == 0 {
 		return nil, fmt.Errorf("%w: %s has no content", ErrNotFound, record.ID)
 	}
 	var failures []error
-	for _, encoded := range copiesOf(record.ID, all.Rows) {
+	for _, encoded := range copies {
 		items, err := decodeContent(encoded, record.Items)
 		if err == nil {
 			return items, nil
@@ -131,28 +142,21 @@
 func copiesOf(id string, rows []rowstore.Row) [][]byte {
 	var copies [][]byte
 	last := ""
-	for i, row := range rows {
-		name := copyName(strings.TrimPrefix(row.Name, id+"/"))
-		if i == 0 || name != last {
+	for _, row := range rows {
+		match := contentRow.FindStringSubmatch(strings.TrimPrefix(row.Name, id+"/"))
+		if match == nil {
+			continue
+		}
+		if name := match[1]; len(copies) == 0 || name != last {
 			copies = append(copies, nil)
+			last = name
 		}
-		last = name
 		n := len(copies) - 1
 		copies[n] = append(copies[n], row.Value...)
 	}
 	return copies
 }
 
-// copyName returns the name of the copy that a row belongs to, given the row's name without the
-// job's ID. It is empty for a row of an earlier release.
-func copyName(row string) string {
-	name, _, named := strings.Cut(row, "/")
-	if !named {
-		return ""
-	}
-	return name
-}
-
 // decodeContent decodes a copy of a job's content. It returns errIncomplete for a copy that
 // isn't the accepted one.
 func decodeContent(encoded []byte, count int) ([]Item, error) {
--- a/internal/batch/batchkeeper/content_test.go
+++ b/internal/batch/batchkeeper/content_test.go
@@ -263,3 +263,24 @@
 		qt.Check(t, err, qt.ErrorIs, batchkeeper.ErrCorrupt)
 	})
 }
+
+// Guards against: a caller chooses the ID of another job, a slash and more as the ID of its own, and
+// the other job is run with the items of this one.
+func TestContentOfAJobWithALongerIDIsNotRead(t *testing.T) {
+	runWithStore(t, func(t *testing.T, ctx context.Context, store *rowemulator.Store) {
+		accept(ctx, t, store, submission("j", 2))
+		n := 0
+		for batchkeeper.PartOf(fmt.Sprint("j/", n)) != batchkeeper.PartOf("j") {
+			n++
+		}
+		other := submission(fmt.Sprint("j/", n), 2)
+		other.Items[1].Body = []byte("of another job")
+		accept(ctx, t, store, other)
+		body, err := newKeeper(store, ownerB).Body(ctx, "j", "item1")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, string(body), qt.Equals, "body")
+		body, err = newKeeper(store, ownerB).Body(ctx, other.ID, "item1")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, string(body), qt.Equals, "of another job")
+	})
+}
