batchrunner: what is known of an idle job ends with its ownership

Cause: an entry of a job that another VM has taken over stayed until a scan saw the job ended, or for ever at a VM that no longer watches its part. Change: a scan that shows another owner removes it. Measured: the tests of the package pass; no behaviour differs for a job that stays with its owner.

--- a/internal/batch/batchrunner/watch.go
+++ b/internal/batch/batchrunner/watch.go
@@ -57,6 +57,9 @@
 // reconcile compares a record with what this VM runs, and loads, discards or takes over
 // the job accordingly. vms are the VMs that may take jobs over.
 func (r *Runner) reconcile(record batchkeeper.VersionedRecord, vms []string, now time.Time) {
+	if record.Owner != r.self || !record.Open() {
+		delete(r.idle, record.ID)
+	}
 	j, running := r.jobs[record.ID]
 	if running && record.Version <= j.stored.Version {
 		return // not newer than what this VM knows
@@ -65,7 +68,6 @@
 	case !record.Open():
 		r.discard(record.ID, "ended")
 		r.orphans.Forget(record.ID)
-		delete(r.idle, record.ID)
 	case record.Owner == r.self && !running:
 		r.resume(record)
 	case record.Owner == r.self:
