--- /dev/null
+++ b/internal/wiring/entryvm/fleets_test.go
@@ -0,0 +1,226 @@
+package entryvm
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/batch/jobmover"
+	"github.com/fescuespindle/fescuespindle/internal/control/memberkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/standins/rowemulator"
+	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
+	"github.com/fescuespindle/fescuespindle/platform"
+	"github.com/fescuespindle/fescuespindle/platform/standin"
+)
+
+const (
+	testCallerPort = 18140
+	testReadyPort  = 18141
+	testPeerPort   = 18142
+	// reservationAddress reserves a network on this machine; sites of processes use the same one.
+	reservationAddress = ".254:18139"
+	// eventTimeout bounds the wait for what is expected, and testDialTimeout a connection.
+	eventTimeout    = 10 * time.Second
+	testDialTimeout = 3 * time.Second
+)
+
+// fleet is a VM with a store of its own. VMs of all fleets use the same ports, and their upstreams
+// have the same IDs.
+type fleet struct {
+	t    *testing.T
+	rows *rowemulator.Store
+	vm   *VM
+}
+
+// reserveNetwork returns the first three numbers of loopback addresses that no other test uses.
+func reserveNetwork(t *testing.T) string {
+	t.Helper()
+	for range 100 {
+		network := fmt.Sprintf("127.%d.%d", 1+rand.IntN(254), rand.IntN(256))
+		listener, err := net.Listen("tcp", network+reservationAddress)
+		if err == nil {
+			t.Cleanup(func() { _ = listener.Close() })
+			return network
+		}
+	}
+	t.Fatal("no free network")
+	return ""
+}
+
+// startFleet starts a fleet whose VM listens at an IP address. Its store has the rows.
+func startFleet(t *testing.T, name, ip string, puts ...rowstore.Put) *fleet {
+	t.Helper()
+	f := &fleet{t: t, rows: rowemulator.New()}
+	for _, put := range puts {
+		_, err := f.rows.Apply(rowstore.Tx{Puts: []rowstore.Put{put}})
+		qt.Assert(t, err, qt.IsNil)
+	}
+	f.startVM(name, ip)
+	return f
+}
+
+// startVM starts the VM of the fleet.
+func (f *fleet) startVM(name, ip string) {
+	f.t.Helper()
+	store := httptest.NewServer(standin.NewStore(f.rows))
+	f.t.Cleanup(store.Close)
+	address := func(port int) string { return net.JoinHostPort(ip, fmt.Sprint(port)) }
+	var err error
+	f.vm, err = New(platform.Settings{
+		VM: name, Domain: "d", Region: "r", Regions: map[string]string{"d": "r"}, IP: ip, PeerPort: testPeerPort,
+		CallerAddress: address(testCallerPort), ReadyAddress: address(testReadyPort),
+		StoreAddress: store.Listener.Addr().String(), MaxRowBytes: rowstore.MaxRowBytes,
+	}, slog.New(slog.DiscardHandler))
+	qt.Assert(f.t, err, qt.IsNil)
+	qt.Assert(f.t, f.vm.Start(), qt.IsNil)
+	f.t.Cleanup(f.vm.halt)
+}
+
+// halt ends the tasks of the VM at once, as the end of its process would.
+func (vm *VM) halt() {
+	vm.runner.Stop()
+	vm.stop()
+	for _, s := range vm.servers {
+		_ = s.Close()
+	}
+	vm.forwarder.Close()
+	vm.finder.Close()
+	vm.tasks.Wait()
+}
+
+// eventually waits until happened returns true.
+func (f *fleet) eventually(what string, happened func() bool) {
+	f.t.Helper()
+	for deadline := time.Now().Add(eventTimeout); !happened(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			f.t.Fatal("timeout waiting for: ", what)
+		}
+	}
+}
+
+func (f *fleet) isServing() bool {
+	return f.vm.readiness.configured.Load() && f.vm.readiness.upstreamsListed.Load()
+}
+
+// takeForPeer makes the VM take that of another fleet for a peer, as its address is that of a former
+// peer.
+func (f *fleet) takeForPeer(other *fleet) {
+	f.vm.setPeers([]memberkeeper.Member{
+		{VM: other.vm.settings.VM, IP: other.vm.settings.IP, Domain: "d", Boot: uint64(other.vm.bootID)},
+	})
+}
+
+// hasRejected returns whether the VM has rejected something from another fleet.
+func (f *fleet) hasRejected() bool {
+	return f.vm.counter.Get(`peer_messages_rejected_total{reason="otherFleet"}`) > 0
+}
+
+// startUpstream returns the address of an upstream that accepts connections.
+func startUpstream(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener.Addr().String()
+}
+
+// closedAddress returns an address at which nobody listens.
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, listener.Close(), qt.IsNil)
+	return listener.Addr().String()
+}
+
+// startTwoFleets starts two fleets that have the same configuration and an upstream each, with the
+// same ID.
+func startTwoFleets(t *testing.T, upstreamOfA, upstreamOfB rowstore.Put) (a, b *fleet) {
+	t.Helper()
+	network := reserveNetwork(t)
+	a = startFleet(t, "a", network+".1", standin.ConfigurationRow(1), upstreamOfA)
+	b = startFleet(t, "b", network+".2", standin.ConfigurationRow(1), upstreamOfB)
+	a.eventually("VM a serves", a.isServing)
+	b.eventually("VM b serves", b.isServing)
+	return a, b
+}
+
+// Guards against: a job of another fleet runs at upstreams of this one.
+func TestJobOfAnotherFleetIsNotTakenOver(t *testing.T) {
+	a, b := startTwoFleets(t, standin.UpstreamRow("u", closedAddress(t), "ready"),
+		standin.UpstreamRow("u", startUpstream(t), "ready"))
+	a.takeForPeer(b)
+	ctx, cancel := context.WithTimeout(t.Context(), eventTimeout)
+	defer cancel()
+	owner := batchkeeper.Owner{VM: "a", Boot: uint64(a.vm.bootID)}
+	err := a.vm.mover.Move(ctx, "b", jobmover.Job{
+		Record:  batchkeeper.Record{ID: "j", Route: "jobs", Items: 1, Owner: owner},
+		Version: 1, Items: []batchkeeper.Item{{ID: "i"}},
+	})
+	qt.Check(t, err, qt.ErrorIs, jobmover.ErrNotTakenOver)
+}
+
+// Guards against: an upstream that is draining in another fleet gets no more requests of this one.
+func TestReportOfAnotherFleetIsIgnored(t *testing.T) {
+	upstream := standin.UpstreamRow("u", startUpstream(t), "ready")
+	a, b := startTwoFleets(t, upstream, upstream)
+	a.vm.placer.ReceiveDraining(map[string]int64{"u": standin.ProcessStart})
+	a.takeForPeer(b)
+	a.vm.reporter.Wake()
+	b.eventually("VM b has heard VM a", func() bool { return len(b.vm.placer.Draining()) > 0 || b.hasRejected() })
+	qt.Check(t, b.vm.placer.Draining(), qt.HasLen, 0)
+}
+
+// Guards against: a request of another fleet is carried to the upstream of this one that has the same ID.
+func TestConnectionOfAnotherFleetIsNotCarried(t *testing.T) {
+	closed := closedAddress(t)
+	a, b := startTwoFleets(t, standin.UpstreamRow("u", closed, "ready"),
+		standin.UpstreamRow("u", startUpstream(t), "ready"))
+	a.takeForPeer(b)
+	ctx, cancel := context.WithTimeout(t.Context(), testDialTimeout)
+	defer cancel()
+	conn, err := a.vm.finder.Dial(ctx, "tcp", closed)
+	if err == nil {
+		_ = conn.Close()
+	}
+	qt.Check(t, err, qt.IsNotNil)
+}
+
+// Guards against: a VM starts with the configuration of another fleet.
+func TestCopiesOfAnotherFleetAreNotTaken(t *testing.T) {
+	network := reserveNetwork(t)
+	b := startFleet(t, "b", network+".2", standin.ConfigurationRow(1), standin.UpstreamRow("u", startUpstream(t), "ready"))
+	b.eventually("VM b serves", b.isServing)
+	a := &fleet{t: t, rows: rowemulator.New()}
+	a.rows.SetFaultFunc(func(c rowemulator.Call) (bool, error) {
+		if c.Table == platform.TableConfiguration || c.Table == platform.TableUpstreams {
+			return false, rowstore.ErrNotDone
+		}
+		return true, nil
+	})
+	a.startVM("a", network+".1")
+	b.takeForPeer(a)
+	b.vm.reporter.Wake()
+	a.eventually("VM a has heard VM b", func() bool { return a.isServing() || a.hasRejected() })
+	qt.Check(t, a.isServing(), qt.IsFalse)
+}
+
+// Guards against: a VM writes its rows into the store of another fleet.
+func TestStoreCallOfAnotherFleetIsNotRelayed(t *testing.T) {
+	upstream := standin.UpstreamRow("u", startUpstream(t), "ready")
+	a, b := startTwoFleets(t, upstream, upstream)
+	a.takeForPeer(b)
+	a.rows.SetDown(true)
+	row := rowstore.Key{Table: "test", Part: "test", Name: "a"}
+	_, err := a.vm.store.Transact(t.Context(), rowstore.Tx{Puts: []rowstore.Put{rowstore.PutJSON(row, 1)}})
+	qt.Check(t, err, qt.ErrorIs, rowstore.ErrNotDone)
+	qt.Check(t, b.rows.Rows("test"), qt.HasLen, 0)
+}
