--- a/internal/online/pathfinder/finder.go
+++ b/internal/online/pathfinder/finder.go
@@ -52,7 +52,7 @@
 	counter Counter
 	logger  *slog.Logger
 
-	peerHeader http.Header
+	peerHeader func() http.Header
 	onChange   atomic.Pointer[func(address string)]
 	wake       chan struct{} // holds a value if a check may be due
 	restored   atomic.Bool   // a link was restored since the last round of checks
@@ -73,8 +73,8 @@
 // Option sets one property of a Finder.
 type Option func(*Finder)
 
-// WithPeerHeader sets the header that is sent to peer VMs.
-func WithPeerHeader(header http.Header) Option {
+// WithPeerHeader sets a function that returns the header that is sent to peer VMs, which may be nil.
+func WithPeerHeader(header func() http.Header) Option {
 	return func(f *Finder) { f.peerHeader = header }
 }
 
@@ -83,6 +83,7 @@
 	f := &Finder{
 		direct: direct, links: linkkeeper.New(), counter: counter, logger: logger,
 		wake: make(chan struct{}, 1), checkedAt: map[string]time.Time{}, checking: map[string]bool{},
+		peerHeader: func() http.Header { return nil },
 	}
 	f.SetOnChange(func(string) {})
 	f.ctx, f.cancel = context.WithCancel(context.Background())
--- a/internal/online/peerdialer/dialer.go
+++ b/internal/online/peerdialer/dialer.go
@@ -78,15 +78,15 @@
 // Dialer opens connections through peer VMs. It is safe for concurrent use.
 type Dialer struct {
 	dial   relayer.Dial
-	header http.Header
+	header func() http.Header
 
 	mu    sync.Mutex
 	peers map[string]*peerState // by address
 }
 
-// New returns a Dialer without peer VMs. It connects to them with dial, and sends them the header, which
-// may be nil.
-func New(dial relayer.Dial, header http.Header) *Dialer {
+// New returns a Dialer without peer VMs. It connects to them with dial, and sends them the header that the
+// function returns, which may be nil.
+func New(dial relayer.Dial, header func() http.Header) *Dialer {
 	return &Dialer{dial: dial, header: header, peers: map[string]*peerState{}}
 }
 
@@ -141,7 +141,7 @@
 // ask asks one peer VM, and records what its answer shows of that VM.
 func (d *Dialer) ask(ctx context.Context, peer, upstream string) (*tunneler.Conn, error) {
 	began := time.Now()
-	conn, err := tunneler.Open(ctx, d.dial, peer, upstream, d.header)
+	conn, err := tunneler.Open(ctx, d.dial, peer, upstream, d.header())
 	if now := time.Now(); ctx.Err() == nil || now.Sub(began) >= askInterval {
 		d.record(peer, err, now)
 	} // otherwise another one was faster
--- a/internal/wiring/assembler/provider.go
+++ b/internal/wiring/assembler/provider.go
@@ -96,8 +96,9 @@
 func newFinder(
 	s settingsloader.Settings, authenticator *messenger.Authenticator, counters *counter.Counters, logger *slog.Logger, d Dialers,
 ) *pathfinder.Finder {
+	header := authenticator.Header(s.VM)
 	return pathfinder.New(orTCP(d.Upstream, upstreamDialTimeout), orTCP(d.Peer, peerDialTimeout), counters, logger,
-		pathfinder.WithPeerHeader(authenticator.Header(s.VM)))
+		pathfinder.WithPeerHeader(func() http.Header { return header }))
 }
 
 func newCarrier(finder *pathfinder.Finder, counters *counter.Counters, logger *slog.Logger) *tunneler.Carrier {
--- a/internal/wiring/entryvm/main.go
+++ b/internal/wiring/entryvm/main.go
@@ -56,6 +56,9 @@
 		select {
 		case <-reload:
 			vm.reload()
+		case reason := <-vm.Failed():
+			logger.Error("process ends at once, without draining", "error", reason)
+			return reason
 		case <-ctx.Done():
 		}
 	}
--- a/internal/wiring/entryvm/provider.go
+++ b/internal/wiring/entryvm/provider.go
@@ -14,6 +14,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/batch/batchrunner"
 	"github.com/fescuespindle/fescuespindle/internal/batch/jobmover"
 	"github.com/fescuespindle/fescuespindle/internal/control/bootstrapper"
+	"github.com/fescuespindle/fescuespindle/internal/control/fleetidentifier"
 	"github.com/fescuespindle/fescuespindle/internal/control/memberkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/control/peerteller"
 	"github.com/fescuespindle/fescuespindle/internal/faces/batchserver"
@@ -59,6 +60,9 @@
 // onCrashNews tells peer VMs of crashes of upstreams.
 func (c *callbacks) onCrashNews() { c.vm.reporter.Wake() }
 
+// onOtherFleet has the process end.
+func (c *callbacks) onOtherFleet(reason error) { c.vm.fail(reason) }
+
 func (c *callbacks) setPeers(members []memberkeeper.Member) { c.vm.setPeers(members) }
 
 // Table implements batchrunner.Configuration.
@@ -111,8 +115,10 @@
 	return reporter, nil
 }
 
-func newBootstrapper(tasks *supervisor.Supervisor, logger *slog.Logger) *bootstrapper.Bootstrapper {
-	return bootstrapper.New(storeTransport(), tasks, logger)
+func newBootstrapper(
+	fleet *fleetidentifier.Fleet, tasks *supervisor.Supervisor, logger *slog.Logger,
+) *bootstrapper.Bootstrapper {
+	return bootstrapper.New(fleet.Transport(storeTransport()), tasks, logger)
 }
 
 func newPlacer(s platform.Settings, c *callbacks, finder *pathfinder.Finder) *placer.Placer {
@@ -135,9 +141,11 @@
 	peerDialTimeout     = 300 * time.Millisecond
 )
 
-func newFinder(counters *counter.Counters, logger *slog.Logger) *pathfinder.Finder {
+func newFinder(
+	fleet *fleetidentifier.Fleet, counters *counter.Counters, logger *slog.Logger,
+) *pathfinder.Finder {
 	return pathfinder.New(socketdialer.New(upstreamDialTimeout).DialContext, socketdialer.New(peerDialTimeout).DialContext,
-		counters, logger)
+		counters, logger, pathfinder.WithPeerHeader(fleet.Header))
 }
 
 func newCarrier(
@@ -154,12 +162,28 @@
 	return f
 }
 
-func newRelayer(s platform.Settings, counters *counter.Counters, logger *slog.Logger) *storerelayer.Relayer {
-	return storerelayer.New(s.StoreAddress, storeTransport(), storeTransport(), counters, logger)
+func newRelayer(
+	s platform.Settings, fleet *fleetidentifier.Fleet, counters *counter.Counters, logger *slog.Logger,
+) *storerelayer.Relayer {
+	return storerelayer.New(s.StoreAddress, storeTransport(), fleet.Transport(storeTransport()), counters, logger)
 }
 
 func newStore(s platform.Settings, relayer *storerelayer.Relayer) *platform.Store {
-	return platform.NewStore("http://"+s.StoreAddress, relayer)
+	return platform.NewStore(storeURL(s), relayer)
+}
+
+func storeURL(s platform.Settings) string { return "http://" + s.StoreAddress }
+
+func newFleet(counters *counter.Counters, logger *slog.Logger) *fleetidentifier.Fleet {
+	return fleetidentifier.NewFleet(counters, logger)
+}
+
+// newIdentifier returns an identifier that reads the store without the relayer, as a peer VM that relays
+// could be of another fleet.
+func newIdentifier(
+	s platform.Settings, fleet *fleetidentifier.Fleet, c *callbacks, logger *slog.Logger,
+) *fleetidentifier.Identifier {
+	return fleetidentifier.NewIdentifier(platform.NewStore(storeURL(s), storeTransport()), fleet, c.onOtherFleet, logger)
 }
 
 func newMemberKeeper(
@@ -188,7 +212,9 @@
 		batchrunner.WithMover(mover))
 }
 
-func newMover(logger *slog.Logger) *jobmover.Mover { return jobmover.New(storeTransport(), logger) }
+func newMover(fleet *fleetidentifier.Fleet, logger *slog.Logger) *jobmover.Mover {
+	return jobmover.New(fleet.Transport(storeTransport()), logger)
+}
 
 func newSharedState(
 	p *placer.Placer, crashes *crashanalyzer.Analyzer, runner *batchrunner.Runner, logger *slog.Logger,
--- a/internal/wiring/entryvm/sink.go
+++ b/internal/wiring/entryvm/sink.go
@@ -108,6 +108,7 @@
 
 // Failed implements watcher.Sink.
 func (s *upstreamSink) Failed(error) {
+	s.vm.identifier.Recheck()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.registrar.RecordOutage(time.Now())
--- a/internal/wiring/entryvm/vm.go
+++ b/internal/wiring/entryvm/vm.go
@@ -16,6 +16,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/batch/batchrunner"
 	"github.com/fescuespindle/fescuespindle/internal/batch/jobmover"
 	"github.com/fescuespindle/fescuespindle/internal/control/bootstrapper"
+	"github.com/fescuespindle/fescuespindle/internal/control/fleetidentifier"
 	"github.com/fescuespindle/fescuespindle/internal/control/memberkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/control/peerteller"
 	"github.com/fescuespindle/fescuespindle/internal/control/registrar"
@@ -68,6 +69,8 @@
 	bootstrapper  *bootstrapper.Bootstrapper
 	configuration *watcher.Watcher
 	mover         *jobmover.Mover
+	fleet         *fleetidentifier.Fleet
+	identifier    *fleetidentifier.Identifier
 
 	jobKeeper *batchkeeper.Keeper
 	runner    *batchrunner.Runner
@@ -83,6 +86,7 @@
 	callerListener  net.Listener
 	callersDraining atomic.Bool
 	stop            context.CancelFunc
+	failed          chan error // holds the reason once the process must end
 }
 
 // New returns a VM that has not started.
@@ -91,7 +95,7 @@
 	if err != nil {
 		return nil, err
 	}
-	vm.callbacks.vm = vm
+	vm.callbacks.vm, vm.failed = vm, make(chan error, 1)
 	vm.mover.SetReceiver(vm.runner)
 	vm.reporter.SetState(vm.shared)
 	return vm, nil
@@ -132,6 +136,7 @@
 	vm.serveListener(vm.callerListener, callerServer)
 	vm.setPeers(nil)
 	vm.runner.Start()
+	vm.tasks.GoWithRestart(ctx, "identity of the fleet", vm.identifier.Run)
 	vm.tasks.GoWithRestart(ctx, "peer messages", vm.reporter.Run)
 	vm.tasks.GoWithRestart(ctx, "checks of links", vm.finder.Run)
 	vm.tasks.GoWithRestart(ctx, "membership", vm.memberKeeper.Run)
@@ -201,16 +206,28 @@
 }
 
 // peerHandler returns the handler of requests from other VMs: for copies of tables, jobs to
-// take over, connections to carry to upstreams, and calls to relay to the store.
+// take over, connections to carry to upstreams, and calls to relay to the store. It rejects those of VMs
+// of another fleet.
 func (vm *VM) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+bootstrapper.Path, vm.bootstrapper)
 	mux.Handle("POST "+jobmover.Path, vm.mover)
 	mux.Handle("GET "+tunneler.Path, vm.carrier)
 	mux.Handle("/", vm.relayer)
-	return mux
+	return vm.fleet.Handler(mux)
 }
 
+// fail has the process end with an error, at once: it must not hand over jobs or serve on.
+func (vm *VM) fail(reason error) {
+	select {
+	case vm.failed <- reason:
+	default: // there is a reason already
+	}
+}
+
+// Failed returns a channel that has the reason once the process must end.
+func (vm *VM) Failed() <-chan error { return vm.failed }
+
 // serve listens on an address and serves on it until the server is closed.
 func (vm *VM) serve(address string, s *http.Server) error {
 	listener, err := net.Listen("tcp", address)
--- a/internal/wiring/entryvm/wire_gen.go
+++ b/internal/wiring/entryvm/wire_gen.go
@@ -18,9 +18,10 @@
 func assemble(settings platform.Settings, logger *slog.Logger) (*VM, error) {
 	entryvmBootID := newBootID()
 	counters := newCounters()
-	relayer := newRelayer(settings, counters, logger)
+	fleet := newFleet(counters, logger)
+	relayer := newRelayer(settings, fleet, counters, logger)
 	store := newStore(settings, relayer)
-	finder := newFinder(counters, logger)
+	finder := newFinder(fleet, counters, logger)
 	rationer := newRationer(settings)
 	carrier := newCarrier(finder, rationer, counters, logger)
 	codec := newCodec()
@@ -30,7 +31,7 @@
 	analyzer := newAnalyzer(entryvmCallbacks)
 	supervisor := newSupervisor(counters, logger)
 	keeper := newVersionKeeper(settings, store, supervisor, logger)
-	bootstrapper := newBootstrapper(supervisor, logger)
+	bootstrapper := newBootstrapper(fleet, supervisor, logger)
 	reporter, err := newReporter(settings, entryvmBootID, bootstrapper, supervisor, logger)
 	if err != nil {
 		return nil, err
@@ -39,11 +40,12 @@
 	courierCourier := courier.New(forwarder, placer, codec, logger)
 	owner := newOwner(settings, entryvmBootID)
 	batchkeeperKeeper := newJobKeeper(store, owner, settings, logger)
-	mover := newMover(logger)
+	mover := newMover(fleet, logger)
 	runner := newRunner(owner, batchkeeperKeeper, placer, courierCourier, memberkeeperKeeper, entryvmCallbacks, rationer, mover, supervisor, counters, logger)
 	entryvmSharedState := newSharedState(placer, analyzer, runner, logger)
 	server := newJobServer(codec, batchkeeperKeeper, entryvmSharedState, entryvmCallbacks, rationer, counters, logger)
 	gateway := newGateway(codec, courierCourier, placer, analyzer, keeper, server, rationer, counters, logger)
+	identifier := newIdentifier(settings, fleet, entryvmCallbacks, logger)
 	vm := &VM{
 		settings:     settings,
 		bootID:       entryvmBootID,
@@ -67,6 +69,8 @@
 		tasks:        supervisor,
 		bootstrapper: bootstrapper,
 		mover:        mover,
+		fleet:        fleet,
+		identifier:   identifier,
 	}
 	return vm, nil
 }
