--- a/internal/control/peerteller/message.go
+++ b/internal/control/peerteller/message.go
@@ -16,7 +16,9 @@
 
 // message is the wire format of a report.
 type message struct {
-	VM       string        `cbor:"vm"`
+	VM string `cbor:"vm"`
+	// Fleet is the identity of the sender's fleet; 0 while the sender doesn't know it.
+	Fleet    uint64        `cbor:"fleet,omitempty"`
 	Boot     uint64        `cbor:"boot"`
 	Sequence uint64        `cbor:"sequence"`
 	Counts   placer.Report `cbor:"counts"`
--- a/internal/control/peerteller/reporter.go
+++ b/internal/control/peerteller/reporter.go
@@ -27,6 +27,23 @@
 	Guard(name string, task func())
 }
 
+// Fleet tells the VMs of this VM's fleet from those of others.
+type Fleet interface {
+	// Identity returns the identity of this VM's fleet; 0 while it is unknown.
+	Identity() uint64
+	// Admit returns whether something that a VM sends may be of this VM's fleet.
+	Admit(identity uint64, sender string) bool
+}
+
+// anyFleet is a Fleet without identity.
+type anyFleet struct{}
+
+// Identity implements Fleet.
+func (anyFleet) Identity() uint64 { return 0 }
+
+// Admit implements Fleet.
+func (anyFleet) Admit(uint64, string) bool { return true }
+
 // Reporter sends and receives reports.
 type Reporter struct {
 	vm        string
@@ -35,6 +52,7 @@
 	conn      *net.UDPConn
 	state     State
 	guard     Guard
+	fleet     Fleet
 	logger    *slog.Logger
 	onNewPeer func(netip.AddrPort)
 	sending   *repeater.Repeater
@@ -54,6 +72,12 @@
 	return func(r *Reporter) { r.onNewPeer = onNewPeer }
 }
 
+// WithFleet sets what tells this VM's fleet from others. Without it, no message names a fleet and all are
+// accepted.
+func WithFleet(fleet Fleet) Option {
+	return func(r *Reporter) { r.fleet = fleet }
+}
+
 // New returns the Reporter of a VM of a failure domain, which listens on a UDP address.
 // The boot ID is new at each start of the process. New returns an error if the address is
 // invalid or can't be listened on.
@@ -71,6 +95,7 @@
 	r := &Reporter{
 		vm: vm, boot: boot, conn: conn, guard: guard, logger: logger, sending: repeater.New(),
 		lastMessages: map[string]message{}, domain: domain, onNewPeer: func(netip.AddrPort) {},
+		fleet: anyFleet{},
 	}
 	for _, option := range options {
 		option(r)
@@ -163,7 +188,7 @@
 	}
 	counts, notices := r.state.Report(time.Now())
 	data, err := cbor.Marshal(message{
-		VM: r.vm, Boot: r.boot, Sequence: sequence, Counts: counts, Cancelled: notices.Cancelled,
+		VM: r.vm, Fleet: r.fleet.Identity(), Boot: r.boot, Sequence: sequence, Counts: counts, Cancelled: notices.Cancelled,
 		Failing: notices.Failing, Leaving: notices.Leaving, Summary: extra.summary, Crashes: extra.crashes,
 		Sent: notices.Sent, Limits: extra.limits,
 	})
@@ -189,15 +214,15 @@
 	}
 }
 
-// handleMessage decodes a message, and passes it on if it is newer than the last one of
-// its sender.
+// handleMessage decodes a message, and passes it on if it is of this fleet and newer than the last
+// one of its sender.
 func (r *Reporter) handleMessage(data []byte, from netip.AddrPort) {
 	var m message
 	if err := cbor.Unmarshal(data, &m); err != nil {
 		r.logger.Warn("malformed peer message", "error", err)
 		return
 	}
-	if !r.recordIfNewer(m, from) {
+	if !r.fleet.Admit(m.Fleet, from.Addr().String()) || !r.recordIfNewer(m, from) {
 		return
 	}
 	now := time.Now()
--- a/internal/wiring/entryvm/provider.go
+++ b/internal/wiring/entryvm/provider.go
@@ -105,10 +105,11 @@
 }
 
 func newReporter(
-	s platform.Settings, id bootID, b *bootstrapper.Bootstrapper, tasks *supervisor.Supervisor, logger *slog.Logger,
+	s platform.Settings, id bootID, b *bootstrapper.Bootstrapper, fleet *fleetidentifier.Fleet, tasks *supervisor.Supervisor,
+	logger *slog.Logger,
 ) (*peerteller.Reporter, error) {
 	reporter, err := peerteller.New(s.VM, s.Domain, uint64(id), peerAddress(s), tasks, logger,
-		peerteller.WithNewPeer(b.AddPeer))
+		peerteller.WithNewPeer(b.AddPeer), peerteller.WithFleet(fleet))
 	if err != nil {
 		return nil, fmt.Errorf("start peer messages: %w", err)
 	}
--- a/internal/wiring/entryvm/wire_gen.go
+++ b/internal/wiring/entryvm/wire_gen.go
@@ -32,7 +32,7 @@
 	supervisor := newSupervisor(counters, logger)
 	keeper := newVersionKeeper(settings, store, supervisor, logger)
 	bootstrapper := newBootstrapper(fleet, supervisor, logger)
-	reporter, err := newReporter(settings, entryvmBootID, bootstrapper, supervisor, logger)
+	reporter, err := newReporter(settings, entryvmBootID, bootstrapper, fleet, supervisor, logger)
 	if err != nil {
 		return nil, err
 	}
