--- a/internal/control/bootstrapper/bootstrapper.go
+++ b/internal/control/bootstrapper/bootstrapper.go
@@ -5,6 +5,10 @@
 // they have read before. Without their copies, a rolling restart during an outage would
 // stop the service of one VM after the other. Content read from the store replaces these
 // copies, and once all tables have content no peer is queried anymore.
+//
+// The copies name the fleet of the VM that answers. A VM that could not read its fleet's
+// identity from the store either takes that of its peers, unless they name several: then one of them
+// has outlived its fleet, and which one can't be told.
 package bootstrapper
 
 import (
@@ -67,24 +71,38 @@
 // tableCopies is the answer of a peer VM: its copies by table name.
 type tableCopies struct {
 	Tables map[string]watcher.Copy `cbor:"tables"`
+	// Fleet is the identity of the peer's fleet; 0 while the peer doesn't know it.
+	Fleet uint64 `cbor:"fleet,omitempty"`
+}
+
+// Fleet is what this VM knows of its fleet.
+type Fleet interface {
+	// Identity returns the identity of the fleet; 0 while it is unknown.
+	Identity() uint64
+	// Adopt sets the identity that peer VMs name if none is known. It returns whether the
+	// identity is that of this VM's fleet then.
+	Adopt(identity uint64) bool
 }
 
 // Bootstrapper queries peer VMs, and answers their queries.
 type Bootstrapper struct {
 	client   *http.Client
 	guard    Guard
+	fleet    Fleet
 	logger   *slog.Logger
 	tables   map[string]Table
 	newPeers chan netip.AddrPort
+
+	hasLoggedFleets bool // that peers are of several fleets; used by Run only
 }
 
 var _ http.Handler = (*Bootstrapper)(nil)
 
 // New returns a Bootstrapper without tables. The transport carries the requests to other
 // VMs.
-func New(transport http.RoundTripper, guard Guard, logger *slog.Logger) *Bootstrapper {
+func New(transport http.RoundTripper, fleet Fleet, guard Guard, logger *slog.Logger) *Bootstrapper {
 	return &Bootstrapper{
-		client: &http.Client{Transport: transport}, guard: guard, logger: logger, tables: map[string]Table{},
+		client: &http.Client{Transport: transport}, fleet: fleet, guard: guard, logger: logger, tables: map[string]Table{},
 		newPeers: make(chan netip.AddrPort, maxPeers),
 	}
 }
@@ -109,7 +127,7 @@
 		if ctx.Err() != nil || b.hasAllTables() {
 			return
 		}
-		b.offerNewest(b.queryPeers(ctx, samplePeers(peers)))
+		b.offerNewest(b.ofOwnFleet(b.queryPeers(ctx, samplePeers(peers))))
 		if b.hasAllTables() || !roundBackoff.Wait(ctx, round) {
 			return
 		}
@@ -207,6 +225,50 @@
 	return answer, nil
 }
 
+// ofOwnFleet returns the answers of peers that may be of this VM's fleet: those that name it or none. If
+// the fleet is unknown, it becomes the one that the answers name, and if they name several, those are left out.
+func (b *Bootstrapper) ofOwnFleet(answers []tableCopies) []tableCopies {
+	own := b.fleet.Identity()
+	if own == 0 {
+		own = b.adopt(answers)
+	}
+	var accepted []tableCopies
+	for _, answer := range answers {
+		if answer.Fleet == 0 || answer.Fleet == own {
+			accepted = append(accepted, answer)
+		}
+	}
+	return accepted
+}
+
+// adopt adopts the fleet that the answers name. It returns 0 if they name none, several, or
+// one that is not the one that the store has named meanwhile.
+func (b *Bootstrapper) adopt(answers []tableCopies) uint64 {
+	var named uint64
+	for _, answer := range answers {
+		switch {
+		case answer.Fleet == 0 || answer.Fleet == named:
+		case named == 0:
+			named = answer.Fleet
+		default:
+			b.logFleets(named, answer.Fleet)
+			return 0
+		}
+	}
+	if named == 0 || !b.fleet.Adopt(named) {
+		return 0
+	}
+	return named
+}
+
+// logFleets logs once that peers are of several fleets.
+func (b *Bootstrapper) logFleets(fleets ...uint64) {
+	if !b.hasLoggedFleets {
+		b.hasLoggedFleets = true
+		b.logger.Warn("peer VMs are of several fleets, their copies are not used", "fleets", fleets)
+	}
+}
+
 // offerNewest offers each table the newest copy of it.
 func (b *Bootstrapper) offerNewest(answers []tableCopies) {
 	for name, table := range b.tables {
@@ -226,7 +288,7 @@
 
 // ServeHTTP answers a peer VM with copies of this VM's tables.
 func (b *Bootstrapper) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
-	copies, now := tableCopies{Tables: map[string]watcher.Copy{}}, time.Now()
+	copies, now := tableCopies{Tables: map[string]watcher.Copy{}, Fleet: b.fleet.Identity()}, time.Now()
 	for name, table := range b.tables {
 		if c, found := table.Copy(now); found {
 			copies.Tables[name] = c
--- a/internal/control/bootstrapper/bootstrapper_test.go
+++ b/internal/control/bootstrapper/bootstrapper_test.go
@@ -15,6 +15,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fescuespindle/fescuespindle/internal/control/bootstrapper"
+	"github.com/fescuespindle/fescuespindle/internal/control/fleetidentifier"
 	"github.com/fescuespindle/fescuespindle/internal/control/watcher"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/counter"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/supervisor"
@@ -48,9 +49,22 @@
 }
 
 func newBootstrapper(tables map[string]*table) *bootstrapper.Bootstrapper {
+	return newBootstrapperOf(newFleet(0), tables)
+}
+
+// newFleet returns what a VM knows of its fleet; an identity of 0 is unknown.
+func newFleet(identity uint64) *fleetidentifier.Fleet {
+	fleet := fleetidentifier.NewFleet(counter.New(metrics.NewSet()), slog.New(slog.DiscardHandler))
+	if identity != 0 {
+		fleet.Adopt(identity)
+	}
+	return fleet
+}
+
+func newBootstrapperOf(fleet *fleetidentifier.Fleet, tables map[string]*table) *bootstrapper.Bootstrapper {
 	logger := slog.New(slog.DiscardHandler)
 	guard := supervisor.New(counter.New(metrics.NewSet()), logger)
-	b := bootstrapper.New(&http.Transport{DisableKeepAlives: true}, guard, logger)
+	b := bootstrapper.New(&http.Transport{DisableKeepAlives: true}, fleet, guard, logger)
 	for name, followed := range tables {
 		b.AddTable(name, followed)
 	}
--- a/internal/wiring/entryvm/provider.go
+++ b/internal/wiring/entryvm/provider.go
@@ -119,7 +119,7 @@
 func newBootstrapper(
 	fleet *fleetidentifier.Fleet, tasks *supervisor.Supervisor, logger *slog.Logger,
 ) *bootstrapper.Bootstrapper {
-	return bootstrapper.New(fleet.Transport(storeTransport()), tasks, logger)
+	return bootstrapper.New(fleet.Transport(storeTransport()), fleet, tasks, logger)
 }
 
 func newPlacer(s platform.Settings, c *callbacks, finder *pathfinder.Finder) *placer.Placer {
