networkreserver: one way to reserve loopback addresses for the VMs of a test

Tests with real processes and those with two fleets in one process each had a copy of it. Both use the same reservations, so they can't get each other's networks.

--- a/internal/wiring/entryvm/fleets_test.go
+++ b/internal/wiring/entryvm/fleets_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http/httptest"
 	"testing"
@@ -15,6 +14,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/batch/jobmover"
 	"github.com/fescuespindle/fescuespindle/internal/control/memberkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/standins/networkreserver"
 	"github.com/fescuespindle/fescuespindle/internal/standins/rowemulator"
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 	"github.com/fescuespindle/fescuespindle/platform"
@@ -25,8 +25,6 @@
 	testCallerPort = 18140
 	testReadyPort  = 18141
 	testPeerPort   = 18142
-	// reservationAddress reserves a network on this machine; sites of processes use the same one.
-	reservationAddress = ".254:18139"
 	// eventTimeout bounds the wait for what is expected, and testDialTimeout a connection.
 	eventTimeout    = 10 * time.Second
 	testDialTimeout = 3 * time.Second
@@ -40,21 +38,6 @@
 	vm   *VM
 }
 
-// reserveNetwork returns the first three numbers of loopback addresses that no other test uses.
-func reserveNetwork(t *testing.T) string {
-	t.Helper()
-	for range 100 {
-		network := fmt.Sprintf("127.%d.%d", 1+rand.IntN(254), rand.IntN(256))
-		listener, err := net.Listen("tcp", network+reservationAddress)
-		if err == nil {
-			t.Cleanup(func() { _ = listener.Close() })
-			return network
-		}
-	}
-	t.Fatal("no free network")
-	return ""
-}
-
 // startFleet starts a fleet whose VM listens at an IP address. Its store has the rows.
 func startFleet(t *testing.T, name, ip string, puts ...rowstore.Put) *fleet {
 	t.Helper()
@@ -147,9 +130,9 @@
 // same ID.
 func startTwoFleets(t *testing.T, upstreamOfA, upstreamOfB rowstore.Put) (a, b *fleet) {
 	t.Helper()
-	network := reserveNetwork(t)
-	a = startFleet(t, "a", network+".1", standin.ConfigurationRow(1), upstreamOfA)
-	b = startFleet(t, "b", network+".2", standin.ConfigurationRow(1), upstreamOfB)
+	network := networkreserver.Reserve(t)
+	a = startFleet(t, "a", network.IP(1), standin.ConfigurationRow(1), upstreamOfA)
+	b = startFleet(t, "b", network.IP(2), standin.ConfigurationRow(1), upstreamOfB)
 	for _, f := range []*fleet{a, b} {
 		f.eventually("VM serves", f.isServing)
 		f.eventually("VM knows its fleet", f.isIdentified)
@@ -200,8 +183,8 @@
 
 // Guards against: a VM starts with the configuration of another fleet.
 func TestCopiesOfAnotherFleetAreNotTaken(t *testing.T) {
-	network := reserveNetwork(t)
-	b := startFleet(t, "b", network+".2", standin.ConfigurationRow(1), standin.UpstreamRow("u", startUpstream(t), "ready"))
+	network := networkreserver.Reserve(t)
+	b := startFleet(t, "b", network.IP(2), standin.ConfigurationRow(1), standin.UpstreamRow("u", startUpstream(t), "ready"))
 	b.eventually("VM b serves", b.isServing)
 	b.eventually("VM b knows its fleet", b.isIdentified)
 	a := &fleet{t: t, rows: rowemulator.New()}
@@ -211,7 +194,7 @@
 		}
 		return true, nil
 	})
-	a.startVM("a", network+".1")
+	a.startVM("a", network.IP(1))
 	a.eventually("VM a knows its fleet", a.isIdentified)
 	b.takeForPeer(a)
 	b.vm.reporter.Wake()
