batchrunner: logs tell where a run at an upstream came from

The log line of a run names the process, how it got the job and from whom, the version and age of what it knew of the record, whether the job was claimed, and the event after which it resumed. Runs that this VM stops leave a line too. An end of a job that isn't run here leaves one line and counts job_ends_of_others_total; repetitions of the report within 10 s don't.

--- a/internal/batch/batchrunner/claim.go
+++ b/internal/batch/batchrunner/claim.go
@@ -10,8 +10,9 @@
 
 // idleJob is a job that this process owns in the store and doesn't run.
 type idleJob struct {
-	version uint64 // of its record
-	claimed bool   // this process wrote that version to claim the job, and has not run it since
+	version uint64            // of its record
+	claimed bool              // this process wrote that version to claim the job, and has not run it since
+	from    batchkeeper.Owner // the owner before the claim
 }
 
 // resume runs a job that this process owns and doesn't run, as a scan has found. If it stays so
@@ -33,7 +34,7 @@
 	case known.version != record.Version:
 		r.idle[record.ID] = idleJob{version: record.Version}
 	case known.claimed:
-		r.load(record) // an earlier attempt has failed
+		r.load(record, known.from) // an earlier attempt has failed
 	default:
 		r.claim(record)
 	}
@@ -59,13 +60,13 @@
 		if record.Owner != r.self {
 			r.counter.Count("jobs_taken_over_total")
 		}
-		r.idle[record.ID] = idleJob{version: stored.Version, claimed: true}
-		r.load(stored)
+		r.idle[record.ID] = idleJob{version: stored.Version, claimed: true, from: record.Owner}
+		r.load(stored, record.Owner)
 	})
 }
 
-// load reads a job that this process has claimed in the store, and runs it.
-func (r *Runner) load(stored batchkeeper.VersionedRecord) {
+// load reads a job that this process has claimed in the store from another owner, and runs it.
+func (r *Runner) load(stored batchkeeper.VersionedRecord, from batchkeeper.Owner) {
 	if r.claimingOrLoading[stored.ID] {
 		return
 	}
@@ -88,6 +89,6 @@
 			r.logger.Warn("job not loaded, no memory for its items", "job", stored.ID, "bytes", loaded.Bytes())
 			return
 		}
-		r.adopt(stored, loaded, reservation)
+		r.adopt(stored, loaded, reservation, origin{way: wayLoaded, from: from})
 	})
 }
--- a/internal/batch/batchrunner/handover.go
+++ b/internal/batch/batchrunner/handover.go
@@ -115,7 +115,8 @@
 	}
 	r.keeper.SetClock(moved.Clock)
 	stored := batchkeeper.VersionedRecord{Record: moved.Record, Version: moved.Version}
-	r.adopt(stored, batchkeeper.LoadedJob{Items: moved.Items, Progress: moved.Progress}, reservation)
+	r.adopt(stored, batchkeeper.LoadedJob{Items: moved.Items, Progress: moved.Progress}, reservation,
+		origin{way: wayHandedOver, from: moved.Record.Owner})
 	j := r.jobs[id]
 	j.unclaimed = true
 	j.renewedAt = now.Add(-moved.Age)
--- a/internal/batch/batchrunner/job.go
+++ b/internal/batch/batchrunner/job.go
@@ -14,8 +14,10 @@
 // job is a batch job that this VM runs.
 type job struct {
 	stored batchkeeper.VersionedRecord
-	// firstVersion is the version of the record with which this VM got the job.
+	// firstVersion is the version of the record with which this VM got the job, and origin how
+	// it got the job.
 	firstVersion uint64
+	origin       origin
 	items        []*item
 	// outbox has the results that are not committed yet, in the order of their
 	// positions.
@@ -68,7 +70,7 @@
 	slot            *placer.Slot
 	cancel          context.CancelFunc
 	live            *attempter.LiveProgress // progress of the current run
-	runStart        time.Time               // start of the current run
+	runStart        runStart                // of the current run
 	// totalRunTime is the total time of all runs so far, and checkpointedBytes the number
 	// of output bytes at the last checkpoint.
 	totalRunTime      time.Duration
--- a/internal/batch/batchrunner/run.go
+++ b/internal/batch/batchrunner/run.go
@@ -36,7 +36,7 @@
 		ID: it.ID, Method: http.MethodPost, URI: it.URI, Host: it.job.stored.Host, Header: it.Header, Body: it.Body,
 	}
 	live := attempter.NewLiveProgress(it.progress)
-	it.live, it.runStart = live, time.Now()
+	it.live, it.runStart = live, newRunStart(it, time.Now())
 	r.loop.Go(func(loop context.Context) stepper.Event {
 		defer context.AfterFunc(loop, cancel)()
 		result := attempter.Result{Outcome: attempter.OutcomeInterrupted, Progress: it.progress}
@@ -56,14 +56,12 @@
 	delete(r.running, it.slot)
 	it.cancel()
 	it.slot, it.cancel, it.live = nil, nil, nil
-	it.totalRunTime += now.Sub(it.runStart)
+	it.totalRunTime += now.Sub(it.runStart.at)
 	it.state, it.progress = statePending, result.Progress
 	it.avoidedUpstream = ""
-	if result.Outcome != attempter.OutcomeStopped {
-		r.logger.Info("item run", "job", it.job.stored.ID, "item", it.ID, "upstream", upstream,
-			"software", software, "outcome", result.Outcome.String(), "events", result.Events, "error", errorText(result.Err),
-			"failures", it.failureCounts.Failures, "crashes", it.failureCounts.Crashes)
-	}
+	r.logger.Info("item run", "job", it.job.stored.ID, "item", it.ID, "upstream", upstream,
+		"software", software, "outcome", result.Outcome.String(), "events", result.Events, "error", errorText(result.Err),
+		"failures", it.failureCounts.Failures, "crashes", it.failureCounts.Crashes, r.logAttributes(it))
 	if it.job.discarded {
 		return
 	}
--- a/internal/batch/batchrunner/runner.go
+++ b/internal/batch/batchrunner/runner.go
@@ -114,6 +114,7 @@
 	orphans           *orphanwatcher.Watcher
 	claimingOrLoading map[string]bool
 	idle              map[string]idleJob // by ID
+	ends              ends
 	draining          bool
 	drained           chan struct{} // closed when a draining runner has no jobs left
 }
@@ -135,7 +136,8 @@
 		self: self, keeper: keeper, placer: p, courier: c, members: members, config: config, memory: memory,
 		guard: guard, counter: counter, logger: logger, jobs: map[string]*job{},
 		running: map[*placer.Slot]*item{}, orphans: orphanwatcher.New(self.VM),
-		mover: noMover{}, waits: waits{}, claimingOrLoading: map[string]bool{}, idle: map[string]idleJob{}, drained: make(chan struct{}),
+		mover: noMover{}, waits: waits{}, claimingOrLoading: map[string]bool{}, idle: map[string]idleJob{}, ends: ends{},
+		drained: make(chan struct{}),
 	}
 	for _, option := range options {
 		option(r)
@@ -163,19 +165,21 @@
 func (r *Runner) Adopt(
 	stored batchkeeper.VersionedRecord, items []batchkeeper.Item, reservation *rationer.Reservation,
 ) {
-	r.loop.Post(func(time.Time) { r.adopt(stored, batchkeeper.LoadedJob{Items: items}, reservation) })
+	r.loop.Post(func(time.Time) {
+		r.adopt(stored, batchkeeper.LoadedJob{Items: items}, reservation, origin{way: wayAccepted})
+	})
 }
 
 // adopt starts to run a job that this process owns, unless it runs it already.
 func (r *Runner) adopt(
-	stored batchkeeper.VersionedRecord, loaded batchkeeper.LoadedJob, reservation *rationer.Reservation,
+	stored batchkeeper.VersionedRecord, loaded batchkeeper.LoadedJob, reservation *rationer.Reservation, from origin,
 ) {
 	if _, known := r.jobs[stored.ID]; known {
 		reservation.Release()
 		return
 	}
 	j := newJob(stored, loaded)
-	j.reservation = reservation
+	j.reservation, j.origin = reservation, from
 	j.renewedAt = time.Now()
 	j.renewDue = j.renewedAt.Add(renewPeriod)
 	r.jobs[stored.ID] = j
@@ -183,12 +187,8 @@
 	delete(r.idle, stored.ID)
 	r.orphans.Forget(stored.ID)
 	r.logger.Info("job adopted", "job", stored.ID, "route", stored.Route, "items", stored.Items,
-		"results", stored.Results, "record", stored.Version, "due", stored.Due-r.keeper.Now())
-}
-
-// Cancelled stops a job that was cancelled in the store, if this VM runs it.
-func (r *Runner) Cancelled(id string) {
-	r.loop.Post(func(time.Time) { r.discard(id, "cancelled") })
+		"results", stored.Results, "record", stored.Version, "due", stored.Due-r.keeper.Now(), "way", from.way, "sender", from.from.VM,
+		"senderBoot", from.from.Boot)
 }
 
 // discard stops a job that this VM must not run any more, and discards its results that
@@ -218,6 +218,7 @@
 		r.scan(now)
 	}
 	r.expire()
+	r.ends.expire(now)
 	r.setHasJobs(len(r.jobs) > 0)
 }
 
--- a/internal/batch/batchrunner/runner_test.go
+++ b/internal/batch/batchrunner/runner_test.go
@@ -48,6 +48,7 @@
 	wrapPlacer func(batchrunner.Placer) batchrunner.Placer
 	// wrapKeeper replaces the keeper of each runner that starts, if it is not nil.
 	wrapKeeper func(batchrunner.Keeper) batchrunner.Keeper
+	logger     *slog.Logger // of the VMs that start
 }
 
 // vm is one VM of a fleet.
@@ -85,6 +86,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{t: t, store: rowemulator.New(), network: standin.NewNetwork(), alive: map[batchkeeper.Owner]bool{}}
+		f.logger = slog.New(slog.DiscardHandler)
 		for n := range upstreams {
 			id := fmt.Sprint("u", n)
 			u := standin.NewUpstream(id, 2, func(r *http.Request) standin.Plan { return plan(id, r) })
@@ -113,7 +115,7 @@
 // startOn starts a process of a VM with its own connection to the store.
 func (f *fleet) startOn(name string, boot uint64, store rowstore.Store) *vm {
 	owner := batchkeeper.Owner{VM: name, Boot: boot}
-	logger := slog.New(slog.DiscardHandler)
+	logger := f.logger
 	v := &vm{owner: owner, keeper: batchkeeper.New(store, owner, 64<<10, logger)}
 	v.setConfiguration(table, math.MaxUint64)
 	v.placer = placer.New(name, "d", map[string]string{"d": "r"},
