--- /dev/null
+++ b/internal/batch/batchrunner/ended_test.go
@@ -0,0 +1,285 @@
+package batchrunner_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/batch/jobmover"
+)
+
+// manyItems is the number of items of jobs that have more items than there are slots.
+const manyItems = 40
+
+// Guards against: a VM starts items of a job that is handed over to it after its end, until its
+// claim fails.
+func TestJobThatIsHandedOverAfterItsEndStartsNothing(t *testing.T) {
+	expect := func(t *testing.T, atReceiver func(f *fleet, b *vm, l *link)) {
+		t.Helper()
+		inFleet(t, 3, slowPlan, func(f *fleet) {
+			a, toA := f.startLinked("a")
+			b, toB := f.startLinked("b")
+			defer b.stop()
+			f.setReceivers(b)
+			f.submit(a, manyItems)
+			time.Sleep(time.Second)
+			toA.set(true, true)
+			f.end()
+			atReceiver(f, b, toB)
+			time.Sleep(4 * time.Second)
+			stopped := time.Now()
+			f.shutDown(a)
+			f.expectNoStartSince(stopped, 10*time.Second)
+		})
+	}
+	t.Run("which the receiver has confirmed", func(t *testing.T) {
+		expect(t, func(_ *fleet, b *vm, _ *link) { b.runner.Cancelled("j") })
+	})
+	t.Run("which the receiver doesn't know", func(t *testing.T) {
+		expect(t, func(*fleet, *vm, *link) {})
+	})
+	t.Run("which the receiver has confirmed before it lost the store", func(t *testing.T) {
+		expect(t, func(_ *fleet, b *vm, l *link) {
+			b.runner.Cancelled("j")
+			l.set(true, true)
+		})
+	})
+}
+
+// moved returns a job as another VM would send it.
+func (f *fleet) moved(items int) jobmover.Job {
+	return jobmover.Job{
+		Record: batchkeeper.Record{
+			ID: "j", Route: "r", Host: "h", Items: items, Owner: batchkeeper.Owner{VM: "x", Boot: 1},
+			Due: time.Hour, Expires: time.Hour,
+		},
+		Version: 3, Items: itemsOf(items), Clock: time.Second,
+	}
+}
+
+// Guards against: a VM runs what any process sends it as a job, although no store has it.
+func TestHandedOverJobThatNoStoreHasStartsNothing(t *testing.T) {
+	inFleet(t, 3, slowPlan, func(f *fleet) {
+		v, _ := f.startLinked("a")
+		defer v.stop()
+		began := time.Now()
+		v.runner.TakeOver(f.t.Context(), f.moved(manyItems))
+		f.expectNoStartSince(began, 10*time.Second)
+	})
+}
+
+// Guards against: a VM that hears of the end of a job while it is getting the job forgets the end,
+// and starts items.
+func TestEndThatIsHeardBeforeTheJobIsRunHolds(t *testing.T) {
+	expectOfLostVM := func(t *testing.T, claimDelay, loadDelay time.Duration) {
+		t.Helper()
+		inFleet(t, 3, slowPlan, func(f *fleet) {
+			a := f.start("a")
+			b := f.startGated("b", claimDelay, loadDelay)
+			defer b.stop()
+			f.submit(a, manyItems)
+			time.Sleep(time.Second)
+			a.stop()
+			f.awaitOwner(b)
+			f.end()
+			heard := time.Now()
+			b.runner.Cancelled("j")
+			f.expectNoStartSince(heard, 10*time.Second)
+		})
+	}
+	t.Run("while it is claimed", func(t *testing.T) { expectOfLostVM(t, 2*time.Second, 0) })
+	t.Run("while it is loaded", func(t *testing.T) { expectOfLostVM(t, 0, 2*time.Second) })
+	t.Run("before it is adopted", func(t *testing.T) {
+		inFleet(t, 3, slowPlan, func(f *fleet) {
+			v, _ := f.startLinked("a")
+			defer v.stop()
+			s := batchkeeper.Submission{ID: "j", Route: "r", Host: "h", Retention: time.Minute, Items: itemsOf(manyItems)}
+			stored, _, err := v.keeper.Submit(f.t.Context(), s)
+			qt.Assert(t, err, qt.IsNil)
+			f.end()
+			heard := time.Now()
+			v.runner.Cancelled("j")
+			v.runner.Adopt(stored, s.Items, nil)
+			f.expectNoStartSince(heard, 10*time.Second)
+		})
+	})
+}
+
+// awaitOwner waits until a VM owns the job "j" in the store.
+func (f *fleet) awaitOwner(v *vm) {
+	f.t.Helper()
+	for range 1000 {
+		records, err := v.keeper.ScanPart(f.t.Context(), batchkeeper.PartOf("j"))
+		qt.Assert(f.t, err, qt.IsNil)
+		if len(records) == 1 && records[0].Owner == v.owner {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.t.Fatal("the job has not been claimed")
+}
+
+// Guards against: an end that nobody reports is noticed too late by a VM whose load took long, as it
+// counts from the end of the load, and its scans are slow.
+func TestEndDuringALongLoadIsNoticedInTime(t *testing.T) {
+	for load := 2100 * time.Millisecond; load < 3*time.Second; load += 100 * time.Millisecond {
+		t.Run(load.String(), func(t *testing.T) {
+			inFleet(t, 3, fastPlan, func(f *fleet) {
+				a := f.start("a")
+				b := f.startGated("b", 0, load)
+				defer b.stop()
+				f.submit(a, manyItems)
+				time.Sleep(time.Second)
+				a.stop()
+				f.awaitOwner(b)
+				ended := f.end()
+				f.expectNoStartSince(ended.Add(cancelTime), 10*time.Second)
+			})
+		})
+	}
+}
+
+// Guards against: an owner whose write gets no answer starts items of a job that has ended until
+// the write's timeout, although the store answers its reads.
+func TestOwnerWhoseWriteHangsNoticesTheEndInTime(t *testing.T) {
+	for offset := 0 * time.Millisecond; offset < 1200*time.Millisecond; offset += 150 * time.Millisecond {
+		t.Run(offset.String(), func(t *testing.T) {
+			inFleet(t, 3, fastPlan, func(f *fleet) {
+				f.letOthersWatch("a")
+				v, toStore := f.startLinked("a")
+				defer v.stop()
+				f.submit(v, manyItems)
+				time.Sleep(time.Second + offset)
+				toStore.set(false, true)
+				ended := f.end()
+				f.expectNoStartSince(ended.Add(cancelTime), 10*time.Second)
+			})
+		})
+	}
+}
+
+// Guards against: a VM that stood still for seconds starts items at once as it goes on, of a job that
+// has ended meanwhile.
+func TestVMThatStoodStillStartsNothingOfAnEndedJob(t *testing.T) {
+	inFleet(t, 3, fastPlan, func(f *fleet) {
+		f.letOthersWatch("a")
+		v, _ := f.startLinked("a")
+		defer v.stop()
+		f.submit(v, manyItems)
+		time.Sleep(time.Second)
+		v.pause.Store(int64(5 * time.Second))
+		time.Sleep(time.Second)
+		f.end()
+		time.Sleep(2 * time.Second)
+		f.expectNoStartSince(time.Now(), 12*time.Second)
+	})
+}
+
+// Guards against: an end that was reported by mistake loses a job, or keeps it from running for as long
+// as the report is repeated.
+func TestFalseReportOfAnEndLosesNothing(t *testing.T) {
+	inFleet(t, 3, fastPlan, func(f *fleet) {
+		v, _ := f.startLinked("a")
+		defer v.stop()
+		f.submit(v, 6)
+		time.Sleep(200 * time.Millisecond)
+		for range 20 {
+			v.runner.Cancelled("j")
+			time.Sleep(200 * time.Millisecond)
+		}
+		f.expectResults(v, 4*time.Second, "item0 ok", "item1 ok", "item2 ok", "item3 ok", "item4 ok", "item5 ok")
+	})
+}
+
+// Guards against: a job that is handed over in calm waits for more than the answer of the store, or
+// starts before it.
+func TestHandedOverJobStartsWithTheAnswerOfTheStore(t *testing.T) {
+	inFleet(t, 3, slowPlan, func(f *fleet) {
+		a, _ := f.startLinked("a")
+		b, _ := f.startLinked("b")
+		defer b.stop()
+		f.setReceivers(b)
+		f.submit(a, 3)
+		time.Sleep(time.Second)
+		stopped := time.Now()
+		f.shutDown(a)
+		time.Sleep(time.Second)
+		runs := f.runs()
+		qt.Assert(t, runs, qt.HasLen, 6)
+		for _, run := range runs {
+			if run.LastEvent > 0 {
+				qt.Check(t, run.Start.Sub(stopped), qt.Equals, storeDelay, qt.Commentf("as soon as the store has answered"))
+			}
+		}
+		qt.Check(t, f.runsFromStart(), qt.Equals, 3)
+	})
+}
+
+// Guards against: the age of a job that is handed over counts as what the sender says, although the
+// sender's clock stood still for a time.
+func TestAgeOfAHandedOverJobIsCheckedAgainstTheStoresClock(t *testing.T) {
+	inFleet(t, 3, slowPlan, func(f *fleet) {
+		v, toStore := f.startLinked("a")
+		defer v.stop()
+		toStore.set(true, true)
+		time.Sleep(20 * time.Second)
+		job := f.moved(manyItems)
+		job.Clock = v.keeper.Now() - 12*time.Second
+		began := time.Now()
+		qt.Assert(t, v.runner.TakeOver(f.t.Context(), job), qt.IsTrue)
+		f.expectNoStartSince(began, 10*time.Second)
+	})
+}
+
+// Guards against: jobs that are handed over in an outage don't run until it ends.
+func TestHandedOverJobRunsInAnOutage(t *testing.T) {
+	expect := func(t *testing.T, outage func(f *fleet, toA, toB *link)) {
+		t.Helper()
+		inFleet(t, 3, slowPlan, func(f *fleet) {
+			a, toA := f.startLinked("a")
+			b, toB := f.startLinked("b")
+			defer b.stop()
+			f.setReceivers(b)
+			f.submit(a, 3)
+			time.Sleep(time.Second)
+			outage(f, toA, toB)
+			stopped := time.Now()
+			f.shutDown(a)
+			time.Sleep(2 * time.Second)
+			qt.Check(t, f.runsSince(stopped), qt.Equals, 3)
+			f.store.SetDown(false)
+			toB.set(false, false)
+			f.expectResults(b, 3*time.Second, "item0 ok", "item1 ok", "item2 ok")
+			qt.Check(t, f.runsFromStart(), qt.Equals, 3)
+		})
+	}
+	t.Run("with refusals", func(t *testing.T) { expect(t, func(f *fleet, _, _ *link) { f.store.SetDown(true) }) })
+	t.Run("without answers", func(t *testing.T) {
+		expect(t, func(_ *fleet, toA, toB *link) {
+			toA.set(true, true)
+			toB.set(true, true)
+		})
+	})
+	t.Run("of writes only", func(t *testing.T) {
+		expect(t, func(_ *fleet, toA, toB *link) {
+			toA.set(false, true)
+			toB.set(false, true)
+		})
+	})
+}
+
+// Guards against: items of a running job wait for an answer of the store that is down.
+func TestItemsStartWithoutAPauseInAnOutage(t *testing.T) {
+	inFleet(t, 1, fastPlan, func(f *fleet) {
+		v, toStore := f.startLinked("a")
+		defer v.stop()
+		f.submit(v, manyItems)
+		time.Sleep(time.Second)
+		toStore.set(true, true)
+		began := time.Now()
+		time.Sleep(9 * time.Second)
+		qt.Check(t, f.runsSince(began) >= 17, qt.IsTrue, qt.Commentf("%d items of 0.5 s", f.runsSince(began)))
+	})
+}
--- a/internal/batch/batchrunner/runner_test.go
+++ b/internal/batch/batchrunner/runner_test.go
@@ -64,13 +64,18 @@
 	// which it has all changes.
 	config atomic.Pointer[router.Table]
 	asOf   atomic.Uint64
+	// pause is how long the runner stands still at its next tick, in ns.
+	pause atomic.Int64
 }
 
 // Table implements batchrunner.Configuration.
 func (v *vm) Table() *router.Table { return v.config.Load() }
 
-// AsOf implements batchrunner.Configuration.
-func (v *vm) AsOf() uint64 { return v.asOf.Load() }
+// AsOf implements batchrunner.Configuration. The runner calls it at each tick.
+func (v *vm) AsOf() uint64 {
+	time.Sleep(time.Duration(v.pause.Swap(0)))
+	return v.asOf.Load()
+}
 
 // setConfiguration sets the configuration in force at the VM, as of a version of the store.
 func (v *vm) setConfiguration(t *router.Table, asOf uint64) {
