batchkeeper: a record names the time of the attempt that read or wrote it

VersionedRecord.AsOf is the start, on the local monotonic clock, of the attempt that was answered, not of its call and not the time of the answer: the record was in the store then or later. Record reads the record of one job. Nothing uses either yet.

--- a/internal/batch/batchkeeper/keeper.go
+++ b/internal/batch/batchkeeper/keeper.go
@@ -84,15 +84,24 @@
 // a *rowstore.ConflictError, ErrNotWritten or ErrInDoubt. The conflict may be with its own
 // earlier attempt; callers recognize that by the rows it wrote.
 func (k *Keeper) transactWithRetry(ctx context.Context, tx rowstore.Tx, retryTimeout time.Duration) (uint64, error) {
+	version, _, err := k.transactAsOf(ctx, tx, retryTimeout)
+	return version, err
+}
+
+// transactAsOf does the same, and also returns when the attempt began that succeeded or met a conflict.
+func (k *Keeper) transactAsOf(
+	ctx context.Context, tx rowstore.Tx, retryTimeout time.Duration,
+) (version uint64, asOf time.Time, err error) {
 	inDoubt, began := false, time.Now()
 	for attempt := 0; ; attempt++ {
+		asOf = time.Now()
 		reply, err := k.transact(ctx, tx)
 		switch {
 		case err == nil:
 			k.recordClock(reply.Now)
-			return reply.Version, nil
+			return reply.Version, asOf, nil
 		case errors.Is(err, rowstore.ErrConflict):
-			return 0, err
+			return 0, asOf, err
 		case errors.Is(err, rowstore.ErrInDoubt):
 			inDoubt = true
 		}
@@ -100,9 +109,9 @@
 			continue
 		}
 		if inDoubt {
-			return 0, fmt.Errorf("%w: %w", ErrInDoubt, err)
+			return 0, asOf, fmt.Errorf("%w: %w", ErrInDoubt, err)
 		}
-		return 0, fmt.Errorf("%w: %w", ErrNotWritten, err)
+		return 0, asOf, fmt.Errorf("%w: %w", ErrNotWritten, err)
 	}
 }
 
@@ -123,15 +132,24 @@
 func (k *Keeper) readRangeWithTimeout(
 	ctx context.Context, table, part, from, to string, retryTimeout time.Duration,
 ) (rowstore.Snapshot, error) {
+	all, _, err := k.readRangeAsOf(ctx, table, part, from, to, retryTimeout)
+	return all, err
+}
+
+// readRangeAsOf does the same, and also returns when the last attempt began.
+func (k *Keeper) readRangeAsOf(
+	ctx context.Context, table, part, from, to string, retryTimeout time.Duration,
+) (all rowstore.Snapshot, asOf time.Time, err error) {
 	began := time.Now()
 	for attempt := 0; ; attempt++ {
-		all, err := k.tryReadRange(ctx, table, part, from, to)
+		asOf = time.Now()
+		all, err = k.tryReadRange(ctx, table, part, from, to)
 		if err == nil {
 			k.recordClock(all.Now)
-			return all, nil
+			return all, asOf, nil
 		}
 		if time.Since(began) >= retryTimeout || !retryBackoff.Wait(ctx, attempt) {
-			return all, fmt.Errorf("%w: %s: %w", ErrNotRead, table, err)
+			return all, asOf, fmt.Errorf("%w: %s: %w", ErrNotRead, table, err)
 		}
 	}
 }
@@ -143,22 +161,28 @@
 	return rowstore.ReadAll(ctx, k.store, table, part, from, to)
 }
 
-// readRecord reads the record of one job. It returns ErrNotFound, ErrNotRead or
-// ErrCorrupt.
+// Record reads the record of one job, retrying until the context ends. It returns ErrNotFound,
+// ErrNotRead or ErrCorrupt.
+func (k *Keeper) Record(ctx context.Context, id string) (VersionedRecord, error) {
+	return k.readRecord(ctx, id)
+}
+
+// readRecord implements Record.
 func (k *Keeper) readRecord(ctx context.Context, id string) (VersionedRecord, error) {
-	all, err := k.readRange(ctx, tableJobs, partNameOf(id), id, id+"\x00")
+	all, asOf, err := k.readRangeAsOf(ctx, tableJobs, partNameOf(id), id, id+"\x00", noRetryLimit)
 	if err != nil {
 		return VersionedRecord{}, err
 	}
 	if len(all.Rows) == 0 {
 		return VersionedRecord{}, fmt.Errorf("%w: %s", ErrNotFound, id)
 	}
-	return decodeRecord(all.Rows[0])
+	return decodeRecord(all.Rows[0], asOf)
 }
 
 // ScanPart reads the records of the jobs of part n without retrying. It returns
 // ErrNotRead. Records that can't be decoded are logged and skipped.
 func (k *Keeper) ScanPart(ctx context.Context, n int) ([]VersionedRecord, error) {
+	asOf := time.Now()
 	all, err := k.tryReadRange(ctx, tableJobs, partName(n), "", "")
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotRead, err)
@@ -166,7 +190,7 @@
 	k.recordClock(all.Now)
 	records := make([]VersionedRecord, 0, len(all.Rows))
 	for _, row := range all.Rows {
-		stored, err := decodeRecord(row)
+		stored, err := decodeRecord(row, asOf)
 		if err != nil {
 			k.logger.Error("skipping job with undecodable record", "error", err)
 			continue
--- a/internal/batch/batchkeeper/owner.go
+++ b/internal/batch/batchkeeper/owner.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 )
@@ -102,27 +103,28 @@
 	}
 	tx.Conditions = append(tx.Conditions, rowstore.Condition{Key: row.Key, Version: seen.Version})
 	tx.Puts = append(tx.Puts, row)
-	version, err := k.transactWithRetry(ctx, tx, noRetryLimit)
+	version, asOf, err := k.transactAsOf(ctx, tx, noRetryLimit)
 	if err == nil {
-		return VersionedRecord{Record: next, Version: version}, nil
+		return VersionedRecord{Record: next, Version: version, AsOf: asOf}, nil
 	}
 	var conflict *rowstore.ConflictError
 	if !errors.As(err, &conflict) {
 		return seen, err
 	}
-	return k.resolveConflict(conflict, seen, next)
+	return k.resolveConflict(conflict, asOf, seen, next)
 }
 
 // resolveConflict determines the cause of a conflict: either this write has already taken
-// effect and only its response was lost, or the job has another owner or was cancelled.
+// effect and only its response was lost, or the job has another owner or was cancelled. asOf is when
+// the attempt began that met the conflict.
 func (k *Keeper) resolveConflict(
-	conflict *rowstore.ConflictError, seen VersionedRecord, next Record,
+	conflict *rowstore.ConflictError, asOf time.Time, seen VersionedRecord, next Record,
 ) (VersionedRecord, error) {
 	row, found := conflict.Current(recordKey(seen.ID))
 	if !found || row.Version == 0 {
 		return seen, fmt.Errorf("%w: record of %s does not exist", ErrOwnershipLost, seen.ID)
 	}
-	current, err := decodeRecord(row)
+	current, err := decodeRecord(row, asOf)
 	if err != nil {
 		return seen, err
 	}
--- a/internal/batch/batchkeeper/record.go
+++ b/internal/batch/batchkeeper/record.go
@@ -146,6 +146,9 @@
 type VersionedRecord struct {
 	Record
 	Version uint64
+	// AsOf is when the attempt began that read or wrote the record, on the local clock. The
+	// record was in the store at that time or later. It is zero if another process read it.
+	AsOf time.Time
 }
 
 func recordKey(id string) rowstore.Key {
@@ -176,8 +179,9 @@
 	return nil
 }
 
-func decodeRecord(row rowstore.Row) (VersionedRecord, error) {
-	stored := VersionedRecord{Version: row.Version}
+// decodeRecord decodes a record that was read by an attempt that began at asOf.
+func decodeRecord(row rowstore.Row, asOf time.Time) (VersionedRecord, error) {
+	stored := VersionedRecord{Version: row.Version, AsOf: asOf}
 	err := decodeRow(row, &stored.Record)
 	return stored, err
 }
--- a/internal/batch/batchkeeper/submission.go
+++ b/internal/batch/batchkeeper/submission.go
@@ -69,14 +69,14 @@
 // findRecord reads the record of a job that may exist. It returns ErrNotWritten if it can't be
 // read, or ErrCorrupt.
 func (k *Keeper) findRecord(ctx context.Context, id string) (VersionedRecord, bool, error) {
-	all, err := k.readRangeWithTimeout(ctx, tableJobs, partNameOf(id), id, id+"\x00", submitRetryTimeout)
+	all, asOf, err := k.readRangeAsOf(ctx, tableJobs, partNameOf(id), id, id+"\x00", submitRetryTimeout)
 	if err != nil {
 		return VersionedRecord{}, false, fmt.Errorf("%w: %w", ErrNotWritten, err)
 	}
 	if len(all.Rows) == 0 {
 		return VersionedRecord{}, false, nil
 	}
-	stored, err := decodeRecord(all.Rows[0])
+	stored, err := decodeRecord(all.Rows[0], asOf)
 	return stored, err == nil, err
 }
 
@@ -92,9 +92,9 @@
 		Conditions: []rowstore.Condition{{Key: recordPut.Key}, {Key: ownRow}},
 		Puts:       append([]rowstore.Put{recordPut}, content...),
 	}
-	version, err := k.transactWithRetry(ctx, tx, submitRetryTimeout)
+	version, asOf, err := k.transactAsOf(ctx, tx, submitRetryTimeout)
 	if err == nil {
-		return VersionedRecord{Record: record, Version: version}, true, nil
+		return VersionedRecord{Record: record, Version: version, AsOf: asOf}, true, nil
 	}
 	var conflict *rowstore.ConflictError
 	if !errors.As(err, &conflict) {
@@ -104,7 +104,7 @@
 	if !found || row.Version == 0 {
 		return VersionedRecord{}, false, fmt.Errorf("%w: %w", ErrInDoubt, err)
 	}
-	stored, err := decodeRecord(row)
+	stored, err := decodeRecord(row, asOf)
 	written, found := conflict.Current(ownRow) // by an attempt whose response was lost
 	return stored, err == nil && found && written.Version > 0, err
 }
