batchrunner: a job that is handed over runs once the store has shown it, not by the sender's word

What callers saw: items of a job that they had ended reached upstreams, up to 10 s after the confirmation, as many as there were free slots.

Cause: takeOver adopted the job and started items at once, by the age that the sender claimed. The claim, which finds that the job has ended, has another owner or doesn't exist, came later.

Fix: what a VM knows of a job is evidence: the start of the newest attempt whose answer showed that the job is open and nobody else's, and whether that answer was this process's own. A job that was handed over has another process's; its items wait for the claim, or for a read of the record beside it, whichever is answered first. The read finds ended, missing and foreign jobs. Only if such a read, begun in the last 1.5 s, has ended without an answer, the sender's word counts: the store doesn't answer this VM, and jobs run on in an outage as before. A read that hangs in a process that stood still is too old to count. A record without AsOf counts as never read.

--- a/internal/batch/batchrunner/ended_test.go
+++ b/internal/batch/batchrunner/ended_test.go
@@ -13,38 +13,44 @@
 // manyItems is the number of items of jobs that have more items than there are slots.
 const manyItems = 40
 
+// expectNoStartAfterHandover ends the job of the VM "a", which has lost the store, and checks that
+// nothing starts when the job is handed over to the VM "b" later.
+func expectNoStartAfterHandover(t *testing.T, atEnd func(b *vm, toStore *link)) {
+	t.Helper()
+	inFleet(t, 3, slowPlan, func(f *fleet) {
+		a, toA := f.startLinked("a")
+		b, toB := f.startLinked("b")
+		defer b.stop()
+		f.setReceivers(b)
+		f.submit(a, manyItems)
+		time.Sleep(time.Second)
+		toA.set(true, true)
+		f.end()
+		atEnd(b, toB)
+		time.Sleep(4 * time.Second)
+		stopped := time.Now()
+		f.shutDown(a)
+		f.expectNoStartSince(stopped, 10*time.Second)
+	})
+}
+
 // Guards against: a VM starts items of a job that is handed over to it after its end, until its
 // claim fails.
 func TestJobThatIsHandedOverAfterItsEndStartsNothing(t *testing.T) {
-	expect := func(t *testing.T, atReceiver func(f *fleet, b *vm, l *link)) {
-		t.Helper()
-		inFleet(t, 3, slowPlan, func(f *fleet) {
-			a, toA := f.startLinked("a")
-			b, toB := f.startLinked("b")
-			defer b.stop()
-			f.setReceivers(b)
-			f.submit(a, manyItems)
-			time.Sleep(time.Second)
-			toA.set(true, true)
-			f.end()
-			atReceiver(f, b, toB)
-			time.Sleep(4 * time.Second)
-			stopped := time.Now()
-			f.shutDown(a)
-			f.expectNoStartSince(stopped, 10*time.Second)
-		})
-	}
 	t.Run("which the receiver has confirmed", func(t *testing.T) {
-		expect(t, func(_ *fleet, b *vm, _ *link) { b.runner.Cancelled("j") })
+		expectNoStartAfterHandover(t, func(b *vm, _ *link) { b.runner.Cancelled("j") })
 	})
 	t.Run("which the receiver doesn't know", func(t *testing.T) {
-		expect(t, func(*fleet, *vm, *link) {})
+		expectNoStartAfterHandover(t, func(*vm, *link) {})
 	})
-	t.Run("which the receiver has confirmed before it lost the store", func(t *testing.T) {
-		expect(t, func(_ *fleet, b *vm, l *link) {
-			b.runner.Cancelled("j")
-			l.set(true, true)
-		})
+}
+
+// Guards against: a VM forgets the end that it has confirmed, and in an outage believes the VM that
+// hands the job over.
+func TestJobThatIsHandedOverInAnOutageAfterItsEndWasHeardStartsNothing(t *testing.T) {
+	expectNoStartAfterHandover(t, func(b *vm, toStore *link) {
+		b.runner.Cancelled("j")
+		toStore.set(true, true)
 	})
 }
 
--- /dev/null
+++ b/internal/batch/batchrunner/evidence.go
@@ -0,0 +1,132 @@
+package batchrunner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
+)
+
+const (
+	// checkTimeout bounds a check, which reads the record of one job beside whatever write is in
+	// flight, and checkPause is the time until the next one.
+	checkTimeout = 500 * time.Millisecond
+	checkPause   = 100 * time.Millisecond
+	// maxSilenceAge is how long a check that ended without an answer shows that the store doesn't
+	// answer this VM, counted from the start of the check: two checks, a pause and a tick, and a
+	// margin. In a process that stood still, a check that began before shows nothing.
+	maxSilenceAge = 1500 * time.Millisecond
+)
+
+// evidence is what this VM knows of whether a job is open and may be run here.
+//
+// Items start on what this process has learned from the store. The word of another process, of a
+// job that was handed over, counts only while the store doesn't answer this VM.
+type evidence struct {
+	// asOf is when the newest attempt began whose answer has shown that the job was open and
+	// nobody else's; or, by the word of the process that has handed the job over, that process's.
+	asOf time.Time
+	// own means that the answer was one to this process.
+	own bool
+	// silentAt is when the last check began, if it has ended without an answer and nothing has
+	// been answered since; else it is zero.
+	silentAt time.Time
+	checking bool // a check is in flight
+	checkDue time.Time
+}
+
+// learn records that an answer of the store has shown that the job is open and nobody else's.
+func (e *evidence) learn(asOf time.Time) {
+	if !e.own || asOf.After(e.asOf) {
+		e.asOf = asOf
+	}
+	e.own, e.silentAt = true, time.Time{}
+}
+
+// allowsStart returns whether items of the job may start.
+func (e *evidence) allowsStart(now time.Time) bool {
+	return now.Sub(e.asOf) <= maxRenewalAge && (e.own || e.storeIsSilent(now))
+}
+
+// storeIsSilent returns whether the store doesn't answer this VM.
+func (e *evidence) storeIsSilent(now time.Time) bool { return now.Sub(e.silentAt) <= maxSilenceAge }
+
+// needsCheck returns whether the job's record should be read now.
+func (e *evidence) needsCheck(now time.Time) bool {
+	return !e.own && !e.checking && !now.Before(e.checkDue)
+}
+
+// check reads the record of a job if what this VM knows of it doesn't suffice to start items, or
+// won't soon.
+func (r *Runner) check(j *job, now time.Time) {
+	if j.discarded || j.releasing || !j.evidence.needsCheck(now) || j.hasEnded() {
+		return
+	}
+	j.evidence.checking = true
+	id := j.stored.ID
+	var read batchkeeper.VersionedRecord
+	r.callAsync(checkTimeout, func(ctx context.Context) (err error) {
+		read, err = r.keeper.Record(ctx, id)
+		return err //nolint:wrapcheck // checked looks at the kind
+	}, func(ended time.Time, err error) { r.checked(j, read, now, ended, err) })
+}
+
+// checked handles the outcome of a check that has lasted from began to ended.
+func (r *Runner) checked(j *job, read batchkeeper.VersionedRecord, began, ended time.Time, err error) {
+	e := &j.evidence
+	e.checking, e.checkDue = false, ended.Add(checkPause)
+	r.counter.Count(`job_checks_total{outcome="` + checkOutcome(err) + `"}`)
+	switch {
+	case j.discarded || j.releasing:
+	case errors.Is(err, batchkeeper.ErrNotFound):
+		r.discard(j.stored.ID, err.Error())
+	case errors.Is(err, batchkeeper.ErrNotRead):
+		e.silentAt = began
+	case err != nil: // the store has answered, but nothing that helps
+		e.silentAt = time.Time{}
+	default:
+		e.silentAt = time.Time{}
+		r.compare(j, read)
+	}
+}
+
+// checkOutcome returns the outcome of a check for metrics.
+func checkOutcome(err error) string {
+	switch {
+	case err == nil:
+		return "read"
+	case errors.Is(err, batchkeeper.ErrNotFound):
+		return "missing"
+	case errors.Is(err, batchkeeper.ErrNotRead):
+		return "unanswered"
+	default:
+		return "failed"
+	}
+}
+
+// compare compares the record that a check has read with the job that this VM runs. A check isn't
+// ordered with writes: a record that is older than the known one says nothing.
+func (r *Runner) compare(j *job, read batchkeeper.VersionedRecord) {
+	nobodyElses := read.Owner == r.self || (j.unclaimed && (read.Owner == j.stored.Owner || read.Owner == batchkeeper.Owner{}))
+	switch {
+	case read.Version < j.stored.Version:
+	case !read.Open():
+		r.discard(j.stored.ID, "ended")
+	case nobodyElses:
+		j.evidence.learn(read.AsOf)
+	case j.unclaimed: // the claim decides who owns the job
+	default:
+		r.discard(j.stored.ID, "run by "+read.Owner.VM)
+	}
+}
+
+// hasEnded returns whether no item of a job is left to run.
+func (j *job) hasEnded() bool {
+	for _, it := range j.items {
+		if it.state != stateEnded {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/batch/batchrunner/handover.go
+++ b/internal/batch/batchrunner/handover.go
@@ -73,7 +73,7 @@
 func (r *Runner) export(j *job, now time.Time) jobmover.Job {
 	exported := jobmover.Job{
 		Record: j.stored.Record, Version: j.stored.Version, Outbox: j.outbox,
-		Progress: map[int]batchkeeper.Progress{}, Clock: r.keeper.Now(), Age: now.Sub(j.renewedAt),
+		Progress: map[int]batchkeeper.Progress{}, Clock: r.keeper.Now(), Age: now.Sub(j.evidence.asOf),
 	}
 	exported.Record.FailureCounts = j.failureCountsByIndex()
 	for _, it := range j.items {
@@ -119,7 +119,7 @@
 		origin{way: wayHandedOver, from: moved.Record.Owner})
 	j := r.jobs[id]
 	j.unclaimed = true
-	j.renewedAt = now.Add(-moved.Age)
+	j.evidence = evidence{asOf: now.Add(-moved.Age)}
 	j.outbox = moved.Outbox
 	for _, index := range moved.Ended {
 		if index >= 0 && index < len(j.items) {
@@ -130,8 +130,8 @@
 	return true
 }
 
-// claimHandedOver claims a job that was handed over to this VM. Its items run meanwhile, but
-// nothing is written to the store before the claim has succeeded.
+// claimHandedOver claims a job that was handed over to this VM. Nothing else is written to the store
+// before the claim has succeeded.
 func (r *Runner) claimHandedOver(j *job, now time.Time) {
 	if !j.unclaimed || j.writing || j.discarded || j.releasing || now.Before(j.claimDue) {
 		return
@@ -152,7 +152,8 @@
 	switch {
 	case j.discarded:
 	case err == nil:
-		j.unclaimed, j.stored, j.renewedAt = false, stored, now
+		j.unclaimed, j.stored = false, stored
+		j.evidence.learn(stored.AsOf)
 		j.renewDue = now.Add(renewPeriod)
 		r.logger.Info("job claimed after handover", "job", id, "record", stored.Version, "results", len(j.outbox))
 	case errors.Is(err, batchkeeper.ErrOwnershipLost) && j.isWrittenByPreviousOwner(stored):
@@ -160,6 +161,7 @@
 			"results", stored.Results-j.stored.Results)
 		j.outbox = j.outbox[stored.Results-j.stored.Results:]
 		j.stored, j.claimDue = stored, now
+		j.evidence.learn(stored.AsOf)
 	case errors.Is(err, batchkeeper.ErrOwnershipLost):
 		r.discard(id, err.Error())
 	default:
--- a/internal/batch/batchrunner/job.go
+++ b/internal/batch/batchrunner/job.go
@@ -21,13 +21,11 @@
 	items        []*item
 	// outbox has the results that are not committed yet, in the order of their
 	// positions.
-	outbox  []batchkeeper.Result
-	dirty   bool // failure counts have changed, or a write has failed, since the last write
-	writing bool // a write of the record is in flight
-	// renewedAt is when the record was last known to be this VM's, and renewDue when
-	// it is renewed next.
-	renewedAt time.Time
-	renewDue  time.Time
+	outbox   []batchkeeper.Result
+	dirty    bool // failure counts have changed, or a write has failed, since the last write
+	writing  bool // a write of the record is in flight
+	evidence evidence
+	renewDue time.Time // when the record is renewed next
 	// discarded means that another VM owns the job, or that it has ended.
 	discarded bool
 	// unclaimed means that another VM has handed the job over, and that this one does
@@ -238,7 +236,7 @@
 	var waiting []ranker.Item
 	run, _ := r.runStatistics.estimate(0)
 	for _, j := range r.jobs {
-		if j.discarded || r.expired(j) || now.Sub(j.renewedAt) > maxRenewalAge {
+		if j.discarded || r.expired(j) || !j.evidence.allowsStart(now) {
 			continue
 		}
 		for _, it := range j.items {
--- a/internal/batch/batchrunner/origin.go
+++ b/internal/batch/batchrunner/origin.go
@@ -32,7 +32,7 @@
 // newRunStart returns what this VM knows as it starts a run of an item.
 func newRunStart(it *item, now time.Time) runStart {
 	return runStart{
-		at: now, record: it.job.stored.Version, recordAge: now.Sub(it.job.renewedAt), unclaimed: it.job.unclaimed,
+		at: now, record: it.job.stored.Version, recordAge: now.Sub(it.job.evidence.asOf), unclaimed: it.job.unclaimed,
 		afterEvent: it.progress.LastEvent,
 	}
 }
--- a/internal/batch/batchrunner/runner.go
+++ b/internal/batch/batchrunner/runner.go
@@ -26,6 +26,7 @@
 	SetClock(now time.Duration)
 	ScanPart(ctx context.Context, part int) ([]batchkeeper.VersionedRecord, error)
 	Claim(ctx context.Context, seen batchkeeper.VersionedRecord) (batchkeeper.VersionedRecord, error)
+	Record(ctx context.Context, id string) (batchkeeper.VersionedRecord, error)
 	Load(ctx context.Context, record batchkeeper.Record) (batchkeeper.LoadedJob, error)
 	Commit(ctx context.Context, seen batchkeeper.VersionedRecord, results []batchkeeper.Result, tokens int64,
 		failureCounts map[int]batchkeeper.FailureCounts) (batchkeeper.VersionedRecord, error)
@@ -83,7 +84,7 @@
 	tickPeriod     = 100 * time.Millisecond
 	idleTickPeriod = 500 * time.Millisecond
 	// maxRenewalAge is how long items of a job are still started after its record was last
-	// renewed: a cancel could have been missed since.
+	// known to be open, while the store doesn't answer: a cancel could have been missed since.
 	maxRenewalAge = 10 * time.Second
 )
 
@@ -180,8 +181,8 @@
 	}
 	j := newJob(stored, loaded)
 	j.reservation, j.origin = reservation, from
-	j.renewedAt = time.Now()
-	j.renewDue = j.renewedAt.Add(renewPeriod)
+	j.evidence = evidence{asOf: stored.AsOf, own: true}
+	j.renewDue = stored.AsOf.Add(renewPeriod)
 	r.jobs[stored.ID] = j
 	r.setHasJobs(true)
 	delete(r.idle, stored.ID)
@@ -251,5 +252,8 @@
 		r.drainIfIdle(now)
 		return
 	}
+	for _, j := range r.jobs {
+		r.check(j, now)
+	}
 	r.startPending(now)
 }
--- a/internal/batch/batchrunner/store.go
+++ b/internal/batch/batchrunner/store.go
@@ -74,7 +74,7 @@
 		r.discard(id, "inconsistent")
 		return
 	}
-	j.renewedAt = now
+	j.evidence.learn(stored.AsOf)
 	j.renewDue = now.Add(renewPeriod)
 	j.outbox = j.outbox[written:]
 	j.stored = stored
--- a/internal/batch/jobmover/mover.go
+++ b/internal/batch/jobmover/mover.go
@@ -1,9 +1,9 @@
 // Package jobmover transfers jobs from a VM that shuts down directly to another one,
 // with the progress of their items, without the store.
 //
-// The receiving VM runs the items at once, and claims the job in the store as soon as
-// the store is available. Ownership is decided by the conditional write of the job's
-// record, as for any other takeover.
+// The receiving VM claims the job in the store, and runs the items once the store has shown that the
+// job is open. While the store doesn't answer, it runs them by the word of the sender. Ownership
+// is decided by the conditional write of the job's record, as for any other takeover.
 package jobmover
 
 import (
