--- a/internal/batch/batchrunner/job.go
+++ b/internal/batch/batchrunner/job.go
@@ -14,18 +14,18 @@
 // job is a batch job that this VM runs.
 type job struct {
 	stored batchkeeper.VersionedRecord
-	// firstVersion is the version of the record with which this VM got the job.
+	// firstVersion is the version of the record with which this VM got the job, and origin how
+	// it got the job.
 	firstVersion uint64
+	origin       origin
 	items        []*item
 	// outbox has the results that are not committed yet, in the order of their
 	// positions.
-	outbox  []batchkeeper.Result
-	dirty   bool // failure counts have changed, or a write has failed, since the last write
-	writing bool // a write of the record is in flight
-	// renewedAt is when the record was last known to be this VM's, and renewDue when
-	// it is renewed next.
-	renewedAt time.Time
-	renewDue  time.Time
+	outbox   []batchkeeper.Result
+	dirty    bool // failure counts have changed, or a write has failed, since the last write
+	writing  bool // a write of the record is in flight
+	evidence evidence
+	renewDue time.Time // when the record is renewed next
 	// discarded means that another VM owns the job, or that it has ended.
 	discarded bool
 	// unclaimed means that another VM has handed the job over, and that this one does
@@ -68,7 +68,7 @@
 	slot            *placer.Slot
 	cancel          context.CancelFunc
 	live            *attempter.LiveProgress // progress of the current run
-	runStart        time.Time               // start of the current run
+	runStart        runStart                // of the current run
 	// totalRunTime is the total time of all runs so far, and checkpointedBytes the number
 	// of output bytes at the last checkpoint.
 	totalRunTime      time.Duration
@@ -236,7 +236,7 @@
 	var waiting []ranker.Item
 	run, _ := r.runStatistics.estimate(0)
 	for _, j := range r.jobs {
-		if j.discarded || r.expired(j) || now.Sub(j.renewedAt) > maxRenewalAge {
+		if j.discarded || r.expired(j) || !j.evidence.allowsStart(now) {
 			continue
 		}
 		for _, it := range j.items {
--- a/internal/batch/batchrunner/runner.go
+++ b/internal/batch/batchrunner/runner.go
@@ -26,6 +26,7 @@
 	SetClock(now time.Duration)
 	ScanPart(ctx context.Context, part int) ([]batchkeeper.VersionedRecord, error)
 	Claim(ctx context.Context, seen batchkeeper.VersionedRecord) (batchkeeper.VersionedRecord, error)
+	Record(ctx context.Context, id string) (batchkeeper.VersionedRecord, error)
 	Load(ctx context.Context, record batchkeeper.Record) (batchkeeper.LoadedJob, error)
 	Commit(ctx context.Context, seen batchkeeper.VersionedRecord, results []batchkeeper.Result, tokens int64,
 		failureCounts map[int]batchkeeper.FailureCounts) (batchkeeper.VersionedRecord, error)
@@ -83,7 +84,7 @@
 	tickPeriod     = 100 * time.Millisecond
 	idleTickPeriod = 500 * time.Millisecond
 	// maxRenewalAge is how long items of a job are still started after its record was last
-	// renewed: a cancel could have been missed since.
+	// known to be open, while the store doesn't answer: a cancel could have been missed since.
 	maxRenewalAge = 10 * time.Second
 )
 
@@ -114,6 +115,7 @@
 	orphans           *orphanwatcher.Watcher
 	claimingOrLoading map[string]bool
 	idle              map[string]idleJob // by ID
+	ends              ends
 	draining          bool
 	drained           chan struct{} // closed when a draining runner has no jobs left
 }
@@ -135,7 +137,8 @@
 		self: self, keeper: keeper, placer: p, courier: c, members: members, config: config, memory: memory,
 		guard: guard, counter: counter, logger: logger, jobs: map[string]*job{},
 		running: map[*placer.Slot]*item{}, orphans: orphanwatcher.New(self.VM),
-		mover: noMover{}, waits: waits{}, claimingOrLoading: map[string]bool{}, idle: map[string]idleJob{}, drained: make(chan struct{}),
+		mover: noMover{}, waits: waits{}, claimingOrLoading: map[string]bool{}, idle: map[string]idleJob{}, ends: ends{},
+		drained: make(chan struct{}),
 	}
 	for _, option := range options {
 		option(r)
@@ -163,32 +166,30 @@
 func (r *Runner) Adopt(
 	stored batchkeeper.VersionedRecord, items []batchkeeper.Item, reservation *rationer.Reservation,
 ) {
-	r.loop.Post(func(time.Time) { r.adopt(stored, batchkeeper.LoadedJob{Items: items}, reservation) })
+	r.loop.Post(func(time.Time) {
+		r.adopt(stored, batchkeeper.LoadedJob{Items: items}, reservation, origin{way: wayAccepted})
+	})
 }
 
 // adopt starts to run a job that this process owns, unless it runs it already.
 func (r *Runner) adopt(
-	stored batchkeeper.VersionedRecord, loaded batchkeeper.LoadedJob, reservation *rationer.Reservation,
+	stored batchkeeper.VersionedRecord, loaded batchkeeper.LoadedJob, reservation *rationer.Reservation, from origin,
 ) {
 	if _, known := r.jobs[stored.ID]; known {
 		reservation.Release()
 		return
 	}
 	j := newJob(stored, loaded)
-	j.reservation = reservation
-	j.renewedAt = time.Now()
-	j.renewDue = j.renewedAt.Add(renewPeriod)
+	j.reservation, j.origin = reservation, from
+	j.evidence = evidence{asOf: stored.AsOf, own: true}
+	j.renewDue = stored.AsOf.Add(renewPeriod)
 	r.jobs[stored.ID] = j
 	r.setHasJobs(true)
 	delete(r.idle, stored.ID)
 	r.orphans.Forget(stored.ID)
 	r.logger.Info("job adopted", "job", stored.ID, "route", stored.Route, "items", stored.Items,
-		"results", stored.Results, "record", stored.Version, "due", stored.Due-r.keeper.Now())
-}
-
-// Cancelled stops a job that was cancelled in the store, if this VM runs it.
-func (r *Runner) Cancelled(id string) {
-	r.loop.Post(func(time.Time) { r.discard(id, "cancelled") })
+		"results", stored.Results, "record", stored.Version, "due", stored.Due-r.keeper.Now(), "way", from.way, "sender", from.from.VM,
+		"senderBoot", from.from.Boot)
 }
 
 // discard stops a job that this VM must not run any more, and discards its results that
@@ -218,6 +219,7 @@
 		r.scan(now)
 	}
 	r.expire()
+	r.ends.expire(now)
 	r.setHasJobs(len(r.jobs) > 0)
 }
 
@@ -250,5 +252,8 @@
 		r.drainIfIdle(now)
 		return
 	}
+	for _, j := range r.jobs {
+		r.check(j, now)
+	}
 	r.startPending(now)
 }
