--- a/internal/batch/jobmover/mover_test.go
+++ b/internal/batch/jobmover/mover_test.go
@@ -72,6 +72,14 @@
 	expectMove(t, handlerOf(&fakeReceiver{}), jobmover.ErrNotTakenOver)
 }
 
+// Guards against: a job stays with a VM that shuts down, as a VM of another fleet has rejected it.
+func TestJobThatAnotherFleetRejectsIsNotTakenOver(t *testing.T) {
+	for _, status := range []int{http.StatusMisdirectedRequest, http.StatusServiceUnavailable} {
+		expectMove(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }),
+			jobmover.ErrNotTakenOver)
+	}
+}
+
 // Guards against a job that runs on two VMs: one that crashes during a transfer may
 // have started the job, so the sender must not offer it to another one.
 func TestLostResponseLeavesTheOutcomeUnknown(t *testing.T) {
--- a/internal/control/fleetidentifier/fleet.go
+++ b/internal/control/fleetidentifier/fleet.go
@@ -6,7 +6,8 @@
 // all that they send to each other, and a receiver rejects what names another one.
 //
 // A VM of an earlier release names none, and neither does one that has not been able to read it
-// yet. What names none is accepted.
+// yet. What names none is accepted. A VM that doesn't know its own fleet accepts messages, which only say something,
+// but no requests that name one.
 package fleetidentifier
 
 import (
@@ -19,8 +20,11 @@
 // maxLoggedPeers bounds the number of peers for which a rejection is logged.
 const maxLoggedPeers = 100
 
-// countRejected is the counter of what was rejected.
-const countRejected = `peer_messages_rejected_total{reason="otherFleet"}`
+// Counters of what was rejected.
+const (
+	countRejected = `peer_messages_rejected_total{reason="otherFleet"}`
+	countUnknown  = `peer_messages_rejected_total{reason="fleetUnknown"}`
+)
 
 // Errors of Learn.
 var (
--- a/internal/control/fleetidentifier/fleet_test.go
+++ b/internal/control/fleetidentifier/fleet_test.go
@@ -102,7 +102,8 @@
 	t.Run("another", func(t *testing.T) { expect(t, 7, 8, 10, http.StatusMisdirectedRequest, 0) })
 	t.Run("another, long", func(t *testing.T) { expect(t, 7, 8, longBody, http.StatusMisdirectedRequest, 0) })
 	t.Run("sender unknown", func(t *testing.T) { expect(t, 0, 8, 10, http.StatusOK, 10) })
-	t.Run("receiver unknown", func(t *testing.T) { expect(t, 7, 0, 10, http.StatusOK, 10) })
+	t.Run("receiver unknown", func(t *testing.T) { expect(t, 7, 0, 10, http.StatusServiceUnavailable, 0) })
+	t.Run("both unknown", func(t *testing.T) { expect(t, 0, 0, 10, http.StatusOK, 10) })
 }
 
 // Guards against: a header that a later release changes makes this one reject all of its messages.
--- a/internal/control/fleetidentifier/http.go
+++ b/internal/control/fleetidentifier/http.go
@@ -43,19 +43,29 @@
 	})
 }
 
-// Handler returns a handler of requests from peer VMs. It answers those of another fleet with status
-// 421 before anything is done.
+// Handler returns a handler of requests from peer VMs. It rejects some before anything is done: with
+// status 421 those of another fleet, and with 503 those that name a fleet while this VM doesn't know its own. A
+// request is not lost by that, as its sender goes on to another VM, while a job that is run cannot be undone.
 func (f *Fleet) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if f.Admit(identityOf(r), hostOf(r)) {
+		identity := identityOf(r)
+		switch {
+		case !f.Admit(identity, hostOf(r)):
+			reject(w, r, http.StatusMisdirectedRequest)
+		case identity != 0 && f.Identity() == 0:
+			f.counter.Count(countUnknown)
+			reject(w, r, http.StatusServiceUnavailable)
+		default:
 			next.ServeHTTP(w, r)
-			return
 		}
-		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscardedBytes)) //nolint:errcheck // nothing depends on it
-		w.WriteHeader(http.StatusMisdirectedRequest)
 	})
 }
 
+func reject(w http.ResponseWriter, r *http.Request, status int) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscardedBytes)) //nolint:errcheck // nothing depends on it
+	w.WriteHeader(status)
+}
+
 // identityOf returns the identity that a request names; 0 if it names none that can be read.
 func identityOf(r *http.Request) uint64 {
 	identity, err := strconv.ParseUint(r.Header.Get(headerFleet), 10, 64)
--- a/internal/control/fleetidentifier/identifier.go
+++ b/internal/control/fleetidentifier/identifier.go
@@ -23,8 +23,10 @@
 	Part = "fleet"
 	// Row is the name of the row.
 	Row = "identity"
-	// callTimeout bounds one call of the store.
-	callTimeout = 1500 * time.Millisecond
+	// callTimeout bounds one call of the store. It doubles with each failure, up to maxCallTimeout, as many VMs
+	// that start together may share a narrow link.
+	callTimeout    = 1500 * time.Millisecond
+	maxCallTimeout = 6 * time.Second
 	// createSpread is the time over which the VMs of a fleet that starts try to create the row.
 	createSpread = time.Second
 	// recheckInterval is the mean time between two reads of the row. minRecheckDelay bounds the
@@ -120,9 +122,13 @@
 	return i.fleet.Learn(identity)
 }
 
+func (i *Identifier) timeout() time.Duration {
+	return sleeper.Backoff{Initial: callTimeout, Max: maxCallTimeout}.Delay(i.failures)
+}
+
 // read returns the identity, errMissing if the store has none, errMalformed, or an error of the store.
 func (i *Identifier) read(ctx context.Context) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, i.timeout())
 	defer cancel()
 	page, _, err := i.store.Range(ctx, Table, Part, Row, Row+"\x00")
 	if err != nil {
@@ -149,7 +155,7 @@
 	if err != nil {
 		return 0, fmt.Errorf("encode identity of the fleet: %w", err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, i.timeout())
 	defer cancel()
 	_, err = i.store.Transact(ctx, rowstore.Tx{
 		Conditions: []rowstore.Condition{{Key: key}}, Puts: []rowstore.Put{{Key: key, Value: value}},
--- a/internal/online/tunneler/tunneler_test.go
+++ b/internal/online/tunneler/tunneler_test.go
@@ -172,11 +172,15 @@
 			qt.Check(t, err, qt.Equals, reason)
 		})
 	}
-	t.Run("earlier release", func(t *testing.T) {
-		old := httptest.NewServer(http.NotFoundHandler())
-		t.Cleanup(old.Close)
-		expectOpenError(t, old.Listener.Addr().String(), tunneler.ErrIncapable)
-	})
+	expectStatus := func(t *testing.T, status int, want error) {
+		t.Helper()
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
+		t.Cleanup(server.Close)
+		expectOpenError(t, server.Listener.Addr().String(), want)
+	}
+	t.Run("earlier release", func(t *testing.T) { expectStatus(t, http.StatusNotFound, tunneler.ErrIncapable) })
+	t.Run("another fleet", func(t *testing.T) { expectStatus(t, http.StatusMisdirectedRequest, tunneler.ErrIncapable) })
+	t.Run("fleet unknown", func(t *testing.T) { expectStatus(t, http.StatusServiceUnavailable, tunneler.ErrBusy) })
 	t.Run("no memory", func(t *testing.T) {
 		carrier := tunneler.NewCarrier(connector{}, rationer.New(10), noCounter{}, slog.New(slog.DiscardHandler))
 		server := httptest.NewServer(carrier)
--- a/internal/store/storerelayer/relayer_test.go
+++ b/internal/store/storerelayer/relayer_test.go
@@ -122,6 +122,23 @@
 	})
 }
 
+// Guards against: the rejection of a VM of another fleet is taken for the answer of the store.
+func TestRejectionByAnotherFleetIsNoAnswer(t *testing.T) {
+	expect := func(t *testing.T, status int, method string) {
+		t.Helper()
+		p := newPair(t, failDial, sendDirect)
+		other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
+		t.Cleanup(other.Close)
+		p.vm.SetPeers([]string{other.Listener.Addr().String()}, nil)
+		_, err := callWithMethod(t, p, method)
+		qt.Check(t, err, qt.ErrorMatches, "dial: cut")
+	}
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(method+" to another fleet", func(t *testing.T) { expect(t, http.StatusMisdirectedRequest, method) })
+		t.Run(method+" to a fleet unknown", func(t *testing.T) { expect(t, http.StatusServiceUnavailable, method) })
+	}
+}
+
 func TestCallAfterLostResponseIsRelayed(t *testing.T) {
 	p := newPair(t, failWithoutResponse, sendDirect)
 	_, err := call(t, p)
