batchrunner: items start on what the store has shown in the last 2 s, not in the last 10 s

What callers saw: items of a job that they had ended reached upstreams later than 3 s after the confirmation.

Cause: items started for up to 10 s after the last answer to a write, counted from the answer. A write may take 8 s, and a load 3 s, in which an end can be confirmed; a process that stood still for seconds started items as it went on.

Fix: evidence counts for 2 s from the start of the attempt. From 1.5 s on the VM reads the record beside the write that is in flight, each read for 0.5 s, until one is answered. Older evidence, up to 10 s, counts only while such reads get no answer, so jobs run on in an outage. A refusal because of the rate of calls is an answer: the store is well and may have confirmed an end. The arithmetic is beside the constants.

--- a/internal/batch/batchrunner/ended_test.go
+++ b/internal/batch/batchrunner/ended_test.go
@@ -166,6 +166,21 @@
 	}
 }
 
+// Guards against: a store that refuses calls because of their rate, in calm, counts as one that is down,
+// and items of a job that has ended are started on old evidence.
+func TestRefusalsBecauseOfTheRateAreNoOutage(t *testing.T) {
+	inFleet(t, 3, fastPlan, func(f *fleet) {
+		f.letOthersWatch("a")
+		v, toStore := f.startLinked("a")
+		defer v.stop()
+		f.submit(v, manyItems)
+		time.Sleep(time.Second)
+		toStore.limit()
+		ended := f.end()
+		f.expectNoStartSince(ended.Add(cancelTime), 10*time.Second)
+	})
+}
+
 // Guards against: a VM that stood still for seconds starts items at once as it goes on, of a job that
 // has ended meanwhile.
 func TestVMThatStoodStillStartsNothingOfAnEndedJob(t *testing.T) {
@@ -289,3 +304,16 @@
 		qt.Check(t, f.runsSince(began) >= 17, qt.IsTrue, qt.Commentf("%d items of 0.5 s", f.runsSince(began)))
 	})
 }
+
+// Guards against: the record of each job is read beside its renewals, which costs the store as many
+// reads.
+func TestNoChecksAreNeededInCalm(t *testing.T) {
+	inFleet(t, 3, slowPlan, func(f *fleet) {
+		v, _ := f.startLinked("a")
+		defer v.stop()
+		f.submit(v, manyItems)
+		time.Sleep(15 * time.Second)
+		qt.Check(t, len(f.runs()) > 0, qt.IsTrue)
+		qt.Check(t, v.counters.Get(`job_checks_total{outcome="read"}`), qt.Equals, uint64(0))
+	})
+}
--- a/internal/batch/batchrunner/evidence.go
+++ b/internal/batch/batchrunner/evidence.go
@@ -6,11 +6,28 @@
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 )
 
+// A VM in touch starts no item later than 3 s after the end of its job was confirmed, at T:
+//
+//   - on evidence of its own, until T + maxEvidenceAge = 2 s: an attempt that began after T has
+//     shown the end;
+//   - by the silence of the store, only if a check that began in the last maxSilenceAge was not
+//     answered. The store has answered a VM in touch for longer than that. A refusal because of the
+//     rate of calls is no silence: it comes from a store that is well.
+//
+// The VM discards the job, and cancels runs that still wait for a connection, with the answer of the first
+// attempt after T: at T + checkAge + tickPeriod + checkTimeout = 2.1 s at the latest.
 const (
-	// checkTimeout bounds a check, which reads the record of one job beside whatever write is in
-	// flight, and checkPause is the time until the next one.
+	// maxEvidenceAge is how long items start on evidence. It is renewed with each write, every
+	// renewPeriod at least.
+	maxEvidenceAge = 2 * time.Second
+	// checkAge is the age of evidence at which the record is read beside whatever write is in
+	// flight: a renewal period, a tick and the usual time of a write, so that a check is needed
+	// only if a write takes unusually long.
+	checkAge = 1500 * time.Millisecond
+	// checkTimeout bounds a check, and checkPause is the time until the next one.
 	checkTimeout = 500 * time.Millisecond
 	checkPause   = 100 * time.Millisecond
 	// maxSilenceAge is how long a check that ended without an answer shows that the store doesn't
@@ -21,8 +38,9 @@
 
 // evidence is what this VM knows of whether a job is open and may be run here.
 //
-// Items start on what this process has learned from the store. The word of another process, of a
-// job that was handed over, counts only while the store doesn't answer this VM.
+// Items start on what this process has learned from the store in the last maxEvidenceAge. Older
+// evidence, and the word of the process that has handed a job over, count only while the store
+// doesn't answer this VM, and for maxRenewalAge at most.
 type evidence struct {
 	// asOf is when the newest attempt began whose answer has shown that the job was open and
 	// nobody else's; or, by the word of the process that has handed the job over, that process's.
@@ -46,7 +64,8 @@
 
 // allowsStart returns whether items of the job may start.
 func (e *evidence) allowsStart(now time.Time) bool {
-	return now.Sub(e.asOf) <= maxRenewalAge && (e.own || e.storeIsSilent(now))
+	age := now.Sub(e.asOf)
+	return age <= maxRenewalAge && (e.own && age <= maxEvidenceAge || e.storeIsSilent(now))
 }
 
 // storeIsSilent returns whether the store doesn't answer this VM.
@@ -54,7 +73,8 @@
 
 // needsCheck returns whether the job's record should be read now.
 func (e *evidence) needsCheck(now time.Time) bool {
-	return !e.own && !e.checking && !now.Before(e.checkDue)
+	isDue := !e.own || now.Sub(e.asOf) >= checkAge
+	return isDue && !e.checking && !now.Before(e.checkDue)
 }
 
 // check reads the record of a job if what this VM knows of it doesn't suffice to start items, or
@@ -81,9 +101,9 @@
 	case j.discarded || j.releasing:
 	case errors.Is(err, batchkeeper.ErrNotFound):
 		r.discard(j.stored.ID, err.Error())
-	case errors.Is(err, batchkeeper.ErrNotRead):
+	case errors.Is(err, batchkeeper.ErrNotRead) && !errors.Is(err, rowstore.ErrRateLimited):
 		e.silentAt = began
-	case err != nil: // the store has answered, but nothing that helps
+	case err != nil: // the store is there, but its answer says nothing of the job
 		e.silentAt = time.Time{}
 	default:
 		e.silentAt = time.Time{}
--- a/internal/batch/batchrunner/handover.go
+++ b/internal/batch/batchrunner/handover.go
@@ -154,7 +154,7 @@
 	case err == nil:
 		j.unclaimed, j.stored = false, stored
 		j.evidence.learn(stored.AsOf)
-		j.renewDue = now.Add(renewPeriod)
+		j.renewDue = renewDueAfter(stored, now)
 		r.logger.Info("job claimed after handover", "job", id, "record", stored.Version, "results", len(j.outbox))
 	case errors.Is(err, batchkeeper.ErrOwnershipLost) && j.isWrittenByPreviousOwner(stored):
 		r.logger.Info("last write of the previous owner found", "job", id, "record", stored.Version,
--- a/internal/batch/batchrunner/link_test.go
+++ b/internal/batch/batchrunner/link_test.go
@@ -25,6 +25,7 @@
 	mu         sync.Mutex
 	hangReads  bool
 	hangWrites bool
+	limited    bool // the store refuses all calls because of their rate
 }
 
 // set sets which calls hang.
@@ -34,6 +35,13 @@
 	l.hangReads, l.hangWrites = hangReads, hangWrites
 }
 
+// limit makes the store refuse all calls because of their rate.
+func (l *link) limit() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limited = true
+}
+
 // pass waits until a call reaches the store, or until its context ends if calls of its kind hang.
 func (l *link) pass(ctx context.Context, write bool) error {
 	time.Sleep(storeDelay)
@@ -42,7 +50,11 @@
 	if write {
 		hang = l.hangWrites
 	}
+	limited := l.limited
 	l.mu.Unlock()
+	if limited {
+		return fmt.Errorf("%w: %w", rowstore.ErrNotDone, rowstore.ErrRateLimited)
+	}
 	if hang {
 		<-ctx.Done()
 		return rowstore.ErrInDoubt
--- a/internal/batch/batchrunner/origin.go
+++ b/internal/batch/batchrunner/origin.go
@@ -26,6 +26,7 @@
 	record     uint64        // version of the job's record
 	recordAge  time.Duration // time since the record was known to be open and this VM's
 	unclaimed  bool          // this VM doesn't own the job in the store yet
+	silence    bool          // the store didn't answer this VM
 	afterEvent string        // the event after which the run resumes; empty for the first one
 }
 
@@ -33,6 +34,7 @@
 func newRunStart(it *item, now time.Time) runStart {
 	return runStart{
 		at: now, record: it.job.stored.Version, recordAge: now.Sub(it.job.evidence.asOf), unclaimed: it.job.unclaimed,
+		silence:    it.job.evidence.storeIsSilent(now),
 		afterEvent: it.progress.LastEvent,
 	}
 }
@@ -42,5 +44,5 @@
 	from, start := it.job.origin, it.runStart
 	return slog.Group("from", "vm", r.self.VM, "boot", r.self.Boot, "way", from.way, "sender", from.from.VM,
 		"senderBoot", from.from.Boot, "record", start.record, "recordAge", start.recordAge, "unclaimed", start.unclaimed,
-		"afterEvent", start.afterEvent, "startedAgo", time.Since(start.at))
+		"storeSilent", start.silence, "afterEvent", start.afterEvent, "startedAgo", time.Since(start.at))
 }
--- a/internal/batch/batchrunner/store.go
+++ b/internal/batch/batchrunner/store.go
@@ -75,7 +75,7 @@
 		return
 	}
 	j.evidence.learn(stored.AsOf)
-	j.renewDue = now.Add(renewPeriod)
+	j.renewDue = renewDueAfter(stored, now)
 	j.outbox = j.outbox[written:]
 	j.stored = stored
 	if written == 0 && sent == 0 {
@@ -88,6 +88,16 @@
 	}
 }
 
+// renewDueAfter returns when a record that was written is renewed next: renewPeriod after the attempt
+// began, but not at once if the store is slow.
+func renewDueAfter(stored batchkeeper.VersionedRecord, now time.Time) time.Time {
+	due, earliest := stored.AsOf.Add(renewPeriod), now.Add(renewPeriod/2)
+	if due.Before(earliest) {
+		return earliest
+	}
+	return due
+}
+
 // renew renews a job's record, which shows other VMs that its owner is alive. It also
 // stores a checkpoint of the items, so that less is lost with this VM.
 func (r *Runner) renew(j *job, now time.Time) {
