requestwriter: requests reach upstreams as they came, or are refused

What callers saw: an upstream got `://a/b?x=1` for `//a/b?x=1`, which a route with the prefix "/" and the path of an item let through; items reached upstreams with a field left out or with a line break made a space; of two spellings of a field (Model, model) a random one won; a path or value that isn't UTF-8 arrived with replacement characters. Items' Deadline-Ms, Connection, Upgrade, Expect and Last-Event-Id were sent on: the last one makes an upstream leave out the beginning. A caller's `Connection: model` took its Model away.

Cause: http.Request.Write changes targets and fields without an error, items' fields were not filtered, and fields that Connection lists were all dropped.

Change: requestwriter writes the head itself, byte for byte, and returns ErrUnwritable for what would be read back differently. ErrUnwritable isn't counted as a failure of the upstream. Bodies are no longer copied.

--- a/internal/online/courier/courier.go
+++ b/internal/online/courier/courier.go
@@ -15,6 +15,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/online/forwarder"
 	"github.com/fescuespindle/fescuespindle/internal/online/placer"
 	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/online/requestwriter"
 )
 
 // Call is a request, online or from a batch, as it is sent to an upstream.
@@ -107,8 +108,8 @@
 		Request: c.codec.Encode(call, target, time.Now()), Body: call.Body, ID: call.ID, Address: target.Upstream.Address,
 	})
 	if err != nil {
-		c.releaseSlot(ctx, slot, true)
-		return nil, err //nolint:wrapcheck // an AttemptError, which callers unwrap
+		c.releaseSlot(ctx, slot, !errors.Is(err, requestwriter.ErrUnwritable)) // the call's fault, not the upstream's
+		return nil, err                                                        //nolint:wrapcheck // an AttemptError, which callers unwrap
 	}
 	classification := c.codec.Classify(answer.Status(), answer.Header())
 	if classification.HasLoad {
--- a/internal/online/forwarder/forwarder.go
+++ b/internal/online/forwarder/forwarder.go
@@ -11,7 +11,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -23,6 +22,7 @@
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/online/requestwriter"
 	"github.com/fescuespindle/fescuespindle/internal/online/tunneler"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/socketdialer"
 )
@@ -37,6 +37,8 @@
 	// read. A larger one is written concurrently: otherwise the upstream could block
 	// on writing its answer while the VM blocks on writing the body.
 	maxInlineBodyBytes = 32 << 10
+	// headBytesHint is the size of most requests' heads.
+	headBytesHint = 1024
 	// maxAnswersPerExchange bounds the answers that are read in search of the matching
 	// one, interim (1xx) answers included. maxStaleBodyBytes bounds the body of each
 	// answer that is discarded.
@@ -50,9 +52,10 @@
 
 // Attempt is a single transmission of a request to one upstream.
 type Attempt struct {
-	// Request has everything but the body.
+	// Request has everything but the body. Its target is URL.Opaque.
 	Request *http.Request
-	Body    []byte
+	// Body must not be changed, even after Send: a long one is still being written then.
+	Body []byte
 	// ID is the identifier that the answer must carry.
 	ID      string
 	Address string
@@ -211,23 +214,15 @@
 // encode serializes a request. If the body is larger than maxInlineBodyBytes, head
 // ends before the body and tail is the body; otherwise head has both and tail is nil.
 func encode(a Attempt) (head, tail []byte, err error) {
-	var buffer bytes.Buffer
-	request := a.Request
-	request.ContentLength = int64(len(a.Body))
-	request.Body = http.NoBody
-	if len(a.Body) > 0 {
-		request.Body = io.NopCloser(bytes.NewReader(a.Body))
+	inline, tail := a.Body, []byte(nil)
+	if len(a.Body) > maxInlineBodyBytes {
+		inline, tail = nil, a.Body
 	}
-	buffer.Grow(1024 + len(a.Body))
-	if err := request.Write(&buffer); err != nil {
+	head, err = requestwriter.Append(make([]byte, 0, headBytesHint+len(inline)), a.Request, len(a.Body))
+	if err != nil {
 		return nil, nil, fmt.Errorf("encode request: %w", err)
 	}
-	all := buffer.Bytes()
-	if len(a.Body) <= maxInlineBodyBytes {
-		return all, nil, nil
-	}
-	bodyStart := len(all) - len(a.Body)
-	return all[:bodyStart], all[bodyStart:], nil
+	return append(head, inline...), tail, nil
 }
 
 // readMatching reads answers until one carries the attempt's identifier, and discards
--- a/internal/standins/rawresponder/responder.go
+++ b/internal/standins/rawresponder/responder.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -12,13 +13,14 @@
 )
 
 // Answer returns the bytes that answer the n-th request on a connection, counted from 1; ""
-// closes the connection.
+// closes the connection. The body of the request has been read, and can be read again.
 type Answer func(n int, r *http.Request) string
 
 // Responder is a server on loopback.
 type Responder struct {
 	listener    net.Listener
 	closesAfter bool
+	late        *lateReading // nil if bodies are read before they are answered
 	group       sync.WaitGroup
 }
 
@@ -30,6 +32,18 @@
 	return func(r *Responder) { r.closesAfter = true }
 }
 
+// lateReading is how bodies are read that are answered first.
+type lateReading struct {
+	mayRead <-chan struct{}
+	read    func(n int, body []byte, err error)
+}
+
+// WithBodyReadLate answers requests before their bodies are read. Each body is read once a receive from
+// mayRead succeeds, and given to a function with the number of its request on the connection.
+func WithBodyReadLate(mayRead <-chan struct{}, read func(n int, body []byte, err error)) Option {
+	return func(r *Responder) { r.late = &lateReading{mayRead: mayRead, read: read} }
+}
+
 // New starts a Responder.
 func New(answer Answer, options ...Option) (*Responder, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -66,14 +80,26 @@
 		if err != nil {
 			return
 		}
-		_, _ = io.Copy(io.Discard, request.Body)
+		unread := request.Body
+		if r.late == nil {
+			body, _ := io.ReadAll(unread)
+			request.Body = io.NopCloser(bytes.NewReader(body))
+		}
 		text := answer(n, request)
 		if text == "" {
 			return
 		}
 		_, _ = io.WriteString(conn, text)
-		if r.closesAfter {
+		if r.closesAfter || (r.late != nil && !r.late.readBody(n, unread)) {
 			return
 		}
 	}
 }
+
+// readBody reads the body of a request that was answered. It returns false if it doesn't arrive whole.
+func (l *lateReading) readBody(n int, from io.Reader) bool {
+	<-l.mayRead
+	body, err := io.ReadAll(from)
+	l.read(n, body, err)
+	return err == nil
+}
