--- a/internal/standins/interrupter/proxy.go
+++ b/internal/standins/interrupter/proxy.go
@@ -47,8 +47,11 @@
 }
 
 // New starts a proxy that listens on loopback and forwards to an address.
-func New(target string) (*Proxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func New(target string) (*Proxy, error) { return NewAt("127.0.0.1:0", target) }
+
+// NewAt starts a proxy that listens on an address and forwards to another one.
+func NewAt(address, target string) (*Proxy, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("proxy: %w", err)
 	}
