batchrunner: an end that is heard holds for a job that this VM gets later

What callers saw: items of a job that they had ended reached upstreams, from a VM that had heard of the end or had confirmed it itself.

Cause: a report of an end had no effect unless the VM ran the job at that moment. A claim, a load, an acceptance or a handover that ended later started its items.

Evidence: TestEndThatIsHeardBeforeTheJobIsRunHolds ("3 items were started", in each of three cases) and TestJobThatIsHandedOverInAnOutageAfterItsEndWasHeardStartsNothing ("9 items were started") failed before.

What it knew before counts for nothing; it checks the record at once, and an attempt that began after the report decides. The word of another process doesn't count at all for such a job. A false report loses nothing: the job is loaded again, and repetitions of the report only check it (TestFalseReportOfAnEndLosesNothing, TestEndAfterAFalseReportHolds).

--- a/internal/batch/batchrunner/evidence.go
+++ b/internal/batch/batchrunner/evidence.go
@@ -50,8 +50,11 @@
 	// silentAt is when the last check began, if it has ended without an answer and nothing has
 	// been answered since; else it is zero.
 	silentAt time.Time
-	checking bool // a check is in flight
-	checkDue time.Time
+	// endHeardAt is when the end of the job was last reported; zero if it wasn't. Only what this
+	// process has learned from the store since then counts.
+	endHeardAt time.Time
+	checking   bool // a check is in flight
+	checkDue   time.Time
 }
 
 // learn records that an answer of the store has shown that the job is open and nobody else's.
@@ -65,15 +68,22 @@
 // allowsStart returns whether items of the job may start.
 func (e *evidence) allowsStart(now time.Time) bool {
 	age := now.Sub(e.asOf)
-	return age <= maxRenewalAge && (e.own && age <= maxEvidenceAge || e.storeIsSilent(now))
+	if age > maxRenewalAge || !e.endHeardAt.IsZero() && !e.holdsSince(e.endHeardAt) {
+		return false
+	}
+	return e.own && age <= maxEvidenceAge || e.storeIsSilent(now)
 }
 
+// holdsSince returns whether this process has learned from the store, by an attempt that began at a time
+// or later, that the job is open.
+func (e *evidence) holdsSince(t time.Time) bool { return e.own && !e.asOf.Before(t) }
+
 // storeIsSilent returns whether the store doesn't answer this VM.
 func (e *evidence) storeIsSilent(now time.Time) bool { return now.Sub(e.silentAt) <= maxSilenceAge }
 
 // needsCheck returns whether the job's record should be read now.
 func (e *evidence) needsCheck(now time.Time) bool {
-	isDue := !e.own || now.Sub(e.asOf) >= checkAge
+	isDue := !e.holdsSince(e.endHeardAt) || now.Sub(e.asOf) >= checkAge
 	return isDue && !e.checking && !now.Before(e.checkDue)
 }
 
@@ -100,7 +110,7 @@
 	switch {
 	case j.discarded || j.releasing:
 	case errors.Is(err, batchkeeper.ErrNotFound):
-		r.discard(j.stored.ID, err.Error())
+		r.discardByRecord(j, read, err.Error())
 	case errors.Is(err, batchkeeper.ErrNotRead) && !errors.Is(err, rowstore.ErrRateLimited):
 		e.silentAt = began
 	case err != nil: // the store is there, but its answer says nothing of the job
@@ -132,7 +142,7 @@
 	switch {
 	case read.Version < j.stored.Version:
 	case !read.Open():
-		r.discard(j.stored.ID, "ended")
+		r.discardByRecord(j, read, "ended")
 	case nobodyElses:
 		j.evidence.learn(read.AsOf)
 	case j.unclaimed: // the claim decides who owns the job
--- a/internal/batch/batchrunner/handover.go
+++ b/internal/batch/batchrunner/handover.go
@@ -119,7 +119,7 @@
 		origin{way: wayHandedOver, from: moved.Record.Owner})
 	j := r.jobs[id]
 	j.unclaimed = true
-	j.evidence = evidence{asOf: now.Add(-moved.Age)}
+	j.evidence = evidence{asOf: now.Add(-moved.Age), endHeardAt: r.ends[id].last}
 	j.outbox = moved.Outbox
 	for _, index := range moved.Ended {
 		if index >= 0 && index < len(j.items) {
@@ -163,7 +163,7 @@
 		j.stored, j.claimDue = stored, now
 		j.evidence.learn(stored.AsOf)
 	case errors.Is(err, batchkeeper.ErrOwnershipLost):
-		r.discard(id, err.Error())
+		r.discardByRecord(j, stored, err.Error())
 	default:
 		j.claimDue = now.Add(claimRetryPause/2 + rand.N(claimRetryPause))
 	}
--- a/internal/batch/batchrunner/link_test.go
+++ b/internal/batch/batchrunner/link_test.go
@@ -144,6 +144,15 @@
 	return n
 }
 
+// running returns the number of runs at upstreams.
+func (f *fleet) running() int {
+	n := 0
+	for _, u := range f.upstreams {
+		n += u.Running()
+	}
+	return n
+}
+
 // expectNoStartSince waits and checks that no run has started at a time or later.
 func (f *fleet) expectNoStartSince(since time.Time, wait time.Duration) {
 	f.t.Helper()
--- a/internal/batch/batchrunner/runner.go
+++ b/internal/batch/batchrunner/runner.go
@@ -181,7 +181,7 @@
 	}
 	j := newJob(stored, loaded)
 	j.reservation, j.origin = reservation, from
-	j.evidence = evidence{asOf: stored.AsOf, own: true}
+	j.evidence = evidence{asOf: stored.AsOf, own: true, endHeardAt: r.ends[stored.ID].last}
 	j.renewDue = stored.AsOf.Add(renewPeriod)
 	r.jobs[stored.ID] = j
 	r.setHasJobs(true)
--- a/internal/batch/batchrunner/store.go
+++ b/internal/batch/batchrunner/store.go
@@ -61,7 +61,7 @@
 	case j.releasing: // the next owner finds out what was written
 		return
 	case errors.Is(err, batchkeeper.ErrOwnershipLost):
-		r.discard(id, err.Error())
+		r.discardByRecord(j, stored, err.Error())
 		return
 	case err != nil:
 		j.dirty = true
