batchrunner: the age of a job that is handed over is checked against the store's clock

What callers saw: nothing so far; a VM whose machine was suspended could hand a job over as newer than it is, and in an outage items would start for longer than 10 s after the job was last known to be open.

Cause: the age was the sender's word, by a clock that stands still while its machine is suspended, and could even be negative.

Fix: the job already carries the sender's estimate of the store's clock. If that is behind the receiver's, the difference is added to the age. The message is unchanged, so jobs of and to older builds are understood.

--- a/internal/batch/batchrunner/ended_test.go
+++ b/internal/batch/batchrunner/ended_test.go
@@ -275,6 +275,21 @@
 	})
 }
 
+// Guards against: a negative age makes the sender's word count for longer than maxRenewalAge.
+func TestNegativeAgeOfAHandedOverJobCountsAsZero(t *testing.T) {
+	inFleet(t, 3, fastPlan, func(f *fleet) {
+		v, toStore := f.startLinked("a")
+		defer v.stop()
+		toStore.set(true, true)
+		job := f.moved(manyItems)
+		job.Clock, job.Age = v.keeper.Now(), -time.Hour
+		began := time.Now()
+		qt.Assert(t, v.runner.TakeOver(f.t.Context(), job), qt.IsTrue)
+		f.expectNoStartSince(began.Add(11*time.Second), 15*time.Second)
+		qt.Check(t, f.runsSince(began) > 0, qt.IsTrue)
+	})
+}
+
 // Guards against: jobs that are handed over in an outage don't run until it ends.
 func TestHandedOverJobRunsInAnOutage(t *testing.T) {
 	expect := func(t *testing.T, outage func(f *fleet, toA, toB *link)) {
--- a/internal/batch/batchrunner/handover.go
+++ b/internal/batch/batchrunner/handover.go
@@ -113,13 +113,14 @@
 		r.logger.Warn("job not taken over, no memory for its items", "job", id, "bytes", moved.Bytes())
 		return false
 	}
+	age := r.ageOf(moved)
 	r.keeper.SetClock(moved.Clock)
 	stored := batchkeeper.VersionedRecord{Record: moved.Record, Version: moved.Version}
 	r.adopt(stored, batchkeeper.LoadedJob{Items: moved.Items, Progress: moved.Progress}, reservation,
 		origin{way: wayHandedOver, from: moved.Record.Owner})
 	j := r.jobs[id]
 	j.unclaimed = true
-	j.evidence = evidence{asOf: now.Add(-moved.Age), endHeardAt: r.ends[id].last}
+	j.evidence = evidence{asOf: now.Add(-age), endHeardAt: r.ends[id].last}
 	j.outbox = moved.Outbox
 	for _, index := range moved.Ended {
 		if index >= 0 && index < len(j.items) {
@@ -130,6 +131,17 @@
 	return true
 }
 
+// ageOf returns how long ago the sender of a job last knew that the record was its own. A sender that was
+// suspended counts too little, as its clock stood still. Its estimate of the store's clock is then
+// behind this VM's by as much, give or take the time that the last answer to either took.
+func (r *Runner) ageOf(moved jobmover.Job) time.Duration {
+	age := max(moved.Age, 0)
+	if known := r.keeper.Now(); known > 0 && moved.Clock > 0 {
+		age += max(known-moved.Clock, 0)
+	}
+	return age
+}
+
 // claimHandedOver claims a job that was handed over to this VM. Nothing else is written to the store
 // before the claim has succeeded.
 func (r *Runner) claimHandedOver(j *job, now time.Time) {
