forwarder: an answered request doesn't wait for a body that isn't read

What callers saw: an upstream answers before it has read a body of over 32 KiB and never reads on. Closing its answer waited until the caller left or its time was up: the slot stayed taken, an answer of unknown length had no end, and after a rejection no other upstream was tried.

Cause: Answer.Close waited for the write of the body, bounded by the context alone.

Change: Close returns at once. The rest is written within 2 s; then the connection is kept, or closed if the write fails or hangs, so that the next request begins exactly after the body or on another connection.

Now all four tests of early answers pass, 3 of 3 with -race.

--- a/internal/online/forwarder/forwarder.go
+++ b/internal/online/forwarder/forwarder.go
@@ -37,6 +37,8 @@
 	// read. A larger one is written concurrently: otherwise the upstream could block
 	// on writing its answer while the VM blocks on writing the body.
 	maxInlineBodyBytes = 32 << 10
+	// restTimeout bounds the write of what is left of a body whose request has its whole answer.
+	restTimeout = 2 * time.Second
 	// headBytesHint is the size of most requests' heads.
 	headBytesHint = 1024
 	// maxAnswersPerExchange bounds the answers that are read in search of the matching
@@ -114,8 +116,9 @@
 	return relayer.Refuses(ctx, f.dial, address)
 }
 
-// Close closes idle connections and waits for writes of large bodies to end.
+// Close waits for writes of large bodies to end, and closes idle connections.
 func (f *Forwarder) Close() {
+	f.writers.Wait() // they may leave idle connections
 	f.mu.Lock()
 	for _, connections := range f.idle {
 		for _, c := range connections {
@@ -124,7 +127,6 @@
 	}
 	clear(f.idle)
 	f.mu.Unlock()
-	f.writers.Wait()
 }
 
 // Send sends an attempt and returns once the head of its answer was read. Errors are
@@ -329,29 +331,38 @@
 // Close ends the answer. Its connection is kept for reuse if the body was read to its
 // end, the request was written completely, and the upstream neither sent more bytes
 // nor announced that it will close the connection. Otherwise it is closed.
+//
+// An upstream may answer before it has read a large body, and read on later. Close doesn't wait for that:
+// the rest is written within restTimeout, and the connection kept or closed then.
 func (a *Answer) Close() {
-	reusable := a.complete && !a.response.Close && a.connection.reader.Buffered() == 0 && a.requestWritten()
+	reusable := a.complete && !a.response.Close && a.connection.reader.Buffered() == 0
 	if !a.stopCancelHook() || !reusable {
 		a.abort()
 		return
 	}
-	a.forwarder.pushIdle(a.connection, a.response.Header)
-}
-
-// requestWritten returns whether the whole request was written. An upstream may answer
-// before it has read a large body, so this waits for the write or the context to end.
-func (a *Answer) requestWritten() bool {
 	if a.bodyWritten == nil {
-		return true
+		a.forwarder.pushIdle(a.connection, a.response.Header)
+		return
 	}
 	select {
 	case err := <-a.bodyWritten:
-		return err == nil
-	case <-a.ctx.Done():
-		return false
+		a.release(err)
+	default:
+		_ = a.connection.net.SetWriteDeadline(time.Now().Add(restTimeout)) // if it fails, so does the write
+		a.forwarder.writers.Go(func() { a.release(<-a.bodyWritten) })
 	}
 }
 
+// release keeps the connection of an answer that is closed, unless writing the request has failed: its upstream
+// would take the next request for the rest of this one.
+func (a *Answer) release(writeErr error) {
+	if writeErr != nil || a.connection.net.SetWriteDeadline(time.Time{}) != nil {
+		a.abort()
+		return
+	}
+	a.forwarder.pushIdle(a.connection, a.response.Header)
+}
+
 // abort closes the connection.
 func (a *Answer) abort() {
 	a.stopCancelHook()
--- a/internal/standins/rawresponder/responder.go
+++ b/internal/standins/rawresponder/responder.go
@@ -32,6 +32,9 @@
 	return func(r *Responder) { r.closesAfter = true }
 }
 
+// lateBufferBytes is the receive buffer of a connection whose bodies are read late.
+const lateBufferBytes = 64 << 10
+
 // lateReading is how bodies are read that are answered first.
 type lateReading struct {
 	mayRead <-chan struct{}
@@ -39,7 +42,8 @@
 }
 
 // WithBodyReadLate answers requests before their bodies are read. Each body is read once a receive from
-// mayRead succeeds, and given to a function with the number of its request on the connection.
+// mayRead succeeds, and given to a function with the number of its request on the connection. Until then
+// little more than lateBufferBytes of it fits into the connection.
 func WithBodyReadLate(mayRead <-chan struct{}, read func(n int, body []byte, err error)) Option {
 	return func(r *Responder) { r.late = &lateReading{mayRead: mayRead, read: read} }
 }
@@ -74,6 +78,9 @@
 
 func (r *Responder) serve(conn net.Conn, answer Answer) {
 	defer func() { _ = conn.Close() }()
+	if tcp, ok := conn.(*net.TCPConn); ok && r.late != nil {
+		_ = tcp.SetReadBuffer(lateBufferBytes) // without it, only more of the body fits
+	}
 	reader := bufio.NewReader(conn)
 	for n := 1; ; n++ {
 		request, err := http.ReadRequest(reader)
