--- a/internal/control/fleetidentifier/fleet.go
+++ b/internal/control/fleetidentifier/fleet.go
@@ -64,6 +64,13 @@
 	return f.identity
 }
 
+// isConfirmed returns whether the store has named the identity.
+func (f *Fleet) isConfirmed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.fromStore
+}
+
 // Adopt sets the identity that peer VMs name if none is known. It returns whether the identity is
 // that of this VM's fleet then.
 func (f *Fleet) Adopt(identity uint64) bool {
--- a/internal/control/fleetidentifier/identifier.go
+++ b/internal/control/fleetidentifier/identifier.go
@@ -110,10 +110,11 @@
 	}
 }
 
-// identify reads the identity, and creates it if there is none and this process knows none.
+// identify reads the identity. If there is none, it creates it, unless this process has read it before. One that peer
+// VMs have named is no reason not to: if the store is new, they are of another fleet.
 func (i *Identifier) identify(ctx context.Context) error {
 	identity, err := i.read(ctx)
-	if errors.Is(err, errMissing) && i.fleet.Identity() == 0 {
+	if errors.Is(err, errMissing) && !i.fleet.isConfirmed() {
 		identity, err = i.create(ctx)
 	}
 	if err != nil {
