--- a/internal/standins/interrupter/proxy.go
+++ b/internal/standins/interrupter/proxy.go
@@ -46,15 +46,26 @@
 	conns        map[net.Conn]struct{}
 }
 
+// Option sets one property of a Proxy.
+type Option func(*Proxy)
+
+// WithIP sets the IP address to listen on. At 127.0.0.1 another process can take the port while the
+// proxy doesn't listen, also by a connection that it opens.
+func WithIP(ip string) Option {
+	return func(p *Proxy) { p.address = net.JoinHostPort(ip, "0") }
+}
+
 // New starts a proxy that listens on loopback and forwards to an address.
-func New(target string) (*Proxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func New(target string, options ...Option) (*Proxy, error) {
+	p := &Proxy{address: "127.0.0.1:0", target: target, conns: map[net.Conn]struct{}{}}
+	for _, option := range options {
+		option(p)
+	}
+	listener, err := net.Listen("tcp", p.address)
 	if err != nil {
 		return nil, fmt.Errorf("proxy: %w", err)
 	}
-	p := &Proxy{
-		address: listener.Addr().String(), listener: listener, target: target, conns: map[net.Conn]struct{}{},
-	}
+	p.address, p.listener = listener.Addr().String(), listener
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.group.Go(func() { p.accept(listener) })
 	return p, nil
