canceller: a cancellation that the store doesn't confirm is tried further

What callers saw: an end got a 503 after 3 s while the store was slow, silent or refused this VM. Nobody was told, it was forgotten, and the items ran on; after 4 s of steady state that breaks the rule. An owner that writes often held an end for seconds: each conflict was followed by a pause and a new read.

Change: canceller keeps what isn't confirmed (1,000 at most, 60 s), also when the caller leaves, and tries on until the store confirms it or has no such job; then runner and peers are told as for any end, and one line is logged. An attempt that gets no answer is followed by another one 0.4 s later, beside it. The store's relayer, as for all calls, leads through peer VMs.

Evidence: on the old Cancel, TestOwnerThatWritesOftenDoesNotHoldACancellation failed beside an owner that writes 8 times: 9 reads where 1 is due, and 2.358 s (synthetic clock) where 0 s are; the new one takes 1 read and 0 s. TestFailedCancellations failed there, as Cancel retried. With nothing kept (trial: the call of keep taken out, which is the old behaviour), TestCancellationTakesEffectOnceTheStoreIsBack (refuses, silent), ...OfACallerThatLeft..., TestKeptCancellationsAreBounded and TestStopTriesOnceMore... failed. Now, after 5 s without the store the end takes effect within 1 s of its return in both cases (synthetic clock).

--- a/internal/batch/batchkeeper/owner.go
+++ b/internal/batch/batchkeeper/owner.go
@@ -200,32 +200,3 @@
 		results = append(results, page...)
 	}
 }
-
-// Cancel marks a job as cancelled, so that no more results are added. Existing results
-// remain available. It returns nil if the job is already cancelled.
-func (k *Keeper) Cancel(ctx context.Context, id string) error {
-	for attempt := 0; ; attempt++ {
-		stored, err := k.readRecord(ctx, id)
-		if err != nil {
-			return err
-		}
-		if stored.Cancelled {
-			return nil
-		}
-		next := stored.Record
-		next.Cancelled = true
-		row, err := encodeRow(recordKey(id), next)
-		if err != nil {
-			return fmt.Errorf("%w: %w", ErrNotWritten, err)
-		}
-		_, err = k.transactWithRetry(ctx, rowstore.Tx{
-			Conditions: []rowstore.Condition{{Key: row.Key, Version: stored.Version}}, Puts: []rowstore.Put{row},
-		}, noRetryLimit)
-		if !errors.Is(err, rowstore.ErrConflict) {
-			return err
-		}
-		if !retryBackoff.Wait(ctx, attempt) { // the owner has changed the record
-			return fmt.Errorf("%w: %w", ErrNotWritten, err)
-		}
-	}
-}
--- a/internal/faces/batchserver/server.go
+++ b/internal/faces/batchserver/server.go
@@ -61,6 +61,12 @@
 	Submit(ctx context.Context, s batchkeeper.Submission) (batchkeeper.VersionedRecord, bool, error)
 	Results(ctx context.Context, id string, after int) (batchkeeper.Page, error)
 	Body(ctx context.Context, id, item string) ([]byte, error)
+}
+
+// Canceller cancels jobs, in the store and on all VMs.
+type Canceller interface {
+	// Cancel returns nil once the store has confirmed it, and batchkeeper.ErrNotFound if there is no such job.
+	// After another error the job may be cancelled later.
 	Cancel(ctx context.Context, id string) error
 }
 
@@ -68,8 +74,6 @@
 type Runner interface {
 	// Adopt runs a job, and releases the reservation once it no longer holds the items.
 	Adopt(stored batchkeeper.VersionedRecord, items []batchkeeper.Item, reservation *rationer.Reservation)
-	// Cancelled stops a job that was cancelled.
-	Cancelled(id string)
 }
 
 // Counter updates metrics by name.
@@ -85,8 +89,6 @@
 	// readTimeout bounds a read, in addition to the time that the caller waits for a
 	// result.
 	readTimeout = 1200 * time.Millisecond
-	// cancelTimeout bounds a cancellation.
-	cancelTimeout = 3 * time.Second
 	// pollInterval is the time between two reads while a call waits for a result.
 	pollInterval = 400 * time.Millisecond
 	// deadlineMargin is the time before a caller's deadline that is reserved for sending
@@ -100,13 +102,14 @@
 
 // Server is the HTTP handler for calls on jobs.
 type Server struct {
-	codec   Codec
-	keeper  Keeper
-	runner  Runner
-	limits  func() router.Limits
-	memory  *rationer.Rationer
-	counter Counter
-	logger  *slog.Logger
+	codec     Codec
+	keeper    Keeper
+	canceller Canceller
+	runner    Runner
+	limits    func() router.Limits
+	memory    *rationer.Rationer
+	counter   Counter
+	logger    *slog.Logger
 }
 
 var _ gateway.Jobs = (*Server)(nil)
@@ -114,11 +117,12 @@
 // New returns a Server. Bytes that it holds for callers are reserved from memory. The
 // limits function returns the current limits of the configuration.
 func New(
-	codec Codec, keeper Keeper, runner Runner, limits func() router.Limits, memory *rationer.Rationer, counter Counter,
-	logger *slog.Logger,
+	codec Codec, keeper Keeper, canceller Canceller, runner Runner, limits func() router.Limits, memory *rationer.Rationer,
+	counter Counter, logger *slog.Logger,
 ) *Server {
 	return &Server{
-		codec: codec, keeper: keeper, runner: runner, limits: limits, memory: memory, counter: counter, logger: logger,
+		codec: codec, keeper: keeper, canceller: canceller, runner: runner, limits: limits, memory: memory, counter: counter,
+		logger: logger,
 	}
 }
 
@@ -200,7 +204,7 @@
 	case OperationBody:
 		body, err = s.body(r.Context(), call)
 	case OperationCancel:
-		err = s.cancel(r.Context(), call)
+		err = s.canceller.Cancel(r.Context(), call.Job)
 	}
 	switch {
 	case err == nil:
@@ -236,17 +240,6 @@
 	return s.keeper.Body(ctx, call.Job, call.Item)
 }
 
-// cancel cancels a job in the store and in the runner.
-func (s *Server) cancel(ctx context.Context, call Call) error {
-	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
-	defer cancel()
-	if err := s.keeper.Cancel(ctx, call.Job); err != nil {
-		return err
-	}
-	s.runner.Cancelled(call.Job)
-	return nil
-}
-
 // reject answers and logs a call that failed, and returns the status.
 func (s *Server) reject(w http.ResponseWriter, id string, status int, err error) int {
 	s.counter.Count(`job_refusals_total{status="` + http.StatusText(status) + `"}`)
--- a/internal/wiring/entryvm/provider.go
+++ b/internal/wiring/entryvm/provider.go
@@ -12,6 +12,7 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/batch/batchrunner"
+	"github.com/fescuespindle/fescuespindle/internal/batch/canceller"
 	"github.com/fescuespindle/fescuespindle/internal/batch/jobmover"
 	"github.com/fescuespindle/fescuespindle/internal/control/bootstrapper"
 	"github.com/fescuespindle/fescuespindle/internal/control/memberkeeper"
@@ -196,11 +197,20 @@
 	return &sharedState{placer: p, crashes: crashes, runner: runner, logger: logger, cancelled: map[string]time.Time{}}
 }
 
+func newCanceller(
+	keeper *batchkeeper.Keeper, shared *sharedState, tasks *supervisor.Supervisor, counters *counter.Counters,
+	logger *slog.Logger,
+) *canceller.Canceller {
+	c := canceller.New(keeper, tasks, shared.Cancelled, logger)
+	counters.Gauge("cancellations_unconfirmed", func() float64 { return float64(c.Kept()) })
+	return c
+}
+
 func newJobServer(
-	codec platform.Codec, keeper *batchkeeper.Keeper, shared *sharedState, c *callbacks, budget *rationer.Rationer,
-	counters *counter.Counters, logger *slog.Logger,
+	codec platform.Codec, keeper *batchkeeper.Keeper, cancels *canceller.Canceller, shared *sharedState, c *callbacks,
+	budget *rationer.Rationer, counters *counter.Counters, logger *slog.Logger,
 ) *batchserver.Server {
-	return batchserver.New(codec, keeper, shared, c.limits, budget, counters, logger)
+	return batchserver.New(codec, keeper, cancels, shared, c.limits, budget, counters, logger)
 }
 
 func newGateway(
--- a/internal/wiring/entryvm/shared.go
+++ b/internal/wiring/entryvm/shared.go
@@ -116,8 +116,8 @@
 	s.runner.Adopt(record, items, reservation)
 }
 
-// Cancelled implements batchserver.Runner. It stops a job on this VM and schedules its
-// cancellation to be reported to other VMs.
+// Cancelled stops a job on this VM whose cancellation the store has confirmed, and schedules the cancellation
+// to be reported to other VMs.
 func (s *sharedState) Cancelled(id string) {
 	s.runner.Cancelled(id)
 	s.mu.Lock()
--- a/internal/wiring/entryvm/shutdown.go
+++ b/internal/wiring/entryvm/shutdown.go
@@ -34,6 +34,7 @@
 	vm.tasks.Go("release of jobs", func() { vm.runner.Release(ctx) })
 	time.Sleep(balancerLag)
 	vm.drainCallers(ctx, end)
+	vm.cancels.Stop(ctx)
 	vm.runner.Stop()
 	vm.carrier.Wait(ctx)
 	vm.stop()
--- a/internal/wiring/entryvm/vm.go
+++ b/internal/wiring/entryvm/vm.go
@@ -14,6 +14,7 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/batch/batchrunner"
+	"github.com/fescuespindle/fescuespindle/internal/batch/canceller"
 	"github.com/fescuespindle/fescuespindle/internal/batch/jobmover"
 	"github.com/fescuespindle/fescuespindle/internal/control/bootstrapper"
 	"github.com/fescuespindle/fescuespindle/internal/control/memberkeeper"
@@ -71,6 +72,7 @@
 
 	jobKeeper *batchkeeper.Keeper
 	runner    *batchrunner.Runner
+	cancels   *canceller.Canceller
 	shared    *sharedState
 	callbacks *callbacks
 
--- a/internal/wiring/entryvm/wire.go
+++ b/internal/wiring/entryvm/wire.go
@@ -17,11 +17,11 @@
 	wire.Build(
 		newBootID, newCallbacks, newCounters, newRationer, newSupervisor, newCodec, newBootstrapper,
 		newReporter, newFinder, newCarrier, newPlacer, newForwarder, newRelayer, newStore, newMemberKeeper,
-		newOwner, newJobKeeper, newMover, newRunner, newSharedState, newJobServer, newGateway, courier.New, newAnalyzer,
+		newOwner, newJobKeeper, newMover, newRunner, newSharedState, newCanceller, newJobServer, newGateway, courier.New, newAnalyzer,
 		newVersionKeeper,
 		wire.Struct(new(VM), "settings", "bootID", "logger", "counter", "relayer", "store", "finder", "carrier", "forwarder", "placer",
 			"crashes", "versions", "reporter", "memberKeeper",
-			"gateway", "jobKeeper", "runner", "shared", "callbacks", "tasks", "bootstrapper", "mover"),
+			"gateway", "jobKeeper", "runner", "cancels", "shared", "callbacks", "tasks", "bootstrapper", "mover"),
 		wire.Bind(new(rowstore.Store), new(*platform.Store)),
 		wire.Bind(new(courier.Codec), new(platform.Codec)),
 	)
--- a/internal/wiring/entryvm/wire_gen.go
+++ b/internal/wiring/entryvm/wire_gen.go
@@ -42,7 +42,8 @@
 	mover := newMover(logger)
 	runner := newRunner(owner, batchkeeperKeeper, placer, courierCourier, memberkeeperKeeper, entryvmCallbacks, rationer, mover, supervisor, counters, logger)
 	entryvmSharedState := newSharedState(placer, analyzer, runner, logger)
-	server := newJobServer(codec, batchkeeperKeeper, entryvmSharedState, entryvmCallbacks, rationer, counters, logger)
+	canceller := newCanceller(batchkeeperKeeper, entryvmSharedState, supervisor, counters, logger)
+	server := newJobServer(codec, batchkeeperKeeper, canceller, entryvmSharedState, entryvmCallbacks, rationer, counters, logger)
 	gateway := newGateway(codec, courierCourier, placer, analyzer, keeper, server, rationer, counters, logger)
 	vm := &VM{
 		settings:     settings,
@@ -62,6 +63,7 @@
 		gateway:      gateway,
 		jobKeeper:    batchkeeperKeeper,
 		runner:       runner,
+		cancels:      canceller,
 		shared:       entryvmSharedState,
 		callbacks:    entryvmCallbacks,
 		tasks:        supervisor,
