relayer: a redirect of an upstream is not followed

What callers saw: a service of the product's own stack answered 301, 302 or 303 to a POST, and the VM sent a GET without a body to wherever the redirect led: a request that nobody sent, to any address. Its answer was the caller's success.

Cause: the clients of net/http follow redirects unless they are told not to.

Now the redirect is the upstream's unsuccessful answer: it has run and failed, whatever its status.

--- a/internal/online/relayer/relayer.go
+++ b/internal/online/relayer/relayer.go
@@ -72,7 +72,7 @@
 	// retries a request on one.
 	singleUse := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
 	r := &Relayer{
-		dial: dial, pooled: &http.Client{Transport: pooled}, singleUse: &http.Client{Transport: singleUse},
+		dial: dial, pooled: newClient(pooled), singleUse: newClient(singleUse),
 		mayPool: func(string) bool { return true },
 	}
 	for _, option := range options {
@@ -81,6 +81,14 @@
 	return r
 }
 
+// newClient returns a client that follows no redirect: the request that it would send is not the caller's.
+func newClient(transport http.RoundTripper) *http.Client {
+	return &http.Client{
+		Transport:     transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 // CloseIdle closes idle connections.
 func (r *Relayer) CloseIdle() {
 	r.pooled.CloseIdleConnections()
