jobrunner: a test that a VM that has heard of a cancellation starts nothing

40 seeds: all VMs hear of the end at a random moment, while chunks are claimed, loaded, committed in doubt and claimed again. It passes on the untouched code: no fault was found.

--- a/internal/batch/jobrunner/simulation_test.go
+++ b/internal/batch/jobrunner/simulation_test.go
@@ -370,6 +370,29 @@
 	}
 }
 
+// Guards against runs of a cancelled job on a VM that has heard of the cancellation while it claimed, loaded,
+// committed or claimed again a chunk of the job.
+func TestVMThatHasHeardOfACancellationStartsNothing(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := newSimulation(t, 4, seed)
+			job := s.submit("lot", 200)
+			s.store.SetInDoubtShare(s.random.Float64() * 0.3)
+			s.run(time.Duration(s.random.IntN(40))*step, nil)
+			s.store.SetInDoubtShare(0)
+			_, err := s.jobs.Cancel(t.Context(), "scribes", job.ID, s.now)
+			qt.Assert(t, err, qt.IsNil)
+			s.store.SetInDoubtShare(s.random.Float64() * 0.3)
+			for _, vm := range s.vms {
+				s.execute(vm, vm.core.JobCancelled(job.ID, s.now))
+			}
+			before := s.lastStart[job.ID]
+			s.run(30*time.Second, nil)
+			qt.Check(t, s.lastStart[job.ID], qt.Equals, before)
+		})
+	}
+}
+
 // Guards against endless retries of an item, and a failure that affects other items.
 func TestItemThatAlwaysFailsEndsWithItsReason(t *testing.T) {
 	s := newSimulation(t, 3, 1)
