jobrunner: what a check has shown counts from the beginning of the check

What callers could see, in the product's own interface: items of a cancelled job start as a VM goes on that stood still, until its next check is answered.

Cause: the time of the last successful check was that at which its answer was handled, however long the process had stood still since the store gave it.

Why this works: the beginning of a check is recorded with it, and an outcome counts for the oldest check without one, so never as newer than it is.

--- a/internal/batch/jobrunner/commit.go
+++ b/internal/batch/jobrunner/commit.go
@@ -96,11 +96,20 @@
 
 // Checked handles the outcome of a Check. After an error, the time of the last
 // successful check stays.
+//
+// What the store has answered counts from the beginning of the check: the VM may have stood still
+// since. Outcomes don't say whose they are, so each counts as that of the oldest check without one.
 func (r *Runner) Checked(jobs []jobkeeper.JobRow, err error, now time.Time) []Action {
+	began := now
+	if len(r.checksBegan) > 0 {
+		began, r.checksBegan = r.checksBegan[0], r.checksBegan[1:]
+	}
 	if err != nil {
 		return nil
 	}
-	r.jobsVerifiedAt = now
+	if began.After(r.jobsVerifiedAt) {
+		r.jobsVerifiedAt = began
+	}
 	var out []Action
 	for _, job := range jobs {
 		if job.State == jobkeeper.StateCancelled {
--- a/internal/batch/jobrunner/runner.go
+++ b/internal/batch/jobrunner/runner.go
@@ -84,7 +84,8 @@
 	turn                int // number of choices by pickItem, which alternates between two rules
 	beat                uint64
 	nextCheckAt         time.Time
-	jobsVerifiedAt      time.Time
+	checksBegan         []time.Time // of the checks without an outcome, oldest first
+	jobsVerifiedAt      time.Time   // when the last answered check, or a claim, has shown the jobs' states
 	nextRequestAt       map[string]time.Time
 	nextOrphanRequestAt map[string]time.Time
 	draining            bool
@@ -163,6 +164,7 @@
 	}
 	if len(r.chunks) > 0 && !now.Before(r.nextCheckAt) {
 		r.nextCheckAt = now.Add(r.checkPeriod)
+		r.checksBegan = append(r.checksBegan, now)
 		r.beat++
 		out = append(out, Check{Beat: r.beat, Jobs: r.ownedJobs()})
 	}
