forwarder: a request that was cancelled before it is sent isn't sent

What callers could see: an item whose job had been discarded, or the request of a caller that had left, between its start and its write reached the upstream over an idle connection.

Cause: nothing asked whether the context had ended before the write; the hook that closes the connection runs beside it and came too late.

Why this works: the context is asked after the connection is there and before the first byte is written, and the attempt certainly did not run.

--- a/internal/online/forwarder/forwarder.go
+++ b/internal/online/forwarder/forwarder.go
@@ -138,6 +138,10 @@
 	}
 	answer := &Answer{forwarder: f, connection: c, ctx: ctx}
 	answer.stopCancelHook = context.AfterFunc(ctx, func() { _ = c.net.Close() })
+	if ctx.Err() != nil { // an idle connection could still be written to
+		answer.abort()
+		return nil, relayer.NewAttemptError(relayer.RanNot, fmt.Errorf("not sent: %w", context.Cause(ctx)))
+	}
 	if err := f.exchange(answer, a); err != nil {
 		answer.abort()
 		return nil, err
