batchrunner: a VM that has heard of an end doesn't hand the job over as open

What callers saw: as before; a VM that heard of the end of a job while it accepted or took over the job, in an outage, and was then shut down, handed the job over, and a VM that hadn't heard of the end started its items.

Cause: the age of what was known was sent, not that it had been contradicted.

Evidence: TestEndThatWasHeardIsNotLostInAHandover failed before ("15 items were started").

Fix: such a job is sent with an age that doesn't count as a word, to older builds neither. The receiver has the items and waits for the store.

--- a/internal/batch/batchrunner/ended_test.go
+++ b/internal/batch/batchrunner/ended_test.go
@@ -56,6 +56,27 @@
 	})
 }
 
+// Guards against: a VM that has heard of the end of a job, and can't ask the store, hands the job over as
+// open, and a VM that hasn't heard of it starts items in the outage.
+func TestEndThatWasHeardIsNotLostInAHandover(t *testing.T) {
+	inFleet(t, 3, slowPlan, func(f *fleet) {
+		a, toA := f.startLinked("a")
+		b, toB := f.startLinked("b")
+		defer b.stop()
+		f.setReceivers(b)
+		s := batchkeeper.Submission{ID: "j", Route: "r", Host: "h", Retention: time.Minute, Items: itemsOf(manyItems)}
+		stored, _, err := a.keeper.Submit(f.t.Context(), s)
+		qt.Assert(t, err, qt.IsNil)
+		ended := f.end()
+		a.runner.Cancelled("j")
+		toA.set(true, true)
+		toB.set(true, true)
+		a.runner.Adopt(stored, s.Items, nil)
+		f.shutDown(a)
+		f.expectNoStartSince(ended, 15*time.Second)
+	})
+}
+
 // moved returns a job as another VM would send it.
 func (f *fleet) moved(items int) jobmover.Job {
 	return jobmover.Job{
--- a/internal/batch/batchrunner/evidence.go
+++ b/internal/batch/batchrunner/evidence.go
@@ -87,6 +87,16 @@
 	return isDue && !e.checking && !now.Before(e.checkDue)
 }
 
+// ageToTell returns the age of the evidence for the VM that takes the job over. If the end of the job was
+// heard, and the store hasn't contradicted it, the age is such that this word never counts.
+func (e *evidence) ageToTell(now time.Time) time.Duration {
+	age := now.Sub(e.asOf)
+	if !e.endHeardAt.IsZero() && !e.holdsSince(e.endHeardAt) {
+		return age + maxRenewalAge + time.Nanosecond
+	}
+	return age
+}
+
 // check reads the record of a job if what this VM knows of it doesn't suffice to start items, or
 // won't soon.
 func (r *Runner) check(j *job, now time.Time) {
