--- a/internal/control/fleetidentifier/fleet.go
+++ b/internal/control/fleetidentifier/fleet.go
@@ -6,8 +6,8 @@
 // all that they send to each other, and a receiver rejects what names another one.
 //
 // A VM of an earlier release names none, and neither does one that has not been able to read it
-// yet. What names none is accepted. A VM that doesn't know its own fleet accepts messages, which only say something,
-// but no requests that name one.
+// yet. What names none is accepted. A VM that doesn't know its own fleet accepts what names one too, but for
+// requests that can't be undone.
 package fleetidentifier
 
 import (
--- a/internal/control/fleetidentifier/http.go
+++ b/internal/control/fleetidentifier/http.go
@@ -43,21 +43,29 @@
 	})
 }
 
-// Handler returns a handler of requests from peer VMs. It rejects some before anything is done: with
-// status 421 those of another fleet, and with 503 those that name a fleet while this VM doesn't know its own. A
-// request is not lost by that, as its sender goes on to another VM, while a job that is run cannot be undone.
+// Handler returns a handler of requests from peer VMs. It answers those of another fleet with status
+// 421 before anything is done.
 func (f *Fleet) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		identity := identityOf(r)
-		switch {
-		case !f.Admit(identity, hostOf(r)):
-			reject(w, r, http.StatusMisdirectedRequest)
-		case identity != 0 && f.Identity() == 0:
-			f.counter.Count(countUnknown)
-			reject(w, r, http.StatusServiceUnavailable)
-		default:
+		if f.Admit(identityOf(r), hostOf(r)) {
 			next.ServeHTTP(w, r)
+			return
 		}
+		reject(w, r, http.StatusMisdirectedRequest)
+	})
+}
+
+// RequireKnown returns a handler that, beside, answers requests that name a fleet with status 503 while this
+// VM doesn't know its own. It is for what cannot be undone and what other VMs can do as well: a job that is
+// run, a row that is written, a configuration that is in force.
+func (f *Fleet) RequireKnown(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if f.Identity() != 0 || identityOf(r) == 0 {
+			next.ServeHTTP(w, r)
+			return
+		}
+		f.counter.Count(countUnknown)
+		reject(w, r, http.StatusServiceUnavailable)
 	})
 }
 
--- a/internal/online/tunneler/open.go
+++ b/internal/online/tunneler/open.go
@@ -23,8 +23,7 @@
 	ErrUnanswered = errors.New("upstream doesn't answer the peer VM")
 	// ErrNoLink means that the peer VM is cut off from upstreams itself.
 	ErrNoLink = errors.New("peer VM has no link to the upstream")
-	// ErrBusy means that the peer VM carries as many connections as it may, is shutting down, or doesn't know
-	// its fleet yet.
+	// ErrBusy means that the peer VM carries as many connections as it may, or is shutting down.
 	ErrBusy = errors.New("peer VM carries no more connections")
 	// ErrUnlisted means that the peer VM doesn't know the upstream.
 	ErrUnlisted = errors.New("peer VM doesn't list the upstream")
@@ -102,8 +101,5 @@
 	if reason, known := replies[response.Header.Get(headerReply)]; known {
 		return nil, reason
 	}
-	if response.StatusCode == http.StatusServiceUnavailable {
-		return nil, ErrBusy // it has just started
-	}
 	return nil, fmt.Errorf("%w: status %d", ErrIncapable, response.StatusCode)
 }
--- a/internal/wiring/entryvm/vm.go
+++ b/internal/wiring/entryvm/vm.go
@@ -210,10 +210,10 @@
 // of another fleet.
 func (vm *VM) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET "+bootstrapper.Path, vm.bootstrapper)
-	mux.Handle("POST "+jobmover.Path, vm.mover)
-	mux.Handle("GET "+tunneler.Path, vm.carrier)
-	mux.Handle("/", vm.relayer)
+	mux.Handle("GET "+bootstrapper.Path, vm.fleet.RequireKnown(vm.bootstrapper))
+	mux.Handle("POST "+jobmover.Path, vm.fleet.RequireKnown(vm.mover))
+	mux.Handle("GET "+tunneler.Path, vm.carrier) // also tells that an upstream has crashed, from the first second on
+	mux.Handle("/", vm.fleet.RequireKnown(vm.relayer))
 	return vm.fleet.Handler(mux)
 }
 
