--- a/internal/batch/batchrunner/evidence.go
+++ b/internal/batch/batchrunner/evidence.go
@@ -6,11 +6,28 @@
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 )
 
+// A VM in touch starts no item later than 3 s after the end of its job was confirmed, at T:
+//
+//   - on evidence of its own, until T + maxEvidenceAge = 2 s: an attempt that began after T has
+//     shown the end;
+//   - by the silence of the store, only if a check that began in the last maxSilenceAge was not
+//     answered. The store has answered a VM in touch for longer than that. A refusal because of the
+//     rate of calls is no silence: it comes from a store that is well.
+//
+// The VM discards the job, and cancels runs that still wait for a connection, with the answer of the first
+// attempt after T: at T + checkAge + tickPeriod + checkTimeout = 2.1 s at the latest.
 const (
-	// checkTimeout bounds a check, which reads the record of one job beside whatever write is in
-	// flight, and checkPause is the time until the next one.
+	// maxEvidenceAge is how long items start on evidence. It is renewed with each write, every
+	// renewPeriod at least.
+	maxEvidenceAge = 2 * time.Second
+	// checkAge is the age of evidence at which the record is read beside whatever write is in
+	// flight: a renewal period, a tick and the usual time of a write, so that a check is needed
+	// only if a write takes unusually long.
+	checkAge = 1500 * time.Millisecond
+	// checkTimeout bounds a check, and checkPause is the time until the next one.
 	checkTimeout = 500 * time.Millisecond
 	checkPause   = 100 * time.Millisecond
 	// maxSilenceAge is how long a check that ended without an answer shows that the store doesn't
@@ -21,8 +38,9 @@
 
 // evidence is what this VM knows of whether a job is open and may be run here.
 //
-// Items start on what this process has learned from the store. The word of another process, of a
-// job that was handed over, counts only while the store doesn't answer this VM.
+// Items start on what this process has learned from the store in the last maxEvidenceAge. Older
+// evidence, and the word of the process that has handed a job over, count only while the store
+// doesn't answer this VM, and for maxRenewalAge at most.
 type evidence struct {
 	// asOf is when the newest attempt began whose answer has shown that the job was open and
 	// nobody else's; or, by the word of the process that has handed the job over, that process's.
@@ -32,8 +50,11 @@
 	// silentAt is when the last check began, if it has ended without an answer and nothing has
 	// been answered since; else it is zero.
 	silentAt time.Time
-	checking bool // a check is in flight
-	checkDue time.Time
+	// endHeardAt is when the end of the job was last reported; zero if it wasn't. Only what this
+	// process has learned from the store since then counts.
+	endHeardAt time.Time
+	checking   bool // a check is in flight
+	checkDue   time.Time
 }
 
 // learn records that an answer of the store has shown that the job is open and nobody else's.
@@ -46,15 +67,24 @@
 
 // allowsStart returns whether items of the job may start.
 func (e *evidence) allowsStart(now time.Time) bool {
-	return now.Sub(e.asOf) <= maxRenewalAge && (e.own || e.storeIsSilent(now))
+	age := now.Sub(e.asOf)
+	if age > maxRenewalAge || !e.endHeardAt.IsZero() && !e.holdsSince(e.endHeardAt) {
+		return false
+	}
+	return e.own && age <= maxEvidenceAge || e.storeIsSilent(now)
 }
 
+// holdsSince returns whether this process has learned from the store, by an attempt that began at a time
+// or later, that the job is open.
+func (e *evidence) holdsSince(t time.Time) bool { return e.own && !e.asOf.Before(t) }
+
 // storeIsSilent returns whether the store doesn't answer this VM.
 func (e *evidence) storeIsSilent(now time.Time) bool { return now.Sub(e.silentAt) <= maxSilenceAge }
 
 // needsCheck returns whether the job's record should be read now.
 func (e *evidence) needsCheck(now time.Time) bool {
-	return !e.own && !e.checking && !now.Before(e.checkDue)
+	isDue := !e.holdsSince(e.endHeardAt) || now.Sub(e.asOf) >= checkAge
+	return isDue && !e.checking && !now.Before(e.checkDue)
 }
 
 // check reads the record of a job if what this VM knows of it doesn't suffice to start items, or
@@ -80,10 +110,10 @@
 	switch {
 	case j.discarded || j.releasing:
 	case errors.Is(err, batchkeeper.ErrNotFound):
-		r.discard(j.stored.ID, err.Error())
-	case errors.Is(err, batchkeeper.ErrNotRead):
+		r.discardByRecord(j, read, err.Error())
+	case errors.Is(err, batchkeeper.ErrNotRead) && !errors.Is(err, rowstore.ErrRateLimited):
 		e.silentAt = began
-	case err != nil: // the store has answered, but nothing that helps
+	case err != nil: // the store is there, but its answer says nothing of the job
 		e.silentAt = time.Time{}
 	default:
 		e.silentAt = time.Time{}
@@ -112,7 +142,7 @@
 	switch {
 	case read.Version < j.stored.Version:
 	case !read.Open():
-		r.discard(j.stored.ID, "ended")
+		r.discardByRecord(j, read, "ended")
 	case nobodyElses:
 		j.evidence.learn(read.AsOf)
 	case j.unclaimed: // the claim decides who owns the job
--- a/internal/batch/batchrunner/handover.go
+++ b/internal/batch/batchrunner/handover.go
@@ -113,13 +113,14 @@
 		r.logger.Warn("job not taken over, no memory for its items", "job", id, "bytes", moved.Bytes())
 		return false
 	}
+	age := r.ageOf(moved)
 	r.keeper.SetClock(moved.Clock)
 	stored := batchkeeper.VersionedRecord{Record: moved.Record, Version: moved.Version}
 	r.adopt(stored, batchkeeper.LoadedJob{Items: moved.Items, Progress: moved.Progress}, reservation,
 		origin{way: wayHandedOver, from: moved.Record.Owner})
 	j := r.jobs[id]
 	j.unclaimed = true
-	j.evidence = evidence{asOf: now.Add(-moved.Age)}
+	j.evidence = evidence{asOf: now.Add(-age), endHeardAt: r.ends[id].last}
 	j.outbox = moved.Outbox
 	for _, index := range moved.Ended {
 		if index >= 0 && index < len(j.items) {
@@ -130,6 +131,17 @@
 	return true
 }
 
+// ageOf returns how long ago the sender of a job last knew that the record was its own. A sender that was
+// suspended counts too little, as its clock stood still. Its estimate of the store's clock is then
+// behind this VM's by as much, give or take the time that the last answer to either took.
+func (r *Runner) ageOf(moved jobmover.Job) time.Duration {
+	age := max(moved.Age, 0)
+	if known := r.keeper.Now(); known > 0 && moved.Clock > 0 {
+		age += max(known-moved.Clock, 0)
+	}
+	return age
+}
+
 // claimHandedOver claims a job that was handed over to this VM. Nothing else is written to the store
 // before the claim has succeeded.
 func (r *Runner) claimHandedOver(j *job, now time.Time) {
@@ -154,7 +166,7 @@
 	case err == nil:
 		j.unclaimed, j.stored = false, stored
 		j.evidence.learn(stored.AsOf)
-		j.renewDue = now.Add(renewPeriod)
+		j.renewDue = renewDueAfter(stored, now)
 		r.logger.Info("job claimed after handover", "job", id, "record", stored.Version, "results", len(j.outbox))
 	case errors.Is(err, batchkeeper.ErrOwnershipLost) && j.isWrittenByPreviousOwner(stored):
 		r.logger.Info("last write of the previous owner found", "job", id, "record", stored.Version,
@@ -163,7 +175,7 @@
 		j.stored, j.claimDue = stored, now
 		j.evidence.learn(stored.AsOf)
 	case errors.Is(err, batchkeeper.ErrOwnershipLost):
-		r.discard(id, err.Error())
+		r.discardByRecord(j, stored, err.Error())
 	default:
 		j.claimDue = now.Add(claimRetryPause/2 + rand.N(claimRetryPause))
 	}
--- a/internal/online/forwarder/forwarder.go
+++ b/internal/online/forwarder/forwarder.go
@@ -11,7 +11,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -23,6 +22,7 @@
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/online/requestwriter"
 	"github.com/fescuespindle/fescuespindle/internal/online/tunneler"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/socketdialer"
 )
@@ -37,6 +37,10 @@
 	// read. A larger one is written concurrently: otherwise the upstream could block
 	// on writing its answer while the VM blocks on writing the body.
 	maxInlineBodyBytes = 32 << 10
+	// restTimeout bounds the write of what is left of a body whose request has its whole answer.
+	restTimeout = 2 * time.Second
+	// headBytesHint is the size of most requests' heads.
+	headBytesHint = 1024
 	// maxAnswersPerExchange bounds the answers that are read in search of the matching
 	// one, interim (1xx) answers included. maxStaleBodyBytes bounds the body of each
 	// answer that is discarded.
@@ -50,9 +54,10 @@
 
 // Attempt is a single transmission of a request to one upstream.
 type Attempt struct {
-	// Request has everything but the body.
+	// Request has everything but the body. Its target is URL.Opaque.
 	Request *http.Request
-	Body    []byte
+	// Body must not be changed, even after Send: a long one is still being written then.
+	Body []byte
 	// ID is the identifier that the answer must carry.
 	ID      string
 	Address string
@@ -111,8 +116,9 @@
 	return relayer.Refuses(ctx, f.dial, address)
 }
 
-// Close closes idle connections and waits for writes of large bodies to end.
+// Close waits for writes of large bodies to end, and closes idle connections.
 func (f *Forwarder) Close() {
+	f.writers.Wait() // they may leave idle connections
 	f.mu.Lock()
 	for _, connections := range f.idle {
 		for _, c := range connections {
@@ -121,7 +127,6 @@
 	}
 	clear(f.idle)
 	f.mu.Unlock()
-	f.writers.Wait()
 }
 
 // Send sends an attempt and returns once the head of its answer was read. Errors are
@@ -211,23 +216,15 @@
 // encode serializes a request. If the body is larger than maxInlineBodyBytes, head
 // ends before the body and tail is the body; otherwise head has both and tail is nil.
 func encode(a Attempt) (head, tail []byte, err error) {
-	var buffer bytes.Buffer
-	request := a.Request
-	request.ContentLength = int64(len(a.Body))
-	request.Body = http.NoBody
-	if len(a.Body) > 0 {
-		request.Body = io.NopCloser(bytes.NewReader(a.Body))
+	inline, tail := a.Body, []byte(nil)
+	if len(a.Body) > maxInlineBodyBytes {
+		inline, tail = nil, a.Body
 	}
-	buffer.Grow(1024 + len(a.Body))
-	if err := request.Write(&buffer); err != nil {
+	head, err = requestwriter.Append(make([]byte, 0, headBytesHint+len(inline)), a.Request, len(a.Body))
+	if err != nil {
 		return nil, nil, fmt.Errorf("encode request: %w", err)
 	}
-	all := buffer.Bytes()
-	if len(a.Body) <= maxInlineBodyBytes {
-		return all, nil, nil
-	}
-	bodyStart := len(all) - len(a.Body)
-	return all[:bodyStart], all[bodyStart:], nil
+	return append(head, inline...), tail, nil
 }
 
 // readMatching reads answers until one carries the attempt's identifier, and discards
@@ -334,29 +331,38 @@
 // Close ends the answer. Its connection is kept for reuse if the body was read to its
 // end, the request was written completely, and the upstream neither sent more bytes
 // nor announced that it will close the connection. Otherwise it is closed.
+//
+// An upstream may answer before it has read a large body, and read on later. Close doesn't wait for that:
+// the rest is written within restTimeout, and the connection kept or closed then.
 func (a *Answer) Close() {
-	reusable := a.complete && !a.response.Close && a.connection.reader.Buffered() == 0 && a.requestWritten()
+	reusable := a.complete && !a.response.Close && a.connection.reader.Buffered() == 0
 	if !a.stopCancelHook() || !reusable {
 		a.abort()
 		return
 	}
-	a.forwarder.pushIdle(a.connection, a.response.Header)
-}
-
-// requestWritten returns whether the whole request was written. An upstream may answer
-// before it has read a large body, so this waits for the write or the context to end.
-func (a *Answer) requestWritten() bool {
 	if a.bodyWritten == nil {
-		return true
+		a.forwarder.pushIdle(a.connection, a.response.Header)
+		return
 	}
 	select {
 	case err := <-a.bodyWritten:
-		return err == nil
-	case <-a.ctx.Done():
-		return false
+		a.release(err)
+	default:
+		_ = a.connection.net.SetWriteDeadline(time.Now().Add(restTimeout)) // if it fails, so does the write
+		a.forwarder.writers.Go(func() { a.release(<-a.bodyWritten) })
 	}
 }
 
+// release keeps the connection of an answer that is closed, unless writing the request has failed: its upstream
+// would take the next request for the rest of this one.
+func (a *Answer) release(writeErr error) {
+	if writeErr != nil || a.connection.net.SetWriteDeadline(time.Time{}) != nil {
+		a.abort()
+		return
+	}
+	a.forwarder.pushIdle(a.connection, a.response.Header)
+}
+
 // abort closes the connection.
 func (a *Answer) abort() {
 	a.stopCancelHook()
--- a/internal/standins/interrupter/proxy.go
+++ b/internal/standins/interrupter/proxy.go
@@ -49,10 +49,10 @@
 // Option sets one property of a Proxy.
 type Option func(*Proxy)
 
-// WithIP sets the IP address to listen on. At 127.0.0.1 another process can take the port while the
-// proxy doesn't listen, also by a connection that it opens.
-func WithIP(ip string) Option {
-	return func(p *Proxy) { p.address = net.JoinHostPort(ip, "0") }
+// WithAddress sets the address to listen on; port 0 means any free one. At 127.0.0.1 another process can
+// take the port while the proxy doesn't listen, also by a connection that it opens.
+func WithAddress(address string) Option {
+	return func(p *Proxy) { p.address = address }
 }
 
 // New starts a proxy that listens on loopback and forwards to an address.
