batchrunner: a VM that may start nothing itself doesn't hand a job over as open

What callers saw: items of a job that had ended ran at a VM of an earlier release, to which a VM that had stood still for seconds handed the job over; that release runs it on the sender's word, for 10 s of its age.

Cause: the age of the evidence was sent, not that it no longer counted here.

Evidence: TestVMThatStoodStillDoesNotHandAJobOverAsOpen failed before ("age 5.5s"); found by the review, from reading.

Why this works: a job whose items this VM may not start at that moment is sent with an age that no release takes for evidence. The receiver has the items and waits for the store. In an outage the evidence counts as before, so jobs go on.

--- a/internal/batch/batchrunner/ended_test.go
+++ b/internal/batch/batchrunner/ended_test.go
@@ -221,6 +221,22 @@
 	})
 }
 
+// Guards against: a VM that stood still for seconds hands a job over as one that is known to be open, and a
+// VM of an earlier release, which asks nobody, starts its items.
+func TestVMThatStoodStillDoesNotHandAJobOverAsOpen(t *testing.T) {
+	inFleet(t, 2, fastPlan, func(f *fleet) {
+		v, other := f.start("a"), f.start("b")
+		defer other.stop()
+		f.submit(v, manyItems)
+		time.Sleep(time.Second)
+		v.pause.Store(int64(5 * time.Second))
+		time.Sleep(4 * time.Second)
+		f.shutDown(v)
+		qt.Assert(f.t, len(f.sentJobs) > 0, qt.IsTrue)
+		qt.Check(f.t, f.sentJobs[0].Age > 10*time.Second, qt.IsTrue, qt.Commentf("age %v", f.sentJobs[0].Age))
+	})
+}
+
 // Guards against: an end that was reported by mistake loses a job, or keeps it from running for as long
 // as the report is repeated.
 func TestFalseReportOfAnEndLosesNothing(t *testing.T) {
--- a/internal/batch/batchrunner/evidence.go
+++ b/internal/batch/batchrunner/evidence.go
@@ -82,11 +82,12 @@
 	return isDue && !e.checking && !now.Before(e.checkDue)
 }
 
-// ageToTell returns the age of the evidence for the VM that takes the job over. If the end of the job was
-// heard, and the store hasn't contradicted it, the age is such that this word never counts.
-func (e *evidence) ageToTell(now time.Time) time.Duration {
+// ageToTell returns the age of the evidence for the VM that takes the job over. If it doesn't let items start
+// here, as it is old while the store answers, or as the end of the job was heard, the age is such that it
+// lets none start there either, in earlier releases too.
+func (e *evidence) ageToTell(storeIsSilent bool, now time.Time) time.Duration {
 	age := now.Sub(e.asOf)
-	if !e.endHeardAt.IsZero() && !e.holdsSince(e.endHeardAt) {
+	if !e.allowsStart(storeIsSilent, now) {
 		return age + maxRenewalAge + time.Nanosecond
 	}
 	return age
--- a/internal/batch/batchrunner/handover_test.go
+++ b/internal/batch/batchrunner/handover_test.go
@@ -17,6 +17,7 @@
 // Move implements batchrunner.Mover.
 func (f *fleet) Move(ctx context.Context, name string, job jobmover.Job) error {
 	f.mu.Lock()
+	f.sentJobs = append(f.sentJobs, job)
 	to, found := f.receivers[name]
 	f.mu.Unlock()
 	if !found {
--- a/internal/batch/batchrunner/runner_test.go
+++ b/internal/batch/batchrunner/runner_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/batch/batchrunner"
+	"github.com/fescuespindle/fescuespindle/internal/batch/jobmover"
 	"github.com/fescuespindle/fescuespindle/internal/online/courier"
 	"github.com/fescuespindle/fescuespindle/internal/online/forwarder"
 	"github.com/fescuespindle/fescuespindle/internal/online/placer"
@@ -44,6 +45,8 @@
 	alive map[batchkeeper.Owner]bool
 	// receivers are the VMs that take over jobs from others, by name; nil means none.
 	receivers map[string]*vm
+	// sentJobs are the jobs that VMs have sent to others.
+	sentJobs []jobmover.Job
 	// wrapPlacer replaces the placer of each VM that starts, if it is not nil.
 	wrapPlacer func(batchrunner.Placer) batchrunner.Placer
 	// wrapKeeper replaces the keeper of each runner that starts, if it is not nil.
