forwarder: the rests of bodies that are written after their answers are bounded

Cause: the reservation belongs to the caller's request, which has ended.

Evidence: TestRestsOfBodiesAreBounded failed before, own and carried ("got 2, want 1").

Why this works: beyond 8 MiB of such bodies an answer's connection is closed at once instead. It is never kept with a part of a body outstanding.

--- a/internal/online/forwarder/early_test.go
+++ b/internal/online/forwarder/early_test.go
@@ -208,3 +208,21 @@
 		qt.Check(t, len(got.body) < len(body) && bytes.HasPrefix(body, got.body), qt.IsTrue)
 	})
 }
+
+// Guards against: upstreams that answer early and never read on make a VM hold any number of bodies for which
+// no memory is reserved.
+func TestRestsOfBodiesAreBounded(t *testing.T) {
+	overOwnAndCarried(t, func(t *testing.T, f *forwarder.Forwarder, u *earlyUpstream) {
+		body := longBody()
+		post(t.Context(), t, f, u.address, "id1", body).Close()
+		post(t.Context(), t, f, u.address, "id2", body).Close()
+		close(u.mayRead)
+		whole := 0
+		for range 2 {
+			if got := u.next(t); got.err == nil {
+				whole++
+			}
+		}
+		qt.Check(t, whole, qt.Equals, 1, qt.Commentf("the connection of the second is closed at once"))
+	})
+}
--- a/internal/online/forwarder/forwarder.go
+++ b/internal/online/forwarder/forwarder.go
@@ -37,8 +37,10 @@
 	// read. A larger one is written concurrently: otherwise the upstream could block
 	// on writing its answer while the VM blocks on writing the body.
 	maxInlineBodyBytes = 32 << 10
-	// restTimeout bounds the write of what is left of a body whose request has its whole answer.
-	restTimeout = 2 * time.Second
+	// restTimeout bounds the write of what is left of a body whose request has its whole answer. Beyond
+	// maxRestBytes of such bodies no more are written: their callers no longer hold memory for them.
+	restTimeout  = 2 * time.Second
+	maxRestBytes = 8 << 20
 	// headBytesHint is the size of most requests' heads.
 	headBytesHint = 1024
 	// maxAnswersPerExchange bounds the answers that are read in search of the matching
@@ -74,6 +76,7 @@
 	dial      relayer.Dial
 	onQuiet   func(address string)
 	writers   sync.WaitGroup
+	restBytes atomic.Int64 // of bodies that are still written after their answers were closed
 	linkInput atomic.Int64 // when bytes last came over this VM's own links, as Unix nanoseconds
 
 	mu     sync.Mutex
@@ -162,7 +165,7 @@
 		return connectionLost(err)
 	}
 	if len(tail) > 0 {
-		answer.bodyWritten = make(chan error, 1)
+		answer.bodyWritten, answer.longBodyBytes = make(chan error, 1), int64(len(tail))
 		f.writers.Go(func() {
 			_, err := c.net.Write(tail)
 			answer.bodyWritten <- err
@@ -289,6 +292,7 @@
 	ctx            context.Context //nolint:containedctx // belongs to the attempt, not to one call
 	stopCancelHook func() bool
 	response       *http.Response
+	longBodyBytes  int64      // of a large body
 	bodyWritten    chan error // receives the result of writing a large body; nil for other bodies
 	reused         bool
 	received       bool // at least one byte of the body
@@ -352,11 +356,26 @@
 	case err := <-a.bodyWritten:
 		a.release(err)
 	default:
-		_ = a.connection.net.SetWriteDeadline(time.Now().Add(restTimeout)) // if it fails, so does the write
-		a.forwarder.writers.Go(func() { a.release(<-a.bodyWritten) })
+		a.awaitRest()
 	}
 }
 
+// awaitRest closes or keeps the connection once the rest of the body is written, or closes it at once if too
+// many bytes are held for such bodies.
+func (a *Answer) awaitRest() {
+	f := a.forwarder
+	if others := f.restBytes.Add(a.longBodyBytes) - a.longBodyBytes; others >= maxRestBytes {
+		f.restBytes.Add(-a.longBodyBytes)
+		a.abort()
+		return
+	}
+	_ = a.connection.net.SetWriteDeadline(time.Now().Add(restTimeout)) // if it fails, so does the write
+	f.writers.Go(func() {
+		defer f.restBytes.Add(-a.longBodyBytes)
+		a.release(<-a.bodyWritten)
+	})
+}
+
 // release keeps the connection of an answer that is closed, unless writing the request has failed: its upstream
 // would take the next request for the rest of this one.
 func (a *Answer) release(writeErr error) {
