--- a/internal/batch/canceller/canceller.go
+++ b/internal/batch/canceller/canceller.go
@@ -152,19 +152,31 @@
 	c.onConfirmed(id)
 }
 
-// Stop ends the attempts in the background. It makes one more for each cancellation that is kept, within the
-// context, and logs those that stay unconfirmed. It must be called once no more are asked for.
+// Stop ends the attempts in the background. It makes one more for each cancellation that is kept, maxAtOnce at
+// a time within the context, and logs those that stay unconfirmed. It must be called once no more are asked for.
 func (c *Canceller) Stop(ctx context.Context) {
 	c.stop()
 	c.mu.Lock()
 	var group sync.WaitGroup
 	for id, k := range c.kept {
-		group.Go(func() { c.end(id, k, c.keeper.Cancel(ctx, id)) })
+		group.Go(func() { c.tryLast(ctx, id, k) })
 	}
 	c.mu.Unlock()
 	group.Wait()
 }
 
+// tryLast makes the last attempt for a kept cancellation.
+func (c *Canceller) tryLast(ctx context.Context, id string, k kept) {
+	err := k.lastErr
+	select {
+	case c.slots <- struct{}{}:
+		err = c.keeper.Cancel(ctx, id)
+		<-c.slots
+	case <-ctx.Done():
+	}
+	c.end(id, k, err)
+}
+
 // Kept returns the number of cancellations that are kept.
 func (c *Canceller) Kept() int {
 	c.mu.Lock()
--- a/internal/batch/canceller/canceller_test.go
+++ b/internal/batch/canceller/canceller_test.go
@@ -215,3 +215,23 @@
 	t.Run("store is back", func(t *testing.T) { expect(t, true, "cancellation confirmed late") })
 	t.Run("store is away", func(t *testing.T) { expect(t, false, "cancellation stays unconfirmed") })
 }
+
+// Guards against: a process that is stopped sends calls for all kept cancellations at once to a store that is slow,
+// or waits for them beyond its grace period.
+func TestStopIsBoundedByItsContext(t *testing.T) {
+	withVM(t, func(v *vm) {
+		v.store.silent.Store(true)
+		var group sync.WaitGroup
+		for n := range maxKept {
+			group.Go(func() { _ = v.canceller.Cancel(v.t.Context(), fmt.Sprint("k", n)) })
+		}
+		group.Wait()
+		began := time.Now()
+		ctx, cancel := context.WithTimeout(v.t.Context(), graceTime)
+		defer cancel()
+		v.canceller.Stop(ctx)
+		qt.Check(t, time.Since(began), qt.Equals, graceTime)
+		qt.Check(t, v.canceller.Kept(), qt.Equals, 0)
+		qt.Check(t, strings.Count(v.log.String(), "cancellation stays unconfirmed"), qt.Equals, maxKept)
+	})
+}
