--- a/internal/online/forwarder/early_test.go
+++ b/internal/online/forwarder/early_test.go
@@ -177,9 +177,9 @@
 // as long as the caller does: the slot stays taken, and after a rejection no other upstream is tried.
 func TestAnsweredRequestDoesNotWaitForABodyThatIsNeverRead(t *testing.T) {
 	overOwnAndCarried(t, func(t *testing.T, f *forwarder.Forwarder, u *earlyUpstream) {
+		body := longBody()
 		ctx, cancel := context.WithTimeout(t.Context(), patience)
 		defer cancel()
-		body := longBody()
 		first := post(ctx, t, f, u.address, "id1", body)
 		first.Close()
 		qt.Assert(t, ctx.Err(), qt.IsNil, qt.Commentf("Close waited for the end of the context"))
