--- a/internal/control/fleetidentifier/identifier.go
+++ b/internal/control/fleetidentifier/identifier.go
@@ -75,7 +75,7 @@
 // Run identifies the fleet, and checks the store until the context ends.
 func (i *Identifier) Run(ctx context.Context) { i.reads.Run(ctx, i.step) }
 
-// Recheck has the identity read soon. It is called after failures of the store, since another store
+// Recheck has the identity read soon. It is called once a store that has failed is back, since another store
 // at the same address first ends the connections to the one before. It doesn't block.
 func (i *Identifier) Recheck() { i.reads.Wake() }
 
--- a/internal/wiring/entryvm/sink.go
+++ b/internal/wiring/entryvm/sink.go
@@ -91,6 +91,7 @@
 	mu           sync.Mutex
 	registrar    *registrar.Registrar
 	addresses    map[string]string
+	storeFailed  bool        // whether a call has failed since the whole table was read
 	removalTimer *time.Timer // calls publish when missing entries are to be removed
 }
 
@@ -102,15 +103,20 @@
 	}
 	s.mu.Lock()
 	s.registrar.MarkMissingExcept(ids, time.Now())
+	isBack := s.storeFailed
+	s.storeFailed = false
 	s.mu.Unlock()
+	if isBack {
+		s.vm.identifier.Recheck()
+	}
 	s.Change(rows)
 }
 
 // Failed implements watcher.Sink.
 func (s *upstreamSink) Failed(error) {
-	s.vm.identifier.Recheck()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.storeFailed = true
 	s.registrar.RecordOutage(time.Now())
 }
 
