--- a/internal/online/relayer/redirect_test.go
+++ b/internal/online/relayer/redirect_test.go
@@ -17,8 +17,8 @@
 func TestRedirectOfAnUpstreamIsNotFollowed(t *testing.T) {
 	expect := func(t *testing.T, status int, send func(r *relayer.Relayer, a relayer.Attempt) error) {
 		t.Helper()
-		var unasked atomic.Int32
-		other := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { unasked.Add(1) }))
+		var followed atomic.Int32
+		other := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { followed.Add(1) }))
 		defer other.Close()
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			w.Header().Set(upstream.HeaderRequestID, r.Header.Get(upstream.HeaderRequestID))
@@ -32,7 +32,7 @@
 		})
 		qt.Check(t, err, qt.ErrorIs, relayer.ErrRejected)
 		qt.Check(t, relayer.AsAttemptError(err).Ran(), qt.Equals, relayer.RanFailed)
-		qt.Check(t, unasked.Load(), qt.Equals, int32(0))
+		qt.Check(t, followed.Load(), qt.Equals, int32(0))
 	}
 	for _, status := range []int{301, 302, 303, 307, 308} {
 		t.Run(http.StatusText(status), func(t *testing.T) {
