jobrunner: what a claim has shown counts from the beginning of the claim

What callers could see, in the product's own interface: an item of a cancelled job starts as a VM goes on that stood still after it had asked for a chunk.

Why this works: the beginning of a claim is kept with its chunk, a reclaim's too, and never replaces a later check.

--- a/internal/batch/jobrunner/chunk.go
+++ b/internal/batch/jobrunner/chunk.go
@@ -30,6 +30,7 @@
 type chunk struct {
 	ref            jobkeeper.ChunkRef
 	phase          phase
+	claimBegan     time.Time
 	claim          jobkeeper.Claim
 	job            jobkeeper.JobRow
 	waiting        []*item
@@ -44,8 +45,9 @@
 	discarded bool
 }
 
-func newChunk(ref jobkeeper.ChunkRef) *chunk {
-	return &chunk{ref: ref, committing: noCommit}
+// newChunk returns a chunk whose claim begins now.
+func newChunk(ref jobkeeper.ChunkRef, now time.Time) *chunk {
+	return &chunk{ref: ref, claimBegan: now, committing: noCommit}
 }
 
 // noCommit means that no commit is in progress; a commit may have 0 results.
--- a/internal/batch/jobrunner/claim.go
+++ b/internal/batch/jobrunner/claim.go
@@ -82,21 +82,22 @@
 }
 
 // Offered handles an offer of chunks, and claims them up to maxChunks.
-func (r *Runner) Offered(offers []Offer) []Action {
+func (r *Runner) Offered(offers []Offer, now time.Time) []Action {
 	var out []Action
 	for _, offer := range offers {
 		if r.draining || len(r.chunks) >= maxChunks || r.find(offer.Ref) != nil {
 			continue
 		}
-		r.chunks = append(r.chunks, newChunk(offer.Ref))
+		r.chunks = append(r.chunks, newChunk(offer.Ref, now))
 		out = append(out, Claim(offer))
 	}
 	return out
 }
 
-// Claimed handles the outcome of a Claim.
+// Claimed handles the outcome of a Claim. What it has read counts from the beginning of the claim, as
+// that of a check does.
 func (r *Runner) Claimed(
-	ref jobkeeper.ChunkRef, claim jobkeeper.Claim, job jobkeeper.JobRow, err error, now time.Time,
+	ref jobkeeper.ChunkRef, claim jobkeeper.Claim, job jobkeeper.JobRow, err error,
 ) []Action {
 	c := r.find(ref)
 	if c == nil {
@@ -107,7 +108,7 @@
 		return nil
 	}
 	if len(r.chunks) == 1 { // no checks were made without chunks, and the claim has read the job's state
-		r.jobsVerifiedAt = now
+		r.verified(c.claimBegan)
 	}
 	c.claim, c.job, c.phase = claim, job, phaseLoading
 	return []Action{Load{Claim: claim}}
--- a/internal/batch/jobrunner/commit.go
+++ b/internal/batch/jobrunner/commit.go
@@ -38,7 +38,7 @@
 	case errors.Is(err, jobkeeper.ErrOwnershipLost):
 		return r.discard(c)
 	case errors.Is(err, jobkeeper.ErrInDoubt):
-		return r.reclaim(c)
+		return r.reclaim(c, now)
 	default:
 		c.commitRetryAt = now.Add(retryDelay)
 		return nil
@@ -56,9 +56,9 @@
 // reclaim discards a chunk after a commit in doubt and claims it again. The claim
 // changes the version of the row, so that the commit can't take effect after it, and
 // the items loaded next are those without a committed result.
-func (r *Runner) reclaim(c *chunk) []Action {
+func (r *Runner) reclaim(c *chunk, now time.Time) []Action {
 	out := r.discard(c)
-	r.chunks = append(r.chunks, newChunk(c.ref))
+	r.chunks = append(r.chunks, newChunk(c.ref, now))
 	return append(out, Claim{Ref: c.ref, Previous: r.owner})
 }
 
@@ -94,6 +94,13 @@
 	return append(out, r.commitAndRelease(now)...)
 }
 
+// verified records that a call that began at a time has shown the jobs' states.
+func (r *Runner) verified(began time.Time) {
+	if began.After(r.jobsVerifiedAt) {
+		r.jobsVerifiedAt = began
+	}
+}
+
 // Checked handles the outcome of a Check. After an error, the time of the last
 // successful check stays.
 //
@@ -107,9 +114,7 @@
 	if err != nil {
 		return nil
 	}
-	if began.After(r.jobsVerifiedAt) {
-		r.jobsVerifiedAt = began
-	}
+	r.verified(began)
 	var out []Action
 	for _, job := range jobs {
 		if job.State == jobkeeper.StateCancelled {
--- a/internal/batch/jobrunner/simulation_test.go
+++ b/internal/batch/jobrunner/simulation_test.go
@@ -187,7 +187,7 @@
 		for _, chunk := range offer.Chunks {
 			out = append(out, jobrunner.Offer(chunk))
 		}
-		s.execute(vm, vm.core.Offered(out))
+		s.execute(vm, vm.core.Offered(out, s.now))
 	}
 	for _, scan := range scans {
 		vm.pending = append(vm.pending, func() {
@@ -212,7 +212,7 @@
 		case jobrunner.Claim:
 			later(func() {
 				claim, job, err := s.jobs.ClaimChunk(ctx, a.Ref, a.Previous, vm.owner)
-				s.execute(vm, vm.core.Claimed(a.Ref, claim, job, err, s.now))
+				s.execute(vm, vm.core.Claimed(a.Ref, claim, job, err))
 			})
 		case jobrunner.Load:
 			later(func() {
--- a/internal/control/controller/work.go
+++ b/internal/control/controller/work.go
@@ -192,7 +192,8 @@
 
 func (w *batchWork) acceptOffers(model string, offers []jobrunner.Offer) {
 	delete(w.requestedAt, model)
-	w.execute(w.core.Offered(offers), time.Now())
+	now := time.Now()
+	w.execute(w.core.Offered(offers, now), now)
 }
 
 func (w *batchWork) claim(a jobrunner.Claim) {
@@ -204,7 +205,7 @@
 			if err != nil {
 				w.c.Counters.Count("chunk_claims_lost_total")
 			}
-			w.execute(w.core.Claimed(a.Ref, claim, job, err, now), now)
+			w.execute(w.core.Claimed(a.Ref, claim, job, err), now)
 		}
 	})
 }
