batchrunner: a store that is slow isn't taken for a silent one, so no word of a sender counts

Cause: one read that wasn't answered within 0.5 s made the sender's word count. The bound rested on a wait that is usually short.

Evidence: TestSlowStoreIsNotSilent failed before: 3 items started, with answers after 0.6, 0.75 and 0.9 s each.

Why this works: another process's word counts only if, in addition, nothing that the part was asked was answered for 1.4 s; scans count too, and the VMs that get jobs scan their parts each second. The newest unanswered check dates the silence. Tests that start the same owner share a step.

--- a/internal/batch/batchrunner/ended_test.go
+++ b/internal/batch/batchrunner/ended_test.go
@@ -15,6 +15,17 @@
 // manyItems is the number of items of jobs that have more items than there are slots.
 const manyItems = 40
 
+// startOwner starts the VM "a", which doesn't scan the part of the job "j", and returns when it has run the job
+// for a second.
+func (f *fleet) startOwner() (*vm, *link) {
+	f.t.Helper()
+	f.letOthersWatch("a")
+	v, toStore := f.startLinked("a")
+	f.submit(v, manyItems)
+	time.Sleep(time.Second)
+	return v, toStore
+}
+
 // expectNoStartAfterHandover ends the job of the VM "a", which has lost the store, and checks that
 // nothing starts when the job is handed over to the VM "b" later.
 func expectNoStartAfterHandover(t *testing.T, atEnd func(b *vm, toStore *link)) {
@@ -47,6 +58,16 @@
 	})
 }
 
+// Guards against: a store that takes longer to answer than a check waits counts as one that is silent, and a
+// VM starts items of a job that is handed over to it after its end, by the word of the sender.
+func TestSlowStoreIsNotSilent(t *testing.T) {
+	for _, delay := range []time.Duration{600 * time.Millisecond, 750 * time.Millisecond, 900 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			expectNoStartAfterHandover(t, func(_ *vm, toStore *link) { toStore.slowDown(delay) })
+		})
+	}
+}
+
 // Guards against: a VM forgets the end that it has confirmed, and in an outage believes the VM that
 // hands the job over.
 func TestJobThatIsHandedOverInAnOutageAfterItsEndWasHeardStartsNothing(t *testing.T) {
@@ -176,11 +197,9 @@
 	for offset := 0 * time.Millisecond; offset < 1200*time.Millisecond; offset += 150 * time.Millisecond {
 		t.Run(offset.String(), func(t *testing.T) {
 			inFleet(t, 3, fastPlan, func(f *fleet) {
-				f.letOthersWatch("a")
-				v, toStore := f.startLinked("a")
+				v, toStore := f.startOwner()
 				defer v.stop()
-				f.submit(v, manyItems)
-				time.Sleep(time.Second + offset)
+				time.Sleep(offset)
 				toStore.set(false, true)
 				ended := f.end()
 				f.expectNoStartSince(ended.Add(cancelTime), 10*time.Second)
@@ -193,11 +212,8 @@
 // and items of a job that has ended are started on old evidence.
 func TestRefusalsBecauseOfTheRateAreNoOutage(t *testing.T) {
 	inFleet(t, 3, fastPlan, func(f *fleet) {
-		f.letOthersWatch("a")
-		v, toStore := f.startLinked("a")
+		v, toStore := f.startOwner()
 		defer v.stop()
-		f.submit(v, manyItems)
-		time.Sleep(time.Second)
 		toStore.limit()
 		ended := f.end()
 		f.expectNoStartSince(ended.Add(cancelTime), 10*time.Second)
@@ -208,11 +224,8 @@
 // has ended meanwhile.
 func TestVMThatStoodStillStartsNothingOfAnEndedJob(t *testing.T) {
 	inFleet(t, 3, fastPlan, func(f *fleet) {
-		f.letOthersWatch("a")
-		v, _ := f.startLinked("a")
+		v, _ := f.startOwner()
 		defer v.stop()
-		f.submit(v, manyItems)
-		time.Sleep(time.Second)
 		v.pause.Store(int64(5 * time.Second))
 		time.Sleep(time.Second)
 		f.end()
--- a/internal/batch/batchrunner/evidence.go
+++ b/internal/batch/batchrunner/evidence.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/batch/orphanwatcher"
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 )
 
@@ -15,7 +16,9 @@
 //     shown the end;
 //   - by the silence of the store, only if a check that began in the last maxSilenceAge was not
 //     answered. The store has answered a VM in touch for longer than that. A refusal because of the
-//     rate of calls is no silence: it comes from a store that is well.
+//     rate of calls is no silence: it comes from a store that is well;
+//   - by the word of another process, only if in addition no call to the part, scans included, was answered
+//     in the last wordSilence. So a store that is slow, but answers, isn't taken for a silent one.
 //
 // The VM discards the job, and cancels runs that still wait for a connection, with the answer of the first
 // attempt after T: at T + checkAge + tickPeriod + checkTimeout = 2.1 s at the latest.
@@ -34,6 +37,10 @@
 	// answer this VM, counted from the start of the check: two checks, a pause and a tick, and a
 	// margin. In a process that stood still, a check that began before shows nothing.
 	maxSilenceAge = 1800 * time.Millisecond
+	// wordSilence is how long a part must have answered nothing until the word of another process counts:
+	// the time between two scans, and that of a slow answer. The VMs to which jobs are handed over scan their
+	// parts.
+	wordSilence = orphanwatcher.ScanPeriod + 400*time.Millisecond
 )
 
 // evidence is what this VM knows of whether a job is open and may be run here.
@@ -62,32 +69,40 @@
 	e.own = true
 }
 
-// allowsStart returns whether items of the job may start. storeIsSilent is whether the store doesn't answer
-// this VM.
-func (e *evidence) allowsStart(storeIsSilent bool, now time.Time) bool {
+// allowsStart returns whether items of the job may start.
+func (e *evidence) allowsStart(s *silence, now time.Time) bool {
 	age := now.Sub(e.asOf)
-	if age > maxRenewalAge || !e.endHeardAt.IsZero() && !e.holdsSince(e.endHeardAt) {
+	if age > maxRenewalAge || e.isContradicted() {
 		return false
 	}
-	return storeIsSilent || (e.own && age <= maxEvidenceAge)
+	if e.own {
+		return age <= maxEvidenceAge || s.holds(now)
+	}
+	return s.holds(now) && now.Sub(s.answeredAt) >= wordSilence
 }
 
 // holdsSince returns whether this process has learned from the store, by an attempt that began at a time
 // or later, that the job is open.
 func (e *evidence) holdsSince(t time.Time) bool { return e.own && !e.asOf.Before(t) }
 
+// isContradicted returns whether the end of the job was reported since this process has last learned that it
+// is open.
+func (e *evidence) isContradicted() bool {
+	return !e.endHeardAt.IsZero() && !e.holdsSince(e.endHeardAt)
+}
+
 // needsCheck returns whether the job's record should be read now.
 func (e *evidence) needsCheck(now time.Time) bool {
 	isDue := !e.holdsSince(e.endHeardAt) || now.Sub(e.asOf) >= checkAge
 	return isDue && !e.checking && !now.Before(e.checkDue)
 }
 
-// ageToTell returns the age of the evidence for the VM that takes the job over. If it doesn't let items start
-// here, as it is old while the store answers, or as the end of the job was heard, the age is such that it
-// lets none start there either, in earlier releases too.
-func (e *evidence) ageToTell(storeIsSilent bool, now time.Time) time.Duration {
+// ageToTell returns the age of the evidence for the VM that takes the job over. If this process knows that
+// it doesn't count, as it is old while the store answers, or as the end of the job was heard, the age is such that
+// it doesn't count there either, in earlier releases too.
+func (e *evidence) ageToTell(s *silence, now time.Time) time.Duration {
 	age := now.Sub(e.asOf)
-	if !e.allowsStart(storeIsSilent, now) {
+	if e.isContradicted() || (e.own && !e.allowsStart(s, now)) {
 		return age + maxRenewalAge + time.Nanosecond
 	}
 	return age
@@ -153,12 +168,13 @@
 // compare compares the record that a check has read with the job that this VM runs. A check isn't
 // ordered with writes: a record that is older than the known one says nothing.
 func (r *Runner) compare(j *job, read batchkeeper.VersionedRecord, now time.Time) {
-	nobodyElses := read.Owner == r.self || (j.unclaimed && (read.Owner == j.stored.Owner || read.Owner == batchkeeper.Owner{}))
+	stillSenders := read.Owner == j.stored.Owner || read.Owner == batchkeeper.Owner{}
+	mayRun := read.Owner == r.self || (j.unclaimed && stillSenders)
 	switch {
 	case read.Version < j.stored.Version:
 	case !read.Open():
 		r.discardByRecord(j, read, "ended")
-	case nobodyElses:
+	case mayRun:
 		r.learn(j, read.AsOf, now)
 	case j.unclaimed: // the claim decides who owns the job
 	default:
--- a/internal/batch/batchrunner/handover.go
+++ b/internal/batch/batchrunner/handover.go
@@ -73,7 +73,7 @@
 func (r *Runner) export(j *job, now time.Time) jobmover.Job {
 	exported := jobmover.Job{
 		Record: j.stored.Record, Version: j.stored.Version, Outbox: j.outbox,
-		Progress: map[int]batchkeeper.Progress{}, Clock: r.keeper.Now(), Age: j.evidence.ageToTell(r.silenceOf(j).holds(now), now),
+		Progress: map[int]batchkeeper.Progress{}, Clock: r.keeper.Now(), Age: j.evidence.ageToTell(r.silenceOf(j), now),
 	}
 	exported.Record.FailureCounts = j.failureCountsByIndex()
 	for _, it := range j.items {
--- a/internal/batch/batchrunner/job.go
+++ b/internal/batch/batchrunner/job.go
@@ -236,7 +236,7 @@
 	var waiting []ranker.Item
 	run, _ := r.runStatistics.estimate(0)
 	for _, j := range r.jobs {
-		if j.discarded || r.expired(j) || !j.evidence.allowsStart(r.silenceOf(j).holds(now), now) {
+		if j.discarded || r.expired(j) || !j.evidence.allowsStart(r.silenceOf(j), now) {
 			continue
 		}
 		for _, it := range j.items {
--- a/internal/batch/batchrunner/link_test.go
+++ b/internal/batch/batchrunner/link_test.go
@@ -13,6 +13,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/batch/batchrunner"
 	"github.com/fescuespindle/fescuespindle/internal/batch/orphanwatcher"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/sleeper"
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 )
 
@@ -26,6 +27,7 @@
 	hangReads  bool
 	hangWrites bool
 	limited    bool // the store refuses all calls because of their rate
+	delay      time.Duration
 }
 
 // set sets which calls hang.
@@ -42,16 +44,24 @@
 	l.limited = true
 }
 
+// slowDown sets how long the store takes to answer.
+func (l *link) slowDown(delay time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delay = delay
+}
+
 // pass waits until a call reaches the store, or until its context ends if calls of its kind hang.
 func (l *link) pass(ctx context.Context, write bool) error {
-	time.Sleep(storeDelay)
 	l.mu.Lock()
-	hang := l.hangReads
+	hang, delay, limited := l.hangReads, l.delay, l.limited
 	if write {
 		hang = l.hangWrites
 	}
-	limited := l.limited
 	l.mu.Unlock()
+	if !sleeper.Sleep(ctx, delay) {
+		return rowstore.ErrInDoubt
+	}
 	if limited {
 		return fmt.Errorf("%w: %w", rowstore.ErrNotDone, rowstore.ErrRateLimited)
 	}
@@ -80,7 +90,7 @@
 
 // startLinked starts a VM with a link to the store.
 func (f *fleet) startLinked(name string) (*vm, *link) {
-	l := &link{Store: f.store}
+	l := &link{Store: f.store, delay: storeDelay}
 	return f.startOn(name, 1, l), l
 }
 
--- a/internal/batch/batchrunner/silence.go
+++ b/internal/batch/batchrunner/silence.go
@@ -26,7 +26,10 @@
 	if began.Before(s.answeredAt) {
 		return
 	}
-	s.silentAt, s.probeDue = began, ended.Add(checkPause)
+	if began.After(s.silentAt) {
+		s.silentAt = began
+	}
+	s.probeDue = ended.Add(checkPause)
 }
 
 // holds returns whether the part doesn't answer this VM.
