--- a/scripts/race-tests.sh
+++ b/scripts/race-tests.sh
@@ -19,7 +19,7 @@
   /--- FAIL|DATA RACE|^panic:|^fatal error:|build failed|setup failed/ { real = 1 }
   /^FAIL\t/ { if (crash && !real) print $2; else other = 1; crash = real = 0 }
   /^(ok  |\?   )\t/ { crash = real = 0 }
-  END { if (real) print "other" }
+  END { if (other || real) print "other" }
 ' "$output")
 if [ -z "$crashed" ] || grep -qx other <<<"$crashed"; then
   exit "$status"
