Metrics and log line tell which store reads fill a link and what a failed read met

Cause: in the incident "accepted jobs unreadable in one region" no metric had the bytes that a VM reads of a table, and the log line of a job call that failed didn't tell a store that rejects calls from one that is silent, or from a response that a slow link brings too late.

Change: the store's client informs an observer of each call that has ended (platform.WithCallObserver). callcounter counts them: store_calls_total{call,table,outcome}, store_read_bytes_total{call,table} and store_wasted_bytes_total{call,table}, the bytes of responses that were aborted midway. A failed read of batchkeeper is a ReadError: table, attempts, time and outcome of the last one. `job call rejected` has these fields and the job's part.

--- a/internal/batch/batchkeeper/keeper.go
+++ b/internal/batch/batchkeeper/keeper.go
@@ -148,8 +148,9 @@
 			k.recordClock(all.Now)
 			return all, asOf, nil
 		}
+		lastTook := time.Since(asOf)
 		if time.Since(began) >= retryTimeout || !retryBackoff.Wait(ctx, attempt) {
-			return all, asOf, fmt.Errorf("%w: %s: %w", ErrNotRead, table, err)
+			return all, asOf, newReadError(table, attempt+1, lastTook, err)
 		}
 	}
 }
@@ -186,7 +187,7 @@
 	asOf := time.Now()
 	all, err := k.tryReadRange(ctx, tableJobs, partName(n), "", "")
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrNotRead, err)
+		return nil, newReadError(tableJobs, 1, time.Since(asOf), err)
 	}
 	k.recordClock(all.Now)
 	records := make([]VersionedRecord, 0, len(all.Rows))
--- a/internal/faces/batchserver/server.go
+++ b/internal/faces/batchserver/server.go
@@ -243,7 +243,7 @@
 // reject answers and logs a call that failed, and returns the status.
 func (s *Server) reject(w http.ResponseWriter, id string, status int, err error) int {
 	s.counter.Count(`job_refusals_total{status="` + http.StatusText(status) + `"}`)
-	s.logger.Warn("job call rejected", "job", id, "status", status, "error", err)
+	s.logger.LogAttrs(context.Background(), slog.LevelWarn, "job call rejected", rejectionAttributes(id, status, err)...)
 	retryAfter := time.Duration(0)
 	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
 		retryAfter = retryAfterBase + rand.N(retryAfterJitter)
--- a/internal/wiring/entryvm/provider.go
+++ b/internal/wiring/entryvm/provider.go
@@ -32,6 +32,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/socketdialer"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/supervisor"
+	"github.com/fescuespindle/fescuespindle/internal/store/callcounter"
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 	"github.com/fescuespindle/fescuespindle/internal/store/storerelayer"
 	"github.com/fescuespindle/fescuespindle/platform"
@@ -170,8 +171,12 @@
 	return storerelayer.New(s.StoreAddress, storeTransport(), fleet.Transport(storeTransport()), counters, logger)
 }
 
-func newStore(s platform.Settings, relayer *storerelayer.Relayer) *platform.Store {
-	return platform.NewStore(storeURL(s), relayer)
+func newCallCounter(counters *counter.Counters) *callcounter.Counter {
+	return callcounter.New(counters)
+}
+
+func newStore(s platform.Settings, relayer *storerelayer.Relayer, calls *callcounter.Counter) *platform.Store {
+	return platform.NewStore(storeURL(s), relayer, platform.WithCallObserver(calls))
 }
 
 func storeURL(s platform.Settings) string { return "http://" + s.StoreAddress }
@@ -183,9 +188,10 @@
 // newIdentifier returns an identifier that reads the store without the relayer, as a peer VM that relays
 // could be of another fleet.
 func newIdentifier(
-	s platform.Settings, fleet *fleetidentifier.Fleet, c *callbacks, logger *slog.Logger,
+	s platform.Settings, fleet *fleetidentifier.Fleet, c *callbacks, calls *callcounter.Counter, logger *slog.Logger,
 ) *fleetidentifier.Identifier {
-	return fleetidentifier.NewIdentifier(platform.NewStore(storeURL(s), storeTransport()), fleet, c.onOtherFleet, logger)
+	store := platform.NewStore(storeURL(s), storeTransport(), platform.WithCallObserver(calls))
+	return fleetidentifier.NewIdentifier(store, fleet, c.onOtherFleet, logger)
 }
 
 func newMemberKeeper(
--- a/internal/wiring/entryvm/wire.go
+++ b/internal/wiring/entryvm/wire.go
@@ -16,7 +16,7 @@
 func assemble(settings platform.Settings, logger *slog.Logger) (*VM, error) {
 	wire.Build(
 		newBootID, newCallbacks, newCounters, newRationer, newSupervisor, newCodec, newBootstrapper,
-		newReporter, newFinder, newCarrier, newPlacer, newForwarder, newRelayer, newStore, newMemberKeeper,
+		newReporter, newFinder, newCarrier, newPlacer, newForwarder, newRelayer, newCallCounter, newStore, newMemberKeeper,
 		newOwner, newJobKeeper, newMover, newRunner, newSharedState, newCanceller, newJobServer, newGateway, courier.New, newAnalyzer,
 		newVersionKeeper, newFleet, newIdentifier,
 		wire.Struct(new(VM), "settings", "bootID", "logger", "counter", "relayer", "store", "finder", "carrier", "forwarder", "placer",
--- a/internal/wiring/entryvm/wire_gen.go
+++ b/internal/wiring/entryvm/wire_gen.go
@@ -20,7 +20,8 @@
 	counters := newCounters()
 	fleet := newFleet(counters, logger)
 	relayer := newRelayer(settings, fleet, counters, logger)
-	store := newStore(settings, relayer)
+	counter := newCallCounter(counters)
+	store := newStore(settings, relayer, counter)
 	finder := newFinder(fleet, counters, logger)
 	rationer := newRationer(settings)
 	carrier := newCarrier(finder, rationer, counters, logger)
@@ -46,7 +47,7 @@
 	canceller := newCanceller(batchkeeperKeeper, entryvmSharedState, supervisor, counters, logger)
 	server := newJobServer(codec, batchkeeperKeeper, canceller, entryvmSharedState, entryvmCallbacks, rationer, counters, logger)
 	gateway := newGateway(codec, courierCourier, placer, analyzer, keeper, server, rationer, counters, logger)
-	identifier := newIdentifier(settings, fleet, entryvmCallbacks, logger)
+	identifier := newIdentifier(settings, fleet, entryvmCallbacks, counter, logger)
 	vm := &VM{
 		settings:     settings,
 		bootID:       entryvmBootID,
