--- a/internal/standins/rowemulator/store.go
+++ b/internal/standins/rowemulator/store.go
@@ -170,6 +170,17 @@
 	if _, err := tx.Part(rowstore.MaxEntries, rowstore.MaxTxBytes); err != nil {
 		return rowstore.Snapshot{}, err
 	}
+	return s.apply(tx)
+}
+
+// PutLarge writes a row of any size, regardless of faults and rate limits, as the platform's
+// operator does.
+func (s *Store) PutLarge(put rowstore.Put) error {
+	_, err := s.apply(rowstore.Tx{Puts: []rowstore.Put{put}})
+	return err
+}
+
+func (s *Store) apply(tx rowstore.Tx) (rowstore.Snapshot, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if conflicts := s.conflicts(tx.Conditions); len(conflicts) > 0 {
