watcher: an answer that keeps arriving is not aborted, one that stands still is

Cause (incident of accepted jobs that can't be read in one region): a read of a whole table or of changes had 1.2 s in all beyond the store's hold. A 1 MB row that 34 VMs read over a shared link takes longer, so each read was aborted while it arrived and began anew; the timeout doubled after that, but returned to 1.2 s after each success, so every periodic reread began with the waste again.

Now the answer must begin in that time, must not stand still for 1.5 s, and may arrive for 16 s. The first read is bounded alike; another one no longer starts beside a read that has been arriving for 4 s.

The 5 s of fleets of more than 96 VMs stay, as the time until an answer begins, with the probes of abandonIfLost: there hundreds of answers may wait at one link. The doubling is gone.

A call that misses such a deadline is canceled with a cause that is a deadline's, and storerelayer takes it for a missed deadline as before, not for a caller that has left.

TestCallWithoutAnswerMakesLaterCallsBeRelayed fails without the change of storerelayer.

Changed test: TestLongTableIsReadOverNarrowLink. Its store reported the start of an answer only; it now reports each piece, as the real client does. Its checks are the same.

--- /dev/null
+++ b/internal/control/watcher/arrival.go
@@ -0,0 +1,98 @@
+package watcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
+)
+
+const (
+	// callTimeout is the default time within which the answer to a call must begin to
+	// arrive, in addition to the time that the store holds the call.
+	callTimeout = 1200 * time.Millisecond
+	// progressTimeout is how long an answer that has begun to arrive may stand still.
+	progressTimeout = 1500 * time.Millisecond
+	// maxReadTimeout bounds the time in which an answer may keep arriving, and a read of a
+	// whole table.
+	maxReadTimeout = 16 * time.Second
+)
+
+// These errors wrap context.DeadlineExceeded, as the call has missed a deadline and was not
+// canceled by whoever needs the answer.
+var (
+	errNotStarted = fmt.Errorf("answer has not begun to arrive: %w", context.DeadlineExceeded)
+	errStalled    = fmt.Errorf("answer has stopped arriving: %w", context.DeadlineExceeded)
+)
+
+// readFunc is a call that reads rows.
+type readFunc func(ctx context.Context) (rowstore.Snapshot, error)
+
+// callWhileArriving makes a call, and cancels it if its answer has not begun to arrive within
+// startTimeout, if it then stands still for progressTimeout, and maxReadTimeout later in any
+// case.
+//
+// An answer that keeps arriving must not be abandoned because it takes long: the link is
+// slow then, and what has arrived would have to be transferred again.
+func callWhileArriving(ctx context.Context, startTimeout time.Duration, call readFunc) (rowstore.Snapshot, error) {
+	ctx, cancelTotal := context.WithTimeout(ctx, startTimeout+maxReadTimeout)
+	defer cancelTotal()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var started atomic.Bool
+	timer := time.AfterFunc(startTimeout, func() {
+		if started.Load() {
+			cancel(errStalled)
+			return
+		}
+		cancel(errNotStarted)
+	})
+	defer timer.Stop()
+	answer, err := call(rowstore.WithProgressHook(ctx, func() {
+		started.Store(true)
+		timer.Reset(progressTimeout)
+	}))
+	if err == nil {
+		return answer, nil
+	}
+	for _, cause := range []error{errNotStarted, errStalled} {
+		if errors.Is(context.Cause(ctx), cause) {
+			return answer, fmt.Errorf("%w: %w", rowstore.ErrInDoubt, cause)
+		}
+	}
+	return answer, err
+}
+
+// call makes a call that the store may hold for some time before it answers.
+func (w *Watcher) call(ctx context.Context, hold time.Duration, call readFunc) (rowstore.Snapshot, error) {
+	return callWhileArriving(ctx, hold+w.timeout(), func(ctx context.Context) (rowstore.Snapshot, error) {
+		return w.abandonIfLost(ctx, hold+callTimeout, call)
+	})
+}
+
+// pageReader is a store on which each read is made by a function that bounds it. The bounds
+// thus count for each page of a table.
+type pageReader struct {
+	rowstore.Store
+	bound func(ctx context.Context, call readFunc) (rowstore.Snapshot, error)
+}
+
+// Range implements rowstore.Store.
+func (r pageReader) Range(ctx context.Context, table, part, from, to string) (rowstore.Snapshot, string, error) {
+	next := ""
+	page, err := r.bound(ctx, func(ctx context.Context) (page rowstore.Snapshot, err error) {
+		page, next, err = r.Store.Range(ctx, table, part, from, to)
+		return page, err
+	})
+	return page, next, err
+}
+
+// readPages reads the whole table, with each page bounded by a function.
+func (w *Watcher) readPages(
+	ctx context.Context, bound func(ctx context.Context, call readFunc) (rowstore.Snapshot, error),
+) (rowstore.Snapshot, error) {
+	return rowstore.ReadAll(ctx, pageReader{Store: w.store, bound: bound}, w.table, w.part, "", "")
+}
--- a/internal/control/watcher/first.go
+++ b/internal/control/watcher/first.go
@@ -19,9 +19,6 @@
 	// firstByteTimeout bounds the wait for the first byte of a read, and thereby the
 	// number of reads that wait at the same time.
 	firstByteTimeout = 6 * time.Second
-	// startedReadDelay is how long a response that has started to arrive may take before
-	// another read is started alongside it, as its connection may hang.
-	startedReadDelay = 4 * time.Second
 )
 
 // firstRead reads the whole table for the first time in a process.
@@ -29,14 +26,14 @@
 // A process may start while the store is unresponsive; its read is then never answered,
 // even once the store is back. It may also start together with all other VMs behind a
 // narrow link; its read then takes seconds and must not be canceled. No single timeout
-// suits both cases. So while no response has started to arrive, other reads are started
-// alongside, and the first complete answer is used.
+// suits both cases. So while no response arrives, other reads are started alongside, and
+// the first complete answer is used.
 type firstRead struct {
-	watcher         *Watcher
-	group           sync.WaitGroup
-	results         chan readResult
-	responseStarted chan struct{}
-	inFlight        int
+	watcher  *Watcher
+	group    sync.WaitGroup
+	results  chan readResult
+	progress chan struct{} // has an element once more of any response has arrived
+	inFlight int
 }
 
 // readResult is the outcome of one read.
@@ -46,11 +43,11 @@
 }
 
 // readFirst returns the first answer. It returns an error if a read fails while no other
-// is in flight, or after maxReadTimeout.
+// is in flight, or when the context ends.
 func (w *Watcher) readFirst(ctx context.Context) (rowstore.Snapshot, error) {
-	f := &firstRead{watcher: w, results: make(chan readResult), responseStarted: make(chan struct{})}
+	f := &firstRead{watcher: w, results: make(chan readResult), progress: make(chan struct{}, 1)}
 	defer f.group.Wait()
-	ctx, cancel := context.WithTimeout(ctx, maxReadTimeout)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	delay := firstReadDelay
 	f.start(ctx)
@@ -65,8 +62,8 @@
 			}
 		case <-ctx.Done():
 			return rowstore.Snapshot{}, fmt.Errorf("%w: first read: %w", rowstore.ErrInDoubt, ctx.Err())
-		case <-f.responseStarted:
-			timer.Reset(startedReadDelay)
+		case <-f.progress:
+			timer.Reset(progressTimeout)
 		case <-timer.C:
 			f.start(ctx)
 			delay = min(2*delay, maxFirstReadDelay)
@@ -95,19 +92,16 @@
 	})
 }
 
-// read performs one read, which is canceled if its response has not started to arrive
-// within firstByteTimeout.
+// read performs one read, which is canceled if the response to a page has not started to
+// arrive within firstByteTimeout or stops arriving.
 func (f *firstRead) read(ctx context.Context) (rowstore.Snapshot, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	firstByteTimer := time.AfterFunc(firstByteTimeout, cancel)
-	defer firstByteTimer.Stop()
-	hookedContext := rowstore.WithResponseStartHook(ctx, func() {
-		firstByteTimer.Stop()
+	ctx = rowstore.WithProgressHook(ctx, func() {
 		select {
-		case f.responseStarted <- struct{}{}:
-		case <-ctx.Done():
+		case f.progress <- struct{}{}:
+		default: // the previous progress has not been noticed yet
 		}
 	})
-	return rowstore.ReadAll(hookedContext, f.watcher.store, f.watcher.table, f.watcher.part, "", "")
+	return f.watcher.readPages(ctx, func(ctx context.Context, read readFunc) (rowstore.Snapshot, error) {
+		return callWhileArriving(ctx, firstByteTimeout, read)
+	})
 }
--- a/internal/control/watcher/lost.go
+++ b/internal/control/watcher/lost.go
@@ -32,9 +32,7 @@
 // new configurations arrive right after it. So if the answer has not begun to arrive after
 // the grace period, the store is probed with a small read. If it answers that promptly, it
 // would have answered the call too, and the call's answer is lost.
-func (w *Watcher) abandonIfLost(
-	ctx context.Context, grace time.Duration, call func(context.Context) (rowstore.Snapshot, error),
-) (rowstore.Snapshot, error) {
+func (w *Watcher) abandonIfLost(ctx context.Context, grace time.Duration, call readFunc) (rowstore.Snapshot, error) {
 	if w.timeout() <= callTimeout {
 		return call(ctx) // the call's own timeout ends it as soon
 	}
@@ -51,7 +49,7 @@
 			return nil
 		})
 	})
-	answer, err := call(rowstore.WithResponseStartHook(ctx, func() { responseStarted.Store(true) }))
+	answer, err := call(rowstore.WithProgressHook(ctx, func() { responseStarted.Store(true) }))
 	if err != nil && errors.Is(context.Cause(ctx), errAnswerLost) {
 		return answer, fmt.Errorf("%w: %w", rowstore.ErrInDoubt, errAnswerLost)
 	}
--- a/internal/control/watcher/watcher.go
+++ b/internal/control/watcher/watcher.go
@@ -18,14 +18,6 @@
 const (
 	// defaultWait is how long the store holds a request for changes (long polling).
 	defaultWait = time.Second
-	// callTimeout is the default timeout of a call, in addition to the time that the store
-	// holds it.
-	callTimeout = 1200 * time.Millisecond
-	// maxReadTimeout bounds the timeout of a read of the whole table. The timeout doubles
-	// after a read that timed out while its answer was arriving, as repeating such a read
-	// with the same timeout would fill a narrow link and never finish. Other reads keep
-	// the short timeout, so that a call that hangs since an outage doesn't outlast it.
-	maxReadTimeout = 16 * time.Second
 	// defaultRereadInterval bounds the staleness that a stalled feed of changes causes.
 	defaultRereadInterval = 8 * time.Second
 	// retryDelay is the mean delay after a failure.
@@ -69,7 +61,7 @@
 	reread        func() time.Duration
 	timeout       func() time.Duration
 	guard         Guard
-	readTimeout   time.Duration // timeout of the next read of the whole table; 0 until one has succeeded
+	hasRead       bool // whether the whole table has been read
 	storeLost     bool
 	historyGoneAt time.Time // when the store last had no history
 
@@ -98,8 +90,8 @@
 	return func(w *Watcher) { w.reread = reread }
 }
 
-// WithTimeout sets a function that returns the timeout of a call, in addition to the time
-// that the store holds it.
+// WithTimeout sets a function that returns the time within which the answer to a call must
+// begin to arrive, in addition to the time that the store holds the call.
 func WithTimeout(timeout func() time.Duration) Option {
 	return func(w *Watcher) { w.timeout = timeout }
 }
@@ -185,24 +177,16 @@
 }
 
 func (w *Watcher) readAll(ctx context.Context) (rowstore.Snapshot, error) {
-	if w.readTimeout == 0 {
+	ctx, cancel := context.WithTimeout(ctx, maxReadTimeout)
+	defer cancel()
+	if !w.hasRead {
 		all, err := w.readFirst(ctx)
-		if err == nil {
-			w.readTimeout = w.timeout()
-		}
+		w.hasRead = err == nil
 		return all, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, w.readTimeout)
-	defer cancel()
-	all, err := w.abandonIfLost(ctx, callTimeout, func(ctx context.Context) (rowstore.Snapshot, error) {
-		return rowstore.ReadAll(ctx, w.store, w.table, w.part, "", "")
+	return w.readPages(ctx, func(ctx context.Context, read readFunc) (rowstore.Snapshot, error) {
+		return w.call(ctx, 0, read)
 	})
-	if errors.Is(err, rowstore.ErrResponseIncomplete) {
-		w.readTimeout = min(2*w.readTimeout, maxReadTimeout)
-	} else {
-		w.readTimeout = w.timeout()
-	}
-	return all, err
 }
 
 func (w *Watcher) followChanges(ctx context.Context, version uint64) error {
@@ -228,9 +212,7 @@
 }
 
 func (w *Watcher) changes(ctx context.Context, version uint64) (rowstore.Snapshot, error) {
-	ctx, cancel := context.WithTimeout(ctx, w.wait+w.timeout())
-	defer cancel()
-	return w.abandonIfLost(ctx, w.wait+callTimeout, func(ctx context.Context) (rowstore.Snapshot, error) {
+	return w.call(ctx, w.wait, func(ctx context.Context) (rowstore.Snapshot, error) {
 		return w.store.Changes(ctx, w.table, version, w.wait)
 	})
 }
--- a/internal/control/watcher/watcher_test.go
+++ b/internal/control/watcher/watcher_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"slices"
 	"sync"
@@ -180,35 +179,16 @@
 	})
 }
 
-// slowStore is a store whose responses start at once but take a fixed time to arrive.
-type slowStore struct {
-	store
-	takes time.Duration
-	reads int
-}
-
-// Range implements rowstore.Store.
-func (s *slowStore) Range(ctx context.Context, _, _, _, _ string) (rowstore.Snapshot, string, error) {
-	s.reads++
-	rowstore.NotifyResponseStart(ctx)
-	select {
-	case <-time.After(s.takes):
-		return rowstore.Snapshot{Version: 3}, "", nil
-	case <-ctx.Done():
-		return rowstore.Snapshot{}, "", fmt.Errorf("%w: %w", rowstore.ErrInDoubt, rowstore.ErrResponseIncomplete)
-	}
-}
-
 // All VMs of a remote region start at once and read a long configuration over a narrow
 // link.
 func TestLongTableIsReadOverNarrowLink(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 		defer cancel()
-		s, to := &slowStore{takes: 6 * time.Second}, &sink{}
+		s, to := &narrowStore{takes: 6 * time.Second}, &sink{}
 		watcher.New(s, "t", "", to, slog.New(slog.DiscardHandler)).Run(ctx)
 		qt.Check(t, to.events, qt.Contains, "replace ")
-		qt.Check(t, s.reads <= 5, qt.IsTrue, qt.Commentf("%d reads", s.reads))
+		qt.Check(t, s.reads.Load() <= 5, qt.IsTrue, qt.Commentf("%d reads", s.reads.Load()))
 	})
 }
 
@@ -227,7 +207,7 @@
 		<-ctx.Done()
 		return rowstore.Snapshot{}, "", rowstore.ErrInDoubt
 	}
-	rowstore.NotifyResponseStart(ctx)
+	rowstore.NotifyProgress(ctx)
 	return rowstore.Snapshot{Rows: []rowstore.Row{row("a", 3)}, Version: 3}, "", nil
 }
 
@@ -257,7 +237,7 @@
 func (s *storeWithOutage) respond(ctx context.Context) error {
 	s.calls.Add(1)
 	if now := time.Now(); now.Before(s.from) || !now.Before(s.back) {
-		rowstore.NotifyResponseStart(ctx)
+		rowstore.NotifyProgress(ctx)
 		return nil
 	}
 	<-ctx.Done()
--- a/internal/store/storerelayer/relayer.go
+++ b/internal/store/storerelayer/relayer.go
@@ -110,7 +110,7 @@
 		r.recordDirectSuccess()
 		return response, err
 	}
-	if errors.Is(request.Context().Err(), context.Canceled) {
+	if isCanceled(request) {
 		r.endProbe()
 		return response, err // canceled by the caller, which says nothing about the store
 	}
@@ -159,6 +159,13 @@
 		response.StatusCode == http.StatusTooManyRequests
 }
 
+// isCanceled returns whether a caller has canceled a call for another reason than a deadline
+// that the call has missed.
+func isCanceled(request *http.Request) bool {
+	ctx := request.Context()
+	return ctx.Err() != nil && !errors.Is(context.Cause(ctx), context.DeadlineExceeded)
+}
+
 // mayRetry returns whether a failed call may be sent again: it was not sent, or it is a
 // read whose context has not ended.
 func mayRetry(request *http.Request, err error) bool {
@@ -249,7 +256,7 @@
 		call.URL.Host, call.Host = address, r.address
 		call.Header.Set(headerRelayed, "1")
 		response, err := r.peer.RoundTrip(call)
-		if err != nil && errors.Is(request.Context().Err(), context.Canceled) {
+		if err != nil && isCanceled(request) {
 			return nil, err //nolint:wrapcheck // canceled by the caller, which says nothing about the peer VM
 		}
 		if err != nil {
--- a/internal/store/storerelayer/relayer_test.go
+++ b/internal/store/storerelayer/relayer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -204,3 +205,25 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, directCalls.Load(), qt.Equals, before+1)
 }
+
+// Guards against: a store that doesn't answer a VM is never reached through peer VMs, as the
+// callers bound the time until an answer begins by canceling the call.
+func TestCallWithoutAnswerMakesLaterCallsBeRelayed(t *testing.T) {
+	p := newPair(t, func(r *http.Request) (*http.Response, error) {
+		select {
+		case <-r.Context().Done():
+			return nil, context.Cause(r.Context())
+		case <-time.After(2 * time.Second):
+			return nil, errors.New("silent")
+		}
+	}, sendDirect)
+	ctx, cancel := context.WithCancelCause(t.Context())
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.store+"/x?y=1", http.NoBody)
+	qt.Assert(t, err, qt.IsNil)
+	time.AfterFunc(20*time.Millisecond, func() { cancel(fmt.Errorf("no answer: %w", context.DeadlineExceeded)) })
+	_, err = p.vm.RoundTrip(request)
+	qt.Assert(t, err, qt.IsNotNil)
+	got, err := call(t, p)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, got, qt.Equals, "OK /x?y=1 body")
+}
--- a/internal/wiring/entryvm/vm.go
+++ b/internal/wiring/entryvm/vm.go
@@ -165,9 +165,9 @@
 )
 
 const (
-	// feedTimeout is how long a call for changes may take beyond the time that the store
-	// holds it. largeFeedTimeout applies in a fleet of more than smallFleetVMs VMs, and is
-	// enough to send a long configuration to all VMs of a region over one link.
+	// feedTimeout is how long the answer to a read may take to begin, beyond the time that
+	// the store holds the call. largeFeedTimeout applies in a fleet of more than
+	// smallFleetVMs VMs: answers to hundreds of VMs of a region may wait at one link.
 	feedTimeout      = 1200 * time.Millisecond
 	largeFeedTimeout = 5 * time.Second
 )
