watcher: a long table is read again less often, and its feed goes on after a failure

Now all VMs together read at most 500 kB/s of one table (never more often than before, at least every minute or so, spread by an eighth). While jobs wait for a newer configuration it is read every 2 s as before, but for a long one the time doubles while reads don't bring it. After a failed call the feed of a long configuration goes on where it was; the first call then asks for an answer at once, so that it lasts 1.2 s in an outage and not 2.2 s. A lost history and a panic of the sink still cause a read. Other tables are read after each failure as before, as their sinks use that.

Ruled out: resuming short tables too. Their reads cost little and find what a feed withholds. Not changed: while the store keeps no history, a long table is still read every 1.2 s or as fast as it arrives.

--- a/internal/control/watcher/known.go
+++ b/internal/control/watcher/known.go
@@ -56,6 +56,17 @@
 	return w.tableState.version
 }
 
+// length returns the bytes of the names and values of all rows.
+func (w *Watcher) length() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	bytes := 0
+	for _, row := range w.tableState.rows {
+		bytes += len(row.Name) + len(row.Value)
+	}
+	return bytes
+}
+
 // HasData reports whether any content of the table is known, so that no copy is needed.
 func (w *Watcher) HasData() bool {
 	w.mu.Lock()
--- a/internal/control/watcher/watcher.go
+++ b/internal/control/watcher/watcher.go
@@ -1,6 +1,6 @@
 // Package watcher follows a table of the store. It reads the whole table once and then its
 // changes as they occur. It rereads the whole table after every failure and periodically,
-// as a feed of changes may stall unnoticed.
+// as a feed of changes may stall unnoticed; a long table less often.
 package watcher
 
 import (
@@ -18,8 +18,6 @@
 const (
 	// defaultWait is how long the store holds a request for changes (long polling).
 	defaultWait = time.Second
-	// defaultRereadInterval bounds the staleness that a stalled feed of changes causes.
-	defaultRereadInterval = 8 * time.Second
 	// retryDelay is the mean delay after a failure.
 	retryDelay = 300 * time.Millisecond
 	// historyRereadDelay is the mean time between two reads of the whole table while the
@@ -58,7 +56,7 @@
 	logger        *slog.Logger
 	wait          time.Duration
 	pause         time.Duration
-	reread        func() time.Duration
+	rereads       rereads
 	timeout       func() time.Duration
 	guard         Guard
 	hasRead       bool // whether the whole table has been read
@@ -84,12 +82,6 @@
 	return func(w *Watcher) { w.pause = pause }
 }
 
-// WithReread sets a function that returns the time between two reads of the whole table. It is
-// called after each call for changes.
-func WithReread(reread func() time.Duration) Option {
-	return func(w *Watcher) { w.reread = reread }
-}
-
 // WithTimeout sets a function that returns the time within which the answer to a call must
 // begin to arrive, in addition to the time that the store holds the call.
 func WithTimeout(timeout func() time.Duration) Option {
@@ -108,7 +100,7 @@
 	w := &Watcher{
 		store: store, table: table, part: part, sink: sink, logger: logger, wait: defaultWait,
 		timeout: func() time.Duration { return callTimeout },
-		reread:  func() time.Duration { return defaultRereadInterval },
+		rereads: newRereads(),
 		guard:   unguarded{},
 	}
 	for _, option := range options {
@@ -122,6 +114,7 @@
 
 // Run follows the table until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
+	w.rereads.demand() // the sink may have missed a change if it has panicked
 	for ctx.Err() == nil {
 		err := w.follow(ctx)
 		if ctx.Err() != nil {
@@ -130,6 +123,7 @@
 		if errors.Is(err, rowstore.ErrHistoryGone) {
 			w.logger.Info("store history gone, rereading the whole table", "table", w.table)
 			w.delayReread(ctx)
+			w.rereads.demand()
 			continue
 		}
 		w.recordOutcome(err)
@@ -161,8 +155,13 @@
 	}
 }
 
-// follow reads the table and its changes until a call fails.
+// follow reads the table, unless its feed can be resumed, and its changes until a call fails.
 func (w *Watcher) follow(ctx context.Context) error {
+	if w.rereads.canResume(w.length()) {
+		if err := w.followChanges(ctx); err != nil {
+			return err
+		}
+	}
 	for {
 		all, err := w.readAll(ctx)
 		if err != nil {
@@ -170,7 +169,8 @@
 		}
 		w.recordOutcome(nil)
 		w.replace(all)
-		if err := w.followChanges(ctx, all.Version); err != nil {
+		w.rereads.record(w.length())
+		if err := w.followChanges(ctx); err != nil {
 			return err
 		}
 	}
@@ -189,13 +189,14 @@
 	})
 }
 
-func (w *Watcher) followChanges(ctx context.Context, version uint64) error {
-	began := time.Now()
-	for time.Since(began) < w.reread() {
-		changes, err := w.changes(ctx, version)
+// followChanges applies changes until the whole table must be read again.
+func (w *Watcher) followChanges(ctx context.Context) error {
+	for !w.rereads.isDue(w.length()) {
+		changes, err := w.changes(ctx, w.Version())
 		if err != nil {
 			return err
 		}
+		w.recordOutcome(nil)
 		w.confirm()
 		if len(changes.Rows) == 0 {
 			// The version stays the same: a store may withhold changes for a while, so
@@ -203,7 +204,6 @@
 			continue
 		}
 		w.change(changes)
-		version = max(version, changes.Version)
 		if w.pause > 0 && !sleeper.Sleep(ctx, w.pause) {
 			return ctx.Err()
 		}
@@ -211,8 +211,14 @@
 	return nil
 }
 
+// changes requests the changes after a version. After a failure the store is to answer at
+// once, so that the call doesn't outlast an outage by long.
 func (w *Watcher) changes(ctx context.Context, version uint64) (rowstore.Snapshot, error) {
-	return w.call(ctx, w.wait, func(ctx context.Context) (rowstore.Snapshot, error) {
-		return w.store.Changes(ctx, w.table, version, w.wait)
+	wait := w.wait
+	if w.storeLost {
+		wait = 0
+	}
+	return w.call(ctx, wait, func(ctx context.Context) (rowstore.Snapshot, error) {
+		return w.store.Changes(ctx, w.table, version, wait)
 	})
 }
--- a/internal/wiring/entryvm/vm.go
+++ b/internal/wiring/entryvm/vm.go
@@ -118,7 +118,7 @@
 		return fmt.Errorf("listen for callers: %w", err)
 	}
 	vm.configuration = vm.newWatcher(platform.TableConfiguration, "", &configurationSink{vm: vm},
-		watcher.WithReread(vm.configurationRereadInterval))
+		watcher.WithReread(vm.rereadInterval), watcher.WithNewer(vm.runner.AwaitsConfiguration), watcher.WithResume())
 	watchers := []*watcher.Watcher{
 		vm.newWatcher(memberkeeper.Table, memberkeeper.Part, vm.memberKeeper,
 			watcher.WithWait(memberWait), watcher.WithPause(memberPause)),
@@ -159,9 +159,8 @@
 	// bounds how long a stalled feed of changes leaves a VM with outdated data.
 	rereadInterval = 8 * time.Second
 	smallFleetVMs  = placer.MaxFullMeshVMs
-	// awaitedRereadInterval is the time between two reads of the configuration while a job
-	// waits for a newer one.
-	awaitedRereadInterval = 2 * time.Second
+	// maxRereadRate is how many bytes per second all VMs together may read again of one table.
+	maxRereadRate = 500_000
 )
 
 const (
@@ -183,12 +182,8 @@
 	return rereadInterval * time.Duration(max(vm.vmCount.Load(), smallFleetVMs)) / smallFleetVMs
 }
 
-func (vm *VM) configurationRereadInterval() time.Duration {
-	if vm.runner.AwaitsConfiguration() {
-		return awaitedRereadInterval
-	}
-	return vm.rereadInterval()
-}
+// rereadRate returns this VM's share of maxRereadRate.
+func (vm *VM) rereadRate() int { return maxRereadRate / int(max(vm.vmCount.Load(), 1)) }
 
 const (
 	// memberWait is how long the store holds a request for changes of the VM list, and
@@ -201,7 +196,8 @@
 // newWatcher returns the watcher of a table. It also registers the watcher with the
 // bootstrapper, which exchanges copies of tables with peer VMs.
 func (vm *VM) newWatcher(table, part string, sink watcher.Sink, options ...watcher.Option) *watcher.Watcher {
-	options = append(options, watcher.WithTimeout(vm.feedTimeout), watcher.WithGuard(vm.tasks))
+	options = append(options, watcher.WithTimeout(vm.feedTimeout), watcher.WithRereadRate(vm.rereadRate),
+		watcher.WithGuard(vm.tasks))
 	w := watcher.New(vm.store, table, part, sink, vm.logger, options...)
 	vm.bootstrapper.AddTable(table, w)
 	return w
