watcher: a VM whose feed withholds a configuration learns of it from its peer VMs

VMs now tell each other the version of the newest row of the configuration that they know: one field ("config", about 15 bytes) in the messages that they send anyway. A VM that hears of a newer row and doesn't get it through its feed within a second reads the configuration again, at the intervals of jobs that wait for one (2 s; for a long table doubling while the reads don't bring it). Decoding isn't strict: earlier releases ignore the field, and its absence means nothing.

The messages' tests of earlier and later releases now also check the field.

--- a/internal/control/peerteller/fleet_test.go
+++ b/internal/control/peerteller/fleet_test.go
@@ -21,13 +21,16 @@
 // received is a State that records what it receives.
 type received struct {
 	State
-	jobs    []string
-	crashes int
-	limits  int
+	jobs []string
+	// configuration is the version that the last message had.
+	configuration uint64
+	crashes       int
+	limits        int
 }
 
 func (r *received) Receive(_ string, _ placer.Report, notices Notices, _ time.Time) {
 	r.jobs = append(r.jobs, notices.Cancelled...)
+	r.configuration = notices.Configuration
 }
 
 func (r *received) ReceiveCrashes(crashanalyzer.Report, bool, time.Time) { r.crashes++ }
@@ -71,7 +74,7 @@
 func messageOf(fleet uint64) message {
 	return message{
 		VM: "a", Fleet: fleet, Sequence: 1, Cancelled: []string{"j"}, Crashes: &crashanalyzer.Report{},
-		Limits: ratelimiter.Report{"u": {}},
+		Limits: ratelimiter.Report{"u": {}}, Configuration: 5,
 	}
 }
 
@@ -83,9 +86,10 @@
 		qt.Check(t, got.jobs, qt.DeepEquals, want.jobs)
 		qt.Check(t, got.crashes, qt.Equals, want.crashes)
 		qt.Check(t, got.limits, qt.Equals, want.limits)
+		qt.Check(t, got.configuration, qt.Equals, want.configuration)
 		qt.Check(t, isPeer, qt.Equals, len(want.jobs) > 0)
 	}
-	all := received{jobs: []string{"j"}, crashes: 1, limits: 1}
+	all := received{jobs: []string{"j"}, crashes: 1, limits: 1, configuration: 5}
 	t.Run("another", func(t *testing.T) { expect(t, messageOf(8), received{}) })
 	t.Run("same", func(t *testing.T) { expect(t, messageOf(7), all) })
 	t.Run("fleet unknown to the sender", func(t *testing.T) { expect(t, messageOf(0), all) })
--- a/internal/control/peerteller/message.go
+++ b/internal/control/peerteller/message.go
@@ -33,6 +33,8 @@
 	Leaving map[string]int64 `cbor:"leaving,omitempty"`
 	// Sent is how many requests the sender's process has sent to upstreams with a rate limit.
 	Sent map[string]uint64 `cbor:"sent,omitempty"`
+	// Configuration is the version of the newest row of the configuration that the sender knows.
+	Configuration uint64 `cbor:"config,omitempty"`
 	// Crashes and Limits are only in some messages, see bulletinKind.
 	Crashes *crashanalyzer.Report `cbor:"crashes,omitempty"`
 	Limits  ratelimiter.Report    `cbor:"limits,omitempty"`
@@ -52,6 +54,8 @@
 	Failing   map[string]healthtracker.Failure
 	Leaving   map[string]int64
 	Sent      map[string]uint64
+	// Configuration is the version of the newest row of the configuration that the VM knows.
+	Configuration uint64
 }
 
 // Peer is another VM to which reports are sent.
--- a/internal/control/peerteller/reporter.go
+++ b/internal/control/peerteller/reporter.go
@@ -190,7 +190,7 @@
 	data, err := cbor.Marshal(message{
 		VM: r.vm, Fleet: r.fleet.Identity(), Boot: r.boot, Sequence: sequence, Counts: counts, Cancelled: notices.Cancelled,
 		Failing: notices.Failing, Leaving: notices.Leaving, Summary: extra.summary, Crashes: extra.crashes,
-		Sent: notices.Sent, Limits: extra.limits,
+		Sent: notices.Sent, Configuration: notices.Configuration, Limits: extra.limits,
 	})
 	if err != nil {
 		r.logger.Error("encode peer message", "error", err)
@@ -228,6 +228,7 @@
 	now := time.Now()
 	r.state.Receive(m.VM, m.Counts, Notices{
 		Cancelled: m.Cancelled, Failing: m.Failing, Leaving: m.Leaving, Summary: m.Summary, Sent: m.Sent,
+		Configuration: m.Configuration,
 	}, now)
 	if m.Crashes != nil {
 		r.state.ReceiveCrashes(*m.Crashes, r.mustRelay(m.VM), now)
--- a/internal/control/watcher/known.go
+++ b/internal/control/watcher/known.go
@@ -89,6 +89,7 @@
 		rows = append(rows, rowstore.Row{Key: key, Value: row.Value, Version: row.Version})
 	}
 	w.tableState = tableState{rows: byName(rows), version: c.Version, confirmedAt: now.Add(-c.Age)}
+	w.hearsay.know(rows)
 	w.sink.Replace(rows)
 	return true
 }
@@ -98,6 +99,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.tableState = tableState{rows: byName(all.Rows), version: all.Version, confirmedAt: time.Now(), fromStore: true}
+	w.hearsay.know(all.Rows)
 	w.sink.Replace(all.Rows)
 }
 
@@ -113,6 +115,7 @@
 		w.tableState.rows[row.Name] = row
 	}
 	w.tableState.version = max(w.tableState.version, changes.Version)
+	w.hearsay.know(changes.Rows)
 	w.sink.Change(changes.Rows)
 }
 
--- a/internal/control/watcher/lost.go
+++ b/internal/control/watcher/lost.go
@@ -49,7 +49,7 @@
 			return nil
 		})
 	})
-	answer, err := call(rowstore.WithProgressHook(ctx, func() { responseStarted.Store(true) }))
+	answer, err := call(rowstore.WithResponseStartHook(ctx, func() { responseStarted.Store(true) }))
 	if err != nil && errors.Is(context.Cause(ctx), errAnswerLost) {
 		return answer, fmt.Errorf("%w: %w", rowstore.ErrInDoubt, errAnswerLost)
 	}
--- a/internal/control/watcher/watcher.go
+++ b/internal/control/watcher/watcher.go
@@ -62,6 +62,7 @@
 	hasRead       bool // whether the whole table has been read
 	storeLost     bool
 	historyGoneAt time.Time // when the store last had no history
+	hearsay       hearsay
 
 	mu         sync.Mutex // held while the sink is called
 	tableState tableState
@@ -106,6 +107,8 @@
 	for _, option := range options {
 		option(w)
 	}
+	newerExists := w.rereads.newerExists
+	w.rereads.newerExists = func() bool { return w.hearsay.isBehind(time.Now()) || newerExists() }
 	return w
 }
 
--- a/internal/wiring/entryvm/shared.go
+++ b/internal/wiring/entryvm/shared.go
@@ -10,6 +10,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/batch/batchrunner"
 	"github.com/fescuespindle/fescuespindle/internal/control/peerteller"
+	"github.com/fescuespindle/fescuespindle/internal/control/watcher"
 	"github.com/fescuespindle/fescuespindle/internal/online/crashanalyzer"
 	"github.com/fescuespindle/fescuespindle/internal/online/placer"
 	"github.com/fescuespindle/fescuespindle/internal/online/ratelimiter"
@@ -24,13 +25,15 @@
 )
 
 // sharedState collects what this VM reports to other VMs and applies their reports: the
-// requests on upstreams, failing and draining upstreams, crashes of upstreams and cancelled
-// jobs.
+// requests on upstreams, failing and draining upstreams, crashes of upstreams, cancelled jobs,
+// and how new the configuration is.
 type sharedState struct {
 	placer  *placer.Placer
 	crashes *crashanalyzer.Analyzer
 	runner  *batchrunner.Runner
 	logger  *slog.Logger
+	// configuration is set before the first report is sent or received.
+	configuration *watcher.Watcher
 
 	mu        sync.Mutex
 	cancelled map[string]time.Time // when to stop reporting a cancellation, by job ID
@@ -49,6 +52,8 @@
 		Failing:   s.placer.Failing(now),
 		Leaving:   s.placer.Draining(),
 		Sent:      s.placer.SentToLimited(now),
+
+		Configuration: s.configuration.NewestRow(),
 	}
 	return s.placer.Report(), notices
 }
@@ -67,6 +72,7 @@
 	s.placer.ReceiveSentToLimited(vm, notices.Sent)
 	s.placer.ReceiveSummary(notices.Summary, now)
 	s.placer.ReceiveDraining(notices.Leaving)
+	s.configuration.HearOf(notices.Configuration, now)
 	for _, id := range s.placer.ReceiveFailures(notices.Failing, now) {
 		f := notices.Failing[id]
 		s.logger.Info("upstream reported failing", "upstream", id, "toldBy", vm,
--- a/internal/wiring/entryvm/vm.go
+++ b/internal/wiring/entryvm/vm.go
@@ -119,6 +119,7 @@
 	}
 	vm.configuration = vm.newWatcher(platform.TableConfiguration, "", &configurationSink{vm: vm},
 		watcher.WithReread(vm.rereadInterval), watcher.WithNewer(vm.runner.AwaitsConfiguration), watcher.WithResume())
+	vm.shared.configuration = vm.configuration
 	watchers := []*watcher.Watcher{
 		vm.newWatcher(memberkeeper.Table, memberkeeper.Part, vm.memberKeeper,
 			watcher.WithWait(memberWait), watcher.WithPause(memberPause)),
