storerelayer: one late answer of a reachable store doesn't make a VM relay all its calls

When the link between the regions is full rather than cut, these peers use the same link, so nothing is gained, and each call needs connections that are not warm: between the VMs, and from the peer to the store.

What was checked: a read that misses its caller's deadline isn't repeated, and a relayed read crosses the link once, so no bytes are doubled there. Reads whose answer has begun aren't relayed at all. But a call that could not be dialed was still sent to a peer after its time was over, and the peer then taken for one that can't reach the store.

Now a timeout doesn't count if the store has answered this VM directly since the call began and within the last second; bytes of an answer that is arriving count. Resets, rejections and timeouts of a VM to which nothing arrives count as before. A call whose time is over is not sent to a peer.

TestCallWhoseTimeIsOverIsNotRelayed: the error was the peer's.

--- a/internal/store/storerelayer/relayer.go
+++ b/internal/store/storerelayer/relayer.go
@@ -65,6 +65,7 @@
 	relayAll        bool // whether calls are relayed without trying the direct path first
 	nextProbeAt     time.Time
 	probing         bool
+	arrivedAt       time.Time // when something of an answer to a direct call last arrived
 	peerOutageUntil time.Time
 }
 
@@ -105,16 +106,17 @@
 		}
 		r.recordPeerOutage(now)
 	}
+	began := time.Now()
 	response, err := r.direct.RoundTrip(cloneRequest(request, body))
 	if !r.isRejected(response, err) {
 		r.recordDirectSuccess()
-		return response, err
+		return r.observeArrival(response), nil
 	}
 	if isCanceled(request) {
 		r.endProbe()
 		return response, err // canceled by the caller, which says nothing about the store
 	}
-	r.recordDirectFailure(response, err)
+	r.recordDirectFailure(response, err, began)
 	if (err != nil && !mayRetry(request, err)) || !r.hasPeers(time.Now()) {
 		return response, err
 	}
@@ -166,10 +168,10 @@
 	return ctx.Err() != nil && !errors.Is(context.Cause(ctx), context.DeadlineExceeded)
 }
 
-// mayRetry returns whether a failed call may be sent again: it was not sent, or it is a
-// read whose context has not ended.
+// mayRetry returns whether a failed call may be sent again: it was not sent or is a read, and
+// its context has not ended.
 func mayRetry(request *http.Request, err error) bool {
-	return notSent(err) || (request.Method == http.MethodGet && request.Context().Err() == nil)
+	return request.Context().Err() == nil && (notSent(err) || request.Method == http.MethodGet)
 }
 
 // notSent returns whether an error means that the call was not sent and had no effect.
@@ -214,14 +216,19 @@
 	if r.relayAll {
 		r.logger.Info("store reachable directly again")
 	}
-	r.failures, r.relayAll, r.probing = 0, false, false
+	r.failures, r.relayAll, r.probing, r.arrivedAt = 0, false, false, time.Now()
 }
 
-// recordDirectFailure counts a failed direct call, and makes all calls be relayed after
-// relayAllThreshold consecutive failures or one call without a response.
-func (r *Relayer) recordDirectFailure(response *http.Response, err error) {
+// recordDirectFailure counts a failed direct call that began at some time, and makes all calls be
+// relayed after relayAllThreshold consecutive failures or one call without a response. A call that
+// is only slow doesn't count.
+func (r *Relayer) recordDirectFailure(response *http.Response, err error, began time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.isSlow(err, began) {
+		r.probing = false
+		return
+	}
 	r.failures++
 	if err != nil {
 		r.failures = relayAllThreshold
--- a/internal/store/storerelayer/relayer_test.go
+++ b/internal/store/storerelayer/relayer_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -56,6 +57,10 @@
 	p := &relayPair{}
 	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		p.calls.Add(1)
+		if r.URL.Path == endlessPath {
+			writeForever(w, r)
+			return
+		}
 		body, _ := io.ReadAll(r.Body)
 		_, _ = w.Write(append([]byte(r.URL.RequestURI()+" "), body...))
 	}))
@@ -227,3 +232,129 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, got, qt.Equals, "OK /x?y=1 body")
 }
+
+// endlessPath is the path of calls whose answer arrives until the caller leaves.
+const endlessPath = "/endless"
+
+// writeForever writes a byte now and then until the caller leaves.
+func writeForever(w http.ResponseWriter, r *http.Request) {
+	for r.Context().Err() == nil {
+		_, _ = w.Write([]byte("."))
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// startArriving makes a call and reads its answer, which keeps arriving, until stop is called.
+func (p *relayPair) startArriving(t *testing.T) (stop func()) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+p.store+endlessPath, http.NoBody)
+	qt.Assert(t, err, qt.IsNil)
+	response, err := p.vm.RoundTrip(request)
+	qt.Assert(t, err, qt.IsNil)
+	var group sync.WaitGroup
+	group.Go(func() { _, _ = io.Copy(io.Discard, response.Body) })
+	return func() {
+		_ = response.Body.Close()
+		group.Wait()
+	}
+}
+
+// slowPath is the path of calls that slowTransport answers slowly.
+const slowPath = "/slow"
+
+// slowTransport is a transport whose calls of slowPath get no answer in time, and counts the others.
+type slowTransport struct {
+	direct atomic.Int32
+}
+
+// RoundTrip implements http.RoundTripper.
+func (s *slowTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	if request.URL.Path != slowPath {
+		s.direct.Add(1)
+		return sendDirect(request)
+	}
+	<-request.Context().Done()
+	return nil, context.Cause(request.Context())
+}
+
+// callSlowly makes a call that gets no answer within a timeout.
+func callSlowly(t *testing.T, p *relayPair, timeout time.Duration) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.store+slowPath, http.NoBody)
+	qt.Assert(t, err, qt.IsNil)
+	_, err = p.vm.RoundTrip(request)
+	qt.Assert(t, err, qt.IsNotNil)
+}
+
+// expectAfterSlowCall makes some calls after one that got no answer, and checks how many of them
+// are sent directly.
+func expectAfterSlowCall(t *testing.T, p *relayPair, vm *slowTransport, want int) {
+	t.Helper()
+	const calls = 5
+	before := vm.direct.Load()
+	for range calls {
+		got, err := call(t, p)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, got, qt.Equals, "OK /x?y=1 body")
+	}
+	qt.Check(t, int(vm.direct.Load()-before), qt.Equals, want, qt.Commentf("direct calls of %d", calls))
+}
+
+// Guards against: one answer that is late over a full link makes a VM relay all its calls
+// through peer VMs, whose way to the store leads over the same link.
+func TestSlowAnswerOfReachableStoreRelaysNoOtherCalls(t *testing.T) {
+	const timeout = 200 * time.Millisecond
+	t.Run("others are answered meanwhile", func(t *testing.T) {
+		vm := &slowTransport{}
+		p := newPair(t, vm.RoundTrip, sendDirect)
+		time.AfterFunc(timeout/2, func() { _, _ = call(t, p) })
+		callSlowly(t, p, timeout)
+		expectAfterSlowCall(t, p, vm, 5)
+	})
+	t.Run("another answer is arriving", func(t *testing.T) {
+		vm := &slowTransport{}
+		p := newPair(t, vm.RoundTrip, sendDirect)
+		arriving := p.startArriving(t)
+		callSlowly(t, p, timeout)
+		expectAfterSlowCall(t, p, vm, 5)
+		arriving()
+	})
+	t.Run("others were answered before only", func(t *testing.T) {
+		vm := &slowTransport{}
+		p := newPair(t, vm.RoundTrip, sendDirect)
+		_, err := call(t, p)
+		qt.Assert(t, err, qt.IsNil)
+		callSlowly(t, p, timeout)
+		expectAfterSlowCall(t, p, vm, 0)
+	})
+	t.Run("others were answered long ago", func(t *testing.T) {
+		vm := &slowTransport{}
+		p := newPair(t, vm.RoundTrip, sendDirect)
+		time.AfterFunc(timeout/2, func() { _, _ = call(t, p) })
+		callSlowly(t, p, timeout/2+1100*time.Millisecond)
+		expectAfterSlowCall(t, p, vm, 0)
+	})
+}
+
+// Guards against: a call whose time is over is sent to a peer VM, which is then taken for one that
+// can't reach the store.
+func TestCallWhoseTimeIsOverIsNotRelayed(t *testing.T) {
+	var relayed atomic.Int32
+	p := newPair(t, failDial, func(r *http.Request) (*http.Response, error) {
+		relayed.Add(1)
+		return sendDirect(r)
+	})
+	ctx, cancel := context.WithDeadline(t.Context(), time.Now().Add(-time.Second))
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.store+"/x?y=1", http.NoBody)
+	qt.Assert(t, err, qt.IsNil)
+	_, err = p.vm.RoundTrip(request)
+	qt.Check(t, err, qt.ErrorMatches, "dial: cut")
+	qt.Check(t, relayed.Load(), qt.Equals, int32(0))
+	got, err := call(t, p)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, got, qt.Equals, "OK /x?y=1 body")
+}
