--- a/internal/control/watcher/known.go
+++ b/internal/control/watcher/known.go
@@ -56,6 +56,17 @@
 	return w.tableState.version
 }
 
+// length returns the bytes of the names and values of all rows.
+func (w *Watcher) length() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	bytes := 0
+	for _, row := range w.tableState.rows {
+		bytes += len(row.Name) + len(row.Value)
+	}
+	return bytes
+}
+
 // HasData reports whether any content of the table is known, so that no copy is needed.
 func (w *Watcher) HasData() bool {
 	w.mu.Lock()
@@ -78,6 +89,7 @@
 		rows = append(rows, rowstore.Row{Key: key, Value: row.Value, Version: row.Version})
 	}
 	w.tableState = tableState{rows: byName(rows), version: c.Version, confirmedAt: now.Add(-c.Age)}
+	w.hearsay.know(rows)
 	w.sink.Replace(rows)
 	return true
 }
@@ -87,6 +99,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.tableState = tableState{rows: byName(all.Rows), version: all.Version, confirmedAt: time.Now(), fromStore: true}
+	w.hearsay.know(all.Rows)
 	w.sink.Replace(all.Rows)
 }
 
@@ -102,6 +115,7 @@
 		w.tableState.rows[row.Name] = row
 	}
 	w.tableState.version = max(w.tableState.version, changes.Version)
+	w.hearsay.know(changes.Rows)
 	w.sink.Change(changes.Rows)
 }
 
