Store client: a response has a bound by its kind, and long ones share their memory

A response of the store was read up to 16 MiB, whatever the call, and that of an error too. Many calls at once were unbounded: 24 calls that got 2 MiB each and no end held 50,332,104 bytes. An object cut off at the bound was taken for a whole one.

Now a page of rows has 3 MiB at most, other responses 12 MiB, and what goes beyond 128 KiB waits for memory of a budget that all calls of a VM share (a sixth of the VM's memory). Bodies of errors are not kept.

--- a/internal/wiring/assembler/provider.go
+++ b/internal/wiring/assembler/provider.go
@@ -48,6 +48,8 @@
 
 const (
 	maxIdlePlatformConns = 16
+	// responseMemoryBytes bounds the long responses of the platform that are read at the same time.
+	responseMemoryBytes = 64 << 20
 )
 
 // NewProcessNumber returns the number of a process that starts now: the Unix time in
@@ -60,7 +62,7 @@
 	transport := &http.Transport{
 		DialContext: d.Platform, MaxIdleConnsPerHost: maxIdlePlatformConns, DisableCompression: true,
 	}
-	return platform.NewStore(s.PlatformURL, transport)
+	return platform.NewStore(s.PlatformURL, transport, platform.WithResponseMemory(responseMemoryBytes))
 }
 
 func newStore(
--- a/internal/wiring/entryvm/provider.go
+++ b/internal/wiring/entryvm/provider.go
@@ -87,6 +87,8 @@
 	// bufferMemoryDivisor is the ratio of the VM's memory to the bytes that may be buffered
 	// for callers.
 	bufferMemoryDivisor = 4
+	// storeMemoryDivisor is the ratio of the VM's memory to that for long responses of the store.
+	storeMemoryDivisor = 6
 	// defaultBufferBytes applies if the settings don't state the VM's memory.
 	defaultBufferBytes = 64 << 20
 )
@@ -171,7 +173,7 @@
 }
 
 func newStore(s platform.Settings, relayer *storerelayer.Relayer) *platform.Store {
-	return platform.NewStore(storeURL(s), relayer)
+	return platform.NewStore(storeURL(s), relayer, platform.WithResponseMemory(s.MemoryBytes/storeMemoryDivisor))
 }
 
 func storeURL(s platform.Settings) string { return "http://" + s.StoreAddress }
