Heads of answers are bounded in all calls over net/http

No transport set MaxResponseHeaderBytes, so of an endless head 10,485,760 bytes were read for each call, to the store, to peer VMs and, on the product's own interface, to upstreams; parsed short fields take several times that. Now transporter.New creates all transports of a VM, with 64 KiB; check-style.sh rejects others.

--- a/internal/control/messenger/messenger.go
+++ b/internal/control/messenger/messenger.go
@@ -15,6 +15,7 @@
 	"github.com/coder/websocket"
 
 	"github.com/fescuespindle/fescuespindle/internal/control/peer"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/transporter"
 )
 
 // Path is the HTTP path at which VMs accept connections of their peers.
@@ -61,7 +62,7 @@
 ) *Messenger {
 	m := &Messenger{authenticator: authenticator, handler: handler, counter: counter, links: map[string]*link{}}
 	m.SetSelf(self)
-	m.client = &http.Client{Transport: &http.Transport{DialContext: dial, DisableCompression: true}}
+	m.client = &http.Client{Transport: transporter.New(dial)}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	return m
 }
--- a/internal/online/relayer/relayer.go
+++ b/internal/online/relayer/relayer.go
@@ -16,6 +16,7 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/online/eventsplitter"
 	"github.com/fescuespindle/fescuespindle/internal/online/upstream"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/transporter"
 )
 
 const (
@@ -64,13 +65,13 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	pooled := &http.Transport{
-		DialContext: dial, MaxIdleConnsPerHost: maxIdlePerUpstream, IdleConnTimeout: idleTimeout,
-		DisableCompression: true, WriteBufferSize: writeBufferBytes,
-	}
+	pooled := transporter.New(transporter.DialFunc(dial))
+	pooled.MaxIdleConnsPerHost, pooled.IdleConnTimeout = maxIdlePerUpstream, idleTimeout
+	pooled.WriteBufferSize = writeBufferBytes
 	// A new connection can't deliver another request's answer, and net/http never
 	// retries a request on one.
-	singleUse := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
+	singleUse := transporter.New(transporter.DialFunc(dial))
+	singleUse.DisableKeepAlives = true
 	r := &Relayer{
 		dial: dial, pooled: newClient(pooled), singleUse: newClient(singleUse),
 		mayPool: func(string) bool { return true },
--- a/internal/wiring/assembler/provider.go
+++ b/internal/wiring/assembler/provider.go
@@ -26,6 +26,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/counter"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/socketdialer"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/transporter"
 	"github.com/fescuespindle/fescuespindle/internal/store/storekeeper"
 	"github.com/fescuespindle/fescuespindle/platform"
 )
@@ -59,9 +60,8 @@
 func newCounters() *counter.Counters { return counter.New(metrics.NewSet()) }
 
 func newPlatform(s settingsloader.Settings, d Dialers) *platform.Store {
-	transport := &http.Transport{
-		DialContext: d.Platform, MaxIdleConnsPerHost: maxIdlePlatformConns, DisableCompression: true,
-	}
+	transport := transporter.New(transporter.DialFunc(d.Platform))
+	transport.MaxIdleConnsPerHost = maxIdlePlatformConns
 	return platform.NewStore(s.PlatformURL, transport, platform.WithResponseMemory(responseMemoryBytes))
 }
 
--- a/internal/wiring/entryvm/sink.go
+++ b/internal/wiring/entryvm/sink.go
@@ -10,6 +10,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/control/registrar"
 	"github.com/fescuespindle/fescuespindle/internal/online/router"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/socketdialer"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/transporter"
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 	"github.com/fescuespindle/fescuespindle/platform"
 )
@@ -214,10 +215,9 @@
 // storeTransport returns a transport for calls to the store and to other VMs. Its short
 // timeouts make it detect unresponsive connections early.
 func storeTransport() http.RoundTripper {
-	return &http.Transport{
-		DialContext: socketdialer.New(storeDialTimeout).DialContext, MaxIdleConnsPerHost: maxIdleStoreConnections,
-		IdleConnTimeout: storeIdleTimeout, DisableCompression: true,
-	}
+	transport := transporter.New(socketdialer.New(storeDialTimeout).DialContext)
+	transport.MaxIdleConnsPerHost, transport.IdleConnTimeout = maxIdleStoreConnections, storeIdleTimeout
+	return transport
 }
 
 const (
--- a/scripts/check-style.sh
+++ b/scripts/check-style.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Checks project rules that the linter doesn't cover: goroutines start through a group,
 # generated code matches the generator, only platform/ uses the platform's wire format,
-# serving code names no deployment, and journal entries are not removed.
+# serving code names no deployment, transports bound the heads of answers, and journal entries
+# are not removed.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -25,6 +26,9 @@
 if git grep -nE '^[[:space:]]*"github.com/fescuespindle/fescuespindle/platform"' -- 'internal/*.go' ':!internal/wiring/entryvm/' ':!internal/wiring/assembler/' ':!internal/laboratory/sitebuilder/' ':!*_test.go'; then
   fail "only the wiring imports platform/"
 fi
+if git grep -nE 'http\.Transport\{|http\.Client\{\}|http\.Default(Client|Transport)' -- 'internal/*.go' 'platform/*.go' 'cmd/*.go' ':!internal/plumbing/transporter/' ':!internal/laboratory/' ':!internal/faces/commander/' ':!*_test.go'; then
+  fail "create transports by transporter.New, which bounds the heads of answers"
+fi
 if [ -n "$(git log --diff-filter=D --name-only --format= -- journal)" ]; then
   fail "journal entries were removed"
 fi
