tunneler: the reply of a peer VM to a request for a connection is bounded

http.ReadResponse sets no limit, so a reply without end was read, and its head kept, until the time for the connection was over. Now 16 KiB are read before the connection carries anything.

--- a/internal/online/tunneler/open.go
+++ b/internal/online/tunneler/open.go
@@ -5,7 +5,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"maps"
+	"math"
 	"net"
 	"net/http"
 	"net/url"
@@ -55,6 +57,9 @@
 	queryUpstream  = "upstream"
 	headerReply    = "Fescuespindle-Tunnel"
 	readBufferSize = maxChunkBytes + headerBytes
+	// maxReplyBytes bounds the reply of a peer VM, with its head, that is read before the connection
+	// carries anything.
+	maxReplyBytes = 16 << 10
 	// reuseTime is how long a connection through a peer VM may carry further requests. A peer VM
 	// that shuts down opens no new ones, so from then on it gets no new request.
 	reuseTime = 2 * time.Second
@@ -89,13 +94,15 @@
 	if err := request.Write(conn); err != nil {
 		return nil, fmt.Errorf("ask peer VM: %w", err)
 	}
-	reader := bufio.NewReaderSize(conn, readBufferSize)
+	limited := &io.LimitedReader{R: conn, N: maxReplyBytes}
+	reader := bufio.NewReaderSize(limited, readBufferSize)
 	response, err := http.ReadResponse(reader, nil)
 	if err != nil {
 		return nil, fmt.Errorf("ask peer VM: %w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode == http.StatusSwitchingProtocols {
+		limited.N = math.MaxInt64
 		return &Conn{Conn: conn, reader: reader, reuseUntil: time.Now().Add(reuseTime)}, nil
 	}
 	if reason, known := replies[response.Header.Get(headerReply)]; known {
