Headers of requests from other VMs, the balancer and operators have 16 KiB at most

Only the callers' listener had a bound; the others took the standard one of 1 MB for each connection, of which each parsed field takes more.

The product's own peer and operator listeners have the same bound (no test of their own).

--- a/internal/faces/operator/operator.go
+++ b/internal/faces/operator/operator.go
@@ -37,7 +37,9 @@
 
 const (
 	headerTimeout = 5 * time.Second // to read the header of a request
-	stateTimeout  = 2 * time.Second // for the control goroutine to return the state
+	// maxHeaderBytes bounds the header of a request.
+	maxHeaderBytes = 16 << 10
+	stateTimeout   = 2 * time.Second // for the control goroutine to return the state
 )
 
 // StateProvider returns the state of the VM.
@@ -80,7 +82,7 @@
 
 // HTTP returns a server of the Handler.
 func (o *Operator) HTTP() *http.Server {
-	return &http.Server{Handler: o.Handler(), ReadHeaderTimeout: headerTimeout}
+	return &http.Server{Handler: o.Handler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
 // Handler returns the handler of all paths of the interface.
--- a/internal/wiring/assembler/vm.go
+++ b/internal/wiring/assembler/vm.go
@@ -53,6 +53,9 @@
 	return l, nil
 }
 
+// maxPeerHeaderBytes bounds the header of a request of another VM.
+const maxPeerHeaderBytes = 16 << 10
+
 // VM is one entry VM.
 type VM struct {
 	settings   settingsloader.Settings
@@ -93,7 +96,9 @@
 	vm.group.Go(func() { _ = vm.store.Run(ctx) }) // ends with the context
 	vm.group.Go(func() { vm.finder.Run(ctx) })
 	vm.controller.Start()
-	vm.serve(vm.listeners.Peer, &http.Server{Handler: vm.peerHandler(), ReadHeaderTimeout: time.Second})
+	vm.serve(vm.listeners.Peer, &http.Server{
+		Handler: vm.peerHandler(), ReadHeaderTimeout: time.Second, MaxHeaderBytes: maxPeerHeaderBytes,
+	})
 	vm.serve(vm.listeners.Operator, vm.operator.HTTP())
 	vm.serve(vm.listeners.Caller, vm.server.HTTP())
 	vm.logger.Info("serving", "vm", vm.settings.VM, "callers", vm.listeners.Caller.Addr().String())
--- a/internal/wiring/entryvm/vm.go
+++ b/internal/wiring/entryvm/vm.go
@@ -47,6 +47,9 @@
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 64 << 10
+	// maxInnerHeaderBytes bounds the headers of requests that come from no caller: of other VMs, of the
+	// balancer and for metrics.
+	maxInnerHeaderBytes = 16 << 10
 )
 
 // VM is one entry VM.
@@ -129,8 +132,8 @@
 			watcher.WithReread(vm.rereadInterval)),
 	}
 	if err := errors.Join(
-		vm.serve(vm.settings.ReadyAddress, &http.Server{Handler: &vm.readiness, ReadHeaderTimeout: readHeaderTimeout}),
-		vm.serve(peerAddress(vm.settings), &http.Server{Handler: vm.peerHandler(), ReadHeaderTimeout: readHeaderTimeout}),
+		vm.serve(vm.settings.ReadyAddress, innerServer(&vm.readiness)),
+		vm.serve(peerAddress(vm.settings), innerServer(vm.peerHandler())),
 		vm.serve(net.JoinHostPort(vm.settings.IP, strconv.Itoa(metricsPort)), vm.metricsServer()),
 	); err != nil {
 		return err
@@ -257,5 +260,10 @@
 // text format.
 func (vm *VM) metricsServer() *http.Server {
 	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { vm.counter.Set().WritePrometheus(w) })
-	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	return innerServer(handler)
+}
+
+// innerServer returns a server of requests that come from no caller.
+func innerServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxInnerHeaderBytes}
 }
