--- a/internal/wiring/assembler/provider.go
+++ b/internal/wiring/assembler/provider.go
@@ -26,6 +26,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/counter"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/socketdialer"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/transporter"
 	"github.com/fescuespindle/fescuespindle/internal/store/storekeeper"
 	"github.com/fescuespindle/fescuespindle/platform"
 )
@@ -48,6 +49,8 @@
 
 const (
 	maxIdlePlatformConns = 16
+	// responseMemoryBytes bounds the long responses of the platform that are read at the same time.
+	responseMemoryBytes = 64 << 20
 )
 
 // NewProcessNumber returns the number of a process that starts now: the Unix time in
@@ -57,10 +60,9 @@
 func newCounters() *counter.Counters { return counter.New(metrics.NewSet()) }
 
 func newPlatform(s settingsloader.Settings, d Dialers) *platform.Store {
-	transport := &http.Transport{
-		DialContext: d.Platform, MaxIdleConnsPerHost: maxIdlePlatformConns, DisableCompression: true,
-	}
-	return platform.NewStore(s.PlatformURL, transport)
+	transport := transporter.New(transporter.DialFunc(d.Platform))
+	transport.MaxIdleConnsPerHost = maxIdlePlatformConns
+	return platform.NewStore(s.PlatformURL, transport, platform.WithResponseMemory(responseMemoryBytes))
 }
 
 func newStore(
--- a/internal/wiring/entryvm/provider.go
+++ b/internal/wiring/entryvm/provider.go
@@ -88,6 +88,8 @@
 	// bufferMemoryDivisor is the ratio of the VM's memory to the bytes that may be buffered
 	// for callers.
 	bufferMemoryDivisor = 4
+	// storeMemoryDivisor is the ratio of the VM's memory to that for long responses of the store.
+	storeMemoryDivisor = 6
 	// defaultBufferBytes applies if the settings don't state the VM's memory.
 	defaultBufferBytes = 64 << 20
 )
@@ -176,7 +178,8 @@
 }
 
 func newStore(s platform.Settings, relayer *storerelayer.Relayer, calls *callcounter.Counter) *platform.Store {
-	return platform.NewStore(storeURL(s), relayer, platform.WithCallObserver(calls))
+	return platform.NewStore(storeURL(s), relayer, platform.WithCallObserver(calls),
+		platform.WithResponseMemory(s.MemoryBytes/storeMemoryDivisor))
 }
 
 func storeURL(s platform.Settings) string { return "http://" + s.StoreAddress }
