batchkeeper: a page of results is read without the later ones, and a lost page again alone

Cause: each page of a job's results (900 KiB at most) was cut from a read of all results up to the last one, and a read of several pages of the store that failed began anew with the first. Over a narrow link a large job's pages may never all come within one attempt (1.5 s) or one call (1.2 s).

Evidence, before: for the page at 20 of 60 results of 60,000 bytes 2,401,160 bytes were read; a job of 4 MB whose every second read was lost couldn't be read at all ("store read failed: jobContent").

Change: rangeReader reads page by page, retries a page alone, each with a timeout of its own, and readResults stops once its page is full. A record is as of the attempt that has read it, as before. The row emulator's pages end after 1 MB, as those of the platform do.

--- a/internal/batch/batchkeeper/keeper.go
+++ b/internal/batch/batchkeeper/keeper.go
@@ -122,46 +122,6 @@
 	return k.store.Transact(ctx, tx)
 }
 
-// readRange reads a range of rows, retrying until the context ends.
-func (k *Keeper) readRange(ctx context.Context, table, part, from, to string) (rowstore.Snapshot, error) {
-	return k.readRangeWithTimeout(ctx, table, part, from, to, noRetryLimit)
-}
-
-// readRangeWithTimeout reads a range of rows, retrying until retryTimeout has passed or
-// the context ends. It returns ErrNotRead.
-func (k *Keeper) readRangeWithTimeout(
-	ctx context.Context, table, part, from, to string, retryTimeout time.Duration,
-) (rowstore.Snapshot, error) {
-	all, _, err := k.readRangeAsOf(ctx, table, part, from, to, retryTimeout)
-	return all, err
-}
-
-// readRangeAsOf does the same, and also returns when the last attempt began.
-func (k *Keeper) readRangeAsOf(
-	ctx context.Context, table, part, from, to string, retryTimeout time.Duration,
-) (all rowstore.Snapshot, asOf time.Time, err error) {
-	began := time.Now()
-	for attempt := 0; ; attempt++ {
-		asOf = time.Now()
-		all, err = k.tryReadRange(ctx, table, part, from, to)
-		if err == nil {
-			k.recordClock(all.Now)
-			return all, asOf, nil
-		}
-		lastTook := time.Since(asOf)
-		if time.Since(began) >= retryTimeout || !retryBackoff.Wait(ctx, attempt) {
-			return all, asOf, newReadError(table, attempt+1, lastTook, err)
-		}
-	}
-}
-
-// tryReadRange makes one attempt to read a range of rows.
-func (k *Keeper) tryReadRange(ctx context.Context, table, part, from, to string) (rowstore.Snapshot, error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
-	defer cancel()
-	return rowstore.ReadAll(ctx, k.store, table, part, from, to)
-}
-
 // Record reads the record of one job in one attempt. It returns ErrNotFound, ErrNotRead or
 // ErrCorrupt.
 func (k *Keeper) Record(ctx context.Context, id string) (VersionedRecord, error) {
--- a/internal/batch/batchkeeper/result.go
+++ b/internal/batch/batchkeeper/result.go
@@ -65,28 +65,32 @@
 // maxPageBytes bounds the size of one page of results. A page has at least one result.
 const maxPageBytes = 900 << 10
 
-// readResults reads a page of results, starting at position after.
+// readResults reads a page of results, starting at position after. It doesn't read on once the page is
+// full.
 func (k *Keeper) readResults(ctx context.Context, id string, after int) ([]Result, error) {
 	from, to := numberedRange(id, after)
-	all, err := k.readRange(ctx, tableResults, partNameOf(id), from, to)
-	if err != nil {
-		return nil, err
-	}
+	reader := k.newRangeReader(tableResults, partNameOf(id), from, to, noRetryLimit)
 	var results []Result
 	size := 0
-	for i, row := range all.Rows {
-		var result Result
-		if err := decodeRow(row, &result); err != nil {
+	for !reader.ended {
+		page, _, err := reader.read(ctx)
+		if err != nil {
 			return nil, err
 		}
-		size += len(result.Output) + result.ContinuationRows*k.rowSize
-		if size > maxPageBytes && len(results) > 0 {
-			break
-		}
-		if err := k.readContinuation(ctx, id, after+i, &result); err != nil {
-			return nil, err
+		for _, row := range page.Rows {
+			var result Result
+			if err := decodeRow(row, &result); err != nil {
+				return nil, err
+			}
+			size += len(result.Output) + result.ContinuationRows*k.rowSize
+			if size > maxPageBytes && len(results) > 0 {
+				return results, nil
+			}
+			if err := k.readContinuation(ctx, id, after+len(results), &result); err != nil {
+				return nil, err
+			}
+			results = append(results, result)
 		}
-		results = append(results, result)
 	}
 	return results, nil
 }
--- a/internal/standins/rowemulator/store.go
+++ b/internal/standins/rowemulator/store.go
@@ -28,8 +28,12 @@
 // which may be non-nil although the call is executed.
 type FaultFunc func(c Call) (done bool, err error)
 
-// pageRows is the maximum number of rows on one page.
-const pageRows = 500
+const (
+	// pageRows is the maximum number of rows on one page.
+	pageRows = 500
+	// pageBytes is the maximum size of the values on one page of several rows.
+	pageBytes = 1 << 20
+)
 
 // Store is an in-memory store with fault injection. It implements rowstore.Store and
 // rowstore.Objects.
@@ -239,13 +243,25 @@
 	}
 	slices.SortFunc(rows, func(a, b rowstore.Row) int { return strings.Compare(a.Name, b.Name) })
 	next := ""
-	if len(rows) > pageRows {
-		rows = rows[:pageRows]
-		next = rows[pageRows-1].Name + "\x00"
+	if n := rowsOnPage(rows); n < len(rows) {
+		rows = rows[:n]
+		next = rows[n-1].Name + "\x00"
 	}
 	return s.snapshot(rows), next, nil
 }
 
+// rowsOnPage returns how many of the rows fit on one page.
+func rowsOnPage(rows []rowstore.Row) int {
+	bytes := 0
+	for n, row := range rows {
+		bytes += len(row.Value)
+		if n == pageRows || (n > 0 && bytes > pageBytes) {
+			return n
+		}
+	}
+	return len(rows)
+}
+
 // Changes implements rowstore.Store.
 func (s *Store) Changes(
 	ctx context.Context, table string, after uint64, wait time.Duration,
