batchkeeper: a read of one item's body stops at the item

Cause: the body of one item was taken from a read of the job's whole content, megabytes for a job of large items, for each body asked for. Over a narrow link that doesn't come within the 1.2 s of a call.

Evidence, before: 4,008,692 bytes were read for item 3 of 200 items of 20,000 bytes.

Change: findItem reads page by page and decodes items as their rows arrive. It ends early only if the store has no other copy of the content, which one read behind the copy tells: exactly one copy of an accepted job is complete, so the only one is the accepted one. If there are more, or rows of an earlier release, all rows are read as before. Rows don't change. Content of one page of the store (1 MB) is read whole, as before.

Result: at most one page for item 3 and two for item 52 (TestBodyIsReadWithoutLaterItems).

--- a/internal/batch/batchkeeper/content.go
+++ b/internal/batch/batchkeeper/content.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"crypto/rand"
-	"errors"
 	"fmt"
 	"regexp"
-	"strings"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -36,11 +34,8 @@
 )
 
 // contentRow matches the names of content rows without the ID of their job, and finds the name of the
-// copy. Others belong to a job whose ID begins with that of this one and a slash.
-var contentRow = regexp.MustCompile(fmt.Sprintf(`^(?:(%s[A-Z2-7]{%d})/)?[0-9]{6}$`, copyPrefix, randomNameChars))
-
-// errIncomplete reports that a copy of a job's content isn't the accepted one.
-var errIncomplete = errors.New("incomplete copy")
+// copy and the number in it. Others belong to a job whose ID begins with that of this one and a slash.
+var contentRow = regexp.MustCompile(fmt.Sprintf(`^(?:(%s[A-Z2-7]{%d})/)?([0-9]{6})$`, copyPrefix, randomNameChars))
 
 // encodeContent returns the rows of a new copy of a job's content.
 func (k *Keeper) encodeContent(id string, items []Item) ([]rowstore.Put, error) {
@@ -63,6 +58,9 @@
 	return rowstore.Key{Table: tableContent, Part: partNameOf(id), Name: fmt.Sprintf("%s/%s/%06d", id, name, n)}
 }
 
+// endOfCopy returns the smallest name after those of the rows of a named copy.
+func endOfCopy(id, name string) string { return id + "/" + name + "0" } // '0' is the byte after '/'
+
 // takeTx returns as many rows as fit into one transaction.
 func takeTx(puts []rowstore.Put) []rowstore.Put {
 	n, size := 0, 0
@@ -115,57 +113,3 @@
 		puts = puts[len(some):]
 	}
 }
-
-// Items reads the items of a job. It returns ErrNotFound, ErrNotRead or ErrCorrupt.
-func (k *Keeper) Items(ctx context.Context, record Record) ([]Item, error) {
-	from, to := numberedRange(record.ID, 0)
-	all, err := k.readRange(ctx, tableContent, partNameOf(record.ID), from, to)
-	if err != nil {
-		return nil, err
-	}
-	copies := copiesOf(record.ID, all.Rows)
-	if len(copies) == 0 {
-		return nil, fmt.Errorf("%w: %s has no content", ErrNotFound, record.ID)
-	}
-	var failures []error
-	for _, encoded := range copies {
-		items, err := decodeContent(encoded, record.Items)
-		if err == nil {
-			return items, nil
-		}
-		failures = append(failures, err)
-	}
-	return nil, fmt.Errorf("%w: content of %s: %w", ErrCorrupt, record.ID, errors.Join(failures...))
-}
-
-// copiesOf returns the copies of a job's content that are in rows, which are sorted by name.
-func copiesOf(id string, rows []rowstore.Row) [][]byte {
-	var copies [][]byte
-	last := ""
-	for _, row := range rows {
-		match := contentRow.FindStringSubmatch(strings.TrimPrefix(row.Name, id+"/"))
-		if match == nil {
-			continue
-		}
-		if name := match[1]; len(copies) == 0 || name != last {
-			copies = append(copies, nil)
-			last = name
-		}
-		n := len(copies) - 1
-		copies[n] = append(copies[n], row.Value...)
-	}
-	return copies
-}
-
-// decodeContent decodes a copy of a job's content. It returns errIncomplete for a copy that
-// isn't the accepted one.
-func decodeContent(encoded []byte, count int) ([]Item, error) {
-	var items []Item
-	if err := cbor.Unmarshal(encoded, &items); err != nil {
-		return nil, fmt.Errorf("%w: %w", errIncomplete, err)
-	}
-	if len(items) != count {
-		return nil, fmt.Errorf("%w: %d items instead of %d", errIncomplete, len(items), count)
-	}
-	return items, nil
-}
--- a/internal/batch/batchkeeper/readbytes_test.go
+++ b/internal/batch/batchkeeper/readbytes_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 
 	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/standins/rowemulator"
@@ -116,3 +118,75 @@
 		meter.expectRead(t, "jobContent", bytesIn(store, "jobContent"))
 	})
 }
+
+// Guards against: a read of one item's body costs a read of all items of its job, and doesn't come in time over
+// a narrow link.
+func TestBodyIsReadWithoutLaterItems(t *testing.T) {
+	expect := func(name, item string, most func(content int) int) {
+		t.Run(name, func(t *testing.T) {
+			runWithStore(t, func(t *testing.T, ctx context.Context, store *rowemulator.Store) {
+				acceptLargeJob(ctx, t, store)
+				meter := newReadMeter(store)
+				body, err := newKeeper(meter, ownerB).Body(ctx, "j", item)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Check(t, body, qt.HasLen, 20_000)
+				meter.expectRead(t, "jobContent", most(bytesIn(store, "jobContent")))
+			})
+		})
+	}
+	expect("on the first page", "item3", func(int) int { return storePageBytes })
+	expect("on two pages", "item52", func(int) int { return 2 * storePageBytes })
+	expect("on the last page", "item199", func(content int) int { return content })
+}
+
+// putIncompleteCopy writes a copy of a job's content under a name, without its last row.
+func putIncompleteCopy(
+	ctx context.Context, t *testing.T, store rowstore.Store, name string, s batchkeeper.Submission,
+) {
+	t.Helper()
+	encoded, err := cbor.Marshal(s.Items)
+	qt.Assert(t, err, qt.IsNil)
+	rows := slices.Collect(slices.Chunk(encoded, 64<<10))
+	for n, value := range rows[:len(rows)-1] {
+		key := rowstore.Key{
+			Table: "jobContent", Part: fmt.Sprintf("jobs-%02d", batchkeeper.PartOf(s.ID)),
+			Name: fmt.Sprintf("%s/%s/%06d", s.ID, name, n),
+		}
+		_, err := store.Transact(ctx, rowstore.Tx{Puts: []rowstore.Put{{Key: key, Value: value}}})
+		qt.Assert(t, err, qt.IsNil)
+	}
+}
+
+// Guards against: a copy of a large job's content that wasn't accepted is taken for the accepted one, as a
+// body is read before the end of the copy is known.
+func TestBodyIsThatOfTheAcceptedCopy(t *testing.T) {
+	for _, name := range []string{"cAAAAAAAAAA", "cZZZZZZZZZZ"} {
+		t.Run("beside "+name, func(t *testing.T) {
+			runWithStore(t, func(t *testing.T, ctx context.Context, store *rowemulator.Store) {
+				other := submission("j", 200)
+				for i := range other.Items {
+					other.Items[i].Body = []byte(strings.Repeat("y", 20_000))
+				}
+				putIncompleteCopy(ctx, t, store, name, other)
+				acceptLargeJob(ctx, t, store)
+				for _, item := range []string{"item3", "item52", "item199"} {
+					body, err := newKeeper(store, ownerB).Body(ctx, "j", item)
+					qt.Assert(t, err, qt.IsNil)
+					qt.Check(t, strings.Trim(string(body), "x"), qt.Equals, "", qt.Commentf("%s", item))
+				}
+			})
+		})
+	}
+}
+
+// Guards against: an item of a job is read although rows before it are missing.
+func TestBodyBehindAMissingRowIsCorrupt(t *testing.T) {
+	runWithStore(t, func(t *testing.T, ctx context.Context, store *rowemulator.Store) {
+		acceptLargeJob(ctx, t, store)
+		rows := store.Rows("jobContent")
+		_, err := store.Transact(ctx, rowstore.Tx{Removes: []rowstore.Key{rows[2].Key}})
+		qt.Assert(t, err, qt.IsNil)
+		_, err = newKeeper(store, ownerB).Body(ctx, "j", "item20")
+		qt.Check(t, err, qt.ErrorIs, batchkeeper.ErrCorrupt)
+	})
+}
--- a/internal/batch/batchkeeper/reader.go
+++ b/internal/batch/batchkeeper/reader.go
@@ -1,9 +1,6 @@
 package batchkeeper
 
-import (
-	"context"
-	"fmt"
-)
+import "context"
 
 // Page is a page of a job's results.
 type Page struct {
@@ -37,14 +34,6 @@
 	if err != nil {
 		return nil, err
 	}
-	items, err := k.Items(ctx, stored.Record)
-	if err != nil {
-		return nil, err
-	}
-	for i := range items {
-		if items[i].ID == item {
-			return items[i].Body, nil
-		}
-	}
-	return nil, fmt.Errorf("%w: item %s of %s", ErrNotFound, item, id)
+	found, err := k.findItem(ctx, stored.Record, item)
+	return found.Body, err
 }
