batchkeeper: a new owner of a job no longer reads its whole output

Cause: to learn which items have a result, Load read all results in pages, each with the continuation rows of its results, and each cut from a read of all later ones.

Evidence, before: for 8 results of 512 KiB, 2,323,656 bytes of jobResults were read, which hold 516,368, and 3,678,208 bytes of jobResultRest.

Change: Load reads the rows of the results once, and no continuation rows.

Result: each row of jobResults once, none of jobResultRest (TestLoadReadsNoRestOfResults). The package's tests pass.

--- a/internal/batch/batchkeeper/owner.go
+++ b/internal/batch/batchkeeper/owner.go
@@ -158,18 +158,14 @@
 // ErrNotRead or ErrCorrupt.
 func (k *Keeper) Load(ctx context.Context, record Record) (LoadedJob, error) {
 	id := record.ID
-	loaded := LoadedJob{HasResult: map[string]bool{}, Progress: map[int]Progress{}}
+	loaded := LoadedJob{Progress: map[int]Progress{}}
 	var err error
 	if loaded.Items, err = k.Items(ctx, record); err != nil {
 		return loaded, err
 	}
-	results, err := k.readAllResults(ctx, id)
-	if err != nil {
+	if loaded.HasResult, err = k.itemsWithResult(ctx, id); err != nil {
 		return loaded, err
 	}
-	for _, result := range results {
-		loaded.HasResult[result.Item] = true
-	}
 	from, to := numberedRange(id, 0)
 	rows, err := k.readRange(ctx, tableProgress, partNameOf(id), from, to)
 	if err != nil {
@@ -189,16 +185,21 @@
 	return loaded, nil
 }
 
-func (k *Keeper) readAllResults(ctx context.Context, id string) ([]Result, error) {
-	var results []Result
-	for {
-		page, err := k.readResults(ctx, id, len(results))
-		if err != nil {
+// itemsWithResult returns the IDs of the items of a job that have a result. It doesn't read the continuation
+// rows of the results.
+func (k *Keeper) itemsWithResult(ctx context.Context, id string) (map[string]bool, error) {
+	from, to := numberedRange(id, 0)
+	rows, err := k.readRange(ctx, tableResults, partNameOf(id), from, to)
+	if err != nil {
+		return nil, err
+	}
+	items := map[string]bool{}
+	for _, row := range rows.Rows {
+		var result Result
+		if err := decodeRow(row, &result); err != nil {
 			return nil, err
 		}
-		if len(page) == 0 {
-			return results, nil
-		}
-		results = append(results, page...)
+		items[result.Item] = true
 	}
+	return items, nil
 }
--- a/internal/batch/batchkeeper/readbytes_test.go
+++ b/internal/batch/batchkeeper/readbytes_test.go
@@ -190,3 +190,17 @@
 		qt.Check(t, err, qt.ErrorIs, batchkeeper.ErrCorrupt)
 	})
 }
+
+// Guards against: a new owner reads the whole output of a job, and each part of it several times, to learn which
+// items have a result.
+func TestLoadReadsNoRestOfResults(t *testing.T) {
+	runWithStore(t, func(t *testing.T, ctx context.Context, store *rowemulator.Store) {
+		stored := storeResults(ctx, t, store, 8, batchkeeper.MaxOutput)
+		meter := newReadMeter(store)
+		loaded, err := newKeeper(meter, ownerB).Load(ctx, stored.Record)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, loaded.HasResult, qt.HasLen, 8)
+		meter.expectRead(t, "jobResults", bytesIn(store, "jobResults"))
+		meter.expectRead(t, "jobResultRest", 0)
+	})
+}
