batchkeeper: a job whose ID begins with another job's ID and a slash doesn't spoil that one

Cause: the rows of the job "j/1" sort between those of "j" and the end of its range. Content rows are told apart since the copies have names; results, their continuation rows and progress weren't.

Evidence, before: if both jobs are in one part, results of "j" can't be read ("corrupt row: result 3 of j has 0 continuation rows instead of 1"), in all three cases of TestResultsOfAJobWithALongerIDAreNotRead. Short results of "j/1" would be returned as those of "j" (by reading the code, not run).

Change: rows whose names aren't those of the job's own rows are skipped.

Result: the test passes, as do the package's other tests. Rows don't change.

--- a/internal/batch/batchkeeper/owner.go
+++ b/internal/batch/batchkeeper/owner.go
@@ -172,11 +172,11 @@
 		return loaded, err
 	}
 	for _, row := range rows.Rows {
-		var p Progress
-		var item int
-		if _, err := fmt.Sscanf(row.Name[len(id):], "/%d", &item); err != nil {
-			return loaded, fmt.Errorf("%w: %s", ErrCorrupt, row.Key)
+		item, found := numberOf(id, row.Name)
+		if !found {
+			continue
 		}
+		var p Progress
 		if err := decodeRow(row, &p); err != nil {
 			return loaded, err
 		}
@@ -195,6 +195,9 @@
 	}
 	items := map[string]bool{}
 	for _, row := range rows.Rows {
+		if _, found := numberOf(id, row.Name); !found {
+			continue
+		}
 		var result Result
 		if err := decodeRow(row, &result); err != nil {
 			return nil, err
--- a/internal/batch/batchkeeper/record.go
+++ b/internal/batch/batchkeeper/record.go
@@ -26,6 +26,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -164,6 +166,14 @@
 	return fmt.Sprintf("%s/%06d", id, n), id + "0" // '0' is the byte after '/'
 }
 
+// numberOf returns the number in the name of a numbered row of a job. It returns false for a row of a job
+// whose ID begins with that of this one and a slash.
+func numberOf(id, name string) (n int, found bool) {
+	text, found := strings.CutPrefix(name, id+"/")
+	n, err := strconv.Atoi(text)
+	return n, found && err == nil && n >= 0
+}
+
 func encodeRow(key rowstore.Key, value any) (rowstore.Put, error) {
 	text, err := cbor.Marshal(value)
 	if err != nil {
--- a/internal/batch/batchkeeper/result.go
+++ b/internal/batch/batchkeeper/result.go
@@ -78,6 +78,10 @@
 			return nil, err
 		}
 		for _, row := range page.Rows {
+			position, found := numberOf(id, row.Name)
+			if !found {
+				continue
+			}
 			var result Result
 			if err := decodeRow(row, &result); err != nil {
 				return nil, err
@@ -86,7 +90,7 @@
 			if size > maxPageBytes && len(results) > 0 {
 				return results, nil
 			}
-			if err := k.readContinuation(ctx, id, after+len(results), &result); err != nil {
+			if err := k.readContinuation(ctx, id, position, &result); err != nil {
 				return nil, err
 			}
 			results = append(results, result)
@@ -105,12 +109,16 @@
 	if err != nil {
 		return err
 	}
-	if len(rows.Rows) != result.ContinuationRows {
-		return fmt.Errorf("%w: result %d of %s has %d continuation rows instead of %d",
-			ErrCorrupt, position, id, len(rows.Rows), result.ContinuationRows)
-	}
+	found := 0
 	for _, row := range rows.Rows {
-		result.Output = append(result.Output, row.Value...)
+		if row.Key == continuationKey(id, position, found+1) { // not of a job with a longer ID
+			result.Output = append(result.Output, row.Value...)
+			found++
+		}
+	}
+	if found != result.ContinuationRows {
+		return fmt.Errorf("%w: result %d of %s has %d continuation rows instead of %d",
+			ErrCorrupt, position, id, found, result.ContinuationRows)
 	}
 	result.ContinuationRows = 0
 	return nil
