--- a/internal/batch/batchkeeper/owner.go
+++ b/internal/batch/batchkeeper/owner.go
@@ -158,29 +158,25 @@
 // ErrNotRead or ErrCorrupt.
 func (k *Keeper) Load(ctx context.Context, record Record) (LoadedJob, error) {
 	id := record.ID
-	loaded := LoadedJob{HasResult: map[string]bool{}, Progress: map[int]Progress{}}
+	loaded := LoadedJob{Progress: map[int]Progress{}}
 	var err error
 	if loaded.Items, err = k.Items(ctx, record); err != nil {
 		return loaded, err
 	}
-	results, err := k.readAllResults(ctx, id)
-	if err != nil {
+	if loaded.HasResult, err = k.itemsWithResult(ctx, id); err != nil {
 		return loaded, err
 	}
-	for _, result := range results {
-		loaded.HasResult[result.Item] = true
-	}
 	from, to := numberedRange(id, 0)
 	rows, err := k.readRange(ctx, tableProgress, partNameOf(id), from, to)
 	if err != nil {
 		return loaded, err
 	}
 	for _, row := range rows.Rows {
-		var p Progress
-		var item int
-		if _, err := fmt.Sscanf(row.Name[len(id):], "/%d", &item); err != nil {
-			return loaded, fmt.Errorf("%w: %s", ErrCorrupt, row.Key)
+		item, found := numberOf(id, row.Name)
+		if !found {
+			continue
 		}
+		var p Progress
 		if err := decodeRow(row, &p); err != nil {
 			return loaded, err
 		}
@@ -189,16 +185,24 @@
 	return loaded, nil
 }
 
-func (k *Keeper) readAllResults(ctx context.Context, id string) ([]Result, error) {
-	var results []Result
-	for {
-		page, err := k.readResults(ctx, id, len(results))
-		if err != nil {
-			return nil, err
+// itemsWithResult returns the IDs of the items of a job that have a result. It doesn't read the continuation
+// rows of the results.
+func (k *Keeper) itemsWithResult(ctx context.Context, id string) (map[string]bool, error) {
+	from, to := numberedRange(id, 0)
+	rows, err := k.readRange(ctx, tableResults, partNameOf(id), from, to)
+	if err != nil {
+		return nil, err
+	}
+	items := map[string]bool{}
+	for _, row := range rows.Rows {
+		if _, found := numberOf(id, row.Name); !found {
+			continue
 		}
-		if len(page) == 0 {
-			return results, nil
+		var result Result
+		if err := decodeRow(row, &result); err != nil {
+			return nil, err
 		}
-		results = append(results, page...)
+		items[result.Item] = true
 	}
+	return items, nil
 }
