eventsplitter: events beyond 16 KiB reserve memory

An event may have 1 MiB, and each stream kept a buffer of the longest event that it had seen: an upstream whose events never end made a VM keep up to 1 MiB, and the copies of a growing buffer, for each stream at it. Streams of callers now reserve what goes beyond 16 KiB from the VM's budget, and return it with the event. A stream that gets none breaks off as if its event were too long, but that counts for nothing against its upstream.

Without it TestLongEventsStayWithinTheMemoryBudget delivers events of 500 KiB although 100 KiB are available.

--- a/internal/faces/gateway/deliver.go
+++ b/internal/faces/gateway/deliver.go
@@ -117,7 +117,8 @@
 // at the end of a truncated stream is discarded, so that another upstream can resume.
 func (f *forwarding) deliverStream(d *courier.Delivery) error {
 	control := http.NewResponseController(f.x.w)
-	events := eventsplitter.New(d)
+	events := eventsplitter.New(d, eventsplitter.WithMemory(f.gateway.memory))
+	defer events.Close()
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -127,7 +128,9 @@
 			return nil
 		}
 		if err != nil {
-			d.RecordFailure()
+			if !errors.Is(err, eventsplitter.ErrNoMemory) { // which shows nothing of the upstream
+				d.RecordFailure()
+			}
 			return relayer.NewAttemptError(relayer.RanMaybe, err)
 		}
 		if err := f.writeEvent(d, control, event); err != nil {
--- a/internal/online/eventsplitter/splitter.go
+++ b/internal/online/eventsplitter/splitter.go
@@ -8,13 +8,23 @@
 	"errors"
 	"fmt"
 	"io"
+
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
 )
 
-// ErrTooLong means that an event exceeds MaxEventBytes.
-var ErrTooLong = errors.New("event too long")
+var (
+	// ErrTooLong means that an event exceeds MaxEventBytes.
+	ErrTooLong = errors.New("event too long")
+	// ErrNoMemory means that the memory budget has no space for a long event.
+	ErrNoMemory = errors.New("no memory for a long event")
+)
 
-// MaxEventBytes bounds the size of one event.
-const MaxEventBytes = 1 << 20
+const (
+	// MaxEventBytes bounds the size of one event.
+	MaxEventBytes = 1 << 20
+	// unreservedBytes is how much of an event is read without a reservation of memory.
+	unreservedBytes = 16 << 10
+)
 
 // Event is one complete server-sent event.
 type Event struct {
@@ -59,26 +69,71 @@
 
 // Splitter reads server-sent events from a stream.
 type Splitter struct {
-	reader *bufio.Reader
-	buffer []byte
-	data   []byte
+	reader      *bufio.Reader
+	buffer      []byte
+	data        []byte
+	reservation *rationer.Reservation // of memory for a long event; nil if there is no budget
+}
+
+// Option configures a Splitter.
+type Option func(*Splitter)
+
+// WithMemory sets the budget from which memory for long events is reserved. Close must be called then.
+func WithMemory(budget *rationer.Rationer) Option {
+	return func(s *Splitter) { s.reservation = budget.NewReservation() }
 }
 
 // New returns a splitter that reads from r.
-func New(r io.Reader) *Splitter { return &Splitter{reader: bufio.NewReader(r)} }
+func New(r io.Reader, options ...Option) *Splitter {
+	s := &Splitter{reader: bufio.NewReader(r)}
+	for _, option := range options {
+		option(s)
+	}
+	return s
+}
+
+// Close returns the memory for a long event to the budget.
+func (s *Splitter) Close() { s.discard() }
+
+// discard discards the event in the buffer, and the buffer too if it is a long one.
+func (s *Splitter) discard() {
+	s.buffer = s.buffer[:0]
+	if cap(s.buffer) > unreservedBytes {
+		s.buffer = nil
+		s.reservation.Release()
+	}
+}
+
+// append adds bytes to the buffer. It returns an error if the event gets too long, or if there is no memory
+// for it.
+func (s *Splitter) append(part []byte) error {
+	size := len(s.buffer) + len(part)
+	if size > MaxEventBytes {
+		return ErrTooLong
+	}
+	if size > cap(s.buffer) {
+		grown := max(2*cap(s.buffer), size)
+		if grown > unreservedBytes && s.reservation != nil && !s.reservation.Grow(int64(grown)) {
+			return ErrNoMemory
+		}
+		s.buffer = append(make([]byte, 0, grown), s.buffer...)
+	}
+	s.buffer = append(s.buffer, part...)
+	return nil
+}
 
 // Next returns the next complete event. It returns io.EOF if the stream ends between
-// events, io.ErrUnexpectedEOF if it ends within one, and ErrTooLong if an event
-// exceeds MaxEventBytes.
+// events, io.ErrUnexpectedEOF if it ends within one, ErrTooLong if an event
+// exceeds MaxEventBytes, and ErrNoMemory if there is no memory for a long one.
 func (s *Splitter) Next() (Event, error) {
-	s.buffer = s.buffer[:0]
+	s.discard()
 	line := 0 // start of the current line
 	for {
 		part, err := s.reader.ReadSlice('\n')
-		s.buffer = append(s.buffer, part...)
+		if err := s.append(part); err != nil {
+			return Event{}, err
+		}
 		switch {
-		case len(s.buffer) > MaxEventBytes:
-			return Event{}, ErrTooLong
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case errors.Is(err, io.EOF) && len(s.buffer) > 0:
