attempter: output of items beyond 16 KiB reserves memory

An item's output may have 512 KiB; nothing bounded the sum over the running items. A run that gets no memory ends, its output is discarded, and the item runs again after a pause; that counts neither as a failure nor as a crash. The reservation lasts as long as the run.

Without it TestOutputsShareTheirMemory holds 16 times 400 KiB with a budget of 512 KiB.

--- a/internal/batch/attempter/attempter.go
+++ b/internal/batch/attempter/attempter.go
@@ -15,6 +15,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/online/eventsplitter"
 	"github.com/fescuespindle/fescuespindle/internal/online/placer"
 	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
 )
 
 const (
@@ -23,6 +24,12 @@
 	// connection may stall without being closed.
 	firstEventTimeout = 3 * time.Second
 	eventTimeout      = 2 * time.Second
+	// unreservedOutputBytes is how much output a run receives without a reservation of memory. More is
+	// reserved in steps of outputStepBytes, of which each takes growthFactor bytes of memory, as the
+	// output grows by copies.
+	unreservedOutputBytes = 16 << 10
+	outputStepBytes       = 32 << 10
+	growthFactor          = 2
 )
 
 // Errors of a run.
@@ -36,6 +43,8 @@
 	ErrNoStream = errors.New("answer is no stream")
 	// ErrTooLong means that the output would exceed batchkeeper.MaxOutput.
 	ErrTooLong = errors.New("output exceeds the maximum size")
+	// ErrNoMemory means that the memory budget has no space for the output.
+	ErrNoMemory = errors.New("no memory for the output")
 )
 
 // Outcome classifies how a run ended.
@@ -62,11 +71,14 @@
 	// did not run, or that the response broke off, stalled, had no events, or had any
 	// other status than a success.
 	OutcomeInterrupted
+	// OutcomeNoMemory means that this VM ended the run for lack of memory. Its output is
+	// discarded, and the next run starts over.
+	OutcomeNoMemory
 )
 
 // String returns the name under which the outcome is logged.
 func (o Outcome) String() string {
-	return [...]string{"whole", "stopped", "refused", "failed", "impossible", "broken"}[o]
+	return [...]string{"whole", "stopped", "refused", "failed", "impossible", "broken", "noMemory"}[o]
 }
 
 // Result describes how one run ended.
@@ -107,8 +119,10 @@
 }
 
 // Run runs an item once on a slot, resuming after the last event of its earlier runs.
-// The courier releases the slot when the run ends.
-func Run(ctx context.Context, c Courier, slot *placer.Slot, call *courier.Call, live *LiveProgress) Result {
+// The courier releases the slot when the run ends. Memory for long output is reserved until then.
+func Run(
+	ctx context.Context, c Courier, slot *placer.Slot, call *courier.Call, live *LiveProgress, memory *rationer.Rationer,
+) Result {
 	progress := live.Progress()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -126,7 +140,11 @@
 		delivery.RecordFailure()
 		return Result{Outcome: OutcomeInterrupted, Progress: progress, Err: ErrNoStream}
 	}
-	return readEvents(ctx, delivery, live, stallTimer)
+	output := newOutputMemory(memory)
+	defer output.release()
+	events := eventsplitter.New(delivery, eventsplitter.WithMemory(memory))
+	defer events.Close()
+	return readEvents(ctx, delivery, events, live, output, stallTimer)
 }
 
 // outcomeOfError classifies an error of sending a call or of reading its response.
@@ -160,11 +178,11 @@
 
 // readEvents appends the data of each event to the progress until the stream ends.
 func readEvents(
-	ctx context.Context, d *courier.Delivery, live *LiveProgress, stallTimer *time.Timer,
+	ctx context.Context, d *courier.Delivery, events *eventsplitter.Splitter, live *LiveProgress, output *outputMemory,
+	stallTimer *time.Timer,
 ) Result {
 	progress := live.Progress()
 	progress.SoftwareVersion = d.Upstream().Version
-	events := eventsplitter.New(d)
 	for n := 0; ; n++ {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -173,6 +191,9 @@
 			}
 			return Result{Outcome: OutcomeCompleted, Progress: progress, Events: n}
 		}
+		if errors.Is(err, eventsplitter.ErrNoMemory) {
+			return Result{Outcome: OutcomeNoMemory, Events: n, Err: ErrNoMemory}
+		}
 		if err != nil {
 			result := Result{Outcome: outcomeOfError(ctx, err), Progress: progress, Events: n, Err: err}
 			if result.Outcome == OutcomeInterrupted {
@@ -187,6 +208,9 @@
 		if len(progress.Output)+len(event.Raw()) > batchkeeper.MaxOutput {
 			return Result{Outcome: OutcomeFailed, Events: n, Err: ErrTooLong} // no progress: the next run starts over
 		}
+		if !output.reserve(len(progress.Output) + len(event.Raw())) {
+			return Result{Outcome: OutcomeNoMemory, Events: n, Err: ErrNoMemory}
+		}
 		if len(progress.Output) > 0 || progress.LastEvent != "" {
 			progress.Output = append(progress.Output, '\n')
 		}
--- a/internal/batch/batchrunner/run.go
+++ b/internal/batch/batchrunner/run.go
@@ -41,7 +41,7 @@
 		defer context.AfterFunc(loop, cancel)()
 		result := attempter.Result{Outcome: attempter.OutcomeInterrupted, Progress: it.progress}
 		if err := r.guard.Try("item run", func() error {
-			result = attempter.Run(ctx, r.courier, slot, call, live)
+			result = attempter.Run(ctx, r.courier, slot, call, live, r.memory)
 			return nil
 		}); err != nil {
 			result.Err = err
@@ -81,6 +81,8 @@
 		r.recordFailure(it, now)
 	case attempter.OutcomeInterrupted:
 		r.recordInterruption(it, upstream, result.Events, now)
+	case attempter.OutcomeNoMemory:
+		it.notBefore = now.Add(failurePause)
 	}
 }
 
