socketdialer: the receive buffer of a connection has 256 KiB

Bytes that have arrived and were not read count as memory of the process. Linux lets the buffer of a connection grow with the speed of its reader, here up to 32 MB; an upstream that sends without end to callers that read slowly fills it, for each connection.

--- a/internal/plumbing/socketdialer/dialer.go
+++ b/internal/plumbing/socketdialer/dialer.go
@@ -19,6 +19,9 @@
 	// optionTCPUserTimeout is Linux's TCP_USER_TIMEOUT. Package syscall lacks it on
 	// amd64.
 	optionTCPUserTimeout = 18
+	// receiveBufferBytes bounds the bytes that a connection keeps unread. Without it, Linux lets the buffer
+	// of a peer that sends fast grow to many megabytes, which count as memory of the process.
+	receiveBufferBytes = 256 << 10
 )
 
 // keepAlive makes the kernel probe connections without traffic. With a user timeout, which New
@@ -30,7 +33,7 @@
 
 // New returns a dialer whose attempts to connect end after a timeout.
 func New(timeout time.Duration) *net.Dialer {
-	return &net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	return &net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive, Control: setOptions}
 }
 
 // Tune applies the options of New's connections to an accepted one.
@@ -44,16 +47,17 @@
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return fmt.Errorf("set user timeout: %w", err)
+		return fmt.Errorf("set options: %w", err)
 	}
-	return setUserTimeout("", "", raw)
+	return setOptions("", "", raw)
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT, which bounds how long sent bytes may stay
-// unacknowledged. It is a net.Dialer.Control function.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+// setOptions sets TCP_USER_TIMEOUT, which bounds how long sent bytes may stay
+// unacknowledged, and bounds the receive buffer. It is a net.Dialer.Control function.
+func setOptions(_, _ string, raw syscall.RawConn) error {
 	var optionErr error
 	err := raw.Control(func(fd uintptr) {
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferBytes) //nolint:errcheck // works without it
 		optionErr = syscall.SetsockoptInt(
 			int(fd), syscall.IPPROTO_TCP, optionTCPUserTimeout, int(maxSilence.Milliseconds()))
 	})
@@ -61,7 +65,7 @@
 		err = optionErr
 	}
 	if err != nil {
-		return fmt.Errorf("set user timeout: %w", err)
+		return fmt.Errorf("set options: %w", err)
 	}
 	return nil
 }
