startjudge: what decides whether items of a job may start is a package of its own

Evidence, silence and heard ends have no goroutine, clock or store call, so they move to internal/batch/startjudge with their constants; the check that reads a record stays, in check.go. No change of behaviour, and no test changed: all of them use the runner from outside.

--- a/internal/batch/batchrunner/handover.go
+++ b/internal/batch/batchrunner/handover.go
@@ -8,6 +8,7 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/batch/jobmover"
+	"github.com/fescuespindle/fescuespindle/internal/batch/startjudge"
 )
 
 const (
@@ -73,7 +74,7 @@
 func (r *Runner) export(j *job, now time.Time) jobmover.Job {
 	exported := jobmover.Job{
 		Record: j.stored.Record, Version: j.stored.Version, Outbox: j.outbox,
-		Progress: map[int]batchkeeper.Progress{}, Clock: r.keeper.Now(), Age: j.evidence.ageToTell(r.silenceOf(j), now),
+		Progress: map[int]batchkeeper.Progress{}, Clock: r.keeper.Now(), Age: j.evidence.AgeToTell(r.silenceOf(j), now),
 	}
 	exported.Record.FailureCounts = j.failureCountsByIndex()
 	for _, it := range j.items {
@@ -120,7 +121,7 @@
 		origin{way: wayHandedOver, from: moved.Record.Owner})
 	j := r.jobs[id]
 	j.unclaimed = true
-	j.evidence = evidence{asOf: now.Add(-age), endHeardAt: r.ends[id].last}
+	j.evidence = startjudge.FromSender(now.Add(-age), r.ends.LastHeard(id))
 	j.outbox = moved.Outbox
 	for _, index := range moved.Ended {
 		if index >= 0 && index < len(j.items) {
--- a/internal/batch/batchrunner/job.go
+++ b/internal/batch/batchrunner/job.go
@@ -7,6 +7,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/batch/attempter"
 	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/batch/ranker"
+	"github.com/fescuespindle/fescuespindle/internal/batch/startjudge"
 	"github.com/fescuespindle/fescuespindle/internal/online/placer"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
 )
@@ -24,7 +25,7 @@
 	outbox   []batchkeeper.Result
 	dirty    bool // failure counts have changed, or a write has failed, since the last write
 	writing  bool // a write of the record is in flight
-	evidence evidence
+	evidence startjudge.Evidence
 	renewDue time.Time // when the record is renewed next
 	// discarded means that another VM owns the job, or that it has ended.
 	discarded bool
@@ -236,7 +237,7 @@
 	var waiting []ranker.Item
 	run, _ := r.runStatistics.estimate(0)
 	for _, j := range r.jobs {
-		if j.discarded || r.expired(j) || !j.evidence.allowsStart(r.silenceOf(j), now) {
+		if j.discarded || r.expired(j) || !j.evidence.AllowsStart(r.silenceOf(j), now) {
 			continue
 		}
 		for _, it := range j.items {
--- a/internal/batch/batchrunner/origin.go
+++ b/internal/batch/batchrunner/origin.go
@@ -33,8 +33,8 @@
 // newRunStart returns what this VM knows as it starts a run of an item.
 func (r *Runner) newRunStart(it *item, now time.Time) runStart {
 	return runStart{
-		at: now, record: it.job.stored.Version, recordAge: now.Sub(it.job.evidence.asOf), unclaimed: it.job.unclaimed,
-		silence:    r.silenceOf(it.job).holds(now),
+		at: now, record: it.job.stored.Version, recordAge: it.job.evidence.Age(now), unclaimed: it.job.unclaimed,
+		silence:    r.silenceOf(it.job).Holds(now),
 		afterEvent: it.progress.LastEvent,
 	}
 }
--- a/internal/batch/batchrunner/runner.go
+++ b/internal/batch/batchrunner/runner.go
@@ -14,6 +14,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/batch/attempter"
 	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/batch/orphanwatcher"
+	"github.com/fescuespindle/fescuespindle/internal/batch/startjudge"
 	"github.com/fescuespindle/fescuespindle/internal/control/stepper"
 	"github.com/fescuespindle/fescuespindle/internal/online/placer"
 	"github.com/fescuespindle/fescuespindle/internal/online/router"
@@ -83,9 +84,6 @@
 	// and idleTickPeriod that while it has none.
 	tickPeriod     = 100 * time.Millisecond
 	idleTickPeriod = 500 * time.Millisecond
-	// maxRenewalAge is how long items of a job are still started after its record was last
-	// known to be open, while the store doesn't answer: a cancel could have been missed since.
-	maxRenewalAge = 10 * time.Second
 )
 
 // Runner runs the batch jobs that this VM owns.
@@ -115,8 +113,8 @@
 	orphans           *orphanwatcher.Watcher
 	claimingOrLoading map[string]bool
 	idle              map[string]idleJob // by ID
-	ends              ends
-	silences          [batchkeeper.Parts]silence
+	ends              startjudge.Ends
+	silences          [batchkeeper.Parts]startjudge.Silence
 	draining          bool
 	drained           chan struct{} // closed when a draining runner has no jobs left
 }
@@ -138,7 +136,7 @@
 		self: self, keeper: keeper, placer: p, courier: c, members: members, config: config, memory: memory,
 		guard: guard, counter: counter, logger: logger, jobs: map[string]*job{},
 		running: map[*placer.Slot]*item{}, orphans: orphanwatcher.New(self.VM),
-		mover: noMover{}, waits: waits{}, claimingOrLoading: map[string]bool{}, idle: map[string]idleJob{}, ends: ends{},
+		mover: noMover{}, waits: waits{}, claimingOrLoading: map[string]bool{}, idle: map[string]idleJob{}, ends: startjudge.Ends{},
 		drained: make(chan struct{}),
 	}
 	for _, option := range options {
@@ -182,7 +180,7 @@
 	}
 	j := newJob(stored, loaded)
 	j.reservation, j.origin = reservation, from
-	j.evidence = evidence{asOf: stored.AsOf, own: true, endHeardAt: r.ends[stored.ID].last}
+	j.evidence = startjudge.FromStore(stored.AsOf, r.ends.LastHeard(stored.ID))
 	j.renewDue = stored.AsOf.Add(renewPeriod)
 	r.jobs[stored.ID] = j
 	r.setHasJobs(true)
@@ -220,7 +218,7 @@
 		r.scan(now)
 	}
 	r.expire()
-	r.ends.expire(now)
+	r.ends.Expire(now)
 	r.setHasJobs(len(r.jobs) > 0)
 }
 
--- a/internal/batch/batchrunner/watch.go
+++ b/internal/batch/batchrunner/watch.go
@@ -46,7 +46,7 @@
 			r.logger.Debug("jobs not read", "part", part, "error", err) // package watcher logs an outage
 			return
 		}
-		r.silences[part].recordAnswer(now)
+		r.silences[part].RecordAnswer(now)
 		r.orphans.RecordScan(part, now)
 		vms := r.members.Successors(now)
 		for _, record := range records {
