tablesharer: in each region two VMs read a long configuration, and the others get it from them

Every VM read the configuration from the store at each change and every 8 s. With a row of 1 MB and 34 VMs behind a link of 60 Mbit/s these copies filled the link, and calls on jobs got no answer. Now the watcher of the configuration reads through a store that asks one of two VMs of the region, chosen by rendezvous hashing, once the content is longer than 64 KiB. An unchanged content costs no rows, also when the whole table is read again. If the readers are silent, stale, of an older build or answer what can't be used, the store is read directly in the same call.

--- /dev/null
+++ b/internal/control/tablesharer/sharer_test.go
@@ -0,0 +1,243 @@
+package tablesharer_test
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
+)
+
+// Guards against: each VM of a region reads a long configuration from the store, at each change and
+// periodically, and the copies fill the region's link.
+func TestFollowersDontReadTheStore(t *testing.T) {
+	play(t, longRows, func(_ *testing.T, r *region) {
+		r.resetCounts()
+		time.Sleep(30 * time.Second)
+		r.expectChange(r.others, "second", 200*time.Millisecond)
+		time.Sleep(30 * time.Second)
+		r.expectStoreCalls(r.others, false, 0)
+		for _, name := range r.readers {
+			qt.Check(r.t, r.vms[name].store.calls.Load() > 0, qt.IsTrue)
+		}
+	})
+}
+
+// Guards against: a follower that has missed nothing gets the whole table, or its watcher all rows, time and again.
+func TestOnlyChangedRowsArePassedOn(t *testing.T) {
+	play(t, longRows, func(t *testing.T, r *region) {
+		before := r.vms[r.others[0]].sink.replacements()
+		r.expectChange(r.others, "second", time.Second)
+		qt.Check(t, r.vms[r.others[0]].sink.replacements(), qt.Equals, before)
+	})
+}
+
+// A short table is read directly, which is a hop less.
+func TestShortTableIsReadDirectly(t *testing.T) {
+	play(t, 1, func(_ *testing.T, r *region) {
+		r.resetCounts()
+		r.expectChange(append(r.others, r.readers...), "second", 200*time.Millisecond)
+		r.expectStoreCalls(append(r.others, r.readers...), true, rowBytes+len("second"))
+	})
+}
+
+func TestVMWithoutPeersReadsDirectly(t *testing.T) {
+	play(t, longRows, func(_ *testing.T, r *region) {
+		r.setPeers()
+		time.Sleep(time.Second)
+		r.resetCounts()
+		r.expectChange(append(r.others, r.readers...), "second", 200*time.Millisecond)
+		r.expectStoreCalls(append(r.others, r.readers...), true, rowBytes+len("second"))
+	})
+}
+
+func TestRemovedRowsDisappear(t *testing.T) {
+	play(t, longRows, func(t *testing.T, r *region) {
+		_, err := r.rows.Apply(rowstore.Tx{Removes: []rowstore.Key{{Table: table, Name: "row1"}}})
+		qt.Assert(t, err, qt.IsNil)
+		time.Sleep(time.Second)
+		for _, name := range r.others {
+			qt.Check(t, r.vms[name].sink.names(), qt.Equals, longRows-1, qt.Commentf(name))
+		}
+	})
+}
+
+// breakReaders is a way in which readers stop being of use.
+type breakReaders struct {
+	name string
+	do   func(r *region, v *vm)
+}
+
+// answerWith returns a way in which readers fail: they answer by a handler, and don't read the store.
+func answerWith(handler http.HandlerFunc) func(*region, *vm) {
+	return func(_ *region, v *vm) {
+		v.store.cutOff.Store(true)
+		v.handle(handler)
+	}
+}
+
+func freeze(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+func writeForever(w http.ResponseWriter, _ *http.Request) {
+	for {
+		if _, err := w.Write(make([]byte, 64<<10)); err != nil {
+			return
+		}
+	}
+}
+
+func dripForever(w http.ResponseWriter, r *http.Request) {
+	for r.Context().Err() == nil {
+		_, _ = w.Write([]byte{0}) // the reader may be gone
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// writeEndlessRows answers with few bytes that are endless once they are decompressed.
+func writeEndlessRows(w http.ResponseWriter, _ *http.Request) {
+	_, _ = w.Write(endlessRows())
+}
+
+// endlessRows returns an answer whose rows exceed what a VM reads.
+var endlessRows = sync.OnceValue(func() []byte {
+	var compressed bytes.Buffer
+	writer, _ := flate.NewWriter(&compressed, flate.BestSpeed)
+	_, _ = io.CopyN(writer, zeros{}, 2*maxBytes)
+	_ = writer.Close()
+	body, _ := cbor.Marshal(map[string]any{"fleet": 1, "version": uint64(1) << 40, "digest": 1, "rows": compressed.Bytes()})
+	return body
+})
+
+// zeros is a reader of zeros without end.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
+
+func status(code int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(code) }
+}
+
+var waysToBreak = []breakReaders{
+	{"frozen", answerWith(freeze)},
+	{"cut off from the store", func(_ *region, v *vm) { v.store.cutOff.Store(true) }},
+	{"killed", func(_ *region, v *vm) { v.stop() }},
+	{"of an older build", answerWith(status(http.StatusNotFound))},
+	{"not sure of its fleet", answerWith(status(http.StatusServiceUnavailable))},
+	{"redirecting", answerWith(func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, r.URL.String(), http.StatusFound) })},
+	{"answering garbage", answerWith(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("garbage")) })},
+	{"answering nothing", answerWith(status(http.StatusOK))},
+	{"answering without end", answerWith(writeForever)},
+	{"answering slowly without end", answerWith(dripForever)},
+	{"answering rows without end", answerWith(writeEndlessRows)},
+	{"of another fleet", func(r *region, v *vm) {
+		v.stop()
+		synctest.Wait()
+		r.start(v.name, 2)
+	}},
+}
+
+// Guards against: readers that fail keep a change from the VMs that ask them.
+func TestChangeArrivesInTimeIfReadersFail(t *testing.T) {
+	for _, way := range waysToBreak {
+		t.Run("all "+way.name, func(t *testing.T) {
+			expectChangeIfBroken(t, way, regionReaders)
+		})
+		t.Run("one "+way.name, func(t *testing.T) {
+			expectChangeIfBroken(t, way, 1)
+		})
+	}
+}
+
+// expectChangeIfBroken breaks some readers and expects that changes reach the followers in time: one right
+// after that, and a later one.
+func expectChangeIfBroken(t *testing.T, way breakReaders, count int) {
+	t.Helper()
+	play(t, longRows, func(t *testing.T, r *region) {
+		r.resetCounts()
+		for _, name := range r.readers[:count] {
+			way.do(r, r.vms[name])
+		}
+		r.expectChange(r.others, "second", applyTimeout)
+		time.Sleep(10 * time.Second)
+		r.expectChange(r.others, "third", applyTimeout)
+		isReaderLeft := count < regionReaders
+		for _, name := range r.others {
+			got := r.vms[name].store.bytes.Load()
+			qt.Check(t, got == 0, qt.Equals, isReaderLeft, qt.Commentf("%s has read %d bytes", name, got))
+		}
+	})
+}
+
+// Guards against: VMs whose lists of live VMs differ follow each other, and confirm each other's content for ever.
+func TestVMsThatFollowFollowersReadTheStoreInTime(t *testing.T) {
+	play(t, longRows, func(t *testing.T, r *region) {
+		r.chain()
+		r.expectChange(r.others, "second", applyTimeout)
+		for _, name := range r.readers {
+			r.vms[name].store.cutOff.Store(true)
+		}
+		r.expectChange(r.others, "third", applyTimeout)
+		for _, name := range r.others {
+			qt.Check(t, r.vms[name].sink.isOlder(), qt.IsFalse, qt.Commentf(name))
+		}
+	})
+}
+
+// Guards against: a VM goes back to an older configuration, as a reader lags behind.
+func TestContentNeverBecomesOlder(t *testing.T) {
+	play(t, longRows, func(t *testing.T, r *region) {
+		for _, name := range r.readers {
+			r.vms[name].store.cutOff.Store(true)
+		}
+		r.expectChange(r.others, "second", applyTimeout)
+		time.Sleep(20 * time.Second) // the followers read the whole table some times
+		r.expectText(r.others, "second")
+		for _, name := range r.others {
+			qt.Check(t, r.vms[name].sink.isOlder(), qt.IsFalse, qt.Commentf(name))
+		}
+	})
+}
+
+// Guards against: a reader whose copy is still arriving is taken for a silent one, and all VMs of the
+// region read another copy over the same link.
+func TestFollowersWaitForAnAnswerThatIsArriving(t *testing.T) {
+	play(t, longRows, func(_ *testing.T, r *region) {
+		r.resetCounts()
+		for _, name := range r.readers {
+			r.vms[name].store.arrival.Store(int64(time.Second))
+		}
+		r.expectChange(r.others, "second", applyTimeout)
+		r.expectStoreCalls(r.others, false, 0)
+	})
+}
+
+// Guards against: a reader that comes back isn't asked again.
+func TestReadersAreAskedAgain(t *testing.T) {
+	play(t, longRows, func(_ *testing.T, r *region) {
+		for _, name := range r.readers {
+			r.vms[name].store.cutOff.Store(true)
+			r.vms[name].handle(freeze)
+		}
+		time.Sleep(10 * time.Second)
+		for _, name := range r.readers {
+			r.vms[name].store.cutOff.Store(false)
+			r.vms[name].handle(r.vms[name].sharer.ServeHTTP)
+		}
+		time.Sleep(10 * time.Second)
+		r.resetCounts()
+		r.expectChange(r.others, "second", time.Second)
+		r.expectStoreCalls(r.others, false, 0)
+	})
+}
--- a/internal/wiring/entryvm/peers.go
+++ b/internal/wiring/entryvm/peers.go
@@ -13,6 +13,7 @@
 func (vm *VM) setPeers(members []memberkeeper.Member) {
 	peers := make([]peerteller.Peer, 0, len(members))
 	addresses := make(map[string]string, len(members))
+	regionAddresses := make(map[string]string, len(members))
 	var local, remote []string
 	for _, m := range members {
 		address, err := netip.ParseAddr(m.IP)
@@ -30,6 +31,7 @@
 			remote = append(remote, peer.Address.String())
 		} else {
 			local = append(local, peer.Address.String())
+			regionAddresses[m.VM] = peer.Address.String()
 		}
 	}
 	vms := map[string][]string{vm.settings.Domain: {vm.settings.VM}}
@@ -45,6 +47,7 @@
 	vm.finder.SetPeers(vm.carriers(peers))
 	vm.reporter.SetPeers(peers)
 	vm.mover.SetPeers(addresses)
+	vm.sharer.SetPeers(regionAddresses)
 	vm.jobKeeper.SetVMCount(len(peers) + 1)
 	vm.vmCount.Store(int32(len(peers) + 1))
 	vm.limitIdleConnections()
--- a/internal/wiring/entryvm/provider.go
+++ b/internal/wiring/entryvm/provider.go
@@ -18,6 +18,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/control/fleetidentifier"
 	"github.com/fescuespindle/fescuespindle/internal/control/memberkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/control/peerteller"
+	"github.com/fescuespindle/fescuespindle/internal/control/tablesharer"
 	"github.com/fescuespindle/fescuespindle/internal/faces/batchserver"
 	"github.com/fescuespindle/fescuespindle/internal/faces/gateway"
 	"github.com/fescuespindle/fescuespindle/internal/online/courier"
@@ -123,6 +124,14 @@
 	return bootstrapper.New(fleet.Transport(storeTransport()), fleet, tasks, logger)
 }
 
+// newSharer returns the sharer of the configuration.
+func newSharer(
+	store rowstore.Store, s platform.Settings, fleet *fleetidentifier.Fleet, counters *counter.Counters, logger *slog.Logger,
+) *tablesharer.Sharer {
+	return tablesharer.New(store, platform.TableConfiguration, "", s.VM, fleet.Transport(storeTransport()), fleet, counters,
+		logger)
+}
+
 func newPlacer(s platform.Settings, c *callbacks, finder *pathfinder.Finder) *placer.Placer {
 	return placer.New(s.VM, s.Domain, s.Regions, placer.WithOnChange(c.onWorkChange), placer.WithCutOff(finder.IsCutOff))
 }
--- a/internal/wiring/entryvm/vm.go
+++ b/internal/wiring/entryvm/vm.go
@@ -21,6 +21,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/control/memberkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/control/peerteller"
 	"github.com/fescuespindle/fescuespindle/internal/control/registrar"
+	"github.com/fescuespindle/fescuespindle/internal/control/tablesharer"
 	"github.com/fescuespindle/fescuespindle/internal/control/watcher"
 	"github.com/fescuespindle/fescuespindle/internal/faces/gateway"
 	"github.com/fescuespindle/fescuespindle/internal/online/crashanalyzer"
@@ -68,6 +69,7 @@
 	gateway      *gateway.Gateway
 
 	bootstrapper  *bootstrapper.Bootstrapper
+	sharer        *tablesharer.Sharer // of the configuration
 	configuration *watcher.Watcher
 	mover         *jobmover.Mover
 	fleet         *fleetidentifier.Fleet
@@ -117,15 +119,15 @@
 	if vm.callerListener, err = net.Listen("tcp", vm.settings.CallerAddress); err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
-	vm.configuration = vm.newWatcher(platform.TableConfiguration, "", &configurationSink{vm: vm},
+	vm.configuration = vm.newWatcher(vm.sharer, platform.TableConfiguration, "", &configurationSink{vm: vm},
 		watcher.WithReread(vm.configurationRereadInterval))
 	watchers := []*watcher.Watcher{
-		vm.newWatcher(memberkeeper.Table, memberkeeper.Part, vm.memberKeeper,
+		vm.newWatcher(vm.store, memberkeeper.Table, memberkeeper.Part, vm.memberKeeper,
 			watcher.WithWait(memberWait), watcher.WithPause(memberPause)),
 		vm.configuration,
-		vm.newWatcher(platform.TableUpstreams, "", &upstreamSink{vm: vm, registrar: registrar.New()},
+		vm.newWatcher(vm.store, platform.TableUpstreams, "", &upstreamSink{vm: vm, registrar: registrar.New()},
 			watcher.WithReread(vm.rereadInterval)),
-		vm.newWatcher(versionkeeper.TableVersions, versionkeeper.PartVersions, vm.versions,
+		vm.newWatcher(vm.store, versionkeeper.TableVersions, versionkeeper.PartVersions, vm.versions,
 			watcher.WithReread(vm.rereadInterval)),
 	}
 	if err := errors.Join(
@@ -198,21 +200,24 @@
 	memberPause = 2 * time.Second
 )
 
-// newWatcher returns the watcher of a table. It also registers the watcher with the
-// bootstrapper, which exchanges copies of tables with peer VMs.
-func (vm *VM) newWatcher(table, part string, sink watcher.Sink, options ...watcher.Option) *watcher.Watcher {
+// newWatcher returns the watcher of a table, which reads it through a store. It also registers the watcher
+// with the bootstrapper, which exchanges copies of tables with peer VMs.
+func (vm *VM) newWatcher(
+	store rowstore.Store, table, part string, sink watcher.Sink, options ...watcher.Option,
+) *watcher.Watcher {
 	options = append(options, watcher.WithTimeout(vm.feedTimeout), watcher.WithGuard(vm.tasks))
-	w := watcher.New(vm.store, table, part, sink, vm.logger, options...)
+	w := watcher.New(store, table, part, sink, vm.logger, options...)
 	vm.bootstrapper.AddTable(table, w)
 	return w
 }
 
-// peerHandler returns the handler of requests from other VMs: for copies of tables, jobs to
+// peerHandler returns the handler of requests from other VMs: for copies of tables, the newest configuration, jobs to
 // take over, connections to carry to upstreams, and calls to relay to the store. It rejects those of VMs
 // of another fleet.
 func (vm *VM) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+bootstrapper.Path, vm.fleet.RequireKnown(vm.bootstrapper))
+	mux.Handle("GET "+vm.sharer.Path(), vm.fleet.RequireKnown(vm.sharer))
 	mux.Handle("POST "+jobmover.Path, vm.fleet.RequireKnown(vm.mover))
 	mux.Handle("GET "+tunneler.Path, vm.carrier) // also tells that an upstream has crashed, from the first second on
 	mux.Handle("/", vm.fleet.RequireKnown(vm.relayer))
--- a/internal/wiring/entryvm/wire_gen.go
+++ b/internal/wiring/entryvm/wire_gen.go
@@ -46,6 +46,7 @@
 	canceller := newCanceller(batchkeeperKeeper, entryvmSharedState, supervisor, counters, logger)
 	server := newJobServer(codec, batchkeeperKeeper, canceller, entryvmSharedState, entryvmCallbacks, rationer, counters, logger)
 	gateway := newGateway(codec, courierCourier, placer, analyzer, keeper, server, rationer, counters, logger)
+	sharer := newSharer(store, settings, fleet, counters, logger)
 	identifier := newIdentifier(settings, fleet, entryvmCallbacks, logger)
 	vm := &VM{
 		settings:     settings,
@@ -70,6 +71,7 @@
 		callbacks:    entryvmCallbacks,
 		tasks:        supervisor,
 		bootstrapper: bootstrapper,
+		sharer:       sharer,
 		mover:        mover,
 		fleet:        fleet,
 		identifier:   identifier,
