tablesharer: VMs wait for a reader as long as its answer arrives

Seen in TestNarrowLinkToStore: while a reader's answer took longer than 1.5 s over the full link, it counted as out of contact with the store, and all other VMs read the table over the same link. Change: each piece of an answer shows the contact.

--- a/internal/control/tablesharer/region_test.go
+++ b/internal/control/tablesharer/region_test.go
@@ -287,7 +287,7 @@
 
 // arrive has an answer arrive.
 func (s *observedStore) arrive(ctx context.Context, answer rowstore.Snapshot) {
-	rowstore.NotifyResponseStart(ctx)
+	rowstore.NotifyProgress(ctx)
 	for _, row := range answer.Rows {
 		s.bytes.Add(int64(len(row.Value)))
 	}
--- a/internal/control/tablesharer/sharer.go
+++ b/internal/control/tablesharer/sharer.go
@@ -70,7 +70,7 @@
 	mu    sync.Mutex
 	known *content // what this VM has read last; nil if that isn't known in full
 	// contactAt is when an answer of the store last confirmed or changed known, at this VM or at the
-	// one that it was read from. arrivingAt is when an answer that is still arriving began to.
+	// one that it was read from. arrivingAt is when the last piece of an answer came that is still arriving.
 	contactAt  time.Time
 	arrivingAt time.Time
 	changed    chan struct{} // closed when known changes
@@ -203,7 +203,7 @@
 
 // readStore reads the whole table from the store.
 func (s *Sharer) readStore(ctx context.Context) (rowstore.Snapshot, string, error) {
-	all, next, err := s.store.Range(s.observeStart(ctx), s.table, s.part, "", "")
+	all, next, err := s.store.Range(s.observeArrival(ctx), s.table, s.part, "", "")
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil {
@@ -221,7 +221,7 @@
 
 // changesFromStore reads the changes after a version from the store.
 func (s *Sharer) changesFromStore(ctx context.Context, after uint64, wait time.Duration) (rowstore.Snapshot, error) {
-	changes, err := s.store.Changes(s.observeStart(ctx), s.table, after, wait)
+	changes, err := s.store.Changes(s.observeArrival(ctx), s.table, after, wait)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil || s.known == nil || s.known.version != after {
@@ -235,11 +235,11 @@
 	return changes, nil
 }
 
-// observeStart returns a context for a call of the store that records when its answer begins to
-// arrive. A long answer may arrive for longer than maxAge, and a second copy of it over the same
-// link would delay both.
-func (s *Sharer) observeStart(ctx context.Context) context.Context {
-	return rowstore.WithResponseStartHook(ctx, func() {
+// observeArrival returns a context for a call of the store that records when the last piece of its
+// answer arrived. A long answer may arrive for longer than maxAge, and a second copy of it over the
+// same link would delay both: while it arrives, other VMs wait for it.
+func (s *Sharer) observeArrival(ctx context.Context) context.Context {
+	return rowstore.WithProgressHook(ctx, func() {
 		s.mu.Lock()
 		s.arrivingAt = time.Now()
 		s.mu.Unlock()
