--- a/internal/control/tablesharer/content.go
+++ b/internal/control/tablesharer/content.go
@@ -57,8 +57,12 @@
 // isLong returns whether the content is long enough to be shared.
 func (c *content) isLong() bool { return c.bytes >= longBytes }
 
-// withChanges returns the content after some changes.
+// withChanges returns the content after some changes. Without any it keeps its version, as a store may
+// withhold changes for a while.
 func (c *content) withChanges(changes rowstore.Snapshot) *content {
+	if len(changes.Rows) == 0 {
+		return c
+	}
 	rows := make(map[string]rowstore.Row, len(c.rows)+len(changes.Rows))
 	for name, row := range c.rows {
 		rows[name] = row
--- a/internal/control/tablesharer/reader.go
+++ b/internal/control/tablesharer/reader.go
@@ -83,7 +83,8 @@
 func (s *Sharer) adopt(shared *content, age time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.contactAt = time.Now().Add(-age)
+	now := time.Now()
+	s.contactAt, s.wholeAt = now.Add(-age), now
 	s.setKnown(shared)
 }
 
--- a/internal/control/tablesharer/region_test.go
+++ b/internal/control/tablesharer/region_test.go
@@ -270,8 +270,9 @@
 	rowstore.Store
 	calls   atomic.Int64
 	bytes   atomic.Int64
-	cutOff  atomic.Bool // the store is never reached
-	arrival atomic.Int64
+	cutOff  atomic.Bool  // the store is never reached
+	stalled atomic.Bool  // the store tells no changes
+	arrival atomic.Int64 // how long rows take to arrive, in nanoseconds
 }
 
 // begin counts a call, which ends with an error if the VM is cut off from the store.
@@ -314,6 +315,9 @@
 		return rowstore.Snapshot{}, err
 	}
 	changes, err := s.Store.Changes(ctx, table, after, wait)
+	if s.stalled.Load() {
+		changes.Rows = nil
+	}
 	s.arrive(ctx, changes)
 	return changes, err
 }
--- a/internal/control/tablesharer/sharer.go
+++ b/internal/control/tablesharer/sharer.go
@@ -11,12 +11,14 @@
 // a wrong choice or a lost reader costs bytes, and never a change that arrives too late. A VM asks only
 // VMs before it in the order, so no two follow each other, whatever lists of VMs they have.
 //
-// When all readers of a region fail at once, its other VMs ask the store within about a second. They
-// read the table in full only if it has changed just then, or if a periodic read of the whole table is due.
+// When all readers of a region fail at once, its other VMs ask the store within about a second. What they
+// get is the changes since the content that they have, so a copy each only if the table has changed just then, the
+// store has lost its history, or they have had no reader for wholeInterval.
 package tablesharer
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net/http"
 	"slices"
@@ -40,6 +42,9 @@
 	// maxHold bounds how long a reader is asked to wait for a change. It is short, so that time
 	// is left to read the store if the reader is silent.
 	maxHold = 500 * time.Millisecond
+	// wholeInterval is the time after which a VM whose readers are all lost reads the whole table
+	// again, and not only the changes.
+	wholeInterval = 30 * time.Second
 )
 
 // Counter counts events by name.
@@ -73,9 +78,11 @@
 	// one that it was read from. arrivingAt is when an answer that is still arriving began to.
 	contactAt  time.Time
 	arrivingAt time.Time
-	changed    chan struct{} // closed when known changes
-	readers    []reader      // in the order in which this VM asks them; none if it is one itself
-	source     string        // the VM that the table was last read from; empty for the store
+	// wholeAt is when the whole table was last read, or confirmed by a reader.
+	wholeAt time.Time
+	changed chan struct{} // closed when known changes
+	readers []reader      // in the order in which this VM asks them; none if it is one itself
+	source  string        // the VM that the table was last read from; empty for the store
 
 	compressing sync.Mutex
 	compressed  compressedRows
@@ -161,12 +168,25 @@
 	if table != s.table || part != s.part || from != "" || to != "" {
 		return s.store.Range(ctx, table, part, from, to) //nolint:wrapcheck // as for Transact
 	}
-	if base := s.sharedContent(); base != nil {
-		if shared := s.fromReaders(ctx, base, 0); shared != nil {
-			return rowstore.Snapshot{Rows: shared.sorted(), Version: shared.version}, "", nil
-		}
+	base := s.sharedContent()
+	if base == nil {
+		return s.readStore(ctx)
+	}
+	if shared := s.fromReaders(ctx, base, 0); shared != nil {
+		return rowstore.Snapshot{Rows: shared.sorted(), Version: shared.version}, "", nil
+	}
+	if s.isWholeDue() {
+		return s.readStore(ctx)
+	}
+	changes, err := s.changesFromStore(ctx, base.version, 0)
+	if errors.Is(err, rowstore.ErrHistoryGone) {
+		return s.readStore(ctx)
+	}
+	if err != nil {
+		return rowstore.Snapshot{}, "", err
 	}
-	return s.readStore(ctx)
+	newest := base.withChanges(changes)
+	return rowstore.Snapshot{Rows: newest.sorted(), Version: newest.version}, "", nil
 }
 
 // Changes implements rowstore.Store. It reads the changes from another VM if possible.
@@ -211,6 +231,7 @@
 		return all, next, err //nolint:wrapcheck // as for Transact
 	}
 	s.recordContact(time.Now())
+	s.wholeAt = time.Now()
 	if next == "" {
 		s.setKnown(contentOf(all))
 	} else {
@@ -219,6 +240,15 @@
 	return all, next, nil
 }
 
+// isWholeDue returns whether the whole table is to be read if no reader tells it, as a feed of changes may
+// stall unnoticed. Otherwise the changes are enough: VMs whose readers are all lost would else all read the whole
+// table after each failed call, and together once an outage of the store is over.
+func (s *Sharer) isWholeDue() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.wholeAt) >= wholeInterval
+}
+
 // changesFromStore reads the changes after a version from the store.
 func (s *Sharer) changesFromStore(ctx context.Context, after uint64, wait time.Duration) (rowstore.Snapshot, error) {
 	changes, err := s.store.Changes(s.observeStart(ctx), s.table, after, wait)
@@ -229,9 +259,7 @@
 		return changes, err //nolint:wrapcheck // as for Transact
 	}
 	s.recordContact(time.Now())
-	if len(changes.Rows) > 0 {
-		s.setKnown(s.known.withChanges(changes))
-	}
+	s.setKnown(s.known.withChanges(changes))
 	return changes, nil
 }
 
@@ -252,7 +280,7 @@
 
 // setKnown replaces the known content and wakes those that wait for newer. The caller must hold mu.
 func (s *Sharer) setKnown(c *content) {
-	if c == nil || s.known == nil || c.digest != s.known.digest || c.version != s.known.version {
+	if c != s.known {
 		close(s.changed)
 		s.changed = make(chan struct{})
 	}
--- a/internal/control/tablesharer/sharer_test.go
+++ b/internal/control/tablesharer/sharer_test.go
@@ -241,3 +241,57 @@
 		r.expectStoreCalls(r.others, false, 0)
 	})
 }
+
+// Guards against: once an outage of the store is over, all VMs of a region read the whole table at the same time, so that
+// the region's link is full when all other calls are made again.
+func TestFollowersReadNoCopyAfterAnOutage(t *testing.T) {
+	expect := func(t *testing.T, set func(r *region, down bool)) {
+		t.Helper()
+		play(t, longRows, func(_ *testing.T, r *region) {
+			r.resetCounts()
+			set(r, true)
+			time.Sleep(6 * time.Second)
+			set(r, false)
+			time.Sleep(6 * time.Second)
+			r.expectStoreCalls(r.others, true, 0)
+			r.expectChange(r.others, "second", time.Second)
+		})
+	}
+	t.Run("store rejects", func(t *testing.T) {
+		expect(t, func(r *region, down bool) { r.rows.SetDown(down) })
+	})
+	t.Run("store is silent", func(t *testing.T) {
+		expect(t, func(r *region, down bool) {
+			for _, v := range r.vms {
+				v.store.cutOff.Store(down)
+			}
+		})
+	})
+}
+
+// Guards against: a VM without readers whose feed of changes stalls has an old configuration for ever.
+func TestStalledFeedIsBoundedWithoutReaders(t *testing.T) {
+	play(t, longRows, func(_ *testing.T, r *region) {
+		for _, name := range r.readers {
+			r.vms[name].stop()
+		}
+		for _, name := range r.others {
+			r.vms[name].store.stalled.Store(true)
+		}
+		r.expectChange(r.others, "second", 45*time.Second)
+	})
+}
+
+// Guards against: a store that has lost its history keeps the table from VMs without readers.
+func TestLostHistoryWithoutReaders(t *testing.T) {
+	play(t, longRows, func(_ *testing.T, r *region) {
+		for _, name := range r.readers {
+			r.vms[name].stop()
+		}
+		time.Sleep(settlePeriod)
+		r.put("row0", "second")
+		r.rows.DropHistory()
+		time.Sleep(applyTimeout)
+		r.expectText(r.others, "second")
+	})
+}
