watcher: a call that waits at a full link is kept, in fleets of every size

Nor may an answer be given up because it stands still for 1.5 s: it can take that long until the link has served all others.

Larger fleets had the right rule already: 5 s, and earlier only if the store answers a small read within 0.4 s meanwhile, which shows that the answer is lost. It now holds for all fleets and for answers that have begun too; the distinction by the size of the fleet is gone. In an outage the call ends with the first probe that is answered, so nothing is waited for longer than before, but for a VM whose way to the store is cut silently: it notices 0.6 s later.

All VMs together now read 150 kB/s of the configuration again, not 500, as VMs learn of a newer one from each other.

--- a/internal/control/watcher/arrival.go
+++ b/internal/control/watcher/arrival.go
@@ -14,7 +14,8 @@
 	// callTimeout is the default time within which the answer to a call must begin to
 	// arrive, in addition to the time that the store holds the call.
 	callTimeout = 1200 * time.Millisecond
-	// progressTimeout is how long an answer that has begun to arrive may stand still.
+	// progressTimeout is how long an answer that has begun to arrive may stand still, if the
+	// store answers other calls meanwhile.
 	progressTimeout = 1500 * time.Millisecond
 	// maxReadTimeout bounds the time in which an answer may keep arriving, and a read of a
 	// whole table.
@@ -32,12 +33,14 @@
 type readFunc func(ctx context.Context) (rowstore.Snapshot, error)
 
 // callWhileArriving makes a call, and cancels it if its answer has not begun to arrive within
-// startTimeout, if it then stands still for progressTimeout, and maxReadTimeout later in any
+// startTimeout, if it then stands still for stallTimeout, and maxReadTimeout later in any
 // case.
 //
 // An answer that keeps arriving must not be abandoned because it takes long: the link is
 // slow then, and what has arrived would have to be transferred again.
-func callWhileArriving(ctx context.Context, startTimeout time.Duration, call readFunc) (rowstore.Snapshot, error) {
+func callWhileArriving(
+	ctx context.Context, startTimeout, stallTimeout time.Duration, call readFunc,
+) (rowstore.Snapshot, error) {
 	ctx, cancelTotal := context.WithTimeout(ctx, startTimeout+maxReadTimeout)
 	defer cancelTotal()
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -53,7 +56,7 @@
 	defer timer.Stop()
 	answer, err := call(rowstore.WithProgressHook(ctx, func() {
 		started.Store(true)
-		timer.Reset(progressTimeout)
+		timer.Reset(stallTimeout)
 	}))
 	if err == nil {
 		return answer, nil
@@ -68,7 +71,10 @@
 
 // call makes a call that the store may hold for some time before it answers.
 func (w *Watcher) call(ctx context.Context, hold time.Duration, call readFunc) (rowstore.Snapshot, error) {
-	return callWhileArriving(ctx, hold+w.timeout(), func(ctx context.Context) (rowstore.Snapshot, error) {
+	if w.timeout <= callTimeout {
+		return callWhileArriving(ctx, hold+w.timeout, progressTimeout, call)
+	}
+	return callWhileArriving(ctx, hold+w.timeout, w.timeout, func(ctx context.Context) (rowstore.Snapshot, error) {
 		return w.abandonIfLost(ctx, hold+callTimeout, call)
 	})
 }
--- a/internal/control/watcher/first.go
+++ b/internal/control/watcher/first.go
@@ -16,8 +16,8 @@
 	// maxFirstReadDelay.
 	firstReadDelay    = 400 * time.Millisecond
 	maxFirstReadDelay = 1500 * time.Millisecond
-	// firstByteTimeout bounds the wait for the first byte of a read, and thereby the
-	// number of reads that wait at the same time.
+	// firstByteTimeout bounds the wait for the first byte of a read, and for the next one, and
+	// thereby the number of reads that wait at the same time.
 	firstByteTimeout = 6 * time.Second
 )
 
@@ -102,6 +102,6 @@
 		}
 	})
 	return f.watcher.readPages(ctx, func(ctx context.Context, read readFunc) (rowstore.Snapshot, error) {
-		return callWhileArriving(ctx, firstByteTimeout, read)
+		return callWhileArriving(ctx, firstByteTimeout, firstByteTimeout, read)
 	})
 }
--- a/internal/control/watcher/watcher.go
+++ b/internal/control/watcher/watcher.go
@@ -57,7 +57,7 @@
 	wait          time.Duration
 	pause         time.Duration
 	rereads       rereads
-	timeout       func() time.Duration
+	timeout       time.Duration
 	guard         Guard
 	hasRead       bool // whether the whole table has been read
 	storeLost     bool
@@ -83,9 +83,10 @@
 	return func(w *Watcher) { w.pause = pause }
 }
 
-// WithTimeout sets a function that returns the time within which the answer to a call must
-// begin to arrive, in addition to the time that the store holds the call.
-func WithTimeout(timeout func() time.Duration) Option {
+// WithTimeout sets the time within which the answer to a call must begin to arrive, in addition to the
+// time that the store holds the call, and must go on if it stands still. If it is longer than the
+// default, a call is abandoned earlier if the store answers other calls meanwhile.
+func WithTimeout(timeout time.Duration) Option {
 	return func(w *Watcher) { w.timeout = timeout }
 }
 
@@ -100,7 +101,7 @@
 ) *Watcher {
 	w := &Watcher{
 		store: store, table: table, part: part, sink: sink, logger: logger, wait: defaultWait,
-		timeout: func() time.Duration { return callTimeout },
+		timeout: callTimeout,
 		rereads: newRereads(),
 		guard:   unguarded{},
 	}
--- a/internal/wiring/entryvm/vm.go
+++ b/internal/wiring/entryvm/vm.go
@@ -118,7 +118,8 @@
 		return fmt.Errorf("listen for callers: %w", err)
 	}
 	vm.configuration = vm.newWatcher(platform.TableConfiguration, "", &configurationSink{vm: vm},
-		watcher.WithReread(vm.rereadInterval), watcher.WithNewer(vm.runner.AwaitsConfiguration), watcher.WithResume())
+		watcher.WithReread(vm.rereadInterval), watcher.WithRereadRate(vm.shareOf(maxConfigurationRereadRate)),
+		watcher.WithNewer(vm.runner.AwaitsConfiguration), watcher.WithResume())
 	vm.shared.configuration = vm.configuration
 	watchers := []*watcher.Watcher{
 		vm.newWatcher(memberkeeper.Table, memberkeeper.Part, vm.memberKeeper,
@@ -161,30 +162,23 @@
 	rereadInterval = 8 * time.Second
 	smallFleetVMs  = placer.MaxFullMeshVMs
 	// maxRereadRate is how many bytes per second all VMs together may read again of one table.
-	maxRereadRate = 500_000
+	// Of the configuration it is less, as VMs learn from each other of a newer one.
+	maxRereadRate              = 500_000
+	maxConfigurationRereadRate = 150_000
 )
 
-const (
-	// feedTimeout is how long the answer to a read may take to begin, beyond the time that
-	// the store holds the call. largeFeedTimeout applies in a fleet of more than
-	// smallFleetVMs VMs: answers to hundreds of VMs of a region may wait at one link.
-	feedTimeout      = 1200 * time.Millisecond
-	largeFeedTimeout = 5 * time.Second
-)
-
-func (vm *VM) feedTimeout() time.Duration {
-	if vm.vmCount.Load() > smallFleetVMs {
-		return largeFeedTimeout
-	}
-	return feedTimeout
-}
+// answerTimeout is how long the answer to a read of a table may take to begin, beyond the time that
+// the store holds the call, or to go on: answers to all VMs of a region may wait at one link.
+const answerTimeout = 5 * time.Second
 
 func (vm *VM) rereadInterval() time.Duration {
 	return rereadInterval * time.Duration(max(vm.vmCount.Load(), smallFleetVMs)) / smallFleetVMs
 }
 
-// rereadRate returns this VM's share of maxRereadRate.
-func (vm *VM) rereadRate() int { return maxRereadRate / int(max(vm.vmCount.Load(), 1)) }
+// shareOf returns a function that returns this VM's share of a rate of all VMs.
+func (vm *VM) shareOf(rate int) func() int {
+	return func() int { return rate / int(max(vm.vmCount.Load(), 1)) }
+}
 
 const (
 	// memberWait is how long the store holds a request for changes of the VM list, and
@@ -197,8 +191,9 @@
 // newWatcher returns the watcher of a table. It also registers the watcher with the
 // bootstrapper, which exchanges copies of tables with peer VMs.
 func (vm *VM) newWatcher(table, part string, sink watcher.Sink, options ...watcher.Option) *watcher.Watcher {
-	options = append(options, watcher.WithTimeout(vm.feedTimeout), watcher.WithRereadRate(vm.rereadRate),
-		watcher.WithGuard(vm.tasks))
+	options = append([]watcher.Option{
+		watcher.WithTimeout(answerTimeout), watcher.WithRereadRate(vm.shareOf(maxRereadRate)), watcher.WithGuard(vm.tasks),
+	}, options...)
 	w := watcher.New(vm.store, table, part, sink, vm.logger, options...)
 	vm.bootstrapper.AddTable(table, w)
 	return w
