--- a/internal/batch/batchrunner/job.go
+++ b/internal/batch/batchrunner/job.go
@@ -171,48 +171,17 @@
 	return it.progress
 }
 
-// runStatistics has exponentially weighted means of the items that this VM has completed.
-type runStatistics struct {
-	meanRunTime     time.Duration // total running time of an item
-	meanOutputBytes float64       // output of an item, in bytes
-}
-
-const (
-	// initialRunTime is the running time that is assumed until an item is complete.
-	initialRunTime = 5 * time.Second
-	// statisticsWeight is the weight of a newly completed item in the means.
-	statisticsWeight = 0.1
-)
-
-// record updates the means with a completed item.
-func (s *runStatistics) record(run time.Duration, output int) {
-	if s.meanRunTime == 0 {
-		s.meanRunTime, s.meanOutputBytes = run, float64(output)
-		return
-	}
-	s.meanRunTime += time.Duration(statisticsWeight * float64(run-s.meanRunTime))
-	s.meanOutputBytes += statisticsWeight * (float64(output) - s.meanOutputBytes)
-}
-
-// estimate returns the expected running time of a complete item, and the fraction of a
-// complete item that an output of so many bytes is, from 0 to 1.
-func (s *runStatistics) estimate(output int) (run time.Duration, fraction float64) {
-	if s.meanRunTime == 0 {
-		return initialRunTime, 0
-	}
-	return s.meanRunTime, min(float64(output)/max(s.meanOutputBytes, 1), 1)
-}
-
 // rankItem returns the properties that determine an item's rank.
 func (r *Runner) rankItem(it *item) ranker.Item {
-	_, fraction := r.runStatistics.estimate(len(it.progress.Output))
-	return ranker.Item{Job: it.job.stored.ID, Index: it.index, Due: it.job.stored.Due, CompletedFraction: fraction}
+	return ranker.Item{
+		Job: it.job.stored.ID, Index: it.index, Due: it.job.stored.Due,
+		CompletedFraction: r.estimator.Fraction(len(it.progress.Output)),
+	}
 }
 
 // latestStart returns when an item must start to finish in time, on the store's clock.
 func (r *Runner) latestStart(it *item) time.Duration {
-	run, _ := r.runStatistics.estimate(0)
-	return r.rankItem(it).LatestStart(run)
+	return r.rankItem(it).LatestStart(r.estimator.RunTime())
 }
 
 // avoidTime is how long an item prefers to wait over returning to the upstream of a
@@ -235,7 +204,6 @@
 // pending returns the items that may start, in the order in which they get slots.
 func (r *Runner) pending(now time.Time) []*item {
 	var waiting []ranker.Item
-	run, _ := r.runStatistics.estimate(0)
 	for _, j := range r.jobs {
 		if j.discarded || r.expired(j) || !j.evidence.AllowsStart(r.silenceOf(j), now) {
 			continue
@@ -247,7 +215,7 @@
 			waiting = append(waiting, r.rankItem(it))
 		}
 	}
-	ranker.Sort(waiting, r.keeper.Now(), run)
+	ranker.Sort(waiting, r.keeper.Now(), r.estimator.RunTime())
 	items := make([]*item, 0, len(waiting))
 	for _, w := range waiting {
 		items = append(items, r.jobs[w.Job].items[w.Index])
--- a/internal/batch/batchrunner/run.go
+++ b/internal/batch/batchrunner/run.go
@@ -68,7 +68,7 @@
 	switch result.Outcome {
 	case attempter.OutcomeCompleted:
 		r.counter.Count(`items_total{outcome="completed"}`)
-		r.runStatistics.record(it.totalRunTime, len(it.progress.Output))
+		r.estimator.Record(it.totalRunTime, len(it.progress.Output))
 		it.job.finish(it, true)
 	case attempter.OutcomeUnprocessable:
 		r.abandon(it, reasonImpossible)
--- a/internal/batch/batchrunner/runner.go
+++ b/internal/batch/batchrunner/runner.go
@@ -14,6 +14,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/batch/attempter"
 	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/batch/orphanwatcher"
+	"github.com/fescuespindle/fescuespindle/internal/batch/runestimator"
 	"github.com/fescuespindle/fescuespindle/internal/batch/startjudge"
 	"github.com/fescuespindle/fescuespindle/internal/control/stepper"
 	"github.com/fescuespindle/fescuespindle/internal/online/placer"
@@ -108,7 +109,7 @@
 	jobs              map[string]*job
 	running           map[*placer.Slot]*item
 	waits             waits
-	runStatistics     runStatistics
+	estimator         runestimator.Estimator
 	scans             [batchkeeper.Parts]partScan
 	orphans           *orphanwatcher.Watcher
 	claimingOrLoading map[string]bool
