jobkeeper: reading and decoding of job rows stands once

OpenJobs and Jobs had the same loop (found by duplicates). No change of behaviour: a missing row has no state, so OpenJobs left it out before, too. The tests of jobrunner pass.

--- a/internal/batch/jobkeeper/chunk.go
+++ b/internal/batch/jobkeeper/chunk.go
@@ -58,18 +58,8 @@
 			keys = append(keys, jobKey(id))
 		}
 	}
-	found, err := k.store.Read(ctx, storekeeper.PurposeJob, keys...)
-	if err != nil {
-		return nil, wrapStoreError(err)
-	}
-	var jobs []JobRow
-	for _, row := range found {
-		job, err := decodeRow[JobRow](row)
-		if err == nil && job.Value.State == StateInProgress {
-			jobs = append(jobs, job.Value)
-		}
-	}
-	return jobs, nil
+	jobs, err := k.readJobs(ctx, keys)
+	return slices.DeleteFunc(jobs, func(job JobRow) bool { return job.State != StateInProgress }), err
 }
 
 // openRows returns the index rows of a model's open jobs in the order of their
@@ -93,6 +83,12 @@
 	for _, id := range ids {
 		keys = append(keys, jobKey(id))
 	}
+	return k.readJobs(ctx, keys)
+}
+
+// readJobs returns the jobs in the rows with the given keys, without rows that don't exist or can't be
+// decoded.
+func (k *Keeper) readJobs(ctx context.Context, keys []rowstore.Key) ([]JobRow, error) {
 	rows, err := k.store.Read(ctx, storekeeper.PurposeJob, keys...)
 	if err != nil {
 		return nil, wrapStoreError(err)
