--- a/internal/batch/batchkeeper/owner.go
+++ b/internal/batch/batchkeeper/owner.go
@@ -158,7 +158,7 @@
 // ErrNotRead or ErrCorrupt.
 func (k *Keeper) Load(ctx context.Context, record Record) (LoadedJob, error) {
 	id := record.ID
-	loaded := LoadedJob{Progress: map[int]Progress{}}
+	var loaded LoadedJob
 	var err error
 	if loaded.Items, err = k.Items(ctx, record); err != nil {
 		return loaded, err
@@ -166,43 +166,39 @@
 	if loaded.HasResult, err = k.itemsWithResult(ctx, id); err != nil {
 		return loaded, err
 	}
-	from, to := numberedRange(id, 0)
-	rows, err := k.readRange(ctx, tableProgress, partNameOf(id), from, to)
-	if err != nil {
-		return loaded, err
-	}
-	for _, row := range rows.Rows {
-		item, found := numberOf(id, row.Name)
-		if !found {
-			continue
-		}
-		var p Progress
-		if err := decodeRow(row, &p); err != nil {
-			return loaded, err
-		}
-		loaded.Progress[item] = p
-	}
-	return loaded, nil
+	loaded.Progress, err = readNumbered[Progress](ctx, k, tableProgress, id)
+	return loaded, err
 }
 
 // itemsWithResult returns the IDs of the items of a job that have a result. It doesn't read the continuation
 // rows of the results.
 func (k *Keeper) itemsWithResult(ctx context.Context, id string) (map[string]bool, error) {
+	results, err := readNumbered[Result](ctx, k, tableResults, id)
+	items := make(map[string]bool, len(results))
+	for _, result := range results {
+		items[result.Item] = true
+	}
+	return items, err
+}
+
+// readNumbered reads the numbered rows of a job in a table, and returns their decoded values by number.
+func readNumbered[T any](ctx context.Context, k *Keeper, table, id string) (map[int]T, error) {
 	from, to := numberedRange(id, 0)
-	rows, err := k.readRange(ctx, tableResults, partNameOf(id), from, to)
+	rows, err := k.readRange(ctx, table, partNameOf(id), from, to)
 	if err != nil {
 		return nil, err
 	}
-	items := map[string]bool{}
+	values := map[int]T{}
 	for _, row := range rows.Rows {
-		if _, found := numberOf(id, row.Name); !found {
+		n, found := numberOf(id, row.Name)
+		if !found {
 			continue
 		}
-		var result Result
-		if err := decodeRow(row, &result); err != nil {
+		var value T
+		if err := decodeRow(row, &value); err != nil {
 			return nil, err
 		}
-		items[result.Item] = true
+		values[n] = value
 	}
-	return items, nil
+	return values, nil
 }
