Log line of a cancellation that failed tells what its read met, too

The read of a cancellation made an error of its own kind, so `job call rejected` had none of the fields of a failed read. Now tryReadRange returns the ReadError and records the store's clock, which its two callers did.

Before: TestRejectionTellsWhatAReadOfAJobMet/cancellation failed. Now the tests of batchserver, batchkeeper and canceller pass.

--- a/internal/batch/batchkeeper/cancel.go
+++ b/internal/batch/batchkeeper/cancel.go
@@ -17,11 +17,10 @@
 // record meanwhile, it goes on with the record that the conflict shows, without reading it again: an owner
 // that writes often can't keep it from ending.
 func (k *Keeper) Cancel(ctx context.Context, id string) error {
-	all, err := k.tryReadRange(ctx, tableJobs, partNameOf(id), id, id+"\x00")
+	all, _, err := k.tryReadRange(ctx, tableJobs, partNameOf(id), id, id+"\x00")
 	if err != nil {
-		return fmt.Errorf("%w: %s: %w", ErrNotRead, tableJobs, err)
+		return err
 	}
-	k.recordClock(all.Now)
 	if len(all.Rows) == 0 {
 		return fmt.Errorf("%w: %s", ErrNotFound, id)
 	}
--- a/internal/batch/batchkeeper/keeper.go
+++ b/internal/batch/batchkeeper/keeper.go
@@ -144,12 +144,10 @@
 // ScanPart reads the records of the jobs of part n without retrying. It returns
 // ErrNotRead. Records that can't be decoded are logged and skipped.
 func (k *Keeper) ScanPart(ctx context.Context, n int) ([]VersionedRecord, error) {
-	asOf := time.Now()
-	all, err := k.tryReadRange(ctx, tableJobs, partName(n), "", "")
+	all, asOf, err := k.tryReadRange(ctx, tableJobs, partName(n), "", "")
 	if err != nil {
-		return nil, newReadError(tableJobs, 1, time.Since(asOf), err)
+		return nil, err
 	}
-	k.recordClock(all.Now)
 	records := make([]VersionedRecord, 0, len(all.Rows))
 	for _, row := range all.Rows {
 		stored, err := decodeRecord(row, asOf)
--- a/internal/batch/batchkeeper/rangereader.go
+++ b/internal/batch/batchkeeper/rangereader.go
@@ -79,9 +79,18 @@
 	return all, asOf, err
 }
 
-// tryReadRange makes one attempt to read a range of rows.
-func (k *Keeper) tryReadRange(ctx context.Context, table, part, from, to string) (rowstore.Snapshot, error) {
+// tryReadRange makes one attempt to read a range of rows, and also returns when it began. It returns
+// ErrNotRead, as a *ReadError.
+func (k *Keeper) tryReadRange(
+	ctx context.Context, table, part, from, to string,
+) (all rowstore.Snapshot, asOf time.Time, err error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	return rowstore.ReadAll(ctx, k.store, table, part, from, to)
+	asOf = time.Now()
+	all, err = rowstore.ReadAll(ctx, k.store, table, part, from, to)
+	if err != nil {
+		return all, asOf, newReadError(table, 1, time.Since(asOf), err)
+	}
+	k.recordClock(all.Now)
+	return all, asOf, nil
 }
--- a/internal/faces/batchserver/rejection_test.go
+++ b/internal/faces/batchserver/rejection_test.go
@@ -76,13 +76,21 @@
 // rejectionOf returns the log line of a read of an item's body that a store fails. The job exists
 // unless the store is empty.
 func rejectionOf(t *testing.T, rows *rowemulator.Store, table string, fail func(context.Context) error) logLine {
+	t.Helper()
+	return rejectionOfCall(t, batchserver.OperationBody, rows, table, fail)
+}
+
+// rejectionOfCall does the same for any operation.
+func rejectionOfCall(
+	t *testing.T, operation batchserver.Operation, rows *rowemulator.Store, table string, fail func(context.Context) error,
+) logLine {
 	t.Helper()
 	var lines bytes.Buffer
 	logger := slog.New(slog.NewJSONHandler(&lines, &slog.HandlerOptions{Level: slog.LevelWarn}))
 	store := failingReads{Store: rows, table: table, fail: fail}
 	keeper := batchkeeper.New(store, batchkeeper.Owner{VM: "a", Boot: 1}, rowstore.MaxRowBytes, logger)
-	codec := fixedCall{call: batchserver.Call{Operation: batchserver.OperationBody, Job: testJob, Item: testItem}}
-	server := batchserver.New(codec, keeper, nil, nil, nil, nil, counter.New(metrics.NewSet()), logger)
+	codec := fixedCall{call: batchserver.Call{Operation: operation, Job: testJob, Item: testItem}}
+	server := batchserver.New(codec, keeper, keeper, nil, nil, nil, counter.New(metrics.NewSet()), logger)
 	server.Serve(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil), nil, 0)
 	var line logLine
 	qt.Assert(t, json.Unmarshal(lines.Bytes(), &line), qt.IsNil, qt.Commentf("%s", lines.String()))
@@ -154,4 +162,11 @@
 		qt.Check(t, line.Outcome, qt.Equals, "incomplete")
 		qt.Check(t, line.Bytes, qt.Equals, arrivedBytes)
 	})
+	inBubble("cancellation", func(t *testing.T) {
+		line := rejectionOfCall(t, batchserver.OperationCancel, acceptJob(t), tableRecords, answerSlowly)
+		qt.Check(t, line.Status, qt.Equals, http.StatusServiceUnavailable)
+		qt.Check(t, line.Table, qt.Equals, tableRecords)
+		qt.Check(t, line.Outcome, qt.Equals, "incomplete")
+		qt.Check(t, line.Bytes, qt.Equals, arrivedBytes)
+	})
 }
