--- a/internal/batch/jobmover/mover.go
+++ b/internal/batch/jobmover/mover.go
@@ -11,7 +11,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -21,6 +20,8 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/bodyloader"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
 )
 
 // Path is the HTTP path at which a VM receives jobs.
@@ -30,6 +31,9 @@
 // releases it in the store.
 const maxBodyBytes = 8 << 20
 
+// defaultMemoryBytes bounds the jobs that are read at the same time unless there is a budget.
+const defaultMemoryBytes = 32 << 20
+
 // Errors of Move.
 var (
 	// ErrNotTakenOver means that the other VM certainly has not taken the job over.
@@ -85,6 +89,7 @@
 	client   *http.Client
 	logger   *slog.Logger
 	receiver Receiver
+	memory   *rationer.Rationer
 
 	mu        sync.Mutex
 	addresses map[string]string // by VM
@@ -92,9 +97,24 @@
 
 var _ http.Handler = (*Mover)(nil)
 
+// Option configures a Mover.
+type Option func(*Mover)
+
+// WithMemory sets the budget from which memory for jobs is reserved while they are read and decoded.
+func WithMemory(budget *rationer.Rationer) Option {
+	return func(m *Mover) { m.memory = budget }
+}
+
 // New returns a mover without peers. It reaches other VMs by the transport.
-func New(transport http.RoundTripper, logger *slog.Logger) *Mover {
-	return &Mover{client: &http.Client{Transport: transport}, logger: logger, addresses: map[string]string{}}
+func New(transport http.RoundTripper, logger *slog.Logger, options ...Option) *Mover {
+	m := &Mover{
+		client: &http.Client{Transport: transport}, logger: logger, addresses: map[string]string{},
+		memory: rationer.New(defaultMemoryBytes),
+	}
+	for _, option := range options {
+		option(m)
+	}
+	return m
 }
 
 // SetReceiver sets what takes over incoming jobs. It must be called before the first
@@ -148,7 +168,14 @@
 // ServeHTTP receives a job. It answers with status 204 if this VM runs the job from now
 // on, 503 if it doesn't, and 400 if the body can't be read or decoded.
 func (m *Mover) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	reservation := m.memory.NewReservation()
+	defer reservation.Release()
+	body, err := bodyloader.Load(w, r, maxBodyBytes, reservation)
+	if errors.Is(err, rationer.ErrExhausted) {
+		m.logger.Warn("job of another VM not read, no memory", "bytes", r.ContentLength)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
--- a/internal/batch/jobmover/mover_test.go
+++ b/internal/batch/jobmover/mover_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/batch/jobmover"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
 )
 
 // fakeReceiver takes over all jobs or none, and keeps those that it took over.
@@ -29,8 +30,8 @@
 	return receiver.accepts
 }
 
-func newMover() *jobmover.Mover {
-	return jobmover.New(&http.Transport{DisableKeepAlives: true}, slog.New(slog.DiscardHandler))
+func newMover(options ...jobmover.Option) *jobmover.Mover {
+	return jobmover.New(&http.Transport{DisableKeepAlives: true}, slog.New(slog.DiscardHandler), options...)
 }
 
 var job = jobmover.Job{
@@ -98,6 +99,15 @@
 	qt.Check(t, m.Move(t.Context(), "unknown", job), qt.ErrorIs, jobmover.ErrNotTakenOver)
 }
 
+// Guards against: jobs of VMs that shut down at the same time take more than the VM's memory together.
+func TestJobWithoutMemoryIsNotTakenOver(t *testing.T) {
+	receiver := &fakeReceiver{accepts: true}
+	m := newMover(jobmover.WithMemory(rationer.New(10)))
+	m.SetReceiver(receiver)
+	expectMove(t, m, jobmover.ErrNotTakenOver)
+	qt.Check(t, receiver.received, qt.HasLen, 0)
+}
+
 func TestInvalidBodyIsRejected(t *testing.T) {
 	receiver := &fakeReceiver{accepts: true}
 	response := httptest.NewRecorder()
--- a/internal/store/storerelayer/relayer.go
+++ b/internal/store/storerelayer/relayer.go
@@ -17,6 +17,9 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/bodyloader"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
 )
 
 const (
@@ -35,6 +38,8 @@
 	relayAllThreshold = 2
 	// maxBodyBytes bounds the body of a call that this VM relays for a peer VM.
 	maxBodyBytes = 2 << 20
+	// defaultMemoryBytes bounds the bodies of all such calls unless there is a budget.
+	defaultMemoryBytes = 16 << 20
 	// headerRelayed marks a request relayed by a peer VM, and a response that a peer VM
 	// relays from the store.
 	headerRelayed = "Fescuespindle-Relayed"
@@ -56,6 +61,7 @@
 	peer    http.RoundTripper
 	counter Counter
 	logger  *slog.Logger
+	memory  *rationer.Rationer
 
 	mu              sync.Mutex
 	local           []string // addresses of peer VMs in the same region
@@ -73,13 +79,27 @@
 	_ http.Handler      = (*Relayer)(nil)
 )
 
+// Option configures a Relayer.
+type Option func(*Relayer)
+
+// WithMemory sets the budget from which memory for the bodies of peer VMs' calls is reserved.
+func WithMemory(budget *rationer.Rationer) Option {
+	return func(r *Relayer) { r.memory = budget }
+}
+
 // New returns a Relayer to the store at an address (host:port). The direct transport
 // reaches the store and the peer transport reaches peer VMs.
-func New(address string, direct, peer http.RoundTripper, counter Counter, logger *slog.Logger) *Relayer {
-	return &Relayer{
+func New(
+	address string, direct, peer http.RoundTripper, counter Counter, logger *slog.Logger, options ...Option,
+) *Relayer {
+	r := &Relayer{
 		address: address, direct: direct, peer: peer, counter: counter, logger: logger,
-		skippedUntil: map[string]time.Time{},
+		skippedUntil: map[string]time.Time{}, memory: rationer.New(defaultMemoryBytes),
+	}
+	for _, option := range options {
+		option(r)
 	}
+	return r
 }
 
 // SetPeers replaces the addresses of the peer VMs that relay calls. Remote peers, in other
@@ -317,7 +337,9 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, maxBodyBytes))
+	reservation := r.memory.NewReservation()
+	defer reservation.Release()
+	body, err := bodyloader.Load(w, request, maxBodyBytes, reservation)
 	if err != nil {
 		w.WriteHeader(http.StatusServiceUnavailable) // not forwarded
 		return
