forwarder: heads of answers beyond 16 KiB reserve memory

A head may have 128 KiB, as a caller's request ID, which upstreams echo, has any length. Nothing bounded how many are held at a time. They now reserve 2 MiB each from the VM's budget until the answer is closed.

--- a/internal/online/forwarder/connection.go
+++ b/internal/online/forwarder/connection.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial: %w", err)
 	}
-	limiter := &headLimiter{source: conn, lastInput: f.lastInput(address)}
+	limiter := &headLimiter{source: conn, lastInput: f.lastInput(address), reservation: f.memory.NewReservation()}
 	if _, isCarried := conn.(*tunneler.Conn); !isCarried {
 		limiter.linkInput = &f.linkInput
 	}
--- a/internal/online/forwarder/forwarder.go
+++ b/internal/online/forwarder/forwarder.go
@@ -24,6 +24,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
 	"github.com/fescuespindle/fescuespindle/internal/online/requestwriter"
 	"github.com/fescuespindle/fescuespindle/internal/online/tunneler"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/socketdialer"
 )
 
@@ -41,6 +42,8 @@
 	// maxRestBytes of such bodies no more are written: their callers no longer hold memory for them.
 	restTimeout  = 2 * time.Second
 	maxRestBytes = 8 << 20
+	// defaultHeadMemory bounds the memory for long heads unless there is a budget.
+	defaultHeadMemory = 16 << 20
 	// headBytesHint is the size of most requests' heads.
 	headBytesHint = 1024
 	// maxAnswersPerExchange bounds the answers that are read in search of the matching
@@ -75,6 +78,7 @@
 	extractID IDExtractor
 	dial      relayer.Dial
 	onQuiet   func(address string)
+	memory    *rationer.Rationer
 	writers   sync.WaitGroup
 	restBytes atomic.Int64 // of bodies that are still written after their answers were closed
 	linkInput atomic.Int64 // when bytes last came over this VM's own links, as Unix nanoseconds
@@ -94,6 +98,11 @@
 	return func(f *Forwarder) { f.dial = dial }
 }
 
+// WithMemory sets the budget from which memory for long heads of answers is reserved.
+func WithMemory(budget *rationer.Rationer) Option {
+	return func(f *Forwarder) { f.memory = budget }
+}
+
 // WithOnQuiet sets a function that is called when a request over a reused connection gets no
 // answer, and nothing else comes from the address either, so that the link to it may be lost. It
 // must not block.
@@ -106,6 +115,7 @@
 	f := &Forwarder{
 		extractID: extractID, dial: socketdialer.New(dialTimeout).DialContext, onQuiet: func(string) {},
 		idle: map[string][]*connection{}, inputs: map[string]*atomic.Int64{}, idleLimit: defaultIdleLimit,
+		memory: rationer.New(defaultHeadMemory),
 	}
 	for _, option := range options {
 		option(f)
@@ -343,6 +353,7 @@
 // An upstream may answer before it has read a large body, and read on later. Close doesn't wait for that:
 // the rest is written within restTimeout, and the connection kept or closed then.
 func (a *Answer) Close() {
+	a.connection.limiter.release()
 	reusable := a.complete && !a.response.Close && a.connection.reader.Buffered() == 0
 	if !a.stopCancelHook() || !reusable {
 		a.abort()
@@ -388,6 +399,7 @@
 
 // abort closes the connection.
 func (a *Answer) abort() {
+	a.connection.limiter.release()
 	a.stopCancelHook()
 	_ = a.connection.net.Close()
 }
--- a/internal/online/forwarder/forwarder_test.go
+++ b/internal/online/forwarder/forwarder_test.go
@@ -29,9 +29,9 @@
 	return server.Address()
 }
 
-func newForwarder(t *testing.T) *forwarder.Forwarder {
+func newForwarder(t *testing.T, options ...forwarder.Option) *forwarder.Forwarder {
 	t.Helper()
-	f := forwarder.New(func(h http.Header) string { return h.Get(idHeader) })
+	f := forwarder.New(func(h http.Header) string { return h.Get(idHeader) }, options...)
 	t.Cleanup(f.Close)
 	return f
 }
--- a/internal/online/forwarder/headlimiter.go
+++ b/internal/online/forwarder/headlimiter.go
@@ -5,6 +5,8 @@
 	"io"
 	"sync/atomic"
 	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
 )
 
 // maxHeadBytes bounds the bytes that are read as heads in one exchange: the answer's
@@ -12,6 +14,17 @@
 // http.ReadResponse itself sets no limit.
 const maxHeadBytes = 128 << 10
 
+const (
+	// shortHeadBytes is how much of heads is read without a reservation of memory.
+	shortHeadBytes = 16 << 10
+	// longHeadMemory is the memory that the longest head takes, as its fields may be short: each takes
+	// many times its bytes.
+	longHeadMemory = 16 * maxHeadBytes
+)
+
+// ErrNoMemory means that the memory budget has no space for a long head.
+var ErrNoMemory = errors.New("no memory for a long answer head")
+
 // ErrHeadTooLong means that an upstream sent more than maxHeadBytes of heads.
 var ErrHeadTooLong = errors.New("answer head too long")
 
@@ -23,17 +36,37 @@
 	linkInput   *atomic.Int64 // the same for all links of this VM; nil if a peer VM carries the connection
 	remaining   int           // bytes of heads that may still be read in this exchange
 	readingHead bool          // whether a head is being read
+	reservation *rationer.Reservation
+	reserved    bool // whether there is memory for a long head
 }
 
 // reset restores the full limit at the start of an exchange.
 func (l *headLimiter) reset() { l.remaining = maxHeadBytes }
 
+// release returns the memory for a long head once it is not used any more.
+func (l *headLimiter) release() {
+	l.reservation.Release()
+	l.reserved = false
+}
+
+// hasMemory returns whether there is memory for what is read next of a head.
+func (l *headLimiter) hasMemory() bool {
+	if isShort := l.remaining > maxHeadBytes-shortHeadBytes; !isShort && !l.reserved {
+		l.reserved = l.reservation.Grow(longHeadMemory)
+		return l.reserved
+	}
+	return true
+}
+
 // Read implements io.Reader.
 func (l *headLimiter) Read(p []byte) (int, error) {
 	if l.readingHead {
 		if l.remaining <= 0 {
 			return 0, ErrHeadTooLong
 		}
+		if !l.hasMemory() {
+			return 0, ErrNoMemory
+		}
 		p = p[:min(len(p), l.remaining)]
 	}
 	n, err := l.source.Read(p)
--- a/internal/wiring/entryvm/provider.go
+++ b/internal/wiring/entryvm/provider.go
@@ -160,8 +160,9 @@
 	return carrier
 }
 
-func newForwarder(codec platform.Codec, finder *pathfinder.Finder) *forwarder.Forwarder {
-	f := forwarder.New(codec.AnswerID, forwarder.WithDial(finder.Dial), forwarder.WithOnQuiet(finder.Suspect))
+func newForwarder(codec platform.Codec, finder *pathfinder.Finder, budget *rationer.Rationer) *forwarder.Forwarder {
+	f := forwarder.New(codec.AnswerID, forwarder.WithDial(finder.Dial), forwarder.WithOnQuiet(finder.Suspect),
+		forwarder.WithMemory(budget))
 	finder.SetOnChange(f.CloseIdle)
 	return f
 }
--- a/internal/wiring/entryvm/wire_gen.go
+++ b/internal/wiring/entryvm/wire_gen.go
@@ -25,7 +25,7 @@
 	finder := newFinder(fleet, counters, logger)
 	carrier := newCarrier(finder, rationer, counters, logger)
 	codec := newCodec()
-	forwarder := newForwarder(codec, finder)
+	forwarder := newForwarder(codec, finder, rationer)
 	entryvmCallbacks := newCallbacks()
 	placer := newPlacer(settings, entryvmCallbacks, finder)
 	analyzer := newAnalyzer(entryvmCallbacks)
