bootstrapper: answers of peer VMs reserve memory

A VM that starts without the store asks 3 peer VMs at a time, of whose answers it read 16 MiB each into a buffer that grows by copies. They now reserve memory from the VM's budget until they are decoded; one without memory is asked again.

--- a/internal/control/bootstrapper/bootstrapper.go
+++ b/internal/control/bootstrapper/bootstrapper.go
@@ -27,6 +27,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/fescuespindle/fescuespindle/internal/control/watcher"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/sleeper"
 )
 
@@ -41,14 +42,18 @@
 	answerTimeout = time.Second
 	// maxPeers bounds the number of known peer addresses.
 	maxPeers = 32
-	// maxAnswerBytes bounds the answer of a peer VM. A longer one is truncated and so fails
-	// to decode.
+	// maxAnswerBytes bounds the answer of a peer VM.
 	maxAnswerBytes = 16 << 20
+	// defaultMemoryBytes bounds the answers that are read at the same time unless there is a budget.
+	defaultMemoryBytes = 64 << 20
 )
 
 // roundBackoff determines the delays between two rounds of queries.
 var roundBackoff = sleeper.Backoff{Initial: 200 * time.Millisecond, Max: 2 * time.Second}
 
+// errTooLong means that an answer has more than maxAnswerBytes.
+var errTooLong = errors.New("answer too long")
+
 // errStatus means that a peer VM answered with a status other than 200 OK.
 var errStatus = errors.New("unexpected status")
 
@@ -92,19 +97,34 @@
 	logger   *slog.Logger
 	tables   map[string]Table
 	newPeers chan netip.AddrPort
+	memory   *rationer.Rationer
 
 	hasLoggedFleets bool // that peers are of several fleets; used by Run only
 }
 
 var _ http.Handler = (*Bootstrapper)(nil)
 
+// Option configures a Bootstrapper.
+type Option func(*Bootstrapper)
+
+// WithMemory sets the budget from which memory for answers is reserved while they are read and decoded.
+func WithMemory(budget *rationer.Rationer) Option {
+	return func(b *Bootstrapper) { b.memory = budget }
+}
+
 // New returns a Bootstrapper without tables. The transport carries the requests to other
 // VMs.
-func New(transport http.RoundTripper, fleet Fleet, guard Guard, logger *slog.Logger) *Bootstrapper {
-	return &Bootstrapper{
+func New(
+	transport http.RoundTripper, fleet Fleet, guard Guard, logger *slog.Logger, options ...Option,
+) *Bootstrapper {
+	b := &Bootstrapper{
 		client: &http.Client{Transport: transport}, fleet: fleet, guard: guard, logger: logger, tables: map[string]Table{},
-		newPeers: make(chan netip.AddrPort, maxPeers),
+		newPeers: make(chan netip.AddrPort, maxPeers), memory: rationer.New(defaultMemoryBytes),
 	}
+	for _, option := range options {
+		option(b)
+	}
+	return b
 }
 
 // AddTable adds a table. It must be called before Run and before the first request.
@@ -215,10 +235,18 @@
 	if response.StatusCode != http.StatusOK {
 		return answer, fmt.Errorf("%w %d", errStatus, response.StatusCode)
 	}
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if response.ContentLength > maxAnswerBytes {
+		return answer, errTooLong
+	}
+	reservation := b.memory.NewReservation()
+	defer reservation.Release()
+	data, err := reservation.ReadAll(io.LimitReader(response.Body, maxAnswerBytes), response.ContentLength)
 	if err != nil {
 		return answer, fmt.Errorf("read answer: %w", err)
 	}
+	if response.ContentLength < 0 && len(data) == maxAnswerBytes {
+		return answer, errTooLong
+	}
 	if err := cbor.Unmarshal(data, &answer); err != nil {
 		return answer, fmt.Errorf("decode answer: %w", err)
 	}
--- a/internal/control/bootstrapper/bootstrapper_test.go
+++ b/internal/control/bootstrapper/bootstrapper_test.go
@@ -61,10 +61,12 @@
 	return fleet
 }
 
-func newBootstrapperOf(fleet *fleetidentifier.Fleet, tables map[string]*table) *bootstrapper.Bootstrapper {
+func newBootstrapperOf(
+	fleet *fleetidentifier.Fleet, tables map[string]*table, options ...bootstrapper.Option,
+) *bootstrapper.Bootstrapper {
 	logger := slog.New(slog.DiscardHandler)
 	guard := supervisor.New(counter.New(metrics.NewSet()), logger)
-	b := bootstrapper.New(&http.Transport{DisableKeepAlives: true}, fleet, guard, logger)
+	b := bootstrapper.New(&http.Transport{DisableKeepAlives: true}, fleet, guard, logger, options...)
 	for name, followed := range tables {
 		b.AddTable(name, followed)
 	}
--- a/internal/wiring/entryvm/provider.go
+++ b/internal/wiring/entryvm/provider.go
@@ -120,9 +120,9 @@
 }
 
 func newBootstrapper(
-	fleet *fleetidentifier.Fleet, tasks *supervisor.Supervisor, logger *slog.Logger,
+	fleet *fleetidentifier.Fleet, budget *rationer.Rationer, tasks *supervisor.Supervisor, logger *slog.Logger,
 ) *bootstrapper.Bootstrapper {
-	return bootstrapper.New(fleet.Transport(storeTransport()), fleet, tasks, logger)
+	return bootstrapper.New(fleet.Transport(storeTransport()), fleet, tasks, logger, bootstrapper.WithMemory(budget))
 }
 
 func newPlacer(s platform.Settings, c *callbacks, finder *pathfinder.Finder) *placer.Placer {
--- a/internal/wiring/entryvm/wire_gen.go
+++ b/internal/wiring/entryvm/wire_gen.go
@@ -31,7 +31,7 @@
 	analyzer := newAnalyzer(entryvmCallbacks)
 	supervisor := newSupervisor(counters, logger)
 	keeper := newVersionKeeper(settings, store, supervisor, logger)
-	bootstrapper := newBootstrapper(fleet, supervisor, logger)
+	bootstrapper := newBootstrapper(fleet, rationer, supervisor, logger)
 	reporter, err := newReporter(settings, entryvmBootID, bootstrapper, fleet, supervisor, logger)
 	if err != nil {
 		return nil, err
