relayer: answers and long events reserve memory, in the product's own interface

An answer of a plain service may have 16 MiB and an event 1 MiB; nothing bounded the sum over the requests. They now reserve memory of a budget of 128 MiB while they are read. A length beyond the bound is rejected before anything is read. A request without memory may have run, and that counts for no crash.

The test servers of transporter now read the request first, so that the client reads their answer as one to it.

--- a/internal/online/relayer/relayer.go
+++ b/internal/online/relayer/relayer.go
@@ -16,6 +16,7 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/online/eventsplitter"
 	"github.com/fescuespindle/fescuespindle/internal/online/upstream"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/transporter"
 )
 
@@ -27,10 +28,16 @@
 	// bytes that are read after a stream's end marker to make its connection reusable.
 	maxRejectionBytes = 4 << 10
 	// maxAnswerBytes bounds the body of a plain service's answer.
-	maxAnswerBytes   = 16 << 20
-	writeBufferBytes = 8 << 10
+	maxAnswerBytes = 16 << 20
+	// defaultMemoryBytes bounds the long answers and events that are read at the same time unless there
+	// is a budget.
+	defaultMemoryBytes = 128 << 20
+	writeBufferBytes   = 8 << 10
 )
 
+// errAnswerTooLong means that the answer of a plain service has more than maxAnswerBytes.
+var errAnswerTooLong = errors.New("answer too long")
+
 // Attempt is a single transmission of a request to one upstream.
 type Attempt struct {
 	// ID identifies the attempt. It must be globally unique.
@@ -49,6 +56,7 @@
 	pooled    *http.Client
 	singleUse *http.Client
 	mayPool   func(address string) bool
+	memory    *rationer.Rationer
 }
 
 // Option sets one property of a Relayer.
@@ -60,6 +68,12 @@
 	return func(r *Relayer) { r.mayPool = mayPool }
 }
 
+// WithMemory sets the budget from which memory for plain answers and long events is reserved while they
+// are read.
+func WithMemory(budget *rationer.Rationer) Option {
+	return func(r *Relayer) { r.memory = budget }
+}
+
 // New returns a relayer that opens connections with dial, or over TCP if dial is nil.
 func New(dial Dial, options ...Option) *Relayer {
 	if dial == nil {
@@ -74,7 +88,7 @@
 	singleUse.DisableKeepAlives = true
 	r := &Relayer{
 		dial: dial, pooled: newClient(pooled), singleUse: newClient(singleUse),
-		mayPool: func(string) bool { return true },
+		mayPool: func(string) bool { return true }, memory: rationer.New(defaultMemoryBytes),
 	}
 	for _, option := range options {
 		option(r)
@@ -129,7 +143,8 @@
 		return nil, err
 	}
 	return &Stream{
-		id: a.ID, body: response.Body, events: eventsplitter.New(response.Body), idPrefix: eventIDPrefix(a.ID),
+		id: a.ID, body: response.Body, idPrefix: eventIDPrefix(a.ID),
+		events: eventsplitter.New(response.Body, eventsplitter.WithMemory(r.memory)),
 	}, nil
 }
 
@@ -169,7 +184,19 @@
 		return Answer{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	length := response.ContentLength
+	if a.Method == http.MethodHead {
+		length = 0 // the length is that of the body that another method gets
+	}
+	if length > maxAnswerBytes {
+		return Answer{}, &AttemptError{ran: RanFailed, cause: errAnswerTooLong}
+	}
+	reservation := r.memory.NewReservation()
+	defer reservation.Release()
+	body, err := reservation.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1), length)
+	if errors.Is(err, rationer.ErrExhausted) {
+		return Answer{}, &AttemptError{ran: RanMaybe, cause: err}
+	}
 	if err == nil && IsUnframed(response) && (len(body) == 0 || Refuses(ctx, r.dial, a.Address)) {
 		err = io.ErrUnexpectedEOF
 	}
@@ -180,7 +207,7 @@
 		}
 	}
 	if len(body) > maxAnswerBytes {
-		return Answer{}, &AttemptError{ran: RanFailed, cause: errors.New("answer too long")}
+		return Answer{}, &AttemptError{ran: RanFailed, cause: errAnswerTooLong}
 	}
 	if id := response.Header.Get(upstream.HeaderRequestID); id != "" && id != a.ID {
 		return Answer{}, &AttemptError{ran: RanMaybe, cause: ErrMismatchedAnswer}
@@ -242,7 +269,7 @@
 		// io.EOF is not wrapped: the end of the connection must not look like the end
 		// of the answer.
 		return nil, &AttemptError{
-			ran: RanMaybe, mayHaveCrashed: true,
+			ran: RanMaybe, mayHaveCrashed: !errors.Is(err, eventsplitter.ErrNoMemory),
 			cause: fmt.Errorf("%w: %v", ErrTruncated, err), //nolint:errorlint // see above
 		}
 	}
@@ -263,6 +290,7 @@
 		_, _ = io.CopyN(io.Discard, s.body, maxRejectionBytes)
 	}
 	_ = s.body.Close()
+	s.events.Close()
 }
 
 // eventIDPrefix returns how an event that carries the identifier usually begins.
--- a/internal/plumbing/transporter/transport_test.go
+++ b/internal/plumbing/transporter/transport_test.go
@@ -44,7 +44,7 @@
 	}
 }
 
-// startEndless answers each connection with a beginning and then with the same bytes until it is closed.
+// startEndless answers the request of one connection with a beginning and then with the same bytes until it is closed.
 func startEndless(t *testing.T, begin, endless string) (address string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -56,6 +56,9 @@
 			return
 		}
 		defer func() { _ = conn.Close() }()
+		if _, err := conn.Read(make([]byte, 4<<10)); err != nil {
+			return
+		}
 		_, err = io.WriteString(conn, begin)
 		for chunk := strings.Repeat(endless, 1<<10); err == nil; {
 			_, err = io.WriteString(conn, chunk)
