messenger: messages of peer VMs reserve memory

A message may have 32 MiB, and each connection of a peer VM kept one in a buffer that grows by copies; nothing bounded the sum. They now reserve memory of a budget of 64 MiB; one that gets none is discarded and counted, as lost messages are.

Without it TestMessageWithoutMemoryIsDiscarded reads the long message too. TestEndlessMessageClosesTheConnection held before.

--- a/internal/control/messenger/messenger.go
+++ b/internal/control/messenger/messenger.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -15,6 +16,7 @@
 	"github.com/coder/websocket"
 
 	"github.com/fescuespindle/fescuespindle/internal/control/peer"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/transporter"
 )
 
@@ -25,8 +27,10 @@
 	// queueLength bounds the messages that wait for one peer; further ones are discarded.
 	queueLength     = 512
 	maxMessageBytes = 32 << 20 // limit of a received message; a longer one closes the connection
-	dialTimeout     = time.Second
-	writeTimeout    = 2 * time.Second
+	// defaultMemoryBytes bounds the messages that are received at the same time unless there is a budget.
+	defaultMemoryBytes = 64 << 20
+	dialTimeout        = time.Second
+	writeTimeout       = 2 * time.Second
 	// idleTimeout is how long a link without messages stays open.
 	idleTimeout = time.Minute
 )
@@ -46,6 +50,7 @@
 	handler       Handler
 	counter       Counter
 	client        *http.Client
+	memory        *rationer.Rationer
 
 	ctx    context.Context //nolint:containedctx // lifetime of all links
 	cancel context.CancelFunc
@@ -55,12 +60,27 @@
 	links map[string]*link
 }
 
+// Option configures a Messenger.
+type Option func(*Messenger)
+
+// WithMemory sets the budget from which memory for messages is reserved while they are received. A message
+// that gets none is discarded.
+func WithMemory(budget *rationer.Rationer) Option {
+	return func(m *Messenger) { m.memory = budget }
+}
+
 // New returns a Messenger. The dial function opens connections; nil means TCP.
 func New(
 	self peer.Sender, authenticator *Authenticator, handler Handler, counter Counter,
-	dial func(ctx context.Context, network, address string) (net.Conn, error),
+	dial func(ctx context.Context, network, address string) (net.Conn, error), options ...Option,
 ) *Messenger {
-	m := &Messenger{authenticator: authenticator, handler: handler, counter: counter, links: map[string]*link{}}
+	m := &Messenger{
+		authenticator: authenticator, handler: handler, counter: counter, links: map[string]*link{},
+		memory: rationer.New(defaultMemoryBytes),
+	}
+	for _, option := range options {
+		option(m)
+	}
 	m.SetSelf(self)
 	m.client = &http.Client{Transport: transporter.New(dial)}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
@@ -216,13 +236,28 @@
 	}
 	defer closeConn(conn)
 	conn.SetReadLimit(maxMessageBytes)
-	for {
-		_, data, err := conn.Read(m.ctx)
-		if err != nil {
-			return
-		}
+	for m.receiveNext(conn, from) {
+	}
+}
+
+// receiveNext receives the next message of a connection. It returns false if the connection has ended.
+func (m *Messenger) receiveNext(conn *websocket.Conn, from string) bool {
+	_, message, err := conn.Reader(m.ctx)
+	if err != nil {
+		return false
+	}
+	reservation := m.memory.NewReservation()
+	defer reservation.Release()
+	data, err := reservation.ReadAll(message, -1)
+	switch {
+	case errors.Is(err, rationer.ErrExhausted):
+		m.counter.Add("peer_messages_without_memory_total", 1)
+	case err != nil:
+		return false
+	default:
 		m.receive(from, data)
 	}
+	return true
 }
 
 func (m *Messenger) receive(from string, data []byte) {
--- a/internal/plumbing/rationer/reader.go
+++ b/internal/plumbing/rationer/reader.go
@@ -5,8 +5,8 @@
 	"io"
 )
 
-// chunkBytes is the step in which bytes of unknown number are read.
-const chunkBytes = 64 << 10
+// firstBytes is the size of the buffer with which a source of unknown length begins.
+const firstBytes = 4 << 10
 
 // ErrExhausted means that a budget has too little memory.
 var ErrExhausted = errors.New("memory budget exhausted")
@@ -26,7 +26,7 @@
 	var content []byte
 	for {
 		if len(content) == cap(content) {
-			grown := max(2*cap(content), chunkBytes)
+			grown := max(2*cap(content), firstBytes)
 			if !r.Grow(int64(grown)) {
 				return nil, discard(source)
 			}
