batchrunner: outputs of items have a memory budget of their own

Since long outputs took their memory from the budget of the items themselves. Jobs that have used that up could not end, as each run of an item with a long event or output was ended for lack of memory. Outputs have 16 MiB of their own now.

--- a/internal/batch/batchrunner/run.go
+++ b/internal/batch/batchrunner/run.go
@@ -41,7 +41,7 @@
 		defer context.AfterFunc(loop, cancel)()
 		result := attempter.Result{Outcome: attempter.OutcomeInterrupted, Progress: it.progress}
 		if err := r.guard.Try("item run", func() error {
-			result = attempter.Run(ctx, r.courier, slot, call, live, r.memory)
+			result = attempter.Run(ctx, r.courier, slot, call, live, r.outputs)
 			return nil
 		}); err != nil {
 			result.Err = err
--- a/internal/batch/batchrunner/runner.go
+++ b/internal/batch/batchrunner/runner.go
@@ -88,6 +88,10 @@
 	maxRenewalAge = 10 * time.Second
 )
 
+// outputMemoryBytes bounds the memory for long outputs of running items. It is not part of the budget from
+// which the items themselves take theirs: jobs that use that up must still be able to end.
+const outputMemoryBytes = 16 << 20
+
 // Runner runs the batch jobs that this VM owns.
 type Runner struct {
 	self       batchkeeper.Owner
@@ -96,6 +100,7 @@
 	courier    attempter.Courier
 	members    Members
 	memory     *rationer.Rationer
+	outputs    *rationer.Rationer // memory for long outputs of running items
 	mover      Mover
 	guard      Guard
 	counter    Counter
@@ -139,7 +144,7 @@
 		guard: guard, counter: counter, logger: logger, jobs: map[string]*job{},
 		running: map[*placer.Slot]*item{}, orphans: orphanwatcher.New(self.VM),
 		mover: noMover{}, waits: waits{}, claimingOrLoading: map[string]bool{}, idle: map[string]idleJob{}, ends: ends{},
-		drained: make(chan struct{}),
+		drained: make(chan struct{}), outputs: rationer.New(outputMemoryBytes),
 	}
 	for _, option := range options {
 		option(r)
--- a/internal/batch/batchrunner/runner_test.go
+++ b/internal/batch/batchrunner/runner_test.go
@@ -1,6 +1,7 @@
 package batchrunner_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -40,6 +41,7 @@
 	upstreams       []*standin.Upstream
 	placerUpstreams []placer.Upstream
 	inFlight        sync.WaitGroup // calls of callers
+	memoryBytes     int64          // of each VM that starts, for items; 0 means enough
 
 	mu    sync.Mutex
 	alive map[batchkeeper.Owner]bool
@@ -140,7 +142,7 @@
 		jobs = f.wrapKeeper(jobs)
 	}
 	v.runner = batchrunner.New(owner, jobs, slots, courier.New(sender, v.placer, platform.Codec{}, logger), f,
-		v, rationer.New(64<<20), supervisor.New(v.counters, logger), v.counters, logger,
+		v, rationer.New(cmp.Or(f.memoryBytes, 64<<20)), supervisor.New(v.counters, logger), v.counters, logger,
 		batchrunner.WithMover(f))
 	f.setAlive(owner, true)
 	v.runner.Start()
