Relayed calls and received jobs have memory of their own

Since they took it from the budget for callers: VMs whose callers use that up would have relayed no calls for a VM that the store rejects, and taken a job over only with memory for it twice. They have 8 and 12 MiB of their own now. The tests of both hold as they are.

--- a/internal/batch/jobmover/mover.go
+++ b/internal/batch/jobmover/mover.go
@@ -31,8 +31,9 @@
 // releases it in the store.
 const maxBodyBytes = 8 << 20
 
-// defaultMemoryBytes bounds the jobs that are read at the same time unless there is a budget.
-const defaultMemoryBytes = 32 << 20
+// defaultMemoryBytes bounds the jobs that are read at the same time. It is not part of the memory for jobs,
+// of which the receiver takes what the job needs.
+const defaultMemoryBytes = 12 << 20
 
 // Errors of Move.
 var (
--- a/internal/store/storerelayer/relayer.go
+++ b/internal/store/storerelayer/relayer.go
@@ -38,8 +38,9 @@
 	relayAllThreshold = 2
 	// maxBodyBytes bounds the body of a call that this VM relays for a peer VM.
 	maxBodyBytes = 2 << 20
-	// defaultMemoryBytes bounds the bodies of all such calls unless there is a budget.
-	defaultMemoryBytes = 16 << 20
+	// defaultMemoryBytes bounds the bodies of all such calls. It is not part of the memory for callers, so
+	// that VMs whose callers use that up still relay.
+	defaultMemoryBytes = 8 << 20
 	// headerRelayed marks a request relayed by a peer VM, and a response that a peer VM
 	// relays from the store.
 	headerRelayed = "Fescuespindle-Relayed"
--- a/internal/wiring/entryvm/provider.go
+++ b/internal/wiring/entryvm/provider.go
@@ -168,11 +168,9 @@
 }
 
 func newRelayer(
-	s platform.Settings, fleet *fleetidentifier.Fleet, budget *rationer.Rationer, counters *counter.Counters,
-	logger *slog.Logger,
+	s platform.Settings, fleet *fleetidentifier.Fleet, counters *counter.Counters, logger *slog.Logger,
 ) *storerelayer.Relayer {
-	return storerelayer.New(s.StoreAddress, storeTransport(), fleet.Transport(storeTransport()), counters, logger,
-		storerelayer.WithMemory(budget))
+	return storerelayer.New(s.StoreAddress, storeTransport(), fleet.Transport(storeTransport()), counters, logger)
 }
 
 func newStore(s platform.Settings, relayer *storerelayer.Relayer) *platform.Store {
@@ -219,8 +217,8 @@
 		batchrunner.WithMover(mover))
 }
 
-func newMover(fleet *fleetidentifier.Fleet, budget *rationer.Rationer, logger *slog.Logger) *jobmover.Mover {
-	return jobmover.New(fleet.Transport(storeTransport()), logger, jobmover.WithMemory(budget))
+func newMover(fleet *fleetidentifier.Fleet, logger *slog.Logger) *jobmover.Mover {
+	return jobmover.New(fleet.Transport(storeTransport()), logger)
 }
 
 func newSharedState(
