--- a/internal/batch/batchrunner/runner.go
+++ b/internal/batch/batchrunner/runner.go
@@ -87,6 +87,10 @@
 	idleTickPeriod = 500 * time.Millisecond
 )
 
+// outputMemoryBytes bounds the memory for long outputs of running items. It is not part of the budget from
+// which the items themselves take theirs: jobs that use that up must still be able to end.
+const outputMemoryBytes = 16 << 20
+
 // Runner runs the batch jobs that this VM owns.
 type Runner struct {
 	self       batchkeeper.Owner
@@ -95,6 +99,7 @@
 	courier    attempter.Courier
 	members    Members
 	memory     *rationer.Rationer
+	outputs    *rationer.Rationer // memory for long outputs of running items
 	mover      Mover
 	guard      Guard
 	counter    Counter
@@ -138,7 +143,7 @@
 		guard: guard, counter: counter, logger: logger, jobs: map[string]*job{},
 		running: map[*placer.Slot]*item{}, orphans: orphanwatcher.New(self.VM),
 		mover: noMover{}, waits: waits{}, claimingOrLoading: map[string]bool{}, idle: map[string]idleJob{}, ends: startjudge.Ends{},
-		drained: make(chan struct{}),
+		drained: make(chan struct{}), outputs: rationer.New(outputMemoryBytes),
 	}
 	for _, option := range options {
 		option(r)
--- a/internal/wiring/entryvm/provider.go
+++ b/internal/wiring/entryvm/provider.go
@@ -122,9 +122,9 @@
 }
 
 func newBootstrapper(
-	fleet *fleetidentifier.Fleet, tasks *supervisor.Supervisor, logger *slog.Logger,
+	fleet *fleetidentifier.Fleet, budget *rationer.Rationer, tasks *supervisor.Supervisor, logger *slog.Logger,
 ) *bootstrapper.Bootstrapper {
-	return bootstrapper.New(fleet.Transport(storeTransport()), fleet, tasks, logger)
+	return bootstrapper.New(fleet.Transport(storeTransport()), fleet, tasks, logger, bootstrapper.WithMemory(budget))
 }
 
 // newSharer returns the sharer of the configuration.
@@ -170,8 +170,9 @@
 	return carrier
 }
 
-func newForwarder(codec platform.Codec, finder *pathfinder.Finder) *forwarder.Forwarder {
-	f := forwarder.New(codec.AnswerID, forwarder.WithDial(finder.Dial), forwarder.WithOnQuiet(finder.Suspect))
+func newForwarder(codec platform.Codec, finder *pathfinder.Finder, budget *rationer.Rationer) *forwarder.Forwarder {
+	f := forwarder.New(codec.AnswerID, forwarder.WithDial(finder.Dial), forwarder.WithOnQuiet(finder.Suspect),
+		forwarder.WithMemory(budget))
 	finder.SetOnChange(f.CloseIdle)
 	return f
 }
--- a/internal/wiring/entryvm/wire_gen.go
+++ b/internal/wiring/entryvm/wire_gen.go
@@ -26,13 +26,13 @@
 	rationer := newRationer(settings)
 	carrier := newCarrier(finder, rationer, counters, logger)
 	codec := newCodec()
-	forwarder := newForwarder(codec, finder)
+	forwarder := newForwarder(codec, finder, rationer)
 	entryvmCallbacks := newCallbacks()
 	placer := newPlacer(settings, entryvmCallbacks, finder)
 	analyzer := newAnalyzer(entryvmCallbacks)
 	supervisor := newSupervisor(counters, logger)
 	keeper := newVersionKeeper(settings, store, supervisor, logger)
-	bootstrapper := newBootstrapper(fleet, supervisor, logger)
+	bootstrapper := newBootstrapper(fleet, rationer, supervisor, logger)
 	reporter, err := newReporter(settings, entryvmBootID, bootstrapper, fleet, supervisor, logger)
 	if err != nil {
 		return nil, err
