--- a/internal/control/tablesharer/region_test.go
+++ b/internal/control/tablesharer/region_test.go
@@ -19,6 +19,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/control/tablesharer"
 	"github.com/fescuespindle/fescuespindle/internal/control/watcher"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/counter"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/sleeper"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/weigher"
 	"github.com/fescuespindle/fescuespindle/internal/standins/rowemulator"
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
@@ -99,6 +100,7 @@
 			v.stop()
 		}
 		r.group.Wait()
+		time.Sleep(settlePeriod) // handlers that are still running end
 	})
 }
 
@@ -280,9 +282,10 @@
 	s.calls.Add(1)
 	if s.cutOff.Load() {
 		<-ctx.Done()
+	}
+	if !sleeper.Sleep(ctx, roundTrip) {
 		return rowstore.ErrInDoubt
 	}
-	time.Sleep(roundTrip)
 	return nil
 }
 
--- a/internal/control/tablesharer/sharer_test.go
+++ b/internal/control/tablesharer/sharer_test.go
@@ -5,7 +5,9 @@
 	"compress/flate"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +15,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/sleeper"
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 )
 
@@ -61,12 +64,14 @@
 
 func TestRemovedRowsDisappear(t *testing.T) {
 	play(t, longRows, func(t *testing.T, r *region) {
+		r.resetCounts()
 		_, err := r.rows.Apply(rowstore.Tx{Removes: []rowstore.Key{{Table: table, Name: "row1"}}})
 		qt.Assert(t, err, qt.IsNil)
 		time.Sleep(time.Second)
 		for _, name := range r.others {
 			qt.Check(t, r.vms[name].sink.names(), qt.Equals, longRows-1, qt.Commentf(name))
 		}
+		r.expectStoreCalls(r.others, false, 0)
 	})
 }
 
@@ -95,10 +100,9 @@
 }
 
 func dripForever(w http.ResponseWriter, r *http.Request) {
-	for r.Context().Err() == nil {
-		_, _ = w.Write([]byte{0}) // the reader may be gone
+	for sleeper.Sleep(r.Context(), 50*time.Millisecond) {
+		_, _ = w.Write([]byte{0}) // the client may be gone
 		_ = http.NewResponseController(w).Flush()
-		time.Sleep(50 * time.Millisecond)
 	}
 }
 
@@ -165,17 +169,19 @@
 func expectChangeIfBroken(t *testing.T, way breakReaders, count int) {
 	t.Helper()
 	play(t, longRows, func(t *testing.T, r *region) {
-		r.resetCounts()
 		for _, name := range r.readers[:count] {
 			way.do(r, r.vms[name])
 		}
-		r.expectChange(r.others, "second", applyTimeout)
+		r.expectChange(r.others, "second", applyTimeout) // calls that are under way may still be answered
 		time.Sleep(10 * time.Second)
+		r.resetCounts()
 		r.expectChange(r.others, "third", applyTimeout)
-		isReaderLeft := count < regionReaders
+		wantBytes := rowBytes + len("third")
+		if count < regionReaders {
+			wantBytes = 0
+		}
 		for _, name := range r.others {
-			got := r.vms[name].store.bytes.Load()
-			qt.Check(t, got == 0, qt.Equals, isReaderLeft, qt.Commentf("%s has read %d bytes", name, got))
+			qt.Check(t, int(r.vms[name].store.bytes.Load()), qt.Equals, wantBytes, qt.Commentf(name))
 		}
 	})
 }
@@ -210,6 +216,86 @@
 	})
 }
 
+// answerRows has a VM answer with a row of a version, as the content of a version of the table.
+func answerRows(t *testing.T, version, rowVersion uint64) http.HandlerFunc {
+	t.Helper()
+	var compressed bytes.Buffer
+	writer, err := flate.NewWriter(&compressed, flate.BestSpeed)
+	qt.Assert(t, err, qt.IsNil)
+	rows := []map[string]any{{"name": "row0", "value": []byte("forged."), "version": rowVersion}}
+	qt.Assert(t, cbor.NewEncoder(writer).Encode(rows), qt.IsNil)
+	qt.Assert(t, writer.Close(), qt.IsNil)
+	body, err := cbor.Marshal(map[string]any{"fleet": 1, "version": version, "digest": 1, "rows": compressed.Bytes()})
+	qt.Assert(t, err, qt.IsNil)
+	return func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(body) }
+}
+
+// Guards against: a VM goes back to an older configuration, as a reader sends one.
+func TestOlderContentIsRejected(t *testing.T) {
+	expect := func(t *testing.T, version, rowVersion uint64, want string) {
+		t.Helper()
+		play(t, longRows, func(t *testing.T, r *region) {
+			for _, name := range r.readers {
+				r.vms[name].handle(answerRows(t, version, rowVersion))
+			}
+			time.Sleep(settlePeriod)
+			r.expectText(r.others, want)
+		})
+	}
+	t.Run("newer", func(t *testing.T) { expect(t, longRows+1, longRows+1, "forged") })
+	t.Run("older version", func(t *testing.T) { expect(t, longRows-1, longRows-1, "first") })
+	t.Run("older row", func(t *testing.T) { expect(t, longRows+1, 0, "first") })
+	t.Run("missing rows that are newer", func(t *testing.T) { expect(t, longRows-1, 1, "first") })
+}
+
+// Guards against: a VM that lags behind sends its rows time and again to one that has newer.
+func TestOlderRowsAreNotSent(t *testing.T) {
+	play(t, longRows, func(t *testing.T, r *region) {
+		v := r.vms[r.readers[0]]
+		v.stop()
+		began := time.Now()
+		recorder := httptest.NewRecorder()
+		v.sharer.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, v.sharer.Path()+"?version=1000&digest=7&hold=400ms", http.NoBody))
+		qt.Check(t, recorder.Code, qt.Equals, http.StatusOK)
+		qt.Check(t, recorder.Body.Len() < 100, qt.IsTrue, qt.Commentf("%d bytes", recorder.Body.Len()))
+		qt.Check(t, time.Since(began), qt.Equals, 400*time.Millisecond)
+	})
+}
+
+// Guards against: each call waits for a reader that is known to be silent.
+func TestSilentReaderIsSkipped(t *testing.T) {
+	play(t, longRows, func(t *testing.T, r *region) {
+		var asked atomic.Int64
+		r.vms[r.readers[0]].handle(func(w http.ResponseWriter, request *http.Request) {
+			asked.Add(1)
+			freeze(w, request)
+		})
+		time.Sleep(12 * time.Second)
+		perFollower := float64(asked.Load()) / float64(len(r.others))
+		qt.Check(t, perFollower >= 1 && perFollower <= 2.5, qt.IsTrue, qt.Commentf("%.1f", perFollower))
+	})
+}
+
+// Guards against: a reader that answers at once is asked in a loop.
+func TestReaderThatDoesNotWaitIsNotAskedInALoop(t *testing.T) {
+	play(t, longRows, func(t *testing.T, r *region) {
+		var asked atomic.Int64
+		for _, name := range r.readers {
+			sharer := r.vms[name].sharer
+			r.vms[name].handle(func(w http.ResponseWriter, request *http.Request) {
+				asked.Add(1)
+				query := request.URL.Query()
+				query.Set("hold", "0s")
+				request.URL.RawQuery = query.Encode()
+				sharer.ServeHTTP(w, request)
+			})
+		}
+		time.Sleep(10 * time.Second)
+		perFollower := float64(asked.Load()) / float64(len(r.others))
+		qt.Check(t, perFollower >= 10 && perFollower <= 30, qt.IsTrue, qt.Commentf("%.1f", perFollower))
+	})
+}
+
 // Guards against: a reader whose copy is still arriving is taken for a silent one, and all VMs of the
 // region read another copy over the same link.
 func TestFollowersWaitForAnAnswerThatIsArriving(t *testing.T) {
