--- a/internal/control/tablesharer/reader.go
+++ b/internal/control/tablesharer/reader.go
@@ -40,6 +40,7 @@
 	errNotReady   = errors.New("no content, or fleet unknown")
 	errStale      = errors.New("no contact with the store")
 	errOlder      = errors.New("content is older")
+	errSkipped    = errors.New("all have failed lately")
 )
 
 // noRedirect has a redirect returned as the answer, which is then of an unexpected status.
@@ -48,7 +49,7 @@
 // fromReaders returns the newest content by the word of a reader, which waits up to hold for a change
 // of the base. It returns nil if no reader tells.
 func (s *Sharer) fromReaders(ctx context.Context, base *content, hold time.Duration) *content {
-	began := time.Now()
+	began, reason := time.Now(), errSkipped
 	for _, r := range s.usableReaders(began) {
 		elapsed := time.Since(began)
 		if elapsed > readersTimeout || ctx.Err() != nil {
@@ -61,8 +62,11 @@
 			return shared
 		}
 		s.recordFailure(ctx, r, err)
+		reason = err
+	}
+	if ctx.Err() == nil {
+		s.recordSource(countDirect, "", reason)
 	}
-	s.recordSource(countDirect, "", errStale)
 	return nil
 }
 
@@ -84,7 +88,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.contactAt, s.wholeAt = now.Add(-age), now
+	s.contactAt, s.wholeAt = now.Add(-max(0, age)), now
 	s.setKnown(shared)
 }
 
@@ -135,21 +139,36 @@
 		return nil, 0, err
 	case a.Fleet == 0 || a.Fleet != s.fleet.Identity():
 		return nil, 0, errOtherFleet
-	case a.Digest == base.digest && a.Age >= maxAge:
+	}
+	newest := base
+	if a.Digest != base.digest {
+		if newest, err = s.newerOf(a, base); err != nil {
+			return nil, 0, err
+		}
+	}
+	switch {
+	case newest.digest != base.digest:
+		return newest, a.Age, nil
+	case a.Age >= maxAge:
 		return nil, 0, errStale
-	case a.Digest == base.digest:
+	default:
 		return base, a.Age, nil
-	case len(a.Rows) == 0:
-		return nil, 0, errOlder
 	}
-	shared, err := s.decodeRows(a)
+}
+
+// newerOf returns the content of an answer, which isn't older than the base.
+func (s *Sharer) newerOf(a answer, base *content) (*content, error) {
+	if len(a.Rows) == 0 {
+		return nil, errOlder
+	}
+	newest, err := s.decodeRows(a)
 	if err != nil {
-		return nil, 0, err
+		return nil, err
 	}
-	if shared.isOlderThan(base) {
-		return nil, 0, errOlder
+	if newest.isOlderThan(base) {
+		return nil, errOlder
 	}
-	return shared, a.Age, nil
+	return newest, nil
 }
 
 // send asks a reader and returns its answer.
--- a/internal/control/tablesharer/sharer_test.go
+++ b/internal/control/tablesharer/sharer_test.go
@@ -296,6 +296,35 @@
 	})
 }
 
+// Guards against: a reader of another release, whose digests differ, is asked for all rows in a loop.
+func TestReaderWithOtherDigestsIsNotAskedInALoop(t *testing.T) {
+	play(t, longRows, func(t *testing.T, r *region) {
+		var asked atomic.Int64
+		for _, name := range r.readers {
+			sharer := r.vms[name].sharer
+			r.vms[name].handle(func(w http.ResponseWriter, request *http.Request) {
+				asked.Add(1)
+				query := request.URL.Query()
+				query.Set("digest", "1")
+				request.URL.RawQuery = query.Encode()
+				recorder := httptest.NewRecorder()
+				sharer.ServeHTTP(recorder, request)
+				var answer map[string]any
+				_ = cbor.Unmarshal(recorder.Body.Bytes(), &answer)
+				answer["digest"] = 2
+				body, _ := cbor.Marshal(answer)
+				_, _ = w.Write(body)
+			})
+		}
+		time.Sleep(10 * time.Second)
+		perFollower := float64(asked.Load()) / float64(len(r.others))
+		qt.Check(t, perFollower >= 10 && perFollower <= 30, qt.IsTrue, qt.Commentf("%.1f", perFollower))
+		r.resetCounts()
+		r.expectChange(r.others, "second", time.Second)
+		r.expectStoreCalls(r.others, false, 0)
+	})
+}
+
 // Guards against: a reader whose copy is still arriving is taken for a silent one, and all VMs of the
 // region read another copy over the same link.
 func TestFollowersWaitForAnAnswerThatIsArriving(t *testing.T) {
