--- a/internal/batch/batchrunner/runner.go
+++ b/internal/batch/batchrunner/runner.go
@@ -15,6 +15,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/batch/orphanwatcher"
 	"github.com/fescuespindle/fescuespindle/internal/batch/runestimator"
+	"github.com/fescuespindle/fescuespindle/internal/batch/slotwaiter"
 	"github.com/fescuespindle/fescuespindle/internal/batch/startjudge"
 	"github.com/fescuespindle/fescuespindle/internal/control/stepper"
 	"github.com/fescuespindle/fescuespindle/internal/online/placer"
@@ -108,7 +109,7 @@
 
 	jobs              map[string]*job
 	running           map[*placer.Slot]*item
-	waits             waits
+	waits             slotwaiter.Waits
 	estimator         runestimator.Estimator
 	scans             [batchkeeper.Parts]partScan
 	orphans           *orphanwatcher.Watcher
@@ -137,7 +138,7 @@
 		self: self, keeper: keeper, placer: p, courier: c, members: members, config: config, memory: memory,
 		guard: guard, counter: counter, logger: logger, jobs: map[string]*job{},
 		running: map[*placer.Slot]*item{}, orphans: orphanwatcher.New(self.VM),
-		mover: noMover{}, waits: waits{}, claimingOrLoading: map[string]bool{}, idle: map[string]idleJob{}, ends: startjudge.Ends{},
+		mover: noMover{}, waits: slotwaiter.Waits{}, claimingOrLoading: map[string]bool{}, idle: map[string]idleJob{}, ends: startjudge.Ends{},
 		drained: make(chan struct{}),
 	}
 	for _, option := range options {
--- a/internal/batch/batchrunner/start.go
+++ b/internal/batch/batchrunner/start.go
@@ -4,31 +4,17 @@
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/batch/slotwaiter"
 	"github.com/fescuespindle/fescuespindle/internal/online/placer"
 )
 
-// target is where an item may run: at any upstream of a service, or only at those of the
-// software version that has written its output.
-type target struct {
-	service string
-	version string
-	pinned  bool // to the version
-}
-
-func (t target) versions() []string {
-	if !t.pinned {
-		return nil
-	}
-	return []string{t.version}
-}
-
 // starter starts items in one pass over all that are pending. It searches each target for a
 // slot until none is left, not for each of the many items that wait for the same one.
 type starter struct {
 	runner  *Runner
 	now     time.Time
-	full    map[target]bool
-	accepts map[target]bool // whether upstreams of a pinned target accept work
+	full    map[slotwaiter.Target]bool
+	accepts map[slotwaiter.Target]bool // whether upstreams of a pinned target accept work
 }
 
 // startPending starts items until there are no free slots.
@@ -37,22 +23,22 @@
 	if table == nil {
 		return
 	}
-	s := &starter{runner: r, now: now, full: map[target]bool{}, accepts: map[target]bool{}}
+	s := &starter{runner: r, now: now, full: map[slotwaiter.Target]bool{}, accepts: map[slotwaiter.Target]bool{}}
 	for _, it := range r.pending(now) {
 		route, found := table.RouteByName(it.job.stored.Route)
 		if found && !it.outOfAttempts(route) {
 			s.start(it, route.Service(uint64(it.index)))
 		}
 	}
-	r.waits.retain(s.full)
+	r.waits.Retain(s.full)
 }
 
 // start starts an item at a service if there is a free slot for it.
 func (s *starter) start(it *item, service string) {
 	r, avoid := s.runner, it.avoided(s.now)
 	where := it.target(service)
-	isFull := s.full[target{service: service}]
-	if !isFull && where.pinned && !s.acceptsWork(where) {
+	isFull := s.full[slotwaiter.Target{Service: service}]
+	if !isFull && where.Pinned && !s.acceptsWork(where) {
 		s.restart(it, where)
 		where = it.target(service)
 	}
@@ -60,8 +46,8 @@
 		return
 	}
 	work := placer.BatchWork{
-		Service: service, Avoid: avoid, Versions: where.versions(),
-		LeaveSubsetAt: r.waits.leaveSubsetAt(where, s.now),
+		Service: service, Avoid: avoid, Versions: where.Versions(),
+		LeaveSubsetAt: r.waits.LeaveSubsetAt(where, s.now),
 		LatestStart:   s.now.Add(r.latestStart(it) - r.keeper.Now()),
 	}
 	if isFull {
@@ -78,28 +64,50 @@
 	}
 }
 
+// recordRefusal records that a target has no slot left in this pass, and logs a long wait once,
+// with the reasons.
+func (s *starter) recordRefusal(where slotwaiter.Target, work placer.BatchWork) {
+	s.full[where] = true
+	r := s.runner
+	waited, becameLong := r.waits.RecordRefusal(where, s.now)
+	if !becameLong {
+		return
+	}
+	r.counter.Count("batch_long_waits_total")
+	r.logger.Warn("items get no slot", "service", where.Service, "software", where.Version, "for", waited,
+		"upstreams", r.placer.BatchObstacles(work, s.now).String())
+}
+
+// recordSlot records that an item of a target got a slot.
+func (s *starter) recordSlot(where slotwaiter.Target) {
+	if waited, wasLong := s.runner.waits.RecordSlot(where, s.now); wasLong {
+		s.runner.logger.Info("items get slots again", "service", where.Service, "software", where.Version,
+			"after", waited)
+	}
+}
+
 // target returns where an item may run at a service.
-func (it *item) target(service string) target {
+func (it *item) target(service string) slotwaiter.Target {
 	if it.progress.LastEvent == "" {
-		return target{service: service}
+		return slotwaiter.Target{Service: service}
 	}
-	return target{service: service, version: it.progress.SoftwareVersion, pinned: true}
+	return slotwaiter.Target{Service: service, Version: it.progress.SoftwareVersion, Pinned: true}
 }
 
 // acceptsWork returns whether an upstream of a pinned target accepts work.
-func (s *starter) acceptsWork(where target) bool {
+func (s *starter) acceptsWork(where slotwaiter.Target) bool {
 	accepts, known := s.accepts[where]
 	if !known {
-		accepts = s.runner.placer.AcceptsVersion(where.service, where.version)
+		accepts = s.runner.placer.AcceptsVersion(where.Service, where.Version)
 		s.accepts[where] = accepts
 	}
 	return accepts
 }
 
 // restart makes an item start again, as no upstream of the version of its output accepts work.
-func (s *starter) restart(it *item, where target) {
+func (s *starter) restart(it *item, where slotwaiter.Target) {
 	s.runner.counter.Count("items_restarted_total")
 	s.runner.logger.Info("item starts again at another software version", "job", it.job.stored.ID, "item", it.ID,
-		"software", where.version, "bytes", len(it.progress.Output))
+		"software", where.Version, "bytes", len(it.progress.Output))
 	it.progress = batchkeeper.Progress{}
 }
