tablesharer: a row heard of is read although the feed withholds it and no reader tells

Callers would see: a VM whose readers are all lost, and from which the store withholds changes, keeps an old configuration for up to 30 s, though other VMs have told it of a newer one. Cause: the watcher then reads the whole table again within 2 s, but without a reader the Sharer answered that read by the changes alone, which the feed withholds. Evidence: TestRowHeardOfIsReadDespiteAStalledFeedWithoutReaders fails without SetNewer in the region of the test (all 6 followers have the old row after 5 s) and passes with it. Why it works: while newer content is known to exist, the read goes to the rows themselves. The watcher decides how often (2 s, doubling), so an outage brings no copies by itself.

--- a/internal/control/tablesharer/region_test.go
+++ b/internal/control/tablesharer/region_test.go
@@ -110,6 +110,7 @@
 	v.sharer = tablesharer.New(v.store, table, "", name, transport, fleet, counter.New(metrics.NewSet()), logger,
 		tablesharer.WithMaxBytes(maxBytes))
 	v.watcher = watcher.New(v.sharer, table, "", v.sink, logger)
+	v.sharer.SetNewer(v.watcher.KnowsOfNewer)
 	v.handle(v.sharer.ServeHTTP)
 	ctx, cancel := context.WithCancel(r.ctx)
 	stop := r.network.Serve(addressOf(name), http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
--- a/internal/control/tablesharer/sharer.go
+++ b/internal/control/tablesharer/sharer.go
@@ -79,10 +79,11 @@
 	contactAt  time.Time
 	arrivingAt time.Time
 	// wholeAt is when the whole table was last read, or confirmed by a reader.
-	wholeAt time.Time
-	changed chan struct{} // closed when known changes
-	readers []reader      // in the order in which this VM asks them; none if it is one itself
-	source  string        // the VM that the table was last read from; empty for the store
+	wholeAt     time.Time
+	changed     chan struct{} // closed when known changes
+	readers     []reader      // in the order in which this VM asks them; none if it is one itself
+	newerExists func() bool   // whether newer content is known to exist; nil if nobody tells
+	source      string        // the VM that the table was last read from; empty for the store
 
 	compressing sync.Mutex
 	compressed  compressedRows
@@ -156,6 +157,14 @@
 	}
 }
 
+// SetNewer sets a function that returns whether newer content of the table is known to exist. While it does, and
+// no reader tells, the whole table is read: the feed of changes may withhold it.
+func (s *Sharer) SetNewer(exists func() bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.newerExists = exists
+}
+
 // Transact implements rowstore.Store.
 func (s *Sharer) Transact(ctx context.Context, tx rowstore.Tx) (rowstore.Snapshot, error) {
 	return s.store.Transact(ctx, tx) //nolint:wrapcheck // the store's errors are part of the interface
@@ -241,12 +250,13 @@
 }
 
 // isWholeDue returns whether the whole table is to be read if no reader tells it, as a feed of changes may
-// stall unnoticed. Otherwise the changes are enough: VMs whose readers are all lost would else all read the whole
-// table after each failed call, and together once an outage of the store is over.
+// stall unnoticed, or withhold what other VMs know. Otherwise the changes are enough: VMs whose readers are all
+// lost would else all read the whole table after each failed call, and together once an outage of the store is over.
 func (s *Sharer) isWholeDue() bool {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return time.Since(s.wholeAt) >= wholeInterval
+	due, newerExists := time.Since(s.wholeAt) >= wholeInterval, s.newerExists
+	s.mu.Unlock()
+	return due || newerExists != nil && newerExists()
 }
 
 // changesFromStore reads the changes after a version from the store.
--- a/internal/control/watcher/hearsay.go
+++ b/internal/control/watcher/hearsay.go
@@ -55,3 +55,7 @@
 // HearOf records the NewestRow of another VM's watcher of the table. If the row doesn't come
 // through this watcher's feed soon, the whole table is read again.
 func (w *Watcher) HearOf(newestRow uint64, now time.Time) { w.hearsay.hear(newestRow, now) }
+
+// KnowsOfNewer returns whether newer content of the table is known to exist: by HearOf, or by the function of
+// WithNewer.
+func (w *Watcher) KnowsOfNewer() bool { return w.rereads.newerExists() }
--- a/internal/wiring/entryvm/vm.go
+++ b/internal/wiring/entryvm/vm.go
@@ -126,6 +126,7 @@
 		watcher.WithReread(vm.rereadInterval), watcher.WithRereadRate(vm.shareOf(maxConfigurationRereadRate)),
 		watcher.WithNewer(vm.runner.AwaitsConfiguration), watcher.WithResume())
 	vm.shared.configuration = vm.configuration
+	vm.sharer.SetNewer(vm.configuration.KnowsOfNewer)
 	watchers := []*watcher.Watcher{
 		vm.newWatcher(vm.store, memberkeeper.Table, memberkeeper.Part, vm.memberKeeper,
 			watcher.WithWait(memberWait), watcher.WithPause(memberPause)),
