tablesharer: of two first reads, the one that ends first is shared

Callers would see nothing at once; all other VMs of the region read their own copies over the link between regions until this VM reads the whole table again (8 s to a minute). Cause: a VM may make several first reads at a time. The watcher uses the first answer; the Sharer kept the last one, of another version, as a version counts the changes of all tables. The feed then goes on from a version that the Sharer doesn't know, so its content is neither changed nor confirmed, and others take it for stale. Found by reading. Evidence: TestContentIsSharedAfterTwoFirstReads fails before (the follower reads the store) and passes now. Why it works: a read that began before another one was adopted is passed on, but not adopted; the watcher doesn't use it either.

--- a/internal/control/tablesharer/sharer.go
+++ b/internal/control/tablesharer/sharer.go
@@ -230,8 +230,10 @@
 	return s.known
 }
 
-// readStore reads the whole table from the store.
+// readStore reads the whole table from the store. If first reads overlap, the one that ends first becomes the
+// known content, as the watcher uses that one: the changes that it asks for next follow on it alone.
 func (s *Sharer) readStore(ctx context.Context) (rowstore.Snapshot, string, error) {
+	began := time.Now()
 	all, next, err := s.store.Range(s.observeArrival(ctx), s.table, s.part, "", "")
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -239,6 +241,9 @@
 		s.arrivingAt = time.Time{}
 		return all, next, err //nolint:wrapcheck // as for Transact
 	}
+	if began.Before(s.wholeAt) {
+		return all, next, nil
+	}
 	s.recordContact(time.Now())
 	s.wholeAt = time.Now()
 	if next == "" {
