sleeper: a sleep of no time starts no timer

Change: Sleep returns at once if the duration isn't positive, and false if the context has ended; before, it returned either at random then.

--- a/internal/plumbing/sleeper/sleeper.go
+++ b/internal/plumbing/sleeper/sleeper.go
@@ -6,8 +6,11 @@
 	"time"
 )
 
-// Sleep waits for a duration. It returns false if the context ends first.
+// Sleep waits for a duration, if it is positive. It returns false if the context ends first.
 func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
