--- a/internal/wiring/entryvm/sink.go
+++ b/internal/wiring/entryvm/sink.go
@@ -62,8 +62,8 @@
 func (s *configurationSink) Change(rows []rowstore.Row) {
 	for _, row := range rows {
 		if row.Name == platform.RowConfiguration && !row.Deleted && row.Version != s.decodedVersion {
-			s.decodedVersion = row.Version
 			s.apply(row)
+			s.decodedVersion = row.Version // not before, as a row whose decoding panics is tried again
 		}
 	}
 }
