batchkeeper: an accepted job whose content is missing is a 503, not a 404

Callers would see: 404 for the body of an item of an accepted job, if its content was damaged. A 404 says that there is no such job or item, and callers give up. Cause: a record without content rows was reported as ErrNotFound. The content comes in the transaction of the record, so the job exists and its rows are damaged. Change: ErrCorrupt, which is answered as 503 and counted in jobs_corrupt_total when the job is loaded. Found by reading. Evidence: TestJobWithoutContentIsCorruptAndNotMissing failed before.

--- a/internal/batch/batchkeeper/content_test.go
+++ b/internal/batch/batchkeeper/content_test.go
@@ -284,3 +284,16 @@
 		qt.Check(t, string(body), qt.Equals, "of another job")
 	})
 }
+
+// Guards against: 404 for an item of an accepted job whose content is damaged: the job exists.
+func TestJobWithoutContentIsCorruptAndNotMissing(t *testing.T) {
+	store := rowemulator.New()
+	accept(t.Context(), t, store, submission("j", 2))
+	for _, row := range store.Rows("jobContent") {
+		_, err := store.Apply(rowstore.Tx{Removes: []rowstore.Key{row.Key}})
+		qt.Assert(t, err, qt.IsNil)
+	}
+	_, err := newKeeper(store, ownerA).Body(t.Context(), "j", "item0")
+	qt.Check(t, err, qt.ErrorIs, batchkeeper.ErrCorrupt)
+	qt.Check(t, errors.Is(err, batchkeeper.ErrNotFound), qt.IsFalse)
+}
--- a/internal/batch/batchkeeper/contentreader.go
+++ b/internal/batch/batchkeeper/contentreader.go
@@ -17,7 +17,7 @@
 // errIncomplete reports that a copy of a job's content isn't the accepted one.
 var errIncomplete = errors.New("incomplete copy")
 
-// Items reads the items of a job. It returns ErrNotFound, ErrNotRead or ErrCorrupt.
+// Items reads the items of a job. It returns ErrNotRead or ErrCorrupt.
 func (k *Keeper) Items(ctx context.Context, record Record) ([]Item, error) {
 	from, to := numberedRange(record.ID, 0)
 	all, err := k.readRange(ctx, tableContent, partNameOf(record.ID), from, to)
@@ -28,11 +28,11 @@
 }
 
 // itemsIn returns the items of the accepted copy of a job's content, which is in rows. It returns
-// ErrNotFound or ErrCorrupt.
+// ErrCorrupt.
 func itemsIn(rows []rowstore.Row, record Record) ([]Item, error) {
 	copies := copiesOf(record.ID, rows)
 	if len(copies) == 0 {
-		return nil, fmt.Errorf("%w: %s has no content", ErrNotFound, record.ID)
+		return nil, fmt.Errorf("%w: %s has no content", ErrCorrupt, record.ID) // it comes with the record, so the job exists
 	}
 	var failures []error
 	for _, encoded := range copies {
--- a/internal/batch/batchkeeper/owner.go
+++ b/internal/batch/batchkeeper/owner.go
@@ -154,7 +154,7 @@
 	return bytes
 }
 
-// Load reads the data needed to run a job that this process owns. It returns ErrNotFound,
+// Load reads the data needed to run a job that this process owns. It returns
 // ErrNotRead or ErrCorrupt.
 func (k *Keeper) Load(ctx context.Context, record Record) (LoadedJob, error) {
 	id := record.ID
