jobkeeper: a missing object of a job is a 503, not a 404

Callers would see, on the product's own interface: 404 for a job that was accepted, if an object with its results is missing. Cause: the store's ErrNotFound for an object became the package's ErrNotFound for a job or file. Objects are only read because a row names them. Change: it is an ErrStore, answered as 503. Found by reading.

--- a/internal/batch/jobkeeper/keeper.go
+++ b/internal/batch/jobkeeper/keeper.go
@@ -234,13 +234,12 @@
 	return nil
 }
 
-// wrapStoreError maps an error of the store to an error of this package that wraps it.
+// wrapStoreError maps an error of the store to an error of this package that wraps it. An object that is
+// missing is an ErrStore: only rows name objects, and what has the row exists.
 func wrapStoreError(err error) error {
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, storekeeper.ErrNotFound):
-		return fmt.Errorf("%w: %w", ErrNotFound, err)
 	case errors.Is(err, storekeeper.ErrInDoubt):
 		return fmt.Errorf("%w: %w", ErrInDoubt, err)
 	default:
