--- a/internal/wiring/entryvm/sink_test.go
+++ b/internal/wiring/entryvm/sink_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 	"github.com/fescuespindle/fescuespindle/platform"
+	"github.com/fescuespindle/fescuespindle/platform/standin"
 )
 
 // Guards against: a long configuration is decoded again each time it is read, which takes small VMs
@@ -27,3 +28,13 @@
 	}
 	qt.Check(t, decodings(), qt.Equals, 2)
 }
+
+// Guards against: a configuration whose first application panicked never comes into force.
+func TestConfigurationWhoseApplicationPanickedIsTriedAgain(t *testing.T) {
+	sink := &configurationSink{vm: &VM{logger: slog.New(slog.DiscardHandler)}} // without a gateway, it panics
+	put := standin.ConfigurationRow(1)
+	row := rowstore.Row{Key: put.Key, Value: put.Value, Version: 1}
+	for range 2 {
+		qt.Check(t, func() { sink.Replace([]rowstore.Row{row}) }, qt.PanicMatches, ".*nil pointer.*")
+	}
+}
