--- a/internal/store/rowstore/progress.go
+++ b/internal/store/rowstore/progress.go
@@ -1,9 +1,6 @@
 package rowstore
 
-import (
-	"context"
-	"sync"
-)
+import "context"
 
 // progressKey is the context key of the callback that WithProgressHook adds.
 type progressKey struct{}
@@ -26,13 +23,6 @@
 	return context.WithValue(ctx, progressKey{}, hook)
 }
 
-// WithResponseStartHook returns a context that makes the first store call whose response starts
-// to arrive invoke onStart, once.
-func WithResponseStartHook(ctx context.Context, onStart func()) context.Context {
-	var once sync.Once
-	return WithProgressHook(ctx, func() { once.Do(onStart) })
-}
-
 // NotifyProgress invokes the callbacks that WithProgressHook added to the context, if any.
 // Implementations of Store call it when a response starts to arrive and with each piece of
 // it.
