--- a/internal/control/tablesharer/answer.go
+++ b/internal/control/tablesharer/answer.go
@@ -13,8 +13,9 @@
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 )
 
-// defaultMaxBytes bounds an answer, and its rows once they are decompressed.
-const defaultMaxBytes = 16 << 20
+// defaultMaxBytes bounds an answer, and its rows once they are decompressed: what an answer of the store can
+// have. A VM reads one answer at a time.
+const defaultMaxBytes = 9 << 20
 
 // errTooLong means that an answer or its rows exceed the bound.
 var errTooLong = errors.New("answer too long")
