--- a/internal/online/forwarder/memory_test.go
+++ b/internal/online/forwarder/memory_test.go
@@ -8,39 +8,22 @@
 	"net/http"
 	"net/url"
 	"strings"
-	"sync"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fescuespindle/fescuespindle/internal/online/forwarder"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
+	"github.com/fescuespindle/fescuespindle/internal/standins/connserver"
 )
 
 // startAnswering starts an upstream that answers the first request of each connection with a text.
 func startAnswering(t *testing.T, answer string) (address string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	var group sync.WaitGroup
-	group.Go(func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			group.Go(func() {
-				defer func() { _ = conn.Close() }()
-				_, _ = io.WriteString(conn, answer)
-				_, _ = io.Copy(io.Discard, conn) // until the client closes
-			})
-		}
-	})
-	t.Cleanup(func() {
-		_ = listener.Close()
-		group.Wait()
+	return connserver.Start(t, func(conn net.Conn) {
+		_, _ = io.WriteString(conn, answer)
+		_, _ = io.Copy(io.Discard, conn) // until the client closes
 	})
-	return listener.Addr().String()
 }
 
 // answerWithHead returns an answer whose head has many fields and about as many bytes as given.
--- a/internal/online/relayer/endless_test.go
+++ b/internal/online/relayer/endless_test.go
@@ -2,13 +2,8 @@
 
 import (
 	"context"
-	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
-	"strings"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +12,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
 	"github.com/fescuespindle/fescuespindle/internal/online/upstream"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
+	"github.com/fescuespindle/fescuespindle/internal/standins/connserver"
 )
 
 const (
@@ -28,49 +24,6 @@
 	maxHeadBytes   = 72 << 10
 )
 
-// countedConn counts the bytes that are read from a connection.
-type countedConn struct {
-	net.Conn
-	read *atomic.Int64
-}
-
-func (c countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.read.Add(int64(n))
-	return n, err
-}
-
-// startEndless answers the request of each connection with a beginning and then with the same bytes until it is closed.
-func startEndless(t *testing.T, begin, endless string) (address string) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	var group sync.WaitGroup
-	group.Go(func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			group.Go(func() {
-				defer func() { _ = conn.Close() }()
-				if _, err := conn.Read(make([]byte, 4<<10)); err != nil {
-					return
-				}
-				_, err := io.WriteString(conn, begin)
-				for chunk := strings.Repeat(endless, 1<<10); err == nil; {
-					_, err = io.WriteString(conn, chunk)
-				}
-			})
-		}
-	})
-	t.Cleanup(func() {
-		_ = listener.Close()
-		group.Wait()
-	})
-	return listener.Addr().String()
-}
-
 // readEndless sends a request, as a call or as a stream, and returns how reading its answer ends.
 func readEndless(ctx context.Context, r *relayer.Relayer, address string, isStream bool) error {
 	a := relayer.Attempt{ID: "id", Address: address, Method: http.MethodPost, Path: "/x", Body: []byte("{}")}
@@ -96,17 +49,14 @@
 		t.Helper()
 		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 		defer cancel()
-		var read atomic.Int64
+		var read connserver.ReadCounter
 		budget := rationer.New(64 << 20)
-		r := relayer.New(func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
-			return countedConn{Conn: conn, read: &read}, err
-		}, relayer.WithMemory(budget))
+		r := relayer.New(read.Dial, relayer.WithMemory(budget))
 		defer r.CloseIdle()
-		err := readEndless(ctx, r, startEndless(t, begin, endless), isStream)
+		err := readEndless(ctx, r, connserver.StartEndless(t, begin, endless), isStream)
 		qt.Check(t, err, qt.IsNotNil)
 		qt.Check(t, ctx.Err(), qt.IsNil, qt.Commentf("aborted only when its context ended"))
-		qt.Check(t, read.Load() <= maxBytes, qt.IsTrue, qt.Commentf("%d bytes were read", read.Load()))
+		qt.Check(t, read.Bytes() <= maxBytes, qt.IsTrue, qt.Commentf("%d bytes were read", read.Bytes()))
 		qt.Check(t, budget.Available(), qt.Equals, int64(64<<20))
 	}
 	expectBoth := func(t *testing.T, maxBytes int64, begin, endless string) {
@@ -137,7 +87,7 @@
 			budget := rationer.New(256 << 10)
 			r := relayer.New(nil, relayer.WithMemory(budget))
 			defer r.CloseIdle()
-			err := readEndless(t.Context(), r, startEndless(t, answerHead+"\r\ndata: ", "more and more"), isStream)
+			err := readEndless(t.Context(), r, connserver.StartEndless(t, answerHead+"\r\ndata: ", "more and more"), isStream)
 			qt.Check(t, err, qt.ErrorMatches, ".*(memory budget exhausted|no memory for a long event).*")
 			qt.Check(t, relayer.AsAttemptError(err).MayHaveCrashed(), qt.IsFalse)
 			qt.Check(t, budget.Available(), qt.Equals, int64(256<<10))
--- a/internal/plumbing/transporter/transport_test.go
+++ b/internal/plumbing/transporter/transport_test.go
@@ -2,89 +2,36 @@
 
 import (
 	"compress/gzip"
-	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/transporter"
+	"github.com/fescuespindle/fescuespindle/internal/standins/connserver"
 )
 
 // maxBytesRead bounds what a transport reads of an endless head, with what it reads ahead.
 const maxBytesRead = 72 << 10
 
-// countedConn counts the bytes that are read from a connection.
-type countedConn struct {
-	net.Conn
-	read *atomic.Int64
-}
-
-func (c countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.read.Add(int64(n))
-	return n, err
-}
-
-// dialCounted returns a dial function whose connections all add to a count.
-func dialCounted(read *atomic.Int64) transporter.DialFunc {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return countedConn{Conn: conn, read: read}, nil
-	}
-}
-
-// startEndless answers the request of one connection with a beginning and then with the same bytes until it is closed.
-func startEndless(t *testing.T, begin, endless string) (address string) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	var group sync.WaitGroup
-	group.Go(func() {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		defer func() { _ = conn.Close() }()
-		if _, err := conn.Read(make([]byte, 4<<10)); err != nil {
-			return
-		}
-		_, err = io.WriteString(conn, begin)
-		for chunk := strings.Repeat(endless, 1<<10); err == nil; {
-			_, err = io.WriteString(conn, chunk)
-		}
-	})
-	t.Cleanup(func() {
-		_ = listener.Close()
-		group.Wait()
-	})
-	return listener.Addr().String()
-}
-
 // Guards against: a head without end, of which the standard transport keeps 10 MB for each request.
 func TestEndlessHeadIsAborted(t *testing.T) {
 	expectAborted := func(t *testing.T, begin, endless string) {
 		t.Helper()
-		var read atomic.Int64
-		client := &http.Client{Transport: transporter.New(dialCounted(&read)), Timeout: 20 * time.Second}
+		var read connserver.ReadCounter
+		client := &http.Client{Transport: transporter.New(read.Dial), Timeout: 20 * time.Second}
 		began := time.Now()
-		response, err := client.Get("http://" + startEndless(t, begin, endless))
+		response, err := client.Get("http://" + connserver.StartEndless(t, begin, endless))
 		if err == nil {
 			_ = response.Body.Close()
 		}
 		qt.Check(t, err, qt.IsNotNil)
 		qt.Check(t, time.Since(began) < client.Timeout, qt.IsTrue, qt.Commentf("aborted only at its timeout"))
-		qt.Check(t, read.Load() <= maxBytesRead, qt.IsTrue, qt.Commentf("%d bytes were read", read.Load()))
+		qt.Check(t, read.Bytes() <= maxBytesRead, qt.IsTrue, qt.Commentf("%d bytes were read", read.Bytes()))
 	}
 	const ok = "HTTP/1.1 200 OK\r\n"
 	t.Run("fields", func(t *testing.T) { expectAborted(t, ok, "X-More: and more\r\n") })
