arrivalbounder: the bound by what arrives is a package of its own

Taken out of watcher, so that other readers of the store and of peer VMs can have it: they still have a time for the whole answer.

--- a/internal/control/watcher/arrival.go
+++ b/internal/control/watcher/arrival.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"sync/atomic"
 	"time"
 
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/arrivalbounder"
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 )
 
@@ -22,49 +21,22 @@
 	maxReadTimeout = 16 * time.Second
 )
 
-// These errors wrap context.DeadlineExceeded, as the call has missed a deadline and was not
-// canceled by whoever needs the answer.
-var (
-	errNotStarted = fmt.Errorf("answer has not begun to arrive: %w", context.DeadlineExceeded)
-	errStalled    = fmt.Errorf("answer has stopped arriving: %w", context.DeadlineExceeded)
-)
-
 // readFunc is a call that reads rows.
 type readFunc func(ctx context.Context) (rowstore.Snapshot, error)
 
 // callWhileArriving makes a call, and cancels it if its answer has not begun to arrive within
 // startTimeout, if it then stands still for stallTimeout, and maxReadTimeout later in any
 // case.
-//
-// An answer that keeps arriving must not be abandoned because it takes long: the link is
-// slow then, and what has arrived would have to be transferred again.
 func callWhileArriving(
 	ctx context.Context, startTimeout, stallTimeout time.Duration, call readFunc,
 ) (rowstore.Snapshot, error) {
-	ctx, cancelTotal := context.WithTimeout(ctx, startTimeout+maxReadTimeout)
-	defer cancelTotal()
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	var started atomic.Bool
-	timer := time.AfterFunc(startTimeout, func() {
-		if started.Load() {
-			cancel(errStalled)
-			return
-		}
-		cancel(errNotStarted)
+	ctx, bounder := arrivalbounder.Start(ctx, arrivalbounder.Bounds{
+		Start: startTimeout, Stall: stallTimeout, Total: maxReadTimeout,
 	})
-	defer timer.Stop()
-	answer, err := call(rowstore.WithProgressHook(ctx, func() {
-		started.Store(true)
-		timer.Reset(stallTimeout)
-	}))
-	if err == nil {
-		return answer, nil
-	}
-	for _, cause := range []error{errNotStarted, errStalled} {
-		if errors.Is(context.Cause(ctx), cause) {
-			return answer, fmt.Errorf("%w: %w", rowstore.ErrInDoubt, cause)
-		}
+	defer bounder.Stop()
+	answer, err := call(rowstore.WithProgressHook(ctx, bounder.Progress))
+	if cause := bounder.Cause(); err != nil && cause != nil {
+		return answer, fmt.Errorf("%w: %w", rowstore.ErrInDoubt, cause)
 	}
 	return answer, err
 }
