batchkeeper: a page of rows that keeps arriving isn't aborted

Callers would see: 503 for an accepted job, and jobs that aren't loaded, while the link to the store is full: a page of up to 1 MB had 1.5 s in all, and was read again from its beginning. Change: an attempt to read rows ends if its answer doesn't begin within 1.5 s or stands still for 1.5 s; the calls' own times (1.2 s for callers' reads, 3 s for loads and scans) bound it as before. Writes keep their 1.5 s, as their answers are short. Evidence: TestPageThatKeepsArrivingIsNotAborted (a page that takes 2.5 s of 3) failed before in both parts. go test -race of batchkeeper, batchrunner, canceller passes.

--- a/internal/batch/batchkeeper/cancel.go
+++ b/internal/batch/batchkeeper/cancel.go
@@ -13,7 +13,7 @@
 // remain available. It returns nil if the job is already cancelled. Otherwise it returns ErrNotFound,
 // ErrCorrupt, or ErrNotRead, ErrNotWritten or ErrInDoubt, after which it may be called again.
 //
-// It makes one attempt, each call of which is bounded by attemptTimeout. While the job's owner changes the
+// It makes one attempt, each call of which is bounded. While the job's owner changes the
 // record meanwhile, it goes on with the record that the conflict shows, without reading it again: an owner
 // that writes often can't keep it from ending.
 func (k *Keeper) Cancel(ctx context.Context, id string) error {
--- a/internal/batch/batchkeeper/rangereader.go
+++ b/internal/batch/batchkeeper/rangereader.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/arrivalbounder"
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 )
 
@@ -45,11 +46,20 @@
 
 // tryRead makes one attempt to read the next page. It also returns the lower bound of the page after it.
 func (r *rangeReader) tryRead(ctx context.Context) (rowstore.Snapshot, string, error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
-	defer cancel()
+	ctx, stop := boundByArrival(ctx)
+	defer stop()
 	return r.keeper.store.Range(ctx, r.table, r.part, r.from, r.to)
 }
 
+// boundByArrival returns a context for one attempt to read rows: they may take long over a link that is full,
+// but must keep arriving.
+func boundByArrival(ctx context.Context) (bounded context.Context, stop func()) {
+	ctx, bounder := arrivalbounder.Start(ctx, arrivalbounder.Bounds{
+		Start: attemptTimeout, Stall: attemptTimeout, Total: maxArrivalTime,
+	})
+	return rowstore.WithProgressHook(ctx, bounder.Progress), bounder.Stop
+}
+
 // readRange reads a range of rows, retrying until the context ends.
 func (k *Keeper) readRange(ctx context.Context, table, part, from, to string) (rowstore.Snapshot, error) {
 	return k.readRangeWithTimeout(ctx, table, part, from, to, noRetryLimit)
@@ -84,8 +94,8 @@
 func (k *Keeper) tryReadRange(
 	ctx context.Context, table, part, from, to string,
 ) (all rowstore.Snapshot, asOf time.Time, err error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
-	defer cancel()
+	ctx, stop := boundByArrival(ctx)
+	defer stop()
 	asOf = time.Now()
 	all, err = rowstore.ReadAll(ctx, k.store, table, part, from, to)
 	if err != nil {
