bootstrapper: a copy that keeps arriving isn't aborted

Callers would see: VMs that start while the store is away stay without a configuration for as long as the link to their peer VMs is full: all three answers of a round had 1 s in all, up to 1 MB each, and were asked for again. Evidence: TestCopyThatKeepsArrivingIsNotAborted (2.4 s in 8 pieces) failed before, with no copy in 20 s.

--- a/internal/control/bootstrapper/bootstrapper.go
+++ b/internal/control/bootstrapper/bootstrapper.go
@@ -27,6 +27,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/fescuespindle/fescuespindle/internal/control/watcher"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/arrivalbounder"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/sleeper"
 )
@@ -38,8 +39,10 @@
 	peersPerRound = 3
 	// gatherWindow is how long to wait for more peers after the first one.
 	gatherWindow = 40 * time.Millisecond
-	// answerTimeout bounds the wait for the answers of one round.
+	// answerTimeout is how long a peer VM's answer may take to begin, and stand still then, and
+	// maxAnswerTime how long it may keep arriving: copies of long tables may cross a link that is full.
 	answerTimeout = time.Second
+	maxAnswerTime = 8 * time.Second
 	// maxPeers bounds the number of known peer addresses.
 	maxPeers = 32
 	// maxAnswerBytes bounds the answer of a peer VM.
@@ -201,8 +204,6 @@
 // queryPeers queries peers concurrently and returns their answers. The answer of a peer
 // that failed is empty.
 func (b *Bootstrapper) queryPeers(ctx context.Context, addresses []netip.AddrPort) []tableCopies {
-	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
-	defer cancel()
 	answers := make([]tableCopies, len(addresses))
 	var group sync.WaitGroup
 	for i, address := range addresses {
@@ -223,6 +224,10 @@
 
 func (b *Bootstrapper) queryPeer(ctx context.Context, address netip.AddrPort) (tableCopies, error) {
 	var answer tableCopies
+	ctx, bounder := arrivalbounder.Start(ctx, arrivalbounder.Bounds{
+		Start: answerTimeout, Stall: answerTimeout, Total: maxAnswerTime,
+	})
+	defer bounder.Stop()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+Path, http.NoBody)
 	if err != nil {
 		return answer, fmt.Errorf("create request: %w", err)
@@ -240,7 +245,7 @@
 	}
 	reservation := b.memory.NewReservation()
 	defer reservation.Release()
-	data, err := reservation.ReadAll(io.LimitReader(response.Body, maxAnswerBytes), response.ContentLength)
+	data, err := reservation.ReadAll(io.LimitReader(bounder.Reader(response.Body), maxAnswerBytes), response.ContentLength)
 	if err != nil {
 		return answer, fmt.Errorf("read answer: %w", err)
 	}
