storekeeper: an object that keeps arriving isn't aborted

Callers would see, on the product's own interface: results of an accepted job that can't be read while the link to the store is full or slow. An object may have 8 MiB; a read of it had 2 s in all, and began anew until the caller left. Change: as in batchkeeper, an attempt ends if the answer doesn't begin within 2 s or stands still for 2 s, 32 s in all. Not mended: a large object that is written has 2 s in all; nothing tells how much of it has been sent.

--- a/internal/store/storekeeper/keeper.go
+++ b/internal/store/storekeeper/keeper.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/arrivalbounder"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/sleeper"
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 )
@@ -105,8 +106,10 @@
 	// retryMax.
 	retryBase = 20 * time.Millisecond
 	retryMax  = time.Second
-	// attemptTimeout bounds one attempt of a store call.
+	// attemptTimeout bounds one attempt of a transaction; of any other call, how long its answer may
+	// take to begin, and stand still then. maxArrivalTime is how long the answer may keep arriving.
 	attemptTimeout = 2 * time.Second
+	maxArrivalTime = 30 * time.Second
 	laneCount      = 2 // transactions in flight at a time
 	// maxConcurrentReads bounds the concurrent store calls of one Read.
 	maxConcurrentReads = 8
@@ -269,10 +272,14 @@
 	}
 }
 
+// attemptCall makes one attempt of a call. A large answer may take long over a full link, but must keep
+// arriving.
 func attemptCall[T any](ctx context.Context, call func(context.Context) (T, error)) (T, error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
-	defer cancel()
-	return call(ctx)
+	ctx, bounder := arrivalbounder.Start(ctx, arrivalbounder.Bounds{
+		Start: attemptTimeout, Stall: attemptTimeout, Total: maxArrivalTime,
+	})
+	defer bounder.Stop()
+	return call(rowstore.WithProgressHook(ctx, bounder.Progress))
 }
 
 // recordAvailability updates the availability of the store after a call and logs changes.
