--- a/internal/control/tablesharer/sharer_test.go
+++ b/internal/control/tablesharer/sharer_test.go
@@ -262,6 +262,25 @@
 	})
 }
 
+// expectAsked checks how often each follower has asked readers.
+func (r *region) expectAsked(asked *atomic.Int64, least, most float64) {
+	r.t.Helper()
+	perFollower := float64(asked.Load()) / float64(len(r.others))
+	qt.Check(r.t, perFollower >= least && perFollower <= most, qt.IsTrue, qt.Commentf("%.1f", perFollower))
+}
+
+// answerAltered has a reader answer questions whose argument is replaced.
+func (r *region) answerAltered(reader, argument, value string, asked *atomic.Int64, answer func(http.ResponseWriter, *http.Request, http.Handler)) {
+	sharer := r.vms[reader].sharer
+	r.vms[reader].handle(func(w http.ResponseWriter, request *http.Request) {
+		asked.Add(1)
+		query := request.URL.Query()
+		query.Set(argument, value)
+		request.URL.RawQuery = query.Encode()
+		answer(w, request, sharer)
+	})
+}
+
 // Guards against: each call waits for a reader that is known to be silent.
 func TestSilentReaderIsSkipped(t *testing.T) {
 	play(t, longRows, func(t *testing.T, r *region) {
@@ -271,8 +290,7 @@
 			freeze(w, request)
 		})
 		time.Sleep(12 * time.Second)
-		perFollower := float64(asked.Load()) / float64(len(r.others))
-		qt.Check(t, perFollower >= 1 && perFollower <= 2.5, qt.IsTrue, qt.Commentf("%.1f", perFollower))
+		r.expectAsked(&asked, 1, 2.5)
 	})
 }
 
@@ -281,18 +299,12 @@
 	play(t, longRows, func(t *testing.T, r *region) {
 		var asked atomic.Int64
 		for _, name := range r.readers {
-			sharer := r.vms[name].sharer
-			r.vms[name].handle(func(w http.ResponseWriter, request *http.Request) {
-				asked.Add(1)
-				query := request.URL.Query()
-				query.Set("hold", "0s")
-				request.URL.RawQuery = query.Encode()
+			r.answerAltered(name, "hold", "0s", &asked, func(w http.ResponseWriter, request *http.Request, sharer http.Handler) {
 				sharer.ServeHTTP(w, request)
 			})
 		}
 		time.Sleep(10 * time.Second)
-		perFollower := float64(asked.Load()) / float64(len(r.others))
-		qt.Check(t, perFollower >= 10 && perFollower <= 30, qt.IsTrue, qt.Commentf("%.1f", perFollower))
+		r.expectAsked(&asked, 10, 30)
 	})
 }
 
@@ -301,12 +313,7 @@
 	play(t, longRows, func(t *testing.T, r *region) {
 		var asked atomic.Int64
 		for _, name := range r.readers {
-			sharer := r.vms[name].sharer
-			r.vms[name].handle(func(w http.ResponseWriter, request *http.Request) {
-				asked.Add(1)
-				query := request.URL.Query()
-				query.Set("digest", "1")
-				request.URL.RawQuery = query.Encode()
+			r.answerAltered(name, "digest", "1", &asked, func(w http.ResponseWriter, request *http.Request, sharer http.Handler) {
 				recorder := httptest.NewRecorder()
 				sharer.ServeHTTP(recorder, request)
 				var answer map[string]any
@@ -317,8 +324,7 @@
 			})
 		}
 		time.Sleep(10 * time.Second)
-		perFollower := float64(asked.Load()) / float64(len(r.others))
-		qt.Check(t, perFollower >= 10 && perFollower <= 30, qt.IsTrue, qt.Commentf("%.1f", perFollower))
+		r.expectAsked(&asked, 10, 30)
 		r.resetCounts()
 		r.expectChange(r.others, "second", time.Second)
 		r.expectStoreCalls(r.others, false, 0)
--- a/internal/standins/narrowlink/link.go
+++ b/internal/standins/narrowlink/link.go
@@ -8,6 +8,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/sleeper"
 )
 
 const (
@@ -174,14 +176,7 @@
 // transmit waits until the link has transmitted data of a size. It returns false if the context
 // ends first.
 func (l *Link) transmit(ctx context.Context, size int) bool {
-	timer := time.NewTimer(time.Until(l.reserve(size)))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return sleeper.Sleep(ctx, time.Until(l.reserve(size)))
 }
 
 // reserve adds data of a size to the data that waits, and returns when it will have been
