--- a/internal/control/tablesharer/sharer_test.go
+++ b/internal/control/tablesharer/sharer_test.go
@@ -283,7 +283,7 @@
 
 // Guards against: each call waits for a reader that is known to be silent.
 func TestSilentReaderIsSkipped(t *testing.T) {
-	play(t, longRows, func(t *testing.T, r *region) {
+	play(t, longRows, func(_ *testing.T, r *region) {
 		var asked atomic.Int64
 		r.vms[r.readers[0]].handle(func(w http.ResponseWriter, request *http.Request) {
 			asked.Add(1)
@@ -296,7 +296,7 @@
 
 // Guards against: a reader that answers at once is asked in a loop.
 func TestReaderThatDoesNotWaitIsNotAskedInALoop(t *testing.T) {
-	play(t, longRows, func(t *testing.T, r *region) {
+	play(t, longRows, func(_ *testing.T, r *region) {
 		var asked atomic.Int64
 		for _, name := range r.readers {
 			r.answerAltered(name, "hold", "0s", &asked, func(w http.ResponseWriter, request *http.Request, sharer http.Handler) {
@@ -310,7 +310,7 @@
 
 // Guards against: a reader of another release, whose digests differ, is asked for all rows in a loop.
 func TestReaderWithOtherDigestsIsNotAskedInALoop(t *testing.T) {
-	play(t, longRows, func(t *testing.T, r *region) {
+	play(t, longRows, func(_ *testing.T, r *region) {
 		var asked atomic.Int64
 		for _, name := range r.readers {
 			r.answerAltered(name, "digest", "1", &asked, func(w http.ResponseWriter, request *http.Request, sharer http.Handler) {
