--- a/internal/online/router/router.go
+++ b/internal/online/router/router.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
 	"slices"
 	"strings"
 	"time"
@@ -47,7 +48,9 @@
 	MaxAttempts int
 	// CanResume is whether a stream may be continued by another upstream.
 	CanResume bool
-	Priority  int // 0 is the most urgent
+	// Public routes accept requests without a team's key.
+	Public   bool
+	Priority int // 0 is the most urgent
 	// Timeout bounds the time that a caller waits for its answer; 0 means no limit.
 	Timeout time.Duration
 	// LatencyTarget is the time from a request's arrival within which its answer, or
@@ -58,7 +61,8 @@
 	// be abandoned.
 	CompletionTarget time.Duration
 	Retention        time.Duration
-	// MaxTokens bounds the tokens of waiting work on a batch route; 0 means no limit.
+	// MaxTokens bounds the tokens of waiting work on a batch route; 0 means no limit. If the
+	// configuration has teams, it applies to each team by itself.
 	MaxTokens int64
 }
 
@@ -96,6 +100,23 @@
 	MaxConnections int
 }
 
+// Team is a group of callers that share keys and a quota.
+type Team struct {
+	Name string
+	// Keys are the secrets by which its callers are recognized. They must not be logged.
+	Keys []string
+	// Priority takes precedence over that of the route if HasPriority is set; 0 is the most urgent.
+	Priority    int
+	HasPriority bool
+	// RatePerSecond and Burst, in requests, are the quota of all VMs together; a rate of 0 means no
+	// limit.
+	RatePerSecond float64
+	Burst         float64
+}
+
+// HasQuota returns whether the requests of the team are limited.
+func (t *Team) HasQuota() bool { return t.RatePerSecond > 0 }
+
 // Limits bounds the size and the timing of callers' requests.
 type Limits struct {
 	MaxHeaderBytes int
@@ -110,6 +131,8 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Teams are empty if callers need no key.
+	Teams []Team
 }
 
 // Table is an immutable index of a configuration, used to match requests to routes.
@@ -117,14 +140,25 @@
 	configuration Configuration
 	routesByHost  map[string][]*Route // longest prefix first
 	routesByName  map[string]*Route
+	teamsByKey    map[keyDigest]*Team
 }
 
+// keyDigest is the digest of a key. The time of a look-up by digest tells nothing of the keys.
+type keyDigest [sha256.Size]byte
+
 // NewTable builds the table of a configuration.
 func NewTable(configuration Configuration) *Table {
 	t := &Table{
 		configuration: configuration,
 		routesByHost:  make(map[string][]*Route),
 		routesByName:  make(map[string]*Route, len(configuration.Routes)),
+		teamsByKey:    make(map[keyDigest]*Team, len(configuration.Teams)),
+	}
+	for i := range configuration.Teams {
+		team := &configuration.Teams[i]
+		for _, key := range team.Keys {
+			t.teamsByKey[sha256.Sum256([]byte(key))] = team
+		}
 	}
 	for i := range configuration.Routes {
 		route := &configuration.Routes[i]
@@ -146,6 +180,18 @@
 // Services returns the services of the configuration.
 func (t *Table) Services() []Service { return t.configuration.Services }
 
+// HasTeams returns whether requests on routes that are not public need the key of a team.
+func (t *Table) HasTeams() bool { return len(t.configuration.Teams) > 0 }
+
+// TeamOf returns the team that holds a key.
+func (t *Table) TeamOf(key string) (*Team, bool) {
+	team, found := t.teamsByKey[sha256.Sum256([]byte(key))]
+	return team, found
+}
+
+// Teams returns the teams of the configuration.
+func (t *Table) Teams() []Team { return t.configuration.Teams }
+
 // LongestStream returns the longest timeout of the routes whose streams can be resumed. A route
 // without a timeout counts with the given time.
 func (t *Table) LongestStream(unlimited time.Duration) time.Duration {
--- a/internal/online/router/router_test.go
+++ b/internal/online/router/router_test.go
@@ -72,3 +72,24 @@
 	expect(time.Minute, time.Second, time.Minute)
 	expect(24*time.Hour, time.Second, 0)
 }
+
+func TestTeamOfAKey(t *testing.T) {
+	table := router.NewTable(router.Configuration{Version: 1, Teams: []router.Team{
+		{Name: "a", Keys: []string{"k1", "k2"}}, {Name: "b", Keys: []string{"k3"}}, {Name: "withoutKeys"},
+	}})
+	expect := func(key, want string) {
+		t.Helper()
+		team, found := table.TeamOf(key)
+		qt.Check(t, found, qt.Equals, want != "")
+		if found {
+			qt.Check(t, team.Name, qt.Equals, want)
+		}
+	}
+	expect("k1", "a")
+	expect("k2", "a")
+	expect("k3", "b")
+	expect("", "")
+	expect("K1", "")
+	qt.Check(t, table.HasTeams(), qt.IsTrue)
+	qt.Check(t, router.NewTable(router.Configuration{}).HasTeams(), qt.IsFalse)
+}
