queuer: the order of waiting requests, by urgency and in fair shares

The queue of the product's own interface ordered its requests by stride scheduling inside the admitter. The order is a package of its own now, with urgency before the shares, so that the gateway's queue can use the same copy. The admitter keeps what only it needs: capacity, starting requests, the estimate of the wait. A request that leaves is removed at once instead of being skipped later. The pass of the queue no longer goes back when a less urgent request of a caller that was served less is admitted.

Checked: go test -race of queuer, admitter, dispatcher; the admitter's tests are unchanged.

--- a/internal/online/admitter/queue.go
+++ b/internal/online/admitter/queue.go
@@ -7,11 +7,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/online/chooser"
+	"github.com/fescuespindle/fescuespindle/internal/online/queuer"
 )
 
 // ErrBusy means that the request would have waited too long, or was canceled while it
@@ -40,59 +40,39 @@
 	// intervalWeight is the weight of a new sample in the moving average of the
 	// interval between releases.
 	intervalWeight = 0.05
-	// callerRetention is how long after its last request a caller still counts as a
-	// competitor of others.
-	callerRetention = 2 * time.Second
+	// sameUrgency is the urgency of all requests.
+	sameUrgency = 0
 	// maxWaitingPerCaller bounds the waiting requests of one caller.
 	maxWaitingPerCaller = 4096
 )
 
-// Queue is the admission queue of one pool. Callers are served by stride scheduling:
-// each admission advances a caller's pass, its virtual time, by the inverse of its
-// weight, and the waiting caller with the least pass is admitted next.
+// Queue is the admission queue of one pool. Callers are served in fair shares; all requests
+// are equally urgent.
 type Queue struct {
 	hasCapacity CapacityCheck
 	now         func() time.Time
 
 	mu              sync.Mutex
-	callers         map[string]*callerQueue
-	globalPass      float64 // pass of the last admitted caller, before its advance
-	waiting         int
+	requests        *queuer.Queue
 	starting        int     // admitted, but not yet counted by an upstream's gauge
-	running         int     // admitted, and Done not yet called
 	releaseInterval float64 // moving average, in nanoseconds, while requests wait
 	lastRelease     time.Time
 }
 
-// callerQueue is the state of one caller.
-type callerQueue struct {
-	pass     float64
-	weight   float64
-	waiters  []*waiter
-	running  int
-	lastSeen time.Time
-}
-
-// waiter is a request that waits for admission.
-type waiter struct {
-	admitted  chan struct{}
-	abandoned bool
-}
-
 // CapacityCheck reports whether the pool has capacity for one more request.
 type CapacityCheck func(chooser.CapacityQuery) bool
 
 // New returns the queue of a pool. The queue calls hasCapacity while it holds its
 // lock.
 func New(hasCapacity CapacityCheck, now func() time.Time) *Queue {
-	return &Queue{hasCapacity: hasCapacity, now: now, callers: map[string]*callerQueue{}}
+	return &Queue{hasCapacity: hasCapacity, now: now, requests: queuer.New()}
 }
 
 // Waiting returns the number of waiting requests.
 func (q *Queue) Waiting() int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.waiting
+	return q.requests.Waiting()
 }
 
 // Entry is a request for admission.
@@ -127,17 +107,18 @@
 // OnUnderShareWait is not called.
 func (q *Queue) Reenter(ctx context.Context, e Entry) error {
 	q.mu.Lock()
-	w := q.enqueue(q.callerQueue(e.Caller, effectiveWeight(e.Weight)), 0)
+	w := q.requests.PushFront(q.requests.Caller(e.Caller, e.Weight, q.now()), sameUrgency)
+	q.admit(false)
 	q.mu.Unlock()
 	return q.await(ctx, w, e.Deadline.Sub(q.now()))
 }
 
 // await waits until a request is admitted, its timeout passes or ctx ends.
-func (q *Queue) await(ctx context.Context, w *waiter, timeout time.Duration) error {
+func (q *Queue) await(ctx context.Context, w *queuer.Waiter, timeout time.Duration) error {
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
-	case <-w.admitted:
+	case <-w.Admitted():
 		return nil
 	case <-timer.C:
 		return q.abandon(w, &BusyError{retryAt: q.now().Add(minRetryAfter)})
@@ -146,38 +127,27 @@
 	}
 }
 
-// effectiveWeight returns a caller's weight, which is at least 1.
-func effectiveWeight(weight int) float64 { return float64(max(weight, 1)) }
-
-// enqueue inserts a request into a caller's queue and admits the requests for which
-// there is capacity: some may be left that callers over their share can't use.
-func (q *Queue) enqueue(c *callerQueue, index int) *waiter {
-	w := &waiter{admitted: make(chan struct{})}
-	c.waiters = slices.Insert(c.waiters, index, w)
-	q.waiting++
-	q.admit(false)
-	return w
-}
-
 // admitOrEnqueue returns a waiter, or nil if the request was admitted or rejected at
 // once.
-func (q *Queue) admitOrEnqueue(e Entry) (w *waiter, underShare bool, err error) {
+func (q *Queue) admitOrEnqueue(e Entry) (w *queuer.Waiter, underShare bool, err error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	c := q.callerQueue(e.Caller, effectiveWeight(e.Weight))
-	if q.waiting == 0 && q.hasCapacity(q.capacityQuery(c, false)) {
-		q.recordAdmission(c)
+	now := q.now()
+	c := q.requests.Caller(e.Caller, e.Weight, now)
+	if q.requests.Waiting() == 0 && q.hasCapacity(q.capacityQuery(c, false)) {
+		q.starting++
+		q.requests.RecordAdmission(c)
 		return nil, false, nil
 	}
-	now := q.now()
 	underShare = e.OnUnderShareWait != nil && q.standing(c) == chooser.StandingUnderShare
 	wait := q.estimateWait(c)
 	tooLong := now.Add(wait).After(e.Deadline) || wait > maxWait
-	if (tooLong && !underShare) || len(c.waiters) >= maxWaitingPerCaller {
+	if (tooLong && !underShare) || c.Waiting() >= maxWaitingPerCaller {
 		return nil, false, &BusyError{retryAt: now.Add(max(wait, minRetryAfter))}
 	}
-	w = q.enqueue(c, len(c.waiters))
-	return w, underShare && len(c.waiters) > 0, nil
+	w = q.requests.Push(c, sameUrgency)
+	q.admit(false) // there may be capacity left that callers over their share can't use
+	return w, underShare && c.Waiting() > 0, nil
 }
 
 // MostOverShare returns the caller that is furthest over its share, relative to its
@@ -189,13 +159,13 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	slots := 1.0
-	if c, found := q.callers[requester]; found {
-		slots += float64(c.running)
+	if c, found := q.requests.Known(requester); found {
+		slots += float64(c.Running())
 	}
-	largest := slots / effectiveWeight(weight)
+	largest := slots / queuer.EffectiveWeight(weight)
 	name := ""
-	for caller, c := range q.callers {
-		remaining := float64(c.running-1) / c.weight
+	for c := range q.requests.Callers() {
+		caller, remaining := c.Name(), float64(c.Running()-1)/c.Weight()
 		better := remaining > largest || (remaining == largest && (name == "" || caller < name))
 		if caller != requester && better && q.standing(c) == chooser.StandingOverShare {
 			name, largest = caller, remaining
@@ -204,58 +174,29 @@
 	return name, name != ""
 }
 
-// callerQueue returns the queue of a caller, which it creates if there is none.
-func (q *Queue) callerQueue(caller string, weight float64) *callerQueue {
-	c, found := q.callers[caller]
-	if !found {
-		c = &callerQueue{}
-		q.callers[caller] = c
-	}
-	c.weight = weight
-	c.lastSeen = q.now()
-	if len(c.waiters) == 0 {
-		c.pass = max(c.pass, q.globalPass) // idle callers accumulate no credit
-	}
-	return c
-}
-
-// recordAdmission counts an admitted request and advances its caller's pass.
-func (q *Queue) recordAdmission(c *callerQueue) {
-	q.starting++
-	c.running++
-	q.running++
-	q.globalPass = c.pass
-	c.pass += 1 / c.weight
-}
-
 // estimateWait returns how long a new request of the caller would wait. It counts the
 // caller's own requests ahead of it, and for each of them the admissions that the
 // other waiting callers get by their weights, at the average interval between
 // releases. The total is capped at the number of waiting requests.
-func (q *Queue) estimateWait(c *callerQueue) time.Duration {
+func (q *Queue) estimateWait(c *queuer.Caller) time.Duration {
 	var weights float64
-	for _, other := range q.callers {
-		if len(other.waiters) > 0 || other == c {
-			weights += other.weight
+	for other := range q.requests.Callers() {
+		if other.Waiting() > 0 || other == c {
+			weights += other.Weight()
 		}
 	}
-	turns := float64(len(c.waiters)+1) * weights / c.weight
-	turns = min(turns, float64(q.waiting+1))
+	turns := float64(c.Waiting()+1) * weights / c.Weight()
+	turns = min(turns, float64(q.requests.Waiting()+1))
 	return time.Duration(turns * q.releaseInterval)
 }
 
-// abandon marks a waiter as abandoned and returns err, or returns nil if it was admitted
-// meanwhile. The waiter stays in its queue until removeAbandoned or admit drops it.
-func (q *Queue) abandon(w *waiter, err error) error {
+// abandon removes a waiter and returns err, or returns nil if it was admitted meanwhile.
+func (q *Queue) abandon(w *queuer.Waiter, err error) error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	select {
-	case <-w.admitted:
+	if !q.requests.Remove(w) {
 		return nil
-	default:
 	}
-	w.abandoned = true
-	q.waiting--
 	return err
 }
 
@@ -280,7 +221,7 @@
 // recordReleaseInterval updates the average interval between releases, but only while
 // requests wait: the intervals of an idle pool don't show how fast a full one is.
 func (q *Queue) recordReleaseInterval() {
-	if q.waiting == 0 {
+	if q.requests.Waiting() == 0 {
 		q.lastRelease = time.Time{}
 		return
 	}
@@ -308,51 +249,45 @@
 // admit admits waiting requests while there is capacity. remoteChange says that it was
 // triggered by a report on other VMs, not by an event on this one.
 func (q *Queue) admit(remoteChange bool) {
-	for q.waiting > 0 {
-		c := q.nextCaller()
-		if c == nil || !q.hasCapacity(q.capacityQuery(c, remoteChange)) {
+	for {
+		w := q.requests.First(nil)
+		if w == nil || !q.hasCapacity(q.capacityQuery(w.Caller(), remoteChange)) {
 			break
 		}
-		w := c.waiters[0]
-		c.waiters = c.waiters[1:]
-		if w.abandoned {
-			continue
-		}
-		q.waiting--
-		q.recordAdmission(c)
-		close(w.admitted)
+		q.starting++
+		q.requests.Admit(w)
 	}
-	q.removeIdleCallers()
+	q.requests.RemoveIdle(q.now())
 }
 
 // capacityQuery returns the query for a request of the caller.
-func (q *Queue) capacityQuery(c *callerQueue, remoteChange bool) chooser.CapacityQuery {
+func (q *Queue) capacityQuery(c *queuer.Caller, remoteChange bool) chooser.CapacityQuery {
 	return chooser.CapacityQuery{Starting: q.starting, Standing: q.standing(c), RemoteChange: remoteChange}
 }
 
 // standing compares the number of a caller's running requests to its share by weight
 // among the callers that have running or waiting requests. A caller counts as alone
-// only when no other has been seen for callerRetention, since one that paused may
+// only when no other has been seen for queuer.CallerRetention, since one that paused may
 // return in a moment.
-func (q *Queue) standing(c *callerQueue) chooser.Standing {
-	weights := c.weight
+func (q *Queue) standing(c *queuer.Caller) chooser.Standing {
+	weights := c.Weight()
 	alone := true
 	now := q.now()
-	for _, other := range q.callers {
+	for other := range q.requests.Callers() {
 		if other == c {
 			continue
 		}
-		if other.running > 0 || len(other.waiters) > 0 {
-			weights += other.weight
+		if other.Running() > 0 || other.Waiting() > 0 {
+			weights += other.Weight()
 		}
-		alone = alone && now.Sub(other.lastSeen) > callerRetention
+		alone = alone && now.Sub(other.LastSeen()) > queuer.CallerRetention
 	}
 	switch {
 	case alone:
 		return chooser.StandingSoleCaller
-	case c.running == 0:
+	case c.Running() == 0:
 		return chooser.StandingUnderShare
-	case float64(c.running) >= float64(q.running)*c.weight/weights:
+	case float64(c.Running()) >= float64(q.requests.Running())*c.Weight()/weights:
 		return chooser.StandingOverShare
 	default:
 		return chooser.StandingUnderShare
@@ -364,44 +299,5 @@
 func (q *Queue) Done(caller string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.running--
-	if c, found := q.callers[caller]; found {
-		c.running--
-	}
-}
-
-// nextCaller returns the queue of the waiting caller with the least pass, or nil.
-func (q *Queue) nextCaller() *callerQueue {
-	var best *callerQueue
-	var bestName string
-	for name, c := range q.callers {
-		c.removeAbandoned()
-		if len(c.waiters) == 0 {
-			continue
-		}
-		if best == nil || c.pass < best.pass || (c.pass == best.pass && name < bestName) {
-			best, bestName = c, name
-		}
-	}
-	return best
-}
-
-// removeAbandoned removes the abandoned waiters at the front of the queue.
-func (c *callerQueue) removeAbandoned() {
-	for len(c.waiters) > 0 && c.waiters[0].abandoned {
-		c.waiters = c.waiters[1:]
-	}
-}
-
-// removeIdleCallers removes callers that have no requests, were not seen for
-// callerRetention, and whose pass is not ahead of the queue's. Removing one that is
-// ahead would erase what it owes to others.
-func (q *Queue) removeIdleCallers() {
-	now := q.now()
-	for name, c := range q.callers {
-		idle := len(c.waiters) == 0 && c.running == 0 && now.Sub(c.lastSeen) > callerRetention
-		if idle && c.pass <= q.globalPass {
-			delete(q.callers, name)
-		}
-	}
+	q.requests.Done(caller)
 }
