Requests need the key of a team; upstreams receive the team's name

Cause: with teams in the configuration, unknown keys were served, and the caller's key was passed on to the upstream, with whatever team's name the caller sent.

Change: the gateway identifies the team by the key (authenticator), after the route is found (an unknown route stays 404) and before the body is read, and answers 401 otherwise; calls on jobs too. The team stays in the exchange for later filters. The call carries the team's name, and the encoder of a request to an upstream removes the key and any name that the caller sent. Without teams nothing changes.

--- a/internal/faces/gateway/gateway.go
+++ b/internal/faces/gateway/gateway.go
@@ -63,6 +63,10 @@
 	// EncodeLocalReplyHeader writes the header of a local reply. An empty id and a zero
 	// retryAfter are left out.
 	EncodeLocalReplyHeader(to http.Header, id string, retryAfter time.Duration)
+	// DecodeKey returns the key that a request carries, or false if it carries none.
+	DecodeKey(r *http.Request) (key string, found bool)
+	// EncodeChallenge writes what the header of a reply of status 401 says about keys.
+	EncodeChallenge(to http.Header)
 }
 
 // Courier sends an attempt of a request to one upstream.
@@ -138,7 +142,7 @@
 	}
 	g.aborted, g.abort = context.WithCancelCause(context.Background())
 	g.chain = g.closeIfDraining(g.waitForStart(g.requireConfiguration(g.serveJobCalls(
-		g.decodeHead(g.matchRoute(g.readBody(g.run)))))))
+		g.decodeHead(g.matchRoute(g.requireKey(g.chooseService(g.readBody(g.run)))))))))
 	return g
 }
 
@@ -154,6 +158,9 @@
 	r       *http.Request
 	table   *router.Table
 	request Request
+	// team is nil if the configuration has no teams, or if the route is public and the request
+	// carries no known key.
+	team *router.Team
 }
 
 // handler is a filter, with the rest of the chain behind it.
@@ -180,7 +187,9 @@
 func (g *Gateway) serveJobCalls(next handler) handler {
 	return func(x *exchange) {
 		if g.jobs.IsJobCall(x.r) {
-			g.serveJob(x, nil)
+			if g.authenticate(x, x.table.HasPublicJobs(x.r.Host)) {
+				g.serveJob(x, nil)
+			}
 			return
 		}
 		next(x)
@@ -194,8 +203,7 @@
 	}
 }
 
-// matchRoute finds the route. It passes requests on a batch route to Jobs; for others, it
-// chooses the service by the request ID, and applies the route's timeout to the deadline.
+// matchRoute finds the route.
 func (g *Gateway) matchRoute(next handler) handler {
 	return func(x *exchange) {
 		route, found := x.table.Match(x.r.Host, x.r.URL.Path)
@@ -203,11 +211,20 @@
 			g.reject(x, http.StatusNotFound, reasonNoRoute)
 			return
 		}
+		x.request.route, x.request.configVersion = route, x.table.Version()
+		next(x)
+	}
+}
+
+// chooseService passes requests on a batch route to Jobs; for others, it chooses the service by the
+// request ID, and applies the route's timeout to the deadline.
+func (g *Gateway) chooseService(next handler) handler {
+	return func(x *exchange) {
+		route := x.request.route
 		if route.Kind == router.KindBatch {
 			g.serveJob(x, route)
 			return
 		}
-		x.request.route, x.request.configVersion = route, x.table.Version()
 		x.request.service = route.Service(xxhash.Sum64String(x.request.beganAs()))
 		if route.Timeout > 0 {
 			x.request.Deadline = earliest(x.request.Deadline, x.request.receivedAt.Add(route.Timeout))
--- a/internal/faces/gateway/localreply.go
+++ b/internal/faces/gateway/localreply.go
@@ -13,6 +13,8 @@
 const (
 	reasonUnconfigured     reason = "unconfigured"
 	reasonNoRoute          reason = "noRoute"
+	reasonNoKey            reason = "noKey"
+	reasonUnknownKey       reason = "unknownKey"
 	reasonMalformed        reason = "malformed"
 	reasonTooLarge         reason = "tooLarge"
 	reasonBodyTruncated    reason = "bodyCut"
--- a/internal/online/courier/courier.go
+++ b/internal/online/courier/courier.go
@@ -27,6 +27,11 @@
 	Host   string
 	Header http.Header // end-to-end fields only
 	Body   []byte
+	// HasTeams is whether callers are identified by keys. The upstream then receives the team's
+	// name, and neither the key nor another name that the caller sent.
+	HasTeams bool
+	// Team is the name of the team for which the call is made; empty for none.
+	Team string
 }
 
 // Target says where and how one attempt of a call is sent.
--- a/internal/online/router/router.go
+++ b/internal/online/router/router.go
@@ -189,6 +189,14 @@
 	return team, found
 }
 
+// HasPublicJobs returns whether a batch route of a host is public, so that calls on jobs need no key
+// there.
+func (t *Table) HasPublicJobs(host string) bool {
+	return slices.ContainsFunc(t.routesByHost[hostWithoutPort(host)], func(r *Route) bool {
+		return r.Public && r.Kind == KindBatch
+	})
+}
+
 // Teams returns the teams of the configuration.
 func (t *Table) Teams() []Team { return t.configuration.Teams }
 
