Jobs belong to the team of the caller that submitted them

Cause: any caller could read, repeat and end any job; items ran without the name of a team, and with a key that stood in their headers; the limit of waiting tokens applied to a route, not to each team on it.

Change: the record names the team (a record without one means what it did: it is everyone's). Results, bodies and ends by another team get the answer of a job that doesn't exist, also if they are tried later; its submission of the ID gets 404. Admission counts by team and route, with an admission row each; that of jobs without a team stays the route's.

Tests changed: calls of Keeper, Canceller and Serve get the caller; no check is changed.

--- a/internal/batch/batchkeeper/admission.go
+++ b/internal/batch/batchkeeper/admission.go
@@ -4,20 +4,35 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/url"
 	"slices"
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 )
 
-// admissionState is what this VM knows about the open jobs of each route.
+// account is what a limit of tokens applies to: the jobs of a team on a route. The team is empty for
+// jobs that belong to none.
+type account struct{ team, route string }
+
+// rowName returns the name of the account's admission row. Without a team it is the route's.
+func (a account) rowName() string {
+	if a.team == "" {
+		return a.route
+	}
+	return url.QueryEscape(a.team) + " " + url.QueryEscape(a.route) // an escaped name has no space
+}
+
+// account returns what the limit of a submission applies to.
+func (s *Submission) account() account { return account{team: s.Caller.Team, route: s.Route} }
+
+// admissionState is what this VM knows about the open jobs of each team and route.
 type admissionState struct {
-	scanStarted time.Time        // start of the last scan of all jobs
-	openTokens  map[string]int64 // sum of Record.Tokens of open jobs, by route
-	knownJobs   map[string]bool  // all jobs that the scan found
-	// grantedTokens is what this VM has admitted since the scan without a reservation, by
-	// route.
-	grantedTokens map[string]int64
+	scanStarted time.Time         // start of the last scan of all jobs
+	openTokens  map[account]int64 // sum of Record.Tokens of open jobs
+	knownJobs   map[string]bool   // all jobs that the scan found
+	// grantedTokens is what this VM has admitted since the scan without a reservation.
+	grantedTokens map[account]int64
 	vmCount       int
 }
 
@@ -44,7 +59,7 @@
 	capacityShareDivisor = 2
 )
 
-// reservation is the capacity that a job holds under its route's limit until scans find
+// reservation is the capacity that a job holds under the limit of its account until scans find
 // the job's record.
 type reservation struct {
 	_      struct{} `cbor:",toarray"`
@@ -63,17 +78,17 @@
 // recordScan replaces the admission state by the records of all jobs. Grants since the
 // previous scan are reset.
 func (k *Keeper) recordScan(records []VersionedRecord, began time.Time) {
-	waiting, known := map[string]int64{}, map[string]bool{}
+	waiting, known := map[account]int64{}, map[string]bool{}
 	for _, r := range records {
 		known[r.ID] = true
 		if r.Open() {
-			waiting[r.Route] += r.Tokens
+			waiting[account{team: r.Team, route: r.Route}] += r.Tokens
 		}
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	a := &k.admission
-	a.scanStarted, a.openTokens, a.knownJobs, a.grantedTokens = began, waiting, known, map[string]int64{}
+	a.scanStarted, a.openTokens, a.knownJobs, a.grantedTokens = began, waiting, known, map[account]int64{}
 }
 
 // scanAge returns the age of the last scan of all jobs.
@@ -83,16 +98,16 @@
 	return time.Since(k.admission.scanStarted)
 }
 
-// admit reserves capacity for a job's tokens under its route's limit. It returns
+// admit reserves capacity for a job's tokens under the limit of its account. It returns
 // ErrOverQuota or ErrNotWritten.
 func (k *Keeper) admit(ctx context.Context, s Submission, tokens int64) error {
-	if s.MaxTokens == 0 || k.grant(s.Route, tokens, k.limitShare(s.Route, s.MaxTokens)) {
+	if s.MaxTokens == 0 || k.grant(s.account(), tokens, k.limitShare(s.account(), s.MaxTokens)) {
 		return nil
 	}
 	if err := k.refreshScan(ctx, maxRecentScanAge); err != nil {
 		return err
 	}
-	if k.grant(s.Route, tokens, k.capacityShare(s.Route, s.MaxTokens)) {
+	if k.grant(s.account(), tokens, k.capacityShare(s.account(), s.MaxTokens)) {
 		return nil
 	}
 	return k.reserve(ctx, s, tokens)
@@ -112,11 +127,11 @@
 // limitShare returns how many tokens this VM may admit without a reservation between two
 // scans. It returns 0 if the last scan is older than maxScanAge or if open jobs take more
 // than half of the limit.
-func (k *Keeper) limitShare(route string, limit int64) int64 {
+func (k *Keeper) limitShare(of account, limit int64) int64 {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	a := &k.admission
-	if time.Since(a.scanStarted) > maxScanAge || a.vmCount == 0 || a.openTokens[route] > limit/limitFillDivisor {
+	if time.Since(a.scanStarted) > maxScanAge || a.vmCount == 0 || a.openTokens[of] > limit/limitFillDivisor {
 		return 0
 	}
 	return limit / (limitShareDivisor * int64(a.vmCount))
@@ -124,31 +139,31 @@
 
 // capacityShare is like limitShare but requires a recent scan. In a large fleet it
 // suffices for one job per VM as long as there is much free capacity. If all jobs needed
-// a reservation instead, the route's single admission row would admit them one by one.
-func (k *Keeper) capacityShare(route string, limit int64) int64 {
+// a reservation instead, the account's single admission row would admit them one by one.
+func (k *Keeper) capacityShare(of account, limit int64) int64 {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	a := &k.admission
 	if a.vmCount == 0 {
 		return 0
 	}
-	return (limit - a.openTokens[route]) / (capacityShareDivisor * int64(a.vmCount))
+	return (limit - a.openTokens[of]) / (capacityShareDivisor * int64(a.vmCount))
 }
 
 // grant admits tokens and returns true if they fit into the given share together with
 // what this VM has granted since its last scan.
-func (k *Keeper) grant(route string, tokens, share int64) bool {
+func (k *Keeper) grant(to account, tokens, share int64) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	granted := k.admission.grantedTokens[route] + tokens
+	granted := k.admission.grantedTokens[to] + tokens
 	if granted > share {
 		return false
 	}
-	k.admission.grantedTokens[route] = granted
+	k.admission.grantedTokens[to] = granted
 	return true
 }
 
-// reserve writes a reservation into the route's admission row. The write requires the row
+// reserve writes a reservation into the account's admission row. The write requires the row
 // to be unchanged since it was read, so that no two VMs admit jobs based on the same sum.
 func (k *Keeper) reserve(ctx context.Context, s Submission, tokens int64) error {
 	age := maxRecentScanAge
@@ -173,9 +188,9 @@
 // tryReserve makes one attempt of reserve. It returns ErrOverQuota, ErrNotWritten or
 // rowstore.ErrConflict.
 func (k *Keeper) tryReserve(ctx context.Context, s Submission, tokens int64) error {
-	key := rowstore.Key{Table: tableAdmission, Part: admissionPart, Name: s.Route}
+	key := rowstore.Key{Table: tableAdmission, Part: admissionPart, Name: s.account().rowName()}
 	rows, err := k.readRangeWithTimeout(
-		ctx, tableAdmission, admissionPart, s.Route, s.Route+"\x00", submitRetryTimeout,
+		ctx, tableAdmission, admissionPart, key.Name, key.Name+"\x00", submitRetryTimeout,
 	)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrNotWritten, err)
@@ -212,7 +227,7 @@
 	held = slices.DeleteFunc(held, func(r reservation) bool {
 		return r.Job == s.ID || now-r.At > reservationLifetime
 	})
-	sum := k.admission.openTokens[s.Route] + tokens
+	sum := k.admission.openTokens[s.account()] + tokens
 	for _, r := range held {
 		if !k.admission.knownJobs[r.Job] {
 			sum += r.Tokens
--- a/internal/batch/batchkeeper/arrival_test.go
+++ b/internal/batch/batchkeeper/arrival_test.go
@@ -55,7 +55,7 @@
 	}
 	t.Run("content", func(t *testing.T) {
 		expectReads(t, "jobContent", func(ctx context.Context, k *batchkeeper.Keeper) error {
-			_, err := k.Body(ctx, "j", "item0")
+			_, err := k.Body(ctx, batchkeeper.Caller{}, "j", "item0")
 			return err
 		})
 	})
--- a/internal/batch/batchkeeper/cancel.go
+++ b/internal/batch/batchkeeper/cancel.go
@@ -16,7 +16,7 @@
 // It makes one attempt, each call of which is bounded. While the job's owner changes the
 // record meanwhile, it goes on with the record that the conflict shows, without reading it again: an owner
 // that writes often can't keep it from ending.
-func (k *Keeper) Cancel(ctx context.Context, id string) error {
+func (k *Keeper) Cancel(ctx context.Context, caller Caller, id string) error {
 	all, _, err := k.tryReadRange(ctx, tableJobs, partNameOf(id), id, id+"\x00")
 	if err != nil {
 		return err
@@ -25,7 +25,7 @@
 		return fmt.Errorf("%w: %s", ErrNotFound, id)
 	}
 	for current := all.Rows[0]; ; {
-		conflict, err := k.cancelRecord(ctx, current)
+		conflict, err := k.cancelRecord(ctx, caller, current)
 		if conflict == nil {
 			return err
 		}
@@ -42,8 +42,13 @@
 
 // cancelRecord writes that a job is cancelled, unless its record says so. It returns a conflict if the
 // record has changed.
-func (k *Keeper) cancelRecord(ctx context.Context, row rowstore.Row) (*rowstore.ConflictError, error) {
+func (k *Keeper) cancelRecord(
+	ctx context.Context, caller Caller, row rowstore.Row,
+) (*rowstore.ConflictError, error) {
 	stored, err := decodeRecord(row, time.Time{}) // nobody asks for its age
+	if err == nil {
+		err = caller.authorize(&stored.Record)
+	}
 	if err != nil || stored.Cancelled {
 		return nil, err
 	}
--- a/internal/batch/batchkeeper/cancel_test.go
+++ b/internal/batch/batchkeeper/cancel_test.go
@@ -32,7 +32,7 @@
 			return true, nil
 		})
 		began, reads := time.Now(), store.Counts().Reads
-		qt.Assert(t, b.Cancel(ctx, "j"), qt.IsNil)
+		qt.Assert(t, b.Cancel(ctx, batchkeeper.Caller{}, "j"), qt.IsNil)
 		qt.Check(t, written, qt.Equals, writes)
 		qt.Check(t, store.Counts().Reads-reads, qt.Equals, 1)
 		qt.Check(t, time.Since(began), qt.Equals, time.Duration(0), qt.Commentf("it waits for nothing"))
@@ -49,7 +49,7 @@
 			k := newKeeper(store, ownerA)
 			stored := submit(ctx, t, k, 2)
 			store.SetFaultFunc(fault)
-			qt.Check(t, k.Cancel(ctx, "j"), qt.ErrorIs, wantErr)
+			qt.Check(t, k.Cancel(ctx, batchkeeper.Caller{}, "j"), qt.ErrorIs, wantErr)
 			store.SetFaultFunc(nil)
 			_, err := k.Renew(ctx, stored, 1, nil, nil)
 			qt.Check(t, err != nil, qt.Equals, wantCancelled)
--- a/internal/batch/batchkeeper/content_test.go
+++ b/internal/batch/batchkeeper/content_test.go
@@ -44,7 +44,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, reflect.DeepEqual(loaded.Items, want.Items), qt.IsTrue)
 	last := want.Items[len(want.Items)-1]
-	body, err := k.Body(ctx, "j", last.ID)
+	body, err := k.Body(ctx, batchkeeper.Caller{}, "j", last.ID)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, bytes.Equal(body, last.Body), qt.IsTrue)
 }
@@ -243,7 +243,7 @@
 	runWithStore(t, func(t *testing.T, ctx context.Context, store *rowemulator.Store) {
 		k := newKeeper(store, ownerA)
 		submit(ctx, t, k, 2)
-		qt.Assert(t, k.Cancel(ctx, "j"), qt.IsNil)
+		qt.Assert(t, k.Cancel(ctx, batchkeeper.Caller{}, "j"), qt.IsNil)
 		_, run, err := k.Submit(ctx, submission("j", 2))
 		qt.Assert(t, err, qt.IsNil)
 		qt.Check(t, run, qt.IsFalse)
@@ -259,7 +259,7 @@
 		rows := store.Rows("jobContent")
 		_, err := store.Transact(ctx, rowstore.Tx{Removes: []rowstore.Key{rows[3].Key}})
 		qt.Assert(t, err, qt.IsNil)
-		_, err = newKeeper(store, ownerB).Body(ctx, "j", "item1")
+		_, err = newKeeper(store, ownerB).Body(ctx, batchkeeper.Caller{}, "j", "item1")
 		qt.Check(t, err, qt.ErrorIs, batchkeeper.ErrCorrupt)
 	})
 }
@@ -276,10 +276,10 @@
 		other := submission(fmt.Sprint("j/", n), 2)
 		other.Items[1].Body = []byte("of another job")
 		accept(ctx, t, store, other)
-		body, err := newKeeper(store, ownerB).Body(ctx, "j", "item1")
+		body, err := newKeeper(store, ownerB).Body(ctx, batchkeeper.Caller{}, "j", "item1")
 		qt.Assert(t, err, qt.IsNil)
 		qt.Check(t, string(body), qt.Equals, "body")
-		body, err = newKeeper(store, ownerB).Body(ctx, other.ID, "item1")
+		body, err = newKeeper(store, ownerB).Body(ctx, batchkeeper.Caller{}, other.ID, "item1")
 		qt.Assert(t, err, qt.IsNil)
 		qt.Check(t, string(body), qt.Equals, "of another job")
 	})
@@ -293,7 +293,7 @@
 		_, err := store.Apply(rowstore.Tx{Removes: []rowstore.Key{row.Key}})
 		qt.Assert(t, err, qt.IsNil)
 	}
-	_, err := newKeeper(store, ownerA).Body(t.Context(), "j", "item0")
+	_, err := newKeeper(store, ownerA).Body(t.Context(), batchkeeper.Caller{}, "j", "item0")
 	qt.Check(t, err, qt.ErrorIs, batchkeeper.ErrCorrupt)
 	qt.Check(t, errors.Is(err, batchkeeper.ErrNotFound), qt.IsFalse)
 }
--- a/internal/batch/batchkeeper/keeper_test.go
+++ b/internal/batch/batchkeeper/keeper_test.go
@@ -56,7 +56,7 @@
 
 func expectResults(ctx context.Context, t *testing.T, k *batchkeeper.Keeper, id string, want ...string) {
 	t.Helper()
-	page, err := k.Results(ctx, id, 0)
+	page, err := k.Results(ctx, batchkeeper.Caller{}, id, 0)
 	qt.Assert(t, err, qt.IsNil)
 	var got []string
 	for _, r := range page.Results {
@@ -125,7 +125,7 @@
 			_, _, err := newKeeper(store, ownerA).Submit(ctx, submission("j", 1))
 			qt.Assert(t, err, qt.ErrorIs, want)
 			store.SetFaultFunc(nil)
-			_, err = newKeeper(store, ownerB).Results(t.Context(), "j", 0)
+			_, err = newKeeper(store, ownerB).Results(t.Context(), batchkeeper.Caller{}, "j", 0)
 			qt.Check(t, err == nil, qt.Equals, wantJob)
 		})
 	}
@@ -250,12 +250,12 @@
 		stored := submit(ctx, t, a, 2)
 		stored, err := a.Commit(ctx, stored, []batchkeeper.Result{result("item0", "x")}, 100, nil)
 		qt.Assert(t, err, qt.IsNil)
-		qt.Assert(t, b.Cancel(ctx, "j"), qt.IsNil)
-		qt.Check(t, b.Cancel(ctx, "j"), qt.IsNil, qt.Commentf("again"))
+		qt.Assert(t, b.Cancel(ctx, batchkeeper.Caller{}, "j"), qt.IsNil)
+		qt.Check(t, b.Cancel(ctx, batchkeeper.Caller{}, "j"), qt.IsNil, qt.Commentf("again"))
 		_, err = a.Commit(ctx, stored, []batchkeeper.Result{result("item1", "y")}, 0, nil)
 		qt.Check(t, err, qt.ErrorIs, batchkeeper.ErrOwnershipLost)
 		expectResults(ctx, t, b, "j", "item0=x")
-		page, err := b.Results(ctx, "j", 1)
+		page, err := b.Results(ctx, batchkeeper.Caller{}, "j", 1)
 		qt.Assert(t, err, qt.IsNil)
 		qt.Check(t, page.Complete, qt.IsTrue)
 	})
@@ -284,12 +284,12 @@
 	runWithStore(t, func(t *testing.T, ctx context.Context, store *rowemulator.Store) {
 		k := newKeeper(store, ownerA)
 		submit(ctx, t, k, 2)
-		body, err := newKeeper(store, ownerB).Body(ctx, "j", "item1")
+		body, err := newKeeper(store, ownerB).Body(ctx, batchkeeper.Caller{}, "j", "item1")
 		qt.Assert(t, err, qt.IsNil)
 		qt.Check(t, string(body), qt.Equals, "body")
-		_, err = k.Body(ctx, "j", "other")
+		_, err = k.Body(ctx, batchkeeper.Caller{}, "j", "other")
 		qt.Check(t, err, qt.ErrorIs, batchkeeper.ErrNotFound)
-		_, err = k.Body(ctx, "other", "item1")
+		_, err = k.Body(ctx, batchkeeper.Caller{}, "other", "item1")
 		qt.Check(t, err, qt.ErrorIs, batchkeeper.ErrNotFound)
 	})
 }
@@ -323,7 +323,7 @@
 			commitAll(ctx, t, k, stored, results)
 			var listed []batchkeeper.Result
 			for len(listed) < items {
-				page, err := newKeeper(store, ownerB).Results(ctx, "j", len(listed))
+				page, err := newKeeper(store, ownerB).Results(ctx, batchkeeper.Caller{}, "j", len(listed))
 				qt.Assert(t, err, qt.IsNil)
 				qt.Assert(t, len(page.Results) > 0, qt.IsTrue)
 				listed = append(listed, page.Results...)
--- a/internal/batch/batchkeeper/longerid_test.go
+++ b/internal/batch/batchkeeper/longerid_test.go
@@ -46,7 +46,7 @@
 				stored := runJob(ctx, t, store, "j", strings.Repeat("x", longOutput))
 				runJob(ctx, t, store, neighborOf("j", text), strings.Repeat("y", longOutput))
 				reader := newKeeper(store, ownerB)
-				page, err := reader.Results(ctx, "j", 0)
+				page, err := reader.Results(ctx, batchkeeper.Caller{}, "j", 0)
 				qt.Assert(t, err, qt.IsNil)
 				qt.Check(t, page.Results, qt.HasLen, 3)
 				for _, r := range page.Results {
--- a/internal/batch/batchkeeper/readbytes_test.go
+++ b/internal/batch/batchkeeper/readbytes_test.go
@@ -67,7 +67,7 @@
 	runWithStore(t, func(t *testing.T, ctx context.Context, store *rowemulator.Store) {
 		storeResults(ctx, t, store, 60, 60_000)
 		meter := newReadMeter(store)
-		page, err := newKeeper(meter, ownerB).Results(ctx, "j", 20)
+		page, err := newKeeper(meter, ownerB).Results(ctx, batchkeeper.Caller{}, "j", 20)
 		qt.Assert(t, err, qt.IsNil)
 		qt.Check(t, page.Results, qt.HasLen, 15)
 		qt.Check(t, page.Results[0].Item, qt.Equals, "item20")
@@ -127,7 +127,7 @@
 			runWithStore(t, func(t *testing.T, ctx context.Context, store *rowemulator.Store) {
 				acceptLargeJob(ctx, t, store)
 				meter := newReadMeter(store)
-				body, err := newKeeper(meter, ownerB).Body(ctx, "j", item)
+				body, err := newKeeper(meter, ownerB).Body(ctx, batchkeeper.Caller{}, "j", item)
 				qt.Assert(t, err, qt.IsNil)
 				qt.Check(t, body, qt.HasLen, 20_000)
 				meter.expectRead(t, "jobContent", most(bytesIn(store, "jobContent")))
@@ -170,7 +170,7 @@
 				putIncompleteCopy(ctx, t, store, name, other)
 				acceptLargeJob(ctx, t, store)
 				for _, item := range []string{"item3", "item52", "item199"} {
-					body, err := newKeeper(store, ownerB).Body(ctx, "j", item)
+					body, err := newKeeper(store, ownerB).Body(ctx, batchkeeper.Caller{}, "j", item)
 					qt.Assert(t, err, qt.IsNil)
 					qt.Check(t, strings.Trim(string(body), "x"), qt.Equals, "", qt.Commentf("%s", item))
 				}
@@ -186,7 +186,7 @@
 		rows := store.Rows("jobContent")
 		_, err := store.Transact(ctx, rowstore.Tx{Removes: []rowstore.Key{rows[2].Key}})
 		qt.Assert(t, err, qt.IsNil)
-		_, err = newKeeper(store, ownerB).Body(ctx, "j", "item20")
+		_, err = newKeeper(store, ownerB).Body(ctx, batchkeeper.Caller{}, "j", "item20")
 		qt.Check(t, err, qt.ErrorIs, batchkeeper.ErrCorrupt)
 	})
 }
--- a/internal/batch/batchkeeper/reader.go
+++ b/internal/batch/batchkeeper/reader.go
@@ -12,8 +12,8 @@
 
 // Results reads one page of a job's results, starting at position after. It returns
 // ErrNotFound, ErrNotRead or ErrCorrupt.
-func (k *Keeper) Results(ctx context.Context, id string, after int) (Page, error) {
-	stored, err := k.readRecord(ctx, id, noRetryLimit)
+func (k *Keeper) Results(ctx context.Context, caller Caller, id string, after int) (Page, error) {
+	stored, err := k.recordFor(ctx, caller, id)
 	if err != nil {
 		return Page{}, err
 	}
@@ -29,11 +29,21 @@
 
 // Body reads the request body of one item of an accepted job. It returns ErrNotFound,
 // ErrNotRead or ErrCorrupt.
-func (k *Keeper) Body(ctx context.Context, id, item string) ([]byte, error) {
-	stored, err := k.readRecord(ctx, id, noRetryLimit)
+func (k *Keeper) Body(ctx context.Context, caller Caller, id, item string) ([]byte, error) {
+	stored, err := k.recordFor(ctx, caller, id)
 	if err != nil {
 		return nil, err
 	}
 	found, err := k.findItem(ctx, stored.Record, item)
 	return found.Body, err
 }
+
+// recordFor reads the record of a job that a caller may use. It returns ErrNotFound, ErrNotRead or
+// ErrCorrupt.
+func (k *Keeper) recordFor(ctx context.Context, caller Caller, id string) (VersionedRecord, error) {
+	stored, err := k.readRecord(ctx, id, noRetryLimit)
+	if err == nil {
+		err = caller.authorize(&stored.Record)
+	}
+	return stored, err
+}
--- a/internal/batch/batchkeeper/record.go
+++ b/internal/batch/batchkeeper/record.go
@@ -11,7 +11,7 @@
 //	jobResultRest ID/position/n  continuation rows of a long result
 //	jobProgress   ID/item        partial output of a running item
 //
-// The table jobAdmission is in a part of its own. It has one row per route, which
+// The table jobAdmission is in a part of its own. It has one row per team and route, which
 // serializes admission under a token quota.
 //
 // The transaction that writes a job's Record accepts the job. From then on the owner is
@@ -40,7 +40,8 @@
 var (
 	// ErrNotFound reports that the job, or the item in it, doesn't exist.
 	ErrNotFound = errors.New("job or item not found")
-	// ErrOverQuota reports that the job's tokens exceed the free capacity of its route.
+	// ErrOverQuota reports that the job's tokens exceed the free capacity of its route
+	// for its team.
 	ErrOverQuota = errors.New("token quota of the route exceeded")
 	// ErrNotWritten reports that nothing was written.
 	ErrNotWritten = errors.New("nothing written to the store")
@@ -86,6 +87,9 @@
 	ID    string `cbor:"id"`
 	Route string `cbor:"route"`
 	Host  string `cbor:"host"`
+	// Team is the name of the team whose job it is; empty if it is everyone's, or if the record was
+	// written by a release that doesn't store it.
+	Team  string `cbor:"team,omitempty"`
 	Owner Owner  `cbor:"owner"`
 	Items int    `cbor:"items"`
 	// Configuration is the version of the configuration under which the job was accepted; 0 if
--- a/internal/batch/batchkeeper/submission.go
+++ b/internal/batch/batchkeeper/submission.go
@@ -15,7 +15,9 @@
 	Route string
 	Host  string
 	Items []Item
-	// MaxTokens bounds the tokens of open jobs on the route; 0 means no limit.
+	// Caller is who submits the job, which then belongs to the caller's team.
+	Caller Caller
+	// MaxTokens bounds the tokens of the open jobs of the team on the route; 0 means no limit.
 	MaxTokens int64
 	// Configuration is the version of the configuration that has the route.
 	Configuration uint64
@@ -27,8 +29,8 @@
 
 // Submit accepts a job. Once it returns no error the job is stored. It returns the job's
 // record, and whether this process is to run the job because this call has accepted it. It
-// returns ErrOverQuota, ErrNotWritten, ErrInDoubt or, if the record of an existing job can't be
-// decoded, ErrCorrupt.
+// returns ErrOverQuota, ErrNotWritten, ErrInDoubt, ErrNotFound if the ID is that of another team's job
+// or, if the record of an existing job can't be decoded, ErrCorrupt.
 func (k *Keeper) Submit(ctx context.Context, s Submission) (VersionedRecord, bool, error) {
 	if k.Now() == 0 {
 		if _, err := k.ScanPart(ctx, PartOf(s.ID)); err != nil { // needed to compute the job's deadlines
@@ -42,11 +44,14 @@
 	excess, rest := splitContent(content)
 	if len(excess) > 0 {
 		if stored, found, err := k.findRecord(ctx, s.ID); err != nil || found {
-			return stored, false, err
+			return stored, false, errors.Join(err, s.Caller.authorize(&stored.Record))
 		}
 	}
 	stored, accepted, err := k.submit(ctx, s, record, excess, rest)
-	if (err == nil && !accepted) || errors.Is(err, ErrOverQuota) {
+	if err == nil && !accepted {
+		err = s.Caller.authorize(&stored.Record)
+	}
+	if !accepted && (err == nil || errors.Is(err, ErrOverQuota) || errors.Is(err, ErrNotFound)) {
 		k.removeContent(ctx, excess)
 	}
 	return stored, accepted && stored.Owner == k.owner && stored.Open(), err
@@ -113,7 +118,8 @@
 func (k *Keeper) encodeSubmission(s Submission) (Record, []rowstore.Put, error) {
 	now := k.Now()
 	record := Record{
-		ID: s.ID, Route: s.Route, Host: s.Host, Owner: k.owner, Items: len(s.Items), Configuration: s.Configuration,
+		ID: s.ID, Route: s.Route, Host: s.Host, Team: s.Caller.Team, Owner: k.owner,
+		Items: len(s.Items), Configuration: s.Configuration,
 		Due: now + s.CompletionTarget, Expires: now + s.Retention,
 	}
 	for _, item := range s.Items {
--- a/internal/batch/batchrunner/crash_test.go
+++ b/internal/batch/batchrunner/crash_test.go
@@ -87,7 +87,7 @@
 
 // read reads the results and checks that those read before are unchanged.
 func (c *caller) read() {
-	page, err := c.reader.Results(c.f.t.Context(), "j", 0)
+	page, err := c.reader.Results(c.f.t.Context(), batchkeeper.Caller{}, "j", 0)
 	qt.Assert(c.f.t, err, qt.IsNil)
 	qt.Check(c.f.t, page.Total, qt.Equals, len(crashJob))
 	qt.Assert(c.f.t, len(page.Results) >= len(c.results), qt.IsTrue, qt.Commentf("results have disappeared"))
@@ -291,7 +291,7 @@
 		c := &caller{f: f}
 		c.submit(a, b)
 		time.Sleep(1500 * time.Millisecond)
-		qt.Assert(t, b.keeper.Cancel(f.t.Context(), "j"), qt.IsNil)
+		qt.Assert(t, b.keeper.Cancel(f.t.Context(), batchkeeper.Caller{}, "j"), qt.IsNil)
 		a.runner.Cancelled("j") // VMs that the store rejects learn of it from their peers
 		b.runner.Cancelled("j")
 		time.Sleep(cancelTime)
--- a/internal/batch/batchrunner/link_test.go
+++ b/internal/batch/batchrunner/link_test.go
@@ -139,7 +139,7 @@
 func (f *fleet) end() time.Time {
 	f.t.Helper()
 	caller := batchkeeper.New(f.store, batchkeeper.Owner{VM: "caller"}, 64<<10, f.logger)
-	qt.Assert(f.t, caller.Cancel(f.t.Context(), "j"), qt.IsNil)
+	qt.Assert(f.t, caller.Cancel(f.t.Context(), batchkeeper.Caller{}, "j"), qt.IsNil)
 	return time.Now()
 }
 
--- a/internal/batch/batchrunner/runner_test.go
+++ b/internal/batch/batchrunner/runner_test.go
@@ -203,7 +203,7 @@
 func (f *fleet) expectResults(v *vm, wait time.Duration, want ...string) {
 	f.t.Helper()
 	time.Sleep(wait)
-	page, err := v.keeper.Results(f.t.Context(), "j", 0)
+	page, err := v.keeper.Results(f.t.Context(), batchkeeper.Caller{}, "j", 0)
 	qt.Assert(f.t, err, qt.IsNil)
 	var got []string
 	for _, r := range page.Results {
@@ -338,7 +338,7 @@
 			resumed = max(resumed, run.LastEvent)
 		}
 		qt.Check(f.t, resumed >= 60, qt.IsTrue, qt.Commentf("resumed after event %d", resumed))
-		page, err := b.keeper.Results(f.t.Context(), "j", 0)
+		page, err := b.keeper.Results(f.t.Context(), batchkeeper.Caller{}, "j", 0)
 		qt.Assert(f.t, err, qt.IsNil)
 		qt.Check(f.t, page.Results, qt.HasLen, 1)
 	})
@@ -436,7 +436,7 @@
 		defer b.stop()
 		f.submit(a, 4)
 		time.Sleep(300 * time.Millisecond)
-		qt.Assert(f.t, b.keeper.Cancel(f.t.Context(), "j"), qt.IsNil)
+		qt.Assert(f.t, b.keeper.Cancel(f.t.Context(), batchkeeper.Caller{}, "j"), qt.IsNil)
 		time.Sleep(2 * time.Second)
 		qt.Check(f.t, f.upstreams[0].Running(), qt.Equals, 0)
 		before := len(f.runs())
--- a/internal/batch/canceller/canceller.go
+++ b/internal/batch/canceller/canceller.go
@@ -30,7 +30,7 @@
 
 // Keeper cancels a job in the store, in one attempt that is bounded and may be repeated.
 type Keeper interface {
-	Cancel(ctx context.Context, id string) error
+	Cancel(ctx context.Context, caller batchkeeper.Caller, id string) error
 }
 
 // Spawner starts goroutines.
@@ -38,6 +38,12 @@
 	Go(name string, task func())
 }
 
+// request is whose cancellation it is, and of which job. That of one team doesn't stand for that of another.
+type request struct {
+	caller batchkeeper.Caller
+	job    string
+}
+
 // kept is a cancellation that isn't confirmed.
 type kept struct {
 	receivedAt time.Time
@@ -54,7 +60,7 @@
 	slots       chan struct{} // one element for each cancellation that is tried without a caller
 
 	mu   sync.Mutex
-	kept map[string]kept // by job ID
+	kept map[request]kept
 
 	stopped context.Context //nolint:containedctx // ends with the canceller, not with a call
 	stop    context.CancelFunc
@@ -72,7 +78,7 @@
 ) *Canceller {
 	c := &Canceller{
 		keeper: keeper, tasks: tasks, onConfirmed: onConfirmed, logger: logger,
-		maxKept: defaultMaxKept, slots: make(chan struct{}, maxAtOnce), kept: map[string]kept{},
+		maxKept: defaultMaxKept, slots: make(chan struct{}, maxAtOnce), kept: map[request]kept{},
 	}
 	for _, option := range options {
 		option(c)
@@ -83,16 +89,17 @@
 
 // Cancel cancels a job, and returns once the store has confirmed it or says that there is no such job
 // (batchkeeper.ErrNotFound). After any other error the job may still be cancelled, as it is tried further.
-func (c *Canceller) Cancel(ctx context.Context, id string) error {
+func (c *Canceller) Cancel(ctx context.Context, caller batchkeeper.Caller, id string) error {
+	asked := request{caller: caller, job: id}
 	receivedAt := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
-	err := c.try(ctx, id)
+	err := c.try(ctx, asked)
 	switch {
 	case err == nil:
 		c.onConfirmed(id)
 	case !isFinal(err):
-		c.keep(id, kept{receivedAt: receivedAt, lastErr: err})
+		c.keep(asked, kept{receivedAt: receivedAt, lastErr: err})
 	}
 	return err
 }
@@ -103,53 +110,53 @@
 }
 
 // keep keeps a cancellation and tries it further, unless that is so already or too many are kept.
-func (c *Canceller) keep(id string, k kept) {
+func (c *Canceller) keep(asked request, k kept) {
 	c.mu.Lock()
-	_, found := c.kept[id]
+	_, found := c.kept[asked]
 	full := len(c.kept) >= c.maxKept
 	if !found && !full {
-		c.kept[id] = k
+		c.kept[asked] = k
 	}
 	c.mu.Unlock()
 	switch {
 	case found:
 	case full:
-		c.logger.Warn("cancellation not confirmed and not kept, as too many are", "job", id, "error", k.lastErr)
+		c.logger.Warn("cancellation not confirmed and not kept, as too many are", "job", asked.job, "error", k.lastErr)
 	default:
-		c.logger.Warn("cancellation not confirmed, trying further", "job", id, "for", keepTime, "error", k.lastErr)
-		c.tasks.Go("cancellation", func() { c.tryFurther(id, k) })
+		c.logger.Warn("cancellation not confirmed, trying further", "job", asked.job, "for", keepTime, "error", k.lastErr)
+		c.tasks.Go("cancellation", func() { c.tryFurther(asked, k) })
 	}
 }
 
 // tryFurther tries a kept cancellation until it is decided, keepTime is over or the canceller stops.
-func (c *Canceller) tryFurther(id string, k kept) {
+func (c *Canceller) tryFurther(asked request, k kept) {
 	ctx, cancel := context.WithDeadline(c.stopped, k.receivedAt.Add(keepTime))
 	defer cancel()
 	err := k.lastErr
 	select {
 	case c.slots <- struct{}{}:
-		err = c.try(ctx, id)
+		err = c.try(ctx, asked)
 		<-c.slots
 	case <-ctx.Done():
 	}
 	if c.stopped.Err() != nil && !isFinal(err) {
 		return // Stop decides
 	}
-	c.end(id, k, err)
+	c.end(asked, k, err)
 }
 
 // end ends a kept cancellation with the result of its last attempt.
-func (c *Canceller) end(id string, k kept, err error) {
+func (c *Canceller) end(asked request, k kept, err error) {
 	c.mu.Lock()
-	delete(c.kept, id)
+	delete(c.kept, asked)
 	c.mu.Unlock()
 	after := time.Since(k.receivedAt)
 	if err != nil {
-		c.logger.Warn("cancellation stays unconfirmed", "job", id, "after", after, "error", err)
+		c.logger.Warn("cancellation stays unconfirmed", "job", asked.job, "after", after, "error", err)
 		return
 	}
-	c.logger.Info("cancellation confirmed late", "job", id, "after", after)
-	c.onConfirmed(id)
+	c.logger.Info("cancellation confirmed late", "job", asked.job, "after", after)
+	c.onConfirmed(asked.job)
 }
 
 // Stop ends the attempts in the background. It makes one more for each cancellation that is kept, maxAtOnce at
@@ -158,23 +165,23 @@
 	c.stop()
 	c.mu.Lock()
 	var group sync.WaitGroup
-	for id, k := range c.kept {
-		group.Go(func() { c.tryLast(ctx, id, k) })
+	for asked, k := range c.kept {
+		group.Go(func() { c.tryLast(ctx, asked, k) })
 	}
 	c.mu.Unlock()
 	group.Wait()
 }
 
 // tryLast makes the last attempt for a kept cancellation.
-func (c *Canceller) tryLast(ctx context.Context, id string, k kept) {
+func (c *Canceller) tryLast(ctx context.Context, asked request, k kept) {
 	err := k.lastErr
 	select {
 	case c.slots <- struct{}{}:
-		err = c.keeper.Cancel(ctx, id)
+		err = c.keeper.Cancel(ctx, asked.caller, asked.job)
 		<-c.slots
 	case <-ctx.Done():
 	}
-	c.end(id, k, err)
+	c.end(asked, k, err)
 }
 
 // Kept returns the number of cancellations that are kept.
@@ -186,12 +193,12 @@
 
 // try makes attempts until one decides, or the context ends: another one retryPause after an attempt that
 // failed, and overlapPeriod after the beginning of one that gets no answer.
-func (c *Canceller) try(ctx context.Context, id string) error {
+func (c *Canceller) try(ctx context.Context, asked request) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan error)
 	attempt := func() {
-		err := c.keeper.Cancel(ctx, id)
+		err := c.keeper.Cancel(ctx, asked.caller, asked.job)
 		select {
 		case results <- err:
 		case <-ctx.Done():
--- a/internal/batch/canceller/canceller_test.go
+++ b/internal/batch/canceller/canceller_test.go
@@ -124,7 +124,7 @@
 		t.Helper()
 		withVM(t, func(v *vm) {
 			away(v, true)
-			qt.Check(t, v.canceller.Cancel(v.t.Context(), "j"), qt.IsNotNil)
+			qt.Check(t, v.canceller.Cancel(v.t.Context(), batchkeeper.Caller{}, "j"), qt.IsNotNil)
 			time.Sleep(outage)
 			qt.Check(t, v.canceller.Kept(), qt.Equals, 1)
 			away(v, false)
@@ -146,7 +146,7 @@
 		v.store.silent.Store(true)
 		ctx, leave := context.WithTimeout(v.t.Context(), 10*time.Millisecond)
 		defer leave()
-		qt.Check(t, v.canceller.Cancel(ctx, "j"), qt.IsNotNil)
+		qt.Check(t, v.canceller.Cancel(ctx, batchkeeper.Caller{}, "j"), qt.IsNotNil)
 		v.store.silent.Store(false)
 		time.Sleep(time.Second)
 		qt.Check(t, v.isCancelled("j"), qt.IsTrue)
@@ -159,7 +159,7 @@
 		v.store.silent.Store(true)
 		time.AfterFunc(10*time.Millisecond, func() { v.store.silent.Store(false) })
 		began := time.Now()
-		qt.Check(t, v.canceller.Cancel(v.t.Context(), "j"), qt.IsNil)
+		qt.Check(t, v.canceller.Cancel(v.t.Context(), batchkeeper.Caller{}, "j"), qt.IsNil)
 		qt.Check(t, time.Since(began) < time.Second, qt.IsTrue, qt.Commentf("took %v", time.Since(began)))
 		qt.Check(t, v.confirmedAt("j").IsZero(), qt.IsFalse)
 	})
@@ -171,7 +171,7 @@
 		v.store.SetDown(true)
 		var group sync.WaitGroup
 		for n := range maxKept + 5 {
-			group.Go(func() { _ = v.canceller.Cancel(v.t.Context(), fmt.Sprint("k", n)) })
+			group.Go(func() { _ = v.canceller.Cancel(v.t.Context(), batchkeeper.Caller{}, fmt.Sprint("k", n)) })
 		}
 		group.Wait()
 		qt.Check(t, v.canceller.Kept(), qt.Equals, maxKept)
@@ -185,10 +185,10 @@
 // Guards against: a job that doesn't exist is tried for a minute, or seems cancelled.
 func TestUnknownJobIsNotTriedFurther(t *testing.T) {
 	withVM(t, func(v *vm) {
-		qt.Check(t, v.canceller.Cancel(v.t.Context(), "other"), qt.ErrorIs, batchkeeper.ErrNotFound)
+		qt.Check(t, v.canceller.Cancel(v.t.Context(), batchkeeper.Caller{}, "other"), qt.ErrorIs, batchkeeper.ErrNotFound)
 		qt.Check(t, v.canceller.Kept(), qt.Equals, 0)
 		v.store.SetDown(true)
-		qt.Check(t, v.canceller.Cancel(v.t.Context(), "other"), qt.IsNotNil)
+		qt.Check(t, v.canceller.Cancel(v.t.Context(), batchkeeper.Caller{}, "other"), qt.IsNotNil)
 		v.store.SetDown(false)
 		time.Sleep(time.Second)
 		qt.Check(t, v.canceller.Kept(), qt.Equals, 0)
@@ -202,7 +202,7 @@
 		t.Helper()
 		withVM(t, func(v *vm) {
 			v.store.SetDown(true)
-			qt.Check(t, v.canceller.Cancel(v.t.Context(), "j"), qt.IsNotNil)
+			qt.Check(t, v.canceller.Cancel(v.t.Context(), batchkeeper.Caller{}, "j"), qt.IsNotNil)
 			v.store.SetDown(!isBack)
 			ctx, cancel := context.WithTimeout(v.t.Context(), graceTime)
 			defer cancel()
@@ -223,7 +223,7 @@
 		v.store.silent.Store(true)
 		var group sync.WaitGroup
 		for n := range maxKept {
-			group.Go(func() { _ = v.canceller.Cancel(v.t.Context(), fmt.Sprint("k", n)) })
+			group.Go(func() { _ = v.canceller.Cancel(v.t.Context(), batchkeeper.Caller{}, fmt.Sprint("k", n)) })
 		}
 		group.Wait()
 		began := time.Now()
--- a/internal/faces/batchserver/rejection_test.go
+++ b/internal/faces/batchserver/rejection_test.go
@@ -17,6 +17,8 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/faces/batchserver"
+	"github.com/fescuespindle/fescuespindle/internal/faces/gateway"
+	"github.com/fescuespindle/fescuespindle/internal/online/router"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/counter"
 	"github.com/fescuespindle/fescuespindle/internal/standins/rowemulator"
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
@@ -91,7 +93,8 @@
 	keeper := batchkeeper.New(store, batchkeeper.Owner{VM: "a", Boot: 1}, rowstore.MaxRowBytes, logger)
 	codec := fixedCall{call: batchserver.Call{Operation: operation, Job: testJob, Item: testItem}}
 	server := batchserver.New(codec, keeper, keeper, nil, nil, nil, counter.New(metrics.NewSet()), logger)
-	server.Serve(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil), nil, 0)
+	server.Serve(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil),
+		gateway.JobContext{Table: router.NewTable(router.Configuration{Version: 1})})
 	var line logLine
 	qt.Assert(t, json.Unmarshal(lines.Bytes(), &line), qt.IsNil, qt.Commentf("%s", lines.String()))
 	qt.Check(t, line.Message, qt.Equals, "job call rejected")
--- a/internal/faces/batchserver/server.go
+++ b/internal/faces/batchserver/server.go
@@ -53,21 +53,23 @@
 	// EncodeLocalReplyHeader writes the header of an answer. An empty id and a zero
 	// retryAfter are left out.
 	EncodeLocalReplyHeader(to http.Header, id string, retryAfter time.Duration)
+	// RemoveIdentity removes what a header says of its sender: a key, and the name of a team.
+	RemoveIdentity(header http.Header)
 }
 
 // Keeper stores jobs, and reads what is stored of them.
 type Keeper interface {
 	// Submit stores a job. It also returns whether this VM is to run the job.
 	Submit(ctx context.Context, s batchkeeper.Submission) (batchkeeper.VersionedRecord, bool, error)
-	Results(ctx context.Context, id string, after int) (batchkeeper.Page, error)
-	Body(ctx context.Context, id, item string) ([]byte, error)
+	Results(ctx context.Context, caller batchkeeper.Caller, id string, after int) (batchkeeper.Page, error)
+	Body(ctx context.Context, caller batchkeeper.Caller, id, item string) ([]byte, error)
 }
 
 // Canceller cancels jobs, in the store and on all VMs.
 type Canceller interface {
 	// Cancel returns nil once the store has confirmed it, and batchkeeper.ErrNotFound if there is no such job.
 	// After another error the job may be cancelled later.
-	Cancel(ctx context.Context, id string) error
+	Cancel(ctx context.Context, caller batchkeeper.Caller, id string) error
 }
 
 // Runner runs the jobs that this VM accepts.
@@ -133,22 +135,21 @@
 }
 
 // Serve implements gateway.Jobs.
-func (s *Server) Serve(w http.ResponseWriter, r *http.Request, route *router.Route, configuration uint64) {
+func (s *Server) Serve(w http.ResponseWriter, r *http.Request, about gateway.JobContext) {
 	start := time.Now()
 	var status int
-	if route != nil {
-		status = s.submit(w, r, route, configuration)
+	if about.Route != nil {
+		status = s.submit(w, r, about)
 	} else {
-		status = s.call(w, r)
+		status = s.call(w, r, callerOf(about))
 	}
 	s.counter.Observe(`job_call_seconds{method="`+r.Method+`"}`, time.Since(start))
 	s.logger.Info("job call", "method", r.Method, "path", r.URL.Path, "query", r.URL.RawQuery, "status", status,
-		"took", time.Since(start))
+		"team", callerOf(about).Team, "took", time.Since(start))
 }
 
-// submit handles a submission under a version of the configuration, and returns the status of
-// the answer.
-func (s *Server) submit(w http.ResponseWriter, r *http.Request, route *router.Route, configuration uint64) int {
+// submit handles a submission and returns the status of the answer.
+func (s *Server) submit(w http.ResponseWriter, r *http.Request, about gateway.JobContext) int {
 	now := time.Now()
 	body, reservation, err := bodyreader.Read(w, r, s.limits(), s.memory)
 	defer func() { reservation.Release() }()
@@ -165,20 +166,29 @@
 	if err != nil {
 		return s.reject(w, submission.ID, http.StatusBadRequest, err)
 	}
+	if about.Table.HasTeams() {
+		for _, item := range submission.Items {
+			s.codec.RemoveIdentity(item.Header) // the store is to hold no key
+		}
+	}
 	deadline := now.Add(submitTimeout)
 	if !submission.Deadline.IsZero() && submission.Deadline.Before(deadline) {
 		deadline = submission.Deadline.Add(-deadlineMargin)
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
+	route := about.Route
 	stored, shouldRun, err := s.keeper.Submit(ctx, batchkeeper.Submission{
-		ID: submission.ID, Route: route.Name, Host: r.Host, Items: submission.Items, MaxTokens: route.MaxTokens,
-		CompletionTarget: route.CompletionTarget, Retention: route.Retention, Configuration: configuration,
+		ID: submission.ID, Route: route.Name, Host: r.Host, Items: submission.Items,
+		Caller: callerOf(about), MaxTokens: route.MaxTokens,
+		CompletionTarget: route.CompletionTarget, Retention: route.Retention, Configuration: about.Table.Version(),
 	})
 	switch {
 	case err == nil:
 	case errors.Is(err, batchkeeper.ErrOverQuota):
 		return s.reject(w, submission.ID, http.StatusTooManyRequests, err)
+	case errors.Is(err, batchkeeper.ErrNotFound):
+		return s.reject(w, submission.ID, http.StatusNotFound, err)
 	case errors.Is(err, batchkeeper.ErrNotWritten):
 		return s.reject(w, submission.ID, http.StatusServiceUnavailable, err)
 	default:
@@ -191,8 +201,17 @@
 	return s.answer(w, submission.ID, http.StatusAccepted, nil)
 }
 
+// callerOf returns who makes a call on a job.
+func callerOf(about gateway.JobContext) batchkeeper.Caller {
+	caller := batchkeeper.Caller{HasTeams: about.Table.HasTeams()}
+	if about.Team != nil {
+		caller.Team = about.Team.Name
+	}
+	return caller
+}
+
 // call handles a call on a submitted job and returns the status of the answer.
-func (s *Server) call(w http.ResponseWriter, r *http.Request) int {
+func (s *Server) call(w http.ResponseWriter, r *http.Request, caller batchkeeper.Caller) int {
 	call, _, err := s.codec.DecodeJobCall(r)
 	if err != nil {
 		return s.reject(w, call.Job, http.StatusBadRequest, err)
@@ -200,11 +219,11 @@
 	var body []byte
 	switch call.Operation {
 	case OperationResults:
-		body, err = s.results(r.Context(), call)
+		body, err = s.results(r.Context(), caller, call)
 	case OperationBody:
-		body, err = s.body(r.Context(), call)
+		body, err = s.body(r.Context(), caller, call)
 	case OperationCancel:
-		err = s.canceller.Cancel(r.Context(), call.Job)
+		err = s.canceller.Cancel(r.Context(), caller, call.Job)
 	}
 	switch {
 	case err == nil:
@@ -217,12 +236,12 @@
 }
 
 // results returns a page of results, and waits for the first one up to call.Wait.
-func (s *Server) results(ctx context.Context, call Call) ([]byte, error) {
+func (s *Server) results(ctx context.Context, caller batchkeeper.Caller, call Call) ([]byte, error) {
 	until := time.Now().Add(call.Wait)
 	ctx, cancel := context.WithDeadline(ctx, until.Add(readTimeout))
 	defer cancel()
 	for {
-		page, err := s.keeper.Results(ctx, call.Job, call.After)
+		page, err := s.keeper.Results(ctx, caller, call.Job, call.After)
 		if err != nil {
 			return nil, err
 		}
@@ -234,10 +253,10 @@
 }
 
 // body returns the request body of one item of a job.
-func (s *Server) body(ctx context.Context, call Call) ([]byte, error) {
+func (s *Server) body(ctx context.Context, caller batchkeeper.Caller, call Call) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	return s.keeper.Body(ctx, call.Job, call.Item)
+	return s.keeper.Body(ctx, caller, call.Job, call.Item)
 }
 
 // reject answers and logs a call that failed, and returns the status.
--- a/internal/faces/gateway/gateway.go
+++ b/internal/faces/gateway/gateway.go
@@ -98,9 +98,19 @@
 type Jobs interface {
 	// IsJobCall returns whether a request is a call on a job, by its path alone.
 	IsJobCall(r *http.Request) bool
-	// Serve answers a request that belongs to a job. The route, of a version of the
-	// configuration, is nil if IsJobCall identified the request.
-	Serve(w http.ResponseWriter, r *http.Request, route *router.Route, configuration uint64)
+	// Serve answers a request that belongs to a job.
+	Serve(w http.ResponseWriter, r *http.Request, about JobContext)
+}
+
+// JobContext is what the configuration in force says of a call on a job.
+type JobContext struct {
+	// Route is nil if IsJobCall identified the request.
+	Route *router.Route
+	// Table is the configuration that has the route.
+	Table *router.Table
+	// Team is nil if the configuration has no teams, or if the call needs no key and carries no
+	// known one.
+	Team *router.Team
 }
 
 // Counter updates metrics by name.
@@ -199,7 +209,7 @@
 // serveJob passes a call on a job to Jobs. The route is nil for calls that are identified by path.
 func (g *Gateway) serveJob(x *exchange, route *router.Route) {
 	if !g.rejectIfLate(x, time.Now().Add(maxJobCallTime)) {
-		g.jobs.Serve(x.w, x.r, route, x.table.Version())
+		g.jobs.Serve(x.w, x.r, JobContext{Route: route, Table: x.table, Team: x.team})
 	}
 }
 
--- a/internal/faces/gateway/gateway_test.go
+++ b/internal/faces/gateway/gateway_test.go
@@ -35,7 +35,7 @@
 
 func (noJobs) IsJobCall(*http.Request) bool { return false }
 
-func (noJobs) Serve(w http.ResponseWriter, _ *http.Request, _ *router.Route, _ uint64) {
+func (noJobs) Serve(w http.ResponseWriter, _ *http.Request, _ gateway.JobContext) {
 	w.WriteHeader(http.StatusNotImplemented)
 }
 
--- a/internal/faces/gateway/key_test.go
+++ b/internal/faces/gateway/key_test.go
@@ -30,7 +30,7 @@
 	v.t.Helper()
 	request, err := standin.NewRequest(http.MethodPost, "http://vm:1"+path, "h", "id", 0)
 	qt.Assert(v.t, err, qt.IsNil)
-	standin.SetIdentity(request, who)
+	standin.SetIdentity(request.Header, who)
 	status, _, _ := v.send(request)
 	return status
 }
