slotqueuer: waiting requests get the next slot by urgency, then in fair shares

A request that found no slot polled by itself every 40 ms, at random; nobody read Route.Priority, and a team that asked for seven times its usual took its slots from all others. Waiting requests of a VM are in one queue now (internal/online/slotqueuer, ordered by queuer): the more urgent first, then by stride over teams; late ones still leave the last slots to those in time. A slot that this VM releases goes to the first at once; what other VMs release is still found at random times, and one request of a kind is asked then instead of each. Between VMs nothing is exchanged: while slots are short, requests of a team that has asked this VM for more than twice the mean of others, and less urgent ones, leave the last free slots of an upstream to others for a third of the time to their target.

--- a/internal/faces/gateway/gateway.go
+++ b/internal/faces/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/online/pacer"
 	"github.com/fescuespindle/fescuespindle/internal/online/placer"
 	"github.com/fescuespindle/fescuespindle/internal/online/router"
+	"github.com/fescuespindle/fescuespindle/internal/online/slotqueuer"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/drainer"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
 )
@@ -129,6 +130,7 @@
 	jobs     Jobs
 	memory   *rationer.Rationer
 	pacer    *pacer.Pacer
+	slots    *slotqueuer.Queuer
 	counter  Counter
 	logger   *slog.Logger
 
@@ -148,7 +150,7 @@
 ) *Gateway {
 	g := &Gateway{
 		codec: codec, courier: c, placer: p, crashes: crashes, versions: versions, jobs: jobs, memory: memory, counter: counter,
-		logger: logger, pacer: pacer.New(), startGate: newStartGate(),
+		logger: logger, pacer: pacer.New(), slots: slotqueuer.New(), startGate: newStartGate(),
 	}
 	g.aborted, g.abort = context.WithCancelCause(context.Background())
 	g.chain = g.closeIfDraining(g.waitForStart(g.requireConfiguration(g.serveJobCalls(
--- a/internal/faces/gateway/run.go
+++ b/internal/faces/gateway/run.go
@@ -57,15 +57,17 @@
 	streamBegun     bool   // an event was delivered
 	endStream       func() // as StreamVersions.Begin returns it; otherwise it does nothing
 
-	headSent      bool
-	lastEventID   string
-	events        int
-	headSentAt    time.Time
-	waitedForSlot bool              // for a free slot, at least once
-	isProbe       bool              // the next run is one to find out whether the request crashes upstreams
-	connection    string            // of the last answer, for the log
-	attemptLog    []string          // upstream and outcome of each attempt, for the log
-	stallTimer    *pacer.StallTimer // of the current attempt; nil if it is plain and can't fail over
+	headSent         bool
+	lastEventID      string
+	events           int
+	headSentAt       time.Time
+	waitedForSlot    bool              // for a free slot, at least once
+	yielded          bool              // the last free slots to others, at least once
+	queuedAtUpstream bool              // behind others, at least once
+	isProbe          bool              // the next run is one to find out whether the request crashes upstreams
+	connection       string            // of the last answer, for the log
+	attemptLog       []string          // upstream and outcome of each attempt, for the log
+	stallTimer       *pacer.StallTimer // of the current attempt; nil if it is plain and can't fail over
 }
 
 // run forwards a request to upstreams until it has a final answer, and logs the outcome.
@@ -120,6 +122,7 @@
 		}
 		id, version := slot.Upstream().ID, slot.Upstream().Version
 		status, err := f.attempt(ctx, slot)
+		f.gateway.slots.Done(f.x.request.service, f.x.teamName(), time.Now())
 		if err == nil {
 			f.attemptLog = append(f.attemptLog, id+" "+version+" delivered over "+f.connection)
 			return f.recordDelivery(status)
@@ -288,5 +291,6 @@
 	}
 	g.logger.Info("request", "id", request.Call.ID, "outcome", result, "route", request.route.Name,
 		"version", request.configVersion, "first", first, "took", took, "events", f.events, "waited", f.waitedForSlot,
+		"yielded", f.yielded, "queued", f.queuedAtUpstream, "team", f.x.teamName(),
 		"resumes", request.Resumes, "after", request.LastEvent, "attempts", f.attemptLog)
 }
--- a/internal/faces/gateway/slot.go
+++ b/internal/faces/gateway/slot.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/online/crashanalyzer"
 	"github.com/fescuespindle/fescuespindle/internal/online/placer"
+	"github.com/fescuespindle/fescuespindle/internal/online/slotqueuer"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/sleeper"
 )
 
@@ -25,27 +27,121 @@
 	MaxLimitWait = 50 * time.Millisecond
 )
 
-// acquireSlot acquires a slot for the next attempt. While the placer returns
-// placer.ErrRetryLater, it polls for a slot. If the context ends meanwhile, it returns that
-// error. It returns errCrashesUpstreams if the request must not be sent.
+// acquireSlot acquires a slot for the next attempt, for which it waits behind the requests of
+// this VM that precede it. If the context ends meanwhile, it returns that error. It returns
+// errCrashesUpstreams if the request must not be sent.
 func (f *forwarding) acquireSlot(ctx context.Context) (*placer.Slot, error) {
-	work := placer.OnlineWork{Service: f.x.request.service, Avoid: f.avoid}
+	slot, err := f.waitForSlot(ctx, f.onlineWork())
+	if !errors.Is(err, placer.ErrNoUpstream) || !f.mayReturn() || !sleeper.Sleep(ctx, returnPause) {
+		return slot, err
+	}
+	work := f.onlineWork()
+	work.Avoid = nil
+	return f.waitForSlot(ctx, work)
+}
+
+// onlineWork describes the next attempt to the placer.
+func (f *forwarding) onlineWork() placer.OnlineWork {
+	work := placer.OnlineWork{Service: f.x.request.service, Avoid: f.avoid, Versions: f.versions()}
 	if target := f.x.request.route.LatencyTarget; target > 0 && !f.headSent {
 		work.Target, work.WaitUntil = f.x.request.receivedAt.Add(target), f.slotDeadline()
 	}
 	work.LimitWaitUntil = f.limitWaitUntil(time.Now())
+	return work
+}
+
+// waitForSlot acquires a slot, or waits in the queue of this VM until the request gets one.
+func (f *forwarding) waitForSlot(ctx context.Context, work placer.OnlineWork) (*placer.Slot, error) {
+	var slot *placer.Slot
+	wasYielding := f.yielded
+	ticket, err := f.gateway.slots.Enter(slotqueuer.Request{
+		Team: f.x.teamName(), Urgency: f.x.urgency(), Work: work,
+		Acquire: func(work placer.OnlineWork, now time.Time) (err error) {
+			f.yielded = f.yielded || !work.YieldUntil.IsZero()
+			slot, err = f.acquireOnce(work, now)
+			return err
+		},
+	}, time.Now())
+	if ticket != nil {
+		f.waitedForSlot = true
+		err = f.awaitSlot(ctx, ticket)
+	}
+	f.countSlot(slot, err, ticket != nil, f.yielded && !wasYielding)
+	return slot, err //nolint:wrapcheck // compared by the caller
+}
+
+// countSlot counts how an attempt to get a slot ended.
+func (f *forwarding) countSlot(slot *placer.Slot, err error, waited, yielded bool) {
+	if yielded {
+		f.gateway.counter.Count("slot_requests_yielding_total")
+	}
+	result := "none"
+	switch {
+	case err == nil && slot.Queued():
+		f.queuedAtUpstream, result = true, "queueOfUpstream"
+	case err == nil:
+		result = "free"
+	}
+	f.gateway.counter.Count(`slot_requests_total{result="` + result + `",waited="` + strconv.FormatBool(waited) + `"}`)
+}
+
+// acquireOnce asks the placer for a slot, unless the request must not be sent.
+func (f *forwarding) acquireOnce(work placer.OnlineWork, now time.Time) (*placer.Slot, error) {
+	if f.crashesUpstreams() {
+		return nil, errCrashesUpstreams
+	}
+	return f.acquireVersioned(work, now)
+}
+
+// awaitSlot waits until the wait of a request ends, and returns its result. The queue is asked
+// when this VM releases a slot. What other VMs release, and the passage of time, show only when
+// it is asked again: each waiting request does so at random times, so that VMs that hear of the
+// same slot don't take it at once.
+func (f *forwarding) awaitSlot(ctx context.Context, ticket *slotqueuer.Ticket) error {
+	began := time.Now()
+	defer func() { f.gateway.counter.Observe("slot_wait_seconds", time.Since(began)) }()
+	timer := time.NewTimer(pollDelay())
+	defer timer.Stop()
 	for {
-		if f.crashesUpstreams() {
-			return nil, errCrashesUpstreams
+		select {
+		case <-ticket.Done():
+			return ticket.Err() //nolint:wrapcheck // compared by the caller
+		case <-timer.C:
+			f.gateway.slots.Ask(f.x.request.service, time.Now())
+			timer.Reset(pollDelay())
+		case <-ctx.Done():
+			if f.gateway.slots.Leave(ticket) {
+				return context.Cause(ctx) //nolint:wrapcheck // only compared with nil
+			}
+			return ticket.Err() //nolint:wrapcheck // compared by the caller
 		}
-		slot, err := f.acquireVersioned(ctx, work)
-		if !errors.Is(err, placer.ErrRetryLater) || !sleeper.Sleep(ctx, SlotPollInterval/2+rand.N(SlotPollInterval)) {
-			return slot, err //nolint:wrapcheck // only compared with nil
-		}
-		f.waitedForSlot = true
 	}
 }
 
+func pollDelay() time.Duration { return SlotPollInterval/2 + rand.N(SlotPollInterval) }
+
+// SlotReleased lets waiting requests of a service acquire the slot that this VM has released.
+func (g *Gateway) SlotReleased(service string) { g.slots.Ask(service, time.Now()) }
+
+// Waiting returns the number of requests that wait for a slot.
+func (g *Gateway) Waiting() int { return g.slots.Waiting() }
+
+// teamName returns the name of the caller's team, or "" if it has none.
+func (x *exchange) teamName() string {
+	if x.team == nil {
+		return ""
+	}
+	return x.team.Name
+}
+
+// urgency returns the rank of the request: its team's, or else its route's. 0 is the most urgent.
+func (x *exchange) urgency() int {
+	if x.team != nil && x.team.HasPriority {
+		return x.team.Priority
+	}
+	return x.request.route.Priority
+}
+
 // limitWaitUntil returns the time until which the request waits while the rate limits of all
 // upstreams are reached. A stream that has begun is worth a longer wait.
 func (f *forwarding) limitWaitUntil(now time.Time) time.Time {
--- a/internal/faces/gateway/version.go
+++ b/internal/faces/gateway/version.go
@@ -8,7 +8,6 @@
 	"github.com/fescuespindle/fescuespindle/internal/online/placer"
 	"github.com/fescuespindle/fescuespindle/internal/online/router"
 	"github.com/fescuespindle/fescuespindle/internal/online/versionkeeper"
-	"github.com/fescuespindle/fescuespindle/internal/plumbing/sleeper"
 )
 
 // StreamVersions knows which software version of a service began a stream.
@@ -66,34 +65,28 @@
 
 // acquireVersioned acquires a slot at an upstream at whose version the request may begin or go
 // on.
-func (f *forwarding) acquireVersioned(ctx context.Context, work placer.OnlineWork) (*placer.Slot, error) {
-	if len(f.allowedVersions) > 0 {
-		return f.acquireToContinue(ctx, work)
-	}
-	now := time.Now()
-	if f.canResume() {
-		work.Versions = f.gateway.versions.Versions(f.x.request.service)
-	}
+func (f *forwarding) acquireVersioned(work placer.OnlineWork, now time.Time) (*placer.Slot, error) {
+	work.Versions = f.versions()
 	slot, err := f.gateway.placer.AcquireOnline(work, now)
-	if errors.Is(err, placer.ErrNoUpstream) && len(work.Versions) > 0 {
+	if errors.Is(err, placer.ErrNoUpstream) && len(f.allowedVersions) == 0 && len(work.Versions) > 0 {
 		work.Versions = nil // none is left of those that are known
 		slot, err = f.gateway.placer.AcquireOnline(work, now)
 	}
 	return slot, err //nolint:wrapcheck // compared by the caller
 }
 
+// versions returns the versions at which the request may begin or go on; none for any.
+func (f *forwarding) versions() []string {
+	if len(f.allowedVersions) == 0 && f.canResume() {
+		return f.gateway.versions.Versions(f.x.request.service)
+	}
+	return f.allowedVersions
+}
+
 // returnPause is the pause before a stream returns to an upstream that has failed it, which may
 // be restarting or full.
 const returnPause = 100 * time.Millisecond
 
-// acquireToContinue acquires a slot for a stream that has begun. It returns to an upstream
-// that has failed it if no other one has its version.
-func (f *forwarding) acquireToContinue(ctx context.Context, work placer.OnlineWork) (*placer.Slot, error) {
-	work.Versions = f.allowedVersions
-	slot, err := f.gateway.placer.AcquireOnline(work, time.Now())
-	if !errors.Is(err, placer.ErrNoUpstream) || len(work.Avoid) == 0 || !sleeper.Sleep(ctx, returnPause) {
-		return slot, err //nolint:wrapcheck // compared by the caller
-	}
-	work.Avoid = nil
-	return f.gateway.placer.AcquireOnline(work, time.Now()) //nolint:wrapcheck // compared by the caller
-}
+// mayReturn returns whether the request may return to an upstream that has failed it: a stream
+// that has begun, for which no other one has its version.
+func (f *forwarding) mayReturn() bool { return len(f.allowedVersions) > 0 && len(f.avoid) > 0 }
--- a/internal/laboratory/daysimulator/day.go
+++ b/internal/laboratory/daysimulator/day.go
@@ -46,6 +46,8 @@
 	LostAt time.Duration
 	// RateLimits are named by some engines in their answers.
 	RateLimits RateLimits
+	// Teams are the teams that share the streams, and whether these differ in urgency.
+	Teams Teams
 }
 
 // JobItems is the number of items of a job.
--- a/internal/laboratory/daysimulator/fleet.go
+++ b/internal/laboratory/daysimulator/fleet.go
@@ -1,7 +1,6 @@
 package daysimulator
 
 import (
-	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -10,6 +9,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/control/peerteller"
 	"github.com/fescuespindle/fescuespindle/internal/faces/gateway"
 	"github.com/fescuespindle/fescuespindle/internal/online/placer"
+	"github.com/fescuespindle/fescuespindle/internal/online/slotqueuer"
 )
 
 const service = "model"
@@ -31,7 +31,9 @@
 	onlineSlots map[*engine][]*placer.Slot // of online requests
 	itemOf      map[*placer.Slot]*item
 	slotOf      map[*item]*placer.Slot
-	scheduled   bool          // a call of scheduleItems is scheduled
+	scheduled   bool // a call of scheduleItems is scheduled
+	queue       *slotqueuer.Queuer
+	waiting     []*waitingStream
 	reportAt    time.Duration // when the next call of sendReports is scheduled, or -1
 }
 
@@ -62,6 +64,7 @@
 	d := &vmPolicy{
 		f: f, vm: v, onlineSlots: map[*engine][]*placer.Slot{},
 		itemOf: map[*placer.Slot]*item{}, slotOf: map[*item]*placer.Slot{}, reportAt: -1,
+		queue: slotqueuer.New(),
 	}
 	d.placer = placer.New(vmName(v.number), v.domain.Name, regions, placer.WithSeed(f.s.day.Seed+uint64(v.number)),
 		placer.WithOnChange(func(c placer.Change) {
@@ -178,18 +181,95 @@
 	}
 }
 
-func (f *fleet) acquireOnline(v *vm, arrived time.Duration, avoid map[string]bool) (e *engine, later bool) {
-	d := f.vms[v.number]
-	slot, err := d.placer.AcquireOnline(placer.OnlineWork{
-		Service: service, Avoid: avoid, Target: toTime(arrived + f.s.day.LatencyTarget),
-		WaitUntil: toTime(arrived + gateway.MaxSlotWait),
+func (f *fleet) acquireOnline(st *stream, placed func(e *engine)) {
+	d := f.vms[st.vm.number]
+	w := &waitingStream{placed: placed}
+	w.ticket, w.err = d.queue.Enter(slotqueuer.Request{
+		Team: f.s.teamName(st), Urgency: st.urgency, Work: f.onlineWork(st),
+		Acquire: func(work placer.OnlineWork, now time.Time) error {
+			slot, err := d.placer.AcquireOnline(work, now)
+			if err == nil {
+				w.engine = d.holdOnline(slot)
+			}
+			return err //nolint:wrapcheck // compared by the queuer
+		},
 	}, f.now())
-	if err != nil {
-		return nil, errors.Is(err, placer.ErrRetryLater)
+	if w.ticket == nil {
+		w.end()
+	} else {
+		d.waiting = append(d.waiting, w)
+		f.poll(d, w)
+	}
+	d.endWaits()
+}
+
+// waitingStream is a stream that waits for a slot, or whose wait has just ended.
+type waitingStream struct {
+	ticket *slotqueuer.Ticket
+	engine *engine
+	err    error
+	placed func(e *engine)
+}
+
+func (w *waitingStream) end() { w.placed(w.engine) }
+
+// hasEnded returns whether the wait has ended.
+func (w *waitingStream) hasEnded() bool {
+	select {
+	case <-w.ticket.Done():
+		return true
+	default:
+		return false
 	}
-	e = f.s.engineNamed(slot.Upstream().ID)
+}
+
+// poll asks for slots at random times until the wait of a stream has ended.
+func (f *fleet) poll(d *vmPolicy, w *waitingStream) {
+	delay := gateway.SlotPollInterval/2 + time.Duration(f.s.random.Int64N(int64(gateway.SlotPollInterval)))
+	f.s.schedule(f.s.now+delay, func() {
+		if w.hasEnded() {
+			return
+		}
+		d.askForSlots()
+		if !w.hasEnded() {
+			f.poll(d, w)
+		}
+	})
+}
+
+// askForSlots lets waiting streams acquire slots that have become free.
+func (d *vmPolicy) askForSlots() {
+	d.queue.Ask(service, d.f.now())
+	d.endWaits()
+}
+
+// endWaits sends the streams whose waits have ended.
+func (d *vmPolicy) endWaits() {
+	var ended []*waitingStream
+	d.waiting = slices.DeleteFunc(d.waiting, func(w *waitingStream) bool {
+		if w.hasEnded() {
+			ended = append(ended, w)
+			return true
+		}
+		return false
+	})
+	for _, w := range ended {
+		w.end()
+	}
+}
+
+func (f *fleet) onlineWork(st *stream) placer.OnlineWork {
+	return placer.OnlineWork{
+		Service: service, Avoid: st.avoid, Target: toTime(st.arrivedAt + f.s.day.LatencyTarget),
+		WaitUntil: toTime(st.arrivedAt + gateway.MaxSlotWait),
+	}
+}
+
+// holdOnline records the slot of a stream and returns its engine.
+func (d *vmPolicy) holdOnline(slot *placer.Slot) *engine {
+	e := d.f.s.engineNamed(slot.Upstream().ID)
 	d.onlineSlots[e] = append(d.onlineSlots[e], slot)
-	return e, false
+	return e
 }
 
 func (f *fleet) recordAnswer(v *vm, e *engine, told answer) {
@@ -224,6 +304,7 @@
 	if slots := d.onlineSlots[e]; len(slots) > 0 {
 		d.onlineSlots[e] = slots[1:]
 		d.placer.Release(slots[0], f.now())
+		d.askForSlots()
 	}
 }
 
--- a/internal/laboratory/daysimulator/policy.go
+++ b/internal/laboratory/daysimulator/policy.go
@@ -41,9 +41,9 @@
 // policy places work for all VMs. Its methods that take an event are called when
 // the VM concerned learns of the event, not when it happens on the engine.
 type policy interface {
-	// acquireOnline acquires a slot for a stream. It returns nil if there is none,
-	// and whether the stream may ask again later.
-	acquireOnline(v *vm, arrived time.Duration, avoid map[string]bool) (e *engine, later bool)
+	// acquireOnline acquires a slot for a stream. It calls placed with the engine, maybe
+	// later, or with nil if no engine accepts the stream.
+	acquireOnline(st *stream, placed func(e *engine))
 	// recordAnswer records what an engine tells of itself in an answer.
 	recordAnswer(v *vm, e *engine, told answer)
 	onlineEnded(v *vm, e *engine)
@@ -117,19 +117,20 @@
 
 // acquireOnline returns the engine with the shortest estimated time to the first
 // event, and stops the engine's newest item if its sequences are exceeded.
-func (p *omniscient) acquireOnline(v *vm, _ time.Duration, avoid map[string]bool) (e *engine, later bool) {
+func (p *omniscient) acquireOnline(st *stream, placed func(e *engine)) {
 	var best *engine
 	var shortest time.Duration
 	for _, e := range p.s.engines {
-		if avoid[e.id] {
+		if st.avoid[e.id] {
 			continue
 		}
-		if wait := p.wait(v, e); best == nil || wait < shortest {
+		if wait := p.wait(st.vm, e); best == nil || wait < shortest {
 			best, shortest = e, wait
 		}
 	}
 	if best == nil {
-		return nil, false
+		placed(nil)
+		return
 	}
 	on := p.placed[best]
 	on.online++
@@ -138,7 +139,7 @@
 		on.items = on.items[:len(on.items)-1]
 		p.s.stopItem(newest.owner, newest.item)
 	}
-	return best, false
+	placed(best)
 }
 
 // wait estimates the time until a VM receives a stream's first event.
@@ -247,11 +248,16 @@
 	return p
 }
 
-func (p *localPolicy) acquireOnline(v *vm, _ time.Duration, avoid map[string]bool) (e *engine, later bool) {
-	if e = p.choose(p, v, avoid); e != nil {
+func (p *localPolicy) acquireOnline(st *stream, placed func(e *engine)) {
+	placed(p.acquire(st.vm, st.avoid))
+}
+
+func (p *localPolicy) acquire(v *vm, avoid map[string]bool) *engine {
+	e := p.choose(p, v, avoid)
+	if e != nil {
 		p.localLoad[v.number][e]++
 	}
-	return e, false
+	return e
 }
 
 func (p *localPolicy) recordAnswer(*vm, *engine, answer) {}
@@ -272,7 +278,7 @@
 		if p.items[v.number] >= limit {
 			return
 		}
-		e, _ := p.acquireOnline(v, p.s.now, nil)
+		e := p.acquire(v, nil)
 		p.items[v.number]++
 		p.s.startItem(v, it, e)
 	}
--- a/internal/laboratory/daysimulator/simulator.go
+++ b/internal/laboratory/daysimulator/simulator.go
@@ -6,8 +6,6 @@
 	"math/rand/v2"
 	"slices"
 	"time"
-
-	"github.com/fescuespindle/fescuespindle/internal/faces/gateway"
 )
 
 // Result holds the counts and latencies of one simulated day.
@@ -25,6 +23,10 @@
 	FirstP50      time.Duration // time to the first event
 	FirstP99      time.Duration
 	Utilization   float64 // share of the engines' slots in use, averaged over time
+	Hot           Share   // streams of the hot team
+	Others        Share   // streams of the other teams
+	Urgent        Share   // the more urgent half of the streams
+	LessUrgent    Share   // the others
 }
 
 // StreamShare returns the share of the streams that met the latency target.
@@ -148,35 +150,38 @@
 
 // arriveStream generates an online request at a random VM.
 func (s *simulator) arriveStream() {
-	v := s.randomLiveVM()
-	arrived := s.now
+	st := &stream{vm: s.randomLiveVM(), arrivedAt: s.now}
+	st.work = &request{steps: drawSteps(s.day.StreamSteps, s.random.Float64())}
+	s.drawTeam(st)
 	s.result.Streams++
-	w := &request{steps: drawSteps(s.day.StreamSteps, s.random.Float64())}
-	s.send(v, w, arrived, nil)
+	s.countStream(st)
+	s.send(st)
 }
 
 // maxSends bounds the engines that a stream is sent to.
 const maxSends = 6
 
 // send sends a stream to an engine, and to another one if that rejects it.
-func (s *simulator) send(v *vm, w *request, arrived time.Duration, avoid map[string]bool) {
-	e, later := s.policy.acquireOnline(v, arrived, avoid)
-	if later {
-		s.schedule(s.now+gateway.SlotPollInterval/2+time.Duration(s.random.Int64N(int64(gateway.SlotPollInterval))),
-			func() { s.send(v, w, arrived, avoid) })
-		return
-	}
-	if e == nil || len(avoid) >= maxSends {
-		s.result.Rejected++
-		s.result.RejectedAfter = max(s.result.RejectedAfter, s.now-arrived)
-		return
-	}
+func (s *simulator) send(st *stream) {
+	s.policy.acquireOnline(st, func(e *engine) {
+		if e == nil || len(st.avoid) >= maxSends {
+			s.result.Rejected++
+			s.result.RejectedAfter = max(s.result.RejectedAfter, s.now-st.arrivedAt)
+			return
+		}
+		s.sendTo(e, st)
+	})
+}
+
+func (s *simulator) sendTo(e *engine, st *stream) {
+	v, w := st.vm, st.work
 	latency := networkDelay(v.domain, e.domain)
 	w.onFirst = func(at time.Duration) {
-		first := at + latency - arrived
+		first := at + latency - st.arrivedAt
 		s.firsts = append(s.firsts, first)
 		if first <= s.day.LatencyTarget {
 			s.result.OnTimeStreams++
+			s.countOnTime(st)
 		}
 		told := e.tell(at)
 		s.schedule(at+latency, func() { s.policy.recordAnswer(v, e, told) })
@@ -188,11 +193,11 @@
 		}
 		s.schedule(s.now+latency, func() {
 			s.policy.onlineEnded(v, e)
-			tried := map[string]bool{e.id: true}
-			for id := range avoid {
-				tried[id] = true
+			if st.avoid == nil {
+				st.avoid = map[string]bool{}
 			}
-			s.send(v, w, arrived, tried)
+			st.avoid[e.id] = true
+			s.send(st)
 		})
 	})
 }
--- a/internal/online/placer/online.go
+++ b/internal/online/placer/online.go
@@ -70,6 +70,9 @@
 	// WaitUntil is the time from which the request accepts a slot on any upstream,
 	// however long the queue there; zero for at once.
 	WaitUntil time.Time
+	// YieldUntil is the time until which the request leaves the last free slots of an upstream
+	// to others; zero for not at all.
+	YieldUntil time.Time
 	// LimitWaitUntil is the time until which the request waits for an upstream whose rate
 	// limit allows it, if those of all are reached; zero for not at all.
 	LimitWaitUntil time.Time
@@ -153,7 +156,7 @@
 	switch {
 	case !now.Before(w.WaitUntil):
 		return false
-	case now.Add(firstEventTime).After(w.Target): // late already: the last free slots are for others
+	case w.IsLate(now), now.Before(w.YieldUntil): // the last free slots are for others
 		return free < float64(1+min(lateReservedSlots, slots/lateReserveDivisor))
 	default:
 		queue = time.Duration(queueWaitFactor * float64(queue))
@@ -161,6 +164,9 @@
 	}
 }
 
+// IsLate returns whether the request would miss its latency target even on a free slot.
+func (w OnlineWork) IsLate(now time.Time) bool { return now.Add(firstEventTime).After(w.Target) }
+
 // meanSlotTime returns how long an online request of a service holds its slot on
 // average. The caller must hold mu.
 func (p *Placer) meanSlotTime(service string) time.Duration {
--- a/internal/online/placer/placer.go
+++ b/internal/online/placer/placer.go
@@ -34,6 +34,10 @@
 // Upstream returns the upstream of the slot, as of its acquisition.
 func (s *Slot) Upstream() Upstream { return s.info }
 
+// Queued returns whether no slot was expected to be free on the upstream at the acquisition, so
+// that the request waits there.
+func (s *Slot) Queued() bool { return s.queued }
+
 // Placer makes the placement decisions of one VM.
 type Placer struct {
 	self     string
@@ -70,6 +74,9 @@
 	Upstream string
 	// Domain is the upstream's failure domain.
 	Domain string
+	// Released is the service of the upstream if online work has released a slot there;
+	// otherwise empty.
+	Released string
 	// Yielding lists the VMs whose batch work on the upstream must yield now.
 	Yielding []string
 	// Failing holds the upstream if it has just failed, so that the failure is reported
@@ -190,5 +197,14 @@
 		u.localCount.Online--
 	}
 	p.mu.Unlock()
-	p.onChange(Change{Upstream: slot.info.ID, Domain: slot.info.Domain})
+	p.onChange(slot.releaseChange())
+}
+
+// releaseChange returns the change that the release of the slot makes.
+func (s *Slot) releaseChange() Change {
+	change := Change{Upstream: s.info.ID, Domain: s.info.Domain}
+	if !s.isBatch {
+		change.Released = s.info.Service
+	}
+	return change
 }
--- a/internal/online/queuer/queue.go
+++ b/internal/online/queuer/queue.go
@@ -6,6 +6,7 @@
 import (
 	"iter"
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -31,6 +32,7 @@
 	weight   float64
 	waiters  []*Waiter // the most urgent first, equally urgent ones in order of arrival
 	running  int
+	recent   float64 // requests, as of lastSeen, each weighing less the older it is
 	lastSeen time.Time
 }
 
@@ -59,6 +61,7 @@
 		q.callers[name] = c
 	}
 	c.weight = EffectiveWeight(weight)
+	c.recent = 1 + c.Recent(now)
 	c.lastSeen = now
 	if len(c.waiters) == 0 {
 		c.pass = max(c.pass, q.globalPass) // idle callers accumulate no credit
@@ -93,6 +96,24 @@
 // LastSeen returns when the caller's last request arrived.
 func (c *Caller) LastSeen() time.Time { return c.lastSeen }
 
+// Recent returns the number of the caller's recent requests. Each counts for less the older it
+// is.
+func (c *Caller) Recent(now time.Time) float64 {
+	return c.recent * math.Exp(-float64(now.Sub(c.lastSeen))/float64(CallerRetention))
+}
+
+// AsksMore returns whether a caller has recently asked for a multiple of what the callers that
+// compete with it ask for on average, by weight.
+func (q *Queue) AsksMore(c *Caller, factor float64, now time.Time) bool {
+	var others, weights float64
+	for other := range q.Callers() {
+		if other != c && now.Sub(other.lastSeen) <= CallerRetention {
+			others, weights = others+other.Recent(now), weights+other.weight
+		}
+	}
+	return weights > 0 && c.Recent(now)/c.weight > factor*others/weights
+}
+
 // Admitted is closed once the request is admitted.
 func (w *Waiter) Admitted() <-chan struct{} { return w.admitted }
 
--- a/internal/wiring/entryvm/provider.go
+++ b/internal/wiring/entryvm/provider.go
@@ -51,13 +51,16 @@
 func newCallbacks() *callbacks { return &callbacks{} }
 
 // onWorkChange reports a change of this VM's requests on an upstream, or of the upstream's
-// state, to peer VMs, and wakes the batch runner.
+// state, to peer VMs, wakes the batch runner, and passes a released slot on to a waiting request.
 func (c *callbacks) onWorkChange(change placer.Change) {
 	for id, f := range change.Failing {
 		c.vm.logger.Info("upstream failing", "upstream", id, "inARow", f.ConsecutiveFailures, "for", f.Remaining)
 	}
 	c.vm.reporter.RecordChange(change)
 	c.vm.runner.Wake()
+	if change.Released != "" {
+		c.vm.gateway.SlotReleased(change.Released)
+	}
 }
 
 // onCrashNews tells peer VMs of crashes of upstreams.
@@ -263,5 +266,7 @@
 	codec platform.Codec, sender *courier.Courier, p *placer.Placer, crashes *crashanalyzer.Analyzer,
 	versions *versionkeeper.Keeper, jobs *batchserver.Server, budget *rationer.Rationer, counters *counter.Counters, logger *slog.Logger,
 ) *gateway.Gateway {
-	return gateway.New(codec, sender, p, crashes, versions, jobs, budget, counters, logger)
+	g := gateway.New(codec, sender, p, crashes, versions, jobs, budget, counters, logger)
+	counters.Gauge("slot_requests_waiting", func() float64 { return float64(g.Waiting()) })
+	return g
 }
