Requests that can't start before their deadline are refused at once

A request beyond what all upstreams together can start in time waited, and then stood in the queue of an upstream, before others that could still be served, until its caller left. The placer now returns a NoRoomError if even the shortest queue, moving twice as fast as measured, leaves no slot before the deadline; the gateway answers 503 (noRoom) with the time at which room is expected as Retry-After. Nothing is refused while no request of the service has been measured, nor while any upstream might start the request.

--- a/internal/faces/gateway/gateway.go
+++ b/internal/faces/gateway/gateway.go
@@ -79,8 +79,8 @@
 
 // Placer chooses an upstream for each attempt.
 type Placer interface {
-	// AcquireOnline returns placer.ErrNoUpstream, placer.ErrRateLimited or
-	// placer.ErrRetryLater.
+	// AcquireOnline returns placer.ErrNoUpstream, placer.ErrRateLimited,
+	// placer.ErrRetryLater or a placer.NoRoomError.
 	AcquireOnline(work placer.OnlineWork, now time.Time) (*placer.Slot, error)
 	// RecordFailure records that the upstream of a slot is unresponsive.
 	RecordFailure(slot *placer.Slot, now time.Time)
--- a/internal/faces/gateway/gateway_test.go
+++ b/internal/faces/gateway/gateway_test.go
@@ -62,6 +62,13 @@
 	})
 }
 
+// passOnSlot passes a released slot on to a waiting request.
+func (v *vm) passOnSlot(change placer.Change) {
+	if change.Released != "" {
+		v.gateway.SlotReleased(change.Released)
+	}
+}
+
 // open gives the gateway its first configuration and opens it.
 func (v *vm) open() {
 	v.gateway.SetTable(table())
@@ -72,7 +79,8 @@
 func withStartingVM(t *testing.T, plans []standin.Plan, test func(v *vm)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		v := &vm{t: t, network: standin.NewNetwork(), placer: placer.New("vm", "d", map[string]string{"d": "r"})}
+		v := &vm{t: t, network: standin.NewNetwork()}
+		v.placer = placer.New("vm", "d", map[string]string{"d": "r"}, placer.WithOnChange(v.passOnSlot))
 		var list []placer.Upstream
 		for n, plan := range plans {
 			id := fmt.Sprint("u", n)
--- a/internal/faces/gateway/localreply.go
+++ b/internal/faces/gateway/localreply.go
@@ -24,6 +24,7 @@
 	reasonStopping         reason = "stopping"
 	reasonRateLimited      reason = "rateLimited"
 	reasonVersionUnknown   reason = "streamVersionUnknown"
+	reasonNoRoom           reason = "noRoom"
 	reasonRejected         reason = "refusedByUpstreams"
 	reasonCrashesUpstreams reason = "crashesUpstreams"
 	reasonDeadline         reason = "deadline"
@@ -50,6 +51,13 @@
 	g.localReply(x, status, cause, retryAfter)
 }
 
+// rejectUntil rejects a request that was not sent because all upstreams are full, and tells its
+// caller to retry when there will be room.
+func (g *Gateway) rejectUntil(x *exchange, roomAt time.Time) {
+	delay := max(time.Until(roomAt), retryAfterBase)
+	g.localReply(x, http.StatusServiceUnavailable, reasonNoRoom, delay+rand.N(retryAfterJitter))
+}
+
 // localReply writes, counts and logs a local reply. A zero retryAfter is not sent.
 func (g *Gateway) localReply(x *exchange, status int, cause reason, retryAfter time.Duration) {
 	id := ""
--- a/internal/faces/gateway/run.go
+++ b/internal/faces/gateway/run.go
@@ -114,7 +114,8 @@
 	}
 	for f.sends < maxSends {
 		slot, err := f.acquireSlot(ctx)
-		if errors.Is(err, errCrashesUpstreams) || errors.Is(err, placer.ErrRateLimited) {
+		var noRoom *placer.NoRoomError
+		if errors.Is(err, errCrashesUpstreams) || errors.Is(err, placer.ErrRateLimited) || errors.As(err, &noRoom) {
 			f.lastErr = err
 		}
 		if err != nil {
@@ -249,6 +250,7 @@
 // finish ends a request that got no complete answer, with a local reply if the caller
 // can still receive one.
 func (f *forwarding) finish(ctx context.Context) outcome {
+	var noRoom *placer.NoRoomError
 	switch {
 	case f.x.r.Context().Err() != nil || errors.Is(f.lastErr, errCallerGone):
 		return outcomeCallerGone
@@ -266,6 +268,8 @@
 		f.gateway.reject(f.x, http.StatusBadGateway, reasonFailed)
 	case errors.Is(f.lastErr, versionkeeper.ErrUnknown):
 		f.gateway.reject(f.x, http.StatusServiceUnavailable, reasonVersionUnknown)
+	case errors.As(f.lastErr, &noRoom):
+		f.gateway.rejectUntil(f.x, noRoom.RoomAt())
 	case errors.Is(f.lastErr, placer.ErrRateLimited):
 		f.gateway.reject(f.x, http.StatusServiceUnavailable, reasonRateLimited)
 	case errors.Is(f.lastErr, relayer.ErrUnreachable):
--- a/internal/faces/gateway/slot.go
+++ b/internal/faces/gateway/slot.go
@@ -18,8 +18,8 @@
 	// slot. From then on, it accepts a slot on any upstream. The rest of the caller's
 	// timeout is left for the answer.
 	MaxSlotWait = 1500 * time.Millisecond
-	// slotWaitDivisor bounds the wait to a share of the time from arrival to deadline.
-	slotWaitDivisor = 3
+	// SlotWaitDivisor bounds the wait to a share of the time from arrival to deadline.
+	SlotWaitDivisor = 3
 	// SlotPollInterval is the mean interval at which a waiting request polls for a slot.
 	SlotPollInterval = 40 * time.Millisecond
 	// MaxLimitWait is how long a new request waits while the rate limits of all upstreams are
@@ -42,7 +42,7 @@
 
 // onlineWork describes the next attempt to the placer.
 func (f *forwarding) onlineWork() placer.OnlineWork {
-	work := placer.OnlineWork{Service: f.x.request.service, Avoid: f.avoid, Versions: f.versions()}
+	work := placer.OnlineWork{Service: f.x.request.service, Avoid: f.avoid, Versions: f.versions(), Deadline: f.x.request.Deadline}
 	if target := f.x.request.route.LatencyTarget; target > 0 && !f.headSent {
 		work.Target, work.WaitUntil = f.x.request.receivedAt.Add(target), f.slotDeadline()
 	}
@@ -156,7 +156,7 @@
 func (f *forwarding) slotDeadline() time.Time {
 	receivedAt, latest := f.x.request.receivedAt, f.x.request.receivedAt.Add(MaxSlotWait)
 	if deadline := f.x.request.Deadline; !deadline.IsZero() {
-		latest = earliest(latest, receivedAt.Add(deadline.Sub(receivedAt)/slotWaitDivisor))
+		latest = earliest(latest, receivedAt.Add(deadline.Sub(receivedAt)/SlotWaitDivisor))
 	}
 	return latest
 }
--- a/internal/laboratory/daysimulator/day.go
+++ b/internal/laboratory/daysimulator/day.go
@@ -41,6 +41,8 @@
 	// JobTimeout the time within which a job must complete.
 	LatencyTarget time.Duration
 	JobTimeout    time.Duration
+	// Timeout is how long a stream's caller waits for the first event; 0 for as long as it takes.
+	Timeout time.Duration
 	// LostVM is the index, over all domains, of a VM that fails at LostAt, or noVM.
 	LostVM int
 	LostAt time.Duration
--- a/internal/laboratory/daysimulator/fleet.go
+++ b/internal/laboratory/daysimulator/fleet.go
@@ -259,10 +259,14 @@
 }
 
 func (f *fleet) onlineWork(st *stream) placer.OnlineWork {
-	return placer.OnlineWork{
+	work := placer.OnlineWork{
 		Service: service, Avoid: st.avoid, Target: toTime(st.arrivedAt + f.s.day.LatencyTarget),
 		WaitUntil: toTime(st.arrivedAt + gateway.MaxSlotWait),
 	}
+	if timeout := f.s.day.Timeout; timeout > 0 {
+		work.Deadline, work.WaitUntil = toTime(st.arrivedAt+timeout), toTime(st.arrivedAt+timeout/gateway.SlotWaitDivisor)
+	}
+	return work
 }
 
 // holdOnline records the slot of a stream and returns its engine.
--- a/internal/laboratory/daysimulator/overload_test.go
+++ b/internal/laboratory/daysimulator/overload_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/fescuespindle/fescuespindle/internal/faces/gateway"
 	"github.com/fescuespindle/fescuespindle/internal/laboratory/daysimulator"
 )
 
@@ -59,3 +60,25 @@
 func TestShortOverloadDelaysOnlyTheExcess(t *testing.T) {
 	expectOverloadServed(t, 1.2, 1)
 }
+
+// expectRejections simulates days whose callers leave after a second. Streams may be rejected only
+// if the steps up need far more than all slots, and never after longer than they may wait for one.
+func expectRejections(t *testing.T, excess float64, wantSome bool) {
+	t.Helper()
+	const timeout, longestWait = time.Second, time.Second/gateway.SlotWaitDivisor + 2*gateway.SlotPollInterval
+	for seed := range *seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			day := overloaded(seed, excess)
+			day.Timeout = timeout
+			r := daysimulator.Simulate(day, daysimulator.Fleet)
+			t.Logf("%v, gave up %d, last rejection after %v", r, r.GaveUp, r.RejectedAfter)
+			qt.Check(t, r.Rejected > 0, qt.Equals, wantSome)
+			qt.Check(t, r.RejectedAfter <= longestWait, qt.IsTrue)
+		})
+	}
+}
+
+func TestStreamsThatCanBeServedAreNotRejected(t *testing.T) { expectRejections(t, 1.5, false) }
+
+func TestStreamsThatCanNotBeServedAreRejected(t *testing.T) { expectRejections(t, 4, true) }
--- a/internal/laboratory/daysimulator/simulator.go
+++ b/internal/laboratory/daysimulator/simulator.go
@@ -13,6 +13,7 @@
 	Streams       int
 	OnTimeStreams int // streams whose first event met the latency target
 	Rejected      int // streams that no engine accepted
+	GaveUp        int // streams whose callers left before the first event
 	Items         int
 	OnTimeItems   int           // items that completed before their job's deadline
 	Yields        int           // runs of items that were stopped for online requests or a lost VM
@@ -155,6 +156,9 @@
 	s.drawTeam(st)
 	s.result.Streams++
 	s.countStream(st)
+	if s.day.Timeout > 0 {
+		s.schedule(s.now+s.day.Timeout, func() { s.giveUp(st) })
+	}
 	s.send(st)
 }
 
@@ -175,6 +179,7 @@
 
 func (s *simulator) sendTo(e *engine, st *stream) {
 	v, w := st.vm, st.work
+	st.engine = e
 	latency := networkDelay(v.domain, e.domain)
 	w.onFirst = func(at time.Duration) {
 		first := at + latency - st.arrivedAt
@@ -202,6 +207,21 @@
 	})
 }
 
+// giveUp ends a stream whose caller leaves, unless its first event was sent.
+func (s *simulator) giveUp(st *stream) {
+	if st.engine == nil || st.work.firstSent {
+		return
+	}
+	s.result.GaveUp++
+	v, e := st.vm, st.engine
+	latency := networkDelay(v.domain, e.domain)
+	s.schedule(s.now+latency, func() {
+		e.remove(st.work, s.now)
+		s.scheduleEngine(e)
+		s.policy.onlineEnded(v, e)
+	})
+}
+
 // arriveJob generates a batch job of JobItems items at a random VM.
 func (s *simulator) arriveJob() {
 	v := s.randomLiveVM()
--- a/internal/laboratory/daysimulator/team.go
+++ b/internal/laboratory/daysimulator/team.go
@@ -24,6 +24,7 @@
 	arrivedAt time.Duration
 	work      *request
 	avoid     map[string]bool // engines that have rejected it
+	engine    *engine         // that it was sent to last
 	team      int
 	urgency   int // 0 is the most urgent
 }
--- a/internal/online/placer/online.go
+++ b/internal/online/placer/online.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"time"
 )
 
@@ -17,6 +18,8 @@
 	// queueWaitFactor is the factor by which a queue wait may exceed its estimate, as
 	// it depends on the duration of only a few requests.
 	queueWaitFactor = 2
+	// shortQueueDivisor is the divisor by which a queue wait may fall short of its estimate.
+	shortQueueDivisor = 2
 	// lateReservedSlots bounds the free slots of an upstream that requests which
 	// already miss their latency target leave to others; lateReserveDivisor bounds them
 	// to a share of all its slots, as a divisor.
@@ -58,6 +61,18 @@
 	ErrRetryLater = errors.New("no slot available in time")
 )
 
+// NoRoomError means that the request would not leave the queue of any upstream before its
+// deadline. It was not sent.
+type NoRoomError struct {
+	roomAt time.Time
+}
+
+// Error implements error.
+func (e *NoRoomError) Error() string { return "no slot expected before the deadline" }
+
+// RoomAt returns when a slot is expected to become free.
+func (e *NoRoomError) RoomAt() time.Time { return e.roomAt }
+
 // OnlineWork describes an online request that needs a slot.
 type OnlineWork struct {
 	Service string
@@ -70,6 +85,8 @@
 	// WaitUntil is the time from which the request accepts a slot on any upstream,
 	// however long the queue there; zero for at once.
 	WaitUntil time.Time
+	// Deadline is when the caller stops waiting; zero for never.
+	Deadline time.Time
 	// YieldUntil is the time until which the request leaves the last free slots of an upstream
 	// to others; zero for not at all.
 	YieldUntil time.Time
@@ -87,7 +104,7 @@
 // VM, and leaves the queues of the upstreams to requests that can still meet theirs.
 // It gets a slot that these leave free, or any slot from WaitUntil on.
 //
-// AcquireOnline returns ErrNoUpstream, ErrRateLimited or ErrRetryLater.
+// AcquireOnline returns ErrNoUpstream, ErrRateLimited, ErrRetryLater or a NoRoomError.
 func (p *Placer) AcquireOnline(work OnlineWork, now time.Time) (*Slot, error) {
 	slot, yielding, err := p.acquireOnline(work, now)
 	if err != nil {
@@ -103,6 +120,7 @@
 	defer p.mu.Unlock()
 	var best *upstream
 	var leastWait time.Duration
+	shortestQueue := time.Duration(math.MaxInt64)
 	members := p.byService[work.Service]
 	slotTime := p.meanSlotTime(work.Service)
 	estimate := p.loadEstimate(work.Service, now)
@@ -117,7 +135,9 @@
 			isLimited = true
 			continue
 		}
-		wait := u.firstEventWait(estimate.freeSlots(u, now), slotTime, now) + p.choicePenalty(u)
+		free := estimate.freeSlots(u, now)
+		shortestQueue = min(shortestQueue, u.queueWait(free, slotTime, now))
+		wait := u.firstEventWait(free, slotTime, now) + p.choicePenalty(u)
 		if best == nil || wait < leastWait {
 			best, leastWait = u, wait
 		}
@@ -125,6 +145,9 @@
 	if best == nil {
 		return nil, nil, work.errNone(isLimited, now)
 	}
+	if _, isMeasured := p.meanSlotTimes[work.Service]; isMeasured && work.missesDeadline(shortestQueue, now) {
+		return nil, nil, &NoRoomError{roomAt: now.Add(shortestQueue)}
+	}
 	free := estimate.freeSlots(best, now)
 	queue := best.queueWait(free, slotTime, now)
 	if work.shouldWait(best.Sequences, free, queue, now) {
@@ -164,6 +187,12 @@
 	}
 }
 
+// missesDeadline returns whether the request can't start before its deadline, even if the shortest
+// queue moves faster than expected.
+func (w OnlineWork) missesDeadline(shortestQueue time.Duration, now time.Time) bool {
+	return !w.Deadline.IsZero() && shortestQueue > 0 && now.Add(shortestQueue/shortQueueDivisor).After(w.Deadline)
+}
+
 // IsLate returns whether the request would miss its latency target even on a free slot.
 func (w OnlineWork) IsLate(now time.Time) bool { return now.Add(firstEventTime).After(w.Target) }
 
--- a/internal/online/placer/overload_test.go
+++ b/internal/online/placer/overload_test.go
@@ -1,6 +1,7 @@
 package placer_test
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -69,6 +70,43 @@
 	expectOnline(t, busyPlacer(9), onlineWork, 0, nil)
 }
 
+// A request is rejected at once only if it could not start even in a queue that moves twice as
+// fast as expected.
+func TestRequestThatCanNotStartBeforeItsDeadlineIsRejected(t *testing.T) {
+	t.Run("eight in the queue for two slots", func(t *testing.T) { expectNoRoom(t, measured(t, 1, 9), true) })
+	t.Run("a queue that may move faster", func(t *testing.T) { expectNoRoom(t, measured(t, 1, 6), false) })
+	t.Run("a free slot", func(t *testing.T) { expectNoRoom(t, measured(t, 1, 1), false) })
+	t.Run("another upstream without a queue", func(t *testing.T) { expectNoRoom(t, measured(t, 2, 9), false) })
+	t.Run("how long requests hold a slot isn't known", func(t *testing.T) { expectNoRoom(t, busyPlacer(9), false) })
+	t.Run("no deadline", func(t *testing.T) { expectOnline(t, measured(t, 1, 9), onlineWork, 0, nil) })
+}
+
+// expectNoRoom acquires a slot for a request that has a second.
+func expectNoRoom(t *testing.T, p *placer.Placer, want bool) {
+	t.Helper()
+	work := onlineWork
+	work.Deadline = start.Add(time.Second)
+	_, err := p.AcquireOnline(work, start)
+	var noRoom *placer.NoRoomError
+	qt.Assert(t, errors.As(err, &noRoom), qt.Equals, want)
+	if want {
+		qt.Check(t, noRoom.RoomAt().After(work.Deadline), qt.IsTrue)
+	}
+}
+
+// measured is busyPlacer with a number of upstreams, the first of which is busy, on one of which a
+// request has held a slot for 750 ms.
+func measured(t *testing.T, upstreams, n int) *placer.Placer {
+	t.Helper()
+	p := newPlacer("vm1", testUpstreams(upstreams, "a"))
+	slot, err := p.AcquireOnline(onlineWork, start.Add(-750*time.Millisecond))
+	qt.Assert(t, err, qt.IsNil)
+	p.RecordAnswer(slot, start)
+	p.Release(slot, start)
+	p.ReceiveReport("vm2", placer.Report{"a0": {Online: n}}, start)
+	return p
+}
+
 const (
 	domainVMs       = 4
 	domainUpstreams = 6 // with two slots each
