In a shortage, demand beyond a fair share yields, not that beyond the mean

Between VMs, a request yields while slots are short if there are more urgent ones or its team asks for more than others. That was more than twice the mean of the others; where one team asks for 62% and 75 others for the rest, the larger of these exceeded it too and paid as much. It is the max-min share now: what is left to a team if 0.8 of all requests can be served and teams that ask for less than their share are served whole. Both reasons add up, a third of the time to the target each, and one free slot of an upstream is left instead of two.

--- a/internal/faces/gateway/run.go
+++ b/internal/faces/gateway/run.go
@@ -295,6 +295,6 @@
 	}
 	g.logger.Info("request", "id", request.Call.ID, "outcome", result, "route", request.route.Name,
 		"version", request.configVersion, "first", first, "took", took, "events", f.events, "waited", f.waitedForSlot,
-		"yielded", f.yielded, "queued", f.queuedAtUpstream, "team", f.x.teamName(),
+		"yielded", f.yielded, "queued", f.queuedAtUpstream, "team", f.x.teamName(), "urgency", f.x.urgency(),
 		"resumes", request.Resumes, "after", request.LastEvent, "attempts", f.attemptLog)
 }
--- a/internal/online/placer/online.go
+++ b/internal/online/placer/online.go
@@ -25,6 +25,8 @@
 	// to a share of all its slots, as a divisor.
 	lateReservedSlots  = 2
 	lateReserveDivisor = 3
+	// yieldReservedSlots is lateReservedSlots of requests that yield to others.
+	yieldReservedSlots = 1
 	// yieldDelay is the time until a yielding batch request has freed its slot.
 	yieldDelay = 10 * time.Millisecond
 	// slowPenalty is the time added to the first event on an upstream that takes twice
@@ -179,8 +181,10 @@
 	switch {
 	case !now.Before(w.WaitUntil):
 		return false
-	case w.IsLate(now), now.Before(w.YieldUntil): // the last free slots are for others
+	case w.IsLate(now): // the last free slots are for others
 		return free < float64(1+min(lateReservedSlots, slots/lateReserveDivisor))
+	case now.Before(w.YieldUntil):
+		return free < float64(1+min(yieldReservedSlots, slots/lateReserveDivisor))
 	default:
 		queue = time.Duration(queueWaitFactor * float64(queue))
 		return free < 1 && now.Add(queue+firstEventTime).After(w.Target)
--- a/internal/online/queuer/queue.go
+++ b/internal/online/queuer/queue.go
@@ -4,6 +4,7 @@
 package queuer
 
 import (
+	"cmp"
 	"iter"
 	"maps"
 	"math"
@@ -102,16 +103,37 @@
 	return c.recent * math.Exp(-float64(now.Sub(c.lastSeen))/float64(CallerRetention))
 }
 
-// AsksMore returns whether a caller has recently asked for a multiple of what the callers that
-// compete with it ask for on average, by weight.
-func (q *Queue) AsksMore(c *Caller, factor float64, now time.Time) bool {
-	var others, weights float64
+// demand is what a caller has recently asked for.
+type demand struct {
+	requests float64
+	weight   float64
+}
+
+func (d demand) perWeight() float64 { return d.requests / d.weight }
+
+// ExceedsShare returns whether a caller has recently asked for more than its fair share, if only the
+// given part of all requests can be served. Callers that ask for less than their share leave the
+// rest of it to the others (max-min fairness).
+func (q *Queue) ExceedsShare(c *Caller, part float64, now time.Time) bool {
+	var demands []demand
+	remaining, weights := 0.0, 0.0
 	for other := range q.Callers() {
-		if other != c && now.Sub(other.lastSeen) <= CallerRetention {
-			others, weights = others+other.Recent(now), weights+other.weight
+		if now.Sub(other.lastSeen) <= CallerRetention {
+			demands = append(demands, demand{requests: other.Recent(now), weight: other.weight})
+			remaining, weights = remaining+part*other.Recent(now), weights+other.weight
+		}
+	}
+	if len(demands) == 1 {
+		return false // there is nobody to share with
+	}
+	slices.SortFunc(demands, func(a, b demand) int { return cmp.Compare(a.perWeight(), b.perWeight()) })
+	for _, d := range demands {
+		if d.perWeight() > remaining/weights {
+			break
 		}
+		remaining, weights = remaining-d.requests, weights-d.weight
 	}
-	return weights > 0 && c.Recent(now)/c.weight > factor*others/weights
+	return weights > 0 && c.Recent(now)/c.weight > remaining/weights
 }
 
 // Admitted is closed once the request is admitted.
--- a/internal/online/queuer/queue_test.go
+++ b/internal/online/queuer/queue_test.go
@@ -110,3 +110,43 @@
 	_, found = q.Known("b")
 	qt.Check(t, found, qt.IsTrue)
 }
+
+func TestShareOfWhatCanBeServed(t *testing.T) {
+	// demands returns a queue whose callers have asked as often as given.
+	demands := func(requests map[string]int) *queuer.Queue {
+		q := queuer.New()
+		for caller, n := range requests {
+			for range n {
+				q.Caller(caller, 1, start)
+			}
+		}
+		return q
+	}
+	expectExceeds := func(t *testing.T, q *queuer.Queue, caller string, want bool) {
+		t.Helper()
+		c, found := q.Known(caller)
+		qt.Assert(t, found, qt.IsTrue)
+		qt.Check(t, q.ExceedsShare(c, 0.8, start), qt.Equals, want)
+	}
+	t.Run("the excess is that of the largest", func(t *testing.T) {
+		q := demands(map[string]int{"hot": 62, "large": 18, "small": 2})
+		expectExceeds(t, q, "hot", true)
+		expectExceeds(t, q, "large", false)
+		expectExceeds(t, q, "small", false)
+	})
+	t.Run("several share it", func(t *testing.T) {
+		q := demands(map[string]int{"a": 50, "b": 45, "small": 5})
+		expectExceeds(t, q, "a", true)
+		expectExceeds(t, q, "b", true)
+		expectExceeds(t, q, "small", false)
+	})
+	t.Run("a caller alone has no share", func(t *testing.T) {
+		expectExceeds(t, demands(map[string]int{"a": 50}), "a", false)
+	})
+	t.Run("what was asked long ago doesn't count", func(t *testing.T) {
+		q := demands(map[string]int{"hot": 50, "small": 1})
+		later := start.Add(queuer.CallerRetention + time.Second)
+		c := q.Caller("small", 1, later)
+		qt.Check(t, q.ExceedsShare(c, 0.8, later), qt.IsFalse)
+	})
+}
--- a/internal/online/slotqueuer/queuer.go
+++ b/internal/online/slotqueuer/queuer.go
@@ -19,11 +19,12 @@
 	equalWeight = 1
 	// shortageMemory is how long after a request found no slot slots still count as short.
 	shortageMemory = time.Second
-	// yieldDivisor sets how long a request leaves the last free slots to others, as a share of the
-	// time from its arrival to its latency target.
+	// yieldDivisor sets how long a request leaves the last free slots to others for each reason that
+	// it has, as a share of the time from its arrival to its latency target.
 	yieldDivisor = 3
-	// greedyFactor is by how much a team asks for more than others, on average, to yield to them.
-	greedyFactor = 2
+	// servedPart is the part of all requests for which there are slots in a shortage. It decides whose
+	// demand exceeds a fair share of them.
+	servedPart = 0.8
 )
 
 // Request is a request for a slot.
@@ -77,8 +78,9 @@
 	l := q.laneOf(r.Work.Service)
 	team := l.requests.Caller(r.Team, equalWeight, now)
 	l.urgentUntil[r.Urgency] = now.Add(queuer.CallerRetention)
-	if l.mustYield(team, r.Urgency, now) {
-		r.Work.YieldUntil = now.Add(max(r.Work.Target.Sub(now), 0) / yieldDivisor)
+	if reasons := l.reasonsToYield(team, r.Urgency, now); reasons > 0 {
+		toTarget := max(r.Work.Target.Sub(now), 0)
+		r.Work.YieldUntil = now.Add(time.Duration(reasons) * toTarget / yieldDivisor)
 	}
 	if l.requests.Waiting() == 0 {
 		if err := l.acquire(&r, now); !errors.Is(err, placer.ErrRetryLater) {
@@ -218,19 +220,24 @@
 	return err
 }
 
-// mustYield returns whether a request leaves the last free slots to others for a while, also to
-// those that come through other VMs: slots are short, and its team asks for much more than others
-// or there are more urgent requests.
-func (l *lane) mustYield(team *queuer.Caller, urgency int, now time.Time) bool {
+// reasonsToYield returns how many reasons a request has to leave the last free slots to others for
+// a while, also to those that come through other VMs. It has none unless slots are short. Each of
+// these is one: there are more urgent requests; its team asks for more than its share.
+func (l *lane) reasonsToYield(team *queuer.Caller, urgency int, now time.Time) int {
 	if !now.Before(l.shortUntil) {
-		return false
+		return 0
 	}
+	reasons := 0
 	for other, until := range l.urgentUntil {
 		if other < urgency && now.Before(until) {
-			return true
+			reasons++
+			break
 		}
 	}
-	return l.requests.AsksMore(team, greedyFactor, now)
+	if l.requests.ExceedsShare(team, servedPart, now) {
+		reasons++
+	}
+	return reasons
 }
 
 // recordResult counts a request that has got a slot in its team's share.
