A starting VM holds requests for as long as their retry would take

A retry comes after 100 to 300 ms, and finds no VM that is ready sooner. Requests wait for up to 300 ms now.

--- a/internal/faces/gateway/start.go
+++ b/internal/faces/gateway/start.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// maxStartWait is how long after the start of a gateway requests wait until it opens.
-// The first read of a configuration usually takes less time than a retry of the
-// request would.
-const maxStartWait = 150 * time.Millisecond
+// maxStartWait is how long after the start of a gateway requests wait until it opens: as long as a
+// rejected caller may wait before its retry. If all VMs start at once, that would find no VM that
+// is ready sooner.
+const maxStartWait = retryAfterBase + retryAfterJitter
 
 // startGate delays requests that arrive between the start of a gateway and its first
 // configuration.
