A late request uses free slots of other domains before it waits

Whether a late or yielding request must wait was asked of the upstream that it would reach soonest; one with two free slots nearby made it wait while others had eight. Upstreams without enough free slots for such a request are passed over now, and it waits only if all are.

The test fails on the code before.

--- a/internal/online/placer/online.go
+++ b/internal/online/placer/online.go
@@ -127,7 +127,7 @@
 	slotTime := p.meanSlotTime(work.Service)
 	estimate := p.loadEstimate(work.Service, now)
 	p.rotation++
-	isLimited := false
+	isLimited, leavesSlots := false, false
 	for i := range members {
 		u := members[(i+p.rotation)%len(members)]
 		if !u.acceptsWork() || work.Avoid[u.ID] || !u.hasVersion(work.Versions) {
@@ -139,20 +139,27 @@
 		}
 		free := estimate.freeSlots(u, now)
 		shortestQueue = min(shortestQueue, u.queueWait(free, slotTime, now))
+		if free < work.minFreeSlots(u.Sequences, now) {
+			leavesSlots = true
+			continue
+		}
 		wait := u.firstEventWait(free, slotTime, now) + p.choicePenalty(u)
 		if best == nil || wait < leastWait {
 			best, leastWait = u, wait
 		}
 	}
-	if best == nil {
+	_, isMeasured := p.meanSlotTimes[work.Service]
+	switch {
+	case best == nil && !leavesSlots:
 		return nil, nil, work.errNone(isLimited, now)
-	}
-	if _, isMeasured := p.meanSlotTimes[work.Service]; isMeasured && work.missesDeadline(shortestQueue, now) {
+	case isMeasured && work.missesDeadline(shortestQueue, now):
 		return nil, nil, &NoRoomError{roomAt: now.Add(shortestQueue)}
+	case best == nil:
+		return nil, nil, ErrRetryLater
 	}
 	free := estimate.freeSlots(best, now)
 	queue := best.queueWait(free, slotTime, now)
-	if work.shouldWait(best.Sequences, free, queue, now) {
+	if work.shouldWait(free, queue, now) {
 		return nil, nil, ErrRetryLater
 	}
 	best.localCount.Online++
@@ -174,20 +181,28 @@
 	}
 }
 
-// shouldWait reports whether the request should wait in this VM, given the number of
-// slots of the best upstream, the free ones among them, and the estimated queue wait
-// there.
-func (w OnlineWork) shouldWait(slots int, free float64, queue time.Duration, now time.Time) bool {
+// shouldWait reports whether the request should wait in this VM, given the free slots of the best
+// upstream and the estimated queue wait there.
+func (w OnlineWork) shouldWait(free float64, queue time.Duration, now time.Time) bool {
+	if !now.Before(w.WaitUntil) || w.IsLate(now) {
+		return false // minFreeSlots decides where a late request may go
+	}
+	queue = time.Duration(queueWaitFactor * float64(queue))
+	return free < 1 && now.Add(queue+firstEventTime).After(w.Target)
+}
+
+// minFreeSlots returns the number of free slots that an upstream with the given number of slots must
+// have to be considered: the last ones are for requests that can still be in time, and don't yield.
+func (w OnlineWork) minFreeSlots(slots int, now time.Time) float64 {
 	switch {
 	case !now.Before(w.WaitUntil):
-		return false
-	case w.IsLate(now): // the last free slots are for others
-		return free < float64(1+min(lateReservedSlots, slots/lateReserveDivisor))
+		return math.Inf(-1)
+	case w.IsLate(now):
+		return float64(1 + min(lateReservedSlots, slots/lateReserveDivisor))
 	case now.Before(w.YieldUntil):
-		return free < float64(1+min(yieldReservedSlots, slots/lateReserveDivisor))
+		return float64(1 + min(yieldReservedSlots, slots/lateReserveDivisor))
 	default:
-		queue = time.Duration(queueWaitFactor * float64(queue))
-		return free < 1 && now.Add(queue+firstEventTime).After(w.Target)
+		return math.Inf(-1)
 	}
 }
 
--- a/internal/online/placer/overload_test.go
+++ b/internal/online/placer/overload_test.go
@@ -62,6 +62,19 @@
 	t.Run("but those that others have", func(t *testing.T) { expectLate(t, 2, 2, placer.ErrRetryLater) })
 }
 
+// A late request must not wait for the nearest upstream while a more distant one has enough slots.
+func TestLateRequestUsesTheFreeSlotsOfOtherDomains(t *testing.T) {
+	list := testUpstreams(1, "a", "b")
+	for i := range list {
+		list[i].Sequences = 8
+	}
+	p := newPlacer("vm1", list)
+	p.ReceiveReport("vm2", placer.Report{"a0": {Online: 6}}, start)
+	slot, err := p.AcquireOnline(withTarget(300*time.Millisecond), start.Add(400*time.Millisecond))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, slot.Upstream().ID, qt.Equals, "b0")
+}
+
 func TestRequestWaitsForALimitedTime(t *testing.T) {
 	expectOnline(t, busyPlacer(9), withTarget(300*time.Millisecond), time.Second, nil)
 }
