Batch: the rows of ended jobs are removed after their retention

Change: jobremover chooses, of the records that a scan has read anyway, one ended job per part whose retention by its route and by the platform (status_s) is over; the first VM that watches the part removes its rows, the record last and all under the record's version. An interrupted removal is found again by the next scan. Without the setting nothing is removed. Older builds read the same rows.

--- a/internal/batch/batchrunner/runner.go
+++ b/internal/batch/batchrunner/runner.go
@@ -13,6 +13,7 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/batch/attempter"
 	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/batch/jobremover"
 	"github.com/fescuespindle/fescuespindle/internal/batch/orphanwatcher"
 	"github.com/fescuespindle/fescuespindle/internal/batch/runestimator"
 	"github.com/fescuespindle/fescuespindle/internal/batch/slotwaiter"
@@ -38,6 +39,7 @@
 	) (batchkeeper.VersionedRecord, error)
 	Release(ctx context.Context, seen batchkeeper.VersionedRecord, progress map[int]batchkeeper.Progress,
 	) (batchkeeper.VersionedRecord, error)
+	Remove(ctx context.Context, seen batchkeeper.VersionedRecord) error
 }
 
 // Placer assigns the slots of upstreams.
@@ -118,6 +120,7 @@
 	estimator         runestimator.Estimator
 	scans             [batchkeeper.Parts]partScan
 	orphans           *orphanwatcher.Watcher
+	remover           *jobremover.Remover
 	claimingOrLoading map[string]bool
 	idle              map[string]idleJob // by ID
 	ends              startjudge.Ends
@@ -134,6 +137,12 @@
 	return func(r *Runner) { r.mover = m }
 }
 
+// WithResultRetention sets how long ended jobs stay readable after the retention of their route. Without
+// it, they are never removed.
+func WithResultRetention(retention time.Duration) Option {
+	return func(r *Runner) { r.remover = jobremover.New(retention) }
+}
+
 // New returns a runner for the process self.
 func New(
 	self batchkeeper.Owner, keeper Keeper, p Placer, c attempter.Courier, members Members, config Configuration,
@@ -144,7 +153,7 @@
 		guard: guard, counter: counter, logger: logger, jobs: map[string]*job{},
 		running: map[*placer.Slot]*item{}, orphans: orphanwatcher.New(self.VM),
 		mover: noMover{}, waits: slotwaiter.Waits{}, claimingOrLoading: map[string]bool{}, idle: map[string]idleJob{}, ends: startjudge.Ends{},
-		drained: make(chan struct{}), outputs: rationer.New(outputMemoryBytes),
+		drained: make(chan struct{}), outputs: rationer.New(outputMemoryBytes), remover: &jobremover.Remover{},
 	}
 	for _, option := range options {
 		option(r)
--- a/internal/batch/batchrunner/runner_test.go
+++ b/internal/batch/batchrunner/runner_test.go
@@ -53,7 +53,8 @@
 	wrapPlacer func(batchrunner.Placer) batchrunner.Placer
 	// wrapKeeper replaces the keeper of each runner that starts, if it is not nil.
 	wrapKeeper func(batchrunner.Keeper) batchrunner.Keeper
-	logger     *slog.Logger // of the VMs that start
+	logger     *slog.Logger  // of the VMs that start
+	retention  time.Duration // of results, after that of the route; 0 means that jobs are never removed
 }
 
 // vm is one VM of a fleet.
@@ -143,7 +144,7 @@
 	}
 	v.runner = batchrunner.New(owner, jobs, slots, courier.New(sender, v.placer, platform.Codec{}, logger), f,
 		v, rationer.New(cmp.Or(f.memoryBytes, 64<<20)), supervisor.New(v.counters, logger), v.counters, logger,
-		batchrunner.WithMover(f))
+		batchrunner.WithMover(f), batchrunner.WithResultRetention(f.retention))
 	f.setAlive(owner, true)
 	v.runner.Start()
 	time.Sleep(200 * time.Millisecond) // until it has read the store
--- a/internal/batch/batchrunner/watch.go
+++ b/internal/batch/batchrunner/watch.go
@@ -52,6 +52,30 @@
 		for _, record := range records {
 			r.reconcile(record, vms, now)
 		}
+		r.removeEnded(part, records, vms)
+	})
+}
+
+// removeEnded removes an ended job of a part whose retention is over. Of the VMs that watch the part, the
+// first does so.
+func (r *Runner) removeEnded(part int, records []batchkeeper.VersionedRecord, vms []string) {
+	if watchers := orphanwatcher.WatchersOf(part, vms); len(watchers) == 0 || watchers[0] != r.self.VM {
+		return
+	}
+	record, found := r.remover.Start(part, records, r.keeper.Now())
+	if !found {
+		return
+	}
+	r.callAsync(commitTimeout, func(ctx context.Context) error {
+		return r.keeper.Remove(ctx, record)
+	}, func(_ time.Time, err error) {
+		r.remover.End(part)
+		if err != nil {
+			r.logger.Info("ended job not removed, trying again later", "job", record.ID, "error", err)
+			return
+		}
+		r.counter.Count("jobs_removed_total")
+		r.logger.Debug("ended job removed", "job", record.ID, "record", record.Version)
 	})
 }
 
--- a/internal/wiring/entryvm/provider.go
+++ b/internal/wiring/entryvm/provider.go
@@ -225,12 +225,12 @@
 }
 
 func newRunner(
-	owner batchkeeper.Owner, keeper *batchkeeper.Keeper, p *placer.Placer, sender *courier.Courier,
+	s platform.Settings, owner batchkeeper.Owner, keeper *batchkeeper.Keeper, p *placer.Placer, sender *courier.Courier,
 	members *memberkeeper.Keeper, c *callbacks, budget *rationer.Rationer, mover *jobmover.Mover,
 	tasks *supervisor.Supervisor, counters *counter.Counters, logger *slog.Logger,
 ) *batchrunner.Runner {
 	return batchrunner.New(owner, keeper, p, sender, members, c, budget, tasks, counters, logger,
-		batchrunner.WithMover(mover))
+		batchrunner.WithMover(mover), batchrunner.WithResultRetention(s.ResultRetention))
 }
 
 func newMover(fleet *fleetidentifier.Fleet, logger *slog.Logger) *jobmover.Mover {
--- a/internal/wiring/entryvm/wire_gen.go
+++ b/internal/wiring/entryvm/wire_gen.go
@@ -42,7 +42,7 @@
 	owner := newOwner(settings, entryvmBootID)
 	batchkeeperKeeper := newJobKeeper(store, owner, settings, logger)
 	mover := newMover(fleet, logger)
-	runner := newRunner(owner, batchkeeperKeeper, placer, courierCourier, memberkeeperKeeper, entryvmCallbacks, rationer, mover, supervisor, counters, logger)
+	runner := newRunner(settings, owner, batchkeeperKeeper, placer, courierCourier, memberkeeperKeeper, entryvmCallbacks, rationer, mover, supervisor, counters, logger)
 	entryvmSharedState := newSharedState(placer, analyzer, runner, logger)
 	canceller := newCanceller(batchkeeperKeeper, entryvmSharedState, supervisor, counters, logger)
 	server := newJobServer(codec, batchkeeperKeeper, canceller, entryvmSharedState, entryvmCallbacks, rationer, counters, logger)
