--- a/internal/batch/batchkeeper/remove_test.go
+++ b/internal/batch/batchkeeper/remove_test.go
@@ -40,7 +40,7 @@
 				k := newKeeper(store, ownerB)
 				qt.Assert(t, k.Remove(ctx, stored), qt.IsNil)
 				qt.Check(t, rowsOf(store), qt.DeepEquals, others)
-				_, err := k.Results(ctx, "j", 0)
+				_, err := k.Results(ctx, batchkeeper.Caller{}, "j", 0)
 				qt.Check(t, err, qt.ErrorIs, batchkeeper.ErrNotFound)
 				qt.Check(t, k.Remove(ctx, stored), qt.IsNil) // another VM has removed it
 			})
