Admission: a team's row has a name that the platform's store reads

Cause: the admission row of a team and route had a space in its name. The query of a read encodes it as a plus sign, which the platform's store takes as it stands: the row was written once and never found again, and every later reservation conflicted with it.

Change: the names are joined by a slash.

The tests' stand-in reads both, so they don't show it.

--- a/internal/batch/batchkeeper/admission.go
+++ b/internal/batch/batchkeeper/admission.go
@@ -20,7 +20,7 @@
 	if a.team == "" {
 		return a.route
 	}
-	return url.QueryEscape(a.team) + " " + url.QueryEscape(a.route) // an escaped name has no space
+	return url.PathEscape(a.team) + "/" + url.PathEscape(a.route) // an escaped name has no slash
 }
 
 // account returns what the limit of a submission applies to.
