Keys: a VM that may have missed a revocation answers 503 to requests with keys

Cause: if the settings demand that keys of an old configuration don't count (Settings.MaxKeyAge), a VM that reached neither the store nor a VM that had read it, or that had stood still, went on deciding by them.

Change: the sharer of the configuration knows when its content was surely the newest: at the beginning of a call that the store has answered, directly or through other VMs (their answers tell it; one of an earlier release tells nothing). A row that a peer knows and this VM doesn't ends that. The authenticator answers 503 to requests with keys, and to those that would need one, once that is too long ago. Off by default.

Tests changed: withStartingVM of the gateway's tests takes options.

--- a/internal/control/tablesharer/answer.go
+++ b/internal/control/tablesharer/answer.go
@@ -30,6 +30,9 @@
 	Digest  uint64 `cbor:"digest"`
 	// Age is how long ago the sender last heard from the store.
 	Age time.Duration `cbor:"age"`
+	// ConfirmedAge is how long ago the sender's content was surely the newest; 0 if that isn't known, or
+	// if the sender is of an earlier release.
+	ConfirmedAge time.Duration `cbor:"confirmedAge,omitempty"`
 	// Rows has all rows of the table, encoded and compressed, if they are newer than those
 	// of the VM that asks.
 	Rows []byte `cbor:"rows,omitempty"`
--- a/internal/control/tablesharer/reader.go
+++ b/internal/control/tablesharer/reader.go
@@ -55,11 +55,11 @@
 		if elapsed > readersTimeout || ctx.Err() != nil {
 			break
 		}
-		shared, age, err := s.ask(ctx, r, base, max(0, hold-elapsed))
+		told, err := s.ask(ctx, r, base, max(0, hold-elapsed))
 		if err == nil {
-			s.adopt(shared, age)
+			s.adopt(told)
 			s.recordSource(countShared, r.vm, nil)
-			return shared
+			return told.content
 		}
 		s.recordFailure(ctx, r, err)
 		reason = err
@@ -84,12 +84,13 @@
 }
 
 // adopt makes what a reader has told the known content.
-func (s *Sharer) adopt(shared *content, age time.Duration) {
+func (s *Sharer) adopt(t told) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.contactAt, s.wholeAt = now.Add(-max(0, age)), now
-	s.setKnown(shared)
+	s.contactAt, s.wholeAt = now.Add(-max(0, t.age)), now
+	s.confirm(t.confirmedAt)
+	s.setKnown(t.content)
 }
 
 // recordSource counts where the table was read, and logs when that changes.
@@ -130,29 +131,42 @@
 	}
 }
 
-// ask returns the content of a reader, which isn't older than the base, and how long ago the reader heard
-// from the store. The content is the base itself if it has not changed.
-func (s *Sharer) ask(ctx context.Context, r reader, base *content, hold time.Duration) (*content, time.Duration, error) {
+// told is what a reader has told.
+type told struct {
+	content     *content
+	age         time.Duration // since the reader heard from the store
+	confirmedAt time.Time     // when the content was surely the newest; zero if the reader doesn't tell
+}
+
+// ask returns the content of a reader, which isn't older than the base. It is the base itself if it has
+// not changed.
+func (s *Sharer) ask(ctx context.Context, r reader, base *content, hold time.Duration) (told, error) {
+	began := time.Now()
 	a, err := s.send(ctx, r, base, hold)
 	switch {
 	case err != nil:
-		return nil, 0, err
+		return told{}, err
 	case a.Fleet == 0 || a.Fleet != s.fleet.Identity():
-		return nil, 0, errOtherFleet
+		return told{}, errOtherFleet
 	}
 	newest := base
 	if a.Digest != base.digest {
 		if newest, err = s.newerOf(a, base); err != nil {
-			return nil, 0, err
+			return told{}, err
 		}
 	}
+	t := told{content: newest, age: a.Age}
+	if a.ConfirmedAge > 0 {
+		t.confirmedAt = began.Add(-a.ConfirmedAge) // the answer may have waited here before it was read
+	}
 	switch {
 	case newest.digest != base.digest:
-		return newest, a.Age, nil
+		return t, nil
 	case a.Age >= maxAge:
-		return nil, 0, errStale
+		return told{}, errStale
 	default:
-		return base, a.Age, nil
+		t.content = base
+		return t, nil
 	}
 }
 
--- a/internal/control/tablesharer/server.go
+++ b/internal/control/tablesharer/server.go
@@ -58,6 +58,7 @@
 	}
 	a := answer{
 		Fleet: s.fleet.Identity(), Version: c.version, Digest: c.digest, Age: max(0, time.Since(contactAt)),
+		ConfirmedAge: s.confirmedAge(time.Now()),
 	}
 	var err error
 	if q.isNews(c) {
--- a/internal/control/tablesharer/sharer.go
+++ b/internal/control/tablesharer/sharer.go
@@ -78,6 +78,8 @@
 	// one that it was read from. arrivingAt is when the last piece of an answer came that is still arriving.
 	contactAt  time.Time
 	arrivingAt time.Time
+	// confirmedAt is a time at which known was the newest content; zero if there is none.
+	confirmedAt time.Time
 	// wholeAt is when the whole table was last read, or confirmed by a reader.
 	wholeAt     time.Time
 	changed     chan struct{} // closed when known changes
@@ -241,6 +243,9 @@
 		s.arrivingAt = time.Time{}
 		return all, next, err //nolint:wrapcheck // as for Transact
 	}
+	if next == "" {
+		s.confirm(began)
+	}
 	if began.Before(s.wholeAt) {
 		return all, next, nil
 	}
@@ -266,9 +271,13 @@
 
 // changesFromStore reads the changes after a version from the store.
 func (s *Sharer) changesFromStore(ctx context.Context, after uint64, wait time.Duration) (rowstore.Snapshot, error) {
+	began := time.Now()
 	changes, err := s.store.Changes(s.observeArrival(ctx), s.table, after, wait)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err == nil {
+		s.confirm(began)
+	}
 	if err != nil || s.known == nil || s.known.version != after {
 		s.arrivingAt = time.Time{}
 		return changes, err //nolint:wrapcheck // as for Transact
--- a/internal/control/watcher/hearsay.go
+++ b/internal/control/watcher/hearsay.go
@@ -45,6 +45,16 @@
 	return h.heard > h.newest && now.Sub(h.since) >= feedGrace
 }
 
+// BehindSince returns since when a row has been heard of that isn't known; zero if there is none.
+func (w *Watcher) BehindSince() time.Time {
+	w.hearsay.mu.Lock()
+	defer w.hearsay.mu.Unlock()
+	if w.hearsay.heard <= w.hearsay.newest {
+		return time.Time{}
+	}
+	return w.hearsay.since
+}
+
 // NewestRow returns the version of the newest row that has been known; 0 while there is none.
 func (w *Watcher) NewestRow() uint64 {
 	w.hearsay.mu.Lock()
--- a/internal/faces/gateway/gateway.go
+++ b/internal/faces/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/fescuespindle/fescuespindle/internal/faces/bodyreader"
+	"github.com/fescuespindle/fescuespindle/internal/online/authenticator"
 	"github.com/fescuespindle/fescuespindle/internal/online/courier"
 	"github.com/fescuespindle/fescuespindle/internal/online/crashanalyzer"
 	"github.com/fescuespindle/fescuespindle/internal/online/pacer"
@@ -138,17 +139,33 @@
 	abort     context.CancelCauseFunc
 	chain     handler
 	startGate startGate
+
+	authenticator authenticator.Authenticator
+	confirmedAt   func() time.Time // when the configuration was last known to be the newest
+}
+
+// Option sets one property of a Gateway.
+type Option func(*Gateway)
+
+// WithKeys sets what decides on keys, and a function that returns when the configuration was last known to be
+// the newest; zero if never.
+func WithKeys(a authenticator.Authenticator, confirmedAt func() time.Time) Option {
+	return func(g *Gateway) { g.authenticator, g.confirmedAt = a, confirmedAt }
 }
 
 // New returns a gateway without a configuration. Bytes that it holds for callers are
 // reserved from memory.
 func New(
 	codec Codec, c Courier, p Placer, crashes CrashAnalyzer, versions StreamVersions, jobs Jobs, memory *rationer.Rationer, counter Counter,
-	logger *slog.Logger,
+	logger *slog.Logger, options ...Option,
 ) *Gateway {
 	g := &Gateway{
 		codec: codec, courier: c, placer: p, crashes: crashes, versions: versions, jobs: jobs, memory: memory, counter: counter,
 		logger: logger, pacer: pacer.New(), startGate: newStartGate(),
+		confirmedAt: func() time.Time { return time.Time{} },
+	}
+	for _, option := range options {
+		option(g)
 	}
 	g.aborted, g.abort = context.WithCancelCause(context.Background())
 	g.chain = g.closeIfDraining(g.waitForStart(g.requireConfiguration(g.serveJobCalls(
--- a/internal/faces/gateway/gateway_test.go
+++ b/internal/faces/gateway/gateway_test.go
@@ -69,7 +69,7 @@
 }
 
 // withStartingVM is withVM on a gateway that has no configuration yet.
-func withStartingVM(t *testing.T, plans []standin.Plan, test func(v *vm)) {
+func withStartingVM(t *testing.T, plans []standin.Plan, test func(v *vm), options ...gateway.Option) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		v := &vm{t: t, network: standin.NewNetwork(), placer: placer.New("vm", "d", map[string]string{"d": "r"})}
@@ -91,7 +91,8 @@
 		defer sender.Close()
 		v.gateway = gateway.New(platform.Codec{},
 			courier.New(sender, v.placer, platform.Codec{}, slog.New(slog.DiscardHandler)),
-			v.placer, crashanalyzer.New(), v.versions, noJobs{}, v.memory, counter.New(metrics.NewSet()), slog.New(slog.DiscardHandler))
+			v.placer, crashanalyzer.New(), v.versions, noJobs{}, v.memory, counter.New(metrics.NewSet()), slog.New(slog.DiscardHandler),
+			options...)
 		defer v.network.Serve("vm:1", v.gateway)()
 		v.client = &http.Client{Transport: &http.Transport{DialContext: v.network.Dial, DisableKeepAlives: true}}
 		test(v)
--- a/internal/faces/gateway/key.go
+++ b/internal/faces/gateway/key.go
@@ -2,16 +2,11 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/online/authenticator"
 )
 
-// keyReasons are the reasons of local replies to requests whose key isn't accepted.
-var keyReasons = map[authenticator.Outcome]reason{
-	authenticator.OutcomeNoKey:      reasonNoKey,
-	authenticator.OutcomeUnknownKey: reasonUnknownKey,
-}
-
 // requireKey rejects requests without the key of a team, unless their route is public, before
 // their body is read. The call is sent in the name of the team.
 func (g *Gateway) requireKey(next handler) handler {
@@ -36,11 +31,23 @@
 	}
 	key, found := g.codec.DecodeKey(x.r)
 	var outcome authenticator.Outcome
-	x.team, outcome = authenticator.Decide(x.table, authenticator.Request{Key: key, HasKey: found, Public: public})
-	if outcome == authenticator.OutcomeAccepted {
+	request := authenticator.Request{Key: key, HasKey: found, Public: public}
+	x.team, outcome = g.authenticator.Decide(x.table, request, g.confirmedAt(), time.Now())
+	switch outcome {
+	case authenticator.OutcomeAccepted:
 		return true
+	case authenticator.OutcomeKeysOutdated:
+		g.reject(x, http.StatusServiceUnavailable, reasonKeysOutdated)
+	case authenticator.OutcomeNoKey:
+		g.rejectKey(x, reasonNoKey)
+	case authenticator.OutcomeUnknownKey:
+		g.rejectKey(x, reasonUnknownKey)
 	}
-	g.codec.EncodeChallenge(x.w.Header())
-	g.reject(x, http.StatusUnauthorized, keyReasons[outcome])
 	return false
 }
+
+// rejectKey rejects a request that lacks the key of a team.
+func (g *Gateway) rejectKey(x *exchange, cause reason) {
+	g.codec.EncodeChallenge(x.w.Header())
+	g.reject(x, http.StatusUnauthorized, cause)
+}
--- a/internal/faces/gateway/key_test.go
+++ b/internal/faces/gateway/key_test.go
@@ -8,6 +8,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/fescuespindle/fescuespindle/internal/faces/gateway"
+	"github.com/fescuespindle/fescuespindle/internal/online/authenticator"
 	"github.com/fescuespindle/fescuespindle/internal/online/router"
 	"github.com/fescuespindle/fescuespindle/platform/standin"
 )
@@ -132,3 +134,50 @@
 		}
 	})
 }
+
+// Guards against: a VM that may have missed a revocation, as it stood still or reaches neither the store nor a VM
+// that does, goes on accepting the key, or tells its callers that their new key is unknown.
+func TestKeysOfAnOutdatedConfiguration(t *testing.T) {
+	const maxAge = 5 * time.Second
+	var confirmedAt time.Time // the gateway is called by this goroutine's requests only
+	withStartingVM(t, plans(healthy), func(v *vm) {
+		v.gateway.SetTable(withTeams(1, teams()))
+		v.gateway.Open()
+		expect := func(path, key string, want int) {
+			t.Helper()
+			qt.Check(t, v.callAs(path, standin.Identity{Key: key}), qt.Equals, want)
+		}
+		expect("/safe/x", "Token k1", http.StatusServiceUnavailable)
+		confirmedAt = time.Now()
+		expect("/safe/x", "Token k1", http.StatusOK)
+		expect("/safe/x", "Token x", http.StatusUnauthorized)
+		time.Sleep(maxAge)
+		expect("/safe/x", "Token k1", http.StatusServiceUnavailable)
+		expect("/safe/x", "Token x", http.StatusServiceUnavailable)
+		expect("/open/x", "Token k1", http.StatusServiceUnavailable)
+		expect("/open/x", "", http.StatusOK)
+		expect("/nowhere", "Token k1", http.StatusNotFound)
+		confirmedAt = time.Now()
+		expect("/safe/x", "Token k1", http.StatusOK)
+	}, gateway.WithKeys(authenticator.New(authenticator.WithMaxKeyAge(maxAge)), func() time.Time { return confirmedAt }))
+}
+
+// Guards against: a stream that goes on at another upstream is sent with the caller's key.
+func TestResumedStreamCarriesTheTeam(t *testing.T) {
+	breaking := standin.Plan{Events: 6, Gap: 10 * time.Millisecond, BreakAfter: 2}
+	withStartingVM(t, plans(breaking, breaking), func(v *vm) {
+		v.gateway.SetTable(withTeams(1, teams()))
+		v.gateway.Open()
+		qt.Check(t, v.callAs("/resume/x", standin.Identity{Key: "Token k1", Team: "b"}), qt.Equals, http.StatusOK)
+		resumed := 0
+		for _, u := range v.upstreams {
+			for _, run := range u.Runs() {
+				qt.Check(t, run.Identity(), qt.Equals, standin.Identity{Team: "a"}, qt.Commentf("after %d", run.LastEvent))
+				if run.LastEvent > 0 {
+					resumed++
+				}
+			}
+		}
+		qt.Check(t, resumed > 0, qt.IsTrue)
+	})
+}
--- a/internal/faces/gateway/localreply.go
+++ b/internal/faces/gateway/localreply.go
@@ -15,6 +15,7 @@
 	reasonNoRoute          reason = "noRoute"
 	reasonNoKey            reason = "noKey"
 	reasonUnknownKey       reason = "unknownKey"
+	reasonKeysOutdated     reason = "keysOutdated"
 	reasonMalformed        reason = "malformed"
 	reasonTooLarge         reason = "tooLarge"
 	reasonBodyTruncated    reason = "bodyCut"
--- a/internal/online/authenticator/authenticator.go
+++ b/internal/online/authenticator/authenticator.go
@@ -2,7 +2,11 @@
 // which team it is made.
 package authenticator
 
-import "github.com/fescuespindle/fescuespindle/internal/online/router"
+import (
+	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/online/router"
+)
 
 // Outcome is the result of a decision.
 type Outcome uint8
@@ -12,6 +16,8 @@
 	OutcomeAccepted   Outcome = iota
 	OutcomeNoKey              // a key is required, and the request carries none
 	OutcomeUnknownKey         // a key is required, and no team holds that of the request
+	// OutcomeKeysOutdated means that the configuration is too old to decide by it.
+	OutcomeKeysOutdated
 )
 
 // Request is what the decision depends on. The key must not be logged.
@@ -21,23 +27,45 @@
 	Public bool // whether the request needs no key
 }
 
-// Decide decides on a request under a configuration. The team is nil if the configuration has no
-// teams, or none that holds the key of a public request.
-func Decide(table *router.Table, r Request) (*router.Team, Outcome) {
-	if !table.HasTeams() {
-		return nil, OutcomeAccepted
-	}
-	if r.HasKey {
-		if team, found := table.TeamOf(r.Key); found {
-			return team, OutcomeAccepted
-		}
+// Authenticator decides on requests. The zero value accepts keys of a configuration of any age.
+type Authenticator struct{ maxKeyAge time.Duration }
+
+// Option sets one property of an Authenticator.
+type Option func(*Authenticator)
+
+// WithMaxKeyAge sets how long ago a configuration may last have been confirmed to be the newest, for
+// requests to be accepted or rejected by its keys; 0 means any time.
+func WithMaxKeyAge(age time.Duration) Option { return func(a *Authenticator) { a.maxKeyAge = age } }
+
+// New returns an Authenticator.
+func New(options ...Option) Authenticator {
+	var a Authenticator
+	for _, option := range options {
+		option(&a)
 	}
+	return a
+}
+
+// Decide decides on a request under a configuration, which was the newest at a time before now; zero if
+// that isn't known. The team is nil if the configuration has no teams, or none that holds the key of a
+// public request.
+func (a Authenticator) Decide(table *router.Table, r Request, confirmedAt, now time.Time) (*router.Team, Outcome) {
 	switch {
-	case r.Public:
+	case !table.HasTeams(), r.Public && !r.HasKey:
 		return nil, OutcomeAccepted
-	case r.HasKey:
-		return nil, OutcomeUnknownKey
-	default:
+	case a.isOutdated(confirmedAt, now):
+		return nil, OutcomeKeysOutdated
+	case !r.HasKey:
 		return nil, OutcomeNoKey
 	}
+	team, found := table.TeamOf(r.Key)
+	if !found && !r.Public {
+		return nil, OutcomeUnknownKey
+	}
+	return team, OutcomeAccepted
+}
+
+// isOutdated returns whether a key may have been taken away, or added, too long ago.
+func (a Authenticator) isOutdated(confirmedAt, now time.Time) bool {
+	return a.maxKeyAge > 0 && (confirmedAt.IsZero() || now.Sub(confirmedAt) >= a.maxKeyAge)
 }
--- a/internal/wiring/entryvm/provider.go
+++ b/internal/wiring/entryvm/provider.go
@@ -21,6 +21,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/control/tablesharer"
 	"github.com/fescuespindle/fescuespindle/internal/faces/batchserver"
 	"github.com/fescuespindle/fescuespindle/internal/faces/gateway"
+	"github.com/fescuespindle/fescuespindle/internal/online/authenticator"
 	"github.com/fescuespindle/fescuespindle/internal/online/courier"
 	"github.com/fescuespindle/fescuespindle/internal/online/crashanalyzer"
 	"github.com/fescuespindle/fescuespindle/internal/online/forwarder"
@@ -74,6 +75,15 @@
 // AsOf implements batchrunner.Configuration.
 func (c *callbacks) AsOf() uint64 { return c.vm.configuration.Version() }
 
+// configurationConfirmedAt returns when the configuration in force was last known to be the newest; zero if never.
+func (c *callbacks) configurationConfirmedAt() time.Time {
+	confirmedAt := c.vm.sharer.ConfirmedAt()
+	if behind := c.vm.configuration.BehindSince(); !behind.IsZero() && behind.Before(confirmedAt) {
+		return behind
+	}
+	return confirmedAt
+}
+
 func (c *callbacks) limits() router.Limits {
 	if table := c.Table(); table != nil {
 		return table.Limits()
@@ -262,6 +272,9 @@
 func newGateway(
 	codec platform.Codec, sender *courier.Courier, p *placer.Placer, crashes *crashanalyzer.Analyzer,
 	versions *versionkeeper.Keeper, jobs *batchserver.Server, budget *rationer.Rationer, counters *counter.Counters, logger *slog.Logger,
+	s platform.Settings, c *callbacks,
 ) *gateway.Gateway {
-	return gateway.New(codec, sender, p, crashes, versions, jobs, budget, counters, logger)
+	keys := authenticator.New(authenticator.WithMaxKeyAge(s.MaxKeyAge))
+	return gateway.New(codec, sender, p, crashes, versions, jobs, budget, counters, logger,
+		gateway.WithKeys(keys, c.configurationConfirmedAt))
 }
