--- a/internal/online/requestwriter/writer.go
+++ b/internal/online/requestwriter/writer.go
@@ -86,7 +86,7 @@
 	}
 	isControl := func(r rune) bool { return (r < ' ' && r != '\t') || r == '\x7f' }
 	if strings.Trim(value, " \t") != value || strings.ContainsFunc(value, isControl) {
-		return fmt.Errorf("%w: field %s: value %q", ErrUnwritable, name, value)
+		return fmt.Errorf("%w: field %s: value of %d bytes", ErrUnwritable, name, len(value)) // it may be a secret
 	}
 	return nil
 }
