Tests: a suspect's isolation is tested without hedges

Cause, from that run's counters (hedges_total 1, two failures, the first on a healthy upstream, the second on one that was not): beside load the answer of the good engine was late, a hedge met the crash and made a suspect of a request that was then answered. The next request found the upstream down, which is no strike, and its retry needed no isolation. The product does what its design says; the test didn't bring its premise about.

Change: hedging is off in this test; the check is the same.

--- a/internal/online/dispatcher/dispatcher_test.go
+++ b/internal/online/dispatcher/dispatcher_test.go
@@ -83,11 +83,11 @@
 
 func newFixtureWithPolicy(t *testing.T, policy chooser.Policy, engines ...engine) *fixture {
 	t.Helper()
-	return newFixtureWithIsolator(t, policy, nopObserver{}, engines...)
+	return newFixtureWithOptions(t, nopObserver{}, []dispatcher.Option{dispatcher.WithPolicy(policy)}, engines...)
 }
 
-func newFixtureWithIsolator(
-	t *testing.T, policy chooser.Policy, isolator dispatcher.Isolator, engines ...engine,
+func newFixtureWithOptions(
+	t *testing.T, isolator dispatcher.Isolator, options []dispatcher.Option, engines ...engine,
 ) *fixture {
 	t.Helper()
 	f := &fixture{counts: &counts{sums: map[string]int{}}, lane: dispatcher.NewLane("model", time.Now)}
@@ -106,7 +106,7 @@
 	r := relayer.New(nil)
 	t.Cleanup(r.CloseIdle)
 	f.dispatcher = dispatcher.New(r, nopObserver{}, isolator, linkmeter.New(f.counts), f.counts, quarantiner.New(),
-		dispatcher.WithPolicy(policy))
+		options...)
 	return f
 }
 
@@ -247,7 +247,11 @@
 	const denials = 30
 	isolator := &denyingIsolator{}
 	isolator.denials.Store(denials)
-	f := newFixtureWithIsolator(t, chooser.RoundRobin{}, isolator, crashing, completing("good"))
+	// Without hedges, as one that meets the crash makes a suspect of a request that is answered all the
+	// same. The next request is no suspect then: the upstream was down when it came.
+	f := newFixtureWithOptions(t, isolator, []dispatcher.Option{
+		dispatcher.WithPolicy(chooser.RoundRobin{}), dispatcher.WithHedging(false),
+	}, crashing, completing("good"))
 	for f.counts.get("retries_total") == 0 { // until a request has reached the crashing engine
 		text, err := f.send(t.Context())
 		qt.Assert(t, err, qt.IsNil)
