--- a/internal/batch/batchkeeper/caller_test.go
+++ b/internal/batch/batchkeeper/caller_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -179,6 +180,45 @@
 	})
 }
 
+// Many VMs admit jobs of two teams at the same time, each also through a second VM, as a caller does whose answer is late.
+// Neither team gets more than its limit, and neither is kept from it by the other.
+func TestLimitOfEachTeamThroughManyVMs(t *testing.T) {
+	const vms, limit, tokens, rounds = 12, 100_000, 9000, 6
+	runWithStore(t, func(t *testing.T, _ context.Context, store *rowemulator.Store) {
+		ctx := t.Context()
+		var mu sync.Mutex
+		accepted := map[string]bool{}
+		all := newKeepers(store, vms)
+		var group sync.WaitGroup
+		for n := range vms {
+			group.Go(func() {
+				team := []string{"a", "b"}[n%2]
+				for round := range rounds {
+					id := fmt.Sprintf("%s-%d-%d", team, n, round)
+					for _, k := range []*batchkeeper.Keeper{all[n], all[(n+1)%vms]} {
+						_, _, err := k.Submit(ctx, submissionOf(team, id, tokens, limit))
+						mu.Lock()
+						accepted[id] = accepted[id] || err == nil
+						mu.Unlock()
+					}
+					time.Sleep(time.Duration(n) * 10 * time.Millisecond)
+				}
+			})
+		}
+		group.Wait()
+		sums := map[string]int{}
+		for id, isAccepted := range accepted {
+			if isAccepted {
+				sums[id[:1]] += tokens
+			}
+		}
+		for _, team := range []string{"a", "b"} {
+			qt.Check(t, float64(sums[team]) <= (1+maxOverage)*limit && sums[team] >= limit-tokens, qt.IsTrue,
+				qt.Commentf("%s: %d tokens of %d", team, sums[team], limit))
+		}
+	})
+}
+
 // Guards against: a job that has ended, or whose VM was lost between its reservation and its record, takes the
 // tokens of its team for good.
 func TestTokensOfATeamAreGivenBack(t *testing.T) {
--- a/internal/faces/gateway/gateway.go
+++ b/internal/faces/gateway/gateway.go
@@ -141,16 +141,14 @@
 	startGate startGate
 
 	authenticator authenticator.Authenticator
-	confirmedAt   func() time.Time // when the configuration was last known to be the newest
 }
 
 // Option sets one property of a Gateway.
 type Option func(*Gateway)
 
-// WithKeys sets what decides on keys, and a function that returns when the configuration was last known to be
-// the newest; zero if never.
-func WithKeys(a authenticator.Authenticator, confirmedAt func() time.Time) Option {
-	return func(g *Gateway) { g.authenticator, g.confirmedAt = a, confirmedAt }
+// WithAuthenticator replaces the authenticator, which accepts keys of a configuration of any age.
+func WithAuthenticator(a authenticator.Authenticator) Option {
+	return func(g *Gateway) { g.authenticator = a }
 }
 
 // New returns a gateway without a configuration. Bytes that it holds for callers are
@@ -162,7 +160,6 @@
 	g := &Gateway{
 		codec: codec, courier: c, placer: p, crashes: crashes, versions: versions, jobs: jobs, memory: memory, counter: counter,
 		logger: logger, pacer: pacer.New(), startGate: newStartGate(),
-		confirmedAt: func() time.Time { return time.Time{} },
 	}
 	for _, option := range options {
 		option(g)
@@ -214,6 +211,7 @@
 func (g *Gateway) serveJobCalls(next handler) handler {
 	return func(x *exchange) {
 		if g.jobs.IsJobCall(x.r) {
+			x.request.configVersion = x.table.Version()
 			if g.authenticate(x, x.table.HasPublicJobs(x.r.Host)) {
 				g.serveJob(x, nil)
 			}
--- a/internal/faces/gateway/key.go
+++ b/internal/faces/gateway/key.go
@@ -14,11 +14,7 @@
 		if !g.authenticate(x, x.request.route.Public) {
 			return
 		}
-		call := x.request.Call
-		call.HasTeams = x.table.HasTeams()
-		if x.team != nil {
-			call.Team = x.team.Name
-		}
+		x.request.Call.HasTeams, x.request.Call.Team = x.table.HasTeams(), x.teamName()
 		next(x)
 	}
 }
@@ -32,7 +28,7 @@
 	key, found := g.codec.DecodeKey(x.r)
 	var outcome authenticator.Outcome
 	request := authenticator.Request{Key: key, HasKey: found, Public: public}
-	x.team, outcome = g.authenticator.Decide(x.table, request, g.confirmedAt(), time.Now())
+	x.team, outcome = g.authenticator.Decide(x.table, request, time.Now())
 	switch outcome {
 	case authenticator.OutcomeAccepted:
 		return true
@@ -51,3 +47,11 @@
 	g.codec.EncodeChallenge(x.w.Header())
 	g.reject(x, http.StatusUnauthorized, cause)
 }
+
+// teamName returns the name of the request's team, or "" if it has none.
+func (x *exchange) teamName() string {
+	if x.team == nil {
+		return ""
+	}
+	return x.team.Name
+}
--- a/internal/faces/gateway/key_test.go
+++ b/internal/faces/gateway/key_test.go
@@ -159,7 +159,7 @@
 		expect("/nowhere", "Token k1", http.StatusNotFound)
 		confirmedAt = time.Now()
 		expect("/safe/x", "Token k1", http.StatusOK)
-	}, gateway.WithKeys(authenticator.New(authenticator.WithMaxKeyAge(maxAge)), func() time.Time { return confirmedAt }))
+	}, gateway.WithAuthenticator(authenticator.New(authenticator.WithMaxKeyAge(maxAge, func() time.Time { return confirmedAt }))))
 }
 
 // Guards against: a stream that goes on at another upstream is sent with the caller's key.
--- a/internal/faces/gateway/localreply.go
+++ b/internal/faces/gateway/localreply.go
@@ -62,7 +62,7 @@
 	x.w.Header().Set("Content-Length", "0")
 	x.w.WriteHeader(status)
 	g.logger.Info("local reply", "id", id, "status", status, "reason", cause,
-		"route", x.routeName(), "version", x.request.configVersion, "comeBack", retryAfter, "path", x.r.URL.Path)
+		"route", x.routeName(), "team", x.teamName(), "version", x.request.configVersion, "comeBack", retryAfter, "path", x.r.URL.Path)
 }
 
 // routeName returns the name of the matched route, or "" before a match.
--- a/internal/faces/gateway/run.go
+++ b/internal/faces/gateway/run.go
@@ -286,7 +286,7 @@
 		first = f.headSentAt.Sub(request.receivedAt)
 		g.counter.Observe(`first_byte_seconds{kind="`+request.route.Kind.String()+`"}`, first)
 	}
-	g.logger.Info("request", "id", request.Call.ID, "outcome", result, "route", request.route.Name,
+	g.logger.Info("request", "id", request.Call.ID, "outcome", result, "route", request.route.Name, "team", f.x.teamName(),
 		"version", request.configVersion, "first", first, "took", took, "events", f.events, "waited", f.waitedForSlot,
 		"resumes", request.Resumes, "after", request.LastEvent, "attempts", f.attemptLog)
 }
--- a/internal/online/authenticator/authenticator.go
+++ b/internal/online/authenticator/authenticator.go
@@ -28,14 +28,20 @@
 }
 
 // Authenticator decides on requests. The zero value accepts keys of a configuration of any age.
-type Authenticator struct{ maxKeyAge time.Duration }
+type Authenticator struct {
+	maxKeyAge   time.Duration    // 0 for any
+	confirmedAt func() time.Time // called if maxKeyAge isn't 0
+}
 
 // Option sets one property of an Authenticator.
 type Option func(*Authenticator)
 
-// WithMaxKeyAge sets how long ago a configuration may last have been confirmed to be the newest, for
-// requests to be accepted or rejected by its keys; 0 means any time.
-func WithMaxKeyAge(age time.Duration) Option { return func(a *Authenticator) { a.maxKeyAge = age } }
+// WithMaxKeyAge sets how long ago the configuration may last have been known to be the newest, for
+// requests to be accepted or rejected by its keys; 0 means any time. The function returns when that
+// was; zero if it never was.
+func WithMaxKeyAge(age time.Duration, confirmedAt func() time.Time) Option {
+	return func(a *Authenticator) { a.maxKeyAge, a.confirmedAt = age, confirmedAt }
+}
 
 // New returns an Authenticator.
 func New(options ...Option) Authenticator {
@@ -46,14 +52,13 @@
 	return a
 }
 
-// Decide decides on a request under a configuration, which was the newest at a time before now; zero if
-// that isn't known. The team is nil if the configuration has no teams, or none that holds the key of a
-// public request.
-func (a Authenticator) Decide(table *router.Table, r Request, confirmedAt, now time.Time) (*router.Team, Outcome) {
+// Decide decides on a request under the configuration in force. The team is nil if the configuration
+// has no teams, or none that holds the key of a public request.
+func (a Authenticator) Decide(table *router.Table, r Request, now time.Time) (*router.Team, Outcome) {
 	switch {
 	case !table.HasTeams(), r.Public && !r.HasKey:
 		return nil, OutcomeAccepted
-	case a.isOutdated(confirmedAt, now):
+	case a.isOutdated(now):
 		return nil, OutcomeKeysOutdated
 	case !r.HasKey:
 		return nil, OutcomeNoKey
@@ -66,6 +71,10 @@
 }
 
 // isOutdated returns whether a key may have been taken away, or added, too long ago.
-func (a Authenticator) isOutdated(confirmedAt, now time.Time) bool {
-	return a.maxKeyAge > 0 && (confirmedAt.IsZero() || now.Sub(confirmedAt) >= a.maxKeyAge)
+func (a Authenticator) isOutdated(now time.Time) bool {
+	if a.maxKeyAge == 0 {
+		return false
+	}
+	confirmedAt := a.confirmedAt()
+	return confirmedAt.IsZero() || now.Sub(confirmedAt) >= a.maxKeyAge
 }
--- a/internal/online/authenticator/authenticator_test.go
+++ b/internal/online/authenticator/authenticator_test.go
@@ -26,13 +26,14 @@
 	return r
 }
 
-// expectDecision checks the team and the outcome of a request under a configuration that was confirmed at a time.
+// expectDecision checks the team and the outcome of a request, with a configuration that was the newest at a time.
 func expectDecision(
-	t *testing.T, a authenticator.Authenticator, table *router.Table, r authenticator.Request, confirmedAt time.Time,
+	t *testing.T, maxAge time.Duration, confirmedAt time.Time, table *router.Table, r authenticator.Request,
 	wantTeam string, want authenticator.Outcome,
 ) {
 	t.Helper()
-	team, outcome := a.Decide(table, r, confirmedAt, now)
+	a := authenticator.New(authenticator.WithMaxKeyAge(maxAge, func() time.Time { return confirmedAt }))
+	team, outcome := a.Decide(table, r, now)
 	qt.Check(t, outcome, qt.Equals, want)
 	name := ""
 	if team != nil {
@@ -44,7 +45,7 @@
 func TestDecide(t *testing.T) {
 	expect := func(table *router.Table, r authenticator.Request, wantTeam string, want authenticator.Outcome) {
 		t.Helper()
-		expectDecision(t, authenticator.New(), table, r, time.Time{}, wantTeam, want)
+		expectDecision(t, 0, time.Time{}, table, r, wantTeam, want)
 	}
 	expect(withTeams, known, "a", authenticator.OutcomeAccepted)
 	expect(withTeams, unknown, "", authenticator.OutcomeUnknownKey)
@@ -57,17 +58,20 @@
 
 // A VM that may have missed a revocation neither accepts nor rejects for good.
 func TestDecideByAnOldConfiguration(t *testing.T) {
-	a := authenticator.New(authenticator.WithMaxKeyAge(maxKeyAge))
-	old, fresh := now.Add(-maxKeyAge), now.Add(-maxKeyAge+1)
-	for _, confirmedAt := range []time.Time{old, {}} {
+	expect := func(confirmedAt time.Time, table *router.Table, r authenticator.Request, wantTeam string, want authenticator.Outcome) {
+		t.Helper()
+		expectDecision(t, maxKeyAge, confirmedAt, table, r, wantTeam, want)
+	}
+	withoutTeams := router.NewTable(router.Configuration{Version: 1})
+	for _, confirmedAt := range []time.Time{now.Add(-maxKeyAge), {}} {
 		for _, r := range []authenticator.Request{known, unknown, keyless, public(known), public(unknown)} {
-			expectDecision(t, a, withTeams, r, confirmedAt, "", authenticator.OutcomeKeysOutdated)
+			expect(confirmedAt, withTeams, r, "", authenticator.OutcomeKeysOutdated)
 		}
-		expectDecision(t, a, withTeams, public(keyless), confirmedAt, "", authenticator.OutcomeAccepted)
-		expectDecision(t, a, router.NewTable(router.Configuration{Version: 1}), keyless, confirmedAt, "",
-			authenticator.OutcomeAccepted)
+		expect(confirmedAt, withTeams, public(keyless), "", authenticator.OutcomeAccepted)
+		expect(confirmedAt, withoutTeams, keyless, "", authenticator.OutcomeAccepted)
 	}
-	expectDecision(t, a, withTeams, known, fresh, "a", authenticator.OutcomeAccepted)
-	expectDecision(t, a, withTeams, unknown, fresh, "", authenticator.OutcomeUnknownKey)
-	expectDecision(t, authenticator.New(), withTeams, known, old, "a", authenticator.OutcomeAccepted)
+	fresh := now.Add(-maxKeyAge + 1)
+	expect(fresh, withTeams, known, "a", authenticator.OutcomeAccepted)
+	expect(fresh, withTeams, unknown, "", authenticator.OutcomeUnknownKey)
+	expect(fresh, withTeams, keyless, "", authenticator.OutcomeNoKey)
 }
--- a/internal/wiring/entryvm/fleets_test.go
+++ b/internal/wiring/entryvm/fleets_test.go
@@ -38,6 +38,8 @@
 	t    *testing.T
 	rows *rowemulator.Store
 	vm   *VM
+	// maxKeyAge is how old the keys that the VM knows may be; 0 for any age.
+	maxKeyAge time.Duration
 }
 
 // prepareFleet returns a fleet without a VM. Its store has the rows.
@@ -80,6 +82,7 @@
 		VM: name, Domain: "d", Region: "r", Regions: map[string]string{"d": "r"}, IP: ip, PeerPort: testPeerPort,
 		CallerAddress: address(testCallerPort), ReadyAddress: address(testReadyPort),
 		StoreAddress: store.Listener.Addr().String(), MaxRowBytes: rowstore.MaxRowBytes,
+		MaxKeyAge: f.maxKeyAge,
 	}, slog.New(slog.DiscardHandler))
 	qt.Assert(f.t, err, qt.IsNil)
 	qt.Assert(f.t, f.vm.Start(), qt.IsNil)
--- a/internal/wiring/entryvm/provider.go
+++ b/internal/wiring/entryvm/provider.go
@@ -141,8 +141,15 @@
 func newSharer(
 	store rowstore.Store, s platform.Settings, fleet *fleetidentifier.Fleet, counters *counter.Counters, logger *slog.Logger,
 ) *tablesharer.Sharer {
-	return tablesharer.New(store, platform.TableConfiguration, "", s.VM, fleet.Transport(storeTransport()), fleet, counters,
+	sharer := tablesharer.New(store, platform.TableConfiguration, "", s.VM, fleet.Transport(storeTransport()), fleet, counters,
 		logger)
+	counters.Gauge("configuration_confirmed_age_seconds", func() float64 {
+		if at := sharer.ConfirmedAt(); !at.IsZero() {
+			return time.Since(at).Seconds()
+		}
+		return -1 // never
+	})
+	return sharer
 }
 
 func newPlacer(s platform.Settings, c *callbacks, finder *pathfinder.Finder) *placer.Placer {
@@ -274,7 +281,6 @@
 	versions *versionkeeper.Keeper, jobs *batchserver.Server, budget *rationer.Rationer, counters *counter.Counters, logger *slog.Logger,
 	s platform.Settings, c *callbacks,
 ) *gateway.Gateway {
-	keys := authenticator.New(authenticator.WithMaxKeyAge(s.MaxKeyAge))
 	return gateway.New(codec, sender, p, crashes, versions, jobs, budget, counters, logger,
-		gateway.WithKeys(keys, c.configurationConfirmedAt))
+		gateway.WithAuthenticator(authenticator.New(authenticator.WithMaxKeyAge(s.MaxKeyAge, c.configurationConfirmedAt))))
 }
