--- a/internal/online/router/router_test.go
+++ b/internal/online/router/router_test.go
@@ -1,6 +1,7 @@
 package router_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -93,3 +94,27 @@
 	qt.Check(t, table.HasTeams(), qt.IsTrue)
 	qt.Check(t, router.NewTable(router.Configuration{}).HasTeams(), qt.IsFalse)
 }
+
+// BenchmarkTeamOf shows what a look-up of a key costs with a few teams and with thousands.
+func BenchmarkTeamOf(b *testing.B) {
+	const keysPerTeam = 5
+	for _, teams := range []int{87, 4700} {
+		b.Run(fmt.Sprint(teams, " teams"), func(b *testing.B) {
+			configuration := router.Configuration{Version: 1}
+			for n := range teams {
+				team := router.Team{Name: fmt.Sprint("team", n)}
+				for k := range keysPerTeam {
+					team.Keys = append(team.Keys, fmt.Sprintf("%032d-%d", n, k))
+				}
+				configuration.Teams = append(configuration.Teams, team)
+			}
+			table := router.NewTable(configuration)
+			key := configuration.Teams[teams/2].Keys[1]
+			for b.Loop() {
+				if _, found := table.TeamOf(key); !found {
+					b.Fatal("not found")
+				}
+			}
+		})
+	}
+}
