Tests: requests avoid a leaving upstream once all VMs know that it leaves

Cause: the test took 15 requests in a row that avoid the upstream for a sign that all VMs know. Each of three VMs has five of these, which may go elsewhere by chance; one that reads the list late, beside load, then sent one of the next 60 there. The product promises nothing before it has read the list.

Change: the test waits until the state of each VM says that the upstream leaves, and then allows none of 60 requests there, as before.

--- a/internal/integration/failure_test.go
+++ b/internal/integration/failure_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -325,8 +326,8 @@
 	})
 }
 
-// expectNoNewRequests sends requests until 15 in a row avoid an engine, and
-// then checks that 60 more do.
+// expectNoNewRequests sends requests until all VMs know that an engine is leaving, and then checks that it
+// gets none of 60 more.
 func (f *fleet) expectNoNewRequests(engine string) {
 	f.t.Helper()
 	send := func(n int) int {
@@ -337,7 +338,13 @@
 		after := f.engines[engine].Counts()
 		return after.Started + after.Rejected - before.Started - before.Rejected
 	}
-	eventually(f.t, "the engine gets nothing", func() bool { return send(15) == 0 })
+	eventually(f.t, "all VMs know that the engine is leaving", func() bool {
+		send(len(f.vms))
+		return !slices.ContainsFunc(f.vms, func(vm *process) bool {
+			state, err := vm.state()
+			return err != nil || state.sendsTo(engine)
+		})
+	})
 	qt.Check(f.t, send(60), qt.Equals, 0)
 }
 
--- a/internal/integration/fleet_test.go
+++ b/internal/integration/fleet_test.go
@@ -259,10 +259,21 @@
 	ConfigVersion uint64 `json:"configVersion"`
 	Chunks        int    `json:"chunks"`
 	Upstreams     []struct {
-		ID string `json:"id"`
+		ID      string `json:"id"`
+		Leaving bool   `json:"leaving"`
 	} `json:"upstreams"`
 }
 
+// sendsTo returns whether the VM may send new requests to an upstream, for all it knows.
+func (s vmState) sendsTo(upstream string) bool {
+	for _, u := range s.Upstreams {
+		if u.ID == upstream && !u.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *process) state() (vmState, error) {
 	var state vmState
 	response, err := p.fleet.client.Get("http://" + p.settings.OperatorAddress + operator.PathState)
