Jobs: the team survives VMs of a release without teams

Cause: an older build drops the team's name when it writes a job's record or hands the job over, in a rolling update or after it was undone. Then the job was everyone's, and its items ran without the name.

Change: the items, whose rows nobody writes again, have the name too; a VM that loads the job restores it in the record. A job that a VM hands over without telling that it knows teams isn't taken over while there are teams: it is loaded from the store. Items' headers carry the name for older builds, which send them as they are.

Shown by: TestTeamSurvivesAnOlderRelease; it fails without the restoring, and without the check of the handover.

--- a/internal/batch/batchkeeper/owner.go
+++ b/internal/batch/batchkeeper/owner.go
@@ -142,6 +142,14 @@
 	Progress  map[int]Progress
 }
 
+// Team returns the name of the job's team, as its items have it.
+func (l LoadedJob) Team() string {
+	if len(l.Items) == 0 {
+		return ""
+	}
+	return l.Items[0].Team
+}
+
 // Bytes returns the size of the item bodies and of the output so far.
 func (l LoadedJob) Bytes() int64 {
 	var bytes int64
--- a/internal/batch/batchkeeper/record.go
+++ b/internal/batch/batchkeeper/record.go
@@ -129,6 +129,9 @@
 	Header http.Header `cbor:"header"`
 	Body   []byte      `cbor:"body"`
 	Tokens int64       `cbor:"tokens"`
+	// Team is that of the job. Unlike its record, its items are never written again: a release without
+	// teams that writes the record drops the name there.
+	Team string `cbor:"team,omitempty"`
 }
 
 // Result is the outcome of one item.
--- a/internal/batch/batchrunner/handover.go
+++ b/internal/batch/batchrunner/handover.go
@@ -73,7 +73,7 @@
 // export returns the state of a job, none of whose items is running, for another VM.
 func (r *Runner) export(j *job, now time.Time) jobmover.Job {
 	exported := jobmover.Job{
-		Record: j.stored.Record, Version: j.stored.Version, Outbox: j.outbox,
+		Record: j.stored.Record, Version: j.stored.Version, NamesTeam: true, Outbox: j.outbox,
 		Progress: map[int]batchkeeper.Progress{}, Clock: r.keeper.Now(), Age: j.evidence.AgeToTell(r.silenceOf(j), now),
 	}
 	exported.Record.FailureCounts = j.failureCountsByIndex()
@@ -103,12 +103,16 @@
 }
 
 // takeOver implements TakeOver on the loop. It returns false if this VM is draining, knows
-// the job already or has no memory for its items.
+// the job already, has no memory for its items, or can't tell the job's team.
 func (r *Runner) takeOver(moved jobmover.Job, now time.Time) bool {
 	id := moved.Record.ID
 	if _, known := r.jobs[id]; known || r.draining {
 		return false
 	}
+	if table := r.config.Table(); !moved.NamesTeam && table != nil && table.HasTeams() {
+		r.logger.Info("job not taken over, its sender doesn't know teams", "job", id) // it is loaded from the store
+		return false
+	}
 	reservation := r.memory.NewReservation()
 	if !reservation.Grow(moved.Bytes()) {
 		r.logger.Warn("job not taken over, no memory for its items", "job", id, "bytes", moved.Bytes())
--- a/internal/batch/batchrunner/handover_test.go
+++ b/internal/batch/batchrunner/handover_test.go
@@ -23,6 +23,9 @@
 	if !found {
 		return jobmover.ErrNotTakenOver
 	}
+	if f.beforeMove != nil {
+		f.beforeMove(&job)
+	}
 	text, err := cbor.Marshal(job) // as it is sent
 	qt.Assert(f.t, err, qt.IsNil)
 	var arrived jobmover.Job
--- a/internal/batch/batchrunner/job.go
+++ b/internal/batch/batchrunner/job.go
@@ -1,6 +1,7 @@
 package batchrunner
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -82,6 +83,7 @@
 
 // newJob returns a job whose items are pending, except for those that have a result.
 func newJob(stored batchkeeper.VersionedRecord, loaded batchkeeper.LoadedJob) *job {
+	stored.Team = cmp.Or(stored.Team, loaded.Team())
 	j := &job{stored: stored, firstVersion: stored.Version}
 	for index, content := range loaded.Items {
 		it := &item{
--- a/internal/batch/batchrunner/run.go
+++ b/internal/batch/batchrunner/run.go
@@ -1,6 +1,7 @@
 package batchrunner
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -34,7 +35,7 @@
 	r.running[slot] = it
 	call := &courier.Call{
 		ID: it.ID, Method: http.MethodPost, URI: it.URI, Host: it.job.stored.Host, Header: it.Header, Body: it.Body,
-		HasTeams: r.config.Table().HasTeams(), Team: it.job.stored.Team,
+		HasTeams: r.config.Table().HasTeams(), Team: cmp.Or(it.Team, it.job.stored.Team),
 	}
 	live := attempter.NewLiveProgress(it.progress)
 	it.live, it.runStart = live, r.newRunStart(it, time.Now())
--- a/internal/batch/batchrunner/runner_test.go
+++ b/internal/batch/batchrunner/runner_test.go
@@ -53,7 +53,8 @@
 	wrapPlacer func(batchrunner.Placer) batchrunner.Placer
 	// wrapKeeper replaces the keeper of each runner that starts, if it is not nil.
 	wrapKeeper func(batchrunner.Keeper) batchrunner.Keeper
-	logger     *slog.Logger // of the VMs that start
+	logger     *slog.Logger            // of the VMs that start
+	beforeMove func(job *jobmover.Job) // changes a job that is handed over
 }
 
 // vm is one VM of a fleet.
--- a/internal/batch/batchrunner/team_test.go
+++ b/internal/batch/batchrunner/team_test.go
@@ -1,13 +1,18 @@
 package batchrunner_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 
 	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/batch/jobmover"
 	"github.com/fescuespindle/fescuespindle/internal/online/router"
+	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 	"github.com/fescuespindle/fescuespindle/platform/standin"
 )
 
@@ -24,8 +29,9 @@
 		ID: "j", Route: "r", Host: "h", Retention: time.Minute, CompletionTarget: 18 * time.Second, Items: itemsOf(2),
 		Configuration: 1, Caller: caller,
 	}
-	for _, item := range s.Items {
-		standin.SetIdentity(item.Header, who)
+	for i := range s.Items {
+		standin.SetIdentity(s.Items[i].Header, who)
+		s.Items[i].Team = caller.Team
 	}
 	stored, _, err := v.keeper.Submit(f.t.Context(), s)
 	qt.Assert(f.t, err, qt.IsNil)
@@ -94,3 +100,58 @@
 		}
 	}
 }
+
+// dropTeam writes the record of the job "j" as a release without teams does.
+func (f *fleet) dropTeam() {
+	f.t.Helper()
+	key := rowstore.Key{Table: "jobs", Part: fmt.Sprintf("jobs-%02d", batchkeeper.PartOf("j")), Name: "j"}
+	all, _, err := f.store.Range(f.t.Context(), key.Table, key.Part, key.Name, key.Name+"\x00")
+	qt.Assert(f.t, err, qt.IsNil)
+	var fields map[string]any
+	qt.Assert(f.t, cbor.Unmarshal(all.Rows[0].Value, &fields), qt.IsNil)
+	delete(fields, "team")
+	text, err := cbor.Marshal(fields)
+	qt.Assert(f.t, err, qt.IsNil)
+	_, err = f.store.Apply(rowstore.Tx{Puts: []rowstore.Put{{Key: key, Value: text}}})
+	qt.Assert(f.t, err, qt.IsNil)
+}
+
+// Guards against: a job that a VM of a release without teams has had in between loses its team: its items run without
+// the name, and every team can read it.
+func TestTeamSurvivesAnOlderRelease(t *testing.T) {
+	expect := func(name string, through func(f *fleet, a, b *vm)) {
+		t.Run(name, func(t *testing.T) {
+			inFleet(t, 2, slowPlan, func(f *fleet) {
+				a, b := f.start("a"), f.start("b")
+				defer b.stop()
+				a.config.Store(tableOfTeams(1, "k"))
+				b.config.Store(tableOfTeams(1, "k"))
+				f.submitIdentified(a, batchkeeper.Caller{HasTeams: true, Team: "a"}, standin.Identity{Team: "a"})
+				time.Sleep(time.Second)
+				through(f, a, b)
+				f.expectResults(b, 15*time.Second, "item0 ok", "item1 ok")
+				for _, run := range f.runs() {
+					qt.Check(f.t, run.Identity(), qt.Equals, standin.Identity{Team: "a"})
+				}
+				_, err := b.keeper.Results(f.t.Context(), batchkeeper.Caller{HasTeams: true, Team: "another"}, "j", 0)
+				qt.Check(f.t, err, qt.ErrorIs, batchkeeper.ErrNotFound)
+			})
+		})
+	}
+	expect("written by it, and taken over", func(f *fleet, a, _ *vm) {
+		a.stop()
+		f.dropTeam()
+	})
+	expect("handed over by it", func(f *fleet, a, b *vm) {
+		f.setReceivers(b)
+		f.beforeMove = func(job *jobmover.Job) {
+			job.NamesTeam, job.Record.Team = false, ""
+			job.Items = slices.Clone(job.Items)
+			for i := range job.Items {
+				job.Items[i].Team = ""
+			}
+		}
+		f.shutDown(a)
+		f.dropTeam()
+	})
+}
--- a/internal/batch/jobmover/mover.go
+++ b/internal/batch/jobmover/mover.go
@@ -49,6 +49,9 @@
 	// current failure counts, and Version the version of that record.
 	Record  batchkeeper.Record `cbor:"record"`
 	Version uint64             `cbor:"version"`
+	// NamesTeam is whether the record and the items name the job's team, if it has one. A sender of a
+	// release without teams drops the names.
+	NamesTeam bool `cbor:"namesTeam"`
 	// Items are all items of the job, and Ended the indexes of those with a result in
 	// the store or in the outbox.
 	Items []batchkeeper.Item `cbor:"items"`
--- a/internal/faces/batchserver/server.go
+++ b/internal/faces/batchserver/server.go
@@ -53,8 +53,9 @@
 	// EncodeLocalReplyHeader writes the header of an answer. An empty id and a zero
 	// retryAfter are left out.
 	EncodeLocalReplyHeader(to http.Header, id string, retryAfter time.Duration)
-	// RemoveIdentity removes what a header says of its sender: a key, and the name of a team.
-	RemoveIdentity(header http.Header)
+	// SetIdentity removes what a header says of its sender, a key and the name of a team, and sets the name
+	// of a team, if there is one.
+	SetIdentity(header http.Header, team string)
 }
 
 // Keeper stores jobs, and reads what is stored of them.
@@ -167,9 +168,7 @@
 		return s.reject(w, submission.ID, http.StatusBadRequest, err)
 	}
 	if about.Table.HasTeams() {
-		for _, item := range submission.Items {
-			s.codec.RemoveIdentity(item.Header) // the store is to hold no key
-		}
+		s.identify(submission.Items, callerOf(about).Team)
 	}
 	deadline := now.Add(submitTimeout)
 	if !submission.Deadline.IsZero() && submission.Deadline.Before(deadline) {
@@ -201,6 +200,15 @@
 	return s.answer(w, submission.ID, http.StatusAccepted, nil)
 }
 
+// identify replaces what the items of a submission say of their sender by the name of a team. The store is to hold
+// no key. The headers carry the name for a release without teams, which sends them as they are.
+func (s *Server) identify(items []batchkeeper.Item, team string) {
+	for i := range items {
+		s.codec.SetIdentity(items[i].Header, team)
+		items[i].Team = team
+	}
+}
+
 // callerOf returns who makes a call on a job.
 func callerOf(about gateway.JobContext) batchkeeper.Caller {
 	caller := batchkeeper.Caller{HasTeams: about.Table.HasTeams()}
