--- a/internal/batch/batchrunner/runner_test.go
+++ b/internal/batch/batchrunner/runner_test.go
@@ -53,8 +53,9 @@
 	wrapPlacer func(batchrunner.Placer) batchrunner.Placer
 	// wrapKeeper replaces the keeper of each runner that starts, if it is not nil.
 	wrapKeeper func(batchrunner.Keeper) batchrunner.Keeper
-	logger     *slog.Logger  // of the VMs that start
-	retention  time.Duration // of results, after that of the route; 0 means that jobs are never removed
+	logger     *slog.Logger            // of the VMs that start
+	beforeMove func(job *jobmover.Job) // changes a job that is handed over
+	retention  time.Duration           // of results, after that of the route; 0 means that jobs are never removed
 }
 
 // vm is one VM of a fleet.
