--- a/internal/integration/fleet_test.go
+++ b/internal/integration/fleet_test.go
@@ -91,6 +91,13 @@
 	vms             []*process
 	vmList          []vmlister.VM
 	client          *http.Client
+	limits          processLimits
+}
+
+// processLimits are what the environment of a VM's process allows it; zero means no limit.
+type processLimits struct {
+	memoryBytes int // soft limit of the Go runtime
+	descriptors int
 }
 
 // domainSpec describes one failure domain of a fleet.
@@ -102,9 +109,15 @@
 // newFleet starts a fleet, applies its configuration and waits until every VM
 // is ready.
 func newFleet(t *testing.T, domains ...domainSpec) *fleet {
+	t.Helper()
+	return newLimitedFleet(t, processLimits{}, domains...)
+}
+
+// newLimitedFleet is newFleet with limits for each VM.
+func newLimitedFleet(t *testing.T, limits processLimits, domains ...domainSpec) *fleet {
 	t.Helper()
 	f := &fleet{
-		t: t, spec: sitebuilder.Authority(), dir: t.TempDir(),
+		t: t, limits: limits, spec: sitebuilder.Authority(), dir: t.TempDir(),
 		store:   rowemulator.New(rowemulator.WithRateLimits(rowemulator.SmallSiteRateLimits)),
 		engines: map[string]*engineemulator.Engine{}, client: &http.Client{Transport: &http.Transport{}},
 	}
@@ -226,6 +239,11 @@
 	path := filepath.Join(p.fleet.dir, p.settings.VM+".json")
 	qt.Assert(t, os.WriteFile(path, text, 0o600), qt.IsNil)
 	p.command = exec.Command(program, "serve", "--settings", path)
+	if limits := p.fleet.limits; limits != (processLimits{}) {
+		limited := fmt.Sprintf("ulimit -n %d; exec \"$@\"", limits.descriptors)
+		p.command = exec.Command("sh", append([]string{"-c", limited, "sh"}, p.command.Args...)...)
+		p.command.Env = append(os.Environ(), fmt.Sprintf("GOMEMLIMIT=%d", limits.memoryBytes))
+	}
 	p.log = &outputcollector.Buffer{}
 	p.command.Stderr = p.log
 	qt.Assert(t, p.command.Start(), qt.IsNil)
