gateway: an upstream isn't blamed for a caller that reads slowly

Cause: upstreams break off answers that are not read for some seconds. While a caller didn't read, neither did the VM, and the break was recorded as a failure of the upstream; its request could become a suspect of crashes. Change: a write to the caller that takes 0.5 s marks the attempt. A break of the upstream after that is counted (answers_broken_by_slow_callers_total) and logged, and is neither a failure nor a crash. Measured: go test -race -run Blamed ./internal/faces/gateway. Red before in 2 of 4 subtests (stream, plain answer: upstream failing), green after; an upstream that breaks off by itself is still a failure (new test).

--- a/internal/faces/gateway/deliver.go
+++ b/internal/faces/gateway/deliver.go
@@ -19,6 +19,8 @@
 	maxBufferedBytes = 64 << 10
 	// copyBufferBytes is the size of the buffer with which the rest is streamed.
 	copyBufferBytes = 16 << 10
+	// slowWriteTime is how long a write to a caller takes that reads slowly.
+	slowWriteTime = 500 * time.Millisecond
 )
 
 // deliver writes an answer to the caller. It returns an error if the answer is
@@ -46,7 +48,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(d, int64(bufferSize)))
 	if err != nil {
-		d.RecordFailure()
+		d.RecordFailure() // the caller has delayed nothing yet
 		return relayer.NewAttemptError(relayer.RanMaybe, err)
 	}
 	if (d.Status() >= http.StatusInternalServerError && f.canFailOver()) || meansNotRun(d.Status()) {
@@ -57,7 +59,7 @@
 	}
 	f.stallTimer.Stop() // the request can no longer fail over, however slow the rest is
 	f.writeHead(d)
-	if _, err := f.x.w.Write(body); err != nil {
+	if err := f.write(body); err != nil {
 		f.gateway.counter.Count("answers_not_taken_total") // the caller disconnected
 		return nil
 	}
@@ -73,7 +75,7 @@
 	for {
 		n, err := d.Read(buffer)
 		if n > 0 {
-			if _, writeErr := f.x.w.Write(buffer[:n]); writeErr != nil {
+			if writeErr := f.write(buffer[:n]); writeErr != nil {
 				return relayer.NewAttemptError(relayer.RanMaybe, fmt.Errorf("%w: %w", errCallerGone, writeErr))
 			}
 		}
@@ -81,12 +83,40 @@
 			return nil
 		}
 		if err != nil {
-			d.RecordFailure()
-			return relayer.NewAttemptError(relayer.RanMaybe, fmt.Errorf("%w: %w", errTruncated, err))
+			return relayer.NewAttemptError(relayer.RanMaybe, fmt.Errorf("%w: %w", errTruncated, f.recordBreak(d, err)))
 		}
 	}
 }
 
+// write writes to the caller. A write that takes long means that the caller reads slowly, and that the upstream
+// had to wait.
+func (f *forwarding) write(p []byte) error {
+	start := time.Now()
+	_, err := f.x.w.Write(p)
+	f.recordWrite(time.Since(start))
+	return err //nolint:wrapcheck // callers do
+}
+
+// recordWrite records how long the caller took to read.
+func (f *forwarding) recordWrite(took time.Duration) {
+	if took >= slowWriteTime {
+		f.callerIsSlow = true
+	}
+}
+
+// recordBreak records a failure of the upstream that broke off its answer, unless the caller had it wait: upstreams
+// end answers that are not read. It returns the error, which says so.
+func (f *forwarding) recordBreak(d *courier.Delivery, err error) error {
+	if !f.callerIsSlow {
+		d.RecordFailure()
+		return err
+	}
+	f.gateway.counter.Count("answers_broken_by_slow_callers_total")
+	f.gateway.logger.Info("upstream broke off while the caller read slowly", "id", f.x.request.Call.ID,
+		"upstream", d.Upstream().ID, "events", f.events, "error", err)
+	return fmt.Errorf("%w: %w", errCallerSlow, err)
+}
+
 // meansNotRun returns whether a status means to callers that their request has not run.
 // An upstream that sends such a status without marking the request as not run may have
 // run it, so its answer must not be delivered.
@@ -129,7 +159,7 @@
 		}
 		if err != nil {
 			if !errors.Is(err, eventsplitter.ErrNoMemory) { // which shows nothing of the upstream
-				d.RecordFailure()
+				err = f.recordBreak(d, err)
 			}
 			return relayer.NewAttemptError(relayer.RanMaybe, err)
 		}
@@ -148,10 +178,13 @@
 	if !f.headSent {
 		f.writeHead(d)
 	}
-	if _, err := f.x.w.Write(event.Raw()); err != nil {
+	if err := f.write(event.Raw()); err != nil {
 		return relayer.NewAttemptError(relayer.RanMaybe, fmt.Errorf("%w: %w", errCallerGone, err))
 	}
-	if err := control.Flush(); err != nil {
+	start := time.Now()
+	err := control.Flush()
+	f.recordWrite(time.Since(start))
+	if err != nil {
 		return relayer.NewAttemptError(relayer.RanMaybe, fmt.Errorf("%w: %w", errCallerGone, err))
 	}
 	progress := event.HasData() // a comment only keeps the connection open
--- a/internal/faces/gateway/run.go
+++ b/internal/faces/gateway/run.go
@@ -36,6 +36,8 @@
 	// errCallerGone means that the answer can't be written because the caller
 	// disconnected.
 	errCallerGone = errors.New("caller disconnected")
+	// errCallerSlow means that an upstream broke off an answer that its caller read slowly.
+	errCallerSlow = errors.New("caller reads slowly")
 	// errCrashesUpstreams means that a request is likely to crash upstreams.
 	errCrashesUpstreams = errors.New("request crashes upstreams")
 	// errStalled means that an upstream makes no progress. Comments in an event stream
@@ -61,6 +63,7 @@
 	lastEventID   string
 	events        int
 	headSentAt    time.Time
+	callerIsSlow  bool              // since the attempt began
 	waitedForSlot bool              // for a free slot, at least once
 	isProbe       bool              // the next run is one to find out whether the request crashes upstreams
 	connection    string            // of the last answer, for the log
@@ -142,6 +145,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	f.sends++
+	f.callerIsSlow = false
 	start := time.Now()
 	f.stallTimer = nil
 	paced := f.pacerAttempt(slot.Upstream().ID)
@@ -206,7 +210,7 @@
 // answer it. An upstream that is alive has broken off for another reason.
 func (f *forwarding) recordCrash(ctx context.Context, upstream placer.Upstream, err error) {
 	maybeCrashed := relayer.AsAttemptError(err).Ran() == relayer.RanMaybe && ctx.Err() == nil
-	maybeCrashed = maybeCrashed && !errors.Is(err, errCallerGone) && !errors.Is(err, errStalled)
+	maybeCrashed = maybeCrashed && !errors.Is(err, errCallerGone) && !errors.Is(err, errCallerSlow) && !errors.Is(err, errStalled)
 	if !maybeCrashed || f.events >= minHealthyEvents {
 		return
 	}
