headbounder: heads are bounded before they are parsed, and connections by memory and descriptors

Cause: parsed, a head of short lines takes up to 15 times its bytes; the configuration's limit of a head was decoded and used by nothing, so 64 KiB acted; nothing bounded the connections of callers, peers, the balancer, metrics and operators, or what their heads hold together; net/http reads the rest of a body that a handler leaves without a deadline, so a request with a body to come was held for good. Change: a listener counts and reserves bytes and lines as they are read (docs/design/heads.md): 431 over the limit, 503 without memory, both before anything is parsed; a connection that waits for a request or its body makes room when there are too many; bodies have 10 s. Ordinary heads need no reservation, so they are served beside such crowds. Settings: max_fds is decoded; without it 4096 connections at most. The own interface goes by GOMEMLIMIT and RLIMIT_NOFILE. Tests changed: none; MaxHeaderBytes of the servers is now the listener's business, and TestLongHeaderIsRejected holds.

--- a/internal/faces/operator/operator.go
+++ b/internal/faces/operator/operator.go
@@ -37,9 +37,8 @@
 
 const (
 	headerTimeout = 5 * time.Second // to read the header of a request
-	// maxHeaderBytes bounds the header of a request.
-	maxHeaderBytes = 16 << 10
-	stateTimeout   = 2 * time.Second // for the control goroutine to return the state
+	idleTimeout   = 2 * time.Minute // of a connection
+	stateTimeout  = 2 * time.Second // for the control goroutine to return the state
 )
 
 // StateProvider returns the state of the VM.
@@ -80,9 +79,9 @@
 // requests to the VM.
 func (o *Operator) SetDraining() { o.draining.Store(true) }
 
-// HTTP returns a server of the Handler.
+// HTTP returns a server of the Handler, whose listener bounds the heads of requests.
 func (o *Operator) HTTP() *http.Server {
-	return &http.Server{Handler: o.Handler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	return &http.Server{Handler: o.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 }
 
 // Handler returns the handler of all paths of the interface.
--- a/internal/faces/server/server.go
+++ b/internal/faces/server/server.go
@@ -23,7 +23,6 @@
 const (
 	maxBodyBytes          = 4 << 20
 	maxFileBytes          = 512 << 20
-	maxHeaderBytes        = 64 << 10
 	readHeaderTimeout     = 5 * time.Second
 	readBodyTimeout       = 30 * time.Second
 	uploadTimeout         = 10 * time.Minute
@@ -64,12 +63,11 @@
 	}
 }
 
-// HTTP returns an http.Server for the callers' listener. Filters and handlers set the read
-// and write deadlines, which differ by request.
+// HTTP returns an http.Server for the callers' listener, which bounds the heads of requests. Filters and handlers set
+// the read and write deadlines, which differ by request.
 func (s *Server) HTTP() *http.Server {
 	return &http.Server{
-		Handler: s.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: s.conns.Observe,
+		Handler: s.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ConnState: s.conns.Observe,
 	}
 }
 
--- a/internal/wiring/assembler/vm.go
+++ b/internal/wiring/assembler/vm.go
@@ -25,6 +25,9 @@
 	"github.com/fescuespindle/fescuespindle/internal/online/tunneler"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/counter"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/drainer"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/headbounder"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/processmeter"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/sleeper"
 	"github.com/fescuespindle/fescuespindle/internal/store/storekeeper"
 )
@@ -53,8 +56,18 @@
 	return l, nil
 }
 
-// maxPeerHeaderBytes bounds the header of a request of another VM.
-const maxPeerHeaderBytes = 16 << 10
+const (
+	// maxInnerHeaderBytes bounds the header of a request of another VM or of an operator, and maxHeaderBytes that of
+	// a caller's.
+	maxInnerHeaderBytes = 16 << 10
+	maxHeaderBytes      = 64 << 10
+	// bodyTimeout bounds the time for a body whose handler sets no other deadline.
+	bodyTimeout = 10 * time.Second
+	// peerConnectionDivisor and operatorConnectionDivisor are the ratios of the connections that the callers'
+	// listener accepts to those of the other ones.
+	peerConnectionDivisor     = 2
+	operatorConnectionDivisor = 8
+)
 
 // VM is one entry VM.
 type VM struct {
@@ -79,6 +92,7 @@
 
 	group    sync.WaitGroup
 	servers  []*http.Server
+	bounder  *headbounder.Bounder
 	draining atomic.Bool // the callers' listener is closed
 	stop     context.CancelFunc
 }
@@ -93,14 +107,15 @@
 func (vm *VM) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	vm.stop = cancel
+	vm.bounder = headbounder.New(rationer.New(headbounder.HeadMemory(processmeter.MemoryLimit())), vm.counters)
 	vm.group.Go(func() { _ = vm.store.Run(ctx) }) // ends with the context
 	vm.group.Go(func() { vm.finder.Run(ctx) })
 	vm.controller.Start()
-	vm.serve(vm.listeners.Peer, &http.Server{
-		Handler: vm.peerHandler(), ReadHeaderTimeout: time.Second, MaxHeaderBytes: maxPeerHeaderBytes,
-	})
-	vm.serve(vm.listeners.Operator, vm.operator.HTTP())
-	vm.serve(vm.listeners.Caller, vm.server.HTTP())
+	maxConnections := headbounder.MaxConnections(processmeter.MemoryLimit(), processmeter.MaxDescriptors())
+	vm.serve(vm.listeners.Peer, &http.Server{Handler: vm.peerHandler(), ReadHeaderTimeout: time.Second},
+		maxConnections/peerConnectionDivisor, maxInnerHeaderBytes)
+	vm.serve(vm.listeners.Operator, vm.operator.HTTP(), maxConnections/operatorConnectionDivisor, maxInnerHeaderBytes)
+	vm.serve(vm.listeners.Caller, vm.server.HTTP(), maxConnections, maxHeaderBytes)
 	vm.logger.Info("serving", "vm", vm.settings.VM, "callers", vm.listeners.Caller.Addr().String())
 }
 
@@ -113,11 +128,13 @@
 }
 
 // serve serves on a listener until the server is closed.
-func (vm *VM) serve(listener net.Listener, s *http.Server) {
+func (vm *VM) serve(listener net.Listener, s *http.Server, maxConnections, maxHeadBytes int) {
+	bounded := vm.bounder.Wrap(listener, maxConnections, func() int { return maxHeadBytes })
+	bounded.Attach(s, bodyTimeout)
 	s.ErrorLog = slog.NewLogLogger(vm.logger.Handler(), slog.LevelDebug)
 	vm.servers = append(vm.servers, s)
 	vm.group.Go(func() {
-		err := s.Serve(listener)
+		err := s.Serve(bounded)
 		isIntended := errors.Is(err, http.ErrServerClosed) || (errors.Is(err, net.ErrClosed) && vm.draining.Load())
 		if !isIntended {
 			vm.logger.Error("listener failed", "error", err)
--- a/internal/wiring/entryvm/provider.go
+++ b/internal/wiring/entryvm/provider.go
@@ -30,6 +30,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/online/tunneler"
 	"github.com/fescuespindle/fescuespindle/internal/online/versionkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/counter"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/headbounder"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/socketdialer"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/supervisor"
@@ -102,6 +103,12 @@
 	return rationer.New(s.MemoryBytes / bufferMemoryDivisor)
 }
 
+// newBounder returns a bounder of heads, whose budget is apart from that of newRationer: they must not end other
+// callers' streams.
+func newBounder(s platform.Settings, counters *counter.Counters) *headbounder.Bounder {
+	return headbounder.New(rationer.New(headbounder.HeadMemory(s.MemoryBytes)), counters)
+}
+
 // peerAddress returns the address at which other VMs reach this one over TCP and UDP.
 func peerAddress(s platform.Settings) string { return net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)) }
 
--- a/internal/wiring/entryvm/vm.go
+++ b/internal/wiring/entryvm/vm.go
@@ -32,6 +32,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/online/versionkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/counter"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/drainer"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/headbounder"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/supervisor"
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 	"github.com/fescuespindle/fescuespindle/internal/store/storerelayer"
@@ -47,12 +48,22 @@
 	// callers; the time for a body comes from the configuration.
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10
+	// maxHeaderBytes bounds the header of a caller's request unless the configuration does.
+	maxHeaderBytes = 64 << 10
 	// maxInnerHeaderBytes bounds the headers of requests that come from no caller: of other VMs, of the
 	// balancer and for metrics.
 	maxInnerHeaderBytes = 16 << 10
 )
 
+const (
+	// bodyTimeout bounds the time for a body whose handler sets no other deadline.
+	bodyTimeout = 10 * time.Second
+	// peerConnectionDivisor and innerConnectionDivisor are the ratios of the connections that the callers'
+	// listener accepts to those of the listener for peer VMs and of the other ones.
+	peerConnectionDivisor  = 2
+	innerConnectionDivisor = 8
+)
+
 // VM is one entry VM.
 type VM struct {
 	settings     platform.Settings
@@ -89,6 +100,7 @@
 	tasks       *supervisor.Supervisor
 	servers     []*http.Server
 	callerConns *drainer.Conns
+	bounder     *headbounder.Bounder
 	// callerListener accepts callers' connections until callersDraining is set.
 	callerListener  net.Listener
 	callersDraining atomic.Bool
@@ -115,9 +127,9 @@
 	vm.stop = cancel
 	vm.callerConns = drainer.NewConns()
 	callerServer := &http.Server{
-		Handler: vm.gateway, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: vm.callerConns.Observe,
+		Handler: vm.gateway, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ConnState: vm.callerConns.Observe,
 	}
+	maxConnections := headbounder.MaxConnections(vm.settings.MemoryBytes, vm.settings.MaxDescriptors)
 	var err error
 	if vm.callerListener, err = net.Listen("tcp", vm.settings.CallerAddress); err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
@@ -137,13 +149,14 @@
 			watcher.WithReread(vm.rereadInterval)),
 	}
 	if err := errors.Join(
-		vm.serve(vm.settings.ReadyAddress, innerServer(&vm.readiness)),
-		vm.serve(peerAddress(vm.settings), innerServer(vm.peerHandler())),
-		vm.serve(net.JoinHostPort(vm.settings.IP, strconv.Itoa(metricsPort)), vm.metricsServer()),
+		vm.serve(vm.settings.ReadyAddress, innerServer(&vm.readiness), maxConnections/innerConnectionDivisor),
+		vm.serve(peerAddress(vm.settings), innerServer(vm.peerHandler()), maxConnections/peerConnectionDivisor),
+		vm.serve(net.JoinHostPort(vm.settings.IP, strconv.Itoa(metricsPort)), vm.metricsServer(),
+			maxConnections/innerConnectionDivisor),
 	); err != nil {
 		return err
 	}
-	vm.serveListener(vm.callerListener, callerServer)
+	vm.serveListener(vm.callerListener, callerServer, maxConnections, vm.maxCallerHeadBytes)
 	vm.setPeers(nil)
 	vm.runner.Start()
 	vm.tasks.GoWithRestart(ctx, "identity of the fleet", vm.identifier.Run)
@@ -231,22 +244,32 @@
 // Failed returns a channel that has the reason once the process must end.
 func (vm *VM) Failed() <-chan error { return vm.failed }
 
-// serve listens on an address and serves on it until the server is closed.
-func (vm *VM) serve(address string, s *http.Server) error {
+// maxCallerHeadBytes returns the limit of the head of a caller's request.
+func (vm *VM) maxCallerHeadBytes() int {
+	if limit := vm.callbacks.limits().MaxHeaderBytes; limit > 0 {
+		return limit
+	}
+	return maxHeaderBytes
+}
+
+// serve listens on an address and serves requests that come from no caller, until the server is closed.
+func (vm *VM) serve(address string, s *http.Server, maxConnections int) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	vm.serveListener(listener, s)
+	vm.serveListener(listener, s, maxConnections, func() int { return maxInnerHeaderBytes })
 	return nil
 }
 
 // serveListener serves on a listener until it or the server is closed.
-func (vm *VM) serveListener(listener net.Listener, s *http.Server) {
+func (vm *VM) serveListener(listener net.Listener, s *http.Server, maxConnections int, maxHeadBytes func() int) {
+	bounded := vm.bounder.Wrap(listener, maxConnections, maxHeadBytes)
+	bounded.Attach(s, bodyTimeout)
 	s.ErrorLog = slog.NewLogLogger(vm.logger.Handler(), slog.LevelDebug)
 	vm.servers = append(vm.servers, s)
 	vm.tasks.Go("listener", func() {
-		err := s.Serve(listener)
+		err := s.Serve(bounded)
 		isIntended := errors.Is(err, http.ErrServerClosed) || (errors.Is(err, net.ErrClosed) && vm.callersDraining.Load())
 		if !isIntended {
 			vm.logger.Error("listener failed", "address", listener.Addr().String(), "error", err)
@@ -263,5 +286,5 @@
 
 // innerServer returns a server of requests that come from no caller.
 func innerServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxInnerHeaderBytes}
+	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 }
--- a/internal/wiring/entryvm/wire_gen.go
+++ b/internal/wiring/entryvm/wire_gen.go
@@ -49,6 +49,7 @@
 	gateway := newGateway(codec, courierCourier, placer, analyzer, keeper, server, rationer, counters, logger)
 	sharer := newSharer(store, settings, fleet, counters, logger)
 	identifier := newIdentifier(settings, fleet, entryvmCallbacks, counter, logger)
+	bounder := newBounder(settings, counters)
 	vm := &VM{
 		settings:     settings,
 		bootID:       entryvmBootID,
@@ -76,6 +77,7 @@
 		mover:        mover,
 		fleet:        fleet,
 		identifier:   identifier,
+		bounder:      bounder,
 	}
 	return vm, nil
 }
