--- a/internal/faces/gateway/run.go
+++ b/internal/faces/gateway/run.go
@@ -297,7 +297,7 @@
 		first = f.headSentAt.Sub(request.receivedAt)
 		g.counter.Observe(`first_byte_seconds{kind="`+request.route.Kind.String()+`"}`, first)
 	}
-	g.logger.Info("request", "id", request.Call.ID, "outcome", result, "route", request.route.Name, "team", f.x.teamName(),
+	g.logger.Info("request", "id", request.Call.ID, "outcome", result, "route", request.route.Name,
 		"version", request.configVersion, "first", first, "took", took, "events", f.events, "waited", f.waitedForSlot,
 		"yielded", f.yielded, "queued", f.queuedAtUpstream, "team", f.x.teamName(), "urgency", f.x.urgency(),
 		"resumes", request.Resumes, "after", request.LastEvent, "attempts", f.attemptLog)
