--- a/internal/batch/batchrunner/runner_test.go
+++ b/internal/batch/batchrunner/runner_test.go
@@ -53,7 +53,8 @@
 	wrapPlacer func(batchrunner.Placer) batchrunner.Placer
 	// wrapKeeper replaces the keeper of each runner that starts, if it is not nil.
 	wrapKeeper func(batchrunner.Keeper) batchrunner.Keeper
-	logger     *slog.Logger // of the VMs that start
+	logger     *slog.Logger            // of the VMs that start
+	beforeMove func(job *jobmover.Job) // changes a job that is handed over
 }
 
 // vm is one VM of a fleet.
@@ -203,7 +204,7 @@
 func (f *fleet) expectResults(v *vm, wait time.Duration, want ...string) {
 	f.t.Helper()
 	time.Sleep(wait)
-	page, err := v.keeper.Results(f.t.Context(), "j", 0)
+	page, err := v.keeper.Results(f.t.Context(), batchkeeper.Caller{}, "j", 0)
 	qt.Assert(f.t, err, qt.IsNil)
 	var got []string
 	for _, r := range page.Results {
@@ -338,7 +339,7 @@
 			resumed = max(resumed, run.LastEvent)
 		}
 		qt.Check(f.t, resumed >= 60, qt.IsTrue, qt.Commentf("resumed after event %d", resumed))
-		page, err := b.keeper.Results(f.t.Context(), "j", 0)
+		page, err := b.keeper.Results(f.t.Context(), batchkeeper.Caller{}, "j", 0)
 		qt.Assert(f.t, err, qt.IsNil)
 		qt.Check(f.t, page.Results, qt.HasLen, 1)
 	})
@@ -436,7 +437,7 @@
 		defer b.stop()
 		f.submit(a, 4)
 		time.Sleep(300 * time.Millisecond)
-		qt.Assert(f.t, b.keeper.Cancel(f.t.Context(), "j"), qt.IsNil)
+		qt.Assert(f.t, b.keeper.Cancel(f.t.Context(), batchkeeper.Caller{}, "j"), qt.IsNil)
 		time.Sleep(2 * time.Second)
 		qt.Check(f.t, f.upstreams[0].Running(), qt.Equals, 0)
 		before := len(f.runs())
--- a/internal/faces/gateway/gateway.go
+++ b/internal/faces/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/fescuespindle/fescuespindle/internal/faces/bodyreader"
+	"github.com/fescuespindle/fescuespindle/internal/online/authenticator"
 	"github.com/fescuespindle/fescuespindle/internal/online/courier"
 	"github.com/fescuespindle/fescuespindle/internal/online/crashanalyzer"
 	"github.com/fescuespindle/fescuespindle/internal/online/pacer"
@@ -98,9 +99,19 @@
 type Jobs interface {
 	// IsJobCall returns whether a request is a call on a job, by its path alone.
 	IsJobCall(r *http.Request) bool
-	// Serve answers a request that belongs to a job. The route, of a version of the
-	// configuration, is nil if IsJobCall identified the request.
-	Serve(w http.ResponseWriter, r *http.Request, route *router.Route, configuration uint64)
+	// Serve answers a request that belongs to a job.
+	Serve(w http.ResponseWriter, r *http.Request, about JobContext)
+}
+
+// JobContext is what the configuration in force says of a call on a job.
+type JobContext struct {
+	// Route is nil if IsJobCall identified the request.
+	Route *router.Route
+	// Table is the configuration that has the route.
+	Table *router.Table
+	// Team is nil if the configuration has no teams, or if the call needs no key and carries no
+	// known one.
+	Team *router.Team
 }
 
 // Counter updates metrics by name.
@@ -128,18 +139,31 @@
 	abort     context.CancelCauseFunc
 	chain     handler
 	startGate startGate
+
+	authenticator authenticator.Authenticator
+}
+
+// Option sets one property of a Gateway.
+type Option func(*Gateway)
+
+// WithAuthenticator replaces the authenticator, which accepts keys of a configuration of any age.
+func WithAuthenticator(a authenticator.Authenticator) Option {
+	return func(g *Gateway) { g.authenticator = a }
 }
 
 // New returns a gateway without a configuration. Bytes that it holds for callers are
 // reserved from memory.
 func New(
 	codec Codec, c Courier, p Placer, crashes CrashAnalyzer, versions StreamVersions, jobs Jobs, memory *rationer.Rationer, counter Counter,
-	logger *slog.Logger,
+	logger *slog.Logger, options ...Option,
 ) *Gateway {
 	g := &Gateway{
 		codec: codec, courier: c, placer: p, crashes: crashes, versions: versions, jobs: jobs, memory: memory, counter: counter,
 		logger: logger, pacer: pacer.New(), startGate: newStartGate(),
 	}
+	for _, option := range options {
+		option(g)
+	}
 	g.aborted, g.abort = context.WithCancelCause(context.Background())
 	g.chain = g.closeIfDraining(g.waitForStart(g.requireConfiguration(g.serveJobCalls(
 		g.decodeHead(g.matchRoute(g.requireKey(g.chooseService(g.readBody(g.run)))))))))
@@ -187,6 +211,7 @@
 func (g *Gateway) serveJobCalls(next handler) handler {
 	return func(x *exchange) {
 		if g.jobs.IsJobCall(x.r) {
+			x.request.configVersion = x.table.Version()
 			if g.authenticate(x, x.table.HasPublicJobs(x.r.Host)) {
 				g.serveJob(x, nil)
 			}
@@ -199,7 +224,7 @@
 // serveJob passes a call on a job to Jobs. The route is nil for calls that are identified by path.
 func (g *Gateway) serveJob(x *exchange, route *router.Route) {
 	if !g.rejectIfLate(x, time.Now().Add(maxJobCallTime)) {
-		g.jobs.Serve(x.w, x.r, route, x.table.Version())
+		g.jobs.Serve(x.w, x.r, JobContext{Route: route, Table: x.table, Team: x.team})
 	}
 }
 
--- a/internal/wiring/entryvm/provider.go
+++ b/internal/wiring/entryvm/provider.go
@@ -21,6 +21,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/control/tablesharer"
 	"github.com/fescuespindle/fescuespindle/internal/faces/batchserver"
 	"github.com/fescuespindle/fescuespindle/internal/faces/gateway"
+	"github.com/fescuespindle/fescuespindle/internal/online/authenticator"
 	"github.com/fescuespindle/fescuespindle/internal/online/courier"
 	"github.com/fescuespindle/fescuespindle/internal/online/crashanalyzer"
 	"github.com/fescuespindle/fescuespindle/internal/online/forwarder"
@@ -74,6 +75,15 @@
 // AsOf implements batchrunner.Configuration.
 func (c *callbacks) AsOf() uint64 { return c.vm.configuration.Version() }
 
+// configurationConfirmedAt returns when the configuration in force was last known to be the newest; zero if never.
+func (c *callbacks) configurationConfirmedAt() time.Time {
+	confirmedAt := c.vm.sharer.ConfirmedAt()
+	if behind := c.vm.configuration.BehindSince(); !behind.IsZero() && behind.Before(confirmedAt) {
+		return behind
+	}
+	return confirmedAt
+}
+
 func (c *callbacks) limits() router.Limits {
 	if table := c.Table(); table != nil {
 		return table.Limits()
@@ -131,8 +141,15 @@
 func newSharer(
 	store rowstore.Store, s platform.Settings, fleet *fleetidentifier.Fleet, counters *counter.Counters, logger *slog.Logger,
 ) *tablesharer.Sharer {
-	return tablesharer.New(store, platform.TableConfiguration, "", s.VM, fleet.Transport(storeTransport()), fleet, counters,
+	sharer := tablesharer.New(store, platform.TableConfiguration, "", s.VM, fleet.Transport(storeTransport()), fleet, counters,
 		logger)
+	counters.Gauge("configuration_confirmed_age_seconds", func() float64 {
+		if at := sharer.ConfirmedAt(); !at.IsZero() {
+			return time.Since(at).Seconds()
+		}
+		return -1 // never
+	})
+	return sharer
 }
 
 func newPlacer(s platform.Settings, c *callbacks, finder *pathfinder.Finder) *placer.Placer {
@@ -262,6 +279,8 @@
 func newGateway(
 	codec platform.Codec, sender *courier.Courier, p *placer.Placer, crashes *crashanalyzer.Analyzer,
 	versions *versionkeeper.Keeper, jobs *batchserver.Server, budget *rationer.Rationer, counters *counter.Counters, logger *slog.Logger,
+	s platform.Settings, c *callbacks,
 ) *gateway.Gateway {
-	return gateway.New(codec, sender, p, crashes, versions, jobs, budget, counters, logger)
+	return gateway.New(codec, sender, p, crashes, versions, jobs, budget, counters, logger,
+		gateway.WithAuthenticator(authenticator.New(authenticator.WithMaxKeyAge(s.MaxKeyAge, c.configurationConfirmedAt))))
 }
