--- a/internal/faces/gateway/gateway.go
+++ b/internal/faces/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/fescuespindle/fescuespindle/internal/faces/bodyreader"
+	"github.com/fescuespindle/fescuespindle/internal/online/authenticator"
 	"github.com/fescuespindle/fescuespindle/internal/online/courier"
 	"github.com/fescuespindle/fescuespindle/internal/online/crashanalyzer"
 	"github.com/fescuespindle/fescuespindle/internal/online/pacer"
@@ -140,18 +141,31 @@
 	abort     context.CancelCauseFunc
 	chain     handler
 	startGate startGate
+
+	authenticator authenticator.Authenticator
+}
+
+// Option sets one property of a Gateway.
+type Option func(*Gateway)
+
+// WithAuthenticator replaces the authenticator, which accepts keys of a configuration of any age.
+func WithAuthenticator(a authenticator.Authenticator) Option {
+	return func(g *Gateway) { g.authenticator = a }
 }
 
 // New returns a gateway without a configuration. Bytes that it holds for callers are
 // reserved from memory.
 func New(
 	codec Codec, c Courier, p Placer, crashes CrashAnalyzer, versions StreamVersions, jobs Jobs, memory *rationer.Rationer, counter Counter,
-	logger *slog.Logger,
+	logger *slog.Logger, options ...Option,
 ) *Gateway {
 	g := &Gateway{
 		codec: codec, courier: c, placer: p, crashes: crashes, versions: versions, jobs: jobs, memory: memory, counter: counter,
 		logger: logger, pacer: pacer.New(), slots: slotqueuer.New(), startGate: newStartGate(),
 	}
+	for _, option := range options {
+		option(g)
+	}
 	g.aborted, g.abort = context.WithCancelCause(context.Background())
 	g.chain = g.closeIfDraining(g.waitForStart(g.requireConfiguration(g.serveJobCalls(
 		g.decodeHead(g.matchRoute(g.requireKey(g.chooseService(g.readBody(g.run)))))))))
@@ -199,6 +213,7 @@
 func (g *Gateway) serveJobCalls(next handler) handler {
 	return func(x *exchange) {
 		if g.jobs.IsJobCall(x.r) {
+			x.request.configVersion = x.table.Version()
 			if g.authenticate(x, x.table.HasPublicJobs(x.r.Host)) {
 				g.serveJob(x, nil)
 			}
--- a/internal/faces/gateway/run.go
+++ b/internal/faces/gateway/run.go
@@ -36,6 +36,8 @@
 	// errCallerGone means that the answer can't be written because the caller
 	// disconnected.
 	errCallerGone = errors.New("caller disconnected")
+	// errCallerSlow means that an upstream broke off an answer that its caller read slowly.
+	errCallerSlow = errors.New("caller reads slowly")
 	// errCrashesUpstreams means that a request is likely to crash upstreams.
 	errCrashesUpstreams = errors.New("request crashes upstreams")
 	// errStalled means that an upstream makes no progress. Comments in an event stream
@@ -61,6 +63,7 @@
 	lastEventID      string
 	events           int
 	headSentAt       time.Time
+	callerIsSlow     bool              // since the attempt began
 	waitedForSlot    bool              // for a free slot, at least once
 	yielded          bool              // the last free slots to others, at least once
 	queuedAtUpstream bool              // behind others, at least once
@@ -146,6 +149,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	f.sends++
+	f.callerIsSlow = false
 	start := time.Now()
 	f.stallTimer = nil
 	paced := f.pacerAttempt(slot.Upstream().ID)
@@ -210,7 +214,7 @@
 // answer it. An upstream that is alive has broken off for another reason.
 func (f *forwarding) recordCrash(ctx context.Context, upstream placer.Upstream, err error) {
 	maybeCrashed := relayer.AsAttemptError(err).Ran() == relayer.RanMaybe && ctx.Err() == nil
-	maybeCrashed = maybeCrashed && !errors.Is(err, errCallerGone) && !errors.Is(err, errStalled)
+	maybeCrashed = maybeCrashed && !errors.Is(err, errCallerGone) && !errors.Is(err, errCallerSlow) && !errors.Is(err, errStalled)
 	if !maybeCrashed || f.events >= minHealthyEvents {
 		return
 	}
--- a/internal/faces/gateway/slot.go
+++ b/internal/faces/gateway/slot.go
@@ -126,14 +126,6 @@
 // Waiting returns the number of requests that wait for a slot.
 func (g *Gateway) Waiting() int { return g.slots.Waiting() }
 
-// teamName returns the name of the caller's team, or "" if it has none.
-func (x *exchange) teamName() string {
-	if x.team == nil {
-		return ""
-	}
-	return x.team.Name
-}
-
 // urgency returns the rank of the request: its team's, or else its route's. 0 is the most urgent.
 func (x *exchange) urgency() int {
 	if x.team != nil && x.team.HasPriority {
--- a/internal/wiring/entryvm/provider.go
+++ b/internal/wiring/entryvm/provider.go
@@ -21,6 +21,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/control/tablesharer"
 	"github.com/fescuespindle/fescuespindle/internal/faces/batchserver"
 	"github.com/fescuespindle/fescuespindle/internal/faces/gateway"
+	"github.com/fescuespindle/fescuespindle/internal/online/authenticator"
 	"github.com/fescuespindle/fescuespindle/internal/online/courier"
 	"github.com/fescuespindle/fescuespindle/internal/online/crashanalyzer"
 	"github.com/fescuespindle/fescuespindle/internal/online/forwarder"
@@ -30,6 +31,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/online/tunneler"
 	"github.com/fescuespindle/fescuespindle/internal/online/versionkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/counter"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/headbounder"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/socketdialer"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/supervisor"
@@ -77,6 +79,15 @@
 // AsOf implements batchrunner.Configuration.
 func (c *callbacks) AsOf() uint64 { return c.vm.configuration.Version() }
 
+// configurationConfirmedAt returns when the configuration in force was last known to be the newest; zero if never.
+func (c *callbacks) configurationConfirmedAt() time.Time {
+	confirmedAt := c.vm.sharer.ConfirmedAt()
+	if behind := c.vm.configuration.BehindSince(); !behind.IsZero() && behind.Before(confirmedAt) {
+		return behind
+	}
+	return confirmedAt
+}
+
 func (c *callbacks) limits() router.Limits {
 	if table := c.Table(); table != nil {
 		return table.Limits()
@@ -105,6 +116,12 @@
 	return rationer.New(s.MemoryBytes / bufferMemoryDivisor)
 }
 
+// newBounder returns a bounder of heads, whose budget is apart from that of newRationer: they must not end other
+// callers' streams.
+func newBounder(s platform.Settings, counters *counter.Counters) *headbounder.Bounder {
+	return headbounder.New(rationer.New(headbounder.HeadMemory(s.MemoryBytes)), counters)
+}
+
 // peerAddress returns the address at which other VMs reach this one over TCP and UDP.
 func peerAddress(s platform.Settings) string { return net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)) }
 
@@ -134,8 +151,15 @@
 func newSharer(
 	store rowstore.Store, s platform.Settings, fleet *fleetidentifier.Fleet, counters *counter.Counters, logger *slog.Logger,
 ) *tablesharer.Sharer {
-	return tablesharer.New(store, platform.TableConfiguration, "", s.VM, fleet.Transport(storeTransport()), fleet, counters,
+	sharer := tablesharer.New(store, platform.TableConfiguration, "", s.VM, fleet.Transport(storeTransport()), fleet, counters,
 		logger)
+	counters.Gauge("configuration_confirmed_age_seconds", func() float64 {
+		if at := sharer.ConfirmedAt(); !at.IsZero() {
+			return time.Since(at).Seconds()
+		}
+		return -1 // never
+	})
+	return sharer
 }
 
 func newPlacer(s platform.Settings, c *callbacks, finder *pathfinder.Finder) *placer.Placer {
@@ -228,12 +252,12 @@
 }
 
 func newRunner(
-	owner batchkeeper.Owner, keeper *batchkeeper.Keeper, p *placer.Placer, sender *courier.Courier,
+	s platform.Settings, owner batchkeeper.Owner, keeper *batchkeeper.Keeper, p *placer.Placer, sender *courier.Courier,
 	members *memberkeeper.Keeper, c *callbacks, budget *rationer.Rationer, mover *jobmover.Mover,
 	tasks *supervisor.Supervisor, counters *counter.Counters, logger *slog.Logger,
 ) *batchrunner.Runner {
 	return batchrunner.New(owner, keeper, p, sender, members, c, budget, tasks, counters, logger,
-		batchrunner.WithMover(mover))
+		batchrunner.WithMover(mover), batchrunner.WithResultRetention(s.ResultRetention))
 }
 
 func newMover(fleet *fleetidentifier.Fleet, logger *slog.Logger) *jobmover.Mover {
@@ -265,8 +289,10 @@
 func newGateway(
 	codec platform.Codec, sender *courier.Courier, p *placer.Placer, crashes *crashanalyzer.Analyzer,
 	versions *versionkeeper.Keeper, jobs *batchserver.Server, budget *rationer.Rationer, counters *counter.Counters, logger *slog.Logger,
+	s platform.Settings, c *callbacks,
 ) *gateway.Gateway {
-	g := gateway.New(codec, sender, p, crashes, versions, jobs, budget, counters, logger)
+	g := gateway.New(codec, sender, p, crashes, versions, jobs, budget, counters, logger,
+		gateway.WithAuthenticator(authenticator.New(authenticator.WithMaxKeyAge(s.MaxKeyAge, c.configurationConfirmedAt))))
 	counters.Gauge("slot_requests_waiting", func() float64 { return float64(g.Waiting()) })
 	return g
 }
--- a/internal/wiring/entryvm/wire_gen.go
+++ b/internal/wiring/entryvm/wire_gen.go
@@ -42,13 +42,14 @@
 	owner := newOwner(settings, entryvmBootID)
 	batchkeeperKeeper := newJobKeeper(store, owner, settings, logger)
 	mover := newMover(fleet, logger)
-	runner := newRunner(owner, batchkeeperKeeper, placer, courierCourier, memberkeeperKeeper, entryvmCallbacks, rationer, mover, supervisor, counters, logger)
+	runner := newRunner(settings, owner, batchkeeperKeeper, placer, courierCourier, memberkeeperKeeper, entryvmCallbacks, rationer, mover, supervisor, counters, logger)
 	entryvmSharedState := newSharedState(placer, analyzer, runner, logger)
 	canceller := newCanceller(batchkeeperKeeper, entryvmSharedState, supervisor, counters, logger)
 	server := newJobServer(codec, batchkeeperKeeper, canceller, entryvmSharedState, entryvmCallbacks, rationer, counters, logger)
-	gateway := newGateway(codec, courierCourier, placer, analyzer, keeper, server, rationer, counters, logger)
+	gateway := newGateway(codec, courierCourier, placer, analyzer, keeper, server, rationer, counters, logger, settings, entryvmCallbacks)
 	sharer := newSharer(store, settings, fleet, counters, logger)
 	identifier := newIdentifier(settings, fleet, entryvmCallbacks, counter, logger)
+	bounder := newBounder(settings, counters)
 	vm := &VM{
 		settings:     settings,
 		bootID:       entryvmBootID,
@@ -76,6 +77,7 @@
 		mover:        mover,
 		fleet:        fleet,
 		identifier:   identifier,
+		bounder:      bounder,
 	}
 	return vm, nil
 }
