slotqueuer: what is known of a removed service is discarded

The state of a service stayed for the life of the process after an operator had renamed or removed the service.

--- a/internal/faces/gateway/gateway.go
+++ b/internal/faces/gateway/gateway.go
@@ -173,7 +173,16 @@
 }
 
 // SetTable replaces the configuration; nil means none.
-func (g *Gateway) SetTable(t *router.Table) { g.table.Store(t) }
+func (g *Gateway) SetTable(t *router.Table) {
+	g.table.Store(t)
+	services := map[string]bool{}
+	if t != nil {
+		for _, service := range t.Services() {
+			services[service.Name] = true
+		}
+	}
+	g.slots.Retain(services)
+}
 
 // Table returns the current configuration, or nil.
 func (g *Gateway) Table() *router.Table { return g.table.Load() }
--- a/internal/online/slotqueuer/queuer.go
+++ b/internal/online/slotqueuer/queuer.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -130,6 +131,15 @@
 	}
 }
 
+// Retain discards what is known of all services except the given ones and those with requests.
+func (q *Queuer) Retain(services map[string]bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	maps.DeleteFunc(q.lanes, func(service string, l *lane) bool {
+		return !services[service] && l.requests.Waiting() == 0 && l.requests.Running() == 0
+	})
+}
+
 // Waiting returns the number of waiting requests.
 func (q *Queuer) Waiting() int {
 	q.mu.Lock()
--- a/internal/online/slotqueuer/queuer_test.go
+++ b/internal/online/slotqueuer/queuer_test.go
@@ -199,3 +199,18 @@
 		<-less.Done()
 	})
 }
+
+func TestServicesWithRequestsAreRetained(t *testing.T) {
+	s := newSlots(0)
+	ticket := s.expectWaits(t, "waits", "", 0, 0)
+	s.queuer.Retain(nil)
+	s.release(0)
+	<-ticket.Done()
+	s.queuer.Retain(nil) // it runs
+	s.queuer.Done("s", "", start)
+	s.queuer.Retain(nil)
+	s.release(0)
+	_, err := s.enter("later", "", 0, 0)
+	qt.Check(t, err, qt.IsNil)
+	s.expectGot(t, "waits", "later")
+}
