Tests: a paused owner of chunks is any VM that has some

Cause, from reading: the tests waited for one VM of three to get chunks of a job. Beside load, the others may have taken all of them by the time that this VM asks, and it never gets any; the job then ends without it. TestKillVMWithItemsInProgress waits for any VM but the caller's and never showed this.

Change: all three wait for any VM but the caller's. The checks are the same.

--- a/internal/integration/failure_test.go
+++ b/internal/integration/failure_test.go
@@ -45,8 +45,19 @@
 	const items, tokens = 200, 60
 	f := newFleet(t, kariakoo)
 	batch := f.submit(f.vms[0], items, tokens)
+	owner := f.waitForOwner()
+	owner.kill()
+	owner.start()
+	owner.waitReady(len(f.engines))
+	qt.Check(t, f.waitEnded(f.vms[0], batch.ID).Status, qt.Equals, "completed")
+	f.expectOneResultPerItem(f.vms, batch.ID, items, tokens)
+}
+
+// waitForOwner waits until one of the VMs but the first owns chunks, and returns it. Which VM gets chunks of a job is a matter of timing: some may get none before it ends.
+func (f *fleet) waitForOwner() *process {
+	f.t.Helper()
 	var owner *process
-	eventually(t, "a VM owns chunks", func() bool {
+	eventually(f.t, "a VM owns chunks", func() bool {
 		for _, vm := range f.vms[1:] {
 			if state, err := vm.state(); err == nil && state.Chunks > 0 {
 				owner = vm
@@ -54,11 +65,7 @@
 		}
 		return owner != nil
 	})
-	owner.kill()
-	owner.start()
-	owner.waitReady(len(f.engines))
-	qt.Check(t, f.waitEnded(f.vms[0], batch.ID).Status, qt.Equals, "completed")
-	f.expectOneResultPerItem(f.vms, batch.ID, items, tokens)
+	return owner
 }
 
 // A VM that is stopped while it owns chunks resumes after the job has ended
@@ -67,19 +74,16 @@
 	const items, tokens = 200, 60
 	f := newFleet(t, kariakoo)
 	batch := f.submit(f.vms[0], items, tokens)
-	eventually(t, "the VM owns chunks", func() bool {
-		state, err := f.vms[1].state()
-		return err == nil && state.Chunks > 0
-	})
-	f.vms[1].signal(syscall.SIGSTOP)
+	owner := f.waitForOwner()
+	owner.signal(syscall.SIGSTOP)
 	qt.Check(t, f.waitEnded(f.vms[0], batch.ID).Status, qt.Equals, "completed")
 	before := f.results(f.vms[0], batch.ID)
-	f.vms[1].signal(syscall.SIGCONT)
+	owner.signal(syscall.SIGCONT)
 	eventually(t, "the VM has let go of its chunks", func() bool {
-		state, err := f.vms[1].state()
+		state, err := owner.state()
 		return err == nil && state.Chunks == 0
 	})
-	qt.Check(t, f.results(f.vms[1], batch.ID), qt.DeepEquals, before)
+	qt.Check(t, f.results(owner, batch.ID), qt.DeepEquals, before)
 	f.expectOneResultPerItem(f.vms, batch.ID, items, tokens)
 }
 
@@ -237,15 +241,12 @@
 func TestCancelTakesEffectOnPausedVM(t *testing.T) {
 	f := newFleet(t, kariakoo)
 	batch := f.submit(f.vms[0], 400, 200)
-	eventually(t, "the VM owns chunks", func() bool {
-		state, err := f.vms[1].state()
-		return err == nil && state.Chunks > 0
-	})
-	f.vms[1].signal(syscall.SIGSTOP)
+	owner := f.waitForOwner()
+	owner.signal(syscall.SIGSTOP)
 	cancelled, err := f.vms[0].requester(sitebuilder.BatchToken).Cancel(t.Context(), batch.ID)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, cancelled.Status, qt.Equals, "cancelled")
-	f.vms[1].signal(syscall.SIGCONT)
+	owner.signal(syscall.SIGCONT)
 	eventually(t, "no engine runs an item any more", func() bool {
 		for _, vm := range f.vms {
 			if state, err := vm.state(); err != nil || state.Chunks > 0 {
