spooler: a caller that reads slowly delays nobody, and one that stops is dropped

Cause: a write to a caller that doesn't read blocked its request, with the slot of its upstream, until the deadline of the route; what is kept for such callers was bounded by nothing but the kernel's buffers. Change: on callers' connections of both interfaces, what the connection doesn't take at once is kept (256 KiB a caller, from the memory budget) and sent beside the request, which ends as if the caller had read. No goroutine and no copy as long as callers read. A caller that takes nothing for 5 s, or is behind for 60 s, is dropped. Tests changed: none.

--- a/internal/wiring/assembler/vm.go
+++ b/internal/wiring/assembler/vm.go
@@ -29,6 +29,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/processmeter"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/sleeper"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/spooler"
 	"github.com/fescuespindle/fescuespindle/internal/store/storekeeper"
 )
 
@@ -63,12 +64,20 @@
 	maxHeaderBytes      = 64 << 10
 	// bodyTimeout bounds the time for a body whose handler sets no other deadline.
 	bodyTimeout = 10 * time.Second
+	// answerMemoryBytes is the memory for answers that callers read slowly.
+	answerMemoryBytes = 32 << 20
 	// peerConnectionDivisor and operatorConnectionDivisor are the ratios of the connections that the callers'
 	// listener accepts to those of the other ones.
 	peerConnectionDivisor     = 2
 	operatorConnectionDivisor = 8
 )
 
+// taskGroup starts goroutines in the group of a VM.
+type taskGroup struct{ group *sync.WaitGroup }
+
+// Go implements spooler.Tasks.
+func (t taskGroup) Go(_ string, task func()) { t.group.Go(task) }
+
 // VM is one entry VM.
 type VM struct {
 	settings   settingsloader.Settings
@@ -93,6 +102,7 @@
 	group    sync.WaitGroup
 	servers  []*http.Server
 	bounder  *headbounder.Bounder
+	spooler  *spooler.Spooler
 	draining atomic.Bool // the callers' listener is closed
 	stop     context.CancelFunc
 }
@@ -107,6 +117,7 @@
 func (vm *VM) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	vm.stop = cancel
+	vm.spooler = spooler.New(rationer.New(answerMemoryBytes), taskGroup{&vm.group}, vm.counters, vm.logger)
 	vm.bounder = headbounder.New(rationer.New(headbounder.HeadMemory(processmeter.MemoryLimit())), vm.counters)
 	vm.group.Go(func() { _ = vm.store.Run(ctx) }) // ends with the context
 	vm.group.Go(func() { vm.finder.Run(ctx) })
@@ -115,7 +126,7 @@
 	vm.serve(vm.listeners.Peer, &http.Server{Handler: vm.peerHandler(), ReadHeaderTimeout: time.Second},
 		maxConnections/peerConnectionDivisor, maxInnerHeaderBytes)
 	vm.serve(vm.listeners.Operator, vm.operator.HTTP(), maxConnections/operatorConnectionDivisor, maxInnerHeaderBytes)
-	vm.serve(vm.listeners.Caller, vm.server.HTTP(), maxConnections, maxHeaderBytes)
+	vm.serve(vm.spooler.Wrap(vm.listeners.Caller), vm.server.HTTP(), maxConnections, maxHeaderBytes)
 	vm.logger.Info("serving", "vm", vm.settings.VM, "callers", vm.listeners.Caller.Addr().String())
 }
 
@@ -159,6 +170,7 @@
 	sleeper.Sleep(ctx, time.Duration(vm.settings.BalancerLag))
 	vm.draining.Store(true)
 	err := errors.Join(vm.server.Drain(ctx, vm.listeners.Caller), <-drained)
+	vm.spooler.Flush(ctx)
 	vm.dispatcher.Wait()
 	vm.claimer.Wait()
 	vm.carrier.Wait(ctx)
--- a/internal/wiring/entryvm/provider.go
+++ b/internal/wiring/entryvm/provider.go
@@ -33,6 +33,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/headbounder"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/socketdialer"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/spooler"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/supervisor"
 	"github.com/fescuespindle/fescuespindle/internal/store/callcounter"
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
@@ -109,6 +110,14 @@
 	return headbounder.New(rationer.New(headbounder.HeadMemory(s.MemoryBytes)), counters)
 }
 
+func newSpooler(
+	budget *rationer.Rationer, tasks *supervisor.Supervisor, counters *counter.Counters, logger *slog.Logger,
+) *spooler.Spooler {
+	s := spooler.New(budget, tasks, counters, logger)
+	counters.Gauge("answers_kept", func() float64 { return float64(s.Behind()) })
+	return s
+}
+
 // peerAddress returns the address at which other VMs reach this one over TCP and UDP.
 func peerAddress(s platform.Settings) string { return net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)) }
 
--- a/internal/wiring/entryvm/shutdown.go
+++ b/internal/wiring/entryvm/shutdown.go
@@ -60,4 +60,5 @@
 	if err := vm.callerConns.Drain(ctx); err != nil {
 		vm.logger.Warn("requests aborted at the end of the grace period", "error", err)
 	}
+	vm.spooler.Flush(ctx)
 }
--- a/internal/wiring/entryvm/vm.go
+++ b/internal/wiring/entryvm/vm.go
@@ -33,6 +33,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/counter"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/drainer"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/headbounder"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/spooler"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/supervisor"
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 	"github.com/fescuespindle/fescuespindle/internal/store/storerelayer"
@@ -101,6 +102,7 @@
 	servers     []*http.Server
 	callerConns *drainer.Conns
 	bounder     *headbounder.Bounder
+	spooler     *spooler.Spooler
 	// callerListener accepts callers' connections until callersDraining is set.
 	callerListener  net.Listener
 	callersDraining atomic.Bool
@@ -156,7 +158,7 @@
 	); err != nil {
 		return err
 	}
-	vm.serveListener(vm.callerListener, callerServer, maxConnections, vm.maxCallerHeadBytes)
+	vm.serveListener(vm.spooler.Wrap(vm.callerListener), callerServer, maxConnections, vm.maxCallerHeadBytes)
 	vm.setPeers(nil)
 	vm.runner.Start()
 	vm.tasks.GoWithRestart(ctx, "identity of the fleet", vm.identifier.Run)
--- a/internal/wiring/entryvm/wire_gen.go
+++ b/internal/wiring/entryvm/wire_gen.go
@@ -50,6 +50,7 @@
 	sharer := newSharer(store, settings, fleet, counters, logger)
 	identifier := newIdentifier(settings, fleet, entryvmCallbacks, counter, logger)
 	bounder := newBounder(settings, counters)
+	spooler := newSpooler(rationer, supervisor, counters, logger)
 	vm := &VM{
 		settings:     settings,
 		bootID:       entryvmBootID,
@@ -78,6 +79,7 @@
 		fleet:        fleet,
 		identifier:   identifier,
 		bounder:      bounder,
+		spooler:      spooler,
 	}
 	return vm, nil
 }
