Quotas of teams are kept across VMs: transport, gateway filter, wiring

Cause: the core of quotakeeper was not in use; a team could run any number of requests.

Change: quotateller carries its messages as datagrams on the port after that of peers, with a clock that goes on while a VM is suspended; they name the fleet. The gateway asks it once for each request of a caller, after the key and before the body, answers 429 with the time to return, and gives back what no upstream ran. memberkeeper passes on the first list that was read even if it is empty: until then no VM may take itself for the only one. golang.org/x/sys, which was there indirectly, is a direct dependency. Teams without quota and configurations without teams send nothing.

Shown by: TestVMsShareAQuota, TestMessagesOfAnotherFleetAreIgnored (real sockets), TestRequestsBeyondAQuota, TestRequestsThatCount; go test -race of the touched packages.

--- a/internal/control/memberkeeper/keeper.go
+++ b/internal/control/memberkeeper/keeper.go
@@ -82,11 +82,13 @@
 	self            Member
 	rows            map[string]rowState
 	unreadableSince time.Time // when the table became unreadable; zero while it is readable
+	isRead          bool      // whether the table has been read
 	published       []Member  // the list last passed to onList
+	isPublished     bool      // whether a list that was read has been passed to onList
 }
 
-// New returns a Keeper. onList is called with the live VMs other than this one whenever
-// their list has changed.
+// New returns a Keeper. onList is called with the live VMs other than this one once the table has been read,
+// and whenever their list has changed.
 func New(store rowstore.Store, self Member, onList func([]Member), logger *slog.Logger) *Keeper {
 	return &Keeper{
 		store: store, self: self, onList: onList, logger: logger, rows: map[string]rowState{}, writes: repeater.New(),
@@ -176,6 +178,7 @@
 		k.excludeOutage(now.Sub(k.unreadableSince))
 		k.unreadableSince = time.Time{}
 	}
+	k.isRead = true
 	old := k.rows
 	k.rows = make(map[string]rowState, len(rows))
 	for _, row := range rows {
@@ -236,7 +239,7 @@
 	k.rows[row.Name] = s
 }
 
-// publish passes the list of live VMs to onList if it has changed.
+// publish passes the list of live VMs to onList if it has changed, or is the first one that was read.
 func (k *Keeper) publish(now time.Time) {
 	k.mu.Lock()
 	var live []Member
@@ -245,8 +248,8 @@
 			live = append(live, s.member)
 		}
 	}
-	changed := !slices.Equal(live, k.published)
-	k.published = live
+	changed := !slices.Equal(live, k.published) || k.isRead != k.isPublished
+	k.published, k.isPublished = live, k.isRead
 	k.mu.Unlock()
 	if changed {
 		k.onList(live)
--- a/internal/faces/gateway/gateway.go
+++ b/internal/faces/gateway/gateway.go
@@ -133,6 +133,8 @@
 	counter  Counter
 	logger   *slog.Logger
 
+	quotas Quotas // nil if none are kept
+
 	table     atomic.Pointer[router.Table]
 	draining  atomic.Pointer[drainer.Plan] // nil until Drain
 	aborted   context.Context              //nolint:containedctx // ends with the gateway, not with a request
@@ -166,7 +168,7 @@
 	}
 	g.aborted, g.abort = context.WithCancelCause(context.Background())
 	g.chain = g.closeIfDraining(g.waitForStart(g.requireConfiguration(g.serveJobCalls(
-		g.decodeHead(g.matchRoute(g.requireKey(g.chooseService(g.readBody(g.run)))))))))
+		g.decodeHead(g.matchRoute(g.requireKey(g.chooseService(g.limitQuota(g.readBody(g.run))))))))))
 	return g
 }
 
@@ -185,6 +187,8 @@
 	// team is nil if the configuration has no teams, or if the route is public and the request
 	// carries no known key.
 	team *router.Team
+	// ran is set if an upstream may have run the request.
+	ran bool
 }
 
 // handler is a filter, with the rest of the chain behind it.
--- a/internal/faces/gateway/localreply.go
+++ b/internal/faces/gateway/localreply.go
@@ -27,6 +27,8 @@
 	reasonVersionUnknown   reason = "streamVersionUnknown"
 	reasonRejected         reason = "refusedByUpstreams"
 	reasonCrashesUpstreams reason = "crashesUpstreams"
+	reasonOverQuota        reason = "overQuota"
+	reasonQuotaUncounted   reason = "quotaUncounted"
 	reasonDeadline         reason = "deadline"
 	reasonFailed           reason = "failed"
 )
@@ -51,8 +53,9 @@
 	g.localReply(x, status, cause, retryAfter)
 }
 
-// localReply writes, counts and logs a local reply. A zero retryAfter is not sent.
-func (g *Gateway) localReply(x *exchange, status int, cause reason, retryAfter time.Duration) {
+// localReply writes, counts and logs a local reply, with the details of its reason. A zero retryAfter is not
+// sent.
+func (g *Gateway) localReply(x *exchange, status int, cause reason, retryAfter time.Duration, details ...any) {
 	id := ""
 	if x.request.Call != nil {
 		id = x.request.Call.ID
@@ -61,8 +64,10 @@
 	g.codec.EncodeLocalReplyHeader(x.w.Header(), id, retryAfter)
 	x.w.Header().Set("Content-Length", "0")
 	x.w.WriteHeader(status)
-	g.logger.Info("local reply", "id", id, "status", status, "reason", cause,
-		"route", x.routeName(), "team", x.teamName(), "version", x.request.configVersion, "comeBack", retryAfter, "path", x.r.URL.Path)
+	g.logger.Info("local reply", append([]any{
+		"id", id, "status", status, "reason", cause, "route", x.routeName(), "team", x.teamName(),
+		"version", x.request.configVersion, "comeBack", retryAfter, "path", x.r.URL.Path,
+	}, details...)...)
 }
 
 // routeName returns the name of the matched route, or "" before a match.
--- a/internal/faces/gateway/run.go
+++ b/internal/faces/gateway/run.go
@@ -86,6 +86,7 @@
 	}
 	defer func() { f.endStream() }()
 	outcome := f.forward(ctx)
+	x.ran = f.runs > 0
 	g.logOutcome(f, outcome)
 	if outcome == outcomeTruncated {
 		panic(http.ErrAbortHandler) // the only way to make the truncation visible to the caller
--- a/internal/online/quotakeeper/meter.go
+++ b/internal/online/quotakeeper/meter.go
@@ -34,6 +34,9 @@
 // Decision is the decision on a request, with what it is based on.
 type Decision struct {
 	Outcome Outcome
+	// Counted is whether the request was counted, as the team has a quota, and is to be given back if it
+	// doesn't run.
+	Counted bool
 	// Wait is how long after a rejection a request may be admitted.
 	Wait time.Duration
 	// Tokens is what the team's keeper has last said to be left, and Age how long ago; a negative age
@@ -87,6 +90,7 @@
 	case m.pending() >= m.maxPending(vms):
 		d.Outcome, d.Wait = Uncounted, answerTime
 	default:
+		d.Counted = true
 		m.total.Admitted++
 		m.recent++
 	}
--- a/internal/wiring/entryvm/provider.go
+++ b/internal/wiring/entryvm/provider.go
@@ -18,6 +18,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/control/fleetidentifier"
 	"github.com/fescuespindle/fescuespindle/internal/control/memberkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/control/peerteller"
+	"github.com/fescuespindle/fescuespindle/internal/control/quotateller"
 	"github.com/fescuespindle/fescuespindle/internal/control/tablesharer"
 	"github.com/fescuespindle/fescuespindle/internal/faces/batchserver"
 	"github.com/fescuespindle/fescuespindle/internal/faces/gateway"
@@ -67,7 +68,10 @@
 // onOtherFleet has the process end.
 func (c *callbacks) onOtherFleet(reason error) { c.vm.fail(reason) }
 
-func (c *callbacks) setPeers(members []memberkeeper.Member) { c.vm.setPeers(members) }
+func (c *callbacks) setPeers(members []memberkeeper.Member) {
+	c.vm.setPeers(members)
+	c.vm.setQuotaPeers(members)
+}
 
 // Table implements batchrunner.Configuration.
 func (c *callbacks) Table() *router.Table { return c.vm.gateway.Table() }
@@ -279,8 +283,8 @@
 func newGateway(
 	codec platform.Codec, sender *courier.Courier, p *placer.Placer, crashes *crashanalyzer.Analyzer,
 	versions *versionkeeper.Keeper, jobs *batchserver.Server, budget *rationer.Rationer, counters *counter.Counters, logger *slog.Logger,
-	s platform.Settings, c *callbacks,
+	s platform.Settings, c *callbacks, quotas *quotateller.Teller,
 ) *gateway.Gateway {
-	return gateway.New(codec, sender, p, crashes, versions, jobs, budget, counters, logger,
+	return gateway.New(codec, sender, p, crashes, versions, jobs, budget, counters, logger, gateway.WithQuotas(quotas),
 		gateway.WithAuthenticator(authenticator.New(authenticator.WithMaxKeyAge(s.MaxKeyAge, c.configurationConfirmedAt))))
 }
--- a/internal/wiring/entryvm/sink.go
+++ b/internal/wiring/entryvm/sink.go
@@ -80,6 +80,7 @@
 		return
 	}
 	table := router.NewTable(configuration)
+	s.vm.setQuotas(table)
 	s.vm.gateway.SetTable(table)
 	s.vm.versions.SetLongestStream(table.LongestStream(unlimitedStreamTime))
 	s.vm.readiness.configured.Store(true)
--- a/internal/wiring/entryvm/vm.go
+++ b/internal/wiring/entryvm/vm.go
@@ -20,6 +20,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/control/fleetidentifier"
 	"github.com/fescuespindle/fescuespindle/internal/control/memberkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/control/peerteller"
+	"github.com/fescuespindle/fescuespindle/internal/control/quotateller"
 	"github.com/fescuespindle/fescuespindle/internal/control/registrar"
 	"github.com/fescuespindle/fescuespindle/internal/control/tablesharer"
 	"github.com/fescuespindle/fescuespindle/internal/control/watcher"
@@ -77,6 +78,7 @@
 	mover         *jobmover.Mover
 	fleet         *fleetidentifier.Fleet
 	identifier    *fleetidentifier.Identifier
+	quotas        *quotateller.Teller
 
 	jobKeeper *batchkeeper.Keeper
 	runner    *batchrunner.Runner
@@ -148,6 +150,7 @@
 	vm.runner.Start()
 	vm.tasks.GoWithRestart(ctx, "identity of the fleet", vm.identifier.Run)
 	vm.tasks.GoWithRestart(ctx, "peer messages", vm.reporter.Run)
+	vm.tasks.GoWithRestart(ctx, "quotas", vm.quotas.Run)
 	vm.tasks.GoWithRestart(ctx, "checks of links", vm.finder.Run)
 	vm.tasks.GoWithRestart(ctx, "membership", vm.memberKeeper.Run)
 	vm.tasks.GoWithRestart(ctx, "lost VMs", vm.memberKeeper.Sweep)
--- a/internal/wiring/entryvm/wire.go
+++ b/internal/wiring/entryvm/wire.go
@@ -18,10 +18,10 @@
 		newBootID, newCallbacks, newCounters, newRationer, newSupervisor, newCodec, newBootstrapper,
 		newReporter, newFinder, newCarrier, newPlacer, newForwarder, newRelayer, newCallCounter, newStore, newMemberKeeper,
 		newOwner, newJobKeeper, newMover, newRunner, newSharedState, newCanceller, newJobServer, newGateway, courier.New, newAnalyzer,
-		newVersionKeeper, newFleet, newIdentifier, newSharer,
+		newVersionKeeper, newFleet, newIdentifier, newSharer, newQuotas,
 		wire.Struct(new(VM), "settings", "bootID", "logger", "counter", "relayer", "store", "finder", "carrier", "forwarder", "placer",
 			"crashes", "versions", "reporter", "memberKeeper",
-			"gateway", "jobKeeper", "runner", "cancels", "shared", "callbacks", "tasks", "bootstrapper", "sharer", "mover", "fleet", "identifier"),
+			"gateway", "jobKeeper", "runner", "cancels", "shared", "callbacks", "tasks", "bootstrapper", "sharer", "mover", "fleet", "identifier", "quotas"),
 		wire.Bind(new(rowstore.Store), new(*platform.Store)),
 		wire.Bind(new(courier.Codec), new(platform.Codec)),
 	)
--- a/internal/wiring/entryvm/wire_gen.go
+++ b/internal/wiring/entryvm/wire_gen.go
@@ -46,7 +46,11 @@
 	entryvmSharedState := newSharedState(placer, analyzer, runner, logger)
 	canceller := newCanceller(batchkeeperKeeper, entryvmSharedState, supervisor, counters, logger)
 	server := newJobServer(codec, batchkeeperKeeper, canceller, entryvmSharedState, entryvmCallbacks, rationer, counters, logger)
-	gateway := newGateway(codec, courierCourier, placer, analyzer, keeper, server, rationer, counters, logger, settings, entryvmCallbacks)
+	teller, err := newQuotas(settings, entryvmBootID, fleet, supervisor, counters, logger)
+	if err != nil {
+		return nil, err
+	}
+	gateway := newGateway(codec, courierCourier, placer, analyzer, keeper, server, rationer, counters, logger, settings, entryvmCallbacks, teller)
 	sharer := newSharer(store, settings, fleet, counters, logger)
 	identifier := newIdentifier(settings, fleet, entryvmCallbacks, counter, logger)
 	vm := &VM{
@@ -76,6 +80,7 @@
 		mover:        mover,
 		fleet:        fleet,
 		identifier:   identifier,
+		quotas:       teller,
 	}
 	return vm, nil
 }
