--- a/internal/faces/gateway/localreply.go
+++ b/internal/faces/gateway/localreply.go
@@ -28,6 +28,8 @@
 	reasonNoRoom           reason = "noRoom"
 	reasonRejected         reason = "refusedByUpstreams"
 	reasonCrashesUpstreams reason = "crashesUpstreams"
+	reasonOverQuota        reason = "overQuota"
+	reasonQuotaUncounted   reason = "quotaUncounted"
 	reasonDeadline         reason = "deadline"
 	reasonFailed           reason = "failed"
 )
@@ -59,8 +61,9 @@
 	g.localReply(x, http.StatusServiceUnavailable, reasonNoRoom, delay+rand.N(retryAfterJitter))
 }
 
-// localReply writes, counts and logs a local reply. A zero retryAfter is not sent.
-func (g *Gateway) localReply(x *exchange, status int, cause reason, retryAfter time.Duration) {
+// localReply writes, counts and logs a local reply, with the details of its reason. A zero retryAfter is not
+// sent.
+func (g *Gateway) localReply(x *exchange, status int, cause reason, retryAfter time.Duration, details ...any) {
 	id := ""
 	if x.request.Call != nil {
 		id = x.request.Call.ID
@@ -69,8 +72,10 @@
 	g.codec.EncodeLocalReplyHeader(x.w.Header(), id, retryAfter)
 	x.w.Header().Set("Content-Length", "0")
 	x.w.WriteHeader(status)
-	g.logger.Info("local reply", "id", id, "status", status, "reason", cause,
-		"route", x.routeName(), "team", x.teamName(), "version", x.request.configVersion, "comeBack", retryAfter, "path", x.r.URL.Path)
+	g.logger.Info("local reply", append([]any{
+		"id", id, "status", status, "reason", cause, "route", x.routeName(), "team", x.teamName(),
+		"version", x.request.configVersion, "comeBack", retryAfter, "path", x.r.URL.Path,
+	}, details...)...)
 }
 
 // routeName returns the name of the matched route, or "" before a match.
