--- a/internal/wiring/entryvm/provider.go
+++ b/internal/wiring/entryvm/provider.go
@@ -18,6 +18,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/control/fleetidentifier"
 	"github.com/fescuespindle/fescuespindle/internal/control/memberkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/control/peerteller"
+	"github.com/fescuespindle/fescuespindle/internal/control/quotateller"
 	"github.com/fescuespindle/fescuespindle/internal/control/tablesharer"
 	"github.com/fescuespindle/fescuespindle/internal/faces/batchserver"
 	"github.com/fescuespindle/fescuespindle/internal/faces/gateway"
@@ -34,6 +35,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/headbounder"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/socketdialer"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/spooler"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/supervisor"
 	"github.com/fescuespindle/fescuespindle/internal/store/callcounter"
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
@@ -71,7 +73,10 @@
 // onOtherFleet has the process end.
 func (c *callbacks) onOtherFleet(reason error) { c.vm.fail(reason) }
 
-func (c *callbacks) setPeers(members []memberkeeper.Member) { c.vm.setPeers(members) }
+func (c *callbacks) setPeers(members []memberkeeper.Member) {
+	c.vm.setPeers(members)
+	c.vm.setQuotaPeers(members)
+}
 
 // Table implements batchrunner.Configuration.
 func (c *callbacks) Table() *router.Table { return c.vm.gateway.Table() }
@@ -122,6 +127,14 @@
 	return headbounder.New(rationer.New(headbounder.HeadMemory(s.MemoryBytes)), counters)
 }
 
+func newSpooler(
+	budget *rationer.Rationer, tasks *supervisor.Supervisor, counters *counter.Counters, logger *slog.Logger,
+) *spooler.Spooler {
+	s := spooler.New(budget, tasks, counters, logger)
+	counters.Gauge("answers_kept", func() float64 { return float64(s.Behind()) })
+	return s
+}
+
 // peerAddress returns the address at which other VMs reach this one over TCP and UDP.
 func peerAddress(s platform.Settings) string { return net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)) }
 
@@ -289,9 +302,9 @@
 func newGateway(
 	codec platform.Codec, sender *courier.Courier, p *placer.Placer, crashes *crashanalyzer.Analyzer,
 	versions *versionkeeper.Keeper, jobs *batchserver.Server, budget *rationer.Rationer, counters *counter.Counters, logger *slog.Logger,
-	s platform.Settings, c *callbacks,
+	s platform.Settings, c *callbacks, quotas *quotateller.Teller,
 ) *gateway.Gateway {
-	g := gateway.New(codec, sender, p, crashes, versions, jobs, budget, counters, logger,
+	g := gateway.New(codec, sender, p, crashes, versions, jobs, budget, counters, logger, gateway.WithQuotas(quotas),
 		gateway.WithAuthenticator(authenticator.New(authenticator.WithMaxKeyAge(s.MaxKeyAge, c.configurationConfirmedAt))))
 	counters.Gauge("slot_requests_waiting", func() float64 { return float64(g.Waiting()) })
 	return g
--- a/internal/wiring/entryvm/vm.go
+++ b/internal/wiring/entryvm/vm.go
@@ -20,6 +20,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/control/fleetidentifier"
 	"github.com/fescuespindle/fescuespindle/internal/control/memberkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/control/peerteller"
+	"github.com/fescuespindle/fescuespindle/internal/control/quotateller"
 	"github.com/fescuespindle/fescuespindle/internal/control/registrar"
 	"github.com/fescuespindle/fescuespindle/internal/control/tablesharer"
 	"github.com/fescuespindle/fescuespindle/internal/control/watcher"
@@ -33,6 +34,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/counter"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/drainer"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/headbounder"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/spooler"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/supervisor"
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 	"github.com/fescuespindle/fescuespindle/internal/store/storerelayer"
@@ -88,6 +90,7 @@
 	mover         *jobmover.Mover
 	fleet         *fleetidentifier.Fleet
 	identifier    *fleetidentifier.Identifier
+	quotas        *quotateller.Teller
 
 	jobKeeper *batchkeeper.Keeper
 	runner    *batchrunner.Runner
@@ -101,6 +104,7 @@
 	servers     []*http.Server
 	callerConns *drainer.Conns
 	bounder     *headbounder.Bounder
+	spooler     *spooler.Spooler
 	// callerListener accepts callers' connections until callersDraining is set.
 	callerListener  net.Listener
 	callersDraining atomic.Bool
@@ -156,11 +160,12 @@
 	); err != nil {
 		return err
 	}
-	vm.serveListener(vm.callerListener, callerServer, maxConnections, vm.maxCallerHeadBytes)
+	vm.serveListener(vm.spooler.Wrap(vm.callerListener), callerServer, maxConnections, vm.maxCallerHeadBytes)
 	vm.setPeers(nil)
 	vm.runner.Start()
 	vm.tasks.GoWithRestart(ctx, "identity of the fleet", vm.identifier.Run)
 	vm.tasks.GoWithRestart(ctx, "peer messages", vm.reporter.Run)
+	vm.tasks.GoWithRestart(ctx, "quotas", vm.quotas.Run)
 	vm.tasks.GoWithRestart(ctx, "checks of links", vm.finder.Run)
 	vm.tasks.GoWithRestart(ctx, "membership", vm.memberKeeper.Run)
 	vm.tasks.GoWithRestart(ctx, "lost VMs", vm.memberKeeper.Sweep)
