--- a/internal/faces/gateway/gateway.go
+++ b/internal/faces/gateway/gateway.go
@@ -133,7 +133,8 @@
 	counter  Counter
 	logger   *slog.Logger
 
-	quotas Quotas // nil if none are kept
+	quotas   Quotas // nil if none are kept
+	rejected rejectedTeams
 
 	table     atomic.Pointer[router.Table]
 	draining  atomic.Pointer[drainer.Plan] // nil until Drain
--- a/internal/faces/gateway/quota.go
+++ b/internal/faces/gateway/quota.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"strconv"
+	"sync"
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/online/quotakeeper"
@@ -30,6 +32,31 @@
 // don't do so at the same time.
 const maxQuotaJitter = 100 * time.Millisecond
 
+// maxRejectedTeams bounds the teams whose rejections are counted by name; those of others are counted together.
+const maxRejectedTeams = 20
+
+// rejectedTeams are the teams whose rejections are counted by name.
+type rejectedTeams struct {
+	mu    sync.Mutex
+	names map[string]bool
+}
+
+// label returns the name under which rejections of a team are counted.
+func (r *rejectedTeams) label(team string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.names[team] && len(r.names) < maxRejectedTeams {
+		if r.names == nil {
+			r.names = map[string]bool{}
+		}
+		r.names[team] = true
+	}
+	if r.names[team] {
+		return strconv.Quote(team)
+	}
+	return `""` // all others
+}
+
 // limitQuota rejects requests beyond the quota of their team, before their body is read. A request that no
 // upstream has run is given back.
 func (g *Gateway) limitQuota(next handler) handler {
@@ -61,6 +88,7 @@
 	} else {
 		g.counter.Count(countOverQuota)
 	}
+	g.counter.Count(`quota_rejected_total{team=` + g.rejected.label(x.team.Name) + `}`)
 	g.localReply(x, http.StatusTooManyRequests, cause, d.Wait+rand.N(maxQuotaJitter),
 		"quotaPerSecond", x.team.RatePerSecond, "quotaBurst", x.team.Burst,
 		"tokens", d.Tokens, "tokensAge", d.Age, "uncounted", d.Pending)
--- a/internal/online/quotakeeper/keeper.go
+++ b/internal/online/quotakeeper/keeper.go
@@ -403,7 +403,7 @@
 	if !k.peers.isLate(m.keeper, resendTime, now) {
 		return
 	}
-	for _, vm := range m.backups {
+	for _, vm := range k.peers.backupsOf(m.team, m.keeper) {
 		message = k.ask(vm, now)
 		message.Reports = append(message.Reports, report)
 	}
--- a/internal/online/quotakeeper/meter.go
+++ b/internal/online/quotakeeper/meter.go
@@ -62,7 +62,6 @@
 	account     uint64    // of the keeper that named them
 
 	keeper      string
-	backups     []string // are told if the keeper is late
 	silent      []string // VMs before the keeper that don't answer
 	keeperEpoch uint64   // of peers, when the keeper was chosen
 	sentTotal   Total    // in the last report to the keeper
@@ -134,7 +133,6 @@
 		return
 	}
 	keeper, silent := p.keeperOf(m.team)
-	m.backups = p.backupsOf(m.team, keeper)
 	if keeper != m.keeper {
 		m.sentTotal, m.sentAt, m.reported = Total{}, time.Time{}, false
 	}
