spooler: answers that are kept leave half of the memory budget to others

Cause: answers kept for slow readers share the budget of bodies and events; 160 slow readers could use it up on the smallest VM, and others' bodies would be rejected. Change: what is kept may not leave less than half of the budget; beyond that, 16 KiB a caller as without memory.

--- a/internal/plumbing/spooler/conn.go
+++ b/internal/plumbing/spooler/conn.go
@@ -56,7 +56,7 @@
 // there is no memory. The caller must hold mu.
 func (c *conn) keep(p []byte) int {
 	n := min(len(p), maxBytes-len(c.kept))
-	if c.spooler.memory.TryAcquire(int64(n)) {
+	if c.spooler.tryReserve(int64(n)) {
 		c.reserved += n
 	} else {
 		n = max(0, min(n, chunkBytes-len(c.kept)))
--- a/internal/plumbing/spooler/spooler.go
+++ b/internal/plumbing/spooler/spooler.go
@@ -51,15 +51,32 @@
 	tasks   Tasks
 	counter Counter
 	logger  *slog.Logger
+	spared  int64 // bytes of memory
 
 	mu      sync.Mutex
 	behind  int // connections for which bytes are kept
 	closing int // those of them that the server has closed
 }
 
+// Option configures a Spooler.
+type Option func(*Spooler)
+
+// WithSpared leaves a number of bytes of the memory to others, so that slow readers don't use up what ordinary
+// requests need.
+func WithSpared(bytes int64) Option { return func(s *Spooler) { s.spared = bytes } }
+
 // New returns a Spooler that reserves from memory what it keeps.
-func New(memory *rationer.Rationer, tasks Tasks, counter Counter, logger *slog.Logger) *Spooler {
-	return &Spooler{memory: memory, tasks: tasks, counter: counter, logger: logger}
+func New(memory *rationer.Rationer, tasks Tasks, counter Counter, logger *slog.Logger, options ...Option) *Spooler {
+	s := &Spooler{memory: memory, tasks: tasks, counter: counter, logger: logger}
+	for _, option := range options {
+		option(s)
+	}
+	return s
+}
+
+// tryReserve reserves memory unless too little would be left to others.
+func (s *Spooler) tryReserve(bytes int64) bool {
+	return s.memory.Available()-bytes >= s.spared && s.memory.TryAcquire(bytes)
 }
 
 // Behind returns the number of connections for which bytes are kept.
--- a/internal/plumbing/spooler/spooler_test.go
+++ b/internal/plumbing/spooler/spooler_test.go
@@ -20,6 +20,8 @@
 const (
 	// budgetBytes is the memory for all answers.
 	budgetBytes = 1 << 20
+	// sparedBytes of it are not for answers that are kept.
+	sparedBytes = 512 << 10
 	// eventTimeout bounds each wait for an expected event.
 	eventTimeout = 30 * time.Second
 )
@@ -48,7 +50,8 @@
 	s := &setup{t: t, memory: rationer.New(budgetBytes), counters: counter.New(metrics.NewSet())}
 	tasks := &group{}
 	t.Cleanup(tasks.Wait)
-	s.spooler = spooler.New(s.memory, tasks, s.counters, slog.New(slog.DiscardHandler))
+	s.spooler = spooler.New(s.memory, tasks, s.counters, slog.New(slog.DiscardHandler),
+		spooler.WithSpared(sparedBytes))
 	plain, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	s.listener = s.spooler.Wrap(plain)
@@ -152,10 +155,12 @@
 	s := newSetup(t)
 	var writers sync.WaitGroup
 	const readers = 20
+	const raceBytes = readers * 10_000 // reservations at the same moment
 	for range readers {
 		p := s.connect()
 		writers.Go(func() {
 			for part := make([]byte, 10_000); ; {
+				qt.Check(t, s.memory.Available() >= sparedBytes-raceBytes, qt.IsTrue)
 				if _, err := p.writer.Write(part); err != nil {
 					return
 				}
@@ -170,7 +175,6 @@
 	got, err := io.ReadAll(ordinary.reader)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, string(got), qt.Equals, "answer")
-	qt.Check(t, s.memory.Available() >= 0, qt.IsTrue)
 	writers.Wait()
 	s.eventually("memory", func() bool { return s.memory.Available() == budgetBytes })
 }
--- a/internal/wiring/entryvm/provider.go
+++ b/internal/wiring/entryvm/provider.go
@@ -110,10 +110,11 @@
 	return headbounder.New(rationer.New(headbounder.HeadMemory(s.MemoryBytes)), counters)
 }
 
+// newSpooler returns a spooler that leaves half of the budget to others.
 func newSpooler(
 	budget *rationer.Rationer, tasks *supervisor.Supervisor, counters *counter.Counters, logger *slog.Logger,
 ) *spooler.Spooler {
-	s := spooler.New(budget, tasks, counters, logger)
+	s := spooler.New(budget, tasks, counters, logger, spooler.WithSpared(budget.Available()/2))
 	counters.Gauge("answers_kept", func() float64 { return float64(s.Behind()) })
 	return s
 }
