--- a/internal/plumbing/headbounder/listener.go
+++ b/internal/plumbing/headbounder/listener.go
@@ -96,9 +96,9 @@
 	}
 }
 
-// Attach prepares a server that will serve on the listener: it follows the states of connections, leaves the limit of
-// heads to the listener, sets ConnContext, and ends requests whose body doesn't arrive within bodyTimeout unless a handler sets another
-// deadline.
+// Attach prepares a server that will serve on the listener: it follows the states of connections, leaves the
+// limit of heads to the listener, sets ConnContext, and ends requests whose body doesn't arrive within
+// bodyTimeout, unless a handler sets another deadline.
 func (l *Listener) Attach(s *http.Server, bodyTimeout time.Duration) {
 	s.MaxHeaderBytes = maxServerHeadBytes
 	s.Handler, s.ConnContext = l.boundBody(s.Handler, bodyTimeout), withConn
