riskestimator: upstreams that fail some of their requests are avoided

Cause: a backoff after a failure ended with the next answer, and for 6 s after that reports of peer VMs were ignored. So an upstream that fails a third of its requests got its share of the load again every 0.1 s.

Change: riskestimator estimates from failures and answers, also those of peer VMs, how likely an upstream fails its next request. The probability counts as waiting time in the choice of an upstream; items don't run on one that is likely faulty, unless so many are that the fault is elsewhere. ReceiveFailures takes the reporting VM, as reports of one VM in a row count once.

The model has engines of different pace and engines that fail part of their requests.

--- a/internal/laboratory/daysimulator/day.go
+++ b/internal/laboratory/daysimulator/day.go
@@ -69,6 +69,32 @@
 	SlowShare  float64
 	SlowFactor float64
 	SlowPeriod time.Duration
+	// Paces are the factors by which the steps of engines always take longer, by turns; none
+	// if all engines are equally fast.
+	Paces []float64
+	// Faulty is a period in which some engines fail part of their requests.
+	Faulty FaultyPeriod
+}
+
+// FaultyPeriod is a period in which every n-th engine, as Every tells, fails a share of its
+// requests at once and runs the others well.
+type FaultyPeriod struct {
+	From, Length time.Duration
+	Every        int // 0 for no engine
+	Share        float64
+}
+
+// includes returns whether the n-th engine is faulty at a time.
+func (p FaultyPeriod) includes(n int, now time.Duration) bool {
+	return p.Every > 0 && n%p.Every == 0 && now >= p.From && now < p.From+p.Length
+}
+
+// pace returns the factor by which the steps of the n-th engine take longer.
+func (s EngineSpec) pace(n int) float64 {
+	if len(s.Paces) == 0 {
+		return 1
+	}
+	return s.Paces[n%len(s.Paces)]
 }
 
 // Constant returns a constant rate.
@@ -154,6 +180,24 @@
 	return day
 }
 
+// UnevenSite is a day at a site of 42 VMs and 90 engines in six failure domains. A third of
+// the engines take 1.3 times as long as the others, and streams and items together fill the slots at
+// each step up.
+func UnevenSite(seed uint64) Day {
+	day := MediumSite(seed)
+	for i := range day.Domains {
+		day.Domains[i].VMs = 7
+	}
+	day.Engine = EngineSpec{
+		Sequences: 8, Queue: 24, Step: 2770 * time.Microsecond, PerRequest: 15 * time.Microsecond,
+		Prefill: 4 * time.Millisecond, FirstSteps: 13,
+		SlowShare: 0.15, SlowFactor: 2.5, SlowPeriod: 600 * time.Millisecond, Paces: []float64{1, 1, 1.3},
+	}
+	day.Streams, day.StreamSteps = SquareWave(412), 246
+	day.Jobs, day.ItemSteps = Constant(5.14), 1690
+	return day
+}
+
 // noVM is the value of Day.LostVM if no VM fails.
 const noVM = -1
 
--- a/internal/laboratory/daysimulator/engine.go
+++ b/internal/laboratory/daysimulator/engine.go
@@ -19,8 +19,10 @@
 // down with each of them, and admits waiting requests in the order of arrival.
 type engine struct {
 	id      string
+	number  int // over all domains
 	domain  Domain
 	spec    EngineSpec
+	pace    float64 // factor by which its steps always take longer
 	running []*request
 	waiting []*request
 	updated time.Duration
@@ -56,7 +58,7 @@
 // step returns the current duration of one step.
 func (e *engine) step() time.Duration {
 	step := e.spec.Step + time.Duration(max(len(e.running)-1, 0))*e.spec.PerRequest
-	return time.Duration(float64(step) * e.slowness())
+	return time.Duration(float64(step) * e.pace * e.slowness())
 }
 
 // advance updates the remaining steps of all running requests to a time.
--- a/internal/laboratory/daysimulator/fleet.go
+++ b/internal/laboratory/daysimulator/fleet.go
@@ -173,7 +173,7 @@
 			p.ReceiveReport(vmName(d.vm.number), report, d.f.now())
 			p.ReceiveSentToLimited(vmName(d.vm.number), sent)
 			p.ReceiveSummary(summary, d.f.now())
-			p.ReceiveFailures(failing, d.f.now())
+			p.ReceiveFailures(vmName(d.vm.number), failing, d.f.now())
 		})
 	}
 }
@@ -227,6 +227,23 @@
 	}
 }
 
+func (f *fleet) onlineFailed(v *vm, e *engine) {
+	d := f.vms[v.number]
+	if slots := d.onlineSlots[e]; len(slots) > 0 {
+		slot := slots[len(slots)-1] // the newest, as failures come at once
+		d.onlineSlots[e] = slots[:len(slots)-1]
+		d.placer.RecordFailure(slot, f.now())
+		d.placer.Release(slot, f.now())
+	}
+}
+
+func (f *fleet) itemFailed(v *vm, it *item, e *engine) {
+	if slot, found := f.vms[v.number].slotOf[it]; found {
+		f.vms[v.number].placer.RecordFailure(slot, f.now())
+	}
+	f.itemEnded(v, it, e)
+}
+
 func (f *fleet) itemEnded(v *vm, it *item, _ *engine) {
 	d := f.vms[v.number]
 	if slot, found := d.slotOf[it]; found {
--- a/internal/laboratory/daysimulator/policy.go
+++ b/internal/laboratory/daysimulator/policy.go
@@ -48,6 +48,9 @@
 	recordAnswer(v *vm, e *engine, told answer)
 	onlineEnded(v *vm, e *engine)
 	itemEnded(v *vm, it *item, e *engine)
+	// onlineFailed and itemFailed are called instead if the engine failed the request.
+	onlineFailed(v *vm, e *engine)
+	itemFailed(v *vm, it *item, e *engine)
 	// itemsAdded is called when a VM has new items.
 	itemsAdded(v *vm)
 }
@@ -121,7 +124,7 @@
 	var best *engine
 	var shortest time.Duration
 	for _, e := range p.s.engines {
-		if avoid[e.id] {
+		if avoid[e.id] || p.s.isFaulty(e) {
 			continue
 		}
 		if wait := p.wait(v, e); best == nil || wait < shortest {
@@ -170,6 +173,10 @@
 	p.startItems()
 }
 
+func (p *omniscient) onlineFailed(v *vm, e *engine) { p.onlineEnded(v, e) }
+
+func (p *omniscient) itemFailed(v *vm, it *item, e *engine) { p.itemEnded(v, it, e) }
+
 func (p *omniscient) itemsAdded(*vm) { p.startItems() }
 
 // startItems starts the items with the earliest deadlines on free slots of engines
@@ -177,7 +184,7 @@
 func (p *omniscient) startItems() {
 	for _, e := range p.s.engines {
 		on := p.placed[e]
-		for !e.slow && on.load() < e.spec.Sequences-1 {
+		for !e.slow && !p.s.isFaulty(e) && on.load() < e.spec.Sequences-1 {
 			it, owner := p.first()
 			if it == nil {
 				return
@@ -264,6 +271,10 @@
 	p.itemsAdded(v)
 }
 
+func (p *localPolicy) onlineFailed(v *vm, e *engine) { p.onlineEnded(v, e) }
+
+func (p *localPolicy) itemFailed(v *vm, it *item, e *engine) { p.itemEnded(v, it, e) }
+
 // itemsAdded starts items up to the VM's share of a third of all slots.
 func (p *localPolicy) itemsAdded(v *vm) {
 	const batchDivisor = 3
--- a/internal/laboratory/daysimulator/simulator.go
+++ b/internal/laboratory/daysimulator/simulator.go
@@ -15,6 +15,7 @@
 	Streams       int
 	OnTimeStreams int // streams whose first event met the latency target
 	Rejected      int // streams that no engine accepted
+	Failed        int // streams that an engine failed; they are not sent again
 	Items         int
 	OnTimeItems   int           // items that completed before their job's deadline
 	Yields        int           // runs of items that were stopped for online requests or a lost VM
@@ -33,6 +34,9 @@
 // ItemShare returns the share of the items that met their deadline.
 func (r Result) ItemShare() float64 { return share(r.OnTimeItems, r.Items) }
 
+// YieldsPerItem returns how often an item was stopped on average.
+func (r Result) YieldsPerItem() float64 { return share(r.Yields, r.Items) }
+
 func share(n, of int) float64 {
 	if of == 0 {
 		return 1
@@ -42,9 +46,9 @@
 
 // String formats the result on one line.
 func (r Result) String() string {
-	return fmt.Sprintf("streams in aim %.3f, items in time %.3f, first p50 %v p99 %v, refused %d, yields %d, used %.2f",
+	return fmt.Sprintf("streams in aim %.3f, items in time %.3f, first p50 %v p99 %v, refused %d, failed %d, yields %d (%.2f an item), used %.2f",
 		r.StreamShare(), r.ItemShare(), r.FirstP50.Round(time.Millisecond), r.FirstP99.Round(time.Millisecond), r.Rejected,
-		r.Yields, r.Utilization)
+		r.Failed, r.Yields, r.YieldsPerItem(), r.Utilization)
 }
 
 // simulator holds the state of one simulation.
@@ -86,7 +90,9 @@
 	s := &simulator{day: day, random: rand.New(rand.NewPCG(day.Seed, day.Seed))}
 	for _, d := range day.Domains {
 		for n := range d.Engines {
-			s.engines = append(s.engines, &engine{id: fmt.Sprintf("%s-%02d", d.Name, n), domain: d, spec: day.Engine})
+			s.engines = append(s.engines, &engine{
+				id: fmt.Sprintf("%s-%02d", d.Name, n), number: len(s.engines), domain: d, spec: day.Engine, pace: day.Engine.pace(n),
+			})
 		}
 		for range d.VMs {
 			s.vms = append(s.vms, vm{number: len(s.vms), domain: d})
@@ -183,6 +189,11 @@
 	}
 	w.onEnd = func(at time.Duration) { s.schedule(at+latency, func() { s.policy.onlineEnded(v, e) }) }
 	s.schedule(s.now+latency, func() {
+		if s.fails(e) {
+			s.result.Failed++
+			s.schedule(s.now+latency, func() { s.policy.onlineFailed(v, e) })
+			return
+		}
 		if s.add(e, w) {
 			return
 		}
@@ -232,6 +243,11 @@
 		if it.work != w {
 			return // it was stopped before it reached the engine
 		}
+		if s.fails(e) {
+			it.work, it.engine = nil, nil
+			s.schedule(s.now+latency, func() { s.policy.itemFailed(v, it, e) })
+			return
+		}
 		if !s.add(e, w) {
 			it.work, it.engine = nil, nil
 			s.schedule(s.now+latency, func() { s.policy.itemEnded(v, it, e) })
@@ -255,6 +271,13 @@
 	s.schedule(s.now+2*latency, func() { s.policy.itemEnded(v, it, e) })
 }
 
+// fails returns whether an engine fails a request that has just arrived.
+func (s *simulator) fails(e *engine) bool {
+	return s.isFaulty(e) && s.random.Float64() < e.spec.Faulty.Share
+}
+
+func (s *simulator) isFaulty(e *engine) bool { return e.spec.Faulty.includes(e.number, s.now) }
+
 func (s *simulator) add(e *engine, w *request) bool {
 	e.rateLimit.recordArrival(s.now)
 	accepted := e.add(w, s.now)
--- a/internal/online/healthtracker/failures.go
+++ b/internal/online/healthtracker/failures.go
@@ -45,6 +45,7 @@
 	reportedUntil time.Time // end of the last reported backoff, without jitter
 	until         time.Time // end of the backoff, in which other upstreams are preferred
 	distrustUntil time.Time // end of the time in which reports are ignored
+	heardUntil    time.Time // end of the last backoff that any peer VM has reported
 }
 
 // RecordFailure records the failure of a request that was sent at the given time, and
@@ -79,6 +80,17 @@
 	f.consecutive, f.reportedAt, f.localUntil, f.until = 0, time.Time{}, time.Time{}, time.Time{}
 }
 
+// RecordReport returns whether the report of a peer VM tells of a failure that no earlier report
+// has told of. It doesn't matter whether ReceiveFailure accepts the report.
+func (f *FailureTracker) RecordReport(reported Failure, now time.Time) (isNew bool) {
+	until := now.Add(reported.Remaining)
+	if until.Before(f.heardUntil.Add(sameBackoffTolerance)) {
+		return false
+	}
+	f.heardUntil = until
+	return true
+}
+
 // ReceiveFailure records the report of a peer VM, and reports whether it was accepted
 // and new. The jitter, in [0, 1), scales the random time added to the backoff.
 func (f *FailureTracker) ReceiveFailure(reported Failure, jitter float64, now time.Time) bool {
--- a/internal/online/placer/batch.go
+++ b/internal/online/placer/batch.go
@@ -90,24 +90,45 @@
 }
 
 // bestForBatch returns the best upstream for batch work within a reach, or nil, and why the
-// others are not eligible. The caller must hold mu.
+// others are not eligible. If so many are faulty that the fault is assumed to be elsewhere, the work
+// may run there. The caller must hold mu.
 func (p *Placer) bestForBatch(work BatchWork, r reach, now time.Time) (*upstream, Obstacles) {
-	var best *upstream
-	var bestRank batchRank
+	var best, bestFaulty candidate
 	var obstacles Obstacles
 	members := p.byService[work.Service]
 	for i := range members {
 		u := members[(i+p.rotation)%len(members)]
-		if found := p.batchObstacle(u, work, r, now); found != obstacleNone {
-			obstacles.counts[found]++
-			continue
-		}
-		rank := batchRank{tier: u.tier, isLimited: p.limiter.IsLimited(u.ID), capacity: p.rankedCapacity(u, now)}
-		if best == nil || rank.isBefore(bestRank) {
-			best, bestRank = u, rank
+		found := p.batchObstacle(u, work, r, now)
+		obstacles.counts[found]++
+		switch found {
+		case obstacleNone:
+			best.improve(u, p.batchRank(u, now))
+		case obstacleFaulty:
+			bestFaulty.improve(u, p.batchRank(u, now))
 		}
 	}
-	return best, obstacles
+	obstacles.counts[obstacleNone] = 0
+	if best.upstream == nil && obstacles.counts[obstacleFaulty] > max(1, len(members)/failingDivisor) {
+		best = bestFaulty
+	}
+	return best.upstream, obstacles
+}
+
+// candidate is the best upstream for batch work found so far.
+type candidate struct {
+	upstream *upstream
+	rank     batchRank
+}
+
+func (c *candidate) improve(u *upstream, rank batchRank) {
+	if c.upstream == nil || rank.isBefore(c.rank) {
+		c.upstream, c.rank = u, rank
+	}
+}
+
+// batchRank returns the rank of an upstream for batch work. The caller must hold mu.
+func (p *Placer) batchRank(u *upstream, now time.Time) batchRank {
+	return batchRank{tier: u.tier, isLimited: p.limiter.IsLimited(u.ID), capacity: p.rankedCapacity(u, now)}
 }
 
 // batchRank is what decides which upstream batch work prefers.
--- a/internal/online/placer/failure_test.go
+++ b/internal/online/placer/failure_test.go
@@ -64,12 +64,13 @@
 		f.pending = append(f.pending, func() {})
 	}
 	reported, now := vm.Failing(f.now), f.now
+	name := fmt.Sprint("vm", slices.Index(f.vms, vm))
 	before := f.pending[delay-1]
 	f.pending[delay-1] = func() {
 		before()
 		for _, other := range f.vms {
 			if other != vm {
-				other.ReceiveFailures(reported, now)
+				other.ReceiveFailures(name, reported, now)
 			}
 		}
 	}
@@ -99,6 +100,14 @@
 	expectFailed(true, 1, 30)
 }
 
+// An upstream fails more than a third of its requests and answers the others, so that it looks sound
+// after each answer. With its share of the requests it would fail 380.
+func TestAllVMsAvoidAnUpstreamThatFailsSomeRequests(t *testing.T) {
+	f := newFailingFleet(8, true)
+	f.run(20*time.Second, func(_ int, id string) bool { return id == "a0" && f.random.Float64() < 0.38 })
+	qt.Check(t, f.failed <= 30, qt.IsTrue, qt.Commentf("%d requests failed", f.failed))
+}
+
 // A recovered upstream receives its share of requests again within seconds.
 func TestRecoveredUpstreamReceivesRequestsAgain(t *testing.T) {
 	f := newFailingFleet(60, true)
--- a/internal/online/placer/obstacle.go
+++ b/internal/online/placer/obstacle.go
@@ -22,12 +22,13 @@
 	obstacleSlow
 	obstacleFull
 	obstacleRateLimit
+	obstacleFaulty // it fails a considerable share of its requests
 	obstacleCount
 )
 
 func (o obstacle) String() string {
 	return [obstacleCount]string{
-		"none", "outsideSubset", "draining", "avoided", "otherVersion", "failing", "slow", "full", "rateLimit",
+		"none", "outsideSubset", "draining", "avoided", "otherVersion", "failing", "slow", "full", "rateLimit", "faulty",
 	}[o]
 }
 
@@ -53,6 +54,8 @@
 		return obstacleFull
 	case !p.withinRateLimit(u, true, now):
 		return obstacleRateLimit
+	case u.risk.IsFaulty(now):
+		return obstacleFaulty
 	default:
 		return obstacleNone
 	}
@@ -79,7 +82,7 @@
 // soon.
 func (o Obstacles) passing() bool {
 	return o.counts[obstacleAvoided]+o.counts[obstacleFailing]+o.counts[obstacleSlow]+
-		o.counts[obstacleFull]+o.counts[obstacleRateLimit] > 0
+		o.counts[obstacleFull]+o.counts[obstacleRateLimit]+o.counts[obstacleFaulty] > 0
 }
 
 // BatchObstacles returns why the upstreams of a service are not eligible for batch work.
--- a/internal/online/placer/online.go
+++ b/internal/online/placer/online.go
@@ -114,7 +114,8 @@
 			isLimited = true
 			continue
 		}
-		wait := u.firstEventWait(estimate.freeSlots(u, now), slotTime, now) + p.choicePenalty(u)
+		wait := u.firstEventWait(estimate.freeSlots(u, now), slotTime, now) + p.choicePenalty(u) +
+			p.failureDelay(u, slotTime, now)
 		if best == nil || wait < leastWait {
 			best, leastWait = u, wait
 		}
--- a/internal/online/placer/upstream.go
+++ b/internal/online/placer/upstream.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/online/healthtracker"
+	"github.com/fescuespindle/fescuespindle/internal/online/riskestimator"
 )
 
 // Tier is the distance of an upstream from this VM.
@@ -71,7 +72,10 @@
 	slowness          float64
 	slownessAt        time.Time
 	failures          healthtracker.FailureTracker
-	announcedDraining bool // announced by the upstream, maybe before the platform lists it
+	risk              riskestimator.Estimate
+	lastReporter      string    // the peer VM whose report of a failure was last counted in risk
+	peersCountedAt    time.Time // when the requests of peer VMs were last counted as answers in risk
+	announcedDraining bool      // announced by the upstream, maybe before the platform lists it
 
 	lastFullAt time.Time     // when capacity for batch work was last seen to be lacking
 	batchDelay time.Duration // time after lastFullAt before this VM's batch work may start
--- a/internal/wiring/entryvm/provider.go
+++ b/internal/wiring/entryvm/provider.go
@@ -135,8 +135,12 @@
 		logger)
 }
 
-func newPlacer(s platform.Settings, c *callbacks, finder *pathfinder.Finder) *placer.Placer {
-	return placer.New(s.VM, s.Domain, s.Regions, placer.WithOnChange(c.onWorkChange), placer.WithCutOff(finder.IsCutOff))
+func newPlacer(
+	s platform.Settings, c *callbacks, finder *pathfinder.Finder, counters *counter.Counters,
+) *placer.Placer {
+	p := placer.New(s.VM, s.Domain, s.Regions, placer.WithOnChange(c.onWorkChange), placer.WithCutOff(finder.IsCutOff))
+	counters.Gauge("upstreams_faulty", func() float64 { return float64(p.FaultyUpstreams(time.Now())) })
+	return p
 }
 
 func newAnalyzer(c *callbacks) *crashanalyzer.Analyzer {
--- a/internal/wiring/entryvm/shared.go
+++ b/internal/wiring/entryvm/shared.go
@@ -73,7 +73,7 @@
 	s.placer.ReceiveSummary(notices.Summary, now)
 	s.placer.ReceiveDraining(notices.Leaving)
 	s.configuration.HearOf(notices.Configuration, now)
-	for _, id := range s.placer.ReceiveFailures(notices.Failing, now) {
+	for _, id := range s.placer.ReceiveFailures(vm, notices.Failing, now) {
 		f := notices.Failing[id]
 		s.logger.Info("upstream reported failing", "upstream", id, "toldBy", vm,
 			"inARow", f.ConsecutiveFailures, "for", f.Remaining)
--- a/internal/wiring/entryvm/wire_gen.go
+++ b/internal/wiring/entryvm/wire_gen.go
@@ -28,7 +28,7 @@
 	codec := newCodec()
 	forwarder := newForwarder(codec, finder, rationer)
 	entryvmCallbacks := newCallbacks()
-	placer := newPlacer(settings, entryvmCallbacks, finder)
+	placer := newPlacer(settings, entryvmCallbacks, finder, counters)
 	analyzer := newAnalyzer(entryvmCallbacks)
 	supervisor := newSupervisor(counters, logger)
 	keeper := newVersionKeeper(settings, store, supervisor, logger)
