--- a/internal/online/placer/failure_test.go
+++ b/internal/online/placer/failure_test.go
@@ -108,6 +108,38 @@
 	qt.Check(t, f.failed <= 30, qt.IsTrue, qt.Commentf("%d requests failed", f.failed))
 }
 
+// An upstream takes 8 times as long as others, and answers.
+func TestSlowUpstreamIsNotTakenForAFaultyOne(t *testing.T) {
+	p, now := newPlacer("vm", testUpstreams(1, "a")), start
+	for range 100 {
+		slot, err := p.AcquireOnline(onlineWork, now)
+		qt.Assert(t, err, qt.IsNil)
+		now = now.Add(8 * time.Second)
+		p.RecordLoad(slot, placer.Load{Running: 1, Sequences: 2, Slowness: 8}, now)
+		p.RecordAnswer(slot, now)
+		p.Release(slot, now)
+		qt.Assert(t, p.FaultyUpstreams(now), qt.Equals, 0)
+	}
+	qt.Check(t, p.Failing(now), qt.HasLen, 0)
+}
+
+// The same upstream fails every third request instead.
+func TestUpstreamThatFailsEveryThirdRequestIsFaulty(t *testing.T) {
+	p, now := newPlacer("vm", testUpstreams(1, "a")), start
+	for n := range 30 {
+		slot, err := p.AcquireOnline(onlineWork, now)
+		qt.Assert(t, err, qt.IsNil)
+		now = now.Add(100 * time.Millisecond)
+		if n%3 == 0 {
+			p.RecordFailure(slot, now)
+		} else {
+			p.RecordAnswer(slot, now)
+		}
+		p.Release(slot, now)
+	}
+	qt.Check(t, p.FaultyUpstreams(now), qt.Equals, 1)
+}
+
 // A recovered upstream receives its share of requests again within seconds.
 func TestRecoveredUpstreamReceivesRequestsAgain(t *testing.T) {
 	f := newFailingFleet(60, true)
