--- a/internal/online/placer/failure_test.go
+++ b/internal/online/placer/failure_test.go
@@ -64,12 +64,13 @@
 		f.pending = append(f.pending, func() {})
 	}
 	reported, now := vm.Failing(f.now), f.now
+	name := fmt.Sprint("vm", slices.Index(f.vms, vm))
 	before := f.pending[delay-1]
 	f.pending[delay-1] = func() {
 		before()
 		for _, other := range f.vms {
 			if other != vm {
-				other.ReceiveFailures(reported, now)
+				other.ReceiveFailures(name, reported, now)
 			}
 		}
 	}
@@ -99,6 +100,46 @@
 	expectFailed(true, 1, 30)
 }
 
+// An upstream fails more than a third of its requests and answers the others, so that it looks sound
+// after each answer. With its share of the requests it would fail 380.
+func TestAllVMsAvoidAnUpstreamThatFailsSomeRequests(t *testing.T) {
+	f := newFailingFleet(8, true)
+	f.run(20*time.Second, func(_ int, id string) bool { return id == "a0" && f.random.Float64() < 0.38 })
+	qt.Check(t, f.failed <= 30, qt.IsTrue, qt.Commentf("%d requests failed", f.failed))
+}
+
+// An upstream takes 8 times as long as others, and answers.
+func TestSlowUpstreamIsNotTakenForAFaultyOne(t *testing.T) {
+	p, now := newPlacer("vm", testUpstreams(1, "a")), start
+	for range 100 {
+		slot, err := p.AcquireOnline(onlineWork, now)
+		qt.Assert(t, err, qt.IsNil)
+		now = now.Add(8 * time.Second)
+		p.RecordLoad(slot, placer.Load{Running: 1, Sequences: 2, Slowness: 8}, now)
+		p.RecordAnswer(slot, now)
+		p.Release(slot, now)
+		qt.Assert(t, p.FaultyUpstreams(now), qt.Equals, 0)
+	}
+	qt.Check(t, p.Failing(now), qt.HasLen, 0)
+}
+
+// The same upstream fails every third request instead.
+func TestUpstreamThatFailsEveryThirdRequestIsFaulty(t *testing.T) {
+	p, now := newPlacer("vm", testUpstreams(1, "a")), start
+	for n := range 30 {
+		slot, err := p.AcquireOnline(onlineWork, now)
+		qt.Assert(t, err, qt.IsNil)
+		now = now.Add(100 * time.Millisecond)
+		if n%3 == 0 {
+			p.RecordFailure(slot, now)
+		} else {
+			p.RecordAnswer(slot, now)
+		}
+		p.Release(slot, now)
+	}
+	qt.Check(t, p.FaultyUpstreams(now), qt.Equals, 1)
+}
+
 // A recovered upstream receives its share of requests again within seconds.
 func TestRecoveredUpstreamReceivesRequestsAgain(t *testing.T) {
 	f := newFailingFleet(60, true)
--- a/internal/online/placer/online.go
+++ b/internal/online/placer/online.go
@@ -143,7 +143,7 @@
 			leavesSlots = true
 			continue
 		}
-		wait := u.firstEventWait(free, slotTime, now) + p.choicePenalty(u)
+		wait := u.firstEventWait(free, slotTime, now) + p.choicePenalty(u) + p.failureDelay(u, slotTime, now)
 		if best == nil || wait < leastWait {
 			best, leastWait = u, wait
 		}
