placer: items don't all start on an upstream that joins

Cause: an upstream that joins was never seen full, so its slots counted as free for long, and all VMs took all of them at once.

Change: the delay before a VM takes a free slot begins when it first sees the upstream, if it knew others before.

--- a/internal/online/placer/batch.go
+++ b/internal/online/placer/batch.go
@@ -168,11 +168,12 @@
 func (u *upstream) batchSequences() int { return max(u.Sequences-onlineReserve, 1) }
 
 // updateLastFull records the current time if the upstream has too little capacity for
-// batch work.
+// batch work, or has just joined the others: all VMs would take its slots at once otherwise.
 func (u *upstream) updateLastFull(now time.Time) {
-	if u.batchCapacity(now) < minBatchCapacity(u) {
+	if u.hasJoined || u.batchCapacity(now) < minBatchCapacity(u) {
 		u.lastFullAt = now
 	}
+	u.hasJoined = false
 }
 
 // hasBatchCapacity reports whether the upstream has had capacity for this VM's batch
@@ -180,7 +181,21 @@
 // come first.
 func (u *upstream) hasBatchCapacity(level urgency, now time.Time) bool {
 	u.updateLastFull(now)
-	return now.Sub(u.lastFullAt) > u.batchDelay+time.Duration(urgencyCount-1-level)*batchDelaySpread
+	return now.Sub(u.lastFullAt) > u.startDelay(level)
+}
+
+// startDelay returns how long an upstream must have had capacity before batch work starts there. VMs
+// of other domains and regions learn later that a slot has been taken, so they wait longer.
+func (u *upstream) startDelay(level urgency) time.Duration {
+	delay := u.batchDelay + time.Duration(urgencyCount-1-level)*batchDelaySpread
+	switch u.tier {
+	case TierRegion, TierOutsideSubset:
+		return batchDelaySpread + delay
+	case TierRemote:
+		return 2 * (batchDelaySpread + delay)
+	default:
+		return delay
+	}
 }
 
 // minBatchCapacity returns the batch capacity that an upstream must have to receive
--- a/internal/online/placer/placer.go
+++ b/internal/online/placer/placer.go
@@ -121,6 +121,7 @@
 	p.byService = map[string][]*upstream{}
 	for _, listed := range list {
 		u := p.mergeUpstream(old[listed.ID], listed)
+		u.hasJoined = u.hasJoined || (u != old[listed.ID] && len(old) > 0)
 		u.announcedDraining = p.announcedDraining.Has(listed.ID, listed.ProcessStart)
 		p.upstreams[listed.ID] = u
 		p.byService[listed.Service] = append(p.byService[listed.Service], u)
--- a/internal/online/placer/upstream.go
+++ b/internal/online/placer/upstream.go
@@ -77,6 +77,7 @@
 	peersCountedAt    time.Time // when the requests of peer VMs were last counted as answers in risk
 	announcedDraining bool      // announced by the upstream, maybe before the platform lists it
 
+	hasJoined  bool          // since the last look at its capacity, while this VM knew others
 	lastFullAt time.Time     // when capacity for batch work was last seen to be lacking
 	batchDelay time.Duration // time after lastFullAt before this VM's batch work may start
 	batchSlots []*Slot       // this VM's, oldest first
