--- a/internal/online/quotakeeper/keeper.go
+++ b/internal/online/quotakeeper/keeper.go
@@ -36,13 +36,13 @@
 	peers      *peers
 	meters     map[string]*meter   // by team
 	accounts   map[string]*account // by team, of those of which this VM is the keeper
-	unsettled  map[string]*meter
-	watched    map[string]*account
-	outbox     map[string]*Message
+	unsettled  map[string]*meter   // by team, of which not all requests are counted
+	watched    map[string]*account // by team, for which it matters which domains can be reached
+	outbox     map[string]*Message // by VM, to be sent by the next step
 	nextSeries uint64
 	prunedAt   time.Time
-	stepDueAt  time.Time
-	deafUntil  time.Time
+	stepDueAt  time.Time // when Step must be called next; later if this VM stood still
+	deafUntil  time.Time // until when messages are ignored, as they may have waited
 }
 
 // New returns the Keeper of a VM. The boot ID is new at each start of the process.
@@ -222,82 +222,6 @@
 	message.States = append(message.States, State{Team: team, Known: Known{Account: a.id, Fullness: float32(a.bucket.fullness())}})
 }
 
-// closedTime returns how long a team is closed at a time.
-func (k *Keeper) closedTime(now time.Time) time.Duration {
-	closed := 1
-	for _, m := range k.meters {
-		if now.Before(m.closedUntil) {
-			closed++
-		}
-	}
-	t := closureTime * time.Duration(len(k.peers.names)*closed)
-	return min(max(t, closedTime), maxClosedTime)
-}
-
-// announce tells all VMs that a team is closed: those of this domain, and one of each other domain.
-func (k *Keeper) announce(a *account, now time.Time) {
-	wait := a.closedUntil.Sub(now)
-	k.meter(a.team, now).close(wait, now)
-	k.closeDomain(Closure{Team: a.team, Wait: wait}, "")
-	for name := range k.peers.domains {
-		if name != k.peers.self.Domain {
-			a.untold[name] = &notice{}
-		}
-	}
-	k.sendNotices(a, now)
-}
-
-// closeDomain tells the VMs of this VM's domain, but one, that a team is closed.
-func (k *Keeper) closeDomain(c Closure, except string) {
-	d := k.peers.domains[k.peers.self.Domain]
-	if d == nil {
-		return
-	}
-	for _, vm := range d.vms {
-		if vm != except {
-			m := k.post(vm)
-			m.Closures = append(m.Closures, c)
-		}
-	}
-}
-
-// sendNotices tells a VM of each domain that has not confirmed it that a team is closed.
-func (k *Keeper) sendNotices(a *account, now time.Time) {
-	for name, n := range a.untold {
-		d := k.peers.domains[name]
-		if d == nil || !a.isClosed(now) {
-			delete(a.untold, name)
-			continue
-		}
-		if n.relay != "" {
-			k.peers.update(n.relay, now)
-			if v := k.peers.vms[n.relay]; v != nil && v.heardAt.After(n.sentAt) {
-				delete(a.untold, name)
-				continue
-			}
-			if now.Sub(n.sentAt) < resendTime {
-				continue
-			}
-		}
-		n.relay, n.sentAt = k.peers.relayOf(a.team, d), now
-		if n.relay == "" {
-			continue
-		}
-		message := k.ask(n.relay, now)
-		message.Closures = append(message.Closures, Closure{Team: a.team, Wait: a.closedUntil.Sub(now), Relay: true})
-	}
-}
-
-// receiveClosure closes a team, and tells the other VMs of the domain if needed.
-func (k *Keeper) receiveClosure(from string, c Closure, now time.Time) {
-	if _, limited := k.limits[c.Team]; limited {
-		k.meter(c.Team, now).close(c.Wait, now)
-	}
-	if c.Relay {
-		k.closeDomain(Closure{Team: c.Team, Wait: c.Wait}, from)
-	}
-}
-
 // post returns the message to a VM that Step returns next.
 func (k *Keeper) post(to string) *Message {
 	m := k.outbox[to]
@@ -351,22 +275,6 @@
 	}
 }
 
-// noticePause restarts the time to answer of all VMs if this VM itself stood still: their answers may have
-// come. After a long time, what it knew and what has arrived meanwhile is outdated; other VMs have taken over.
-func (k *Keeper) noticePause(now time.Time) {
-	late := now.Sub(k.stepDueAt)
-	if k.stepDueAt.IsZero() || late <= maxStepDelay {
-		return
-	}
-	k.peers.forgive(now)
-	k.stepDueAt = now
-	if late > maxHeldTime {
-		k.deafUntil = now.Add(deafTime)
-		clear(k.accounts)
-		clear(k.watched)
-	}
-}
-
 // settle reports what a meter has counted to the team's keeper, if a report is due.
 func (k *Keeper) settle(m *meter, now time.Time) {
 	m.choose(k.peers)
@@ -409,13 +317,6 @@
 	}
 }
 
-// askSilent asks a silent VM that is needed, from time to time.
-func (k *Keeper) askSilent(vm string, now time.Time) {
-	if now.Sub(k.peers.vms[vm].sentAt) >= silentAskInterval {
-		k.ask(vm, now)
-	}
-}
-
 // updateAccount updates what depends on the VMs that can be reached, and adds the tokens since the
 // last time.
 func (k *Keeper) updateAccount(a *account, now time.Time) {
@@ -429,40 +330,6 @@
 	}
 }
 
-// checkWatched checks which domains can be reached while tokens may be used up, and repeats notices.
-func (k *Keeper) checkWatched(now time.Time) {
-	for team, a := range k.watched {
-		k.updateAccount(a, now)
-		for _, vm := range a.silent {
-			k.askSilent(vm, now)
-		}
-		if k.sendNotices(a, now); !a.isWatched(now) || now.Sub(a.usedAt) > activeTime {
-			delete(k.watched, team)
-		}
-	}
-	if len(k.watched) > 0 {
-		k.askDomains(k.freshTime(), now)
-	}
-}
-
-// freshTime returns how recently domains must have been heard from, so that little is admitted before one that
-// is cut off is noticed.
-func (k *Keeper) freshTime() time.Duration {
-	fastest := 0.0
-	for _, a := range k.watched {
-		fastest = max(fastest, a.bucket.perSecond())
-	}
-	seconds := maxUnnoticed / fastest
-	return time.Duration(min(max(seconds, minFreshTime.Seconds()), maxFreshTime.Seconds()) * float64(time.Second))
-}
-
-// askDomains asks a VM of each domain that has not been heard from lately.
-func (k *Keeper) askDomains(fresh time.Duration, now time.Time) {
-	for _, vm := range k.peers.askDomains(fresh, now) {
-		k.ask(vm, now)
-	}
-}
-
 // prune discards the state of teams that have not been used for long.
 func (k *Keeper) prune(now time.Time) {
 	if now.Sub(k.prunedAt) < pruneInterval {
