quotakeeper: values that are no numbers are ignored

CBOR carries NaN and infinity. One NaN as the fullness in a report or a state made the bucket NaN until its account was discarded after 10 minutes without use, and the next verdicts made maxPending convert NaN to an integer: on x86-64 that VM rejected every request of the team, on arm64 none was ever closed.

--- a/internal/online/quotakeeper/account.go
+++ b/internal/online/quotakeeper/account.go
@@ -88,7 +88,7 @@
 // adopt takes over what another keeper has said. A new account has nothing else to go by; one
 // that exists may have missed requests, so the lower number counts.
 func (a *account) adopt(k Known, isNew bool) {
-	if k.Account == a.id {
+	if k.Account == a.id || !isFinite(k.Fullness) {
 		return
 	}
 	tokens := float64(k.Fullness) * a.bucket.capacity
--- a/internal/online/quotakeeper/message.go
+++ b/internal/online/quotakeeper/message.go
@@ -1,6 +1,9 @@
 package quotakeeper
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Envelope is a message and the VM that it is for.
 type Envelope struct {
@@ -91,3 +94,8 @@
 func (t Total) isNewer(other Total) bool {
 	return t.Admitted > other.Admitted || t.Returned > other.Returned
 }
+
+// isFinite returns whether a received value can be calculated with.
+func isFinite(value float32) bool {
+	return !math.IsNaN(float64(value)) && !math.IsInf(float64(value), 0)
+}
