quotakeeper: a keeper that doesn't know of a quota yet says nothing of its tokens

A VM that gets a report before the configuration with the quota answers a verdict without an account, whose tokens and fullness are 0. The sender took them for the keeper's count and repeated them in its next report, from which the keeper, once it knew the quota, began with no token: it closed a team that had run nothing.

TestKeeperThatLearnsOfAQuotaLater failed before (the second request was over quota).

--- a/internal/online/quotakeeper/message.go
+++ b/internal/online/quotakeeper/message.go
@@ -55,8 +55,9 @@
 	Team   string
 	Series uint64
 	Total  Total // that is counted
-	// Account identifies the state that the keeper has of the team, Tokens is what is left, Fullness its
-	// ratio to the most that can be left, and Wait the time for which the team is closed; 0 if it is open.
+	// Account identifies the state that the keeper has of the team; 0 if it has none, as it knows of no quota.
+	// Tokens is what is left, Fullness its ratio to the most that can be left, and Wait the time for which
+	// the team is closed; 0 if it is open.
 	Account  uint64
 	Tokens   float32
 	Fullness float32
--- a/internal/online/quotakeeper/message_test.go
+++ b/internal/online/quotakeeper/message_test.go
@@ -1,6 +1,7 @@
 package quotakeeper_test
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -54,3 +55,39 @@
 		{Team: "team", Series: 1, Total: quotakeeper.Total{Admitted: 1}, Account: 7, Tokens: float32(math.Inf(1))},
 	}})
 }
+
+// Guards against: a team whose quota the keeper learns of later than other VMs counts as one that has used it.
+func TestKeeperThatLearnsOfAQuotaLater(t *testing.T) {
+	limit := quotakeeper.Limit{PerSecond: 1, Burst: 10}
+	now := time.Unix(0, 0)
+	for n := range 100 {
+		b := fmt.Sprint("b", n)
+		vm := newKeeperOf(limit, quotakeeper.Member{VM: b, Domain: "d"})
+		keeper := quotakeeper.New(quotakeeper.Member{VM: b, Domain: "d"}, 1000, quotakeeper.Terms{Window: time.Second})
+		keeper.SetMembers([]quotakeeper.Member{{VM: "a", Domain: "d"}})
+		if exchange(vm, keeper, b, now) == 0 {
+			continue // VM a is the keeper
+		}
+		keeper.SetLimits(map[string]quotakeeper.Limit{"team": limit}, now)
+		exchange(vm, keeper, b, now)
+		qt.Check(t, vm.Admit("team", now).Outcome, qt.Equals, quotakeeper.Admitted)
+		return
+	}
+	t.Fatal("no other VM is the keeper")
+}
+
+// exchange has VM a admit a request, and passes messages to its peer and back. It returns the number of reports.
+func exchange(a, peer *quotakeeper.Keeper, name string, now time.Time) int {
+	a.Admit("team", now)
+	reports := 0
+	sent, _ := a.Step(now)
+	for _, e := range sent {
+		reports += len(e.Message.Reports)
+		peer.Receive("a", e.Message, now)
+	}
+	answers, _ := peer.Step(now)
+	for _, e := range answers {
+		a.Receive(name, e.Message, now)
+	}
+	return reports
+}
--- a/internal/online/quotakeeper/meter.go
+++ b/internal/online/quotakeeper/meter.go
@@ -115,7 +115,7 @@
 	if v.Series != m.series {
 		return
 	}
-	isKnown := isFinite(v.Tokens) && isFinite(v.Fullness)
+	isKnown := v.Account != 0 && isFinite(v.Tokens) && isFinite(v.Fullness)
 	if isKnown && !m.counted.isNewer(v.Total) { // else another keeper knows more
 		m.tokens, m.fullness, m.toldAt, m.account = float64(v.Tokens), v.Fullness, now, v.Account
 	}
