quotateller: a message that exceeds a datagram is sent in parts

What is due for one VM went into one datagram. Receivers truncate it at 16 KB, and above 64 KB it isn't sent; a report takes about 50 bytes, so some 300 teams with uncounted requests and the same keeper sufficed: in a small fleet, or at a VM that gets going again. The reports that were repeated were as many, so they never arrived, the keeper counted as silent, its domain as cut off, and both kept the quotas apart.

TestManyTeamsBetweenTwoVMs (two VMs, 4,700 teams) failed before: VM 1 kept no team.

--- a/internal/control/quotateller/teller.go
+++ b/internal/control/quotateller/teller.go
@@ -17,8 +17,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/repeater"
 )
 
-// maxMessageBytes is the size of the receive buffer. A longer datagram is truncated and so fails to
-// decode.
+// maxMessageBytes is the size of the receive buffer. A longer message is sent in parts.
 const maxMessageBytes = 16 << 10
 
 // minInterval is the time between two messages because of requests; those in between go into one.
@@ -181,12 +180,18 @@
 	return pause
 }
 
+// send sends a message, in several datagrams if one doesn't hold it.
 func (t *Teller) send(to netip.AddrPort, e quotakeeper.Envelope) {
 	data, err := cbor.Marshal(message{VM: t.vm, Fleet: t.fleet.Identity(), Content: e.Message})
 	if err != nil {
 		t.logger.Error("encode quota message", "error", err)
 		return
 	}
+	if first, second, ok := e.Message.Halves(); ok && len(data) > maxMessageBytes {
+		t.send(to, quotakeeper.Envelope{To: e.To, Message: first})
+		t.send(to, quotakeeper.Envelope{To: e.To, Message: second})
+		return
+	}
 	if _, err := t.conn.WriteToUDPAddrPort(data, to); err != nil {
 		t.logger.Debug("sending quota message failed", "vm", e.To, "error", err) // it is repeated if needed
 	}
--- a/internal/control/quotateller/teller_test.go
+++ b/internal/control/quotateller/teller_test.go
@@ -107,3 +107,21 @@
 		eventually(t, func() bool { return teller.Status().Uncounted == 0 })
 	}
 }
+
+// Guards against: what a VM has to tell another one of many teams exceeds a datagram, and is never told.
+func TestManyTeamsBetweenTwoVMs(t *testing.T) {
+	const teams = 4700
+	tellers := startFleet(t, []uint64{7, 7}, quotakeeper.Limit{})
+	limits := map[string]quotakeeper.Limit{}
+	for n := range teams {
+		limits[fmt.Sprint("team", n)] = quotakeeper.Limit{PerSecond: 10, Burst: 10}
+	}
+	for _, teller := range tellers {
+		teller.SetLimits(limits)
+	}
+	for team := range limits {
+		tellers[0].Admit(team)
+	}
+	eventually(t, func() bool { return tellers[0].Status().Uncounted == 0 })
+	eventually(t, func() bool { return tellers[1].Status().Kept > teams/3 })
+}
--- a/internal/online/quotakeeper/message.go
+++ b/internal/online/quotakeeper/message.go
@@ -24,6 +24,20 @@
 	Asks bool
 }
 
+// Halves returns two messages that say the same together; false if no list of the message can be divided.
+func (m Message) Halves() (first, second Message, ok bool) {
+	first.Asks, second.Asks = m.Asks, m.Asks
+	first.Reports, second.Reports = halves(m.Reports)
+	first.Verdicts, second.Verdicts = halves(m.Verdicts)
+	first.Closures, second.Closures = halves(m.Closures)
+	first.Queries, second.Queries = halves(m.Queries)
+	first.States, second.States = halves(m.States)
+	longest := max(len(m.Reports), len(m.Verdicts), len(m.Closures), len(m.Queries), len(m.States))
+	return first, second, longest > 1
+}
+
+func halves[T any](all []T) (first, second []T) { return all[:len(all)/2], all[len(all)/2:] }
+
 // Report is what a VM tells the keeper of a team of the team's requests.
 type Report struct {
 	_    struct{} `cbor:",toarray"`
