quotateller: requests admitted before the VMs are known are reported once they are

Until the list of VMs is set there is nobody to report to, and the next step is due after a minute. SetPeers didn't bring it forward, and rejected requests don't either: a team with four uncounted requests at a VM that had just started was rejected there for up to a minute, unless another team's request or a message caused a step.

TestRequestsBeforeTheOtherVMsAreKnown failed before (not counted within 10 s).

--- a/internal/control/quotateller/teller.go
+++ b/internal/control/quotateller/teller.go
@@ -107,9 +107,10 @@
 		addresses[p.VM] = p.Address
 	}
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.keeper.SetMembers(members)
 	t.addresses = addresses
+	t.mu.Unlock()
+	t.sending.Wake() // requests that were admitted before any VM was known can be reported now
 }
 
 // SetLimits replaces the quotas of the teams.
--- a/internal/control/quotateller/teller_test.go
+++ b/internal/control/quotateller/teller_test.go
@@ -125,3 +125,23 @@
 	eventually(t, func() bool { return tellers[0].Status().Uncounted == 0 })
 	eventually(t, func() bool { return tellers[1].Status().Kept > teams/3 })
 }
+
+// Guards against: requests that a VM admits before it knows the others are counted a minute later, and all others
+// are rejected meanwhile.
+func TestRequestsBeforeTheOtherVMsAreKnown(t *testing.T) {
+	logger, counters := slog.New(slog.DiscardHandler), counter.New(metrics.NewSet())
+	self := quotakeeper.Member{VM: "vm", Domain: "d"}
+	teller, err := quotateller.New(self, 1, freeAddress(t).String(), quotakeeper.Terms{Window: time.Second},
+		supervisor.New(counters, logger), fleetidentifier.NewFleet(counters, logger), logger)
+	qt.Assert(t, err, qt.IsNil)
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	t.Cleanup(func() { cancel(); group.Wait() })
+	group.Go(func() { teller.Run(ctx) })
+	teller.SetLimits(map[string]quotakeeper.Limit{"team": {PerSecond: 10, Burst: 10}})
+	for teller.Admit("team").Outcome == quotakeeper.Admitted {
+		time.Sleep(10 * time.Millisecond) // so that each has its step
+	}
+	teller.SetPeers(nil)
+	eventually(t, func() bool { return teller.Status().Uncounted == 0 })
+}
