quotakeeper: a VM whose steps are late notices lost VMs too

A step that came over 50 ms late restarted the time to answer of all VMs. On a VM that is short of processor time most steps are late, so the 100 ms never passed: a lost keeper was neither replaced nor its report sent to others, and the VM rejected the teams of that keeper until it left the list of VMs. Now only the time that the VM stood still does not count. After over 0.3 s, when waiting answers are ignored, the whole time restarts as before.

TestLostKeeperIsReplacedByAVMWhoseStepsAreLate (steps 60 ms late) failed before: 4 requests uncounted after 10 s.

--- a/internal/online/quotakeeper/keeper.go
+++ b/internal/online/quotakeeper/keeper.go
@@ -351,16 +351,17 @@
 	}
 }
 
-// noticePause restarts the time to answer of all VMs if this VM itself stood still: their answers may have
-// come. After a long time, what it knew and what has arrived meanwhile is outdated; other VMs have taken over.
+// noticePause gives all VMs more time to answer if this VM itself stood still: their answers may have come. After a
+// long time, what it knew and what has arrived meanwhile is outdated; other VMs have taken over.
 func (k *Keeper) noticePause(now time.Time) {
 	late := now.Sub(k.stepDueAt)
 	if k.stepDueAt.IsZero() || late <= maxStepDelay {
 		return
 	}
-	k.peers.forgive(now)
 	k.stepDueAt = now
+	k.peers.forgive(late, now)
 	if late > maxHeldTime {
+		k.peers.forgive(domainAnswerTime, now) // it ignores the answers that have come
 		k.deafUntil = now.Add(deafTime)
 		clear(k.accounts)
 		clear(k.watched)
--- a/internal/online/quotakeeper/peers.go
+++ b/internal/online/quotakeeper/peers.go
@@ -163,18 +163,26 @@
 	}
 }
 
-// forgive restarts the time to answer of all VMs.
-func (p *peers) forgive(now time.Time) {
+// forgive gives all VMs more time to answer, as this VM stood still so long. The rest of the time counts: a VM
+// that often stands still for a moment is to notice lost ones too.
+func (p *peers) forgive(pause time.Duration, now time.Time) {
 	for _, v := range p.vms {
-		if !v.askedAt.IsZero() {
-			v.askedAt = now
-		}
+		v.askedAt = postponed(v.askedAt, pause, now)
 	}
 	for _, d := range p.domains {
-		if !d.askedAt.IsZero() {
-			d.askedAt = now
-		}
+		d.askedAt = postponed(d.askedAt, pause, now)
+	}
+}
+
+// postponed returns a later time, up to now; zero stays.
+func postponed(at time.Time, by time.Duration, now time.Time) time.Time {
+	if at.IsZero() {
+		return at
+	}
+	if later := at.Add(by); later.Before(now) {
+		return later
 	}
+	return now
 }
 
 // answers returns whether a VM answers, as far as is known. This VM does.
