quotakeeper: a team that was idle for long keeps its burst

A keeper discarded the account of a team after 10 minutes without a request. The next request began a new one, which has startShare of the excess and not the burst: 28 requests of a burst of 200. The keeper now keeps the accounts of its own teams, which are few: all teams divided by all VMs. Those of which it was a stand-in are discarded as before.

TestTeamThatWasIdleHasItsBurst failed before: 28 admitted after an hour, 210 after 9 minutes.

--- a/internal/online/quotakeeper/keeper.go
+++ b/internal/online/quotakeeper/keeper.go
@@ -464,14 +464,18 @@
 	}
 }
 
-// prune discards the state of teams that have not been used for long.
+// prune discards the state of teams that have not been used for long, but for that of their keeper, without which they
+// would have less than their burst.
 func (k *Keeper) prune(now time.Time) {
 	if now.Sub(k.prunedAt) < pruneInterval {
 		return
 	}
 	k.prunedAt = now
 	maps.DeleteFunc(k.meters, func(_ string, m *meter) bool { return m.isSettled() && now.Sub(m.usedAt) > idleTime })
-	maps.DeleteFunc(k.accounts, func(_ string, a *account) bool { return now.Sub(a.usedAt) > idleTime })
+	maps.DeleteFunc(k.accounts, func(_ string, a *account) bool {
+		a.choose(k.peers)
+		return a.keeper != k.peers.self.VM && now.Sub(a.usedAt) > idleTime
+	})
 	for _, a := range k.accounts {
 		maps.DeleteFunc(a.vms, func(vm string, _ seen) bool { return vm != k.peers.self.VM && k.peers.vms[vm] == nil })
 	}
