batchrunner: a VM without a configuration takes over no job from a release without teams

In a rolling update the VM that gets a job may have just started. Without a configuration it took the job over though the sender had dropped the team: once the configuration came, the items ran without the name of their team, and every team could read the job. It now leaves the job to be released and loaded from the store, as with a configuration with teams.

TestTeamSurvivesAnOlderRelease, "handed over by it to a VM that has no configuration yet", failed before.

--- a/internal/batch/batchrunner/handover.go
+++ b/internal/batch/batchrunner/handover.go
@@ -109,7 +109,7 @@
 	if _, known := r.jobs[id]; known || r.draining {
 		return false
 	}
-	if table := r.config.Table(); !moved.NamesTeam && table != nil && table.HasTeams() {
+	if table := r.config.Table(); !moved.NamesTeam && (table == nil || table.HasTeams()) {
 		r.logger.Info("job not taken over, its sender doesn't know teams", "job", id) // it is loaded from the store
 		return false
 	}
--- a/internal/batch/batchrunner/team_test.go
+++ b/internal/batch/batchrunner/team_test.go
@@ -142,7 +142,7 @@
 		a.stop()
 		f.dropTeam()
 	})
-	expect("handed over by it", func(f *fleet, a, b *vm) {
+	handOver := func(f *fleet, a, b *vm) {
 		f.setReceivers(b)
 		f.beforeMove = func(job *jobmover.Job) {
 			job.NamesTeam, job.Record.Team = false, ""
@@ -153,5 +153,11 @@
 		}
 		f.shutDown(a)
 		f.dropTeam()
+	}
+	expect("handed over by it", handOver)
+	expect("handed over by it to a VM that has no configuration yet", func(f *fleet, a, b *vm) {
+		table := b.config.Swap(nil)
+		handOver(f, a, b)
+		b.config.Store(table)
 	})
 }
