--- a/internal/online/quotakeeper/message.go
+++ b/internal/online/quotakeeper/message.go
@@ -1,6 +1,9 @@
 package quotakeeper
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Envelope is a message and the VM that it is for.
 type Envelope struct {
@@ -21,6 +24,20 @@
 	Asks bool
 }
 
+// Halves returns two messages that say the same together; false if no list of the message can be divided.
+func (m Message) Halves() (first, second Message, ok bool) {
+	first.Asks, second.Asks = m.Asks, m.Asks
+	first.Reports, second.Reports = halves(m.Reports)
+	first.Verdicts, second.Verdicts = halves(m.Verdicts)
+	first.Closures, second.Closures = halves(m.Closures)
+	first.Queries, second.Queries = halves(m.Queries)
+	first.States, second.States = halves(m.States)
+	longest := max(len(m.Reports), len(m.Verdicts), len(m.Closures), len(m.Queries), len(m.States))
+	return first, second, longest > 1
+}
+
+func halves[T any](all []T) (first, second []T) { return all[:len(all)/2], all[len(all)/2:] }
+
 // Report is what a VM tells the keeper of a team of the team's requests.
 type Report struct {
 	_    struct{} `cbor:",toarray"`
@@ -52,8 +69,9 @@
 	Team   string
 	Series uint64
 	Total  Total // that is counted
-	// Account identifies the state that the keeper has of the team, Tokens is what is left, Fullness its
-	// ratio to the most that can be left, and Wait the time for which the team is closed; 0 if it is open.
+	// Account identifies the state that the keeper has of the team; 0 if it has none, as it knows of no quota.
+	// Tokens is what is left, Fullness its ratio to the most that can be left, and Wait the time for which
+	// the team is closed; 0 if it is open.
 	Account  uint64
 	Tokens   float32
 	Fullness float32
@@ -91,3 +109,8 @@
 func (t Total) isNewer(other Total) bool {
 	return t.Admitted > other.Admitted || t.Returned > other.Returned
 }
+
+// isFinite returns whether a received value can be calculated with.
+func isFinite(value float32) bool {
+	return !math.IsNaN(float64(value)) && !math.IsInf(float64(value), 0)
+}
