spooler: wake CloseWrite when send has ended

send marks its end after it has woken the writers for the last bytes. If CloseWrite got the lock in between, it saw that send still ran, waited again, and nothing woke it: the goroutine, the connection and its descriptor stayed for good. net/http calls CloseWrite when it closes after an unread body, headbounder after a refusal. TestCloseWriteReturnsOnceSendHasEnded fails without the change (it forces the order of steps).

--- a/internal/plumbing/spooler/conn.go
+++ b/internal/plumbing/spooler/conn.go
@@ -24,7 +24,7 @@
 	raw     syscall.RawConn
 
 	mu        sync.Mutex
-	drained   sync.Cond // something was sent, or err was set
+	drained   sync.Cond // something was sent, err was set, or send has ended
 	kept      []byte
 	isSending bool // send runs
 	isClosing bool // send closes the connection once nothing is kept
@@ -107,6 +107,7 @@
 		return c.kept[:min(len(c.kept), chunkBytes)], false
 	}
 	c.isSending, c.kept = false, nil
+	c.drained.Broadcast()
 	c.release(c.reserved)
 	_ = c.TCPConn.SetWriteDeadline(time.Time{}) // a closed connection has none
 	if c.isClosing {
