headbounder: a continuation line is no end of a head

A line of one byte whose line feed came in a later read was taken for an empty line, whatever the byte. net/http reads a space or a tab there as a continuation of the line before, and goes on with the head, of which nothing was counted any more: heads without end were read up to the limit of net/http, 1 GB. TestHeadGoesOnAfterAContinuationLine fails without the change: a head of 240 KB is served with a limit of 16 KB.

--- a/internal/plumbing/headbounder/bounder_test.go
+++ b/internal/plumbing/headbounder/bounder_test.go
@@ -174,6 +174,18 @@
 	})
 }
 
+// Guards against: a continuation line of one space, whose line feed arrives later, is taken for the end of the head.
+func TestHeadGoesOnAfterAContinuationLine(t *testing.T) {
+	for _, space := range []string{" ", "\t"} {
+		s := startServer(t, 64<<20, 10)
+		c := s.dial()
+		c.send(head(1, space))
+		time.Sleep(100 * time.Millisecond) // read apart from what follows
+		c.send("\n" + strings.Repeat("a:\r\n", 60_000) + "\r\nbody")
+		c.expectAnswer(http.StatusRequestHeaderFieldsTooLarge, "")
+	}
+}
+
 func (c *client) sendOrdinary() {
 	c.t.Helper()
 	c.send(ordinary)
--- a/internal/plumbing/headbounder/conn.go
+++ b/internal/plumbing/headbounder/conn.go
@@ -37,6 +37,7 @@
 	isHead      bool
 	headBytes   int
 	lineBytes   int  // of a line that is not complete
+	lastByte    byte // of that line
 	hasLine     bool // the head has a line that isn't empty
 	freeLeft    int64
 	reservation *rationer.Reservation
@@ -83,6 +84,7 @@
 		n := bytes.IndexByte(text[length:], '\n')
 		if n < 0 {
 			c.lineBytes += len(text) - length
+			c.lastByte = text[len(text)-1]
 			return len(text), lines
 		}
 		isEmpty := c.lineBytes+n == 0 || (c.lineBytes+n == 1 && c.endsWithCR(text[:length+n]))
@@ -98,10 +100,12 @@
 	return length, lines
 }
 
-// endsWithCR reports whether the byte before a line feed is a carriage return. The last byte of an earlier read
-// is one if the line feed comes first, as net/http takes any other line of one byte for malformed.
+// endsWithCR reports whether the byte before a line feed is a carriage return. It may be of an earlier read.
 func (c *conn) endsWithCR(before []byte) bool {
-	return len(before) == 0 || before[len(before)-1] == '\r'
+	if len(before) == 0 {
+		return c.lastByte == '\r'
+	}
+	return before[len(before)-1] == '\r'
 }
 
 // beginHead releases what the last head took, and counts from here on.
