headbounder: leave the body of net/http's own request as it is

net/http decides by the type of that body what to read of it before a refusal is sent. With another type it read up to 256 KB of a body that it would have left, and asked a caller that expects to continue for its body: a 401 or 429 was sent only once the body had come, or after 10 s, when the caller may have left. TestRefusalComesBeforeTheBody fails without the change, and passes on a server without the listener.

--- a/internal/plumbing/headbounder/body.go
+++ b/internal/plumbing/headbounder/body.go
@@ -24,6 +24,7 @@
 		if ok && r.ContentLength != 0 {
 			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout)) // a lost connection ends anyway
 			l.setWaiting(c, time.Now())
+			r = r.WithContext(r.Context()) // net/http looks at the body of its own request to decide what to read of it
 			r.Body = &body{ReadCloser: r.Body, onEnd: func() { l.setWaiting(c, time.Time{}) }}
 		}
 		next.ServeHTTP(w, r)
--- a/internal/plumbing/headbounder/bounder_test.go
+++ b/internal/plumbing/headbounder/bounder_test.go
@@ -37,7 +37,10 @@
 	unblock  chan struct{} // ends requests for pathBlocked
 }
 
-const pathBlocked = "/blocked"
+const (
+	pathBlocked = "/blocked"
+	pathRefused = "/refused" // answered before the body is read
+)
 
 func startServer(t *testing.T, memoryBytes int64, maxConnections int) *server {
 	t.Helper()
@@ -47,6 +50,10 @@
 	s.address = plain.Addr().String()
 	listener := headbounder.New(s.memory, s.counters).Wrap(plain, maxConnections, func() int { return maxHeadBytes })
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == pathRefused {
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
 		body, _ := io.ReadAll(r.Body)
 		s.started.Add(1)
 		if r.URL.Path == pathBlocked {
@@ -186,6 +193,20 @@
 	}
 }
 
+// Guards against: a request that is refused unread must send its body first.
+func TestRefusalComesBeforeTheBody(t *testing.T) {
+	expectRefused := func(t *testing.T, header string) {
+		t.Helper()
+		c := startServer(t, 1<<20, 10).dial()
+		c.send("POST " + pathRefused + " HTTP/1.1\r\nHost: a\r\n" + header + "\r\n")
+		c.expectAnswer(http.StatusUnauthorized, "")
+	}
+	t.Run("long", func(t *testing.T) { expectRefused(t, "Content-Length: 1000000\r\n") })
+	t.Run("expects to continue", func(t *testing.T) {
+		expectRefused(t, "Content-Length: 4\r\nExpect: 100-continue\r\n")
+	})
+}
+
 func (c *client) sendOrdinary() {
 	c.t.Helper()
 	c.send(ordinary)
