slotqueuer: polls of many waiting requests don't ask all of them each time

Each waiting request polls every 20 to 60 ms, and each poll asked every waiting request that avoids an upstream, as well as one of each kind: with n of them n*n*25 calls of the placer a second, under one lock. That is the case after upstreams have failed many requests at once. Trial (benchmark, not kept): one pass over 100 such requests took 0.6 ms without the placer's own work, so 1.5 s a second. Now a poll does nothing within 5 ms of the last pass; a slot that this VM releases is still passed on at once. TestPollsOfManyRequestsCostLittle: 10,000 calls for 100 polls before.

--- a/internal/faces/gateway/slot.go
+++ b/internal/faces/gateway/slot.go
@@ -107,7 +107,7 @@
 		case <-ticket.Done():
 			return ticket.Err() //nolint:wrapcheck // compared by the caller
 		case <-timer.C:
-			f.gateway.slots.Ask(f.x.request.service, time.Now())
+			f.gateway.slots.Poll(f.x.request.service, time.Now())
 			timer.Reset(pollDelay())
 		case <-ctx.Done():
 			if f.gateway.slots.Leave(ticket) {
--- a/internal/online/slotqueuer/queuer.go
+++ b/internal/online/slotqueuer/queuer.go
@@ -20,6 +20,8 @@
 	equalWeight = 1
 	// shortageMemory is how long after a request found no slot slots still count as short.
 	shortageMemory = time.Second
+	// minPollInterval is the least time between polls: each may ask all requests that wait.
+	minPollInterval = 5 * time.Millisecond
 	// yieldDivisor sets how long a request leaves the last free slots to others for each reason that
 	// it has, as a share of the time from its arrival to its latency target.
 	yieldDivisor = 3
@@ -49,9 +51,10 @@
 
 // lane holds the requests of one service.
 type lane struct {
-	requests *queuer.Queue
-	tickets  map[*queuer.Waiter]*Ticket
-	passes   int
+	requests  *queuer.Queue
+	tickets   map[*queuer.Waiter]*Ticket
+	passes    int
+	lastAsked time.Time
 	// shortUntil is until when slots count as short, and urgentUntil until when there are requests
 	// of an urgency.
 	shortUntil  time.Time
@@ -121,6 +124,16 @@
 	}
 }
 
+// Poll is Ask for the case that nothing is known to have changed. It does nothing if the requests have just been
+// asked, as the cost of their polls would grow with the square of their number.
+func (q *Queuer) Poll(service string, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if l, found := q.lanes[service]; found && now.Sub(l.lastAsked) >= minPollInterval {
+		l.ask(nil, now)
+	}
+}
+
 // Done records that a request of a team, which has got a slot, has released it.
 func (q *Queuer) Done(service, team string, now time.Time) {
 	q.mu.Lock()
@@ -189,6 +202,7 @@
 // still be in time at the end of a queue in which the others would be late.
 func (l *lane) ask(newcomer *Ticket, now time.Time) {
 	l.passes++
+	l.lastAsked = now
 	var waitOn []kind
 	for {
 		w := l.requests.First(func(w *queuer.Waiter) bool {
--- a/internal/online/slotqueuer/queuer_test.go
+++ b/internal/online/slotqueuer/queuer_test.go
@@ -1,6 +1,7 @@
 package slotqueuer_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -100,6 +101,30 @@
 	})
 }
 
+// Upstreams have failed many requests at once, each of which avoids others than the rest.
+func TestPollsOfManyRequestsCostLittle(t *testing.T) {
+	const requests = 100
+	s := newSlots(0)
+	for n := range requests {
+		_, _ = s.queuer.Enter(slotqueuer.Request{
+			Work: placer.OnlineWork{Service: "s", Target: start.Add(target), Avoid: map[string]bool{strconv.Itoa(n): true}},
+			Acquire: func(placer.OnlineWork, time.Time) error {
+				s.asked++
+				return placer.ErrRetryLater
+			},
+		}, start)
+	}
+	s.asked = 0
+	for n := range requests { // each polls once in 100 ms
+		s.queuer.Poll("s", start.Add(time.Duration(n+1)*time.Millisecond))
+	}
+	qt.Check(t, s.asked > requests, qt.IsTrue, qt.Commentf("asked %d times", s.asked))
+	qt.Check(t, s.asked <= requests*requests/5, qt.IsTrue, qt.Commentf("asked %d times", s.asked))
+	s.asked = 0
+	s.release(requests * time.Millisecond) // at once
+	qt.Check(t, s.asked, qt.Equals, requests)
+}
+
 func TestNewcomerDoesNotOvertakeThoseThatWait(t *testing.T) {
 	s := newSlots(0)
 	s.expectWaits(t, "first", "", 0, 0)
