quotakeeper: a request that waited long for an upstream isn't given back

Seen by a reviewer (TestRequestsThatAreGivenBackLater): one VM, a team at seven times its quota whose requests wait a second for an upstream in vain: once there is room, 1,212 of 680 requests run in a window.

Cause: what waits in vain was given back whenever it was refused, and admitted another request at once. So more and more requests of the team waited, and what they gave back at last was used besides what the window brings.

Change: a request counts as run if it is given back later than 50 ms after it was admitted. Requests that are refused at once are still given back. Return tells how long after; the check of the test is as it was.

--- a/internal/control/quotateller/teller.go
+++ b/internal/control/quotateller/teller.go
@@ -131,10 +131,10 @@
 	return decision
 }
 
-// Return gives back an admitted request that no upstream has run.
-func (t *Teller) Return(team string) {
+// Return gives back a request that no upstream has run, some time after it was admitted.
+func (t *Teller) Return(team string, after time.Duration) {
 	t.mu.Lock()
-	t.keeper.Return(team)
+	t.keeper.Return(team, after)
 	t.mu.Unlock()
 	t.sending.Wake()
 }
--- a/internal/control/quotateller/teller_test.go
+++ b/internal/control/quotateller/teller_test.go
@@ -103,7 +103,7 @@
 		d := teller.Admit("team")
 		qt.Assert(t, d.Outcome, qt.Equals, quotakeeper.Admitted)
 		eventually(t, func() bool { return teller.Status().Uncounted == 0 })
-		teller.Return("team")
+		teller.Return("team", 0)
 		eventually(t, func() bool { return teller.Status().Uncounted == 0 })
 	}
 }
--- a/internal/faces/gateway/quota.go
+++ b/internal/faces/gateway/quota.go
@@ -13,8 +13,8 @@
 // Quotas decides whether the quota of a team allows a request.
 type Quotas interface {
 	Admit(team string) quotakeeper.Decision
-	// Return gives back an admitted request that no upstream has run.
-	Return(team string)
+	// Return gives back a request that no upstream has run, some time after it was admitted.
+	Return(team string, after time.Duration)
 }
 
 // WithQuotas sets what keeps the quotas of teams. Without it, teams have none.
@@ -70,11 +70,12 @@
 			g.rejectOverQuota(x, decision)
 			return
 		}
+		admittedAt := time.Now()
 		g.counter.Count(countAdmitted)
 		next(x)
 		if decision.Counted && !x.ran {
 			g.counter.Count(countReturned)
-			g.quotas.Return(x.team.Name)
+			g.quotas.Return(x.team.Name, time.Since(admittedAt))
 		}
 	}
 }
--- a/internal/faces/gateway/quota_test.go
+++ b/internal/faces/gateway/quota_test.go
@@ -33,7 +33,7 @@
 }
 
 // Return implements gateway.Quotas.
-func (q *quotas) Return(team string) {
+func (q *quotas) Return(team string, _ time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.left[team]++
--- a/internal/online/quotakeeper/keeper.go
+++ b/internal/online/quotakeeper/keeper.go
@@ -102,9 +102,14 @@
 	return d
 }
 
-// Return gives back an admitted request that no upstream has run.
-func (k *Keeper) Return(team string) {
-	if m := k.meters[team]; m != nil && m.total.net() > 0 {
+// maxReturnDelay is how long after it was admitted a request can be given back. While requests wait for an upstream in
+// vain, later returns would let a team in that asks for more and more, until there is room for all of them at once.
+const maxReturnDelay = 50 * time.Millisecond
+
+// Return gives back a request that no upstream has run, some time after it was admitted. After maxReturnDelay it
+// counts as one that ran.
+func (k *Keeper) Return(team string, after time.Duration) {
+	if m := k.meters[team]; m != nil && m.total.net() > 0 && after <= maxReturnDelay {
 		m.total.Returned++
 		k.unsettled[team] = m
 	}
--- a/internal/online/quotakeeper/keeper_test.go
+++ b/internal/online/quotakeeper/keeper_test.go
@@ -276,7 +276,7 @@
 	f, admit := alone(quotakeeper.Limit{PerSecond: 0.001, Burst: 10})
 	n := admit()
 	for range 5 {
-		f.vms[0].keeper.Return("team")
+		f.vms[0].keeper.Return("team", 0)
 	}
 	f.vms[0].stepNow(f)
 	f.now += time.Hour
--- a/internal/online/quotakeeper/return_test.go
+++ b/internal/online/quotakeeper/return_test.go
@@ -25,7 +25,7 @@
 	var ran, waiting []time.Duration
 	for at := time.Duration(0); at < 2*roomAt; at += interval {
 		for len(waiting) > 0 && at-waiting[0] >= wait {
-			k.Return("team")
+			k.Return("team", at-waiting[0])
 			waiting = waiting[1:]
 		}
 		switch admitted := k.Admit("team", start.Add(at)).Outcome == quotakeeper.Admitted; {
