--- a/internal/online/quotakeeper/account.go
+++ b/internal/online/quotakeeper/account.go
@@ -26,8 +26,8 @@
 	createdAt   time.Time
 	usedAt      time.Time
 	closedUntil time.Time
-	// untold are the domains in which no VM has confirmed yet that the team is closed.
-	untold map[string]*notice
+	// unconfirmed are the domains in which no VM has confirmed yet that the team is closed.
+	unconfirmed map[string]*notice
 
 	keeper      string   // of the team, as this VM sees it
 	silent      []string // VMs before the keeper that don't answer
@@ -43,7 +43,7 @@
 // newAccount returns the account of a team. It begins with less than the burst, as nothing is known of what
 // has been admitted before.
 func newAccount(team string, id uint64, l Limit, t Terms, share float64, now time.Time) *account {
-	a := &account{team: team, id: id, createdAt: now, vms: map[string]seen{}, untold: map[string]*notice{}}
+	a := &account{team: team, id: id, createdAt: now, vms: map[string]seen{}, unconfirmed: map[string]*notice{}}
 	a.bucket.filledAt = now
 	a.bucket.set(l, t, share)
 	a.bucket.tokens = a.bucket.start
--- a/internal/online/quotakeeper/closure.go
+++ b/internal/online/quotakeeper/closure.go
@@ -21,7 +21,7 @@
 	k.closeDomain(Closure{Team: a.team, Wait: wait}, "")
 	for name := range k.peers.domains {
 		if name != k.peers.self.Domain {
-			a.untold[name] = &notice{}
+			a.unconfirmed[name] = &notice{}
 		}
 	}
 	k.sendNotices(a, now)
@@ -43,16 +43,16 @@
 
 // sendNotices tells a VM of each domain that has not confirmed it that a team is closed.
 func (k *Keeper) sendNotices(a *account, now time.Time) {
-	for name, n := range a.untold {
+	for name, n := range a.unconfirmed {
 		d := k.peers.domains[name]
 		if d == nil || !a.isClosed(now) {
-			delete(a.untold, name)
+			delete(a.unconfirmed, name)
 			continue
 		}
 		if n.relay != "" {
 			k.peers.update(n.relay, now)
 			if v := k.peers.vms[n.relay]; v != nil && v.heardAt.After(n.sentAt) {
-				delete(a.untold, name)
+				delete(a.unconfirmed, name)
 				continue
 			}
 			if now.Sub(n.sentAt) < resendTime {
--- a/internal/online/quotakeeper/keeper.go
+++ b/internal/online/quotakeeper/keeper.go
@@ -15,10 +15,10 @@
 	watchInterval = domainAskInterval
 	// accountInterval is the time between two steps of a keeper, so that it notices that it stood still.
 	accountInterval = time.Second
-	// maxHeldTime is how long messages may be held up by a VM that stands still, and deafTime how long it ignores
+	// maxHeldTime is how long messages may be held up by a VM that stands still, and ignoreTime how long it ignores
 	// what arrives after a longer time.
 	maxHeldTime = 300 * time.Millisecond
-	deafTime    = 20 * time.Millisecond
+	ignoreTime    = 20 * time.Millisecond
 	// maxStepDelay is how late a step may be until this VM counts as having stood still.
 	maxStepDelay = 50 * time.Millisecond
 	// queried is how many VMs are asked for what they know of a team.
@@ -42,7 +42,7 @@
 	nextSeries uint64
 	prunedAt   time.Time
 	stepDueAt  time.Time // when Step must be called next; later if this VM stood still
-	deafUntil  time.Time // until when messages are ignored, as they may have waited
+	ignoreUntil  time.Time // until when messages are ignored, as they may have waited
 }
 
 // New returns the Keeper of a VM. The boot ID is new at each start of the process.
@@ -128,7 +128,7 @@
 
 // Receive handles a message of another VM.
 func (k *Keeper) Receive(from string, message Message, now time.Time) {
-	if k.noticePause(now); now.Before(k.deafUntil) {
+	if k.noticePause(now); now.Before(k.ignoreUntil) {
 		return
 	}
 	k.peers.hear(from, now)
--- a/internal/online/quotakeeper/peers.go
+++ b/internal/online/quotakeeper/peers.go
@@ -163,9 +163,9 @@
 	}
 }
 
-// forgive gives all VMs more time to answer, as this VM stood still so long. The rest of the time counts: a VM
+// extendAnswerTimes gives all VMs more time to answer, as this VM stood still so long. The rest of the time counts: a VM
 // that often stands still for a moment is to notice lost ones too.
-func (p *peers) forgive(pause time.Duration, now time.Time) {
+func (p *peers) extendAnswerTimes(pause time.Duration, now time.Time) {
 	for _, v := range p.vms {
 		v.askedAt = postponed(v.askedAt, pause, now)
 	}
--- a/internal/online/quotakeeper/reach.go
+++ b/internal/online/quotakeeper/reach.go
@@ -10,10 +10,10 @@
 		return
 	}
 	k.stepDueAt = now
-	k.peers.forgive(late, now)
+	k.peers.extendAnswerTimes(late, now)
 	if late > maxHeldTime {
-		k.peers.forgive(domainAnswerTime, now) // it ignores the answers that have come
-		k.deafUntil = now.Add(deafTime)
+		k.peers.extendAnswerTimes(domainAnswerTime, now) // it ignores the answers that have come
+		k.ignoreUntil = now.Add(ignoreTime)
 		clear(k.accounts)
 		clear(k.watched)
 	}
