--- a/internal/online/quotakeeper/keeper.go
+++ b/internal/online/quotakeeper/keeper.go
@@ -18,7 +18,7 @@
 	// maxHeldTime is how long messages may be held up by a VM that stands still, and ignoreTime how long it ignores
 	// what arrives after a longer time.
 	maxHeldTime = 300 * time.Millisecond
-	ignoreTime    = 20 * time.Millisecond
+	ignoreTime  = 20 * time.Millisecond
 	// maxStepDelay is how late a step may be until this VM counts as having stood still.
 	maxStepDelay = 50 * time.Millisecond
 	// queried is how many VMs are asked for what they know of a team.
@@ -31,18 +31,18 @@
 // Keeper is one VM's part in keeping quotas: it admits requests, and is the keeper of some teams. It is not
 // safe for concurrent use.
 type Keeper struct {
-	terms      Terms
-	limits     map[string]Limit // by team, of those that have one
-	peers      *peers
-	meters     map[string]*meter   // by team
-	accounts   map[string]*account // by team, of those of which this VM is the keeper
-	unsettled  map[string]*meter   // by team, of which not all requests are counted
-	watched    map[string]*account // by team, for which it matters which domains can be reached
-	outbox     map[string]*Message // by VM, to be sent by the next step
-	nextSeries uint64
-	prunedAt   time.Time
-	stepDueAt  time.Time // when Step must be called next; later if this VM stood still
-	ignoreUntil  time.Time // until when messages are ignored, as they may have waited
+	terms       Terms
+	limits      map[string]Limit // by team, of those that have one
+	peers       *peers
+	meters      map[string]*meter   // by team
+	accounts    map[string]*account // by team, of those of which this VM is the keeper
+	unsettled   map[string]*meter   // by team, of which not all requests are counted
+	watched     map[string]*account // by team, for which it matters which domains can be reached
+	outbox      map[string]*Message // by VM, to be sent by the next step
+	nextSeries  uint64
+	prunedAt    time.Time
+	stepDueAt   time.Time // when Step must be called next; later if this VM stood still
+	ignoreUntil time.Time // until when messages are ignored, as they may have waited
 }
 
 // New returns the Keeper of a VM. The boot ID is new at each start of the process.
