spooler: reset the connection of a caller that is dropped

It was closed in order: the caller could read what the kernel still held and then saw an ordinary end, which for an answer without a length or chunks (HTTP/1.0) means that it is complete. The kernel kept up to its send buffer for each of them, counted by nobody, until it gave up. The same held for connections beyond those that may linger. TestDroppedReaderSeesThatItsAnswerIsCut fails without the change (the reader sees an end without an error).

--- a/internal/plumbing/spooler/conn.go
+++ b/internal/plumbing/spooler/conn.go
@@ -113,6 +113,9 @@
 	if c.isClosing {
 		c.spooler.endLinger()
 	}
+	if c.err != nil {
+		c.abandonUnsent()
+	}
 	if c.isClosing || c.err != nil {
 		_ = c.TCPConn.Close() // may be closed already
 	}
@@ -155,9 +158,16 @@
 		c.isClosing = true
 		return c.CloseRead() //nolint:wrapcheck // as net.TCPConn
 	}
+	if c.isSending {
+		c.abandonUnsent()
+	}
 	return c.TCPConn.Close() //nolint:wrapcheck // as net.TCPConn
 }
 
+// abandonUnsent makes closing the connection reset it, so that the reader sees that the answer is cut, and the kernel
+// discards what it keeps of it.
+func (c *conn) abandonUnsent() { _ = c.SetLinger(0) } // a closed connection needs none
+
 // CloseWrite shuts the sending side down. What is kept is sent before.
 func (c *conn) CloseWrite() error {
 	c.mu.Lock()
--- a/internal/plumbing/spooler/spooler_test.go
+++ b/internal/plumbing/spooler/spooler_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -150,6 +151,17 @@
 	reads.Wait()
 }
 
+// Guards against: an answer whose end its connection's end marks looks complete to a caller that was dropped, or the
+// kernel keeps what was not sent for as long as the caller likes.
+func TestDroppedReaderSeesThatItsAnswerIsCut(t *testing.T) {
+	s := newSetup(t)
+	p := s.connect()
+	s.fill(p)
+	s.eventually("dropped", func() bool { return s.spooler.Behind() == 0 })
+	_, err := io.Copy(io.Discard, p.reader)
+	qt.Check(t, err, qt.ErrorIs, syscall.ECONNRESET)
+}
+
 // Guards against: many callers that read nothing take more memory together than there is, or delay another one.
 func TestManySlowReadersShareTheirMemory(t *testing.T) {
 	s := newSetup(t)
