gateway: a stream that has begun isn't cut for lack of room

Seen by a reviewer: a stream that has begun and whose upstream broke off ends at once if the placer says that no upstream could start a new request before the deadline.

Cause: the check that rejects what can't be served in time also applied to requests that can't be rejected any more.

Shown by: TestBegunStreamIsNotRejectedForLackOfRoom, which failed before.

--- a/internal/faces/gateway/slot.go
+++ b/internal/faces/gateway/slot.go
@@ -42,7 +42,10 @@
 
 // onlineWork describes the next attempt to the placer.
 func (f *forwarding) onlineWork() placer.OnlineWork {
-	work := placer.OnlineWork{Service: f.x.request.service, Avoid: f.avoid, Versions: f.versions(), Deadline: f.x.request.Deadline}
+	work := placer.OnlineWork{Service: f.x.request.service, Avoid: f.avoid, Versions: f.versions()}
+	if !f.headSent { // otherwise it can't be rejected any more
+		work.Deadline = f.x.request.Deadline
+	}
 	if target := f.x.request.route.LatencyTarget; target > 0 && !f.headSent {
 		work.Target, work.WaitUntil = f.x.request.receivedAt.Add(target), f.slotDeadline()
 	}
