--- a/review/_standins2/case6/main.go
+++ b/review/_standins2/case6/main.go
@@ -1,5 +1,4 @@
-// Command case6 takes the power of the VMs in the store's region while they have jobs. The VM that is left
-// reaches the store over the link between the regions.
+// Command case6 takes the power of two of three VMs while they have jobs. Each VM has a link of 30 Mbit/s.
 package main
 
 import (
@@ -20,14 +19,17 @@
 )
 
 const (
-	nearVMs     = 2
+	vmCount     = 3
+	lostVMs     = 2
 	serverCount = 9
 	serverSlots = 8
 	items       = 10 // of a job
 	events      = 20 // of an item
 	eventGap    = 100 * time.Millisecond
-	// linkBytesPerSecond is the link between two regions: 30 Mbit/s.
-	linkBytesPerSecond = 30_000_000 / 8
+	memoryMB    = 184
+	linkMbps    = 30
+	// linkBytesPerSecond limits only what comes from the store.
+	linkBytesPerSecond = linkMbps * 1_000_000 / 8
 	windowBytes        = 128 << 10
 	// finishTime is the users' finish_s, and idleTime the last part of it, in which the servers are watched.
 	finishTime = 18 * time.Second
@@ -53,37 +55,35 @@
 func main() { harness.Run(run) }
 
 func run(s *harness.Site) (int, error) {
+	s.MemoryMB, s.LinkMbps = memoryMB, linkMbps
 	servers, err := startServers(s)
 	if err != nil {
 		return 0, err
 	}
-	var near []*harness.VM
-	for n := range nearVMs {
-		vm, err := s.StartVM(fmt.Sprintf("near-%d", n+1))
+	var vms []*harness.VM
+	for n := range vmCount {
+		vm, err := startLinked(s, n+1)
 		if err != nil {
 			return 0, err
 		}
-		near = append(near, vm)
-	}
-	far, err := startFar(s)
-	if err != nil {
-		return 0, err
+		vms = append(vms, vm)
 	}
+	lost, left := vms[:lostVMs], vms[lostVMs]
 	time.Sleep(4 * time.Second)
-	jobs := submitAll(s, near)
+	jobs := submitAll(s, lost)
 	if len(jobs) < jobCount {
 		return 0, fmt.Errorf("%d jobs were accepted", len(jobs))
 	}
 	if s.Trouble {
-		for _, vm := range near {
+		for _, vm := range lost {
 			vm.Signal(syscall.SIGKILL) // for good
 		}
 	}
 	idleSince, ran := watch(s, servers)
 	s.Record.Add("%d of %d items have begun to run at a server; no run for the last %s",
 		ran, jobCount*items, time.Since(idleSince).Truncate(100*time.Millisecond))
-	found, unread := listed(s, far, jobs)
-	s.Record.Add("%s lists %d results; %d jobs could not be read", far.Name, found, unread)
+	found, unread := listed(s, left, jobs)
+	s.Record.Add("%s lists %d results; %d jobs could not be read", left.Name, found, unread)
 	if ran < jobCount*items && time.Since(idleSince) >= idleTime {
 		return harness.ExitBroken, nil
 	}
@@ -109,16 +109,15 @@
 	return servers, s.Configure(harness.BatchRoute())
 }
 
-// startFar starts a VM in the other region.
-func startFar(s *harness.Site) (*harness.VM, error) {
+// startLinked starts a VM that reaches the store over a link of its own.
+func startLinked(s *harness.Site, n int) (*harness.VM, error) {
 	link := narrowlink.New(linkBytesPerSecond, narrowlink.WithWindow(windowBytes))
 	s.Defer(link.Close)
-	address, err := link.Listen(net.JoinHostPort(s.IP(100), "0"), s.Store)
+	address, err := link.Listen(net.JoinHostPort(s.IP(100+n), "0"), s.Store)
 	if err != nil {
 		return nil, fmt.Errorf("link: %w", err)
 	}
-	s.Zone = harness.FarZone
-	return s.StartVMAt("far-1", address)
+	return s.StartVMAt(fmt.Sprintf("front-%d", n), address)
 }
 
 // submitAll submits the jobs, one after the other, and returns those that were accepted.
--- a/review/_standins2/harness/harness.go
+++ b/review/_standins2/harness/harness.go
@@ -41,13 +41,8 @@
 // Host is the host of all routes.
 const Host = "desk.example"
 
-// Zones, each in a region of its own.
-const (
-	NearZone = "a"
-	FarZone  = "b"
-)
-
-var regions = map[string]string{NearZone: "east", FarZone: "west"}
+// Zone is the zone of all VMs and servers.
+const Zone = "a"
 
 // Exit codes of a case.
 const (
@@ -83,9 +78,9 @@
 type Site struct {
 	Record   *Record
 	Rows     *rowemulator.Store
-	Store    string // address of the store
-	MemoryMB int    // of each VM
-	Zone     string // of VMs that start from now on
+	Store    string  // address of the store
+	MemoryMB int     // of each VM
+	LinkMbps float64 // of each VM, as its settings say
 	Trouble  bool
 	VMs      []*VM
 
@@ -116,7 +111,7 @@
 		return nil, fmt.Errorf("temporary folder: %w", err)
 	}
 	s := &Site{
-		Record: r, Rows: rowemulator.New(rowemulator.WithRateLimits(limits)), MemoryMB: 164, Zone: NearZone,
+		Record: r, Rows: rowemulator.New(rowemulator.WithRateLimits(limits)), MemoryMB: 164, LinkMbps: 1000,
 		Trouble: os.Getenv("TROUBLE") != "0", dir: dir, network: fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250)),
 	}
 	s.Store, err = s.Serve(storeHost, standin.NewStore(s.Rows))
@@ -157,7 +152,7 @@
 // AddUpstream lists a server of a service with a number of slots.
 func (s *Site) AddUpstream(id, service, address string, slots int) error {
 	return s.Put(Names["serversTable"], id, map[string]any{
-		"service": service, "address": address, "zone": NearZone, "version": "v1", "slots": slots, "state": "ready",
+		"service": service, "address": address, "zone": Zone, "version": "v1", "slots": slots, "state": "ready",
 		"cold_remaining_ms": 0, "call_seq": 0, "born": time.Now().UnixMilli(),
 	})
 }
@@ -241,12 +236,12 @@
 func (s *Site) launch(name, store string) (*VM, error) {
 	vm := &VM{Name: name, IP: s.IP(len(s.VMs) + 1), site: s, settings: filepath.Join(s.dir, name+".json"), store: store}
 	text, err := json.Marshal(map[string]any{
-		"node": name, "role": "entry", "machine_class": "front", "serves": []string{"front"}, "ip": vm.IP, "zone": s.Zone,
-		"region": regions[s.Zone], "zones": regions,
+		"node": name, "role": "entry", "machine_class": "front", "serves": []string{"front"}, "ip": vm.IP, "zone": Zone,
+		"region": "r", "zones": map[string]string{Zone: "r"},
 		"listen":         map[string]string{"front": vm.Address(callerPort), "ready": vm.Address(readyPort)},
 		"internal_ports": []int{peerPort, peerPort + 15},
 		"limits": map[string]any{
-			"cpu_share": 0.8, "cores": 1, "memory_mb": s.MemoryMB, "max_fds": 8200, "link_mbps": 1000.0, "disk_mb": 0,
+			"cpu_share": 0.8, "cores": 1, "memory_mb": s.MemoryMB, "max_fds": 8200, "link_mbps": s.LinkMbps, "disk_mb": 0,
 		},
 		"heartbeat_ms": 1200,
 		"bounds": map[string]any{
