resetdetector: an answer that a reset cuts short during its upload is no success

Callers saw: a 200 with a part of the body as a complete answer, and jobs kept such parts as results. The upstream had answered a long upload at once with neither a length nor chunks, and reset the connection while the upload was being written. Cause: Linux reports the error of a connection once, to whichever call comes first. If the goroutine that writes the upload got it, the reading one saw the orderly end with which such a body ends. Once a connection is closed in both directions, the outcome of its writes decides how it ended: ECONNRESET or a timeout if it was lost, EPIPE if the other side had ended it in order before. It costs a lock for each write, and one look at the socket when a read ends.

--- a/internal/online/forwarder/connection.go
+++ b/internal/online/forwarder/connection.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/online/tunneler"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/resetdetector"
 )
 
 const (
@@ -47,6 +48,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial: %w", err)
 	}
+	conn = resetdetector.Wrap(conn)
 	limiter := &headLimiter{source: conn, lastInput: f.lastInput(address), reservation: f.memory.NewReservation()}
 	if _, isCarried := conn.(*tunneler.Conn); !isCarried {
 		limiter.linkInput = &f.linkInput
--- a/internal/online/tunneler/carrier.go
+++ b/internal/online/tunneler/carrier.go
@@ -16,6 +16,7 @@
 	"sync"
 
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/resetdetector"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/socketdialer"
 )
 
@@ -88,7 +89,7 @@
 	}
 	defer func() { _ = origin.Close() }()
 	c.counter.Count("tunnels_total")
-	carry(origin, upstream)
+	carry(origin, resetdetector.Wrap(upstream))
 }
 
 // begin counts a new tunnel. It returns false if there must be none.
--- a/internal/standins/rawresponder/responder.go
+++ b/internal/standins/rawresponder/responder.go
@@ -21,6 +21,7 @@
 	listener    net.Listener
 	closesAfter bool
 	late        *lateReading // nil if bodies are read before they are answered
+	end         *uploadEnd   // nil if requests are read whole
 	group       sync.WaitGroup
 }
 
@@ -50,14 +51,15 @@
 
 // New starts a Responder.
 func New(answer Answer, options ...Option) (*Responder, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
-	}
-	r := &Responder{listener: listener}
+	r := &Responder{}
 	for _, option := range options {
 		option(r)
 	}
+	listener, err := r.listen()
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	r.listener = listener
 	r.group.Go(func() {
 		for {
 			conn, err := listener.Accept()
@@ -88,6 +90,11 @@
 			return
 		}
 		unread := request.Body
+		if r.end != nil {
+			_, _ = io.WriteString(conn, answer(n, request))
+			r.end.apply(conn)
+			return
+		}
 		if r.late == nil {
 			body, _ := io.ReadAll(unread)
 			request.Body = io.NopCloser(bytes.NewReader(body))
