headvalidator: a status that is none is no answer

Callers saw: what stood behind an answer with status 000 as their answer, jobs the same as results, and requests that waited for the end of their time although the upstream had answered so. On the product's own interface status 0 was passed on. A submission was accepted (202) while the store answered its transaction with 000 and did nothing. Cause: http.ReadResponse takes any three characters that Atoi takes. Below 200 was an interim answer to the forwarder, below 300 a success to all others. Such an answer ends the attempt, which may have run, and closes its connection; a write to the store is in doubt. A 101 counts only if it was asked for. 100 to 999 and interim answers pass as before.

--- /dev/null
+++ b/internal/batch/jobmover/broken_test.go
@@ -0,0 +1,34 @@
+package jobmover_test
+
+import (
+	"log/slog"
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fescuespindle/fescuespindle/internal/batch/jobmover"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/transporter"
+	"github.com/fescuespindle/fescuespindle/internal/standins/rawresponder"
+)
+
+// expectInDoubt moves a job to VMs that send the given answers.
+func expectInDoubt(t *testing.T, answers func(line, body string) map[string]string) {
+	for name, answer := range answers("A: b", "{}") {
+		t.Run(name, func(t *testing.T) {
+			server, err := rawresponder.New(func(int, *http.Request) string { return answer })
+			qt.Assert(t, err, qt.IsNil)
+			defer server.Close()
+			transport := transporter.New(nil)
+			defer transport.CloseIdleConnections()
+			m := jobmover.New(transport, slog.New(slog.DiscardHandler))
+			m.SetPeers(map[string]string{"b": server.Address()})
+			qt.Check(t, m.Move(t.Context(), "b", job), qt.ErrorIs, jobmover.ErrInDoubt)
+		})
+	}
+}
+
+// Guards against: a job that another VM may run counts as not taken over, and runs twice, as the status of that VM's answer is none.
+func TestAnswerWithoutAValidStatusLeavesTheOutcomeUnknown(t *testing.T) {
+	expectInDoubt(t, rawresponder.InvalidStatuses)
+}
--- a/internal/online/forwarder/forwarder.go
+++ b/internal/online/forwarder/forwarder.go
@@ -24,6 +24,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
 	"github.com/fescuespindle/fescuespindle/internal/online/requestwriter"
 	"github.com/fescuespindle/fescuespindle/internal/online/tunneler"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/headvalidator"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/socketdialer"
 )
@@ -272,7 +273,14 @@
 func (c *connection) readHead(request *http.Request) (*http.Response, error) {
 	c.limiter.readingHead = true
 	defer func() { c.limiter.readingHead = false }()
-	return http.ReadResponse(c.reader, request) //nolint:wrapcheck // readMatching wraps it
+	response, err := http.ReadResponse(c.reader, request)
+	if err != nil {
+		return nil, err //nolint:wrapcheck // readMatching wraps it
+	}
+	if err := headvalidator.Validate(response); err != nil {
+		return nil, err //nolint:wrapcheck // readMatching wraps it
+	}
+	return response, nil
 }
 
 // discardStale reads the body of an answer to another request. It returns an error if
--- a/internal/online/tunneler/open.go
+++ b/internal/online/tunneler/open.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/headvalidator"
 )
 
 // Errors of Open: what the peer VM says of the upstream.
@@ -96,11 +97,14 @@
 	}
 	limited := &io.LimitedReader{R: conn, N: maxReplyBytes}
 	reader := bufio.NewReaderSize(limited, readBufferSize)
-	response, err := http.ReadResponse(reader, nil)
+	response, err := http.ReadResponse(reader, request)
 	if err != nil {
 		return nil, fmt.Errorf("ask peer VM: %w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := headvalidator.Validate(response); err != nil {
+		return nil, fmt.Errorf("ask peer VM: %w", err)
+	}
 	if response.StatusCode == http.StatusSwitchingProtocols {
 		limited.N = math.MaxInt64
 		return &Conn{Conn: conn, reader: reader, reuseUntil: time.Now().Add(reuseTime)}, nil
--- /dev/null
+++ b/internal/plumbing/headvalidator/validator_test.go
@@ -0,0 +1,36 @@
+package headvalidator_test
+
+import (
+	"bufio"
+	"net/http"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/headvalidator"
+	"github.com/fescuespindle/fescuespindle/internal/standins/rawresponder"
+)
+
+// validate reads the head of an answer and validates it.
+func validate(t *testing.T, text string, requestHeader http.Header) error {
+	t.Helper()
+	answer, err := http.ReadResponse(bufio.NewReader(strings.NewReader(text)), &http.Request{Header: requestHeader})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	return headvalidator.Validate(answer)
+}
+
+// Guards against: an answer whose status is none counts as an interim one or as a success.
+func TestStatuses(t *testing.T) {
+	for name, text := range rawresponder.InvalidStatuses("A: b", "{}") {
+		qt.Check(t, validate(t, text, nil), qt.ErrorIs, headvalidator.ErrInvalid, qt.Commentf(name))
+	}
+	for _, status := range []string{"100 Continue", "103 Early Hints", "200 OK", "204", "304 Not Modified", "418 I'm a teapot", "503 ", "999 Unassigned"} {
+		qt.Check(t, validate(t, "HTTP/1.1 "+status+"\r\n\r\n", nil), qt.IsNil, qt.Commentf(status))
+	}
+	upgrade := http.Header{"Upgrade": {"websocket"}}
+	qt.Check(t, validate(t, "HTTP/1.1 101 Switching Protocols\r\n\r\n", upgrade), qt.IsNil)
+}
