headvalidator: a field whose name has a blank is no field

Callers saw: 200 with the marks of the chunks, or with bytes behind the body, as the body; items of jobs kept them as results. A submission was accepted (202) though the store, which answered so, had stored nothing. Cause: net/textproto takes names with blanks and doesn't look them up, so that "Transfer-Encoding : chunked" is an unknown field and the body lasts until the connection ends. A length on a line that begins with a blank becomes part of the value before. Change: headvalidator takes only tokens for names, and refuses a body that ends with its connection if a value holds a length or chunks. Other continued lines are joined as before. The operators' commands use transporter.New too, and check-style.sh finds transports and readers that don't validate heads. Control bytes, bytes past ASCII and empty names were refused already: their tests stay, nothing else changes for them.

--- a/internal/batch/jobmover/broken_test.go
+++ b/internal/batch/jobmover/broken_test.go
@@ -16,7 +16,7 @@
 func expectInDoubt(t *testing.T, answers func(line, body string) map[string]string) {
 	for name, answer := range answers("A: b", "{}") {
 		t.Run(name, func(t *testing.T) {
-			server, err := rawresponder.New(func(int, *http.Request) string { return answer })
+			server, err := rawresponder.New(func(int, *http.Request) string { return answer }, rawresponder.WithClose())
 			qt.Assert(t, err, qt.IsNil)
 			defer server.Close()
 			transport := transporter.New(nil)
@@ -32,3 +32,8 @@
 func TestAnswerWithoutAValidStatusLeavesTheOutcomeUnknown(t *testing.T) {
 	expectInDoubt(t, rawresponder.InvalidStatuses)
 }
+
+// Guards against: a job that another VM may run counts as not taken over as that VM's answer has a field whose name is none.
+func TestAnswerWithAnInvalidNameLeavesTheOutcomeUnknown(t *testing.T) {
+	expectInDoubt(t, rawresponder.InvalidNames)
+}
--- a/internal/faces/commander/batch.go
+++ b/internal/faces/commander/batch.go
@@ -10,6 +10,7 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/laboratory/requester"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/sleeper"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/transporter"
 )
 
 // callerFlags are the flags of commands that send requests as a caller.
@@ -20,7 +21,9 @@
 
 // requester returns a client with the URL and token of the flags.
 func (f callerFlags) requester() *requester.Requester {
-	return requester.New(f.URL, f.Token, &http.Client{})
+	transport := transporter.New(nil)
+	transport.Proxy = http.ProxyFromEnvironment
+	return requester.New(f.URL, f.Token, &http.Client{Transport: transport})
 }
 
 type batchCommand struct {
--- a/internal/faces/commander/load.go
+++ b/internal/faces/commander/load.go
@@ -9,6 +9,7 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/laboratory/loadgenerator"
 	"github.com/fescuespindle/fescuespindle/internal/laboratory/requester"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/transporter"
 )
 
 type loadCommand struct {
@@ -30,7 +31,9 @@
 
 // Run generates load, and prints the outcomes of requests and the latencies of first tokens.
 func (c *loadCommand) Run(e *environment) error {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerHost, DisableCompression: true}}
+	transport := transporter.New(nil)
+	transport.MaxIdleConnsPerHost = maxIdleConnsPerHost
+	client := &http.Client{Transport: transport}
 	defer client.CloseIdleConnections()
 	var targets []loadgenerator.Target
 	for _, url := range c.URL {
--- a/internal/online/forwarder/broken_test.go
+++ b/internal/online/forwarder/broken_test.go
@@ -49,7 +49,7 @@
 						return text(r.Header.Get(idHeader), "sound")
 					}
 					return answers(idHeader+": "+r.Header.Get(idHeader), "{}")[name]
-				})
+				}, rawresponder.WithCloseAfter(first+1))
 				for range first {
 					_, err := send(t, f, address, "before", nil)
 					qt.Assert(t, err, qt.IsNil)
@@ -69,6 +69,19 @@
 	expectNoAnswer(t, rawresponder.InvalidStatuses)
 }
 
+// Guards against: a field whose name is none is passed on, or the body isn't the upstream's, as the field delimits it.
+func TestAnswerWithAnInvalidNameFailsTheAttempt(t *testing.T) {
+	expectNoAnswer(t, rawresponder.InvalidNames)
+}
+
+// Guards against: an interim answer whose head is none seems to promise a sound one.
+func TestInterimAnswerWithAnInvalidNameFailsTheAttempt(t *testing.T) {
+	expectNoAnswer(t, func(line, body string) map[string]string {
+		interim := "HTTP/1.1 103 Early Hints\r\nLink : a\r\n\r\n"
+		return map[string]string{"blank at the end": interim + "HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 2\r\n\r\n" + body}
+	})
+}
+
 // Guards against: sound answers with rare statuses, and ones behind interim answers, are taken for broken ones.
 func TestAnswerWithAnyValidStatusIsPassedOn(t *testing.T) {
 	for _, status := range []string{"200 OK", "299 Rare", "404 Not Found", "599 Rare", "600 Unassigned", "999 Unassigned"} {
--- a/internal/online/forwarder/forwarder_test.go
+++ b/internal/online/forwarder/forwarder_test.go
@@ -21,9 +21,9 @@
 
 // startUpstream starts an upstream that answers with the given bytes until the end of the
 // test, and returns its address.
-func startUpstream(t *testing.T, answer rawresponder.Answer) string {
+func startUpstream(t *testing.T, answer rawresponder.Answer, options ...rawresponder.Option) string {
 	t.Helper()
-	server, err := rawresponder.New(answer)
+	server, err := rawresponder.New(answer, options...)
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(server.Close)
 	return server.Address()
--- a/internal/online/relayer/broken_test.go
+++ b/internal/online/relayer/broken_test.go
@@ -18,7 +18,7 @@
 func expectNoAnswer(t *testing.T, answers func(line, body string) map[string]string) {
 	for name, answer := range answers(upstream.HeaderRequestID+": id", "{}") {
 		t.Run(name, func(t *testing.T) {
-			server, err := rawresponder.New(func(int, *http.Request) string { return answer })
+			server, err := rawresponder.New(func(int, *http.Request) string { return answer }, rawresponder.WithClose())
 			qt.Assert(t, err, qt.IsNil)
 			defer server.Close()
 			r := relayer.New(nil)
@@ -43,3 +43,9 @@
 func TestAnswerWithoutAValidStatusFailsTheAttempt(t *testing.T) {
 	expectNoAnswer(t, rawresponder.InvalidStatuses)
 }
+
+// Guards against: a field whose name is none hides the length or the chunks of the body, and callers of the product's own
+// interface get one that isn't the service's.
+func TestAnswerWithAnInvalidNameFailsTheAttempt(t *testing.T) {
+	expectNoAnswer(t, rawresponder.InvalidNames)
+}
--- a/internal/online/tunneler/broken_test.go
+++ b/internal/online/tunneler/broken_test.go
@@ -19,7 +19,7 @@
 func expectInvalidReply(t *testing.T, replies func(line, body string) map[string]string) {
 	for name, reply := range replies("Fescuespindle-Tunnel: refused", "{}") {
 		t.Run(name, func(t *testing.T) {
-			server, err := rawresponder.New(func(int, *http.Request) string { return reply })
+			server, err := rawresponder.New(func(int, *http.Request) string { return reply }, rawresponder.WithClose())
 			qt.Assert(t, err, qt.IsNil)
 			defer server.Close()
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
@@ -42,3 +42,17 @@
 		return replies
 	})
 }
+
+// Guards against: what a peer VM says of an upstream is believed although its head has a field whose name is none.
+func TestReplyWithAnInvalidNameSaysNothing(t *testing.T) {
+	for name, reply := range rawresponder.InvalidNames("Fescuespindle-Tunnel: refused", "{}") {
+		t.Run(name, func(t *testing.T) {
+			server, err := rawresponder.New(func(int, *http.Request) string { return reply }, rawresponder.WithClose())
+			qt.Assert(t, err, qt.IsNil)
+			defer server.Close()
+			_, err = tunneler.Open(t.Context(), (&net.Dialer{}).DialContext, server.Address(), "u 1", nil)
+			qt.Check(t, err, qt.IsNotNil)
+			qt.Check(t, err, qt.Not(qt.ErrorIs), tunneler.ErrRefused)
+		})
+	}
+}
--- a/internal/plumbing/headvalidator/validator_test.go
+++ b/internal/plumbing/headvalidator/validator_test.go
@@ -34,3 +34,25 @@
 	upgrade := http.Header{"Upgrade": {"websocket"}}
 	qt.Check(t, validate(t, "HTTP/1.1 101 Switching Protocols\r\n\r\n", upgrade), qt.IsNil)
 }
+
+// Guards against: a field whose name is none hides where the body ends, or is passed on.
+func TestNames(t *testing.T) {
+	for name, text := range rawresponder.InvalidNames("A: b", "{}") {
+		qt.Check(t, validate(t, text, nil), qt.IsNotNil, qt.Commentf(name))
+	}
+	for _, name := range []string{"a", "X-Name", "!#$%&'*+-.^_`|~0aZ"} {
+		qt.Check(t, validate(t, "HTTP/1.1 200 OK\r\n"+name+":\tvalue \r\n\r\n", nil), qt.IsNil, qt.Commentf(name))
+	}
+}
+
+// Guards against: sound values, and lines that continue the one before as RFC 9112 allows a reader to join them, fail answers.
+func TestValues(t *testing.T) {
+	for _, field := range []string{
+		"X-Name: value\r\n and more", "X-Name: value\r\n : more", "Access-Control-Expose-Headers: Content-Length, Transfer-Encoding",
+		"X-Name: \xff, : and \t", "X-Name:",
+	} {
+		qt.Check(t, validate(t, "HTTP/1.1 200 OK\r\n"+field+"\r\n\r\nbody", nil), qt.IsNil, qt.Commentf(field))
+	}
+	text := "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Name: of content-length: 4\r\n\r\nbody"
+	qt.Check(t, validate(t, text, nil), qt.IsNil, qt.Commentf("the length is known"))
+}
--- a/internal/standins/rawresponder/responder.go
+++ b/internal/standins/rawresponder/responder.go
@@ -19,7 +19,7 @@
 // Responder is a server on loopback.
 type Responder struct {
 	listener    net.Listener
-	closesAfter bool
+	closesAfter int          // number of answers; 0 means never
 	late        *lateReading // nil if bodies are read before they are answered
 	end         *uploadEnd   // nil if requests are read whole
 	group       sync.WaitGroup
@@ -29,8 +29,11 @@
 type Option func(*Responder)
 
 // WithClose closes each connection in order after its first answer.
-func WithClose() Option {
-	return func(r *Responder) { r.closesAfter = true }
+func WithClose() Option { return WithCloseAfter(1) }
+
+// WithCloseAfter closes each connection in order after a number of answers.
+func WithCloseAfter(answers int) Option {
+	return func(r *Responder) { r.closesAfter = answers }
 }
 
 // lateBufferBytes is the receive buffer of a connection whose bodies are read late.
@@ -104,7 +107,7 @@
 			return
 		}
 		_, _ = io.WriteString(conn, text)
-		if r.closesAfter || (r.late != nil && !r.late.readBody(n, unread)) {
+		if n == r.closesAfter || (r.late != nil && !r.late.readBody(n, unread)) {
 			return
 		}
 	}
--- a/internal/store/storerelayer/broken_test.go
+++ b/internal/store/storerelayer/broken_test.go
@@ -13,7 +13,7 @@
 // brokenTransport returns the transport of a VM that gets the given answer to each call.
 func brokenTransport(t *testing.T, answer string) roundTripFunc {
 	t.Helper()
-	server, err := rawresponder.New(func(int, *http.Request) string { return answer })
+	server, err := rawresponder.New(func(int, *http.Request) string { return answer }, rawresponder.WithClose())
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(server.Close)
 	transport := transporter.New(nil)
@@ -45,3 +45,8 @@
 func TestStoreResponseWithoutAValidStatusIsInDoubt(t *testing.T) {
 	expectInDoubt(t, rawresponder.InvalidStatuses)
 }
+
+// Guards against: a write whose answer has a field whose name is none counts as done, or as relayed.
+func TestStoreResponseWithAnInvalidNameIsInDoubt(t *testing.T) {
+	expectInDoubt(t, rawresponder.InvalidNames)
+}
--- a/scripts/check-style.sh
+++ b/scripts/check-style.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Checks project rules that the linter doesn't cover: goroutines start through a group,
 # generated code matches the generator, only platform/ uses the platform's wire format,
-# serving code names no deployment, transports bound the heads of answers, and journal entries
+# serving code names no deployment, readers of answers bound and validate their heads, and journal entries
 # are not removed.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -26,8 +26,11 @@
 if git grep -nE '^[[:space:]]*"github.com/fescuespindle/fescuespindle/platform"' -- 'internal/*.go' ':!internal/wiring/entryvm/' ':!internal/wiring/assembler/' ':!internal/laboratory/sitebuilder/' ':!*_test.go'; then
   fail "only the wiring imports platform/"
 fi
-if git grep -nE 'http\.Transport\{|http\.Client\{\}|http\.Default(Client|Transport)' -- 'internal/*.go' 'platform/*.go' 'cmd/*.go' ':!internal/plumbing/transporter/' ':!internal/laboratory/' ':!internal/faces/commander/' ':!*_test.go'; then
-  fail "create transports by transporter.New, which bounds the heads of answers"
+if git grep -nE 'http\.Transport\{|http\.Client\{\}|http\.Default(Client|Transport)' -- 'internal/*.go' 'platform/*.go' 'cmd/*.go' ':!internal/plumbing/transporter/' ':!internal/laboratory/' ':!*_test.go'; then
+  fail "create transports by transporter.New, which bounds and validates the heads of answers"
+fi
+if git grep -l 'http\.ReadResponse(' -- '*.go' ':!*_test.go' | xargs -r grep -L 'headvalidator\.Validate(' | grep .; then
+  fail "readers of answers ask headvalidator"
 fi
 if [ -n "$(git log --diff-filter=D --name-only --format= -- journal)" ]; then
   fail "journal entries were removed"
