--- a/internal/standins/interrupter/proxy.go
+++ b/internal/standins/interrupter/proxy.go
@@ -4,10 +4,15 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
+
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/resetdetector"
+	"github.com/fescuespindle/fescuespindle/internal/standins/narrowlistener"
 )
 
 // Fault describes what the proxy does to the data of one direction. The zero value
@@ -40,6 +45,7 @@
 	mu           sync.Mutex
 	listener     net.Listener // nil between Stop, Refuse or Partition and Restart
 	full         *fullListener
+	listen       func(address string) (net.Listener, error)
 	toTarget     Fault
 	toClient     Fault
 	disconnected bool
@@ -55,13 +61,22 @@
 	return func(p *Proxy) { p.address = address }
 }
 
+// WithNarrowSockets makes connections to the proxy take little before they are forwarded.
+func WithNarrowSockets() Option {
+	return func(p *Proxy) { p.listen = narrowlistener.Listen }
+}
+
+func listenTCP(address string) (net.Listener, error) {
+	return net.Listen("tcp", address) //nolint:wrapcheck // the callers do
+}
+
 // New starts a proxy that listens on loopback and forwards to an address.
 func New(target string, options ...Option) (*Proxy, error) {
-	p := &Proxy{address: "127.0.0.1:0", target: target, conns: map[net.Conn]struct{}{}}
+	p := &Proxy{address: "127.0.0.1:0", target: target, conns: map[net.Conn]struct{}{}, listen: listenTCP}
 	for _, option := range options {
 		option(p)
 	}
-	listener, err := net.Listen("tcp", p.address)
+	listener, err := p.listen(p.address)
 	if err != nil {
 		return nil, fmt.Errorf("proxy: %w", err)
 	}
@@ -143,7 +158,7 @@
 	}
 	p.closeListener()
 	p.toTarget, p.toClient = Fault{}, Fault{}
-	listener, err := net.Listen("tcp", p.address)
+	listener, err := p.listen(p.address)
 	if err != nil {
 		return fmt.Errorf("proxy: %w", err)
 	}
@@ -226,25 +241,37 @@
 	}
 	defer p.untrack(target)
 	var group sync.WaitGroup
-	group.Go(func() {
-		p.copy(target, client, func() Fault { return p.toTarget })
-		closeWrite(target)
-	})
-	group.Go(func() {
-		p.copy(client, target, func() Fault { return p.toClient })
-		closeWrite(client)
-	})
+	origin, end := newSide(client), newSide(target)
+	group.Go(func() { p.copy(end, origin, func() Fault { return p.toTarget }) })
+	group.Go(func() { p.copy(origin, end, func() Fault { return p.toClient }) })
 	group.Wait()
 }
 
-func closeWrite(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite()
+// side is one of the two connections that are joined. Its reads tell a reset from an orderly end.
+type side struct {
+	net.Conn
+	raw net.Conn
+}
+
+func newSide(conn net.Conn) side { return side{Conn: resetdetector.Wrap(conn), raw: conn} }
+
+// endAs ends the connection as the one ended from which data was forwarded to it: in order, or by a reset.
+func (s side) endAs(err error) {
+	tcp, ok := s.raw.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	if errors.Is(err, syscall.ECONNRESET) {
+		_ = tcp.SetLinger(0)
+		_ = tcp.Close()
+		return
 	}
+	_ = tcp.CloseWrite()
 }
 
-// copy forwards data until a read or write fails. The fault may change at any time.
-func (p *Proxy) copy(to, from net.Conn, fault func() Fault) {
+// copy forwards data until a read or write fails, and ends one connection as the other has ended. If a write fails, the copy of the
+// other direction learns how. The fault may change at any time.
+func (p *Proxy) copy(to, from side, fault func() Fault) {
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buffer)
@@ -254,6 +281,7 @@
 			}
 		}
 		if err != nil {
+			to.endAs(err)
 			return
 		}
 	}
--- a/internal/standins/interrupter/proxy_test.go
+++ b/internal/standins/interrupter/proxy_test.go
@@ -7,13 +7,17 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/resetdetector"
 	"github.com/fescuespindle/fescuespindle/internal/standins/interrupter"
+	"github.com/fescuespindle/fescuespindle/internal/standins/rawresponder"
 )
 
 func newProxy(t *testing.T) *interrupter.Proxy {
@@ -70,3 +74,42 @@
 	qt.Check(t, errors.Is(err, syscall.ECONNREFUSED), qt.IsTrue, qt.Commentf("%v", err))
 	expectAnswer(t, conn)
 }
+
+// Guards against: a reset of the target seems an orderly end behind the proxy, or the other way round.
+func TestConnectionsEndAsThoseBehindTheProxy(t *testing.T) {
+	expectEnd := func(t *testing.T, want error, options ...rawresponder.Option) {
+		t.Helper()
+		server, err := rawresponder.New(func(int, *http.Request) string { return "part" }, options...)
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(server.Close)
+		proxy, err := interrupter.New(server.Address(), interrupter.WithNarrowSockets())
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(proxy.Close)
+		conn, err := dial(t, proxy.Address())
+		qt.Assert(t, err, qt.IsNil)
+		conn = resetdetector.Wrap(conn)
+		var group sync.WaitGroup
+		group.Go(func() {
+			_, _ = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\n"+strings.Repeat("x", 1e6))
+		})
+		got, err := io.ReadAll(conn)
+		qt.Check(t, string(got), qt.Equals, "part")
+		if want == nil {
+			qt.Check(t, err, qt.IsNil)
+		} else {
+			qt.Check(t, err, qt.ErrorIs, want)
+		}
+		_ = conn.Close()
+		group.Wait()
+	}
+	t.Run("reset", func(t *testing.T) {
+		for range 10 {
+			expectEnd(t, syscall.ECONNRESET, rawresponder.WithResetDuringUpload(3*time.Millisecond))
+		}
+	})
+	t.Run("in order", func(t *testing.T) {
+		hold := make(chan struct{})
+		t.Cleanup(func() { close(hold) })
+		expectEnd(t, nil, rawresponder.WithOrderlyEndDuringUpload(hold))
+	})
+}
--- a/internal/standins/rawresponder/upload.go
+++ b/internal/standins/rawresponder/upload.go
@@ -1,18 +1,10 @@
 package rawresponder
 
 import (
-	"context"
 	"net"
-	"syscall"
 	"time"
-)
 
-// A connection of a Responder that ends during uploads takes little of a request's body, as one over a slow
-// link does. Without these bounds loopback takes megabytes at once, and the sender has written all of it
-// before the connection ends.
-const (
-	narrowBufferBytes  = 8 << 10
-	narrowSegmentBytes = 536
+	"github.com/fescuespindle/fescuespindle/internal/standins/narrowlistener"
 )
 
 // uploadEnd is how a connection ends whose request was answered while its body is written.
@@ -48,26 +40,13 @@
 	_ = tcp.SetLinger(0) // closing the connection then resets it
 }
 
-// listen listens on loopback. The options of the listener are those of its connections.
+// listen listens on loopback.
 func (r *Responder) listen() (net.Listener, error) {
-	config := net.ListenConfig{}
 	if r.end != nil {
-		config.Control = narrow
+		return narrowlistener.Listen(loopback) //nolint:wrapcheck // New wraps it
 	}
-	return config.Listen(context.Background(), "tcp", "127.0.0.1:0") //nolint:wrapcheck // New wraps it
+	return net.Listen("tcp", loopback) //nolint:wrapcheck // New wraps it
 }
 
-// narrow bounds what a connection takes before it is read. It is a net.ListenConfig.Control function.
-func narrow(_, _ string, raw syscall.RawConn) error {
-	var optionErr error
-	err := raw.Control(func(fd uintptr) {
-		optionErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, narrowBufferBytes)
-		if optionErr == nil {
-			optionErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, narrowSegmentBytes)
-		}
-	})
-	if err == nil {
-		err = optionErr
-	}
-	return err //nolint:wrapcheck // New wraps it
-}
+// loopback is any free port of loopback.
+const loopback = "127.0.0.1:0"
