--- a/internal/online/forwarder/connection.go
+++ b/internal/online/forwarder/connection.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -27,6 +28,17 @@
 	maxIdleTimeout     = 30 * time.Second
 )
 
+// connection is a connection to one upstream, with the state to reuse it.
+type connection struct {
+	net     net.Conn
+	address string
+	limiter *headLimiter
+	reader  *bufio.Reader // reads through limiter
+	used    bool          // an answer has been read from it
+	carried []string      // IDs of the last requests, oldest first
+	expires time.Time     // when it must no longer be reused, if it is idle
+}
+
 // connect returns a healthy idle connection, or dials a new one. Idle connections that
 // have expired or have unexpected input are closed.
 //
--- a/internal/online/relayer/unframed.go
+++ b/internal/online/relayer/refusal.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"net/http"
 	"syscall"
 	"time"
 )
@@ -28,8 +27,3 @@
 	_ = conn.Close()
 	return false
 }
-
-// IsUnframed returns whether the body of an answer has neither a length nor chunks, so that
-// its end is that of the connection. An upstream that crashes closes its connections as
-// well, which looks the same.
-func IsUnframed(r *http.Response) bool { return r.ContentLength < 0 && len(r.TransferEncoding) == 0 }
--- a/internal/online/relayer/relayer.go
+++ b/internal/online/relayer/relayer.go
@@ -16,6 +16,7 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/online/eventsplitter"
 	"github.com/fescuespindle/fescuespindle/internal/online/upstream"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/headvalidator"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/transporter"
 )
@@ -197,7 +198,7 @@
 	if errors.Is(err, rationer.ErrExhausted) {
 		return Answer{}, &AttemptError{ran: RanMaybe, cause: err}
 	}
-	if err == nil && IsUnframed(response) && (len(body) == 0 || Refuses(ctx, r.dial, a.Address)) {
+	if err == nil && headvalidator.IsUnframed(response) && (len(body) == 0 || Refuses(ctx, r.dial, a.Address)) {
 		err = io.ErrUnexpectedEOF
 	}
 	if err != nil {
--- a/internal/plumbing/headvalidator/validator.go
+++ b/internal/plumbing/headvalidator/validator.go
@@ -34,12 +34,18 @@
 			return fmt.Errorf("%w: field %q", ErrInvalid, name)
 		}
 	}
-	if endsWithConnection(answer) && hidesLength(answer.Header) {
+	if IsUnframed(answer) && hidesLength(answer.Header) {
 		return fmt.Errorf("%w: length or chunks in a continued line", ErrInvalid)
 	}
 	return nil
 }
 
+// IsUnframed returns whether the body of an answer has neither a length nor chunks, so that its end is that of the
+// connection. An upstream that crashes closes its connections as well, which looks the same.
+func IsUnframed(answer *http.Response) bool {
+	return answer.ContentLength < 0 && len(answer.TransferEncoding) == 0
+}
+
 // asksForUpgrade returns whether a request asks for another protocol. What follows an answer that switches to one is no HTTP.
 func asksForUpgrade(request *http.Request) bool {
 	return request != nil && request.Header.Get("Upgrade") != ""
@@ -64,11 +70,6 @@
 	return name != ""
 }
 
-// endsWithConnection returns whether a body has neither a length nor chunks.
-func endsWithConnection(answer *http.Response) bool {
-	return answer.ContentLength < 0 && len(answer.TransferEncoding) == 0
-}
-
 // hidesLength returns whether a value holds what would be a length or chunks on a line of its own. A line that begins with a
 // blank continues the one before, so that the reader has joined them.
 func hidesLength(header http.Header) bool {
