--- a/internal/plumbing/headvalidator/validator.go
+++ b/internal/plumbing/headvalidator/validator.go
@@ -51,11 +51,13 @@
 	return request != nil && request.Header.Get("Upgrade") != ""
 }
 
-// tokenBytes are the bytes that the name of a field may have (RFC 9110, section 5.6.2).
+// tokenText has the bytes that the name of a field may have (RFC 9110, section 5.6.2).
+const tokenText = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+
+// tokenBytes says of each byte whether tokenText has it.
 var tokenBytes = func() (allowed [256]bool) {
-	for b := range allowed {
-		isLetter := 'a' <= b|0x20 && b|0x20 <= 'z' && b < 0x80
-		allowed[b] = isLetter || '0' <= b && b <= '9' || b < 0x80 && strings.IndexByte("!#$%&'*+-.^_`|~", byte(b)) >= 0
+	for _, b := range []byte(tokenText) {
+		allowed[b] = true
 	}
 	return allowed
 }()
