--- a/internal/batch/jobmover/broken_test.go
+++ b/internal/batch/jobmover/broken_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"net/http"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -16,13 +15,11 @@
 func expectInDoubt(t *testing.T, answers func(line, body string) map[string]string) {
 	for name, answer := range answers("A: b", "{}") {
 		t.Run(name, func(t *testing.T) {
-			server, err := rawresponder.New(func(int, *http.Request) string { return answer }, rawresponder.WithClose())
-			qt.Assert(t, err, qt.IsNil)
-			defer server.Close()
+			address := rawresponder.Start(t, answer)
 			transport := transporter.New(nil)
 			defer transport.CloseIdleConnections()
 			m := jobmover.New(transport, slog.New(slog.DiscardHandler))
-			m.SetPeers(map[string]string{"b": server.Address()})
+			m.SetPeers(map[string]string{"b": address})
 			qt.Check(t, m.Move(t.Context(), "b", job), qt.ErrorIs, jobmover.ErrInDoubt)
 		})
 	}
--- a/internal/online/relayer/broken_test.go
+++ b/internal/online/relayer/broken_test.go
@@ -18,12 +18,10 @@
 func expectNoAnswer(t *testing.T, answers func(line, body string) map[string]string) {
 	for name, answer := range answers(upstream.HeaderRequestID+": id", "{}") {
 		t.Run(name, func(t *testing.T) {
-			server, err := rawresponder.New(func(int, *http.Request) string { return answer }, rawresponder.WithClose())
-			qt.Assert(t, err, qt.IsNil)
-			defer server.Close()
+			address := rawresponder.Start(t, answer)
 			r := relayer.New(nil)
 			defer r.CloseIdle()
-			attempt := relayer.Attempt{ID: "id", Address: server.Address(), Method: http.MethodPost, Path: "/x", Body: []byte("{}")}
+			attempt := relayer.Attempt{ID: "id", Address: address, Method: http.MethodPost, Path: "/x", Body: []byte("{}")}
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 			defer cancel()
 			for _, repeatable := range []bool{false, true} {
@@ -31,7 +29,7 @@
 				qt.Assert(t, err, qt.IsNotNil, qt.Commentf("status %d, %q", got.Status(), got.Body()))
 				qt.Check(t, relayer.AsAttemptError(err).Ran(), qt.Equals, relayer.RanMaybe)
 			}
-			_, err = r.Open(ctx, attempt)
+			_, err := r.Open(ctx, attempt)
 			qt.Check(t, err, qt.IsNotNil)
 			qt.Check(t, ctx.Err(), qt.IsNil, qt.Commentf("failed only when its context ended"))
 		})
--- a/internal/standins/rawresponder/broken.go
+++ b/internal/standins/rawresponder/broken.go
@@ -1,6 +1,22 @@
 package rawresponder
 
-import "fmt"
+import (
+	"fmt"
+	"net/http"
+	"testing"
+)
+
+// Start answers each request with the same bytes and closes its connection in order, until the test ends. It returns the
+// address.
+func Start(t testing.TB, answer string) (address string) {
+	t.Helper()
+	server, err := New(func(int, *http.Request) string { return answer }, WithClose())
+	if err != nil {
+		t.Fatal("start responder: ", err)
+	}
+	t.Cleanup(server.Close)
+	return server.Address()
+}
 
 // InvalidStatuses returns answers whose status is none, by what is wrong with them. Their heads have the given line.
 func InvalidStatuses(line, body string) map[string]string {
--- a/internal/store/storerelayer/broken_test.go
+++ b/internal/store/storerelayer/broken_test.go
@@ -13,14 +13,12 @@
 // brokenTransport returns the transport of a VM that gets the given answer to each call.
 func brokenTransport(t *testing.T, answer string) roundTripFunc {
 	t.Helper()
-	server, err := rawresponder.New(func(int, *http.Request) string { return answer }, rawresponder.WithClose())
-	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(server.Close)
+	address := rawresponder.Start(t, answer)
 	transport := transporter.New(nil)
 	t.Cleanup(transport.CloseIdleConnections)
 	return func(request *http.Request) (*http.Response, error) {
 		call := request.Clone(request.Context())
-		call.URL.Host = server.Address()
+		call.URL.Host = address
 		return transport.RoundTrip(call)
 	}
 }
