--- a/internal/standins/interrupter/proxy.go
+++ b/internal/standins/interrupter/proxy.go
@@ -36,16 +36,16 @@
 
 // Proxy forwards connections to one address.
 type Proxy struct {
-	address string
-	target  string
-	ctx     context.Context //nolint:containedctx // canceled by Close
-	cancel  context.CancelFunc
-	group   sync.WaitGroup
+	address  string
+	target   string
+	isNarrow bool
+	ctx      context.Context //nolint:containedctx // canceled by Close
+	cancel   context.CancelFunc
+	group    sync.WaitGroup
 
 	mu           sync.Mutex
 	listener     net.Listener // nil between Stop, Refuse or Partition and Restart
 	full         *fullListener
-	listen       func(address string) (net.Listener, error)
 	toTarget     Fault
 	toClient     Fault
 	disconnected bool
@@ -61,22 +61,18 @@
 	return func(p *Proxy) { p.address = address }
 }
 
-// WithNarrowSockets makes connections to the proxy take little before they are forwarded.
+// WithNarrowSockets makes connections through the proxy take little before it is read at their ends.
 func WithNarrowSockets() Option {
-	return func(p *Proxy) { p.listen = narrowlistener.Listen }
-}
-
-func listenTCP(address string) (net.Listener, error) {
-	return net.Listen("tcp", address) //nolint:wrapcheck // the callers do
+	return func(p *Proxy) { p.isNarrow = true }
 }
 
 // New starts a proxy that listens on loopback and forwards to an address.
 func New(target string, options ...Option) (*Proxy, error) {
-	p := &Proxy{address: "127.0.0.1:0", target: target, conns: map[net.Conn]struct{}{}, listen: listenTCP}
+	p := &Proxy{address: "127.0.0.1:0", target: target, conns: map[net.Conn]struct{}{}}
 	for _, option := range options {
 		option(p)
 	}
-	listener, err := p.listen(p.address)
+	listener, err := p.listen()
 	if err != nil {
 		return nil, fmt.Errorf("proxy: %w", err)
 	}
@@ -86,6 +82,13 @@
 	return p, nil
 }
 
+func (p *Proxy) listen() (net.Listener, error) {
+	if p.isNarrow {
+		return narrowlistener.Listen(p.address) //nolint:wrapcheck // the callers do
+	}
+	return net.Listen("tcp", p.address) //nolint:wrapcheck // the callers do
+}
+
 // Address returns the address that the proxy listens on.
 func (p *Proxy) Address() string { return p.address }
 
@@ -158,7 +161,7 @@
 	}
 	p.closeListener()
 	p.toTarget, p.toClient = Fault{}, Fault{}
-	listener, err := p.listen(p.address)
+	listener, err := p.listen()
 	if err != nil {
 		return fmt.Errorf("proxy: %w", err)
 	}
@@ -239,6 +242,9 @@
 	if err != nil || !p.track(target) {
 		return
 	}
+	if tcp, ok := target.(*net.TCPConn); ok && p.isNarrow {
+		_ = tcp.SetWriteBuffer(narrowlistener.BufferBytes) // without it, only more is taken
+	}
 	defer p.untrack(target)
 	var group sync.WaitGroup
 	origin, end := newSide(client), newSide(target)
@@ -272,7 +278,11 @@
 // copy forwards data until a read or write fails, and ends one connection as the other has ended. If a write fails, the copy of the
 // other direction learns how. The fault may change at any time.
 func (p *Proxy) copy(to, from side, fault func() Fault) {
-	buffer := make([]byte, bufferBytes)
+	size := bufferBytes
+	if p.isNarrow {
+		size = narrowlistener.BufferBytes
+	}
+	buffer := make([]byte, size)
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 && p.wait(fault) {
--- a/internal/standins/narrowlistener/listener.go
+++ b/internal/standins/narrowlistener/listener.go
@@ -9,11 +9,11 @@
 	"syscall"
 )
 
-// bufferBytes bounds what a connection takes; segmentBytes bounds what its sender keeps, as Linux sizes that by segments.
-const (
-	bufferBytes  = 8 << 10
-	segmentBytes = 536
-)
+// BufferBytes bounds what a connection takes.
+const BufferBytes = 8 << 10
+
+// segmentBytes bounds what its sender keeps, as Linux sizes that by segments.
+const segmentBytes = 536
 
 // Listen listens at an address (host:port).
 func Listen(address string) (net.Listener, error) {
@@ -25,7 +25,7 @@
 func bound(_, _ string, raw syscall.RawConn) error {
 	var optionErr error
 	err := raw.Control(func(fd uintptr) {
-		optionErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bufferBytes)
+		optionErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, BufferBytes)
 		if optionErr == nil {
 			optionErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, segmentBytes)
 		}
