--- a/internal/online/tunneler/broken_test.go
+++ b/internal/online/tunneler/broken_test.go
@@ -14,8 +14,8 @@
 	"github.com/fescuespindle/fescuespindle/internal/standins/rawresponder"
 )
 
-// line says that the upstream refuses connections.
-const line = "Fescuespindle-Tunnel: refused"
+// refusedLine says that the upstream refuses connections.
+const refusedLine = "Fescuespindle-Tunnel: refused"
 
 // expectNothingSaid asks peer VMs that send the given replies for a connection. They say nothing of the upstream.
 func expectNothingSaid(t *testing.T, replies map[string]string) {
@@ -34,7 +34,7 @@
 
 // Guards against: what a peer VM says of an upstream is believed although its status is none.
 func TestReplyWithoutAValidStatusSaysNothing(t *testing.T) {
-	replies := rawresponder.InvalidStatuses(line, "{}")
+	replies := rawresponder.InvalidStatuses(refusedLine, "{}")
 	maps.DeleteFunc(replies, func(_, reply string) bool {
 		return strings.HasPrefix(reply, "HTTP/1.1 101") // it is what was asked for
 	})
@@ -43,5 +43,5 @@
 
 // Guards against: what a peer VM says of an upstream is believed although its head has a field whose name is none.
 func TestReplyWithAnInvalidNameSaysNothing(t *testing.T) {
-	expectNothingSaid(t, rawresponder.InvalidNames(line, "{}"))
+	expectNothingSaid(t, rawresponder.InvalidNames(refusedLine, "{}"))
 }
