--- a/internal/online/forwarder/bench_test.go
+++ b/internal/online/forwarder/bench_test.go
@@ -15,8 +15,8 @@
 // BenchmarkSend sends requests over one connection and reads their answers, which have the fields of usual ones.
 func BenchmarkSend(b *testing.B) {
 	body := strings.Repeat("x", 200)
-	fields := "Content-Type: text/plain\r\nServer-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\nServer-Load: 3,0,8,100\r\nKeep-Alive: timeout=20\r\n" +
-		"Date: Mon, 07 Dec 2026 05:00:00 GMT\r\nWeight-Versions: 1\r\n"
+	fields := "Content-Type: text/plain\r\nX-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\nX-Load: 3,0,8,100\r\nKeep-Alive: timeout=20\r\n" +
+		"Date: Mon, 07 Dec 2026 05:00:00 GMT\r\nX-Versions: 1\r\n"
 	answer := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: id\r\n%sContent-Length: %d\r\n\r\n%s", idHeader, fields, len(body), body)
 	server, err := rawresponder.New(func(_ int, r *http.Request) string {
 		return strings.Replace(answer, ": id\r\n", ": "+r.Header.Get(idHeader)+"\r\n", 1)
