entryvm: the list of request paths has the default dialer of transporter.New

net/http opened these connections itself until transporter wrapped them: those to the store of the product's own interface, and of operators' commands.

--- a/internal/wiring/entryvm/requestpaths_test.go
+++ b/internal/wiring/entryvm/requestpaths_test.go
@@ -52,6 +52,7 @@
 	"internal/wiring/entryvm.storeTransport socketdialer.New": "store and peer VMs",
 	"internal/wiring/assembler.orTCP socketdialer.New":        "the product's own interface",
 	"internal/online/relayer.New net.Dialer{}":                "the product's own interface",
+	"internal/plumbing/transporter.New net.Dialer{}":          "store of the product's own interface; VMs, for operators' commands",
 }
 
 // otherFolders don't serve.
