headvalidator: errors quote at most 80 characters of a head

Cause: an invalid status or name may be as long as the head, and each failed attempt kept and logged a quoted copy of it. Change: at most 80 characters are quoted.

--- a/internal/plumbing/headvalidator/validator.go
+++ b/internal/plumbing/headvalidator/validator.go
@@ -17,6 +17,9 @@
 	"strings"
 )
 
+// maxQuotedChars bounds what an error quotes of a head, whose lines may be as long as the head.
+const maxQuotedChars = 80
+
 // ErrInvalid means that a head is none. The answer must not be used, nor its connection any further.
 var ErrInvalid = errors.New("invalid head of an answer")
 
@@ -24,14 +27,14 @@
 // request that it is for.
 func Validate(answer *http.Response) error {
 	if answer.StatusCode < http.StatusContinue {
-		return fmt.Errorf("%w: status %q", ErrInvalid, answer.Status)
+		return fmt.Errorf("%w: status %.*q", ErrInvalid, maxQuotedChars, answer.Status)
 	}
 	if answer.StatusCode == http.StatusSwitchingProtocols && !asksForUpgrade(answer.Request) {
 		return fmt.Errorf("%w: protocol switched without request", ErrInvalid)
 	}
 	for name := range answer.Header {
 		if !isToken(name) {
-			return fmt.Errorf("%w: field %q", ErrInvalid, name)
+			return fmt.Errorf("%w: field %.*q", ErrInvalid, maxQuotedChars, name)
 		}
 	}
 	if IsUnframed(answer) && hidesLength(answer.Header) {
--- a/internal/plumbing/headvalidator/validator_test.go
+++ b/internal/plumbing/headvalidator/validator_test.go
@@ -56,3 +56,14 @@
 	text := "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Name: of content-length: 4\r\n\r\nbody"
 	qt.Check(t, validate(t, text, nil), qt.IsNil, qt.Commentf("the length is known"))
 }
+
+// Guards against: a line as long as the head, of which each failed attempt keeps and logs a copy.
+func TestErrorsAreShort(t *testing.T) {
+	const maxErrorBytes = 400
+	long := strings.Repeat("\xff", 64<<10)
+	for _, text := range []string{"HTTP/1.1 000 " + long + "\r\n\r\n", "HTTP/1.1 200 OK\r\nX " + strings.Repeat("y", len(long)) + ": b\r\n\r\n"} {
+		err := validate(t, text, nil)
+		qt.Assert(t, err, qt.ErrorIs, headvalidator.ErrInvalid)
+		qt.Check(t, len(err.Error()) <= maxErrorBytes, qt.IsTrue, qt.Commentf("%d bytes", len(err.Error())))
+	}
+}
