--- a/review/_standins3/stage/client.go
+++ b/review/_standins3/stage/client.go
@@ -29,8 +29,8 @@
 	body  string
 }
 
-// newSubmission returns a submission of items, whose headers are given as JSON fields after the first one.
-func newSubmission(items int, headers, body string) submission {
+// newSubmission returns a submission of items with a body, in base64.
+func newSubmission(items int, body string) submission {
 	s := submission{id: newID()}
 	var text strings.Builder
 	text.WriteString(`{"requests":[`)
@@ -39,7 +39,7 @@
 			text.WriteString(",")
 		}
 		s.items = append(s.items, newID())
-		fmt.Fprintf(&text, `{"id":%q,"path":"/batch/x","headers":{"Model":"m"%s},"body":%q,"tokens":940}`, s.items[n], headers, body)
+		fmt.Fprintf(&text, `{"id":%q,"path":"/batch/x","headers":{"Model":"m"},"body":%q,"tokens":940}`, s.items[n], body)
 	}
 	text.WriteString("]}")
 	s.body = text.String()
@@ -49,25 +49,6 @@
 // ordinaryBody is the body of an item, in base64.
 const ordinaryBody = "q83vEjRWeJA="
 
-// shortLines returns header lines of a few bytes each, as JSON fields.
-func shortLines(lines int) string {
-	var text strings.Builder
-	for n := range lines {
-		fmt.Fprintf(&text, `,"%s":""`, strconv.FormatInt(int64(n), 36))
-	}
-	return text.String()
-}
-
-// longLines returns header lines with the same number of bytes in all as the given ones, but few.
-func longLines(like string, lines int) string {
-	var text strings.Builder
-	for n := range lines {
-		name := fmt.Sprintf(`,"x-%d":"`, n)
-		text.WriteString(name + strings.Repeat("v", len(like)/lines-len(name)-1) + `"`)
-	}
-	return text.String()
-}
-
 // submit hands in a submission, and returns the status, or 0.
 func (v *vm) submit(s submission) int {
 	r := v.call(5*time.Second, http.MethodPost, "/batch/"+s.id, s.id, s.body, "Content-Type", "application/json")
--- a/review/_standins3/stage/crash.go
+++ b/review/_standins3/stage/crash.go
@@ -10,7 +10,6 @@
 )
 
 func init() {
-	cases["lines"] = lines
 	cases["readers"] = readers
 }
 
@@ -67,44 +66,6 @@
 	return often
 }
 
-// lines hands in submissions of legal size, the items of which have very many short header lines. What gets no answer
-// comes again at another VM.
-func lines(s *stage) (bool, error) {
-	callers, err := startMachines(s)
-	if err != nil {
-		return false, err
-	}
-	const clients, limitBytes = 6, 4_190_000
-	headers := shortLines(413_000)
-	if !s.trouble {
-		headers = longLines(headers, 100)
-	}
-	if length := len(newSubmission(1, headers, ordinaryBody).body); length > limitBytes {
-		return false, fmt.Errorf("%w: submission of %d bytes", errNotRun, length)
-	}
-	for round := range 9 {
-		if s.endedOften() >= 2 {
-			break
-		}
-		var group sync.WaitGroup
-		for range clients {
-			group.Go(func() {
-				job := newSubmission(1, headers, ordinaryBody)
-				for attempt := range 2 { // a client tries once more, at another VM
-					status := s.vms[(round+attempt)%machines].submit(job)
-					if status == http.StatusAccepted || status == http.StatusTooManyRequests {
-						return
-					}
-					time.Sleep(300 * time.Millisecond)
-				}
-			})
-		}
-		group.Wait()
-		time.Sleep(3 * time.Second)
-	}
-	return judgeEnds(s, callers), nil
-}
-
 // readers reads the body of an accepted item with clients that read slowly.
 func readers(s *stage) (bool, error) {
 	callers, err := startMachines(s)
@@ -112,11 +73,11 @@
 		return false, err
 	}
 	body := strings.Repeat("q83vEjRWeJAA", 300_000) // base64 of 2.7 MB, within max_body_bytes
-	job := newSubmission(1, "", body)
+	job := newSubmission(1, body)
 	if s.vms[0].submit(job) != http.StatusAccepted {
 		return false, errNotRun
 	}
-	const clients, rate = 60, 20 * time.Millisecond
+	const clients, interval, pause = 70, 100 * time.Millisecond, 500 * time.Millisecond
 	for round := range 10 {
 		if s.endedOften() >= 2 {
 			break
@@ -124,11 +85,14 @@
 		v := s.vms[round%2]
 		var group sync.WaitGroup
 		var mu sync.Mutex
-		whole, cut := 0, 0
+		whole, cut, before := 0, 0, v.endCount()
 		for range clients {
-			time.Sleep(50 * time.Millisecond)
+			if v.endCount() > before {
+				break // the platform has killed the process
+			}
+			time.Sleep(interval)
 			group.Go(func() {
-				ok := s.readBody(v, job, len(body)/4*3, rate)
+				ok := s.readBody(v, job, len(body)/4*3, pause)
 				mu.Lock()
 				defer mu.Unlock()
 				if ok {
@@ -139,7 +103,7 @@
 			})
 		}
 		group.Wait()
-		s.logf("ASKED %s for the body of item %s by %d clients: %d got it whole, %d not", v.name, job.items[0], clients, whole, cut)
+		s.logf("ASKED %s for the body of item %s by %d clients: %d got it whole, %d not", v.name, job.items[0], whole+cut, whole, cut)
 		time.Sleep(time.Second)
 	}
 	return judgeEnds(s, callers), nil
@@ -167,7 +131,7 @@
 			return total > length
 		}
 		if s.trouble {
-			time.Sleep(pause * 25)
+			time.Sleep(pause)
 		}
 	}
 	return false
--- a/review/_standins3/stage/empty.go
+++ b/review/_standins3/stage/empty.go
@@ -61,7 +61,7 @@
 		bad.until = time.Now().Add(troubleTime)
 		s.logf("lm1 hands out wrong bytes in one of %d answers for %v", bad.every, troubleTime)
 	}
-	job := newSubmission(200, "", ordinaryBody)
+	job := newSubmission(200, ordinaryBody)
 	if s.vms[0].submit(job) != http.StatusAccepted {
 		return false, errNotRun
 	}
--- a/review/_standins3/stage/endless.go
+++ b/review/_standins3/stage/endless.go
@@ -56,7 +56,7 @@
 		bad.until.Store(time.Now().Add(troubleTime).UnixNano())
 		s.logf("lm1 answers without end for %v", troubleTime)
 	}
-	job := newSubmission(30, "", ordinaryBody)
+	job := newSubmission(30, ordinaryBody)
 	if s.vms[0].submit(job) != http.StatusAccepted {
 		return false, errNotRun
 	}
--- a/review/_standins3/stage/unloadable.go
+++ b/review/_standins3/stage/unloadable.go
@@ -95,7 +95,7 @@
 		counter.until = time.Now().Add(spoilTime)
 		s.logf("lm1, lm3 and lm5 spoil one of %d answers for %v", spoilEvery, spoilTime)
 	}
-	job := newSubmission(200, "", ordinaryBody)
+	job := newSubmission(200, ordinaryBody)
 	if s.vms[0].submit(job) != http.StatusAccepted {
 		return false, errNotRun
 	}
