--- a/review/_standins3/stage/client.go
+++ b/review/_standins3/stage/client.go
@@ -52,7 +52,7 @@
 // submit hands in a submission, and returns the status, or 0.
 func (v *vm) submit(s submission) int {
 	r := v.call(5*time.Second, http.MethodPost, "/batch/"+s.id, s.id, s.body, "Content-Type", "application/json")
-	v.stage.logf("SENT submission %s to %s: %d items, %d bytes -> %d %v", s.id, v.name, len(s.items), len(s.body), r.status, errText(r.err))
+	v.stage.logf("SENT submission %+q to %s: %d items, %d bytes -> %d %v", s.id, v.name, len(s.items), len(s.body), r.status, errText(r.err))
 	return r.status
 }
 
--- a/review/_standins3/stage/stage.go
+++ b/review/_standins3/stage/stage.go
@@ -141,7 +141,6 @@
 // names are the words of the platform that a stand-in needs.
 type names struct {
 	Results       string          `json:"results"`
-	Bodies        string          `json:"bodies"`
 	Configuration json.RawMessage `json:"configuration"`
 }
 
