Wrong bytes for an event's id no longer stop a whole job

Cause: any text in the id field counted as an id, and went as a CBOR text into the row of the item's progress. CBOR's decoder refuses a text that is no UTF-8, and one such row failed the load of its whole job, at every VM, for good. Online such events were passed on.

All CBOR is read by lenientdecoder, so that a wrong text of an earlier build costs only what it stands for; progress that can't be decoded or goes on after no number is left out, and its item starts over. This works as the text can't get in any more, and as no row of progress can stop a load.

--- a/internal/batch/attempter/attempter.go
+++ b/internal/batch/attempter/attempter.go
@@ -12,6 +12,7 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/online/courier"
+	"github.com/fescuespindle/fescuespindle/internal/online/eventreader"
 	"github.com/fescuespindle/fescuespindle/internal/online/eventsplitter"
 	"github.com/fescuespindle/fescuespindle/internal/online/placer"
 	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
@@ -142,7 +143,7 @@
 	}
 	output := newOutputMemory(memory)
 	defer output.release()
-	events := eventsplitter.New(delivery, eventsplitter.WithMemory(memory))
+	events := eventreader.New(delivery, progress.LastEvent, eventsplitter.WithMemory(memory))
 	defer events.Close()
 	return readEvents(ctx, delivery, events, live, output, stallTimer)
 }
@@ -178,7 +179,7 @@
 
 // readEvents appends the data of each event to the progress until the stream ends.
 func readEvents(
-	ctx context.Context, d *courier.Delivery, events *eventsplitter.Splitter, live *LiveProgress, output *outputMemory,
+	ctx context.Context, d *courier.Delivery, events *eventreader.Reader, live *LiveProgress, output *outputMemory,
 	stallTimer *time.Timer,
 ) Result {
 	progress := live.Progress()
@@ -215,9 +216,7 @@
 			progress.Output = append(progress.Output, '\n')
 		}
 		progress.Output = event.AppendData(progress.Output)
-		if id := event.ID(); id != "" {
-			progress.LastEvent = id
-		}
+		progress.LastEvent = events.LastEvent()
 		live.set(progress)
 	}
 }
--- a/internal/batch/attempter/attempter_test.go
+++ b/internal/batch/attempter/attempter_test.go
@@ -83,8 +83,8 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 		w.Header().Set("Content-Type", "text/event-stream")
-		for range events {
-			_, _ = io.WriteString(w, "data: "+strings.Repeat("x", 4<<10)+"\n\n")
+		for n := range events {
+			_, _ = io.WriteString(w, fmt.Sprintf("id: %d\ndata: %s\n\n", n, strings.Repeat("x", 4<<10)))
 		}
 		_ = http.NewResponseController(w).Flush()
 		<-r.Context().Done()
--- a/internal/batch/batchkeeper/contentreader.go
+++ b/internal/batch/batchkeeper/contentreader.go
@@ -11,6 +11,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/lenientdecoder"
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 )
 
@@ -68,7 +69,7 @@
 // isn't the accepted one.
 func decodeContent(encoded []byte, count int) ([]Item, error) {
 	var items []Item
-	if err := cbor.Unmarshal(encoded, &items); err != nil {
+	if err := lenientdecoder.Decode(encoded, &items); err != nil {
 		return nil, fmt.Errorf("%w: %w", errIncomplete, err)
 	}
 	if len(items) != count {
@@ -180,7 +181,7 @@
 	var items []Item
 	for !d.failed {
 		var item Item
-		rest, err := cbor.UnmarshalFirst(d.rest, &item)
+		rest, err := lenientdecoder.DecodeFirst(d.rest, &item)
 		if err != nil { // the rest of the item is in a later row
 			break
 		}
--- a/internal/batch/batchkeeper/header.go
+++ b/internal/batch/batchkeeper/header.go
@@ -6,6 +6,8 @@
 	"net/http"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/lenientdecoder"
 )
 
 // Encodings of headers without fields. Earlier releases write null for some.
@@ -42,7 +44,7 @@
 	if len(h.encoded) == 0 {
 		return fields, nil
 	}
-	if err := cbor.Unmarshal(h.encoded, &fields); err != nil {
+	if err := lenientdecoder.Decode(h.encoded, &fields); err != nil {
 		return nil, fmt.Errorf("%w: header of an item: %w", ErrCorrupt, err)
 	}
 	return fields, nil
--- a/internal/batch/batchkeeper/owner.go
+++ b/internal/batch/batchkeeper/owner.go
@@ -140,6 +140,8 @@
 	Items     []Item
 	HasResult map[string]bool // by item ID
 	Progress  map[int]Progress
+	// UnreadableProgress is the number of rows of progress that can't be decoded. Their items start over.
+	UnreadableProgress int
 }
 
 // Team returns the name of the job's team, as its items have it.
@@ -174,14 +176,25 @@
 	if loaded.HasResult, err = k.itemsWithResult(ctx, id); err != nil {
 		return loaded, err
 	}
-	loaded.Progress, err = readNumbered[Progress](ctx, k, tableProgress, id)
+	loaded.Progress, loaded.UnreadableProgress, err = k.readProgress(ctx, id)
 	return loaded, err
 }
 
+// readProgress reads the progress of a job's items, and returns the number of rows that it skips because they can't be
+// decoded. Progress only saves work, so that such a row costs its item a new start, and not the job.
+func (k *Keeper) readProgress(ctx context.Context, id string) (byItem map[int]Progress, skipped int, err error) {
+	byItem, err = readNumbered[Progress](ctx, k, tableProgress, id, func(err error) error {
+		skipped++
+		k.logger.Warn("skipping progress of an item", "job", id, "error", err)
+		return nil
+	})
+	return byItem, skipped, err
+}
+
 // itemsWithResult returns the IDs of the items of a job that have a result. It doesn't read the continuation
 // rows of the results.
 func (k *Keeper) itemsWithResult(ctx context.Context, id string) (map[string]bool, error) {
-	results, err := readNumbered[Result](ctx, k, tableResults, id)
+	results, err := readNumbered[Result](ctx, k, tableResults, id, failOnCorrupt)
 	items := make(map[string]bool, len(results))
 	for _, result := range results {
 		items[result.Item] = true
@@ -189,8 +202,14 @@
 	return items, err
 }
 
-// readNumbered reads the numbered rows of a job in a table, and returns their decoded values by number.
-func readNumbered[T any](ctx context.Context, k *Keeper, table, id string) (map[int]T, error) {
+// failOnCorrupt makes readNumbered fail at a row that can't be decoded.
+func failOnCorrupt(err error) error { return err }
+
+// readNumbered reads the numbered rows of a job in a table, and returns their decoded values by number. onCorrupt is called for
+// rows that can't be decoded, with ErrCorrupt; if it returns nil, the row is left out.
+func readNumbered[T any](
+	ctx context.Context, k *Keeper, table, id string, onCorrupt func(error) error,
+) (map[int]T, error) {
 	from, to := numberedRange(id, 0)
 	rows, err := k.readRange(ctx, table, partNameOf(id), from, to)
 	if err != nil {
@@ -204,7 +223,10 @@
 		}
 		var value T
 		if err := decodeRow(row, &value); err != nil {
-			return nil, err
+			if err := onCorrupt(err); err != nil {
+				return nil, err
+			}
+			continue
 		}
 		values[n] = value
 	}
--- a/internal/batch/batchkeeper/record.go
+++ b/internal/batch/batchkeeper/record.go
@@ -32,6 +32,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/lenientdecoder"
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 )
 
@@ -194,7 +195,7 @@
 }
 
 func decodeRow(row rowstore.Row, value any) error {
-	if err := cbor.Unmarshal(row.Value, value); err != nil {
+	if err := lenientdecoder.Decode(row.Value, value); err != nil {
 		return fmt.Errorf("%w: %s: %w", ErrCorrupt, row.Key, err)
 	}
 	return nil
--- a/internal/batch/batchrunner/handover.go
+++ b/internal/batch/batchrunner/handover.go
@@ -121,8 +121,9 @@
 	age := r.ageOf(moved)
 	r.keeper.SetClock(moved.Clock)
 	stored := batchkeeper.VersionedRecord{Record: moved.Record, Version: moved.Version}
-	r.adopt(stored, batchkeeper.LoadedJob{Items: moved.Items, Progress: moved.Progress}, reservation,
-		origin{way: wayHandedOver, from: moved.Record.Owner})
+	loaded := batchkeeper.LoadedJob{Items: moved.Items, Progress: moved.Progress}
+	r.dropUnusableProgress(id, &loaded)
+	r.adopt(stored, loaded, reservation, origin{way: wayHandedOver, from: moved.Record.Owner})
 	j := r.jobs[id]
 	j.unclaimed = true
 	j.evidence = startjudge.FromSender(now.Add(-age), r.ends.LastHeard(id))
--- a/internal/batch/batchrunner/handover_test.go
+++ b/internal/batch/batchrunner/handover_test.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/fescuespindle/fescuespindle/internal/batch/jobmover"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/lenientdecoder"
 	"github.com/fescuespindle/fescuespindle/platform/standin"
 )
 
@@ -29,7 +30,7 @@
 	text, err := cbor.Marshal(job) // as it is sent
 	qt.Assert(f.t, err, qt.IsNil)
 	var arrived jobmover.Job
-	qt.Assert(f.t, cbor.Unmarshal(text, &arrived), qt.IsNil)
+	qt.Assert(f.t, lenientdecoder.Decode(text, &arrived), qt.IsNil)
 	if !to.runner.TakeOver(ctx, arrived) {
 		return jobmover.ErrNotTakenOver
 	}
--- a/internal/batch/batchrunner/load.go
+++ b/internal/batch/batchrunner/load.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
+	"github.com/fescuespindle/fescuespindle/internal/online/eventreader"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/arrivalbounder"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
@@ -74,6 +75,7 @@
 		return loadEnded
 	}
 	outcome := loadFailed
+	r.dropUnusableProgress(j.stored.ID, &loaded)
 	if err == nil {
 		outcome = j.fit(&loaded)
 	}
@@ -95,6 +97,22 @@
 	return outcome
 }
 
+// dropUnusableProgress removes progress after which no run can go on from a job that another process has written or sent:
+// releases that took any bytes for the id of an event may have done so. The items concerned start over.
+func (r *Runner) dropUnusableProgress(id string, loaded *batchkeeper.LoadedJob) {
+	dropped := loaded.UnreadableProgress
+	for index, progress := range loaded.Progress {
+		if _, valid := eventreader.ParseNumber(progress.LastEvent); !valid {
+			delete(loaded.Progress, index)
+			dropped++
+		}
+	}
+	if dropped > 0 {
+		r.counter.Count("jobs_with_unusable_progress_total")
+		r.logger.Warn("items start over, as their progress can't be used", "job", id, "items", dropped)
+	}
+}
+
 // fit reserves memory for the content of a job, without the output so far if there is too little: the job then runs at once,
 // and its items start over, where it would wait for memory that other jobs may hold for long. It returns the outcome of the load.
 func (j *job) fit(loaded *batchkeeper.LoadedJob) string {
--- a/internal/batch/jobmover/mover.go
+++ b/internal/batch/jobmover/mover.go
@@ -21,6 +21,7 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/bodyloader"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/lenientdecoder"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
 )
 
@@ -185,7 +186,7 @@
 		return
 	}
 	var job Job
-	if err := cbor.Unmarshal(body, &job); err != nil {
+	if err := lenientdecoder.Decode(body, &job); err != nil {
 		m.logger.Warn("cannot decode job from another VM", "error", err)
 		w.WriteHeader(http.StatusBadRequest)
 		return
--- a/internal/batch/jobmover/mover_test.go
+++ b/internal/batch/jobmover/mover_test.go
@@ -47,6 +47,12 @@
 // expectMove sends the job to a VM whose requests the handler serves, and checks the
 // error.
 func expectMove(t *testing.T, handler http.Handler, want error) {
+	t.Helper()
+	expectMoveOf(t, job, handler, want)
+}
+
+// expectMoveOf is expectMove with another job.
+func expectMoveOf(t *testing.T, job jobmover.Job, handler http.Handler, want error) {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	defer server.Close()
@@ -69,6 +75,16 @@
 	qt.Check(t, receiver.received, qt.DeepEquals, []jobmover.Job{job})
 }
 
+// Guards against: a VM of a release that took any bytes for the id of an event can't hand over a job, as one text of it is no
+// UTF-8.
+func TestWrongBytesInTheProgressOfAnItemDoNotStopAHandover(t *testing.T) {
+	receiver := &fakeReceiver{accepts: true}
+	odd := job
+	odd.Progress = map[int]batchkeeper.Progress{1: {LastEvent: "\x8e\xa7", Output: []byte("wrong")}}
+	expectMoveOf(t, odd, handlerOf(receiver), nil)
+	qt.Check(t, receiver.received, qt.DeepEquals, []jobmover.Job{odd})
+}
+
 func TestRejectedJobIsNotTakenOver(t *testing.T) {
 	expectMove(t, handlerOf(&fakeReceiver{}), jobmover.ErrNotTakenOver)
 }
--- a/internal/control/bootstrapper/bootstrapper.go
+++ b/internal/control/bootstrapper/bootstrapper.go
@@ -28,6 +28,7 @@
 
 	"github.com/fescuespindle/fescuespindle/internal/control/watcher"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/arrivalbounder"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/lenientdecoder"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/sleeper"
 )
@@ -252,7 +253,7 @@
 	if response.ContentLength < 0 && len(data) == maxAnswerBytes {
 		return answer, errTooLong
 	}
-	if err := cbor.Unmarshal(data, &answer); err != nil {
+	if err := lenientdecoder.Decode(data, &answer); err != nil {
 		return answer, fmt.Errorf("decode answer: %w", err)
 	}
 	return answer, nil
--- a/internal/control/fleetidentifier/identifier.go
+++ b/internal/control/fleetidentifier/identifier.go
@@ -10,6 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/lenientdecoder"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/repeater"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/sleeper"
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
@@ -175,7 +176,7 @@
 
 func decode(row rowstore.Row) (uint64, error) {
 	var r record
-	if err := cbor.Unmarshal(row.Value, &r); err != nil {
+	if err := lenientdecoder.Decode(row.Value, &r); err != nil {
 		return 0, fmt.Errorf("%w: %w", errMalformed, err)
 	}
 	if r.Identity == 0 {
--- a/internal/control/memberkeeper/keeper.go
+++ b/internal/control/memberkeeper/keeper.go
@@ -20,6 +20,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/lenientdecoder"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/repeater"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/sleeper"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/weigher"
@@ -246,7 +247,7 @@
 		return
 	}
 	s := rowState{version: row.Version, changedAt: now}
-	if err := cbor.Unmarshal(row.Value, &s.member); err != nil {
+	if err := lenientdecoder.Decode(row.Value, &s.member); err != nil {
 		k.logger.Warn("malformed VM row", "row", row.Name, "error", err)
 	}
 	k.rows[row.Name] = s
--- a/internal/control/peer/message.go
+++ b/internal/control/peer/message.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/fescuespindle/fescuespindle/internal/control/vmlister"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/lenientdecoder"
 )
 
 // ProtocolVersion is the version of the message format. Decode rejects others.
@@ -338,7 +339,7 @@
 // the sender is returned along with the error.
 func Decode(data []byte) (Sender, Message, error) {
 	var e envelope
-	if err := cbor.Unmarshal(data, &e); err != nil {
+	if err := lenientdecoder.Decode(data, &e); err != nil {
 		return Sender{}, nil, fmt.Errorf("%w: %w", ErrBadMessage, err)
 	}
 	if e.Version != ProtocolVersion {
@@ -369,6 +370,6 @@
 
 func decodeAs[T Message](body []byte) (Message, error) {
 	var message T
-	err := cbor.Unmarshal(body, &message)
+	err := lenientdecoder.Decode(body, &message)
 	return message, err
 }
--- a/internal/control/peerteller/reporter.go
+++ b/internal/control/peerteller/reporter.go
@@ -19,6 +19,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/fescuespindle/fescuespindle/internal/online/placer"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/lenientdecoder"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/repeater"
 )
 
@@ -218,7 +219,7 @@
 // one of its sender.
 func (r *Reporter) handleMessage(data []byte, from netip.AddrPort) {
 	var m message
-	if err := cbor.Unmarshal(data, &m); err != nil {
+	if err := lenientdecoder.Decode(data, &m); err != nil {
 		r.logger.Warn("malformed peer message", "error", err)
 		return
 	}
--- a/internal/control/quotateller/teller.go
+++ b/internal/control/quotateller/teller.go
@@ -14,6 +14,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/fescuespindle/fescuespindle/internal/online/quotakeeper"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/lenientdecoder"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/repeater"
 )
 
@@ -212,7 +213,7 @@
 // handleMessage decodes a message, passes it on if it is of this fleet, and answers it at once.
 func (t *Teller) handleMessage(data []byte, from netip.AddrPort) {
 	var m message
-	if err := cbor.Unmarshal(data, &m); err != nil {
+	if err := lenientdecoder.Decode(data, &m); err != nil {
 		t.logger.Warn("malformed quota message", "error", err)
 		return
 	}
--- a/internal/control/tablesharer/answer.go
+++ b/internal/control/tablesharer/answer.go
@@ -10,6 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/lenientdecoder"
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 )
 
@@ -69,7 +70,7 @@
 		return nil, fmt.Errorf("decompress rows: %w", err)
 	}
 	var rows []sharedRow
-	if err := cbor.Unmarshal(encoded, &rows); err != nil {
+	if err := lenientdecoder.Decode(encoded, &rows); err != nil {
 		return nil, fmt.Errorf("decode rows: %w", err)
 	}
 	byName := make(map[string]rowstore.Row, len(rows))
--- a/internal/control/tablesharer/reader.go
+++ b/internal/control/tablesharer/reader.go
@@ -9,7 +9,7 @@
 	"strconv"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/lenientdecoder"
 )
 
 const (
@@ -217,7 +217,7 @@
 		return answer{}, err
 	}
 	var a answer
-	if err := cbor.Unmarshal(data, &a); err != nil {
+	if err := lenientdecoder.Decode(data, &a); err != nil {
 		return answer{}, fmt.Errorf("decode answer: %w", err)
 	}
 	return a, nil
--- a/internal/faces/gateway/deliver.go
+++ b/internal/faces/gateway/deliver.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -8,6 +9,7 @@
 	"time"
 
 	"github.com/fescuespindle/fescuespindle/internal/online/courier"
+	"github.com/fescuespindle/fescuespindle/internal/online/eventreader"
 	"github.com/fescuespindle/fescuespindle/internal/online/eventsplitter"
 	"github.com/fescuespindle/fescuespindle/internal/online/relayer"
 	"github.com/fescuespindle/fescuespindle/internal/online/router"
@@ -147,7 +149,7 @@
 // at the end of a truncated stream is discarded, so that another upstream can resume.
 func (f *forwarding) deliverStream(d *courier.Delivery) error {
 	control := http.NewResponseController(f.x.w)
-	events := eventsplitter.New(d, eventsplitter.WithMemory(f.gateway.memory))
+	events := eventreader.New(d, f.resumedAfter(), eventsplitter.WithMemory(f.gateway.memory))
 	defer events.Close()
 	for {
 		event, err := events.Next()
@@ -166,9 +168,19 @@
 		if err := f.writeEvent(d, control, event); err != nil {
 			return err
 		}
+		f.lastEventID = cmp.Or(events.LastEvent(), f.lastEventID)
 	}
 }
 
+// resumedAfter returns the id of the event after which the upstream goes on; "" for the first one. Upstreams of a route that
+// can't be resumed may begin anew whatever the caller asks for.
+func (f *forwarding) resumedAfter() string {
+	if !f.canResume() {
+		return ""
+	}
+	return f.lastEventID
+}
+
 // writeEvent writes one event to the caller. The stall timer is paused meanwhile.
 func (f *forwarding) writeEvent(
 	d *courier.Delivery, control *http.ResponseController, event eventsplitter.Event,
@@ -192,9 +204,6 @@
 	if progress {
 		f.countEvent()
 	}
-	if id := event.ID(); id != "" {
-		f.lastEventID = id
-	}
 	return nil
 }
 
--- a/internal/faces/gateway/slow_test.go
+++ b/internal/faces/gateway/slow_test.go
@@ -17,13 +17,13 @@
 // unreadTimeout is how long an upstream of the tests waits for its answer to be read.
 const unreadTimeout = 2 * time.Second
 
-// cutting answers with events, and breaks off once one is not read for unreadTimeout.
+// cutting answers with events after the one that the request names, and breaks off once one is not read for unreadTimeout.
 func cutting(contentType string) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 		w.Header().Set("Content-Type", contentType)
 		control := http.NewResponseController(w)
-		for n := range 1000 {
+		for n := standin.LastEventOf(r) + 1; n <= 1000; n++ {
 			_ = control.SetWriteDeadline(time.Now().Add(unreadTimeout))
 			_, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, strings.Repeat("x", 1000))
 			if err != nil || control.Flush() != nil {
--- a/internal/online/versionkeeper/keeper.go
+++ b/internal/online/versionkeeper/keeper.go
@@ -28,6 +28,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/lenientdecoder"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/repeater"
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 )
@@ -256,7 +257,7 @@
 	if err != nil || row.Version == 0 {
 		return r, err
 	}
-	if err := cbor.Unmarshal(row.Value, &r); err != nil {
+	if err := lenientdecoder.Decode(row.Value, &r); err != nil {
 		return r, fmt.Errorf("%w: malformed record: %w", ErrUnknown, err)
 	}
 	return r, nil
--- a/internal/online/versionkeeper/versions.go
+++ b/internal/online/versionkeeper/versions.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/fescuespindle/fescuespindle/internal/online/placer"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/lenientdecoder"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/weigher"
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 )
@@ -58,7 +59,7 @@
 	if row.Version == 0 {
 		return set, nil
 	}
-	if err := cbor.Unmarshal(row.Value, &set.versions); err != nil {
+	if err := lenientdecoder.Decode(row.Value, &set.versions); err != nil {
 		return set, fmt.Errorf("malformed versions of service %q: %w", row.Name, err)
 	}
 	return set, nil
