A submission's Request-Id may be no UTF-8

Cause: the ID went as a text into keys of rows (JSON replaces the byte) and into the record and the admission row (CBOR refuses to decode them).

Change: platform/ gives such a job its ID in hexadecimal behind a mark where calls are decoded, and the caller's own ID back where answers are encoded. No two IDs become the same. Served rather than refused, as RFC 9110 allows such bytes.

--- a/internal/batch/batchkeeper/admission_test.go
+++ b/internal/batch/batchkeeper/admission_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 
 	"github.com/fescuespindle/fescuespindle/internal/batch/batchkeeper"
 	"github.com/fescuespindle/fescuespindle/internal/standins/rowemulator"
@@ -33,6 +34,24 @@
 	return s
 }
 
+// Guards against: a reservation of an earlier release, for a job whose ID is no UTF-8, can't be decoded, and all later jobs that need
+// one are rejected.
+func TestReservationWithAnIDThatIsNoUTF8IsRead(t *testing.T) {
+	runWithStore(t, func(t *testing.T, ctx context.Context, store *rowemulator.Store) {
+		const tokens, limit = 60, 100
+		held, err := cbor.Marshal([][]any{{"caf\xe9", 5, time.Duration(0)}})
+		qt.Assert(t, err, qt.IsNil)
+		key := rowstore.Key{Table: "jobAdmission", Part: "jobAdmission", Name: "r"}
+		_, err = store.Apply(rowstore.Tx{Puts: []rowstore.Put{{Key: key, Value: held}}})
+		qt.Assert(t, err, qt.IsNil)
+		k := newKeepers(store, 1)[0]
+		_, _, err = k.Submit(ctx, submissionWithLimit("j", tokens, limit))
+		qt.Check(t, err, qt.IsNil)
+		_, _, err = k.Submit(ctx, submissionWithLimit("k", tokens, limit))
+		qt.Check(t, err, qt.ErrorIs, batchkeeper.ErrOverQuota)
+	})
+}
+
 // The 70 VMs of a large fleet receive a job each while every store write takes a quarter
 // of a second. If all jobs needed a reservation in the route's single admission row, only
 // four per second would be admitted, and callers would time out.
--- a/internal/faces/batchserver/server.go
+++ b/internal/faces/batchserver/server.go
@@ -50,9 +50,9 @@
 	DecodeJobCall(r *http.Request) (Call, bool, error)
 	DecodeSubmission(r *http.Request, body []byte, now time.Time) (Submission, error)
 	EncodeResults(page batchkeeper.Page, after int) ([]byte, error)
-	// EncodeLocalReplyHeader writes the header of an answer. An empty id and a zero
+	// EncodeJobReplyHeader writes the header of an answer to a call on a job. An empty job and a zero
 	// retryAfter are left out.
-	EncodeLocalReplyHeader(to http.Header, id string, retryAfter time.Duration)
+	EncodeJobReplyHeader(to http.Header, job string, retryAfter time.Duration)
 	// SetIdentity removes what a header says of its sender, a key and the name of a team, and sets the name
 	// of a team, if there is one.
 	SetIdentity(header http.Header, team string)
@@ -282,14 +282,14 @@
 	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
 		retryAfter = retryAfterBase + rand.N(retryAfterJitter)
 	}
-	s.codec.EncodeLocalReplyHeader(w.Header(), id, retryAfter)
+	s.codec.EncodeJobReplyHeader(w.Header(), id, retryAfter)
 	w.WriteHeader(status)
 	return status
 }
 
 // answer answers a successful call and returns the status.
 func (s *Server) answer(w http.ResponseWriter, id string, status int, body []byte) int {
-	s.codec.EncodeLocalReplyHeader(w.Header(), id, 0)
+	s.codec.EncodeJobReplyHeader(w.Header(), id, 0)
 	w.WriteHeader(status)
 	if _, err := w.Write(body); err != nil {
 		s.logger.Info("writing the answer failed", "job", id, "error", err)
