An answer without end doesn't count as an error of its item

Cause: attempter gave a run over MaxOutput the outcome of an answer of status 500, of which max_attempts end an item, and didn't record the server as failing.

--- a/internal/batch/attempter/attempter.go
+++ b/internal/batch/attempter/attempter.go
@@ -49,9 +49,6 @@
 type Outcome uint8
 
 // Outcomes of a run.
-//
-// A run whose output exceeds batchkeeper.MaxOutput counts as failed: an upstream
-// that never ends its stream would otherwise exhaust the memory on every retry.
 const (
 	// OutcomeCompleted means that the stream of the item came to its end.
 	OutcomeCompleted Outcome = iota
@@ -59,15 +56,14 @@
 	OutcomeStopped
 	// OutcomeNotRun means that the upstream certainly did not start the run.
 	OutcomeNotRun
-	// OutcomeFailed means that the upstream answered with status 500 or exceeded
-	// the maximum output.
+	// OutcomeFailed means that the upstream answered with status 500.
 	OutcomeFailed
 	// OutcomeUnprocessable means that the upstream answered with status 422: the item
 	// can never succeed.
 	OutcomeUnprocessable
 	// OutcomeInterrupted means that the call failed without it being certain that it
 	// did not run, or that the response broke off, stalled, had no events or bytes that are
-	// none, or had any other status than a success.
+	// none, exceeded the maximum output, or had any other status than a success.
 	OutcomeInterrupted
 	// OutcomeNoMemory means that this VM ended the run for lack of memory. Its output is
 	// discarded, and the next run starts over.
@@ -85,7 +81,9 @@
 	Progress batchkeeper.Progress
 	// Events is the number of events received in this run. It doesn't count those of earlier runs.
 	Events int
-	Err    error
+	// IsDiscarded is whether the output was discarded, so that the next run starts over.
+	IsDiscarded bool
+	Err         error
 }
 
 // LiveProgress is the progress of a current run. It is safe for concurrent use.
@@ -187,7 +185,7 @@
 			return Result{Outcome: OutcomeCompleted, Progress: progress, Events: n}
 		}
 		if errors.Is(err, eventsplitter.ErrNoMemory) {
-			return Result{Outcome: OutcomeNoMemory, Events: n, Err: ErrNoMemory}
+			return Result{Outcome: OutcomeNoMemory, Events: n, IsDiscarded: true, Err: ErrNoMemory}
 		}
 		if err != nil {
 			result := Result{Outcome: outcomeOfError(ctx, err), Progress: progress, Events: n, Err: err}
@@ -201,10 +199,11 @@
 		}
 		stallTimer.Reset(eventTimeout)
 		if len(progress.Output)+len(event.Raw()) > batchkeeper.MaxOutput {
-			return Result{Outcome: OutcomeFailed, Events: n, Err: ErrTooLong} // no progress: the next run starts over
+			d.RecordFailure() // no such output could be kept: the upstream doesn't end it
+			return Result{Outcome: OutcomeInterrupted, Events: n, IsDiscarded: true, Err: ErrTooLong}
 		}
 		if !output.reserve(len(progress.Output) + len(event.Raw())) {
-			return Result{Outcome: OutcomeNoMemory, Events: n, Err: ErrNoMemory}
+			return Result{Outcome: OutcomeNoMemory, Events: n, IsDiscarded: true, Err: ErrNoMemory}
 		}
 		if len(progress.Output) > 0 || progress.LastEvent != "" {
 			progress.Output = append(progress.Output, '\n')
--- a/internal/batch/batchrunner/run.go
+++ b/internal/batch/batchrunner/run.go
@@ -85,7 +85,7 @@
 		it.avoid(upstream, now)
 		r.recordFailure(it, now)
 	case attempter.OutcomeInterrupted:
-		r.recordInterruption(it, upstream, result.Events, now)
+		r.recordInterruption(it, upstream, result, now)
 	case attempter.OutcomeNoMemory:
 		it.notBefore = now.Add(failurePause)
 	}
@@ -104,11 +104,12 @@
 
 // recordInterruption handles a run that broke off. If it had fewer than harmlessEvents
 // events, it counts as a crash, since the item may have crashed its upstream. A run that
-// breaks off later more likely has another cause.
-func (r *Runner) recordInterruption(it *item, upstream string, events int, now time.Time) {
+// breaks off later more likely has another cause. One whose output was discarded also counts,
+// for the pauses: an upstream that never ends its stream would cost as much with each run.
+func (r *Runner) recordInterruption(it *item, upstream string, result attempter.Result, now time.Time) {
 	it.avoid(upstream, now)
 	it.notBefore = now.Add(failurePause)
-	if events < harmlessEvents {
+	if result.Events < harmlessEvents || result.IsDiscarded {
 		it.failureCounts.Crashes++
 		it.job.dirty = true
 		it.notBefore = now.Add(crashPause(it.failureCounts.Crashes))
