Answers that callers read slowly are reserved for calls on jobs too

What callers saw: some 55 that read the body of an item (2.7 MB) slowly took a VM over its 184 MB, and its platform killed it.

Cause: batchserver held bodies and pages of results, unreserved, until the caller had read them.

Change: answers of more than 16 KiB are reserved while they are written and leave half of the budget to others; without memory 503 with Retry-After. rationer decides what is left to others, once for this and the spooler.

--- a/internal/faces/batchserver/rejection_test.go
+++ b/internal/faces/batchserver/rejection_test.go
@@ -20,6 +20,7 @@
 	"github.com/fescuespindle/fescuespindle/internal/faces/gateway"
 	"github.com/fescuespindle/fescuespindle/internal/online/router"
 	"github.com/fescuespindle/fescuespindle/internal/plumbing/counter"
+	"github.com/fescuespindle/fescuespindle/internal/plumbing/rationer"
 	"github.com/fescuespindle/fescuespindle/internal/standins/rowemulator"
 	"github.com/fescuespindle/fescuespindle/internal/store/rowstore"
 	"github.com/fescuespindle/fescuespindle/platform"
@@ -92,7 +93,7 @@
 	store := failingReads{Store: rows, table: table, fail: fail}
 	keeper := batchkeeper.New(store, batchkeeper.Owner{VM: "a", Boot: 1}, rowstore.MaxRowBytes, logger)
 	codec := fixedCall{call: batchserver.Call{Operation: operation, Job: testJob, Item: testItem}}
-	server := batchserver.New(codec, keeper, keeper, nil, nil, nil, counter.New(metrics.NewSet()), logger)
+	server := batchserver.New(codec, keeper, keeper, nil, nil, rationer.New(1<<20), counter.New(metrics.NewSet()), logger)
 	server.Serve(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil),
 		gateway.JobContext{Table: router.NewTable(router.Configuration{Version: 1})})
 	var line logLine
--- a/internal/faces/batchserver/server.go
+++ b/internal/faces/batchserver/server.go
@@ -101,8 +101,15 @@
 	// and retryAfterJitter the range of a random addition.
 	retryAfterBase   = 300 * time.Millisecond
 	retryAfterJitter = 400 * time.Millisecond
+	// unreservedAnswerBytes is the size of answers that are held without a reservation of memory. Longer ones must leave
+	// a part of the memory to submissions and requests, as callers may read them slowly.
+	unreservedAnswerBytes = 16 << 10
+	sparedDivisor         = 2
 )
 
+// errNoMemory means that the memory budget has no space for an answer that its caller may read slowly.
+var errNoMemory = errors.New("no memory for the answer")
+
 // Server is the HTTP handler for calls on jobs.
 type Server struct {
 	codec     Codec
@@ -111,6 +118,7 @@
 	runner    Runner
 	limits    func() router.Limits
 	memory    *rationer.Rationer
+	spared    int64 // bytes of memory that answers leave to others
 	counter   Counter
 	logger    *slog.Logger
 }
@@ -124,8 +132,8 @@
 	counter Counter, logger *slog.Logger,
 ) *Server {
 	return &Server{
-		codec: codec, keeper: keeper, canceller: canceller, runner: runner, limits: limits, memory: memory, counter: counter,
-		logger: logger,
+		codec: codec, keeper: keeper, canceller: canceller, runner: runner, limits: limits, memory: memory,
+		spared: memory.Available() / sparedDivisor, counter: counter, logger: logger,
 	}
 }
 
@@ -242,7 +250,7 @@
 	}
 	switch {
 	case err == nil:
-		return s.answer(w, call.Job, http.StatusOK, body)
+		return s.answerReserved(w, call.Job, body)
 	case errors.Is(err, batchkeeper.ErrNotFound):
 		return s.reject(w, call.Job, http.StatusNotFound, err)
 	default:
@@ -287,6 +295,16 @@
 	return status
 }
 
+// answerReserved answers a successful call on a submitted job. What the caller has not read yet of a long answer is reserved.
+func (s *Server) answerReserved(w http.ResponseWriter, job string, body []byte) int {
+	reservation := s.memory.NewReservation()
+	defer reservation.Release()
+	if size := int64(len(body)); size > unreservedAnswerBytes && !reservation.GrowSparing(size, s.spared) {
+		return s.reject(w, job, http.StatusServiceUnavailable, errNoMemory)
+	}
+	return s.answer(w, job, http.StatusOK, body)
+}
+
 // answer answers a successful call and returns the status.
 func (s *Server) answer(w http.ResponseWriter, id string, status int, body []byte) int {
 	s.codec.EncodeJobReplyHeader(w.Header(), id, 0)
--- a/internal/plumbing/rationer/rationer.go
+++ b/internal/plumbing/rationer/rationer.go
@@ -16,10 +16,14 @@
 
 // TryAcquire takes bytes from the budget. It returns false, and takes none, if
 // fewer are available.
-func (r *Rationer) TryAcquire(bytes int64) bool {
+func (r *Rationer) TryAcquire(bytes int64) bool { return r.TryAcquireSparing(bytes, 0) }
+
+// TryAcquireSparing is TryAcquire for holders that must leave a number of bytes to others: it also takes none if
+// fewer than these would stay available.
+func (r *Rationer) TryAcquireSparing(bytes, spared int64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if bytes > r.available {
+	if bytes > r.available-spared {
 		return false
 	}
 	r.available -= bytes
@@ -52,8 +56,11 @@
 
 // Grow reserves more bytes. It returns false, and reserves none, if fewer are
 // available.
-func (r *Reservation) Grow(bytes int64) bool {
-	if !r.budget.TryAcquire(bytes) {
+func (r *Reservation) Grow(bytes int64) bool { return r.GrowSparing(bytes, 0) }
+
+// GrowSparing is Grow for holders that must leave a number of bytes to others.
+func (r *Reservation) GrowSparing(bytes, spared int64) bool {
+	if !r.budget.TryAcquireSparing(bytes, spared) {
 		return false
 	}
 	r.bytes += bytes
--- a/internal/plumbing/spooler/spooler.go
+++ b/internal/plumbing/spooler/spooler.go
@@ -76,7 +76,7 @@
 
 // tryReserve reserves memory unless too little would be left to others.
 func (s *Spooler) tryReserve(bytes int64) bool {
-	return s.memory.Available()-bytes >= s.spared && s.memory.TryAcquire(bytes)
+	return s.memory.TryAcquireSparing(bytes, s.spared)
 }
 
 // Behind returns the number of connections for which bytes are kept.
