--- a/internal/batch/batchrunner/continue_test.go
+++ b/internal/batch/batchrunner/continue_test.go
@@ -9,6 +9,14 @@
 	"github.com/fescuespindle/fescuespindle/platform/standin"
 )
 
+// expectItemCompleted submits a job with one item, and checks that it is completed with its whole output.
+func expectItemCompleted(f *fleet) {
+	v := f.start("a")
+	defer v.stop()
+	f.submit(v, 1)
+	f.expectResults(v, 15*time.Second, "item0 ok")
+}
+
 // Guards against: an item breaks off, the next upstream answers with something that is no
 // stream, and the item counts as completed with the part of its output that it had.
 func TestItemIsNotCompletedByAnAnswerThatIsNoStream(t *testing.T) {
@@ -24,12 +32,7 @@
 				return second
 			}
 			return plan
-		}, func(f *fleet) {
-			v := f.start("a")
-			defer v.stop()
-			f.submit(v, 1)
-			f.expectResults(v, 15*time.Second, "item0 ok")
-		})
+		}, expectItemCompleted)
 	}
 	t.Run("text", func(t *testing.T) { expect(t, standin.Plan{Body: "overloaded\n\n"}) })
 	t.Run("nothing", func(t *testing.T) { expect(t, standin.Plan{}) })
@@ -51,12 +54,7 @@
 				plan.BreakAfter = 2
 			}
 			return plan
-		}, func(f *fleet) {
-			v := f.start("a")
-			defer v.stop()
-			f.submit(v, 1)
-			f.expectResults(v, 15*time.Second, "item0 ok")
-		})
+		}, expectItemCompleted)
 	}
 	for _, breakage := range standin.BrokenEvents {
 		t.Run(breakage.String(), func(t *testing.T) { expect(t, breakage, 1) })
