Results are readable while a VM's jobs hold the memory for submissions

What callers would have seen since: with jobs in more than half of a VM's budget each page of results and each body of more than 16 KiB is rejected there with 503, for as long as the jobs run.

Cause: answers were reserved from the budget for submissions, which jobs hold while they run, and had to leave half of it.

Change: answers have a budget of their own, half as large, and each leaves as much of it as it takes, so that long bodies don't use up what short pages need.

--- a/internal/faces/batchserver/answer.go
+++ b/internal/faces/batchserver/answer.go
@@ -14,10 +14,11 @@
 	// and retryAfterJitter the range of a random addition.
 	retryAfterBase   = 300 * time.Millisecond
 	retryAfterJitter = 400 * time.Millisecond
-	// unreservedAnswerBytes is the size of answers that are held without a reservation of memory. Longer ones must leave
-	// a part of the memory to submissions and requests, as callers may read them slowly.
+	// unreservedAnswerBytes is the size of answers that are held without a reservation of memory.
 	unreservedAnswerBytes = 16 << 10
-	sparedDivisor         = 2
+	// answerMemoryDivisor is the ratio of the memory for submissions to that for answers. They don't share one budget: the
+	// jobs of this VM hold theirs for as long as they run, and their results must be readable meanwhile.
+	answerMemoryDivisor = 2
 )
 
 // errNoMemory means that the memory budget has no space for an answer that its caller may read slowly.
@@ -37,10 +38,11 @@
 }
 
 // answerReserved answers a successful call on a submitted job. What the caller has not read yet of a long answer is reserved.
+// An answer leaves as much memory as it takes, so that callers that read long ones slowly don't use up that of short ones.
 func (s *Server) answerReserved(w http.ResponseWriter, job string, body []byte) int {
-	reservation := s.memory.NewReservation()
+	reservation := s.answers.NewReservation()
 	defer reservation.Release()
-	if size := int64(len(body)); size > unreservedAnswerBytes && !reservation.GrowSparing(size, s.spared) {
+	if size := int64(len(body)); size > unreservedAnswerBytes && !reservation.GrowSparing(size, size) {
 		return s.reject(w, job, http.StatusServiceUnavailable, errNoMemory)
 	}
 	return s.answer(w, job, http.StatusOK, body)
--- a/internal/faces/batchserver/server.go
+++ b/internal/faces/batchserver/server.go
@@ -106,22 +106,22 @@
 	runner    Runner
 	limits    func() router.Limits
 	memory    *rationer.Rationer
-	spared    int64 // bytes of memory that answers leave to others
+	answers   *rationer.Rationer // memory for answers that callers have not read yet
 	counter   Counter
 	logger    *slog.Logger
 }
 
 var _ gateway.Jobs = (*Server)(nil)
 
-// New returns a Server. Bytes that it holds for callers are reserved from memory. The
-// limits function returns the current limits of the configuration.
+// New returns a Server. Submissions are reserved from memory; long answers from a budget of their own, in
+// proportion to it. The limits function returns the current limits of the configuration.
 func New(
 	codec Codec, keeper Keeper, canceller Canceller, runner Runner, limits func() router.Limits, memory *rationer.Rationer,
 	counter Counter, logger *slog.Logger,
 ) *Server {
 	return &Server{
 		codec: codec, keeper: keeper, canceller: canceller, runner: runner, limits: limits, memory: memory,
-		spared: memory.Available() / sparedDivisor, counter: counter, logger: logger,
+		answers: rationer.New(memory.Available() / answerMemoryDivisor), counter: counter, logger: logger,
 	}
 }
 
