Reading an event costs no allocation more; no state that an error says already

Cause: each event's number was formatted anew, and its lines were searched for data three times; attempter.Result had a flag that ErrTooLong says already; a load that failed could log that its items start over. Change: the splitter notes data in the pass that finds the id; the reader keeps the id as it came unless zeros are in front; the gateway takes over the last id once an attempt. IsDiscarded is gone. Progress is checked only of a job that was loaded.

--- a/internal/batch/attempter/attempter.go
+++ b/internal/batch/attempter/attempter.go
@@ -81,9 +81,7 @@
 	Progress batchkeeper.Progress
 	// Events is the number of events received in this run. It doesn't count those of earlier runs.
 	Events int
-	// IsDiscarded is whether the output was discarded, so that the next run starts over.
-	IsDiscarded bool
-	Err         error
+	Err    error
 }
 
 // LiveProgress is the progress of a current run. It is safe for concurrent use.
@@ -185,7 +183,7 @@
 			return Result{Outcome: OutcomeCompleted, Progress: progress, Events: n}
 		}
 		if errors.Is(err, eventsplitter.ErrNoMemory) {
-			return Result{Outcome: OutcomeNoMemory, Events: n, IsDiscarded: true, Err: ErrNoMemory}
+			return Result{Outcome: OutcomeNoMemory, Events: n, Err: ErrNoMemory}
 		}
 		if err != nil {
 			result := Result{Outcome: outcomeOfError(ctx, err), Progress: progress, Events: n, Err: err}
@@ -199,11 +197,11 @@
 		}
 		stallTimer.Reset(eventTimeout)
 		if len(progress.Output)+len(event.Raw()) > batchkeeper.MaxOutput {
-			d.RecordFailure() // no such output could be kept: the upstream doesn't end it
-			return Result{Outcome: OutcomeInterrupted, Events: n, IsDiscarded: true, Err: ErrTooLong}
+			d.RecordFailure()                                                      // no such output could be kept: the upstream doesn't end it
+			return Result{Outcome: OutcomeInterrupted, Events: n, Err: ErrTooLong} // no progress: the next run starts over
 		}
 		if !output.reserve(len(progress.Output) + len(event.Raw())) {
-			return Result{Outcome: OutcomeNoMemory, Events: n, IsDiscarded: true, Err: ErrNoMemory}
+			return Result{Outcome: OutcomeNoMemory, Events: n, Err: ErrNoMemory}
 		}
 		if len(progress.Output) > 0 || progress.LastEvent != "" {
 			progress.Output = append(progress.Output, '\n')
--- a/internal/batch/batchrunner/load.go
+++ b/internal/batch/batchrunner/load.go
@@ -75,8 +75,8 @@
 		return loadEnded
 	}
 	outcome := loadFailed
-	r.dropUnusableProgress(j.stored.ID, &loaded)
 	if err == nil {
+		r.dropUnusableProgress(j.stored.ID, &loaded)
 		outcome = j.fit(&loaded)
 	}
 	if outcome == loadLoaded || outcome == loadWithoutOutput {
--- a/internal/batch/batchrunner/run.go
+++ b/internal/batch/batchrunner/run.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -104,12 +105,12 @@
 
 // recordInterruption handles a run that broke off. If it had fewer than harmlessEvents
 // events, it counts as a crash, since the item may have crashed its upstream. A run that
-// breaks off later more likely has another cause. One whose output was discarded also counts,
+// breaks off later more likely has another cause. One whose output was too long also counts,
 // for the pauses: an upstream that never ends its stream would cost as much with each run.
 func (r *Runner) recordInterruption(it *item, upstream string, result attempter.Result, now time.Time) {
 	it.avoid(upstream, now)
 	it.notBefore = now.Add(failurePause)
-	if result.Events < harmlessEvents || result.IsDiscarded {
+	if result.Events < harmlessEvents || errors.Is(result.Err, attempter.ErrTooLong) {
 		it.failureCounts.Crashes++
 		it.job.dirty = true
 		it.notBefore = now.Add(crashPause(it.failureCounts.Crashes))
--- a/internal/faces/gateway/stream.go
+++ b/internal/faces/gateway/stream.go
@@ -31,6 +31,7 @@
 	control := http.NewResponseController(f.x.w)
 	events := eventreader.New(d, f.resumedAfter(), eventsplitter.WithMemory(f.gateway.memory))
 	defer events.Close()
+	defer func() { f.lastEventID = cmp.Or(events.LastEvent(), f.lastEventID) }()
 	var comments []byte // before the first event
 	for {
 		event, err := events.Next()
@@ -54,7 +55,6 @@
 			return err
 		}
 		comments = nil
-		f.lastEventID = cmp.Or(events.LastEvent(), f.lastEventID)
 	}
 }
 
--- a/internal/online/eventreader/reader.go
+++ b/internal/online/eventreader/reader.go
@@ -55,6 +55,7 @@
 type Reader struct {
 	splitter *eventsplitter.Splitter
 	last     uint64 // number of the last event, if hasLast
+	lastID   string // the same in digits alone
 	hasLast  bool
 	isEmpty  bool // nothing has arrived yet, not even a comment
 	hasEvent bool // of this answer
@@ -64,19 +65,24 @@
 // a number says nothing of the events to come. Options are those of the splitter. Close must be called.
 func New(answer io.Reader, after string, options ...eventsplitter.Option) *Reader {
 	r := &Reader{splitter: eventsplitter.New(answer, options...), isEmpty: true}
-	r.last, r.hasLast = ParseNumber(after)
+	if number, valid := ParseNumber(after); valid {
+		r.setLast(number, after)
+	}
 	return r
 }
 
 // Close returns the memory for a long event.
 func (r *Reader) Close() { r.splitter.Close() }
 
-// LastEvent returns the id of the last event, which is a number in digits alone; "" if there was none.
-func (r *Reader) LastEvent() string {
-	if !r.hasLast {
-		return ""
+// LastEvent returns the id of the last event, which is a number in digits alone and without zeros in front; "" if there was none.
+func (r *Reader) LastEvent() string { return r.lastID }
+
+// setLast sets the last event. Its id is written anew only if zeros are in front of it, of which there may be any number.
+func (r *Reader) setLast(number uint64, id string) {
+	if id[0] == '0' {
+		id = strconv.FormatUint(number, 10)
 	}
-	return strconv.FormatUint(r.last, 10)
+	r.last, r.lastID, r.hasLast = number, id, true
 }
 
 // Next returns the next event, or a comment, which has no data. It returns io.EOF at the end of a whole answer, ErrInvalid,
@@ -117,7 +123,8 @@
 	if !valid || r.hasLast && number <= r.last {
 		return fmt.Errorf("%w: id %.*q after %q", ErrInvalid, maxQuotedChars, event.ID(), r.LastEvent())
 	}
-	r.last, r.hasLast, r.hasEvent = number, true, true
+	r.setLast(number, event.ID())
+	r.hasEvent = true
 	return nil
 }
 
--- a/internal/online/eventsplitter/splitter.go
+++ b/internal/online/eventsplitter/splitter.go
@@ -28,8 +28,9 @@
 
 // Event is one complete server-sent event.
 type Event struct {
-	raw []byte
-	id  string
+	raw     []byte
+	id      string
+	hasData bool
 }
 
 // Raw returns the event's bytes, including the blank line that ends it. They are valid
@@ -40,14 +41,7 @@
 func (e Event) ID() string { return e.id }
 
 // HasData returns whether the event has a data field. A comment has none.
-func (e Event) HasData() bool {
-	for line := range bytes.Lines(e.raw) {
-		if _, found := field(line, "data"); found {
-			return true
-		}
-	}
-	return false
-}
+func (e Event) HasData() bool { return e.hasData }
 
 // AppendData appends the values of the event's data fields to a buffer, separated by
 // line feeds.
@@ -171,6 +165,9 @@
 		if value, found := field(line, "id"); found {
 			e.id = string(value)
 		}
+		if _, found := field(line, "data"); found {
+			e.hasData = true
+		}
 	}
 	return e
 }
